--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable domain data and sharded in-memory state; no input or output. */
+package org.gooseberryhook.state;
