Add the design page, domain records and ports

Cause: later modules need one agreed set of names, messages and ports. Change: docs/design.md; records of package state; ports, typed results and message families of package protocol; an in-memory table service for tests. Conclusion: modules can be written side by side against these interfaces.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/EngineStart.java
@@ -0,0 +1,50 @@
+package org.gooseberryhook.protocol;
+
+import java.util.List;
+
+/**
+ * The order that starts one attempt on a chain of engines.
+ *
+ * @param requestId the request
+ * @param attempt the attempt, counted from 1
+ * @param modelId the model
+ * @param modelVersion the version that every stage must hold
+ * @param layerCount number of layers of the model
+ * @param prompt the prompt text
+ * @param maxTokens tokens in the whole answer at most
+ * @param deliveredTokenIds tokens that the caller already has; the answer goes on after them
+ * @param priority 0 for interactive work, 1 for batch
+ * @param timeoutMs time left until the deadline, in milliseconds
+ * @param stages the chain in layer order
+ * @since 0.1
+ */
+public record EngineStart(
+    String requestId,
+    int attempt,
+    String modelId,
+    String modelVersion,
+    int layerCount,
+    String prompt,
+    int maxTokens,
+    List<Integer> deliveredTokenIds,
+    int priority,
+    long timeoutMs,
+    List<Stage> stages) {
+
+  /** Creates an order; lists are copied. */
+  public EngineStart {
+    deliveredTokenIds = List.copyOf(deliveredTokenIds);
+    stages = List.copyOf(stages);
+  }
+
+  /**
+   * One stage of the chain.
+   *
+   * @param targetId the target
+   * @param address base URL of the target
+   * @param firstLayer first layer to run
+   * @param endLayer index after the last layer to run
+   * @since 0.1
+   */
+  public record Stage(String targetId, String address, int firstLayer, int endLayer) {}
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/TableOperation.java
@@ -0,0 +1,35 @@
+package org.gooseberryhook.protocol;
+
+/**
+ * A conditional write.
+ *
+ * @param key the key
+ * @param expectedVersion version that the record must have; 0 if it must be absent
+ * @param value the new value in UTF-8 JSON text; null deletes the record
+ * @since 0.1
+ */
+public record TableOperation(String key, long expectedVersion, String value) {
+
+  /**
+   * Returns a put.
+   *
+   * @param key the key
+   * @param expectedVersion version that the record must have; 0 if it must be absent
+   * @param value the new value, not null
+   * @return the operation, never null
+   */
+  public static TableOperation ofPut(String key, long expectedVersion, String value) {
+    return new TableOperation(key, expectedVersion, value);
+  }
+
+  /**
+   * Returns a deletion.
+   *
+   * @param key the key
+   * @param expectedVersion version that the record must have
+   * @return the operation, never null
+   */
+  public static TableOperation ofDelete(String key, long expectedVersion) {
+    return new TableOperation(key, expectedVersion, null);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Target.java
@@ -0,0 +1,81 @@
+package org.gooseberryhook.state;
+
+import java.util.Objects;
+
+/**
+ * A back end on a VM of the platform, as last seen.
+ *
+ * @param targetId unique name of the target
+ * @param vmId the VM it runs on
+ * @param place the data centre of the VM
+ * @param region the region of the place
+ * @param kind what the target runs
+ * @param address base URL, for example {@code http://10.0.0.7:9000}
+ * @param serves model id for an engine, service name for a plain service
+ * @param modelVersion version of the loaded model; empty for a plain service
+ * @param layers the layer range held; null for a plain service
+ * @param accelerator kind of accelerator; empty if unknown
+ * @param checksFencing whether the engine refuses orders that carry an old fencing number
+ * @param isLeaving whether the target must receive no new work
+ * @since 0.1
+ */
+public record Target(
+    String targetId,
+    String vmId,
+    String place,
+    String region,
+    TargetKind kind,
+    String address,
+    String serves,
+    String modelVersion,
+    LayerRange layers,
+    String accelerator,
+    boolean checksFencing,
+    boolean isLeaving) {
+
+  /**
+   * Creates a target.
+   *
+   * @throws NullPointerException if any argument except {@code layers} is null
+   * @throws IllegalArgumentException if an engine has no layer range
+   */
+  public Target {
+    Objects.requireNonNull(targetId, "targetId");
+    Objects.requireNonNull(vmId, "vmId");
+    Objects.requireNonNull(place, "place");
+    Objects.requireNonNull(region, "region");
+    Objects.requireNonNull(kind, "kind");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(serves, "serves");
+    Objects.requireNonNull(modelVersion, "modelVersion");
+    Objects.requireNonNull(accelerator, "accelerator");
+    if (kind == TargetKind.ENGINE && layers == null) {
+      throw new IllegalArgumentException("engine target " + targetId + " has no layer range");
+    }
+  }
+
+  /**
+   * Returns this target marked as leaving or staying.
+   *
+   * @param leaving the new mark
+   * @return a copy, or this target if the mark is unchanged
+   */
+  public Target withLeaving(boolean leaving) {
+    if (leaving == isLeaving) {
+      return this;
+    }
+    return new Target(
+        targetId,
+        vmId,
+        place,
+        region,
+        kind,
+        address,
+        serves,
+        modelVersion,
+        layers,
+        accelerator,
+        checksFencing,
+        leaving);
+  }
+}
