Serve model calls end to end over HTTP

Cause: nothing served a request yet. Change: engine stand-in whose tokens are a checkable function of prompt and layers, HTTP engine client, stream sessions that check layer receipts, caller interface, and the demo command with stage death and node death.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
@@ -0,0 +1,117 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectReader;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.Objects;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.gooseberryhook.protocol.EngineClient;
+import org.gooseberryhook.protocol.EngineStart;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.TokenEvent;
+
+/**
+ * Engine client over HTTP: the start order is a POST to the head stage, whose response streams one
+ * JSON object per line.
+ *
+ * @since 0.1
+ */
+public final class HttpEngineClient implements EngineClient {
+
+  /** Error text of an attempt that was never sent, so that it did not run. */
+  public static final String NOT_SENT = "not-sent";
+
+  /** Error text of an attempt that the engine refused before running anything. */
+  public static final String REFUSED = "refused";
+
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final ObjectReader EVENT_READER = Json.MAPPER.readerFor(TokenEvent.class);
+  private static final int HTTP_OVERLOADED = 503;
+  private static final int HTTP_TOO_MANY = 429;
+
+  private final OkHttpClient client;
+  private final Executor streamExecutor;
+
+  /**
+   * Creates a client.
+   *
+   * @param client HTTP client without a read timeout shorter than the stall timeout
+   * @param streamExecutor bounded pool; one thread reads each stream
+   */
+  public HttpEngineClient(OkHttpClient client, Executor streamExecutor) {
+    this.client = Objects.requireNonNull(client, "client");
+    this.streamExecutor = Objects.requireNonNull(streamExecutor, "streamExecutor");
+  }
+
+  @Override
+  public Attempt start(String headAddress, EngineStart start, Consumer<TokenEvent> listener) {
+    byte[] body;
+    try {
+      body = Json.MAPPER.writeValueAsBytes(start);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("the start order can't be written as JSON", e);
+    }
+    Request request =
+        new Request.Builder()
+            .url(headAddress + "/v1/chains")
+            .post(RequestBody.create(body, JSON))
+            .build();
+    Call call = client.newCall(request);
+    try {
+      streamExecutor.execute(() -> read(call, start, listener));
+    } catch (RejectedExecutionException e) {
+      listener.accept(TokenEvent.ofError(start.requestId(), start.attempt(), NOT_SENT, null));
+    }
+    return call::cancel;
+  }
+
+  private static void read(Call call, EngineStart start, Consumer<TokenEvent> listener) {
+    String headTargetId = start.stages().get(0).targetId();
+    try (Response response = call.execute()) {
+      if (response.code() == HTTP_OVERLOADED || response.code() == HTTP_TOO_MANY) {
+        listener.accept(error(start, REFUSED, headTargetId));
+      } else if (!response.isSuccessful()) {
+        listener.accept(error(start, "engine answered " + response.code(), headTargetId));
+      } else {
+        readLines(response.body().source(), start, listener);
+      }
+    } catch (ConnectException e) {
+      listener.accept(error(start, NOT_SENT, headTargetId));
+    } catch (IOException e) {
+      listener.accept(error(start, "connection lost: " + e.getMessage(), headTargetId));
+    }
+  }
+
+  private static void readLines(
+      BufferedSource source, EngineStart start, Consumer<TokenEvent> listener) throws IOException {
+    while (true) {
+      String line = source.readUtf8Line();
+      if (line == null) {
+        listener.accept(error(start, "the stream ended without an end mark", null));
+        return;
+      }
+      if (line.isEmpty()) {
+        continue;
+      }
+      TokenEvent event = EVENT_READER.readValue(line);
+      listener.accept(event);
+      if (event.isEnd() || event.error() != null) {
+        return;
+      }
+    }
+  }
+
+  private static TokenEvent error(EngineStart start, String reason, String targetId) {
+    return TokenEvent.ofError(start.requestId(), start.attempt(), reason, targetId);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelAnswerWriter.java
@@ -0,0 +1,166 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.jooby.Context;
+import io.jooby.MediaType;
+import io.jooby.Sender;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gooseberryhook.protocol.AnswerSink;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.Problem;
+
+/**
+ * Writes the answer of a model call in the shape of existing completion clients, streamed as
+ * server-sent events or whole.
+ *
+ * @since 0.1
+ */
+final class ModelAnswerWriter implements AnswerSink {
+
+  /** A caller that leaves more than this unread is treated as gone. */
+  private static final long MAX_PENDING_BYTES = 1024 * 1024;
+
+  private final Context context;
+  private final String requestId;
+  private final String modelId;
+  private final boolean isChat;
+  private final boolean isStream;
+  private final int firstStep;
+  private final AtomicLong pendingBytes = new AtomicLong();
+  private final StringBuilder text = new StringBuilder();
+  private final List<Integer> tokenIds = new ArrayList<>();
+  private Sender sender;
+  private volatile boolean isBroken;
+
+  ModelAnswerWriter(Context context, String requestId, ModelRequestBody body, boolean isChat) {
+    this.context = context;
+    this.requestId = requestId;
+    this.modelId = body.model();
+    this.isChat = isChat;
+    this.isStream = body.isStream();
+    this.firstStep = body.getResumeTokenIds().size();
+  }
+
+  @Override
+  public boolean onToken(int step, int tokenId, String tokenText) {
+    if (!isStream) {
+      text.append(tokenText);
+      tokenIds.add(tokenId);
+      return true;
+    }
+    if (sender == null) {
+      openStream();
+    }
+    Map<String, Object> choice = new LinkedHashMap<>();
+    choice.put("index", 0);
+    if (isChat) {
+      choice.put("delta", Map.of("content", tokenText));
+    } else {
+      choice.put("text", tokenText);
+    }
+    choice.put("finish_reason", null);
+    Map<String, Object> chunk = shape(choice, true);
+    chunk.put("step", step);
+    chunk.put("token_id", tokenId);
+    send("id: " + (step + 1) + "\ndata: " + toJson(chunk) + "\n\n");
+    return !isBroken && pendingBytes.get() < MAX_PENDING_BYTES;
+  }
+
+  @Override
+  public void onComplete(int promptTokens, int completionTokens, int cachedTokens) {
+    Map<String, Object> usage = new LinkedHashMap<>();
+    usage.put("prompt_tokens", promptTokens);
+    usage.put("completion_tokens", completionTokens);
+    usage.put("total_tokens", promptTokens + completionTokens);
+    usage.put("cached_tokens", cachedTokens);
+    Map<String, Object> choice = new LinkedHashMap<>();
+    choice.put("index", 0);
+    if (isStream) {
+      completeStream(choice, usage);
+      return;
+    }
+    if (isChat) {
+      choice.put("message", Map.of("role", "assistant", "content", text.toString()));
+    } else {
+      choice.put("text", text.toString());
+    }
+    choice.put("finish_reason", "length");
+    Map<String, Object> body = shape(choice, false);
+    body.put("usage", usage);
+    body.put("first_step", firstStep);
+    body.put("token_ids", tokenIds);
+    context.setResponseType(MediaType.json);
+    context.send(toJson(body));
+  }
+
+  @Override
+  public void onProblem(Problem problem) {
+    if (sender == null) {
+      Problems.send(context, problem);
+      return;
+    }
+    send("event: error\ndata: " + toJson(problem.toBody()) + "\n\n");
+    sender.close();
+  }
+
+  private void completeStream(Map<String, Object> choice, Map<String, Object> usage) {
+    if (sender == null) {
+      openStream();
+    }
+    choice.put(isChat ? "delta" : "text", isChat ? Map.of() : "");
+    choice.put("finish_reason", "length");
+    Map<String, Object> chunk = shape(choice, true);
+    chunk.put("usage", usage);
+    send("data: " + toJson(chunk) + "\n\ndata: [DONE]\n\n");
+    sender.close();
+  }
+
+  private Map<String, Object> shape(Map<String, Object> choice, boolean isChunk) {
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("id", requestId);
+    if (isChat) {
+      body.put("object", isChunk ? "chat.completion.chunk" : "chat.completion");
+    } else {
+      body.put("object", "text_completion");
+    }
+    body.put("model", modelId);
+    body.put("choices", List.of(choice));
+    return body;
+  }
+
+  private void openStream() {
+    context.setResponseType(MediaType.valueOf("text/event-stream"));
+    context.setResponseHeader("Cache-Control", "no-cache");
+    sender = context.responseSender();
+  }
+
+  private void send(String part) {
+    byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+    pendingBytes.addAndGet(bytes.length);
+    try {
+      sender.write(
+          bytes,
+          (ignored, failure) -> {
+            pendingBytes.addAndGet(-bytes.length);
+            if (failure != null) {
+              isBroken = true;
+            }
+          });
+    } catch (RuntimeException e) {
+      isBroken = true;
+    }
+  }
+
+  private static String toJson(Object body) {
+    try {
+      return Json.MAPPER.writeValueAsString(body);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the answer can't be written as JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The command line and the thin daemon. */
+package org.gooseberryhook.daemon;
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
@@ -0,0 +1,341 @@
+package org.gooseberryhook.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import org.gooseberryhook.protocol.EngineStart;
+import org.gooseberryhook.protocol.StageReceipt;
+import org.gooseberryhook.protocol.TokenEvent;
+
+/**
+ * Engine stand-ins of one process and the chains that run on them. Stages pass the hidden state on
+ * in memory. A chain waits when its head's batch is full, interactive before batch.
+ *
+ * @since 0.1
+ */
+public final class EngineFleet {
+
+  /** A prompt with this text kills each target that runs it. */
+  public static final String CRASH_TEXT = "!crash!";
+
+  private static final int MAX_WAITING = 512;
+  private static final int SCHEDULER_THREADS = 4;
+  private static final int CHARS_PER_TOKEN = 4;
+
+  private final Map<String, StandinEngine> engines = new ConcurrentHashMap<>();
+  private final Map<String, ChainRun> runs = new ConcurrentHashMap<>();
+  private final Map<String, Deque<ChainRun>> waitingByHead = new ConcurrentHashMap<>();
+  private final ScheduledThreadPoolExecutor scheduler;
+  private final long stepMicros;
+  private final long prefillMicrosPerToken;
+  private final AtomicLong crashCount = new AtomicLong();
+
+  /**
+   * Creates a fleet.
+   *
+   * @param stepMicros time of one token step of an undisturbed chain, in microseconds
+   * @param prefillMicrosPerToken time of one uncached prompt token, in microseconds
+   */
+  public EngineFleet(long stepMicros, long prefillMicrosPerToken) {
+    this.stepMicros = stepMicros;
+    this.prefillMicrosPerToken = prefillMicrosPerToken;
+    this.scheduler =
+        new ScheduledThreadPoolExecutor(
+            SCHEDULER_THREADS,
+            task -> {
+              Thread thread = new Thread(task, "standin-engine");
+              thread.setDaemon(true);
+              return thread;
+            });
+    scheduler.setRemoveOnCancelPolicy(true);
+  }
+
+  /**
+   * Adds an engine or replaces the one with its id.
+   *
+   * @param engine the engine
+   */
+  public void add(StandinEngine engine) {
+    engines.put(engine.getState().targetId(), engine);
+  }
+
+  /**
+   * Returns an engine.
+   *
+   * @param targetId the target
+   * @return the engine, or empty if there is none
+   */
+  public Optional<StandinEngine> get(String targetId) {
+    return Optional.ofNullable(engines.get(targetId));
+  }
+
+  /**
+   * Returns all engines.
+   *
+   * @return the engines, never null
+   */
+  public Collection<StandinEngine> getAll() {
+    return engines.values();
+  }
+
+  /**
+   * Returns how many engines crash prompts have killed.
+   *
+   * @return the count
+   */
+  public long getCrashCount() {
+    return crashCount.get();
+  }
+
+  /**
+   * Starts an attempt.
+   *
+   * @param start the order
+   * @param sink receives the events in order; returns false when the router is gone
+   * @param onClose run once when the stream is over
+   * @return false if the engine refuses because too many attempts wait
+   */
+  public boolean start(EngineStart start, Predicate<TokenEvent> sink, Runnable onClose) {
+    ChainRun run = new ChainRun(start, sink, onClose);
+    Deque<ChainRun> waiting =
+        waitingByHead.computeIfAbsent(headOf(start), key -> new ArrayDeque<>());
+    synchronized (waiting) {
+      if (waiting.size() >= MAX_WAITING) {
+        return false;
+      }
+      if (start.priority() == 0) {
+        insertBeforeBatch(waiting, run);
+      } else {
+        waiting.addLast(run);
+      }
+    }
+    runs.put(run.key, run);
+    startWaiting(headOf(start));
+    return true;
+  }
+
+  /**
+   * Cancels an attempt.
+   *
+   * @param requestId the request
+   * @param attempt the attempt
+   */
+  public void cancel(String requestId, int attempt) {
+    ChainRun run = runs.get(requestId + "#" + attempt);
+    if (run != null) {
+      run.finish();
+    }
+  }
+
+  /**
+   * Kills a target and fails the attempts that run on it.
+   *
+   * @param engine the engine
+   */
+  public void kill(StandinEngine engine) {
+    engine.setDead(true);
+    String targetId = engine.getState().targetId();
+    for (ChainRun run : runs.values()) {
+      if (run.isUsing(targetId)) {
+        scheduler.execute(() -> run.fail(targetId));
+      }
+    }
+  }
+
+  /** Stops the fleet; running attempts end without an end mark. */
+  public void stop() {
+    scheduler.shutdownNow();
+    runs.values().forEach(ChainRun::finish);
+  }
+
+  private static String headOf(EngineStart start) {
+    return start.stages().get(0).targetId();
+  }
+
+  private static void insertBeforeBatch(Deque<ChainRun> waiting, ChainRun run) {
+    List<ChainRun> batch = new ArrayList<>();
+    while (!waiting.isEmpty() && waiting.peekLast().start.priority() > 0) {
+      batch.add(waiting.pollLast());
+    }
+    waiting.addLast(run);
+    for (int i = batch.size() - 1; i >= 0; i--) {
+      waiting.addLast(batch.get(i));
+    }
+  }
+
+  private void startWaiting(String headId) {
+    Deque<ChainRun> waiting = waitingByHead.get(headId);
+    StandinEngine head = engines.get(headId);
+    if (waiting == null) {
+      return;
+    }
+    synchronized (waiting) {
+      while (!waiting.isEmpty()) {
+        ChainRun next = waiting.peekFirst();
+        if (head != null && !head.isDead() && !next.isOver && !head.enter(next.key)) {
+          return;
+        }
+        waiting.pollFirst();
+        if (!next.isOver) {
+          scheduler.execute(next::begin);
+        }
+      }
+    }
+  }
+
+  /** One attempt on a chain. */
+  private final class ChainRun {
+
+    private final String key;
+    private final EngineStart start;
+    private final Predicate<TokenEvent> sink;
+    private final Runnable onClose;
+    private final int stageCount;
+    private long context;
+    private int step;
+    private int promptTokens;
+    private int cachedTokens;
+    private volatile boolean isOver;
+
+    ChainRun(EngineStart start, Predicate<TokenEvent> sink, Runnable onClose) {
+      this.key = start.requestId() + "#" + start.attempt();
+      this.start = start;
+      this.sink = sink;
+      this.onClose = onClose;
+      this.stageCount = start.stages().size();
+    }
+
+    boolean isUsing(String targetId) {
+      return start.stages().stream().anyMatch(stage -> stage.targetId().equals(targetId));
+    }
+
+    void begin() {
+      for (EngineStart.Stage stage : start.stages()) {
+        StandinEngine engine = engines.get(stage.targetId());
+        if (engine == null
+            || !engine.isHolding(start.modelVersion(), stage.firstLayer(), stage.endLayer())) {
+          fail(stage.targetId());
+          return;
+        }
+      }
+      StandinEngine head = engines.get(headOf(start));
+      cachedTokens = head.touchPrefix(start.prompt());
+      promptTokens = Math.max(1, start.prompt().length() / CHARS_PER_TOKEN);
+      context = TokenFunction.contextOf(start.modelVersion(), start.prompt());
+      for (int tokenId : start.deliveredTokenIds()) {
+        context = TokenFunction.appendToken(context, tokenId);
+      }
+      step = start.deliveredTokenIds().size();
+      long uncachedTokens = promptTokens - cachedTokens + step;
+      schedule(uncachedTokens * prefillMicrosPerToken + stepDelayMicros());
+    }
+
+    private long stepDelayMicros() {
+      double factor = 0;
+      for (EngineStart.Stage stage : start.stages()) {
+        StandinEngine engine = engines.get(stage.targetId());
+        factor += engine == null ? 1 : engine.getSlowFactor();
+      }
+      return Math.round(stepMicros * factor / stageCount);
+    }
+
+    private void schedule(long delayMicros) {
+      if (!scheduler.isShutdown()) {
+        scheduler.schedule(this::runStep, delayMicros, TimeUnit.MICROSECONDS);
+      }
+    }
+
+    private synchronized void runStep() {
+      if (isOver) {
+        return;
+      }
+      if (step >= start.maxTokens()) {
+        sink.test(
+            TokenEvent.ofEnd(start.requestId(), start.attempt(), step, promptTokens, cachedTokens));
+        finish();
+        return;
+      }
+      if (start.prompt().contains(CRASH_TEXT)) {
+        crash();
+        return;
+      }
+      TokenEvent event = runStages();
+      if (event == null || !sink.test(event)) {
+        finish();
+        return;
+      }
+      step++;
+      schedule(step >= start.maxTokens() ? 0 : stepDelayMicros());
+    }
+
+    private TokenEvent runStages() {
+      long hidden = context;
+      List<StageReceipt> receipts = new ArrayList<>(stageCount);
+      for (EngineStart.Stage stage : start.stages()) {
+        StandinEngine engine = engines.get(stage.targetId());
+        if (engine == null
+            || !engine.isHolding(start.modelVersion(), stage.firstLayer(), stage.endLayer())) {
+          sink.test(
+              TokenEvent.ofError(
+                  start.requestId(), start.attempt(), "stage lost", stage.targetId()));
+          return null;
+        }
+        hidden = TokenFunction.runLayers(hidden, stage.firstLayer(), stage.endLayer());
+        receipts.add(new StageReceipt(stage.firstLayer(), stage.endLayer(), step, start.attempt()));
+      }
+      int tokenId = TokenFunction.tokenOf(hidden);
+      context = TokenFunction.appendToken(context, tokenId);
+      return TokenEvent.ofToken(
+          start.requestId(),
+          start.attempt(),
+          step,
+          tokenId,
+          TokenFunction.textOf(tokenId),
+          receipts);
+    }
+
+    private void crash() {
+      EngineStart.Stage last = start.stages().get(stageCount - 1);
+      StandinEngine engine = engines.get(last.targetId());
+      if (engine != null && !engine.isDead()) {
+        crashCount.incrementAndGet();
+        kill(engine);
+      }
+    }
+
+    synchronized void fail(String targetId) {
+      if (isOver) {
+        return;
+      }
+      if (!targetId.equals(headOf(start))) {
+        sink.test(TokenEvent.ofError(start.requestId(), start.attempt(), "stage lost", targetId));
+      }
+      finish();
+    }
+
+    void finish() {
+      synchronized (this) {
+        if (isOver) {
+          return;
+        }
+        isOver = true;
+      }
+      runs.remove(key, this);
+      StandinEngine head = engines.get(headOf(start));
+      if (head != null) {
+        head.leave(key);
+      }
+      onClose.run();
+      startWaiting(headOf(start));
+    }
+  }
+}
