--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PlacementPlanner.java
@@ -0,0 +1,216 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.gooseberryhook.state.Accelerator;
+import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.PlacementPlan;
+
+/**
+ * Plans which target holds which layers. Replicas of a plan that are still whole are kept, so a
+ * change of the fleet moves only what it must; new replicas go to the place that holds fewest of
+ * the model, so that the loss of one place costs as few of them as possible. All stages of a
+ * replica are in one place, since links between places are up to a hundred times slower.
+ *
+ * @since 0.1
+ */
+public final class PlacementPlanner {
+
+  /** Longest chain; each stage adds a link to every token step. */
+  private static final int MAX_STAGES = 8;
+
+  /** Share of a replica's best bottleneck time at which a longer chain is not worth its links. */
+  private static final double MIN_GAIN = 0.10;
+
+  private final LayerSplitter.Method method;
+
+  /**
+   * Creates a planner.
+   *
+   * @param method how layers are split over a chain
+   */
+  public PlacementPlanner(LayerSplitter.Method method) {
+    this.method = method;
+  }
+
+  /**
+   * Plans all models.
+   *
+   * @param models the declared models
+   * @param fleet the targets that are alive and not leaving
+   * @param previous the plan in force, or {@link PlacementPlan#EMPTY}
+   * @return the new plan, never null
+   */
+  public PlacementPlan plan(
+      Collection<ModelSpec> models, Collection<Accelerator> fleet, PlacementPlan previous) {
+    Map<String, Accelerator> free = new LinkedHashMap<>();
+    fleet.forEach(accelerator -> free.put(accelerator.targetId(), accelerator));
+    List<PlacementPlan.Replica> replicas = new ArrayList<>();
+    List<String> reasons = new ArrayList<>();
+    List<ModelSpec> ordered =
+        models.stream().sorted(Comparator.comparing(ModelSpec::modelId)).toList();
+    Map<String, List<PlacementPlan.Replica>> keptByModel = new TreeMap<>();
+    for (ModelSpec model : ordered) {
+      keptByModel.put(model.modelId(), keep(model, previous, free));
+    }
+    Map<String, List<Accelerator>> freeByPlace = byPlace(free.values());
+    for (ModelSpec model : ordered) {
+      List<PlacementPlan.Replica> own = new ArrayList<>(keptByModel.get(model.modelId()));
+      int keptCount = own.size();
+      fill(model, own, freeByPlace);
+      replicas.addAll(own);
+      reasons.add(reasonFor(model, keptCount, own));
+    }
+    return new PlacementPlan(replicas, reasons);
+  }
+
+  private static List<PlacementPlan.Replica> keep(
+      ModelSpec model, PlacementPlan previous, Map<String, Accelerator> free) {
+    List<PlacementPlan.Replica> kept = new ArrayList<>();
+    for (PlacementPlan.Replica replica : previous.replicas()) {
+      boolean isSame =
+          replica.modelId().equals(model.modelId())
+              && replica.modelVersion().equals(model.modelVersion());
+      boolean isWhole =
+          replica.stages().stream().allMatch(stage -> free.containsKey(stage.targetId()));
+      if (isSame && isWhole && kept.size() < model.replicas()) {
+        kept.add(replica);
+        replica.stages().forEach(stage -> free.remove(stage.targetId()));
+      }
+    }
+    return kept;
+  }
+
+  /** Groups by place; within a place kinds stay together, fastest first. */
+  private static Map<String, List<Accelerator>> byPlace(Collection<Accelerator> accelerators) {
+    Comparator<Accelerator> order =
+        Comparator.comparingDouble(Accelerator::layerMicros)
+            .thenComparing(Accelerator::kind)
+            .thenComparing(Accelerator::targetId);
+    return accelerators.stream()
+        .sorted(order)
+        .collect(
+            Collectors.groupingBy(
+                Accelerator::place, TreeMap::new, Collectors.toCollection(ArrayList::new)));
+  }
+
+  private void fill(
+      ModelSpec model,
+      List<PlacementPlan.Replica> own,
+      Map<String, List<Accelerator>> freeByPlace) {
+    Map<String, Integer> countByPlace = new TreeMap<>();
+    freeByPlace.keySet().forEach(place -> countByPlace.put(place, 0));
+    own.forEach(replica -> countByPlace.merge(replica.place(), 1, Integer::sum));
+    Set<String> fullPlaces = new HashSet<>();
+    while (own.size() < model.replicas()) {
+      Optional<String> place =
+          freeByPlace.keySet().stream()
+              .filter(candidate -> !fullPlaces.contains(candidate))
+              .min(
+                  Comparator.<String>comparingInt(countByPlace::get)
+                      .thenComparing(candidate -> -freeByPlace.get(candidate).size())
+                      .thenComparing(Comparator.naturalOrder()));
+      if (place.isEmpty()) {
+        return;
+      }
+      Optional<PlacementPlan.Replica> added =
+          addReplica(model, place.get(), freeByPlace.get(place.get()));
+      if (added.isPresent()) {
+        own.add(added.get());
+        countByPlace.merge(place.get(), 1, Integer::sum);
+      } else {
+        fullPlaces.add(place.get());
+      }
+    }
+  }
+
+  private Optional<PlacementPlan.Replica> addReplica(
+      ModelSpec model, String place, List<Accelerator> free) {
+    int needed = fewestThatFit(model, free);
+    if (needed == 0) {
+      return Optional.empty();
+    }
+    List<Accelerator> chain = List.copyOf(free.subList(0, needed));
+    Optional<int[]> counts = method.split(chain, model.layerCount(), model.layerBytes());
+    if (counts.isEmpty()) {
+      return Optional.empty();
+    }
+    List<PlacementPlan.Stage> stages = LayerSplitter.toStages(chain, counts.get());
+    Set<String> used =
+        stages.stream().map(PlacementPlan.Stage::targetId).collect(Collectors.toSet());
+    free.subList(0, needed).removeIf(accelerator -> used.contains(accelerator.targetId()));
+    return Optional.of(
+        new PlacementPlan.Replica(model.modelId(), model.modelVersion(), place, stages));
+  }
+
+  /** Returns how many of the first accelerators hold the model; 0 if a chain can't hold it. */
+  private int fewestThatFit(ModelSpec model, List<Accelerator> free) {
+    long capacity = 0;
+    int longest = Math.min(MAX_STAGES, free.size());
+    for (int size = 1; size <= longest; size++) {
+      capacity += free.get(size - 1).getLayerCapacity(model.layerBytes());
+      if (capacity >= model.layerCount()) {
+        return lengthen(model, free, size, longest);
+      }
+    }
+    return 0;
+  }
+
+  /** Adds a stage while it makes the slowest stage faster by more than the least gain. */
+  private int lengthen(ModelSpec model, List<Accelerator> free, int fewest, int longest) {
+    int size = fewest;
+    double best = bottleneckOf(model, free.subList(0, size));
+    boolean isScarce = (long) model.replicas() * (size + 1) > free.size();
+    while (!isScarce && size < longest) {
+      double longer = bottleneckOf(model, free.subList(0, size + 1));
+      if (longer > best * (1 - MIN_GAIN)) {
+        return size;
+      }
+      best = longer;
+      size++;
+      isScarce = (long) model.replicas() * (size + 1) > free.size();
+    }
+    return size;
+  }
+
+  private double bottleneckOf(ModelSpec model, List<Accelerator> chain) {
+    return method
+        .split(chain, model.layerCount(), model.layerBytes())
+        .map(counts -> LayerSplitter.getBottleneckMicros(chain, counts))
+        .orElse(Double.POSITIVE_INFINITY);
+  }
+
+  private static String reasonFor(
+      ModelSpec model, int keptCount, List<PlacementPlan.Replica> replicas) {
+    Map<String, Long> byPlace =
+        replicas.stream()
+            .collect(
+                Collectors.groupingBy(
+                    PlacementPlan.Replica::place, TreeMap::new, Collectors.counting()));
+    long most = byPlace.values().stream().mapToLong(Long::longValue).max().orElse(0);
+    String shortage =
+        replicas.size() < model.replicas()
+            ? "; no place has free targets with memory for another replica"
+            : "";
+    return String.format(
+        "%s %s: %d of %d replicas, %d kept, %d new, by place %s; the loss of one place leaves %d%s",
+        model.modelId(),
+        model.modelVersion(),
+        replicas.size(),
+        model.replicas(),
+        keptCount,
+        replicas.size() - keptCount,
+        byPlace,
+        replicas.size() - most,
+        shortage);
+  }
+}
