--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeMetrics.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeMetrics.java
@@ -52,13 +52,11 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, WorkspaceMeters> metersByWorkspace = new ConcurrentHashMap<>();
   private final Map<PriorityClass, WorkspaceMeters> metersByClass = new ConcurrentHashMap<>();
-  private final JvmMemoryMetrics memoryMetrics = new JvmMemoryMetrics();
-  private final ProcessorMetrics processorMetrics = new ProcessorMetrics();
 
   /** Creates the registry of a node. */
   public NodeMetrics() {
-    memoryMetrics.bindTo(registry);
-    processorMetrics.bindTo(registry);
+    new JvmMemoryMetrics().bindTo(registry);
+    new ProcessorMetrics().bindTo(registry);
   }
 
   /**
@@ -116,7 +114,6 @@
 
   /** Releases the meters. */
   public void stop() {
-    memoryMetrics.close();
     registry.close();
   }
 
