--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Configuration.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Configuration.java
@@ -1,28 +1,158 @@
 package org.gooseberryhook.state;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * The configuration in force at a version of the configuration log.
+ * The configuration in force at a version of the configuration log. Instances are immutable; a
+ * changed copy shares all unchanged records with the original.
  *
- * @param version number of log entries applied; 0 before the first
- * @param contracts contracts by workspace
- * @param models models by id
- * @param services plain services by name
- * @param leavingTargets reasons by target id for targets that are declared as leaving
  * @since 0.1
  */
-public record Configuration(
-    long version,
-    Map<String, Versioned<Contract>> contracts,
-    Map<String, Versioned<ModelSpec>> models,
-    Map<String, Versioned<ServiceSpec>> services,
-    Map<String, String> leavingTargets) {
+public final class Configuration {
 
   /** The configuration before any change. */
   public static final Configuration EMPTY =
-      new Configuration(0, Map.of(), Map.of(), Map.of(), Map.of());
+      new Configuration(
+          0, PersistentMap.of(), PersistentMap.of(), PersistentMap.of(), PersistentMap.of());
+
+  private final long version;
+  private final PersistentMap<Versioned<Contract>> contracts;
+  private final PersistentMap<Versioned<ModelSpec>> models;
+  private final PersistentMap<Versioned<ServiceSpec>> services;
+  private final PersistentMap<String> leavingTargets;
+
+  private Configuration(
+      long version,
+      PersistentMap<Versioned<Contract>> contracts,
+      PersistentMap<Versioned<ModelSpec>> models,
+      PersistentMap<Versioned<ServiceSpec>> services,
+      PersistentMap<String> leavingTargets) {
+    this.version = version;
+    this.contracts = contracts;
+    this.models = models;
+    this.services = services;
+    this.leavingTargets = leavingTargets;
+  }
+
+  /**
+   * Builds a configuration from the records of {@link #toRecords()}.
+   *
+   * @param version number of log entries that the records contain
+   * @param records the records, each a change with the log version that made it
+   * @return the configuration, never null
+   */
+  public static Configuration ofRecords(
+      long version, Iterable<Versioned<ConfigurationChange>> records) {
+    Configuration built = EMPTY;
+    for (Versioned<ConfigurationChange> entry : records) {
+      built = built.with(entry.version(), entry.value());
+    }
+    return built.withVersion(version);
+  }
+
+  /**
+   * Returns the configuration after a change.
+   *
+   * @param changeVersion the log version of the change
+   * @param change the change
+   * @return the changed copy, never null
+   */
+  public Configuration with(long changeVersion, ConfigurationChange change) {
+    PersistentMap<Versioned<Contract>> newContracts = contracts;
+    PersistentMap<Versioned<ModelSpec>> newModels = models;
+    PersistentMap<Versioned<ServiceSpec>> newServices = services;
+    PersistentMap<String> newLeaving = leavingTargets;
+    if (change instanceof ConfigurationChange.PutContract put) {
+      newContracts =
+          contracts.with(
+              put.contract().workspaceId(), new Versioned<>(changeVersion, put.contract()));
+    } else if (change instanceof ConfigurationChange.RemoveContract remove) {
+      newContracts = contracts.without(remove.workspaceId());
+    } else if (change instanceof ConfigurationChange.PutModel put) {
+      newModels = models.with(put.model().modelId(), new Versioned<>(changeVersion, put.model()));
+    } else if (change instanceof ConfigurationChange.RemoveModel remove) {
+      newModels = models.without(remove.modelId());
+    } else if (change instanceof ConfigurationChange.PutService put) {
+      newServices =
+          services.with(put.service().serviceName(), new Versioned<>(changeVersion, put.service()));
+    } else if (change instanceof ConfigurationChange.RemoveService remove) {
+      newServices = services.without(remove.serviceName());
+    } else if (change instanceof ConfigurationChange.SetTargetLeaving set) {
+      newLeaving = leavingTargets.with(set.targetId(), set.reason());
+    } else if (change instanceof ConfigurationChange.ClearTargetLeaving clear) {
+      newLeaving = leavingTargets.without(clear.targetId());
+    }
+    return new Configuration(changeVersion, newContracts, newModels, newServices, newLeaving);
+  }
+
+  /**
+   * Returns all records as changes that rebuild this configuration.
+   *
+   * @return the records, each with the log version that made it (0 for leaving targets)
+   */
+  public List<Versioned<ConfigurationChange>> toRecords() {
+    List<Versioned<ConfigurationChange>> records = new ArrayList<>(contracts.size());
+    models.values().forEach(m -> records.add(of(m, new ConfigurationChange.PutModel(m.value()))));
+    services
+        .values()
+        .forEach(s -> records.add(of(s, new ConfigurationChange.PutService(s.value()))));
+    leavingTargets.forEach(
+        (targetId, reason) ->
+            records.add(
+                new Versioned<>(0, new ConfigurationChange.SetTargetLeaving(targetId, reason))));
+    contracts
+        .values()
+        .forEach(c -> records.add(of(c, new ConfigurationChange.PutContract(c.value()))));
+    return records;
+  }
+
+  /**
+   * Returns the number of log entries applied.
+   *
+   * @return the version; 0 before the first entry
+   */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Returns the contracts by workspace.
+   *
+   * @return an immutable map, never null
+   */
+  public Map<String, Versioned<Contract>> contracts() {
+    return contracts;
+  }
+
+  /**
+   * Returns the models by id.
+   *
+   * @return an immutable map, never null
+   */
+  public Map<String, Versioned<ModelSpec>> models() {
+    return models;
+  }
+
+  /**
+   * Returns the plain services by name.
+   *
+   * @return an immutable map, never null
+   */
+  public Map<String, Versioned<ServiceSpec>> services() {
+    return services;
+  }
+
+  /**
+   * Returns the reasons by target id for targets that are declared as leaving.
+   *
+   * @return an immutable map, never null
+   */
+  public Map<String, String> leavingTargets() {
+    return leavingTargets;
+  }
 
   /**
    * Returns the contract of a workspace.
@@ -31,9 +161,7 @@
    * @return the contract, or empty if there is none
    */
   public Optional<Contract> getContract(String workspaceId) {
-    return workspaceId == null
-        ? Optional.empty()
-        : Optional.ofNullable(contracts.get(workspaceId)).map(Versioned::value);
+    return Optional.ofNullable(contracts.get(workspaceId)).map(Versioned::value);
   }
 
   /**
@@ -43,9 +171,7 @@
    * @return the model, or empty if it is not declared
    */
   public Optional<ModelSpec> getModel(String modelId) {
-    return modelId == null
-        ? Optional.empty()
-        : Optional.ofNullable(models.get(modelId)).map(Versioned::value);
+    return Optional.ofNullable(models.get(modelId)).map(Versioned::value);
   }
 
   /**
@@ -55,8 +181,14 @@
    * @return the service, or empty if it is not declared
    */
   public Optional<ServiceSpec> getService(String serviceName) {
-    return serviceName == null
-        ? Optional.empty()
-        : Optional.ofNullable(services.get(serviceName)).map(Versioned::value);
+    return Optional.ofNullable(services.get(serviceName)).map(Versioned::value);
+  }
+
+  private Configuration withVersion(long newVersion) {
+    return new Configuration(newVersion, contracts, models, services, leavingTargets);
+  }
+
+  private static Versioned<ConfigurationChange> of(Versioned<?> from, ConfigurationChange change) {
+    return new Versioned<>(from.version(), change);
   }
 }
