Add the configuration writer with settled lost answers

Cause: An operator must not be told that a change failed that took effect. A lost answer is read back; a missing entry is fenced by rewriting the head.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/ConfigurationWriter.java
@@ -0,0 +1,282 @@
+package org.gooseberryhook.coordination;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhook.coordination.ConfigurationLog.Head;
+import org.gooseberryhook.coordination.ConfigurationLog.StoredRecord;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.state.ConfigurationChange;
+import org.gooseberryhook.state.ConfigurationLogEntry;
+import org.gooseberryhook.state.Versioned;
+
+/**
+ * Writes configuration changes: head, log entry and changed record in one transaction. A lost
+ * answer is settled by reading the log entry back. If the entry is absent, the transaction may
+ * still be on its way; writing the head again with the same value then makes its condition fail for
+ * good. All methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class ConfigurationWriter {
+
+  /** Tries when other changes move the head at the same time. */
+  private static final int MAX_ATTEMPTS = 16;
+
+  /** Rounds of reading back in one call. */
+  private static final int MAX_SETTLE_ROUNDS = 4;
+
+  private final TableService table;
+
+  /**
+   * Creates a writer.
+   *
+   * @param table the table service
+   */
+  public ConfigurationWriter(TableService table) {
+    this.table = table;
+  }
+
+  /** What became of one try of a transaction. */
+  private sealed interface Settled {
+    record Applied(ConfigurationLogEntry entry) implements Settled {}
+
+    record NeverApplied() implements Settled {}
+
+    record NotKnown() implements Settled {}
+  }
+
+  /** A change on its way, and the records that it was based on. */
+  private record Submission(
+      String changeId,
+      String author,
+      long wallClockMs,
+      ConfigurationChange change,
+      long expectedVersion) {}
+
+  /**
+   * Writes a change if its record still has the expected version.
+   *
+   * @param changeId unique id; a change whose result is {@link ChangeResult.Unsettled} is settled,
+   *     not submitted again
+   * @param author who makes the change
+   * @param wallClockMs present time for people, in milliseconds since 1970
+   * @param change the change
+   * @param expectedVersion log version of the record that the author saw; 0 if it was absent
+   * @return the result; the future never completes exceptionally
+   */
+  public CompletableFuture<ChangeResult> submit(
+      String changeId,
+      String author,
+      long wallClockMs,
+      ConfigurationChange change,
+      long expectedVersion) {
+    return attempt(new Submission(changeId, author, wallClockMs, change, expectedVersion), 1);
+  }
+
+  /**
+   * Finds out what became of an unsettled change. Any node may ask, also again. A change that was
+   * not applied is kept from being applied later.
+   *
+   * @param unsettled the result of the earlier call
+   * @return accepted, refused or still unsettled; the future never completes exceptionally
+   */
+  public CompletableFuture<ChangeResult> settle(ChangeResult.Unsettled unsettled) {
+    return settle(unsettled.changeId(), unsettled.attemptedVersion(), 1)
+        .thenApply(
+            settled -> {
+              if (settled instanceof Settled.Applied applied) {
+                return accepted(applied.entry());
+              }
+              return settled instanceof Settled.NeverApplied
+                  ? new ChangeResult.Refused("the change was not applied; submit it again")
+                  : unsettled;
+            });
+  }
+
+  private CompletableFuture<ChangeResult> attempt(Submission submission, int number) {
+    if (number > MAX_ATTEMPTS) {
+      return done(new ChangeResult.Refused("too many changes at the same time; try again"));
+    }
+    return table
+        .get(ConfigurationLog.HEAD_KEY)
+        .thenCombine(
+            table.get(ConfigurationLog.recordKey(submission.change)),
+            (head, record) -> decide(submission, number, head, record))
+        .thenCompose(next -> next)
+        .exceptionally(e -> new ChangeResult.Refused("cannot read the configuration: " + e));
+  }
+
+  /** Nothing has been sent when this starts, so a failed read is a proved refusal. */
+  private CompletableFuture<ChangeResult> decide(
+      Submission submission, int number, TableResult headResult, TableResult recordResult) {
+    if (!(headResult instanceof TableResult.Read headRead)
+        || !(recordResult instanceof TableResult.Read recordRead)) {
+      return done(new ChangeResult.Refused("the table service does not answer; try again later"));
+    }
+    TableRecord head = firstOf(headRead);
+    TableRecord found = firstOf(recordRead);
+    StoredRecord stored =
+        found == null ? null : ConfigurationLog.fromJson(found, StoredRecord.class);
+    long storedVersion = stored == null ? 0 : stored.version();
+    if (storedVersion != submission.expectedVersion) {
+      return done(conflict(stored));
+    }
+    if (stored == null && submission.change.removesRecord()) {
+      return done(new ChangeResult.Refused("there is no " + submission.change.recordKey()));
+    }
+    long newVersion = versionOf(head) + 1;
+    ConfigurationLogEntry entry =
+        new ConfigurationLogEntry(
+            newVersion,
+            submission.changeId,
+            submission.author,
+            submission.wallClockMs,
+            submission.change);
+    return table
+        .transact(operations(entry, versionOrAbsent(head), versionOrAbsent(found)))
+        .thenCompose(result -> conclude(submission, number, entry, result))
+        .exceptionally(e -> new ChangeResult.Unsettled(submission.changeId, newVersion));
+  }
+
+  private CompletableFuture<ChangeResult> conclude(
+      Submission submission, int number, ConfigurationLogEntry entry, TableResult result) {
+    if (result instanceof TableResult.Committed) {
+      return done(accepted(entry));
+    }
+    if (result instanceof TableResult.Conflict conflict) {
+      if (isWritten(entry, conflict)) {
+        return done(accepted(entry));
+      }
+      // The next attempt reads again and tells a conflict on the record from one on the head.
+      return attempt(submission, number + 1);
+    }
+    if (result instanceof TableResult.NotApplied refused) {
+      return done(new ChangeResult.Refused(refused.reason()));
+    }
+    return settle(entry.changeId(), entry.version(), 1)
+        .thenCompose(
+            settled -> {
+              if (settled instanceof Settled.Applied applied) {
+                return done(accepted(applied.entry()));
+              }
+              return settled instanceof Settled.NeverApplied
+                  ? attempt(submission, number + 1)
+                  : done(new ChangeResult.Unsettled(entry.changeId(), entry.version()));
+            });
+  }
+
+  private CompletableFuture<Settled> settle(String changeId, long version, int round) {
+    if (round > MAX_SETTLE_ROUNDS) {
+      return CompletableFuture.completedFuture(new Settled.NotKnown());
+    }
+    return table
+        .get(ConfigurationLog.logKey(version))
+        .thenCompose(
+            result -> {
+              if (!(result instanceof TableResult.Read read)) {
+                return CompletableFuture.completedFuture((Settled) new Settled.NotKnown());
+              }
+              if (read.records().isEmpty()) {
+                return fence(changeId, version, round);
+              }
+              ConfigurationLogEntry entry =
+                  ConfigurationLog.fromJson(firstOf(read), ConfigurationLogEntry.class);
+              return CompletableFuture.completedFuture(
+                  entry.changeId().equals(changeId)
+                      ? new Settled.Applied(entry)
+                      : new Settled.NeverApplied());
+            })
+        .exceptionally(e -> new Settled.NotKnown());
+  }
+
+  /** Writes the head with its present value, so that every transaction based on it fails. */
+  private CompletableFuture<Settled> fence(String changeId, long version, int round) {
+    return table
+        .get(ConfigurationLog.HEAD_KEY)
+        .thenCompose(
+            result -> {
+              if (!(result instanceof TableResult.Read read)) {
+                return CompletableFuture.completedFuture((Settled) new Settled.NotKnown());
+              }
+              TableRecord head = firstOf(read);
+              if (versionOf(head) >= version) {
+                return settle(changeId, version, round + 1);
+              }
+              TableOperation rewrite =
+                  TableOperation.ofPut(
+                      ConfigurationLog.HEAD_KEY,
+                      versionOrAbsent(head),
+                      ConfigurationLog.toJson(new Head(versionOf(head))));
+              return table
+                  .transact(List.of(rewrite))
+                  .thenCompose(
+                      written ->
+                          written instanceof TableResult.Committed
+                              ? CompletableFuture.completedFuture(
+                                  (Settled) new Settled.NeverApplied())
+                              : settle(changeId, version, round + 1));
+            });
+  }
+
+  private static List<TableOperation> operations(
+      ConfigurationLogEntry entry, long headRecordVersion, long recordVersion) {
+    String key = ConfigurationLog.recordKey(entry.change());
+    TableOperation changed =
+        entry.change().removesRecord()
+            ? TableOperation.ofDelete(key, recordVersion)
+            : TableOperation.ofPut(
+                key,
+                recordVersion,
+                ConfigurationLog.toJson(
+                    new StoredRecord(entry.version(), entry.changeId(), entry.change())));
+    return List.of(
+        TableOperation.ofPut(
+            ConfigurationLog.HEAD_KEY,
+            headRecordVersion,
+            ConfigurationLog.toJson(new Head(entry.version()))),
+        TableOperation.ofPut(
+            ConfigurationLog.logKey(entry.version()), 0, ConfigurationLog.toJson(entry)),
+        changed);
+  }
+
+  /** A transaction that is delivered twice conflicts with itself. */
+  private static boolean isWritten(ConfigurationLogEntry entry, TableResult.Conflict conflict) {
+    String logKey = ConfigurationLog.logKey(entry.version());
+    for (TableRecord found : conflict.current()) {
+      if (found.key().equals(logKey)) {
+        return ConfigurationLog.fromJson(found, ConfigurationLogEntry.class)
+            .changeId()
+            .equals(entry.changeId());
+      }
+    }
+    return false;
+  }
+
+  private static ChangeResult accepted(ConfigurationLogEntry entry) {
+    return new ChangeResult.Accepted(entry.version(), entry);
+  }
+
+  private static ChangeResult conflict(StoredRecord stored) {
+    return new ChangeResult.ConflictWith(
+        stored == null ? null : new Versioned<>(stored.version(), stored.change()));
+  }
+
+  private static CompletableFuture<ChangeResult> done(ChangeResult result) {
+    return CompletableFuture.completedFuture(result);
+  }
+
+  private static TableRecord firstOf(TableResult.Read read) {
+    return read.records().isEmpty() ? null : read.records().get(0);
+  }
+
+  private static long versionOrAbsent(TableRecord found) {
+    return found == null ? 0 : found.version();
+  }
+
+  private static long versionOf(TableRecord head) {
+    return head == null ? 0 : ConfigurationLog.fromJson(head, Head.class).version();
+  }
+}
