Add table, VM list and plain service stand-ins and clients

Change: StandinServer runs a Jooby application on the loopback address and shows faults from its FaultSwitch.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/VmEntry.java
@@ -0,0 +1,51 @@
+package org.gooseberryhook.protocol;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.List;
+import org.gooseberryhook.state.Target;
+
+/**
+ * A VM as the VM list names it.
+ *
+ * @param vmId unique name of the VM
+ * @param place the data centre of the VM
+ * @param region the region of the place
+ * @param status {@code live} or {@code leaving}
+ * @param targets the targets on the VM
+ * @since 0.1
+ */
+public record VmEntry(
+    String vmId, String place, String region, String status, List<VmTarget> targets) {
+
+  /** Status text of a VM that stays. */
+  public static final String LIVE = "live";
+
+  /** Status text of a VM that must receive no new work. */
+  public static final String LEAVING = "leaving";
+
+  /** Creates an entry; a missing list of targets is empty. */
+  public VmEntry {
+    targets = targets == null ? List.of() : List.copyOf(targets);
+  }
+
+  /**
+   * Tells whether the VM must receive no new work. Any status but {@code live} counts as leaving,
+   * because work sent to a VM of unknown state may be lost.
+   *
+   * @return false only for a live VM
+   */
+  @JsonIgnore
+  public boolean isLeaving() {
+    return !LIVE.equals(status);
+  }
+
+  /**
+   * Maps the targets to domain records.
+   *
+   * @return the targets, never null
+   * @throws IllegalArgumentException if a target is not valid
+   */
+  public List<Target> toTargets() {
+    return targets.stream().map(target -> target.toTarget(this)).toList();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/VmList.java
@@ -0,0 +1,18 @@
+package org.gooseberryhook.protocol;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Port to the platform's list of VMs. The list lags. Futures never complete exceptionally.
+ *
+ * @since 0.1
+ */
+public interface VmList {
+
+  /**
+   * Reads the whole list.
+   *
+   * @return the list or a failure
+   */
+  CompletableFuture<VmListResult> list();
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpCaller.java
@@ -0,0 +1,117 @@
+package org.gooseberryhook.transport;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/**
+ * Sends bounded numbers of requests and reports whether a failed request may have been seen by the
+ * server.
+ *
+ * @since 0.1
+ */
+final class HttpCaller {
+
+  private final String name;
+  private final OkHttpClient client;
+  private final int maxInFlight;
+  private final long maxAnswerBytes;
+  private final Semaphore inFlight;
+
+  /**
+   * Creates a caller.
+   *
+   * @param clients factory of the client
+   * @param name name of the outside system, used in threads and reasons
+   * @param maxInFlight calls in flight at most; further calls are not sent
+   * @param timeout deadline of each call
+   * @param maxAnswerBytes length of an answer at most; a longer answer counts as lost
+   */
+  HttpCaller(
+      HttpClients clients, String name, int maxInFlight, Duration timeout, long maxAnswerBytes) {
+    this.name = name;
+    // A permit returns just before the dispatcher forgets the call. With twice the limit no call
+    // waits in the dispatcher, where its deadline would not run.
+    this.client = clients.newClient(name, 2 * maxInFlight, timeout);
+    this.maxInFlight = maxInFlight;
+    this.maxAnswerBytes = maxAnswerBytes;
+    this.inFlight = new Semaphore(maxInFlight);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param builder the request, without tags
+   * @return what happened; never completes exceptionally
+   */
+  CompletableFuture<Exchange> call(Request.Builder builder) {
+    if (!inFlight.tryAcquire()) {
+      return CompletableFuture.completedFuture(
+          new Exchange.NotSent(name + ": " + maxInFlight + " calls are in flight already"));
+    }
+    HttpClients.SentMark mark = new HttpClients.SentMark();
+    Request request = builder.tag(HttpClients.SentMark.class, mark).build();
+    CompletableFuture<Exchange> future = new CompletableFuture<>();
+    client.newCall(request).enqueue(new Completion(mark, future));
+    return future;
+  }
+
+  /** What became of a request. */
+  sealed interface Exchange {
+
+    /** The whole answer arrived. */
+    record Answered(int status, byte[] body) implements Exchange {}
+
+    /** No byte of the request was written. */
+    record NotSent(String reason) implements Exchange {}
+
+    /** The request may have reached the server, but no whole answer arrived. */
+    record Lost(String reason) implements Exchange {}
+  }
+
+  private final class Completion implements Callback {
+
+    private final HttpClients.SentMark mark;
+    private final CompletableFuture<Exchange> future;
+
+    private Completion(HttpClients.SentMark mark, CompletableFuture<Exchange> future) {
+      this.mark = mark;
+      this.future = future;
+    }
+
+    @Override
+    public void onFailure(Call call, IOException error) {
+      String reason = name + ": " + error;
+      finish(mark.isSent() ? new Exchange.Lost(reason) : new Exchange.NotSent(reason));
+    }
+
+    @Override
+    public void onResponse(Call call, Response response) {
+      finish(read(response));
+    }
+
+    private Exchange read(Response response) {
+      try (response) {
+        BufferedSource source = response.body().source();
+        if (source.request(maxAnswerBytes + 1)) {
+          return new Exchange.Lost(name + ": answer is longer than " + maxAnswerBytes + " bytes");
+        }
+        return new Exchange.Answered(response.code(), source.readByteArray());
+      } catch (IOException | RuntimeException e) {
+        return new Exchange.Lost(name + ": " + e);
+      }
+    }
+
+    private void finish(Exchange exchange) {
+      inFlight.release();
+      future.complete(exchange);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpVmList.java
@@ -0,0 +1,116 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import org.gooseberryhook.protocol.VmEntry;
+import org.gooseberryhook.protocol.VmList;
+import org.gooseberryhook.protocol.VmListResult;
+import org.gooseberryhook.protocol.VmTarget;
+import org.jboss.logging.Logger;
+
+/**
+ * VM list over HTTP. A target that cannot be mapped is left out and logged, so that one bad entry
+ * does not hide the rest of the fleet.
+ *
+ * @since 0.1
+ */
+public final class HttpVmList implements VmList {
+
+  /** Deadline of a call. */
+  public static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(2);
+
+  private static final Logger LOG = Logger.getLogger(HttpVmList.class);
+  private static final int MAX_IN_FLIGHT = 2;
+  // 390 nodes and 30,000 targets of about 300 bytes each are 9 MB.
+  private static final long MAX_ANSWER_BYTES = 32L << 20;
+  private static final int OK = 200;
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  private final HttpUrl url;
+  private final HttpCaller caller;
+  private volatile String lastFault = "";
+
+  /**
+   * Creates a client.
+   *
+   * @param clients factory of the HTTP client
+   * @param baseUrl base URL
+   * @param timeout deadline of each call
+   * @throws IllegalArgumentException if the URL is not valid
+   */
+  public HttpVmList(HttpClients clients, String baseUrl, Duration timeout) {
+    this.url = HttpUrl.get(baseUrl).newBuilder().addPathSegment("vms").build();
+    this.caller = new HttpCaller(clients, "vm-list", MAX_IN_FLIGHT, timeout, MAX_ANSWER_BYTES);
+  }
+
+  /**
+   * Returns a client with the default deadline.
+   *
+   * @param clients factory of the HTTP client
+   * @param baseUrl base URL
+   * @return the client, never null
+   * @throws IllegalArgumentException if the URL is not valid
+   */
+  public static HttpVmList of(HttpClients clients, String baseUrl) {
+    return new HttpVmList(clients, baseUrl, DEFAULT_TIMEOUT);
+  }
+
+  @Override
+  public CompletableFuture<VmListResult> list() {
+    return caller.call(new Request.Builder().url(url)).thenApply(this::toResult);
+  }
+
+  private VmListResult toResult(HttpCaller.Exchange exchange) {
+    if (exchange instanceof HttpCaller.Exchange.NotSent notSent) {
+      return new VmListResult.Unavailable(notSent.reason());
+    }
+    if (exchange instanceof HttpCaller.Exchange.Lost lost) {
+      return new VmListResult.Unavailable(lost.reason());
+    }
+    HttpCaller.Exchange.Answered answer = (HttpCaller.Exchange.Answered) exchange;
+    if (answer.status() != OK) {
+      return new VmListResult.Unavailable("vm-list: unexpected status " + answer.status());
+    }
+    try {
+      VmEntry[] entries = MAPPER.readValue(answer.body(), VmEntry[].class);
+      return new VmListResult.Listed(toValid(entries));
+    } catch (IOException | RuntimeException e) {
+      return new VmListResult.Unavailable("vm-list: answer cannot be read: " + e);
+    }
+  }
+
+  private List<VmEntry> toValid(VmEntry[] entries) {
+    List<VmEntry> valid = new ArrayList<>(entries.length);
+    String fault = "";
+    for (VmEntry vm : entries) {
+      List<VmTarget> targets = new ArrayList<>(vm.targets().size());
+      for (VmTarget target : vm.targets()) {
+        try {
+          target.toTarget(vm);
+          targets.add(target);
+        } catch (IllegalArgumentException | NullPointerException e) {
+          fault = "target " + target.targetId() + " of VM " + vm.vmId() + ": " + e.getMessage();
+        }
+      }
+      valid.add(new VmEntry(vm.vmId(), vm.place(), vm.region(), vm.status(), targets));
+    }
+    logOnce(fault);
+    return List.copyOf(valid);
+  }
+
+  /** The list is read every few seconds; a fault is logged only when it changes. */
+  private void logOnce(String fault) {
+    if (!fault.isEmpty() && !fault.equals(lastFault)) {
+      LOG.warnf("The VM list has a target that is left out: %s; correct its entry", fault);
+    }
+    lastFault = fault;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/RateLimit.java
@@ -0,0 +1,75 @@
+package org.gooseberryhook.standin;
+
+/**
+ * Token bucket that holds a tenth of a second of its rate.
+ *
+ * @since 0.1
+ */
+final class RateLimit {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double BURST_SECONDS = 0.1;
+
+  private double perSecond;
+  private double level;
+  private long lastNanos;
+
+  /**
+   * Creates a full bucket.
+   *
+   * @param perSecond units per second
+   */
+  RateLimit(double perSecond) {
+    this.lastNanos = System.nanoTime();
+    setRate(perSecond);
+    this.level = getBurst();
+  }
+
+  /**
+   * Changes the rate.
+   *
+   * @param unitsPerSecond units per second, more than 0
+   */
+  synchronized void setRate(double unitsPerSecond) {
+    if (!(unitsPerSecond > 0)) {
+      throw new IllegalArgumentException("a rate must be more than 0, not " + unitsPerSecond);
+    }
+    perSecond = unitsPerSecond;
+  }
+
+  /**
+   * Takes a unit.
+   *
+   * @return false if the limit is reached
+   */
+  synchronized boolean tryTake() {
+    refill();
+    if (level < 1) {
+      return false;
+    }
+    level--;
+    return true;
+  }
+
+  /**
+   * Takes units ahead of time.
+   *
+   * @param units the units
+   * @return time in milliseconds after which the units are paid for
+   */
+  synchronized long takeLater(double units) {
+    refill();
+    level -= units;
+    return level >= 0 ? 0 : (long) Math.ceil(-level / perSecond * 1000);
+  }
+
+  private void refill() {
+    long nowNanos = System.nanoTime();
+    level = Math.min(getBurst(), level + (nowNanos - lastNanos) / NANOS_PER_SECOND * perSecond);
+    lastNanos = nowNanos;
+  }
+
+  private double getBurst() {
+    return Math.max(1, perSecond * BURST_SECONDS);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinRequest.java
@@ -0,0 +1,51 @@
+package org.gooseberryhook.standin;
+
+import io.jooby.Context;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * A copy of a request, which stays valid after its connection was closed.
+ *
+ * @param path the path
+ * @param pathValues values of the path variables
+ * @param query values of the query parameters
+ * @param headers values of the headers; the names are in lower case
+ * @param body the body
+ * @since 0.1
+ */
+public record StandinRequest(
+    String path,
+    Map<String, String> pathValues,
+    Map<String, String> query,
+    Map<String, String> headers,
+    byte[] body) {
+
+  /**
+   * Copies a request.
+   *
+   * @param context the request
+   * @return the copy, never null
+   */
+  static StandinRequest of(Context context) {
+    Map<String, String> headers = new HashMap<>();
+    context.headerMap().forEach((name, value) -> headers.put(name.toLowerCase(Locale.ROOT), value));
+    return new StandinRequest(
+        context.getRequestPath(),
+        Map.copyOf(context.pathMap()),
+        Map.copyOf(context.queryMap()),
+        headers,
+        context.body().bytes());
+  }
+
+  /**
+   * Returns a query parameter.
+   *
+   * @param name the name
+   * @return the value; empty if it is missing
+   */
+  public String getQuery(String name) {
+    return query.getOrDefault(name, "");
+  }
+}
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinServer.java
@@ -0,0 +1,219 @@
+package org.gooseberryhook.standin;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.netty.NettyServer;
+import io.netty.channel.ChannelHandlerContext;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.reflect.Field;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An HTTP server on the loopback address that shows faults on request.
+ *
+ * <p>Every server has the routes {@code PUT /faults} (a JSON list of {@link Fault}) and {@code GET
+ * /faults}, which meet no faults themselves.
+ *
+ * @since 0.1
+ */
+public final class StandinServer {
+
+  private static final String HOST = "127.0.0.1";
+  private static final int MAX_REQUEST_BYTES = 9 << 20;
+  private static final int MAX_DELAYED = 100_000;
+  private static final int IO_THREADS = 2;
+  private static final int WORKER_THREADS = 2;
+
+  private final String name;
+  private final int port;
+  private final FaultSwitch faults = new FaultSwitch();
+  private final Jooby app = new Jooby();
+  private final NettyServer server = new NettyServer();
+  private final ScheduledThreadPoolExecutor delays;
+
+  /**
+   * Creates a server that is not started yet.
+   *
+   * @param name name of the stand-in, used in thread names
+   * @param port port on the loopback address; 0 for a free one
+   */
+  public StandinServer(String name, int port) {
+    this.name = name;
+    this.port = port == 0 ? findFreePort() : port;
+    this.delays =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, name + "-delays");
+              thread.setDaemon(true);
+              return thread;
+            });
+    app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+    app.setStartupSummary(List.of(StartupSummary.NONE));
+    app.put("/faults", context -> send(context, setFaults(context)));
+    app.get("/faults", context -> send(context, StandinAnswer.ofJson(200, faults.get())));
+  }
+
+  /**
+   * Adds a route.
+   *
+   * @param method HTTP method
+   * @param pattern path with variables in braces
+   * @param handler serves the requests
+   * @return this server
+   */
+  public StandinServer route(String method, String pattern, StandinHandler handler) {
+    app.route(method, pattern, context -> context.detach(detached -> serve(detached, handler)));
+    return this;
+  }
+
+  /**
+   * Starts the server.
+   *
+   * @return this server
+   * @throws IllegalStateException if the port is in use
+   */
+  public StandinServer start() {
+    ServerOptions options = new ServerOptions();
+    options.setHost(HOST);
+    options.setPort(port);
+    options.setIoThreads(IO_THREADS);
+    options.setWorkerThreads(WORKER_THREADS);
+    options.setMaxRequestSize(MAX_REQUEST_BYTES);
+    server.setOptions(options);
+    try {
+      server.start(app);
+    } catch (RuntimeException e) {
+      throw new IllegalStateException(
+          name + " cannot listen on " + HOST + ":" + port + "; choose another port", e);
+    }
+    return this;
+  }
+
+  /** Stops the server and drops delayed effects and answers. */
+  public void stop() {
+    delays.shutdownNow();
+    server.stop();
+  }
+
+  /**
+   * Returns the faults.
+   *
+   * @return the switch, never null
+   */
+  public FaultSwitch getFaults() {
+    return faults;
+  }
+
+  /**
+   * Returns the base URL.
+   *
+   * @return for example {@code http://127.0.0.1:7000}
+   */
+  public String getBaseUrl() {
+    return "http://" + HOST + ":" + port;
+  }
+
+  /**
+   * Returns the port.
+   *
+   * @return the port, also if the server is not started
+   */
+  public int getPort() {
+    return port;
+  }
+
+  private Object serve(Context context, StandinHandler handler) {
+    StandinRequest request = StandinRequest.of(context);
+    if (delays.getQueue().size() >= MAX_DELAYED) {
+      return send(
+          context, StandinAnswer.ofError(StandinAnswer.UNAVAILABLE, "too many delayed requests"));
+    }
+    Fault fault = faults.take(request.path());
+    switch (fault.kind()) {
+      case SLOW -> later(fault.delayMs(), () -> send(context, apply(handler, request)));
+      case CLOSE -> close(context);
+      case REFUSE ->
+          send(context, StandinAnswer.ofError(StandinAnswer.UNAVAILABLE, name + " is away"));
+      case LOSE_ANSWER -> {
+        apply(handler, request);
+        close(context);
+      }
+      case LATE_ANSWER -> {
+        StandinAnswer answer = apply(handler, request);
+        later(fault.delayMs(), () -> send(context, answer));
+      }
+      case LATE_EFFECT -> {
+        close(context);
+        later(fault.delayMs(), () -> apply(handler, request));
+      }
+      default -> send(context, apply(handler, request));
+    }
+    return context;
+  }
+
+  private static StandinAnswer apply(StandinHandler handler, StandinRequest request) {
+    try {
+      return handler.answer(request);
+    } catch (Exception e) {
+      return StandinAnswer.ofError(StandinAnswer.BAD_REQUEST, e.toString());
+    }
+  }
+
+  private Object send(Context context, StandinAnswer answer) {
+    if (answer.delayMs() > 0) {
+      later(answer.delayMs(), () -> sendNow(context, answer));
+      return context;
+    }
+    return sendNow(context, answer);
+  }
+
+  private static Object sendNow(Context context, StandinAnswer answer) {
+    context.setResponseCode(answer.status());
+    context.setResponseType(answer.contentType());
+    return context.send(answer.body());
+  }
+
+  private void later(long delayMs, Runnable action) {
+    delays.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private StandinAnswer setFaults(Context context) {
+    try {
+      faults.set(
+          StandinAnswer.MAPPER.readValue(
+              context.body().bytes(), new TypeReference<List<Fault>>() {}));
+      return StandinAnswer.ofJson(StandinAnswer.OK, faults.get());
+    } catch (IOException | RuntimeException e) {
+      return StandinAnswer.ofError(StandinAnswer.BAD_REQUEST, e.toString());
+    }
+  }
+
+  /** Jooby has no public way to close a connection without an answer. */
+  private static void close(Context context) {
+    try {
+      Field field = context.getClass().getDeclaredField("ctx");
+      field.setAccessible(true);
+      ((ChannelHandlerContext) field.get(context)).close();
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException("connection of " + context + " cannot be closed", e);
+    }
+  }
+
+  private static int findFreePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException("no free port on " + HOST, e);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/TableStandin.java
@@ -0,0 +1,181 @@
+package org.gooseberryhook.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+
+/**
+ * Stand-in for the table service.
+ *
+ * <ul>
+ *   <li>{@code POST /table/transact} with {@code {operations: [{key, expectedVersion, value}]}}; a
+ *       null value deletes. Answers 200 {@code {versions}} or 409 {@code {current}}.
+ *   <li>{@code GET /table/records?key=} answers {@code {records}} with at most one record.
+ *   <li>{@code GET /table/scan?prefix=&after=&limit=} answers {@code {records}} in key order.
+ *   <li>{@code PUT /limits} with {@code {transactionsPerSecond, readsPerSecond}}. Above a limit the
+ *       answer is 429 and there is no effect.
+ * </ul>
+ *
+ * @since 0.1
+ */
+public final class TableStandin {
+
+  /** Transactions per second at first. */
+  public static final double DEFAULT_TRANSACTIONS_PER_SECOND = 500;
+
+  /** Reads per second at first. */
+  public static final double DEFAULT_READS_PER_SECOND = 2000;
+
+  private static final int MAX_OPERATIONS = 100;
+  private static final int MAX_RECORDS = 2_000_000;
+  private static final int MAX_SCAN_RECORDS = 1000;
+
+  private final StandinServer server;
+  private final RateLimit transactions = new RateLimit(DEFAULT_TRANSACTIONS_PER_SECOND);
+  private final RateLimit reads = new RateLimit(DEFAULT_READS_PER_SECOND);
+  private final TreeMap<String, TableRecord> records = new TreeMap<>();
+  private long lastVersion;
+  private long transactionCount;
+
+  /**
+   * Creates a stand-in that is not started yet.
+   *
+   * @param port port on the loopback address; 0 for a free one
+   */
+  public TableStandin(int port) {
+    server =
+        new StandinServer("table-standin", port)
+            .route("POST", "/table/transact", this::transact)
+            .route("GET", "/table/records", this::get)
+            .route("GET", "/table/scan", this::scan)
+            .route("PUT", "/limits", this::setLimits);
+  }
+
+  /**
+   * Returns the server.
+   *
+   * @return the server, which has start, stop, the base URL and the faults
+   */
+  public StandinServer getServer() {
+    return server;
+  }
+
+  /**
+   * Sets the rate limits.
+   *
+   * @param transactionsPerSecond transactions per second, more than 0
+   * @param readsPerSecond reads per second, more than 0
+   */
+  public void setLimits(double transactionsPerSecond, double readsPerSecond) {
+    transactions.setRate(transactionsPerSecond);
+    reads.setRate(readsPerSecond);
+  }
+
+  /**
+   * Returns how many transactions were committed.
+   *
+   * @return the count
+   */
+  public synchronized long getTransactionCount() {
+    return transactionCount;
+  }
+
+  private StandinAnswer setLimits(StandinRequest request) throws IOException {
+    JsonNode body = StandinAnswer.MAPPER.readTree(request.body());
+    setLimits(
+        body.path("transactionsPerSecond").asDouble(DEFAULT_TRANSACTIONS_PER_SECOND),
+        body.path("readsPerSecond").asDouble(DEFAULT_READS_PER_SECOND));
+    return StandinAnswer.ofJson(StandinAnswer.OK, body);
+  }
+
+  private StandinAnswer transact(StandinRequest request) throws IOException {
+    if (!transactions.tryTake()) {
+      return StandinAnswer.ofError(StandinAnswer.TOO_MANY_REQUESTS, "too many transactions");
+    }
+    Transaction transaction = StandinAnswer.MAPPER.readValue(request.body(), Transaction.class);
+    List<TableOperation> operations = transaction.operations();
+    Set<String> keys = new HashSet<>();
+    operations.forEach(operation -> keys.add(operation.key()));
+    if (keys.size() != operations.size() || keys.isEmpty() || keys.contains(null)) {
+      return StandinAnswer.ofError(StandinAnswer.BAD_REQUEST, "keys must be present and distinct");
+    }
+    if (operations.size() > MAX_OPERATIONS) {
+      return StandinAnswer.ofError(
+          StandinAnswer.BAD_REQUEST, "a transaction has at most " + MAX_OPERATIONS + " operations");
+    }
+    return apply(operations);
+  }
+
+  private synchronized StandinAnswer apply(List<TableOperation> operations) {
+    List<TableRecord> current = new ArrayList<>();
+    boolean isConflict = false;
+    for (TableOperation operation : operations) {
+      TableRecord found = records.get(operation.key());
+      if (found != null) {
+        current.add(found);
+      }
+      isConflict |= (found == null ? 0 : found.version()) != operation.expectedVersion();
+    }
+    if (isConflict) {
+      return StandinAnswer.ofJson(StandinAnswer.CONFLICT, Map.of("current", current));
+    }
+    if (records.size() + operations.size() > MAX_RECORDS) {
+      return StandinAnswer.ofError(
+          StandinAnswer.UNAVAILABLE, "no room for more than " + MAX_RECORDS + " records");
+    }
+    List<Long> versions = operations.stream().map(this::write).toList();
+    transactionCount++;
+    return StandinAnswer.ofJson(StandinAnswer.OK, Map.of("versions", versions));
+  }
+
+  private long write(TableOperation operation) {
+    if (operation.value() == null) {
+      records.remove(operation.key());
+      return 0;
+    }
+    lastVersion++;
+    records.put(operation.key(), new TableRecord(operation.key(), lastVersion, operation.value()));
+    return lastVersion;
+  }
+
+  private StandinAnswer get(StandinRequest request) {
+    String key = request.getQuery("key");
+    return read(key, "", 1, true);
+  }
+
+  private StandinAnswer scan(StandinRequest request) {
+    int limit = Integer.parseInt(request.getQuery("limit"));
+    return read(
+        request.getQuery("prefix"),
+        request.getQuery("after"),
+        Math.min(limit, MAX_SCAN_RECORDS),
+        false);
+  }
+
+  private StandinAnswer read(String prefix, String afterKey, int limit, boolean isExact) {
+    if (!reads.tryTake()) {
+      return StandinAnswer.ofError(StandinAnswer.TOO_MANY_REQUESTS, "too many reads");
+    }
+    List<TableRecord> found = new ArrayList<>();
+    synchronized (this) {
+      String from = afterKey.compareTo(prefix) > 0 ? afterKey : prefix;
+      for (TableRecord next : records.tailMap(from, !from.equals(afterKey)).values()) {
+        boolean isMatch = isExact ? next.key().equals(prefix) : next.key().startsWith(prefix);
+        if (found.size() == limit || !isMatch) {
+          break;
+        }
+        found.add(next);
+      }
+    }
+    return StandinAnswer.ofJson(StandinAnswer.OK, Map.of("records", found));
+  }
+
+  private record Transaction(List<TableOperation> operations) {}
+}
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/VmListStandin.java
@@ -0,0 +1,143 @@
+package org.gooseberryhook.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.gooseberryhook.protocol.VmEntry;
+
+/**
+ * Stand-in for the VM list, which answers the state of some time ago.
+ *
+ * <ul>
+ *   <li>{@code GET /vms} answers a list of {@link VmEntry}.
+ *   <li>{@code PUT /vms/{vmId}} with a {@link VmEntry} and {@code DELETE /vms/{vmId}} change it.
+ *   <li>{@code PUT /lag} with {@code {lagMs}} sets the lag.
+ * </ul>
+ *
+ * @since 0.1
+ */
+public final class VmListStandin {
+
+  private static final long NANOS_PER_MS = 1_000_000;
+  private static final int MAX_HISTORY = 100_000;
+
+  private final StandinServer server;
+  private final LongSupplier nanoClock;
+  private final TreeMap<String, VmEntry> visible = new TreeMap<>();
+  private final Deque<Change> pending = new ArrayDeque<>();
+  private long lagMs;
+
+  /**
+   * Creates a stand-in without lag that is not started yet.
+   *
+   * @param port port on the loopback address; 0 for a free one
+   */
+  public VmListStandin(int port) {
+    this(port, System::nanoTime);
+  }
+
+  /**
+   * Creates a stand-in with its own clock.
+   *
+   * @param port port on the loopback address; 0 for a free one
+   * @param nanoClock monotonic clock in nanoseconds
+   */
+  public VmListStandin(int port, LongSupplier nanoClock) {
+    this.nanoClock = nanoClock;
+    this.server =
+        new StandinServer("vm-list-standin", port)
+            .route("GET", "/vms", request -> StandinAnswer.ofJson(StandinAnswer.OK, list()))
+            .route("PUT", "/vms/{vmId}", this::putVm)
+            .route("DELETE", "/vms/{vmId}", this::deleteVm)
+            .route("PUT", "/lag", this::putLag);
+  }
+
+  /**
+   * Returns the server.
+   *
+   * @return the server, which has start, stop, the base URL and the faults
+   */
+  public StandinServer getServer() {
+    return server;
+  }
+
+  /**
+   * Sets the lag. What was visible under the old lag stays visible.
+   *
+   * @param lagMs age of the answers in milliseconds, at least 0
+   */
+  public synchronized void setLag(long lagMs) {
+    if (lagMs < 0) {
+      throw new IllegalArgumentException("lagMs must be at least 0, not " + lagMs);
+    }
+    list();
+    this.lagMs = lagMs;
+  }
+
+  /**
+   * Adds or replaces a VM.
+   *
+   * @param vm the VM
+   */
+  public void put(VmEntry vm) {
+    change(vm.vmId(), vm);
+  }
+
+  /**
+   * Removes a VM.
+   *
+   * @param vmId the VM
+   */
+  public void delete(String vmId) {
+    change(vmId, null);
+  }
+
+  private synchronized void change(String vmId, VmEntry vm) {
+    list();
+    if (pending.size() >= MAX_HISTORY) {
+      throw new IllegalStateException("more than " + MAX_HISTORY + " changes within the lag");
+    }
+    pending.add(new Change(nanoClock.getAsLong(), vmId, vm));
+  }
+
+  private synchronized List<VmEntry> list() {
+    long nowNanos = nanoClock.getAsLong();
+    while (!pending.isEmpty() && nowNanos - pending.peek().atNanos() >= lagMs * NANOS_PER_MS) {
+      Change change = pending.poll();
+      if (change.vm() == null) {
+        visible.remove(change.vmId());
+      } else {
+        visible.put(change.vmId(), change.vm());
+      }
+    }
+    return List.copyOf(visible.values());
+  }
+
+  private StandinAnswer putVm(StandinRequest request) throws IOException {
+    VmEntry vm = StandinAnswer.MAPPER.readValue(request.body(), VmEntry.class);
+    String vmId = request.pathValues().get("vmId");
+    if (!vmId.equals(vm.vmId())) {
+      return StandinAnswer.ofError(
+          StandinAnswer.BAD_REQUEST, "path names " + vmId + " but body names " + vm.vmId());
+    }
+    put(vm);
+    return StandinAnswer.ofJson(StandinAnswer.OK, vm);
+  }
+
+  private StandinAnswer deleteVm(StandinRequest request) {
+    delete(request.pathValues().get("vmId"));
+    return StandinAnswer.ofJson(StandinAnswer.OK, request.pathValues());
+  }
+
+  private StandinAnswer putLag(StandinRequest request) throws IOException {
+    JsonNode body = StandinAnswer.MAPPER.readTree(request.body());
+    setLag(body.path("lagMs").asLong(-1));
+    return StandinAnswer.ofJson(StandinAnswer.OK, body);
+  }
+
+  private record Change(long atNanos, String vmId, VmEntry vm) {}
+}
--- /dev/null
+++ b/gooseberryhook-standin/src/test/java/org/gooseberryhook/standin/ServiceStandinTest.java
@@ -0,0 +1,60 @@
+package org.gooseberryhook.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a service stand-in that hides a doubled dispatch. */
+class ServiceStandinTest {
+
+  private final ServiceStandin standin = new ServiceStandin(0);
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  @BeforeEach
+  void start() {
+    standin.getServer().start();
+  }
+
+  @AfterEach
+  void stop() {
+    standin.getServer().stop();
+  }
+
+  @Test
+  void aDoubledDispatchShowsInTheCountAlsoWhenTheFirstAnswerWasLost() throws Exception {
+    assertThat(send("GET", "/services/booking/keys/k1", "").statusCode()).isEqualTo(404);
+    send("PUT", "/faults", "[{\"kind\":\"lose-answer\",\"count\":1,\"pathPrefix\":\"/services\"}]");
+    assertThatThrownBy(() -> send("POST", "/services/booking/book", "{}"))
+        .isInstanceOf(IOException.class);
+    HttpResponse<byte[]> second = send("POST", "/services/booking/book", "{}");
+    ServiceStandin.Effect effect =
+        StandinAnswer.MAPPER.readValue(second.body(), ServiceStandin.Effect.class);
+    assertThat(effect.effectNumber()).isEqualTo(2);
+    assertThat(effect.bodyDigest())
+        .isEqualTo("44136fa355b3678a1146ad16f7e8649e94fb4fc21fe77e8310c060f61caaff8a");
+    assertThat(send("GET", "/services/booking/keys/k1", "").body()).isEqualTo(second.body());
+    send("POST", "/services/booking/lookupSheet", "{}");
+    byte[] counts = send("GET", "/effects", "").body();
+    assertThat(StandinAnswer.MAPPER.readValue(counts, Map.class))
+        .isEqualTo(Map.of("booking/k1", 2));
+  }
+
+  private HttpResponse<byte[]> send(String method, String path, String body) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(standin.getServer().getBaseUrl() + path))
+            .version(HttpClient.Version.HTTP_1_1)
+            .header("Idempotency-Key", "k1")
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+  }
+}
