--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/SettingsReaderFuzzTest.java
@@ -0,0 +1,17 @@
+package org.gooseberryhook.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.code_intelligence.jazzer.junit.FuzzTest;
+
+/** Guards against settings files that make the reader throw instead of reporting a fault. */
+class SettingsReaderFuzzTest {
+
+  @FuzzTest
+  void anyContentGivesSettingsOrFaults(byte[] content) {
+    SettingsResult result = SettingsReader.parse("fuzz.toml", content);
+    if (result instanceof SettingsResult.Faulty faulty) {
+      assertThat(faulty.faults()).isNotEmpty().allSatisfy(f -> assertThat(f.toText()).isNotBlank());
+    }
+  }
+}
