Add pipeline composition and the pipeline table

Cause: routing needs pipelines from the list of targets, and state on targets that survives changes of the fleet. Change: PipelineComposer composes incrementally with repair by spares; PipelineTable keeps pipelines, loads, own requests in flight, learned times and breakers, in shards under their own locks.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineComposer.java
@@ -0,0 +1,170 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.gooseberryhook.state.LayerRange;
+import org.gooseberryhook.state.Pipeline;
+import org.gooseberryhook.state.PipelineTable.ModelKey;
+import org.gooseberryhook.state.Target;
+import org.gooseberryhook.state.TargetKind;
+
+/**
+ * Composes pipelines from engine targets, each target in at most one pipeline.
+ *
+ * <p>Stages of one place are combined first, then stages of one region, then any. A pipeline that
+ * lost a stage is repaired with a spare of the same layer range, else it is dissolved. A fresh
+ * composer gives the same pipelines for the same set of targets in any order. Composers with
+ * different histories may combine the same targets differently; they hold the same number of
+ * pipelines when all replicas of a model version are split at the same layers.
+ *
+ * <p>Thread-safe through one lock; a change touches only the model versions it concerns.
+ *
+ * @since 0.1
+ */
+public final class PipelineComposer {
+
+  private final Map<ModelKey, PipelineGroup> groups = new HashMap<>();
+  private Map<String, Target> known = Map.of();
+
+  /**
+   * Brings the pipelines in line with a full list of live targets. Targets that are missing, are
+   * leaving or have changed lose their place.
+   *
+   * @param targets the targets; plain services are ignored and a repeated id counts once, with its
+   *     last entry
+   * @param layerCounts number of layers by model id; targets of an undeclared model are ignored
+   * @return the pipelines that came and went, never null
+   */
+  public synchronized Change update(Collection<Target> targets, Map<String, Integer> layerCounts) {
+    Map<String, Target> current = new TreeMap<>();
+    for (Target target : targets) {
+      if (isUsable(target, layerCounts)) {
+        current.put(target.targetId(), target);
+      } else {
+        current.remove(target.targetId());
+      }
+    }
+    List<Pipeline> added = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    dropResized(layerCounts, removed);
+    Map<ModelKey, List<Target>> gone = difference(known, current);
+    Map<ModelKey, List<Target>> fresh = difference(current, known);
+    known = current;
+    Set<ModelKey> changed = new HashSet<>(gone.keySet());
+    changed.addAll(fresh.keySet());
+    for (ModelKey key : changed) {
+      PipelineGroup group = groupOf(key, layerCounts);
+      Map<String, Pipeline> before = Map.copyOf(group.pipelinesById());
+      group.change(gone.getOrDefault(key, List.of()), fresh.getOrDefault(key, List.of()));
+      collectChange(group, before, added, removed);
+      if (group.isEmpty()) {
+        groups.remove(key);
+      }
+    }
+    Collections.sort(removed);
+    added.sort((left, right) -> left.pipelineId().compareTo(right.pipelineId()));
+    return new Change(List.copyOf(added), List.copyOf(removed));
+  }
+
+  /**
+   * Returns all pipelines.
+   *
+   * @return the pipelines in order of their ids
+   */
+  public synchronized List<Pipeline> pipelines() {
+    Map<String, Pipeline> all = new TreeMap<>();
+    groups.values().forEach(group -> group.pipelines().forEach(p -> all.put(p.pipelineId(), p)));
+    return List.copyOf(all.values());
+  }
+
+  /**
+   * Returns the targets that no pipeline uses.
+   *
+   * @param modelId the model
+   * @param modelVersion the version
+   * @return spare targets by layer range, empty if there are none
+   */
+  public synchronized Map<LayerRange, List<Target>> spares(String modelId, String modelVersion) {
+    PipelineGroup group = groups.get(new ModelKey(modelId, modelVersion));
+    return group == null ? Map.of() : group.spares();
+  }
+
+  /** Forgets model versions that were declared anew with another number of layers. */
+  private void dropResized(Map<String, Integer> layerCounts, List<String> removed) {
+    Set<ModelKey> resized = new HashSet<>();
+    groups.forEach(
+        (key, group) -> {
+          Integer layerCount = layerCounts.get(key.modelId());
+          if (layerCount != null && layerCount != group.layerCount()) {
+            resized.add(key);
+            removed.addAll(group.pipelinesById().keySet());
+          }
+        });
+    if (!resized.isEmpty()) {
+      groups.keySet().removeAll(resized);
+      Map<String, Target> kept = new TreeMap<>(known);
+      kept.values().removeIf(t -> resized.contains(new ModelKey(t.serves(), t.modelVersion())));
+      known = kept;
+    }
+  }
+
+  private PipelineGroup groupOf(ModelKey key, Map<String, Integer> layerCounts) {
+    return groups.computeIfAbsent(
+        key, ignored -> new PipelineGroup(layerCounts.get(key.modelId())));
+  }
+
+  private static boolean isUsable(Target target, Map<String, Integer> layerCounts) {
+    return target.kind() == TargetKind.ENGINE
+        && !target.isLeaving()
+        && layerCounts.containsKey(target.serves());
+  }
+
+  private static Map<ModelKey, List<Target>> difference(
+      Map<String, Target> from, Map<String, Target> without) {
+    Map<ModelKey, List<Target>> result = new HashMap<>();
+    for (Target target : from.values()) {
+      if (!target.equals(without.get(target.targetId()))) {
+        ModelKey key = new ModelKey(target.serves(), target.modelVersion());
+        result.computeIfAbsent(key, ignored -> new ArrayList<>()).add(target);
+      }
+    }
+    return result;
+  }
+
+  private static void collectChange(
+      PipelineGroup group,
+      Map<String, Pipeline> before,
+      List<Pipeline> added,
+      List<String> removed) {
+    Map<String, Pipeline> after = group.pipelinesById();
+    for (Pipeline pipeline : after.values()) {
+      if (!pipeline.equals(before.get(pipeline.pipelineId()))) {
+        added.add(pipeline);
+      }
+    }
+    for (Pipeline pipeline : before.values()) {
+      if (!pipeline.equals(after.get(pipeline.pipelineId()))) {
+        removed.add(pipeline.pipelineId());
+      }
+    }
+  }
+
+  /**
+   * Difference between two compositions.
+   *
+   * <p>A pipeline of which a stage changed its address keeps its id; it is listed as removed and as
+   * added, so the removals are to be applied first.
+   *
+   * @param added pipelines that came
+   * @param removedPipelineIds ids of pipelines that went
+   * @since 0.1
+   */
+  public record Change(List<Pipeline> added, List<String> removedPipelineIds) {}
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
@@ -0,0 +1,231 @@
+package org.gooseberryhook.state;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+
+/**
+ * The pipelines of the fleet and what this node knows about their targets and links. Targets are
+ * kept in shards, each under its own lock. The pipelines of a model version are an immutable
+ * snapshot, so that requests are routed while the fleet changes.
+ *
+ * <p>Bounded by the fleet: a target that no pipeline uses is dropped with its figures, and so is
+ * the link between two places of which one is gone.
+ *
+ * @since 0.1
+ */
+public final class PipelineTable {
+
+  private static final int SHARDS = 64;
+  private static final double SAME_PLACE_NANOS = 100_000;
+  private static final double SAME_REGION_NANOS = 1_000_000;
+  private static final double OTHER_REGION_NANOS = 20_000_000;
+
+  private final List<Map<String, TargetActivity>> shards = new ArrayList<>();
+  private final Map<String, LinkTime> links = new ConcurrentHashMap<>();
+  private final Map<ModelKey, Snapshot> models = new ConcurrentHashMap<>();
+  private final Object changeLock = new Object();
+
+  /** Creates an empty table. */
+  public PipelineTable() {
+    for (int i = 0; i < SHARDS; i++) {
+      shards.add(new HashMap<>());
+    }
+  }
+
+  /**
+   * Replaces pipelines. Entries of pipelines that stay keep their figures, and so do targets that
+   * move to another pipeline.
+   *
+   * @param added new pipelines
+   * @param removedPipelineIds pipelines that receive no new work
+   */
+  public void update(Collection<Pipeline> added, Collection<String> removedPipelineIds) {
+    synchronized (changeLock) {
+      Set<String> removed = Set.copyOf(removedPipelineIds);
+      Set<String> maybeUnused = new HashSet<>();
+      Map<ModelKey, Map<String, PipelineEntry>> changed = new HashMap<>();
+      models.forEach((key, snapshot) -> collect(key, snapshot, removed, changed, maybeUnused));
+      for (Pipeline pipeline : added) {
+        ModelKey key = new ModelKey(pipeline.modelId(), pipeline.modelVersion());
+        Map<String, PipelineEntry> entries =
+            changed.computeIfAbsent(key, ignored -> copyOf(models.get(key)));
+        entries.computeIfAbsent(pipeline.pipelineId(), ignored -> newEntry(pipeline));
+      }
+      changed.forEach((key, entries) -> put(key, entries));
+      dropUnused(maybeUnused);
+    }
+  }
+
+  /**
+   * Takes a load report. A report of a target that no pipeline uses is ignored.
+   *
+   * @param load the report
+   */
+  public void report(TargetLoad load) {
+    TargetActivity target = find(load.targetId());
+    if (target != null) {
+      target.update(load);
+    }
+  }
+
+  /**
+   * Returns what is known about a target.
+   *
+   * @param targetId the target
+   * @return its figures, or null if no pipeline uses it
+   */
+  public TargetActivity find(String targetId) {
+    Map<String, TargetActivity> shard = shardOf(targetId);
+    synchronized (shard) {
+      return shard.get(targetId);
+    }
+  }
+
+  /**
+   * Returns the pipelines of a model version.
+   *
+   * @param modelId the model
+   * @param modelVersion the version
+   * @return an immutable list, empty if there are none
+   */
+  public List<PipelineEntry> entries(String modelId, String modelVersion) {
+    Snapshot snapshot = models.get(new ModelKey(modelId, modelVersion));
+    return snapshot == null ? List.of() : snapshot.list;
+  }
+
+  /**
+   * Returns one pipeline of a model version.
+   *
+   * @param modelId the model
+   * @param modelVersion the version
+   * @param pipelineId the pipeline
+   * @return the entry, or null if there is no such pipeline
+   */
+  public PipelineEntry entry(String modelId, String modelVersion, String pipelineId) {
+    Snapshot snapshot = models.get(new ModelKey(modelId, modelVersion));
+    return snapshot == null ? null : snapshot.byId.get(pipelineId);
+  }
+
+  /**
+   * Returns the model versions that have pipelines.
+   *
+   * @return a copy of the keys
+   */
+  public Set<ModelKey> modelKeys() {
+    return Set.copyOf(models.keySet());
+  }
+
+  private static void collect(
+      ModelKey key,
+      Snapshot snapshot,
+      Set<String> removed,
+      Map<ModelKey, Map<String, PipelineEntry>> changed,
+      Set<String> maybeUnused) {
+    Predicate<PipelineEntry> isRemoved = entry -> removed.contains(entry.pipeline().pipelineId());
+    if (removed.isEmpty() || snapshot.list.stream().noneMatch(isRemoved)) {
+      return;
+    }
+    Map<String, PipelineEntry> kept = new LinkedHashMap<>(snapshot.byId);
+    for (String pipelineId : removed) {
+      PipelineEntry gone = kept.remove(pipelineId);
+      if (gone != null) {
+        gone.pipeline().stages().forEach(stage -> maybeUnused.add(stage.targetId()));
+      }
+    }
+    changed.put(key, kept);
+  }
+
+  private PipelineEntry newEntry(Pipeline pipeline) {
+    List<TargetActivity> stages = new ArrayList<>();
+    List<LinkTime> hops = new ArrayList<>();
+    Target previous = null;
+    for (Target stage : pipeline.stages()) {
+      Map<String, TargetActivity> shard = shardOf(stage.targetId());
+      synchronized (shard) {
+        stages.add(shard.computeIfAbsent(stage.targetId(), id -> new TargetActivity(shard)));
+      }
+      if (previous != null) {
+        hops.add(linkBetween(previous, stage));
+      }
+      previous = stage;
+    }
+    if (stages.size() > 1) {
+      hops.add(linkBetween(previous, pipeline.head()));
+    }
+    return new PipelineEntry(pipeline, stages, hops);
+  }
+
+  private LinkTime linkBetween(Target from, Target to) {
+    double firstNanos =
+        from.place().equals(to.place())
+            ? SAME_PLACE_NANOS
+            : from.region().equals(to.region()) ? SAME_REGION_NANOS : OTHER_REGION_NANOS;
+    return links.computeIfAbsent(linkKey(from, to), key -> new LinkTime(firstNanos));
+  }
+
+  private static String linkKey(Target from, Target to) {
+    return from.place() + ">" + to.place();
+  }
+
+  private void put(ModelKey key, Map<String, PipelineEntry> entries) {
+    if (entries.isEmpty()) {
+      models.remove(key);
+    } else {
+      models.put(key, new Snapshot(List.copyOf(entries.values()), Map.copyOf(entries)));
+    }
+  }
+
+  private void dropUnused(Set<String> maybeUnused) {
+    if (maybeUnused.isEmpty()) {
+      return;
+    }
+    Set<String> usedLinks = new HashSet<>();
+    for (Snapshot snapshot : models.values()) {
+      for (PipelineEntry entry : snapshot.list) {
+        Target previous = null;
+        for (Target stage : entry.pipeline().stages()) {
+          maybeUnused.remove(stage.targetId());
+          if (previous != null) {
+            usedLinks.add(linkKey(previous, stage));
+          }
+          previous = stage;
+        }
+        usedLinks.add(linkKey(previous, entry.pipeline().head()));
+      }
+    }
+    links.keySet().retainAll(usedLinks);
+    for (String targetId : maybeUnused) {
+      Map<String, TargetActivity> shard = shardOf(targetId);
+      synchronized (shard) {
+        shard.remove(targetId);
+      }
+    }
+  }
+
+  private Map<String, TargetActivity> shardOf(String targetId) {
+    return shards.get(Math.floorMod(targetId.hashCode(), SHARDS));
+  }
+
+  private static Map<String, PipelineEntry> copyOf(Snapshot snapshot) {
+    return snapshot == null ? new LinkedHashMap<>() : new LinkedHashMap<>(snapshot.byId);
+  }
+
+  /**
+   * A model version.
+   *
+   * @param modelId the model
+   * @param modelVersion the version
+   * @since 0.1
+   */
+  public record ModelKey(String modelId, String modelVersion) {}
+
+  private record Snapshot(List<PipelineEntry> list, Map<String, PipelineEntry> byId) {}
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/TargetActivity.java
@@ -0,0 +1,186 @@
+package org.gooseberryhook.state;
+
+import java.util.ArrayDeque;
+
+/**
+ * What one node knows about the work on a target: the last load report, its own starts and ends
+ * since that report, suspect requests, and learned times. Writes hold the lock of the table shard;
+ * the derived figures are volatile, so that scoring a candidate takes no lock.
+ *
+ * @since 0.1
+ */
+public final class TargetActivity {
+
+  /** Slots assumed before the first load report. */
+  public static final int DEFAULT_SLOTS = 8;
+
+  /** Own starts and ends kept since the report; the oldest is dropped beyond this. */
+  private static final int MAX_OWN_EVENTS = 512;
+
+  private final Object shardLock;
+  private final CircuitBreaker breaker = new CircuitBreaker();
+  private final ArrayDeque<OwnEvent> ownEvents = new ArrayDeque<>();
+  private TargetLoad load;
+  private int ownDelta;
+  private int ownInFlight;
+  private int suspects;
+  private volatile boolean isReserved;
+  private volatile boolean isLeaving;
+  private volatile int occupied;
+  private volatile int slots = DEFAULT_SLOTS;
+  private volatile double stepNanos;
+  private volatile long stepSamples;
+  private volatile double peerStepNanos;
+
+  TargetActivity(Object shardLock) {
+    this.shardLock = shardLock;
+  }
+
+  /**
+   * Takes a load report; a report older than the last one is ignored.
+   *
+   * @param report the report
+   */
+  public void update(TargetLoad report) {
+    synchronized (shardLock) {
+      if (load != null && report.takenAtNanos() - load.takenAtNanos() < 0) {
+        return;
+      }
+      load = report;
+      slots = report.slots();
+      isLeaving = report.isLeaving();
+      while (!ownEvents.isEmpty() && ownEvents.peek().atNanos - report.takenAtNanos() <= 0) {
+        ownDelta -= ownEvents.poll().delta;
+      }
+      refreshOccupied();
+    }
+  }
+
+  /**
+   * Registers a request unless an isolation rule forbids it.
+   *
+   * @param isolation how the request must be kept apart
+   * @param nowNanos monotonic time
+   * @return false if the target is leaving or reserved, or the request's own isolation does not
+   *     hold here
+   */
+  public boolean tryBegin(Isolation isolation, long nowNanos) {
+    synchronized (shardLock) {
+      if (!isAllowing(isolation)) {
+        return false;
+      }
+      ownInFlight++;
+      suspects += isolation == Isolation.NONE ? 0 : 1;
+      isReserved = isolation == Isolation.ALONE;
+      record(1, nowNanos);
+      return true;
+    }
+  }
+
+  /**
+   * Ends a request registered by {@link #tryBegin}.
+   *
+   * @param isolation the isolation it was registered with
+   * @param nowNanos monotonic time
+   */
+  public void end(Isolation isolation, long nowNanos) {
+    synchronized (shardLock) {
+      ownInFlight--;
+      suspects -= isolation == Isolation.NONE ? 0 : 1;
+      if (isolation == Isolation.ALONE) {
+        isReserved = false;
+      }
+      record(-1, nowNanos);
+    }
+  }
+
+  /**
+   * Tells whether a request with this isolation could be registered now.
+   *
+   * @param isolation how the request must be kept apart
+   * @return true if {@link #tryBegin} would succeed
+   */
+  public boolean isAllowing(Isolation isolation) {
+    if (isReserved || isLeaving) {
+      return false;
+    }
+    if (isolation == Isolation.NONE) {
+      return true;
+    }
+    synchronized (shardLock) {
+      return suspects == 0 && (isolation == Isolation.NO_OTHER_SUSPECT || occupied == 0);
+    }
+  }
+
+  /**
+   * Returns the requests thought to run or wait here.
+   *
+   * @return the reported requests corrected by this node's own starts and ends since the report
+   */
+  public int occupied() {
+    return occupied;
+  }
+
+  public int slots() {
+    return slots;
+  }
+
+  public CircuitBreaker breaker() {
+    return breaker;
+  }
+
+  /**
+   * Returns the learned time of one step on an empty batch.
+   *
+   * @return nanoseconds; 0 before anything is learned
+   */
+  public double stepNanos() {
+    return stepNanos;
+  }
+
+  public long stepSamples() {
+    return stepSamples;
+  }
+
+  /**
+   * Stores a learned step time.
+   *
+   * @param value nanoseconds
+   * @param isObserved whether it comes from an observation of this target
+   */
+  public void setStepNanos(double value, boolean isObserved) {
+    synchronized (shardLock) {
+      stepNanos = value;
+      stepSamples += isObserved ? 1 : 0;
+    }
+  }
+
+  /**
+   * Returns the step time that comparable targets suggest.
+   *
+   * @return nanoseconds; 0 before the first comparison
+   */
+  public double peerStepNanos() {
+    return peerStepNanos;
+  }
+
+  public void setPeerStepNanos(double value) {
+    peerStepNanos = value;
+  }
+
+  private void record(int delta, long nowNanos) {
+    ownEvents.add(new OwnEvent(nowNanos, delta));
+    ownDelta += delta;
+    if (ownEvents.size() > MAX_OWN_EVENTS) {
+      ownDelta -= ownEvents.poll().delta;
+    }
+    refreshOccupied();
+  }
+
+  private void refreshOccupied() {
+    int reported = load == null ? 0 : load.runningRequests() + load.waitingRequests();
+    occupied = Math.max(ownInFlight, reported + ownDelta);
+  }
+
+  private record OwnEvent(long atNanos, int delta) {}
+}
