--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/CompletionEstimate.java
@@ -0,0 +1,44 @@
+package org.gooseberryhook.coordination;
+
+import org.gooseberryhook.state.PipelineEntry;
+
+/**
+ * Estimates completion times from lagging loads and learned times.
+ *
+ * @since 0.1
+ */
+public final class CompletionEstimate {
+
+  private final PipelineHealth health;
+
+  /**
+   * Creates an estimate.
+   *
+   * @param health learned step, link and prompt times
+   */
+  public CompletionEstimate(PipelineHealth health) {
+    this.health = health;
+  }
+
+  /**
+   * Estimates the completion time of a request: queueing, prompt time of the uncached tokens, and
+   * steps times step time.
+   *
+   * @param entry the pipeline
+   * @param facts the request
+   * @param cachedShare share of the prompt expected in the cache, from 0 to 1
+   * @param meanSteps steps of an average request, for the queueing time
+   * @return nanoseconds
+   */
+  public double nanos(
+      PipelineEntry entry, RequestFacts facts, double cachedShare, double meanSteps) {
+    int occupied = entry.occupied();
+    int slots = entry.slots();
+    double stepNanos = health.stepNanos(entry, occupied + 1);
+    double queueNanos =
+        occupied < slots ? 0 : (occupied - slots + 1.0) / slots * meanSteps * stepNanos;
+    double uncachedTokens = facts.promptTokens() * (1 - cachedShare);
+    double promptNanos = uncachedTokens * health.promptNanosPerToken(entry);
+    return queueNanos + promptNanos + facts.steps() * stepNanos;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PrefixIndex.java
@@ -0,0 +1,306 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Hints on which pipelines hold which prompt prefixes in their prefix cache. Fed by what this node
+ * routed and by cache events that arrive late and with gaps.
+ *
+ * <p>Blocks are kept in shards, each under its own lock and with its own LRU order; at the bound a
+ * shard drops its least recently used block. A block names at most {@link #MAX_HOLDERS} pipelines
+ * and drops the oldest beyond that.
+ *
+ * @since 0.1
+ */
+public final class PrefixIndex {
+
+  /** Blocks kept over all shards. */
+  public static final int MAX_BLOCKS = 200_000;
+
+  /** Pipelines named by one block. */
+  public static final int MAX_HOLDERS = 8;
+
+  /** Pipelines returned for a prompt. */
+  public static final int MAX_HITS = 4;
+
+  /** Age at which an entry is ignored, in nanoseconds. */
+  public static final long MAX_AGE_NANOS = 600_000_000_000L;
+
+  private static final int SHARDS = 64;
+  private static final double GAP_TRUST_FACTOR = 0.5;
+  private static final double TRUST_REGAINED_PER_EVENT = 0.02;
+
+  private final List<Shard> shards = new ArrayList<>();
+  private final Map<String, Holder> holders = new ConcurrentHashMap<>();
+
+  /** Creates an index bounded by {@link #MAX_BLOCKS}. */
+  public PrefixIndex() {
+    this(MAX_BLOCKS);
+  }
+
+  /**
+   * Creates an index.
+   *
+   * @param maxBlocks blocks kept over all shards, at least the number of shards
+   */
+  PrefixIndex(int maxBlocks) {
+    for (int i = 0; i < SHARDS; i++) {
+      shards.add(new Shard(maxBlocks / SHARDS));
+    }
+  }
+
+  /**
+   * Records that a pipeline has or will have blocks in its cache.
+   *
+   * @param pipelineId the pipeline
+   * @param hashes chained block hashes
+   * @param nowNanos monotonic time
+   */
+  public void store(String pipelineId, long[] hashes, long nowNanos) {
+    Holder holder = holders.computeIfAbsent(pipelineId, Holder::new);
+    for (long hash : hashes) {
+      Shard shard = shardOf(hash);
+      synchronized (shard) {
+        shard.computeIfAbsent(hash, key -> new Block()).put(holder, nowNanos);
+      }
+    }
+  }
+
+  /**
+   * Takes a cache event of a pipeline's target. After a gap, entries from before it are trusted
+   * less. Of an event that was overtaken by a later one only removals are applied, because a hint
+   * too few costs less than a wrong one.
+   *
+   * @param pipelineId the pipeline that uses the target
+   * @param event the event
+   * @param nowNanos monotonic time
+   */
+  public void onCacheEvent(String pipelineId, CacheEvent event, long nowNanos) {
+    Holder holder = holders.computeIfAbsent(pipelineId, Holder::new);
+    boolean isLatest = holder.advance(event, nowNanos);
+    if (isLatest) {
+      store(pipelineId, event.stored(), nowNanos);
+    }
+    for (long hash : event.removed()) {
+      Shard shard = shardOf(hash);
+      synchronized (shard) {
+        Block block = shard.get(hash);
+        if (block != null && block.remove(holder)) {
+          shard.remove(hash);
+        }
+      }
+    }
+  }
+
+  /**
+   * Finds the pipelines with the longest cached prefix.
+   *
+   * @param hashes chained block hashes of the prompt
+   * @param nowNanos monotonic time
+   * @return at most {@link #MAX_HITS} hits, longest first, never null
+   */
+  public List<Hit> find(long[] hashes, long nowNanos) {
+    Holder[] active = new Holder[MAX_HOLDERS];
+    int[] lengths = new int[MAX_HOLDERS];
+    double[] trusts = new double[MAX_HOLDERS];
+    int known = 0;
+    for (int i = 0; i < hashes.length; i++) {
+      Shard shard = shardOf(hashes[i]);
+      boolean isAnyActive = false;
+      synchronized (shard) {
+        Block block = shard.get(hashes[i]);
+        if (block == null) {
+          break;
+        }
+        if (i == 0) {
+          known = block.copyHolders(active);
+        }
+        for (int j = 0; j < known; j++) {
+          double trust = lengths[j] == i ? block.trust(active[j], nowNanos) : 0;
+          if (trust > 0) {
+            trusts[j] = i == 0 ? trust : Math.min(trust, trusts[j]);
+            lengths[j]++;
+            isAnyActive = true;
+          }
+        }
+      }
+      if (!isAnyActive) {
+        break;
+      }
+    }
+    return longest(active, lengths, trusts, known);
+  }
+
+  /**
+   * Forgets pipelines that went.
+   *
+   * @param pipelineIds the pipelines
+   */
+  public void forget(Collection<String> pipelineIds) {
+    for (String pipelineId : pipelineIds) {
+      Holder holder = holders.remove(pipelineId);
+      if (holder != null) {
+        holder.isGone = true;
+      }
+    }
+  }
+
+  /**
+   * Returns the number of blocks kept.
+   *
+   * @return at most the bound
+   */
+  public int size() {
+    int size = 0;
+    for (Shard shard : shards) {
+      synchronized (shard) {
+        size += shard.size();
+      }
+    }
+    return size;
+  }
+
+  private static List<Hit> longest(Holder[] active, int[] lengths, double[] trusts, int known) {
+    List<Hit> hits = new ArrayList<>(known);
+    for (int i = 0; i < known; i++) {
+      if (lengths[i] > 0) {
+        hits.add(new Hit(active[i].pipelineId, lengths[i], trusts[i]));
+      }
+    }
+    if (hits.size() > 1) {
+      hits.sort(Comparator.comparingInt(Hit::blocks).reversed().thenComparing(Hit::pipelineId));
+    }
+    return hits.size() > MAX_HITS ? hits.subList(0, MAX_HITS) : hits;
+  }
+
+  private Shard shardOf(long hash) {
+    return shards.get((int) (hash >>> 58));
+  }
+
+  /**
+   * Change of a target's prefix cache.
+   *
+   * @param targetId the target
+   * @param sequence number of the event, one higher for each event of the target
+   * @param stored chained hashes of blocks stored
+   * @param removed chained hashes of blocks removed
+   * @since 0.1
+   */
+  public record CacheEvent(String targetId, long sequence, long[] stored, long[] removed) {}
+
+  /**
+   * A pipeline that probably holds a prefix.
+   *
+   * @param pipelineId the pipeline
+   * @param blocks leading blocks held, at least 1
+   * @param trust confidence from 0 to 1; falls with gaps in the cache events
+   * @since 0.1
+   */
+  public record Hit(String pipelineId, int blocks, double trust) {}
+
+  /** Blocks by hash in LRU order; guarded by its own monitor. */
+  private static final class Shard extends LinkedHashMap<Long, Block> {
+    private static final long serialVersionUID = 1L;
+    private final int maxBlocks;
+
+    Shard(int maxBlocks) {
+      super(16, 0.75f, true);
+      this.maxBlocks = maxBlocks;
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<Long, Block> eldest) {
+      return size() > maxBlocks;
+    }
+  }
+
+  /** A pipeline and the state of its targets' event sequences. */
+  private static final class Holder {
+    private final String pipelineId;
+    private final Map<String, Long> lastSequences = new ConcurrentHashMap<>();
+    private volatile boolean isGone;
+    private volatile boolean hasGap;
+    private volatile long gapNanos;
+    private volatile double trust = 1;
+
+    Holder(String pipelineId) {
+      this.pipelineId = pipelineId;
+    }
+
+    /** Notes a sequence number; returns false if a later event of the target came before. */
+    synchronized boolean advance(CacheEvent event, long nowNanos) {
+      Long last = lastSequences.get(event.targetId());
+      if (last != null && event.sequence() <= last) {
+        return false;
+      }
+      lastSequences.put(event.targetId(), event.sequence());
+      if (last != null && event.sequence() > last + 1) {
+        hasGap = true;
+        gapNanos = nowNanos;
+        trust *= GAP_TRUST_FACTOR;
+      } else {
+        trust = Math.min(1, trust + TRUST_REGAINED_PER_EVENT);
+      }
+      return true;
+    }
+  }
+
+  /** The holders of one block in the order in which they were last confirmed. */
+  private static final class Block {
+    private final Holder[] holders = new Holder[MAX_HOLDERS];
+    private final long[] storedNanos = new long[MAX_HOLDERS];
+    private int count;
+
+    void put(Holder holder, long nowNanos) {
+      remove(holder);
+      if (count == MAX_HOLDERS) {
+        removeAt(0);
+      }
+      holders[count] = holder;
+      storedNanos[count++] = nowNanos;
+    }
+
+    boolean remove(Holder holder) {
+      int at = indexOf(holder);
+      if (at >= 0) {
+        removeAt(at);
+      }
+      return count == 0;
+    }
+
+    int copyHolders(Holder[] into) {
+      System.arraycopy(holders, 0, into, 0, count);
+      return count;
+    }
+
+    double trust(Holder holder, long nowNanos) {
+      int at = indexOf(holder);
+      if (at < 0 || holder.isGone || nowNanos - storedNanos[at] > MAX_AGE_NANOS) {
+        return 0;
+      }
+      boolean isAfterGap = !holder.hasGap || storedNanos[at] - holder.gapNanos >= 0;
+      return isAfterGap ? 1 : holder.trust;
+    }
+
+    private int indexOf(Holder holder) {
+      for (int i = 0; i < count; i++) {
+        if (holders[i] == holder) {
+          return i;
+        }
+      }
+      return -1;
+    }
+
+    private void removeAt(int at) {
+      System.arraycopy(holders, at + 1, holders, at, count - at - 1);
+      System.arraycopy(storedNanos, at + 1, storedNanos, at, count - at - 1);
+      holders[--count] = null;
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/RequestFacts.java
@@ -0,0 +1,22 @@
+package org.gooseberryhook.coordination;
+
+import org.gooseberryhook.state.PriorityClass;
+
+/**
+ * What routing needs to know about a request.
+ *
+ * @param modelId the model
+ * @param modelVersion the version that the request stays on
+ * @param priorityClass the class
+ * @param prompt block hashes of the prompt and the delivered tokens
+ * @param promptTokens estimated length of the prompt, in tokens
+ * @param steps tokens still to be generated, as estimated
+ * @since 0.1
+ */
+public record RequestFacts(
+    String modelId,
+    String modelVersion,
+    PriorityClass priorityClass,
+    PromptBlocks prompt,
+    int promptTokens,
+    int steps) {}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/PipelineRouterTest.java
@@ -0,0 +1,214 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.gooseberryhook.coordination.RouteResult.Chosen;
+import org.gooseberryhook.coordination.RouteResult.NoPipeline;
+import org.gooseberryhook.coordination.RouteResult.Reason;
+import org.gooseberryhook.state.Isolation;
+import org.gooseberryhook.state.Pipeline;
+import org.gooseberryhook.state.PipelineEntry;
+import org.gooseberryhook.state.PipelineTable;
+import org.gooseberryhook.state.PriorityClass;
+import org.gooseberryhook.state.Target;
+import org.gooseberryhook.state.TargetLoad;
+import org.junit.jupiter.api.Test;
+
+class PipelineRouterTest {
+
+  private static final int SLOTS = 8;
+  private static final byte[] PROMPT = new byte[2048];
+
+  private final PipelineTable table = RoutingFixtures.tableOf(60);
+  private final PipelineHealth health = new PipelineHealth();
+  private final PipelineRouter router = new PipelineRouter(table, health, new PrefixIndex());
+  private final CompletionEstimate estimate = new CompletionEstimate(health);
+  private final Random random = new Random(11);
+  private long nowNanos = 1_000_000_000L;
+
+  /** A way to choose a pipeline, so that the same check runs on the router and on wrong ones. */
+  private interface Choice {
+    RouteResult route(RequestFacts facts, RouteRule rule);
+  }
+
+  /**
+   * Guards against choices far from those of a full scan with the same information, against broken
+   * rules, and against refusals where the full scan finds a pipeline.
+   */
+  @Test
+  void choicesAreCloseToThoseOfAFullScanAndKeepTheRule() {
+    assertThat(faults((facts, rule) -> router.route(facts, rule, nowNanos, random))).isEmpty();
+  }
+
+  /** Shows that the check above catches a router that draws one random pipeline. */
+  @Test
+  void aRouterThatChoosesAtRandomIsCaught() {
+    Choice atRandom =
+        (facts, rule) -> {
+          List<PipelineEntry> entries = table.entries("m", "1");
+          PipelineEntry entry = entries.get(random.nextInt(entries.size()));
+          entry.tryBegin(Isolation.NONE, nowNanos);
+          return new Chosen(
+              entry.pipeline(), new Dispatch(entry, facts, Isolation.NONE, false, 0, nowNanos));
+        };
+    assertThat(faults(atRandom)).contains("rule broken", "far from the full scan");
+  }
+
+  /** Guards against a crashing request that takes other requests or another suspect with it. */
+  @Test
+  void aSuspectRequestSharesNoStage() {
+    RequestFacts facts = RoutingFixtures.facts(PriorityClass.INTERACTIVE, PROMPT);
+    Set<String> alone = new HashSet<>();
+    RouteRule rule = RouteRule.ofIsolation(Isolation.ALONE);
+    List<Dispatch> running = new ArrayList<>();
+    while (router.route(facts, rule, nowNanos, random) instanceof Chosen chosen) {
+      assertThat(alone.add(chosen.pipeline().pipelineId())).isTrue();
+      running.add(chosen.dispatch());
+    }
+    assertThat(alone).hasSize(60);
+    assertThat(router.route(facts, RouteRule.ANY, nowNanos, random)).isInstanceOf(NoPipeline.class);
+    router.onFinished(running.get(7), nowNanos, random);
+    RouteRule shared = RouteRule.ofIsolation(Isolation.NO_OTHER_SUSPECT);
+    assertThat(router.route(facts, shared, nowNanos, random)).isInstanceOf(Chosen.class);
+    assertThat(router.route(facts, shared, nowNanos, random))
+        .isEqualTo(new NoPipeline(Reason.NONE_ISOLATED, 250));
+    assertThat(router.route(facts, RouteRule.ANY, nowNanos, random)).isInstanceOf(Chosen.class);
+  }
+
+  /** Guards against batch work that takes the slots which interactive requests need. */
+  @Test
+  void batchLeavesSlotsFreeWhileThereIsInteractiveDemand() {
+    RequestFacts batch = RoutingFixtures.facts(PriorityClass.BATCH, PROMPT);
+    RequestFacts interactive = RoutingFixtures.facts(PriorityClass.INTERACTIVE, PROMPT);
+    router.route(interactive, RouteRule.ANY, nowNanos, random);
+    int started = 0;
+    while (router.route(batch, RouteRule.ANY, nowNanos, random) instanceof Chosen) {
+      started++;
+    }
+    assertThat(started).isBetween(60 * 5, 60 * 6);
+    assertThat(table.entries("m", "1")).allMatch(entry -> entry.occupied() < SLOTS);
+    nowNanos += RouteIndex.DEMAND_NANOS;
+    while (router.route(batch, RouteRule.ANY, nowNanos, random) instanceof Chosen) {
+      started++;
+    }
+    assertThat(started).isEqualTo(60 * SLOTS - 1);
+  }
+
+  /** Guards against counters that drift or choices that fail while the fleet changes. */
+  @Test
+  void theFleetChangesWhileRequestsAreRouted() throws Exception {
+    ExecutorService pool = Executors.newFixedThreadPool(4);
+    List<Future<?>> done = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      Random own = new Random(i);
+      done.add(pool.submit(() -> routeAndFinish(own)));
+    }
+    PipelineComposer composer = new PipelineComposer();
+    composer.update(RoutingFixtures.fleet(60), RoutingFixtures.LAYER_COUNTS);
+    for (int i = 0; i < 400; i++) {
+      List<Target> fleet = RoutingFixtures.fleet(40 + random.nextInt(40));
+      router.onPipelinesChanged(composer.update(fleet, RoutingFixtures.LAYER_COUNTS));
+      router.refresh(nowNanos, random);
+    }
+    for (Future<?> task : done) {
+      task.get();
+    }
+    pool.shutdown();
+    assertThat(table.entries("m", "1").stream().map(PipelineEntry::pipeline).toList())
+        .containsExactlyInAnyOrderElementsOf(composer.pipelines());
+    assertThat(table.entries("m", "1")).allMatch(entry -> entry.occupied() == 0);
+  }
+
+  private void routeAndFinish(Random own) {
+    RequestFacts facts = RoutingFixtures.facts(PriorityClass.INTERACTIVE, PROMPT);
+    for (int i = 0; i < 5_000; i++) {
+      if (router.route(facts, RouteRule.ANY, nowNanos, own) instanceof Chosen chosen) {
+        router.onDispatched(chosen.dispatch(), nowNanos);
+        router.onFinished(chosen.dispatch(), nowNanos, own);
+      }
+    }
+  }
+
+  private Set<String> faults(Choice choice) {
+    Set<String> faults = new HashSet<>();
+    double chosenNanos = 0;
+    double bestNanos = 0;
+    for (int round = 0; round < 2_000; round++) {
+      nowNanos += 100_000_000L;
+      if (round % 10 == 0) {
+        reportRandomLoads();
+        router.refresh(nowNanos, random);
+      }
+      byte[] prompt = new byte[4_096];
+      prompt[0] = (byte) random.nextInt(40);
+      RequestFacts facts = RoutingFixtures.facts(PriorityClass.INTERACTIVE, prompt);
+      RouteRule rule = randomRule();
+      double best = fullScan(facts, rule);
+      if (!(choice.route(facts, rule) instanceof Chosen chosen)) {
+        addIf(best < Double.MAX_VALUE, "refused", faults);
+        continue;
+      }
+      addIf(rule.isExcluding(chosen.pipeline()), "rule broken", faults);
+      Dispatch dispatch = chosen.dispatch();
+      router.onFailed(dispatch, AttemptFailure.NOT_SENT, null, nowNanos, random);
+      if (best == Double.MAX_VALUE) {
+        faults.add("rule broken");
+        continue;
+      }
+      chosenNanos += estimate.nanos(dispatch.entry(), facts, 0, 128);
+      bestNanos += best;
+    }
+    // The full scan finds the least loaded of 60; ten draws come within a few percent of it.
+    addIf(chosenNanos > 1.05 * bestNanos, "far from the full scan", faults);
+    return faults;
+  }
+
+  private double fullScan(RequestFacts facts, RouteRule rule) {
+    double best = Double.MAX_VALUE;
+    for (PipelineEntry entry : table.entries("m", "1")) {
+      if (!rule.isExcluding(entry.pipeline())) {
+        best = Math.min(best, estimate.nanos(entry, facts, 0, 128));
+      }
+    }
+    return best;
+  }
+
+  private RouteRule randomRule() {
+    Set<String> excluded = new HashSet<>();
+    Set<String> targets = new HashSet<>();
+    int allowed = random.nextInt(60);
+    for (PipelineEntry entry : table.entries("m", "1")) {
+      Pipeline pipeline = entry.pipeline();
+      if (random.nextInt(60) > allowed) {
+        excluded.add(pipeline.pipelineId());
+      } else if (random.nextInt(10) == 0) {
+        targets.add(pipeline.stages().get(1).targetId());
+      }
+    }
+    return random.nextInt(4) > 0 ? RouteRule.ANY : new RouteRule(excluded, targets, Isolation.NONE);
+  }
+
+  private void reportRandomLoads() {
+    for (PipelineEntry entry : table.entries("m", "1")) {
+      for (Target stage : entry.pipeline().stages()) {
+        int running = random.nextInt(SLOTS + 1);
+        int waiting = running == SLOTS ? random.nextInt(SLOTS) : 0;
+        table.report(new TargetLoad(stage.targetId(), nowNanos, SLOTS, running, waiting, false));
+      }
+    }
+  }
+
+  private static void addIf(boolean isFault, String fault, Set<String> faults) {
+    if (isFault) {
+      faults.add(fault);
+    }
+  }
+}
