--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/AdmissionQueue.java
@@ -0,0 +1,122 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Waiting requests of one class in weighted fair order (start-time fair queueing): each workspace
+ * has its own sequence of virtual start times that are 1/weight apart. Guarded by the gate's lock.
+ */
+final class AdmissionQueue {
+
+  private static final Comparator<Waiting> BY_START =
+      Comparator.comparingDouble(Waiting::virtualStart).thenComparingLong(Waiting::number);
+
+  private final TreeSet<Waiting> order = new TreeSet<>(BY_START);
+  private final Map<String, ArrayDeque<Waiting>> flows = new HashMap<>();
+  private double virtualNow;
+  private long nextNumber;
+
+  int size() {
+    return order.size();
+  }
+
+  /** Returns the number of requests that would start before a new one of this workspace. */
+  int countAhead(OverloadGate.Arrival arrival) {
+    Waiting probe = new Waiting(arrival, 0, virtualStart(arrival), Long.MAX_VALUE);
+    return order.headSet(probe).size();
+  }
+
+  void add(OverloadGate.Arrival arrival, long nowNanos) {
+    Waiting waiting = new Waiting(arrival, nowNanos, virtualStart(arrival), nextNumber++);
+    order.add(waiting);
+    flows.computeIfAbsent(arrival.workspaceId(), key -> new ArrayDeque<>()).add(waiting);
+  }
+
+  /** Takes the next request, or returns null if none waits. */
+  Waiting take() {
+    if (order.isEmpty()) {
+      return null;
+    }
+    Waiting next = order.first();
+    virtualNow = next.virtualStart;
+    remove(next);
+    return next;
+  }
+
+  /**
+   * Takes out the last request of the workspace that waits with most requests for its weight.
+   *
+   * @param arrival a new request; null takes one out in any case
+   * @return the request, or null if the new request's own workspace would be that workspace
+   */
+  Waiting evictFor(OverloadGate.Arrival arrival) {
+    Waiting victim = null;
+    double most = 0;
+    if (arrival != null) {
+      ArrayDeque<Waiting> own = flows.get(arrival.workspaceId());
+      most = ((own == null ? 0 : own.size()) + 1) / arrival.weight();
+    }
+    for (ArrayDeque<Waiting> flow : flows.values()) {
+      Waiting last = flow.getLast();
+      double load = flow.size() / last.arrival.weight();
+      if (load > most || (load == most && victim != null && last.number > victim.number)) {
+        most = load;
+        victim = last;
+      }
+    }
+    if (victim != null) {
+      remove(victim);
+    }
+    return victim;
+  }
+
+  /** Takes out a request by its id; returns false if it does not wait here. */
+  boolean cancel(String workspaceId, String requestId) {
+    for (Waiting waiting : flows.getOrDefault(workspaceId, new ArrayDeque<>())) {
+      if (waiting.arrival.requestId().equals(requestId)) {
+        remove(waiting);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Takes out all requests whose deadline is before a time. */
+  List<OverloadGate.Arrival> takeDue(long beforeNanos) {
+    List<Waiting> due = new ArrayList<>();
+    for (Waiting waiting : order) {
+      if (waiting.arrival.deadlineNanos() - beforeNanos < 0) {
+        due.add(waiting);
+      }
+    }
+    due.forEach(this::remove);
+    return due.stream().map(Waiting::arrival).toList();
+  }
+
+  private double virtualStart(OverloadGate.Arrival arrival) {
+    ArrayDeque<Waiting> flow = flows.get(arrival.workspaceId());
+    // A workspace without waiting requests joins one interval after the last start, so that it
+    // gains nothing from requests that come one by one.
+    double base = flow == null ? virtualNow : flow.getLast().virtualStart;
+    return base + 1 / arrival.weight();
+  }
+
+  private void remove(Waiting waiting) {
+    order.remove(waiting);
+    String workspaceId = waiting.arrival.workspaceId();
+    ArrayDeque<Waiting> flow = flows.get(workspaceId);
+    flow.remove(waiting);
+    if (flow.isEmpty()) {
+      flows.remove(workspaceId);
+    }
+  }
+
+  /** A waiting request. */
+  record Waiting(OverloadGate.Arrival arrival, long sinceNanos, double virtualStart, long number) {}
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OverloadGate.java
@@ -0,0 +1,341 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.gooseberryhook.coordination.Admission.Queued;
+import org.gooseberryhook.coordination.Admission.Shed;
+import org.gooseberryhook.coordination.Admission.Start;
+import org.gooseberryhook.state.PriorityClass;
+
+/**
+ * Admits requests before routing: bounded waiting, interactive before batch, a minimum share of
+ * starts for batch, weighted fairness between workspaces, and early refusal of what could not
+ * finish in time.
+ *
+ * <p>Thread-safe through one lock. A decision on a request that waited is handed out by {@link
+ * #poll}, which is to be called after every {@link #offer} and {@link #onFinished} and every few
+ * milliseconds while requests wait.
+ *
+ * @since 0.1
+ */
+public final class OverloadGate {
+
+  /** Share of starts that batch gets at least while it has waiting requests. */
+  public static final double BATCH_START_SHARE = 0.1;
+
+  /** Share of the limit that batch may hold while there is interactive demand. */
+  public static final double BATCH_RUNNING_SHARE = 0.7;
+
+  /** Share of the queue that each class keeps from the other one. */
+  private static final double RESERVED_QUEUE_SHARE = 0.1;
+
+  private static final long DEMAND_NANOS = 5_000_000_000L;
+  private static final long SWEEP_PERIOD_NANOS = 50_000_000L;
+  private static final long MIN_RETRY_AFTER_MS = 500;
+  private static final long MAX_RETRY_AFTER_MS = 30_000;
+  private static final double SERVICE_SMOOTHING = 0.05;
+  private static final double SERVICE_MARGIN = 1.3;
+  private static final double SHED_SMOOTHING = 0.02;
+
+  private final int maxQueued;
+  private final ConcurrencyLimit limit;
+  private final AdmissionQueue[] queues = {new AdmissionQueue(), new AdmissionQueue()};
+  private final int[] running = new int[2];
+  private final double[] serviceNanos = new double[2];
+  private final Map<String, Started> started = new HashMap<>();
+  private final List<Decision> pending = new ArrayList<>();
+  private double meanServiceNanos;
+  private double batchCredit;
+  private boolean hasSwept;
+  private long lastSweepNanos;
+  private double shedShare;
+  private boolean hasSeenInteractive;
+  private long lastInteractiveNanos;
+
+  /**
+   * Creates a gate.
+   *
+   * @param initialLimit concurrent requests at first, at least {@code minLimit}
+   * @param minLimit lower bound of the adaptive limit, at least 1
+   * @param maxLimit upper bound of the adaptive limit
+   * @param maxQueued requests that wait at most, at least 10
+   * @throws IllegalArgumentException if the bounds are out of order or too small
+   */
+  public OverloadGate(int initialLimit, int minLimit, int maxLimit, int maxQueued) {
+    if (minLimit < 1 || initialLimit < minLimit || maxLimit < initialLimit || maxQueued < 10) {
+      throw new IllegalArgumentException(
+          "use 1 <= minLimit <= initialLimit <= maxLimit and maxQueued of at least 10");
+    }
+    this.maxQueued = maxQueued;
+    this.limit = new ConcurrencyLimit(initialLimit, minLimit, maxLimit);
+  }
+
+  /**
+   * Decides on a new request. Decisions on other requests that follow from it are handed out by
+   * {@link #poll}.
+   *
+   * @param arrival the request; its id must not be waiting or running
+   * @param nowNanos monotonic time
+   * @param random source of jitter
+   * @return the decision, never null
+   */
+  public synchronized Admission offer(Arrival arrival, long nowNanos, RandomGenerator random) {
+    if (arrival.priorityClass() == PriorityClass.INTERACTIVE) {
+      hasSeenInteractive = true;
+      lastInteractiveNanos = nowNanos;
+    }
+    boolean hasRoom =
+        isStartable(arrival.priorityClass(), nowNanos) && queueOf(arrival).size() == 0;
+    if (!hasRoom && (isHopeless(arrival, nowNanos) || !makeRoom(arrival, nowNanos, random))) {
+      return shed(arrival, nowNanos, random);
+    }
+    noteShed(false);
+    queueOf(arrival).add(arrival, nowNanos);
+    startWaiting(nowNanos, random);
+    if (!started.containsKey(arrival.requestId())) {
+      limit.onWait();
+      return new Queued();
+    }
+    pending.removeIf(decision -> decision.requestId().equals(arrival.requestId()));
+    return new Start();
+  }
+
+  /**
+   * Hands out decisions on requests that waited.
+   *
+   * @param nowNanos monotonic time
+   * @param random source of jitter
+   * @return starts and refusals in order, never null
+   */
+  public synchronized List<Decision> poll(long nowNanos, RandomGenerator random) {
+    sweep(nowNanos, random);
+    startWaiting(nowNanos, random);
+    List<Decision> decisions = List.copyOf(pending);
+    pending.clear();
+    return decisions;
+  }
+
+  /**
+   * Ends a started request and learns from it; an unknown id is ignored.
+   *
+   * @param requestId the request
+   * @param nowNanos monotonic time
+   */
+  public synchronized void onFinished(String requestId, long nowNanos) {
+    Started ended = started.remove(requestId);
+    if (ended == null) {
+      return;
+    }
+    Arrival arrival = ended.arrival;
+    int at = arrival.priorityClass().ordinal();
+    running[at]--;
+    double usedNanos = nowNanos - ended.sinceNanos;
+    serviceNanos[at] = smooth(serviceNanos[at], usedNanos);
+    meanServiceNanos = smooth(meanServiceNanos, usedNanos);
+    double allowedNanos = Math.max(1, arrival.deadlineNanos() - ended.arrivedNanos);
+    limit.onCompleted((nowNanos - ended.arrivedNanos) / allowedNanos, nowNanos);
+  }
+
+  /**
+   * Drops a waiting request whose caller has gone. A running request ends with {@link #onFinished}.
+   *
+   * @param arrival the request
+   * @return true if it was waiting
+   */
+  public synchronized boolean cancel(Arrival arrival) {
+    return queueOf(arrival).cancel(arrival.workspaceId(), arrival.requestId());
+  }
+
+  /**
+   * Returns the number of waiting requests.
+   *
+   * @return at most the bound
+   */
+  public synchronized int queued() {
+    return queues[0].size() + queues[1].size();
+  }
+
+  public synchronized int running() {
+    return running[0] + running[1];
+  }
+
+  public synchronized int limit() {
+    return limit.limit();
+  }
+
+  private AdmissionQueue queueOf(Arrival arrival) {
+    return queues[arrival.priorityClass().ordinal()];
+  }
+
+  private void startWaiting(long nowNanos, RandomGenerator random) {
+    for (AdmissionQueue queue = nextQueue(nowNanos); queue != null; queue = nextQueue(nowNanos)) {
+      AdmissionQueue.Waiting next = queue.take();
+      Arrival arrival = next.arrival();
+      int at = arrival.priorityClass().ordinal();
+      if (nowNanos + serviceNanos[at] - arrival.deadlineNanos() > 0) {
+        pending.add(new Decision(arrival.requestId(), shed(arrival, nowNanos, random)));
+        continue;
+      }
+      if (arrival.priorityClass() == PriorityClass.BATCH) {
+        batchCredit = Math.max(0, batchCredit - 1);
+      } else if (queues[PriorityClass.BATCH.ordinal()].size() > 0) {
+        // Batch is due after nine interactive starts, which makes it one start in ten.
+        batchCredit += BATCH_START_SHARE / (1 - BATCH_START_SHARE);
+      }
+      running[at]++;
+      started.put(arrival.requestId(), new Started(arrival, next.sinceNanos(), nowNanos));
+      pending.add(new Decision(arrival.requestId(), new Start()));
+    }
+  }
+
+  /** Returns the queue whose request starts next, or null if none may start now. */
+  private AdmissionQueue nextQueue(long nowNanos) {
+    AdmissionQueue interactive = queues[PriorityClass.INTERACTIVE.ordinal()];
+    AdmissionQueue batch = queues[PriorityClass.BATCH.ordinal()];
+    boolean isBatchReady = batch.size() > 0 && isStartable(PriorityClass.BATCH, nowNanos);
+    boolean isInteractiveReady =
+        interactive.size() > 0 && isStartable(PriorityClass.INTERACTIVE, nowNanos);
+    // A small error of the summed credit must not delay the batch start by one more.
+    if (isBatchReady && (!isInteractiveReady || batchCredit > 1 - 1e-9)) {
+      return batch;
+    }
+    return isInteractiveReady ? interactive : null;
+  }
+
+  private boolean isStartable(PriorityClass priorityClass, long nowNanos) {
+    if (running() >= limit.limit()) {
+      return false;
+    }
+    boolean hasDemand = hasSeenInteractive && nowNanos - lastInteractiveNanos < DEMAND_NANOS;
+    double batchBound = Math.max(1, BATCH_RUNNING_SHARE * limit.limit());
+    return priorityClass == PriorityClass.INTERACTIVE
+        || !hasDemand
+        || running[PriorityClass.BATCH.ordinal()] < batchBound;
+  }
+
+  private boolean isHopeless(Arrival arrival, long nowNanos) {
+    double waitNanos = estimatedWaitNanos(arrival);
+    double needNanos = serviceNanos[arrival.priorityClass().ordinal()] * SERVICE_MARGIN;
+    if (waitNanos + needNanos > arrival.deadlineNanos() - nowNanos) {
+      return true;
+    }
+    return arrival.firstTokenGoalNanos() > 0 && waitNanos > arrival.firstTokenGoalNanos();
+  }
+
+  private double estimatedWaitNanos(Arrival arrival) {
+    if (meanServiceNanos == 0) {
+      return 0;
+    }
+    int other = queues[1 - arrival.priorityClass().ordinal()].size();
+    double share = 1;
+    if (arrival.priorityClass() == PriorityClass.BATCH) {
+      share = other > 0 ? BATCH_START_SHARE : 1;
+    } else if (other > 0) {
+      share = 1 - BATCH_START_SHARE;
+    }
+    double nanosPerStart = meanServiceNanos / limit.limit();
+    return (queueOf(arrival).countAhead(arrival) + 1) * nanosPerStart / share;
+  }
+
+  private static double smooth(double old, double value) {
+    return old == 0 ? value : old + SERVICE_SMOOTHING * (value - old);
+  }
+
+  /** Refuses waiting requests that could no longer finish in time, although no slot is free. */
+  private void sweep(long nowNanos, RandomGenerator random) {
+    if (hasSwept && nowNanos - lastSweepNanos < SWEEP_PERIOD_NANOS) {
+      return;
+    }
+    hasSwept = true;
+    lastSweepNanos = nowNanos;
+    for (int at = 0; at < queues.length; at++) {
+      long needNanos = (long) serviceNanos[at];
+      for (Arrival late : queues[at].takeDue(nowNanos + needNanos)) {
+        pending.add(new Decision(late.requestId(), shed(late, nowNanos, random)));
+      }
+    }
+  }
+
+  /** Makes room in the queue, batch first, then from the workspace with the largest backlog. */
+  private boolean makeRoom(Arrival arrival, long nowNanos, RandomGenerator random) {
+    if (queued() < maxQueued) {
+      return true;
+    }
+    int at = arrival.priorityClass().ordinal();
+    AdmissionQueue batch = queues[PriorityClass.BATCH.ordinal()];
+    int reserved = (int) Math.ceil(maxQueued * RESERVED_QUEUE_SHARE);
+    AdmissionQueue.Waiting victim = null;
+    if (arrival.priorityClass() == PriorityClass.INTERACTIVE && batch.size() > reserved) {
+      victim = batch.evictFor(null);
+    } else if (arrival.priorityClass() == PriorityClass.BATCH && batch.size() < reserved) {
+      victim = queues[PriorityClass.INTERACTIVE.ordinal()].evictFor(null);
+    } else {
+      victim = queues[at].evictFor(arrival);
+    }
+    if (victim == null) {
+      return false;
+    }
+    Shed shed = shed(victim.arrival(), nowNanos, random);
+    pending.add(new Decision(victim.arrival().requestId(), shed));
+    return true;
+  }
+
+  /** Spreads callers over the time in which the load above capacity would drain. */
+  private Shed shed(Arrival arrival, long nowNanos, RandomGenerator random) {
+    noteShed(true);
+    double waitMs = estimatedWaitNanos(arrival) / 1e6;
+    double backlogFactor = 1 / Math.max(0.05, 1 - shedShare);
+    double baseMs = Math.max(MIN_RETRY_AFTER_MS, waitMs) * backlogFactor;
+    double jittered = baseMs * (0.75 + 0.75 * random.nextDouble());
+    return new Shed((long) Math.min(MAX_RETRY_AFTER_MS, jittered));
+  }
+
+  private void noteShed(boolean isShed) {
+    shedShare += SHED_SMOOTHING * ((isShed ? 1 : 0) - shedShare);
+  }
+
+  /**
+   * A request before routing.
+   *
+   * @param requestId the request
+   * @param workspaceId the workspace
+   * @param weight share of the workspace within its class, from its contract, above 0
+   * @param priorityClass the class
+   * @param deadlineNanos monotonic time at which the caller gives up
+   * @param firstTokenGoalNanos goal for the first token, counted from the arrival; 0 for none
+   * @since 0.1
+   */
+  public record Arrival(
+      String requestId,
+      String workspaceId,
+      double weight,
+      PriorityClass priorityClass,
+      long deadlineNanos,
+      long firstTokenGoalNanos) {
+
+    /**
+     * Creates an arrival.
+     *
+     * @throws IllegalArgumentException if the weight is not above 0
+     */
+    public Arrival {
+      if (!(weight > 0)) {
+        throw new IllegalArgumentException("weight is " + weight + "; use a number above 0");
+      }
+    }
+  }
+
+  /**
+   * A decision on a request that waited.
+   *
+   * @param requestId the request
+   * @param admission {@link Start} or {@link Shed}
+   * @since 0.1
+   */
+  public record Decision(String requestId, Admission admission) {}
+
+  private record Started(Arrival arrival, long arrivedNanos, long sinceNanos) {}
+}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OverloadGateTest.java
@@ -0,0 +1,217 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.gooseberryhook.coordination.Admission.Queued;
+import org.gooseberryhook.coordination.Admission.Shed;
+import org.gooseberryhook.coordination.Admission.Start;
+import org.gooseberryhook.coordination.OverloadGate.Arrival;
+import org.gooseberryhook.coordination.OverloadGate.Decision;
+import org.gooseberryhook.state.PriorityClass;
+import org.junit.jupiter.api.Test;
+
+class OverloadGateTest {
+
+  private static final long MS = 1_000_000L;
+  private static final int SLOTS = 20;
+  private static final int MAX_QUEUED = 60;
+  private static final int[] WEIGHTS = {1, 3};
+
+  /** The part of a gate that the check drives. */
+  private interface Gate {
+    Admission offer(Arrival arrival, long nowNanos, RandomGenerator random);
+
+    List<Decision> poll(long nowNanos, RandomGenerator random);
+
+    void onFinished(String requestId, long nowNanos);
+  }
+
+  /**
+   * Guards against lost and doubled decisions, a queue without bound, starved batch work, batch
+   * before interactive beyond its share, and workspaces that crowd others out.
+   */
+  @Test
+  void theGateKeepsItsInvariantsUnderRandomLoad() {
+    for (int seed = 1; seed <= 10; seed++) {
+      OverloadGate gate = new OverloadGate(SLOTS, SLOTS, SLOTS, MAX_QUEUED);
+      assertThat(faults(wrap(gate), seed)).isEmpty();
+    }
+  }
+
+  /** Shows that the check above catches strict priority and a queue without classes. */
+  @Test
+  void gatesWithoutBatchShareOrWithoutClassesAreCaught() {
+    assertThat(faults(new NaiveGate(true), 1)).contains("batch starved", "queue over its bound");
+    assertThat(faults(new NaiveGate(false), 1)).contains("batch before interactive");
+  }
+
+  /** Guards against requests that wait for an answer which can no longer come in time. */
+  @Test
+  void aRequestThatCannotFinishInTimeIsRefusedEarly() {
+    Random random = new Random(2);
+    OverloadGate gate = new OverloadGate(1, 1, 1, MAX_QUEUED);
+    gate.offer(arrival("first", 0, PriorityClass.INTERACTIVE, 9_000 * MS), 0, random);
+    gate.onFinished("first", 1_000 * MS);
+    long nowNanos = 2_000 * MS;
+    Arrival running = arrival("a", 0, PriorityClass.INTERACTIVE, nowNanos + 9_000 * MS);
+    assertThat(gate.offer(running, nowNanos, random)).isEqualTo(new Start());
+    Arrival hopeless = arrival("b", 0, PriorityClass.INTERACTIVE, nowNanos + 1_500 * MS);
+    assertThat(gate.offer(hopeless, nowNanos, random)).isInstanceOf(Shed.class);
+    Arrival waiting = arrival("c", 0, PriorityClass.INTERACTIVE, nowNanos + 3_000 * MS);
+    assertThat(gate.offer(waiting, nowNanos, random)).isEqualTo(new Queued());
+    assertThat(gate.poll(nowNanos + 1_000 * MS, random)).isEmpty();
+    assertThat(gate.poll(nowNanos + 2_100 * MS, random))
+        .singleElement()
+        .matches(decision -> decision.admission() instanceof Shed);
+  }
+
+  private static Set<String> faults(Gate gate, int seed) {
+    return new Simulation(gate, seed).run();
+  }
+
+  private static Arrival arrival(
+      String id, int workspace, PriorityClass priorityClass, long deadlineNanos) {
+    int weight = WEIGHTS[workspace % WEIGHTS.length];
+    return new Arrival(id, "w" + workspace, weight, priorityClass, deadlineNanos, 0);
+  }
+
+  private static Gate wrap(OverloadGate gate) {
+    return new Gate() {
+      @Override
+      public Admission offer(Arrival arrival, long nowNanos, RandomGenerator random) {
+        return gate.offer(arrival, nowNanos, random);
+      }
+
+      @Override
+      public List<Decision> poll(long nowNanos, RandomGenerator random) {
+        return gate.poll(nowNanos, random);
+      }
+
+      @Override
+      public void onFinished(String requestId, long nowNanos) {
+        gate.onFinished(requestId, nowNanos);
+      }
+    };
+  }
+
+  /** Offers five times the capacity; workspace 0 has a third of the weight and sends most. */
+  private static final class Simulation {
+    private final Gate gate;
+    private final Random random;
+    private final Set<String> faults = new HashSet<>();
+    private final Map<String, Arrival> waiting = new HashMap<>();
+    private final PriorityQueue<Map.Entry<String, Long>> running =
+        new PriorityQueue<>(Map.Entry.comparingByValue());
+    private final int[] startsByWorkspace = new int[WEIGHTS.length];
+    private int contendedStarts;
+    private int contendedBatchStarts;
+
+    Simulation(Gate gate, int seed) {
+      this.gate = gate;
+      this.random = new Random(seed);
+    }
+
+    Set<String> run() {
+      for (int i = 0; i < 20_000; i++) {
+        long nowNanos = i * MS;
+        while (!running.isEmpty() && running.peek().getValue() <= nowNanos) {
+          gate.onFinished(running.poll().getKey(), nowNanos);
+        }
+        offerOne(i, nowNanos);
+        gate.poll(nowNanos, random).forEach(decision -> take(decision, nowNanos));
+        addIf(waiting.size() > MAX_QUEUED, "queue over its bound");
+        addIf(running.size() > SLOTS, "running over the limit");
+      }
+      addIf(contendedBatchStarts < contendedStarts * 0.09, "batch starved");
+      addIf(contendedBatchStarts > contendedStarts * 0.11 + 1, "batch before interactive");
+      double share = (double) startsByWorkspace[1] / startsByWorkspace[0];
+      addIf(share < 2.5, "a workspace crowds another out");
+      return faults;
+    }
+
+    private void offerOne(int number, long nowNanos) {
+      PriorityClass priorityClass =
+          random.nextInt(3) == 0 ? PriorityClass.BATCH : PriorityClass.INTERACTIVE;
+      int workspace = random.nextInt(4) == 0 ? 1 : 0;
+      Arrival arrival = arrival("r" + number, workspace, priorityClass, nowNanos + 60_000 * MS);
+      Admission admission = gate.offer(arrival, nowNanos, random);
+      waiting.put(arrival.requestId(), arrival);
+      if (!(admission instanceof Queued)) {
+        take(new Decision(arrival.requestId(), admission), nowNanos);
+      }
+    }
+
+    private void take(Decision decision, long nowNanos) {
+      Arrival arrival = waiting.get(decision.requestId());
+      if (arrival == null) {
+        faults.add("decided twice");
+        return;
+      }
+      if (decision.admission() instanceof Start) {
+        boolean isContended =
+            isWaiting(PriorityClass.BATCH) && isWaiting(PriorityClass.INTERACTIVE);
+        boolean isBatch = arrival.priorityClass() == PriorityClass.BATCH;
+        contendedStarts += isContended ? 1 : 0;
+        contendedBatchStarts += isContended && isBatch ? 1 : 0;
+        startsByWorkspace[arrival.workspaceId().charAt(1) - '0']++;
+        running.add(Map.entry(arrival.requestId(), nowNanos + (50 + random.nextInt(100)) * MS));
+      }
+      waiting.remove(decision.requestId());
+    }
+
+    private boolean isWaiting(PriorityClass priorityClass) {
+      return waiting.values().stream().anyMatch(a -> a.priorityClass() == priorityClass);
+    }
+
+    private void addIf(boolean isFault, String fault) {
+      if (isFault) {
+        faults.add(fault);
+      }
+    }
+  }
+
+  /** A wrong gate: without a bound, and either strict in its classes or without classes. */
+  private static final class NaiveGate implements Gate {
+    private final boolean isStrict;
+    private final ArrayDeque<Arrival> interactive = new ArrayDeque<>();
+    private final ArrayDeque<Arrival> batch = new ArrayDeque<>();
+    private int running;
+
+    NaiveGate(boolean isStrict) {
+      this.isStrict = isStrict;
+    }
+
+    @Override
+    public Admission offer(Arrival arrival, long nowNanos, RandomGenerator random) {
+      boolean isBatch = arrival.priorityClass() == PriorityClass.BATCH;
+      (isStrict && isBatch ? batch : interactive).add(arrival);
+      return new Queued();
+    }
+
+    @Override
+    public List<Decision> poll(long nowNanos, RandomGenerator random) {
+      List<Decision> decisions = new ArrayList<>();
+      while (running < SLOTS && interactive.size() + batch.size() > 0) {
+        running++;
+        Arrival next = interactive.isEmpty() ? batch.poll() : interactive.poll();
+        decisions.add(new Decision(next.requestId(), new Start()));
+      }
+      return decisions;
+    }
+
+    @Override
+    public void onFinished(String requestId, long nowNanos) {
+      running--;
+    }
+  }
+}
