Add the state machine of once-only calls

Change: OnceCall claims, dispatches once and answers; OnceSettlement brings the record to its outcome, closing a claim that may still take effect by a NOT_RUN record under the version that the claim expected. Both broken variants are caught. Conclusion: The proof needs no clock; the 5 s window only bounds delay.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceCall.java
@@ -0,0 +1,331 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.gooseberryhook.protocol.OnceRecord;
+import org.gooseberryhook.protocol.OnceResult;
+import org.gooseberryhook.protocol.OnceState;
+import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+import org.gooseberryhook.protocol.ServiceResult;
+
+/**
+ * One try of a once-only call. At most one dispatch per key follows from the record alone: only the
+ * node whose conditional write made the claim dispatches, once, and only the claimant that never
+ * dispatched or never sent a byte opens the key again by writing {@code NOT_RUN}. No clock takes
+ * part in that proof, so a claimant that wakes up late does no harm.
+ *
+ * <p>Not thread-safe; the owner gives one event at a time. After the answer the call may go on in
+ * the background until {@link #isDone()}; dropping it then is safe and leaves the record {@code
+ * CLAIMED} or {@code UNKNOWN}.
+ *
+ * @since 0.1
+ */
+public final class OnceCall {
+
+  /** Longest time from sending the claim to the dispatch. */
+  public static final long DISPATCH_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  /** Age from which a claim is reported as unknown instead of running; its node may be dead. */
+  public static final long RUNNING_LIMIT_MS = 120_000;
+
+  private static final int MAX_CLAIM_WRITES = 4;
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private enum Phase {
+    NEW,
+    CLAIMING,
+    READING_CLAIM,
+    PAUSING_CLAIM,
+    DISPATCHED,
+    SETTLING,
+    DONE
+  }
+
+  private final OnceRequest request;
+  private final RetryPause pause;
+  private final List<OnceDecision> decisions = new ArrayList<>();
+  private Phase phase = Phase.NEW;
+  private long claimSentNanos;
+  private int claimWrites;
+  private boolean mayApplyLate;
+  private boolean hasGivenUp;
+  private boolean isAnswered;
+
+  /** Version that the next write expects; the claim's own version once that is known. */
+  private long version;
+
+  private OnceSettlement settlement;
+
+  /**
+   * Creates a try.
+   *
+   * @param request the fixed part
+   * @param random source of the jitter of pauses
+   */
+  public OnceCall(OnceRequest request, RandomGenerator random) {
+    this.request = request;
+    this.pause = new RetryPause(random);
+  }
+
+  /**
+   * Tells whether nothing is left to do.
+   *
+   * @return true if no further event is needed
+   */
+  public boolean isDone() {
+    return phase == Phase.DONE || phase == Phase.SETTLING && settlement.isDone();
+  }
+
+  /**
+   * Handles an event. Events that do not fit the present phase are ignored.
+   *
+   * @param event what happened
+   * @param nowNanos this node's monotonic clock
+   * @return what to do next, in order
+   */
+  public List<OnceDecision> onEvent(OnceEvent event, long nowNanos) {
+    decisions.clear();
+    if (event instanceof OnceEvent.Tick
+        && !isAnswered
+        && isPast(request.deadlineNanos(), nowNanos)) {
+      answerAtDeadline();
+    }
+    switch (phase) {
+      case NEW -> claim(0, nowNanos);
+      case CLAIMING -> onClaimWrite(event, nowNanos);
+      case READING_CLAIM -> onClaimRead(event, nowNanos);
+      case DISPATCHED -> onDispatched(event);
+      case PAUSING_CLAIM -> onClaimPause(event, nowNanos);
+      case SETTLING -> settlement.onEvent(event, nowNanos, decisions);
+      default -> {}
+    }
+    decisions.removeIf(this::isSecondAnswer);
+    return List.copyOf(decisions);
+  }
+
+  private void claim(long expectedVersion, long nowNanos) {
+    if (claimWrites == MAX_CLAIM_WRITES || isPast(request.deadlineNanos(), nowNanos)) {
+      answer(notRun(ProblemKind.OVERLOADED, "the key changed hands while it was claimed"));
+      phase = Phase.DONE;
+      return;
+    }
+    claimSentNanos = nowNanos;
+    version = expectedVersion;
+    sendClaim();
+  }
+
+  private void sendClaim() {
+    claimWrites++;
+    phase = Phase.CLAIMING;
+    decisions.add(new OnceDecision.Write(version, toRecord()));
+  }
+
+  private OnceRecord toRecord() {
+    return new OnceRecord(
+        request.claimId(),
+        request.claimant(),
+        request.digest(),
+        OnceState.CLAIMED,
+        0,
+        null,
+        request.createdEpochMs());
+  }
+
+  private void onClaimWrite(OnceEvent event, long nowNanos) {
+    if (event instanceof OnceEvent.Written written) {
+      ownClaim(written.version(), nowNanos);
+    } else if (event instanceof OnceEvent.Conflict conflict) {
+      onCurrent(conflict.current(), nowNanos);
+    } else if (event instanceof OnceEvent.NotApplied refused) {
+      giveUp(ProblemKind.STORE_AWAY, refused.reason());
+    } else if (event instanceof OnceEvent.WriteUnknown) {
+      mayApplyLate = true;
+      phase = Phase.READING_CLAIM;
+      decisions.add(new OnceDecision.Read());
+    }
+  }
+
+  private void onClaimRead(OnceEvent event, long nowNanos) {
+    if (event instanceof OnceEvent.ReadFailed failed) {
+      if (hasGivenUp || !isInWindow(nowNanos)) {
+        giveUp(ProblemKind.STORE_AWAY, failed.reason());
+      } else {
+        phase = Phase.PAUSING_CLAIM;
+        decisions.add(pause.next(nowNanos));
+      }
+    } else if (event instanceof OnceEvent.ReadBack read) {
+      if (getVersion(read.current()) != version) {
+        onCurrent(read.current(), nowNanos);
+      } else if (hasGivenUp || claimWrites == MAX_CLAIM_WRITES || !isInWindow(nowNanos)) {
+        giveUp(ProblemKind.STORE_AWAY, "the claim was not confirmed");
+      } else {
+        // The same claim id under the same condition: at most one of the writes can take effect.
+        sendClaim();
+      }
+    }
+  }
+
+  /** Goes on from a record whose version differs from the one that the claim expected. */
+  private void onCurrent(OnceEvent.Stored current, long nowNanos) {
+    if (isOwn(current)) {
+      onOwnRecord(current, nowNanos);
+      return;
+    }
+    mayApplyLate = false;
+    if (hasGivenUp) {
+      phase = Phase.DONE;
+    } else if (current == null) {
+      claim(0, nowNanos);
+    } else if (!current.record().digest().equals(request.digest())) {
+      answer(
+          new OnceResult.NotRun(
+              Problem.of(ProblemKind.KEY_REUSED, "the key belongs to a different request")));
+      phase = Phase.DONE;
+    } else {
+      switch (current.record().state()) {
+        case NOT_RUN -> claim(current.version(), nowNanos);
+        case RAN -> {
+          answer(ranOf(current.record()));
+          phase = Phase.DONE;
+        }
+        default -> onOtherClaim(current);
+      }
+    }
+  }
+
+  private void onOwnRecord(OnceEvent.Stored current, long nowNanos) {
+    if (current.record().state() == OnceState.CLAIMED) {
+      ownClaim(current.version(), nowNanos);
+    } else if (current.record().state() == OnceState.RAN) {
+      answer(ranOf(current.record()));
+      phase = Phase.DONE;
+    } else {
+      version = current.version();
+      mayApplyLate = true;
+      giveUp(ProblemKind.DEADLINE, "the claim was taken for lost");
+    }
+  }
+
+  private void onOtherClaim(OnceEvent.Stored current) {
+    boolean isRunning =
+        current.record().state() == OnceState.CLAIMED && current.ageMs() < RUNNING_LIMIT_MS;
+    OnceResult answer =
+        isRunning
+            ? new OnceResult.Running()
+            : new OnceResult.Unknown("an earlier call with this key has no known result");
+    if (request.hasLookup()) {
+      phase = Phase.SETTLING;
+      settlement = OnceSettlement.ofOtherClaim(current.version(), current.record(), answer, pause);
+      settlement.startLookup(decisions);
+    } else {
+      answer(answer);
+      phase = Phase.DONE;
+    }
+  }
+
+  private void ownClaim(long ownVersion, long nowNanos) {
+    version = ownVersion;
+    mayApplyLate = true;
+    if (hasGivenUp || !isInWindow(nowNanos)) {
+      giveUp(ProblemKind.DEADLINE, "the claim took too long, so the call was not dispatched");
+      return;
+    }
+    phase = Phase.DISPATCHED;
+    decisions.add(
+        new OnceDecision.Dispatch(claimSentNanos + DISPATCH_WINDOW_NANOS, request.deadlineNanos()));
+  }
+
+  /** Ends a try that was never dispatched; closes a claim that exists or may still appear. */
+  private void giveUp(ProblemKind kind, String reason) {
+    hasGivenUp = true;
+    answer(notRun(kind, reason));
+    if (mayApplyLate) {
+      settle(toRecord().withState(OnceState.NOT_RUN), null);
+    } else {
+      phase = Phase.DONE;
+    }
+  }
+
+  private void onDispatched(OnceEvent event) {
+    if (!(event instanceof OnceEvent.Dispatched dispatched)) {
+      return;
+    }
+    if (dispatched.result() instanceof ServiceResult.Answered answered) {
+      settle(
+          toRecord().withResult(answered), new OnceResult.Ran(answered.status(), answered.body()));
+    } else if (dispatched.result() instanceof ServiceResult.NotSent notSent) {
+      giveUp(ProblemKind.NO_TARGET, notSent.reason());
+    } else {
+      settle(
+          toRecord().withState(OnceState.UNKNOWN),
+          new OnceResult.Unknown("the call was dispatched and its answer was lost"));
+    }
+  }
+
+  private void settle(OnceRecord outcome, OnceResult heldAnswer) {
+    phase = Phase.SETTLING;
+    settlement = new OnceSettlement(version, outcome, heldAnswer, request.hasLookup(), pause);
+    settlement.startWrite(decisions);
+  }
+
+  private void onClaimPause(OnceEvent event, long nowNanos) {
+    if (event instanceof OnceEvent.Tick && pause.isOver(nowNanos)) {
+      phase = Phase.READING_CLAIM;
+      decisions.add(new OnceDecision.Read());
+    }
+  }
+
+  private void answerAtDeadline() {
+    switch (phase) {
+      case CLAIMING, READING_CLAIM, PAUSING_CLAIM -> {
+        hasGivenUp = true;
+        answer(
+            notRun(ProblemKind.DEADLINE, "the claim took too long; the call was not dispatched"));
+      }
+      case DISPATCHED -> answer(new OnceResult.Unknown("no answer within the deadline"));
+      case SETTLING -> settlement.answerHeld(decisions);
+      default -> {}
+    }
+  }
+
+  private void answer(OnceResult result) {
+    decisions.add(new OnceDecision.Answer(result));
+  }
+
+  private boolean isSecondAnswer(OnceDecision decision) {
+    if (!(decision instanceof OnceDecision.Answer)) {
+      return false;
+    }
+    boolean isSecond = isAnswered;
+    isAnswered = true;
+    return isSecond;
+  }
+
+  private boolean isOwn(OnceEvent.Stored stored) {
+    return stored != null && stored.record().claimId().equals(request.claimId());
+  }
+
+  private boolean isInWindow(long nowNanos) {
+    return nowNanos - claimSentNanos < DISPATCH_WINDOW_NANOS
+        && !isPast(request.deadlineNanos(), nowNanos);
+  }
+
+  static boolean isPast(long timeNanos, long nowNanos) {
+    return nowNanos - timeNanos >= 0;
+  }
+
+  static long getVersion(OnceEvent.Stored stored) {
+    return stored == null ? 0 : stored.version();
+  }
+
+  static OnceResult ranOf(OnceRecord record) {
+    return new OnceResult.Ran(record.status(), record.body());
+  }
+
+  private static OnceResult notRun(ProblemKind kind, String reason) {
+    return new OnceResult.NotRun(Problem.ofRetry(kind, reason, RETRY_AFTER_MS));
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PlainServiceClient.java
@@ -0,0 +1,43 @@
+package org.gooseberryhook.protocol;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Port to the plain services that run next to the engines. Futures never complete exceptionally and
+ * complete within the timeout. The client never repeats a call by itself.
+ *
+ * @since 0.1
+ */
+public interface PlainServiceClient {
+
+  /**
+   * Calls an operation.
+   *
+   * @param targetAddress base URL of the target
+   * @param service name of the service
+   * @param operation name of the operation
+   * @param key idempotency key given to the service; null for an idempotent operation
+   * @param body body in UTF-8 text
+   * @param timeoutMs longest time until the future completes, in milliseconds
+   * @return the result
+   */
+  CompletableFuture<ServiceResult> call(
+      String targetAddress,
+      String service,
+      String operation,
+      String key,
+      String body,
+      long timeoutMs);
+
+  /**
+   * Asks whether the service ran a key.
+   *
+   * @param targetAddress base URL of the target
+   * @param service name of the service
+   * @param key idempotency key given to the service
+   * @param timeoutMs longest time until the future completes, in milliseconds
+   * @return the result
+   */
+  CompletableFuture<LookupResult> lookup(
+      String targetAddress, String service, String key, long timeoutMs);
+}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OnceCallTest.java
@@ -0,0 +1,78 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.gooseberryhook.protocol.Outcome;
+import org.gooseberryhook.protocol.ServiceResult;
+import org.junit.jupiter.api.Test;
+
+class OnceCallTest {
+
+  private static final int BROKEN_RUNS = 1_000;
+
+  /** Guards against doubled effects, untrue answers and claims that stay open. */
+  @Property(tries = 8_000, seed = "21")
+  void aKeyTakesEffectAtMostOnceAndAnswersAreTrue(
+      @ForAll @Size(max = 90) List<@IntRange(min = 0, max = 63) Integer> choices,
+      @ForAll boolean hasLookup) {
+    assertThat(new OnceWorld(choices, hasLookup, UnaryOperator.identity()).run()).isEmpty();
+  }
+
+  /** Guards against a simulation that never reaches some of the answers. */
+  @Test
+  void everyOutcomeIsReached() {
+    Set<Outcome> reached = EnumSet.noneOf(Outcome.class);
+    for (long seed = 0; seed < 200; seed++) {
+      OnceWorld world = new OnceWorld(choicesOf(seed), true, UnaryOperator.identity());
+      assertThat(world.run()).isEmpty();
+      world.getAnswers().forEach(answer -> reached.add(answer.outcome()));
+    }
+    assertThat(reached).containsExactlyInAnyOrder(Outcome.values());
+  }
+
+  /** Guards against an oracle that misses a dispatch without a confirmed claim. */
+  @Test
+  void theOracleCatchesADispatchAfterAnUnknownClaim() {
+    assertThat(
+            runBroken(
+                event ->
+                    event instanceof OnceEvent.WriteUnknown ? new OnceEvent.Written(99) : event))
+        .anyMatch(fault -> fault.contains("effects of"));
+  }
+
+  /** Guards against an oracle that misses an unproved not-run. */
+  @Test
+  void theOracleCatchesNotRunAfterALostDispatchAnswer() {
+    assertThat(
+            runBroken(
+                event ->
+                    event instanceof OnceEvent.Dispatched dispatched
+                            && dispatched.result() instanceof ServiceResult.AnswerLost
+                        ? new OnceEvent.Dispatched(new ServiceResult.NotSent("taken for unsent"))
+                        : event))
+        .anyMatch(fault -> fault.contains("effects of"))
+        .anyMatch(fault -> fault.contains("untrue not-run"));
+  }
+
+  private static List<String> runBroken(UnaryOperator<OnceEvent> distortion) {
+    List<String> faults = new ArrayList<>();
+    for (long seed = 0; seed < BROKEN_RUNS; seed++) {
+      faults.addAll(new OnceWorld(choicesOf(seed), true, distortion).run());
+    }
+    return faults;
+  }
+
+  private static List<Integer> choicesOf(long seed) {
+    return new Random(seed).ints(90, 0, 64).boxed().toList();
+  }
+}
