Add quota grantor and holder

Cause: contracts must hold over all nodes under lost and late messages. Change: units are debited from one bucket per workspace before they are spent; grants expire on the holder's clock, counted from before the ask was sent.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/HomeNodes.java
@@ -0,0 +1,60 @@
+package org.gooseberryhook.coordination;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import net.openhft.hashing.LongHashFunction;
+import org.gooseberryhook.state.NodeId;
+
+/**
+ * Orders live nodes for a shard by rendezvous hashing, so that a join or a death moves only the
+ * shards of that node. The first node is the preferred grantor and the first address that callers
+ * should use. Only the address is hashed: a restarted node gets its shards back.
+ *
+ * @since 0.1
+ */
+public final class HomeNodes {
+
+  private HomeNodes() {}
+
+  /**
+   * A live node.
+   *
+   * @param id the node
+   * @param place its place (zone)
+   * @since 0.1
+   */
+  public record PlacedNode(NodeId id, String place) {}
+
+  /**
+   * Orders nodes for a shard.
+   *
+   * @param shard the shard
+   * @param liveNodes the live nodes
+   * @param ownPlace nodes of this place come first; null or empty for no preference
+   * @param limit nodes at most
+   * @return the nodes, first choice first; empty if no node is live
+   */
+  public static List<NodeId> of(
+      QuotaShard shard, Collection<PlacedNode> liveNodes, String ownPlace, int limit) {
+    LongHashFunction hash = LongHashFunction.xx3(shard.index());
+    Comparator<PlacedNode> order =
+        Comparator.comparing((PlacedNode node) -> !node.place().equals(ownPlace))
+            .thenComparing(node -> hash.hashChars(node.id().address()), Comparator.reverseOrder())
+            .thenComparing(node -> node.id().address());
+    return liveNodes.stream().sorted(order).limit(limit).map(PlacedNode::id).toList();
+  }
+
+  /**
+   * Orders nodes for the shard of a workspace without preferring a place, which gives every node
+   * the same answer.
+   *
+   * @param workspaceId the workspace
+   * @param liveNodes the live nodes
+   * @param limit nodes at most
+   * @return the nodes, first choice first; empty if no node is live
+   */
+  public static List<NodeId> of(String workspaceId, Collection<PlacedNode> liveNodes, int limit) {
+    return of(QuotaShard.of(workspaceId), liveNodes, null, limit);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -0,0 +1,303 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gooseberryhook.coordination.QuotaDecision.Bound;
+import org.gooseberryhook.protocol.QuotaMessage.Grant;
+import org.gooseberryhook.protocol.QuotaMessage.Need;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaAsk;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaGiven;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaTerms;
+import org.gooseberryhook.protocol.QuotaMessage.ShardTerm;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.NodeId;
+
+/**
+ * Hands out units of the contracts of the shards whose duty lease this node holds. Shards are
+ * locked one at a time. Times are of one monotonic clock, in nanoseconds.
+ *
+ * @since 0.1
+ */
+public final class QuotaGrantor {
+
+  /** Time between announcements to a node that has not reported yet. */
+  static final long ANNOUNCE_EVERY_NANOS = 500_000_000L;
+
+  private static final long NANOS_PER_MS = 1_000_000L;
+
+  /** One shard; its monitor guards all fields. */
+  private static final class Shard {
+    private final Map<String, Contract> contracts = new HashMap<>();
+    private final Map<String, QuotaLedger> ledgers = new HashMap<>();
+    private final Set<NodeId> unresolved = new HashSet<>();
+    private long term;
+    private long grantsFromNanos;
+    private long usableUntilNanos;
+    private boolean isActive;
+    private boolean isResolved;
+    private long announcedNanos;
+
+    private boolean isUsable(long nowNanos) {
+      return isActive && nowNanos < usableUntilNanos;
+    }
+
+    private QuotaLedger ledgerOf(String workspaceId) {
+      Contract contract = contracts.get(workspaceId);
+      if (contract == null) {
+        return null;
+      }
+      QuotaLedger ledger =
+          ledgers.computeIfAbsent(
+              workspaceId, id -> new QuotaLedger(contract, term, grantsFromNanos));
+      if (isResolved) {
+        ledger.setResolved();
+      }
+      return ledger;
+    }
+  }
+
+  private final NodeId self;
+  private final RunningRequests running;
+  private final Shard[] shards = new Shard[QuotaShard.SHARD_COUNT];
+
+  /**
+   * Creates a grantor of no shard.
+   *
+   * @param self this node
+   * @param running count of this node's running requests, shared with its holder
+   */
+  public QuotaGrantor(NodeId self, RunningRequests running) {
+    this.self = self;
+    this.running = running;
+    for (int index = 0; index < shards.length; index++) {
+      shards[index] = new Shard();
+    }
+  }
+
+  /**
+   * Sets a contract; a lowered bound holds at once, also for units already handed out.
+   *
+   * @param contract the contract
+   * @param nowNanos the time
+   */
+  public void setContract(Contract contract, long nowNanos) {
+    Shard shard = shardOf(contract.workspaceId());
+    synchronized (shard) {
+      shard.contracts.put(contract.workspaceId(), contract);
+      QuotaLedger ledger = shard.ledgers.get(contract.workspaceId());
+      if (ledger != null) {
+        ledger.setContract(contract, nowNanos);
+      }
+    }
+  }
+
+  /**
+   * Removes a contract; nothing more is granted.
+   *
+   * @param workspaceId the workspace
+   */
+  public void removeContract(String workspaceId) {
+    Shard shard = shardOf(workspaceId);
+    synchronized (shard) {
+      shard.contracts.remove(workspaceId);
+    }
+  }
+
+  /**
+   * Starts granting for a shard after its lease was acquired. The books start empty, and nothing is
+   * granted until all grants of earlier holders of the lease have expired.
+   *
+   * @param shardIndex the shard
+   * @param term fencing number of the lease
+   * @param usableUntilNanos when the lease may no longer be used
+   * @param earlierHolders nodes that may still run requests on slots of earlier grantors; slots are
+   *     given once each has reported or is removed, or when the longest deadline has passed
+   * @param nowNanos the time
+   */
+  public void beginTerm(
+      int shardIndex,
+      long term,
+      long usableUntilNanos,
+      Collection<NodeId> earlierHolders,
+      long nowNanos) {
+    Shard shard = shards[shardIndex];
+    synchronized (shard) {
+      shard.term = term;
+      shard.isActive = true;
+      shard.usableUntilNanos = usableUntilNanos;
+      shard.grantsFromNanos =
+          nowNanos + QuotaLedger.GRANT_TTL_NANOS + QuotaLedger.EXPIRY_MARGIN_NANOS;
+      shard.ledgers.clear();
+      shard.unresolved.clear();
+      shard.unresolved.addAll(earlierHolders);
+      shard.unresolved.remove(self);
+      shard.isResolved = shard.unresolved.isEmpty();
+      shard.announcedNanos = nowNanos - ANNOUNCE_EVERY_NANOS;
+    }
+  }
+
+  /**
+   * Notes that the lease of the present term was renewed or frozen.
+   *
+   * @param shardIndex the shard
+   * @param term fencing number of the lease
+   * @param usableUntilNanos when the lease may no longer be used
+   */
+  public void extendTerm(int shardIndex, long term, long usableUntilNanos) {
+    Shard shard = shards[shardIndex];
+    synchronized (shard) {
+      if (shard.isActive && shard.term == term) {
+        shard.usableUntilNanos = usableUntilNanos;
+      }
+    }
+  }
+
+  /**
+   * Stops granting for a shard. Must happen before the lease is released.
+   *
+   * @param shardIndex the shard
+   */
+  public void endTerm(int shardIndex) {
+    Shard shard = shards[shardIndex];
+    synchronized (shard) {
+      shard.isActive = false;
+      shard.ledgers.clear();
+      shard.unresolved.clear();
+    }
+  }
+
+  /**
+   * Frees the slots of a node whose process is known to be gone, for example because its VM left
+   * the VM list or a later incarnation runs at its address.
+   *
+   * @param node the node
+   */
+  public void removeHolder(NodeId node) {
+    for (Shard shard : shards) {
+      synchronized (shard) {
+        resolve(shard, node);
+        shard.ledgers.values().forEach(ledger -> ledger.removeHolder(node));
+      }
+    }
+  }
+
+  /**
+   * Tells whether this node grants for a workspace at present.
+   *
+   * @param workspaceId the workspace
+   * @param nowNanos the time
+   * @return true if the lease of the shard may be used
+   */
+  public boolean isGrantorOf(String workspaceId, long nowNanos) {
+    Shard shard = shardOf(workspaceId);
+    synchronized (shard) {
+      return shard.isUsable(nowNanos);
+    }
+  }
+
+  /**
+   * Returns the announcements that are due.
+   *
+   * @param nowNanos the time
+   * @return messages to send
+   */
+  public List<OutgoingMessage> tick(long nowNanos) {
+    Map<NodeId, List<ShardTerm>> due = new LinkedHashMap<>();
+    for (int index = 0; index < shards.length; index++) {
+      Shard shard = shards[index];
+      synchronized (shard) {
+        if (shard.isUsable(nowNanos)
+            && !shard.unresolved.isEmpty()
+            && nowNanos - shard.announcedNanos >= ANNOUNCE_EVERY_NANOS) {
+          shard.announcedNanos = nowNanos;
+          for (NodeId node : shard.unresolved) {
+            due.computeIfAbsent(node, id -> new ArrayList<>())
+                .add(new ShardTerm(index, shard.term));
+          }
+        }
+      }
+    }
+    return due.entrySet().stream()
+        .map(entry -> new OutgoingMessage(entry.getKey(), new QuotaTerms(entry.getValue())))
+        .toList();
+  }
+
+  /**
+   * Answers an ask. Duplicates and workspaces of other grantors are left out.
+   *
+   * @param from the holder
+   * @param ask the ask
+   * @param nowNanos the time
+   * @return the answer; its list of grants may be empty
+   */
+  public QuotaGiven onAsk(NodeId from, QuotaAsk ask, long nowNanos) {
+    List<Grant> grants = new ArrayList<>();
+    for (Need need : ask.needs()) {
+      Shard shard = shardOf(need.workspaceId());
+      synchronized (shard) {
+        QuotaLedger ledger = shard.isUsable(nowNanos) ? shard.ledgerOf(need.workspaceId()) : null;
+        if (ledger != null) {
+          ledger.setOwnSlots(running.get(need.workspaceId()));
+          Grant grant = ledger.answer(from, ask.sequence(), need, nowNanos);
+          if (grant != null) {
+            grants.add(grant);
+          }
+        }
+      }
+    }
+    for (ShardTerm complete : ask.completeShards()) {
+      Shard shard = shards[complete.shard()];
+      synchronized (shard) {
+        if (shard.isUsable(nowNanos) && shard.term == complete.term()) {
+          resolve(shard, from);
+        }
+      }
+    }
+    return new QuotaGiven(ask.sequence(), Math.floorDiv(nowNanos, NANOS_PER_MS), grants);
+  }
+
+  /** Admits a request of this node straight from the bucket. */
+  QuotaDecision tryTake(String workspaceId, long requestUnits, long tokenUnits, long nowNanos) {
+    Shard shard = shardOf(workspaceId);
+    synchronized (shard) {
+      QuotaLedger ledger = shard.isUsable(nowNanos) ? shard.ledgerOf(workspaceId) : null;
+      if (ledger == null) {
+        return new QuotaDecision.Limited(0, Bound.AWAITING_GRANT);
+      }
+      ledger.setOwnSlots(running.get(workspaceId));
+      QuotaDecision decision = ledger.takeLocal(requestUnits, tokenUnits, nowNanos);
+      if (decision instanceof QuotaDecision.Admitted) {
+        running.add(workspaceId, 1);
+      }
+      return decision;
+    }
+  }
+
+  /** Corrects a local admission; one of an earlier term changes nothing. */
+  void settle(QuotaAdmission admission, long requestsBack, long tokensBack, long nowNanos) {
+    Shard shard = shardOf(admission.workspaceId());
+    synchronized (shard) {
+      QuotaLedger ledger = shard.ledgers.get(admission.workspaceId());
+      if (ledger != null && shard.term == admission.term()) {
+        ledger.settleLocal(admission.stampMs(), requestsBack, tokensBack, nowNanos);
+      }
+    }
+  }
+
+  private static void resolve(Shard shard, NodeId node) {
+    if (shard.unresolved.remove(node) && shard.unresolved.isEmpty()) {
+      shard.isResolved = true;
+      shard.ledgers.values().forEach(QuotaLedger::setResolved);
+    }
+  }
+
+  private Shard shardOf(String workspaceId) {
+    return shards[QuotaShard.of(workspaceId).index()];
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
@@ -0,0 +1,299 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.gooseberryhook.coordination.QuotaDecision.Bound;
+import org.gooseberryhook.protocol.QuotaMessage.Grant;
+import org.gooseberryhook.protocol.QuotaMessage.Need;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaAsk;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaGiven;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaTerms;
+import org.gooseberryhook.protocol.QuotaMessage.ShardTerm;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.NodeId;
+
+/**
+ * Admits requests on one node: straight from the bucket where this node is the grantor, otherwise
+ * from units that it asked for ahead of demand. Each workspace has its own lock.
+ *
+ * @since 0.1
+ */
+public final class QuotaHolder {
+
+  /** Time after which the state of a workspace without requests is forgotten. */
+  private static final long IDLE_NANOS = 60_000_000_000L;
+
+  private record KnownGrantor(NodeId node, long term) {}
+
+  private final NodeId self;
+  private final QuotaGrantor ownGrantor;
+  private final RunningRequests running;
+  private final Function<QuotaShard, NodeId> homeNode;
+  private final Map<String, Contract> contracts = new ConcurrentHashMap<>();
+  private final Map<String, QuotaPocket> pockets = new ConcurrentHashMap<>();
+  private final Map<Integer, KnownGrantor> grantors = new ConcurrentHashMap<>();
+  private final Map<Integer, Long> reportsDue = new ConcurrentHashMap<>();
+  private final AtomicLong lastSequence = new AtomicLong();
+
+  /**
+   * Creates a holder without units.
+   *
+   * @param self this node
+   * @param ownGrantor grantor of the same node
+   * @param running count of running requests, shared with the grantor
+   * @param homeNode gives the node to ask while the grantor of a shard is not known; may return
+   *     null
+   */
+  public QuotaHolder(
+      NodeId self,
+      QuotaGrantor ownGrantor,
+      RunningRequests running,
+      Function<QuotaShard, NodeId> homeNode) {
+    this.self = self;
+    this.ownGrantor = ownGrantor;
+    this.running = running;
+    this.homeNode = homeNode;
+  }
+
+  /**
+   * Sets a contract.
+   *
+   * @param contract the contract
+   */
+  public void setContract(Contract contract) {
+    contracts.put(contract.workspaceId(), contract);
+  }
+
+  /**
+   * Removes a contract; its workspace is admitted no more.
+   *
+   * @param workspaceId the workspace
+   */
+  public void removeContract(String workspaceId) {
+    contracts.remove(workspaceId);
+    pockets.remove(workspaceId);
+  }
+
+  /**
+   * Notes who grants for a shard; an older term than the known one changes nothing.
+   *
+   * @param shard the shard
+   * @param node the grantor
+   * @param term fencing number of its lease
+   */
+  public void setGrantor(QuotaShard shard, NodeId node, long term) {
+    grantors.merge(
+        shard.index(),
+        new KnownGrantor(node, term),
+        (known, given) -> given.term() >= known.term() ? given : known);
+  }
+
+  /**
+   * Tries to admit a request. Nothing is charged unless the result is {@link
+   * QuotaDecision.Admitted}.
+   *
+   * @param workspaceId the workspace
+   * @param requestUnits request units, at least 1
+   * @param tokenUnits estimated tokens, at least 0
+   * @param nowNanos the time, read just before the call
+   * @return the decision
+   */
+  public QuotaDecision tryAdmit(
+      String workspaceId, long requestUnits, long tokenUnits, long nowNanos) {
+    Contract contract = contracts.get(workspaceId);
+    if (contract == null) {
+      return new QuotaDecision.Limited(0, Bound.AWAITING_GRANT);
+    }
+    if (requestUnits > contract.requestBurst() || tokenUnits > contract.tokenBurst()) {
+      return new QuotaDecision.Limited(0, Bound.BURST);
+    }
+    boolean isOwn = ownGrantor.isGrantorOf(workspaceId, nowNanos);
+    QuotaPocket pocket =
+        isOwn
+            ? pockets.get(workspaceId)
+            : pockets.computeIfAbsent(workspaceId, id -> new QuotaPocket(id, nowNanos));
+    if (pocket != null) {
+      synchronized (pocket) {
+        boolean isUsable = !pocket.isExpired(nowNanos) && pocket.canTake(requestUnits, tokenUnits);
+        if (isUsable || !isOwn) {
+          QuotaDecision decision = pocket.tryTake(requestUnits, tokenUnits, nowNanos);
+          if (decision instanceof QuotaDecision.Admitted) {
+            running.add(workspaceId, 1);
+          }
+          return decision;
+        }
+      }
+    }
+    return ownGrantor.tryTake(workspaceId, requestUnits, tokenUnits, nowNanos);
+  }
+
+  /**
+   * Settles an admission. Must be called exactly once for each, at the latest when the request's
+   * deadline has passed.
+   *
+   * @param admission the admission
+   * @param isRun false if the request was refused later or did not run; it then costs nothing
+   * @param actualTokens tokens that ran; what lies above the estimate becomes a debt
+   * @param nowNanos the time
+   */
+  public void settle(QuotaAdmission admission, boolean isRun, long actualTokens, long nowNanos) {
+    long requestsBack = isRun ? 0 : admission.requestUnits();
+    long tokensBack = admission.tokenUnits() - (isRun ? actualTokens : 0);
+    if (admission.isLocal() && ownGrantor.isGrantorOf(admission.workspaceId(), nowNanos)) {
+      running.add(admission.workspaceId(), -1);
+      ownGrantor.settle(admission, requestsBack, tokensBack, nowNanos);
+      return;
+    }
+    QuotaPocket pocket =
+        pockets.computeIfAbsent(admission.workspaceId(), id -> new QuotaPocket(id, nowNanos));
+    synchronized (pocket) {
+      running.add(admission.workspaceId(), -1);
+      pocket.settle(admission, requestsBack, tokensBack, nowNanos);
+    }
+  }
+
+  /**
+   * Returns the asks that are due, one message per grantor. To be called every 10 to 20 ms.
+   *
+   * @param nowNanos the time
+   * @return messages to send at once; the units of an answer count from {@code nowNanos}
+   */
+  public List<OutgoingMessage> tick(long nowNanos) {
+    Map<NodeId, Set<String>> due = new LinkedHashMap<>();
+    Map<NodeId, List<ShardTerm>> complete = new HashMap<>();
+    addReports(due, complete, nowNanos);
+    for (Map.Entry<String, QuotaPocket> entry : pockets.entrySet()) {
+      NodeId grantor = dueGrantorOf(entry.getKey(), entry.getValue(), nowNanos);
+      if (grantor != null) {
+        due.computeIfAbsent(grantor, id -> new LinkedHashSet<>()).add(entry.getKey());
+      }
+    }
+    List<OutgoingMessage> messages = new ArrayList<>();
+    for (Map.Entry<NodeId, Set<String>> entry : due.entrySet()) {
+      List<ShardTerm> shards = complete.getOrDefault(entry.getKey(), List.of());
+      messages.add(toAsk(entry.getKey(), entry.getValue(), shards, nowNanos));
+    }
+    return messages;
+  }
+
+  /**
+   * Takes an answer.
+   *
+   * @param from the grantor
+   * @param given the answer
+   * @param nowNanos the time
+   */
+  public void onGiven(NodeId from, QuotaGiven given, long nowNanos) {
+    for (Grant grant : given.grants()) {
+      QuotaPocket pocket = pockets.get(grant.workspaceId());
+      if (pocket == null) {
+        continue;
+      }
+      QuotaShard shard = QuotaShard.of(grant.workspaceId());
+      KnownGrantor known = grantors.get(shard.index());
+      long knownTerm = known == null ? 0 : known.term();
+      synchronized (pocket) {
+        if (pocket.accept(from, given.sequence(), given.stampMs(), grant, knownTerm, nowNanos)) {
+          setGrantor(shard, from, grant.term());
+        }
+      }
+    }
+  }
+
+  /**
+   * Takes an announcement of a grantor; the next tick reports everything that this node has of its
+   * shards.
+   *
+   * @param from the grantor
+   * @param terms the announcement
+   */
+  public void onTerms(NodeId from, QuotaTerms terms) {
+    for (ShardTerm term : terms.terms()) {
+      QuotaShard shard = new QuotaShard(term.shard());
+      setGrantor(shard, from, term.term());
+      KnownGrantor known = grantors.get(term.shard());
+      if (known.term() == term.term()) {
+        reportsDue.put(term.shard(), term.term());
+      }
+    }
+  }
+
+  private void addReports(
+      Map<NodeId, Set<String>> due, Map<NodeId, List<ShardTerm>> complete, long nowNanos) {
+    if (reportsDue.isEmpty()) {
+      return;
+    }
+    Map<Integer, Long> reported = new HashMap<>(reportsDue);
+    reported.forEach(reportsDue::remove);
+    reported.forEach(
+        (shard, term) -> {
+          NodeId grantor = grantors.get(shard).node();
+          if (grantor == null || grantors.get(shard).term() != term) {
+            return;
+          }
+          due.computeIfAbsent(grantor, id -> new LinkedHashSet<>());
+          complete
+              .computeIfAbsent(grantor, id -> new ArrayList<>())
+              .add(new ShardTerm(shard, term));
+        });
+    Set<String> workspaces = new LinkedHashSet<>(running.getWorkspaces());
+    workspaces.addAll(pockets.keySet());
+    for (String workspaceId : workspaces) {
+      int shard = QuotaShard.of(workspaceId).index();
+      NodeId grantor = reported.containsKey(shard) ? grantors.get(shard).node() : null;
+      if (grantor != null && due.containsKey(grantor)) {
+        pockets.computeIfAbsent(workspaceId, id -> new QuotaPocket(id, nowNanos));
+        due.get(grantor).add(workspaceId);
+      }
+    }
+  }
+
+  private NodeId dueGrantorOf(String workspaceId, QuotaPocket pocket, long nowNanos) {
+    Contract contract = contracts.get(workspaceId);
+    long slotsInUse = running.get(workspaceId);
+    QuotaShard shard = QuotaShard.of(workspaceId);
+    synchronized (pocket) {
+      if (pocket.isIdle(nowNanos, slotsInUse, IDLE_NANOS)) {
+        pockets.remove(workspaceId, pocket);
+        return null;
+      }
+      boolean isDue = contract != null && pocket.isAskDue(nowNanos, contract, slotsInUse);
+      if (!isDue || ownGrantor.isGrantorOf(workspaceId, nowNanos)) {
+        return null;
+      }
+      if (pocket.isGrantorLost()) {
+        grantors.computeIfPresent(
+            shard.index(), (index, known) -> new KnownGrantor(null, known.term()));
+      }
+    }
+    KnownGrantor known = grantors.get(shard.index());
+    NodeId node = known == null || known.node() == null ? homeNode.apply(shard) : known.node();
+    return self.equals(node) ? null : node;
+  }
+
+  private OutgoingMessage toAsk(
+      NodeId grantor, Set<String> workspaces, List<ShardTerm> complete, long nowNanos) {
+    long sequence = lastSequence.incrementAndGet();
+    List<Need> needs = new ArrayList<>();
+    for (String workspaceId : workspaces) {
+      Contract contract = contracts.get(workspaceId);
+      QuotaPocket pocket = pockets.get(workspaceId);
+      if (contract == null || pocket == null) {
+        continue;
+      }
+      synchronized (pocket) {
+        long slotsInUse = running.get(workspaceId);
+        needs.add(pocket.toNeed(grantor, sequence, contract, slotsInUse, nowNanos));
+      }
+    }
+    return new OutgoingMessage(grantor, new QuotaAsk(sequence, needs, complete));
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
@@ -0,0 +1,289 @@
+package org.gooseberryhook.coordination;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.gooseberryhook.coordination.QuotaDecision.Bound;
+import org.gooseberryhook.protocol.QuotaMessage.Correction;
+import org.gooseberryhook.protocol.QuotaMessage.Grant;
+import org.gooseberryhook.protocol.QuotaMessage.Need;
+import org.gooseberryhook.protocol.QuotaUnits;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.NodeId;
+
+/**
+ * The grantor's books for one workspace in one term: the buckets and what each holder has. Not safe
+ * for use by several threads.
+ */
+final class QuotaLedger {
+
+  /** Time for which units may be used, counted from before the ask was sent. */
+  static final long GRANT_TTL_NANOS = 2_000_000_000L;
+
+  /** Allowance for clocks that run at slightly different rates; 5% is far above real drift. */
+  static final long EXPIRY_MARGIN_NANOS = GRANT_TTL_NANOS / 20;
+
+  private static final long NANOS_PER_MS = 1_000_000L;
+
+  /** Idle time after which the books of a holder that holds nothing are closed. */
+  private static final long ACCOUNT_IDLE_NANOS = 60_000_000_000L;
+
+  /** An ask gets at most this share of what is free, so that other holders find some. */
+  private static final double GRANT_SHARE = 0.5;
+
+  /** Books of one holder. */
+  private static final class Account {
+    private long createdMs;
+    private long lastSequence;
+    private QuotaUnits reportedSpent = QuotaUnits.NONE;
+    private long requests;
+    private long tokens;
+    private long slots;
+    private long expiresNanos;
+    private long slotsExpireNanos;
+  }
+
+  private final long term;
+  private final long grantsFromNanos;
+  private final Map<NodeId, Account> accounts = new HashMap<>();
+  private final QuotaBucket requests;
+  private final QuotaBucket tokens;
+  private Contract contract;
+  private long ownSlots;
+  private long unresolvedUntilNanos;
+  private boolean isResolved;
+
+  /**
+   * Opens the books, empty.
+   *
+   * @param contract the contract
+   * @param term fencing number of the lease
+   * @param grantsFromNanos when all units given by earlier grantors have expired
+   */
+  QuotaLedger(Contract contract, long term, long grantsFromNanos) {
+    this.contract = contract;
+    this.term = term;
+    this.grantsFromNanos = grantsFromNanos;
+    this.unresolvedUntilNanos = grantsFromNanos + contract.maxDeadlineMs() * NANOS_PER_MS;
+    this.requests =
+        new QuotaBucket(contract.requestsPerSecond(), contract.requestBurst(), grantsFromNanos);
+    this.tokens =
+        new QuotaBucket(contract.tokensPerSecond(), contract.tokenBurst(), grantsFromNanos);
+  }
+
+  void setContract(Contract newContract, long nowNanos) {
+    contract = newContract;
+    long from = Math.max(nowNanos, grantsFromNanos);
+    requests.setBounds(newContract.requestsPerSecond(), newContract.requestBurst(), from);
+    tokens.setBounds(newContract.tokensPerSecond(), newContract.tokenBurst(), from);
+  }
+
+  /** Notes that all slots in use that earlier grantors gave are known. */
+  void setResolved() {
+    isResolved = true;
+  }
+
+  /** Sets the slots that this node's own requests use, whoever gave them. */
+  void setOwnSlots(long slots) {
+    ownSlots = slots;
+  }
+
+  /** Forgets the slots of a node whose process is known to be gone. */
+  void removeHolder(NodeId holder) {
+    Account account = accounts.get(holder);
+    if (account != null) {
+      account.slots = 0;
+    }
+  }
+
+  QuotaDecision takeLocal(long requestUnits, long tokenUnits, long nowNanos) {
+    if (requestUnits > contract.requestBurst() || tokenUnits > contract.tokenBurst()) {
+      return new QuotaDecision.Limited(0, Bound.BURST);
+    }
+    if (nowNanos < grantsFromNanos) {
+      long waitMs = (grantsFromNanos - nowNanos) / NANOS_PER_MS + 1;
+      return new QuotaDecision.Limited(waitMs, Bound.AWAITING_GRANT);
+    }
+    advance(nowNanos);
+    if (getFreeSlots(nowNanos) < 1) {
+      return new QuotaDecision.Limited(retryAfterMs(requestUnits, tokenUnits), Bound.CONCURRENCY);
+    }
+    if (requests.getLevel() < requestUnits) {
+      return new QuotaDecision.Limited(retryAfterMs(requestUnits, tokenUnits), Bound.REQUESTS);
+    }
+    if (tokens.getLevel() < tokenUnits) {
+      return new QuotaDecision.Limited(retryAfterMs(requestUnits, tokenUnits), Bound.TOKENS);
+    }
+    requests.spend(requestUnits);
+    tokens.spend(tokenUnits);
+    ownSlots++;
+    return new QuotaDecision.Admitted(
+        new QuotaAdmission(
+            contract.workspaceId(),
+            term,
+            Math.floorDiv(nowNanos, NANOS_PER_MS),
+            requestUnits,
+            tokenUnits,
+            true));
+  }
+
+  /** Settles a local admission of this term. */
+  void settleLocal(long stampMs, long requestsBack, long tokensBack, long nowNanos) {
+    correct(new Correction(0, stampMs, requestsBack, tokensBack), nowNanos);
+  }
+
+  /**
+   * Answers a holder.
+   *
+   * @return the grant, or null if the ask is a duplicate or was overtaken by a later one
+   */
+  Grant answer(NodeId holder, long sequence, Need need, long nowNanos) {
+    advance(nowNanos);
+    Account account = accounts.get(holder);
+    if (account == null) {
+      account = new Account();
+      account.createdMs = Math.floorDiv(nowNanos, NANOS_PER_MS);
+      account.expiresNanos = nowNanos;
+      accounts.put(holder, account);
+    }
+    if (sequence <= account.lastSequence) {
+      return null;
+    }
+    boolean keepsHeld =
+        need.term() == term
+            && nowNanos < account.expiresNanos
+            && need.held().requests() <= account.requests
+            && need.held().tokens() <= account.tokens;
+    reconcile(account, need, keepsHeld);
+    if (need.term() == term) {
+      for (Correction correction : need.corrections()) {
+        if (correction.firstSequence() > account.lastSequence
+            && (correction.stampMs() >= account.createdMs || correction.tokens() < 0)) {
+          correct(correction, nowNanos);
+        }
+      }
+    }
+    account.lastSequence = sequence;
+    QuotaUnits granted =
+        nowNanos < grantsFromNanos ? QuotaUnits.NONE : grant(account, need.wanted(), nowNanos);
+    account.expiresNanos = nowNanos + GRANT_TTL_NANOS + EXPIRY_MARGIN_NANOS;
+    account.slotsExpireNanos = account.expiresNanos + contract.maxDeadlineMs() * NANOS_PER_MS;
+    long waitMs = Math.max(0, (grantsFromNanos - nowNanos) / NANOS_PER_MS);
+    long retryAfterMs = Math.max(waitMs, retryAfterMs(1, perRequest(need.wanted())));
+    return new Grant(contract.workspaceId(), term, keepsHeld, granted, (int) retryAfterMs);
+  }
+
+  private void reconcile(Account account, Need need, boolean keepsHeld) {
+    QuotaUnits held = keepsHeld ? need.held() : QuotaUnits.NONE;
+    boolean isSameTerm = need.term() == term;
+    long spentRequests =
+        isSameTerm ? Math.max(0, need.spent().requests() - account.reportedSpent.requests()) : 0;
+    long spentTokens =
+        isSameTerm ? Math.max(0, need.spent().tokens() - account.reportedSpent.tokens()) : 0;
+    account.requests = settleBucket(requests, account.requests, spentRequests, held.requests());
+    account.tokens = settleBucket(tokens, account.tokens, spentTokens, held.tokens());
+    // Idle slots may have come into use since the report, even if they are not kept.
+    account.slots = need.held().slots() + need.spent().slots();
+    account.reportedSpent = isSameTerm ? need.spent() : QuotaUnits.NONE;
+  }
+
+  private static long settleBucket(QuotaBucket bucket, long outstanding, long spent, long held) {
+    // Spending is written off last: part of it may be of units that had expired here already.
+    long kept = Math.min(held, outstanding);
+    long writtenOff = Math.min(outstanding - kept, spent);
+    bucket.writeOff(writtenOff);
+    bucket.takeBack(outstanding - kept - writtenOff);
+    return kept;
+  }
+
+  private void correct(Correction correction, long nowNanos) {
+    long sinceNanos = correction.stampMs() * NANOS_PER_MS;
+    correct(requests, correction.requests(), sinceNanos, nowNanos);
+    correct(tokens, correction.tokens(), sinceNanos, nowNanos);
+  }
+
+  private static void correct(QuotaBucket bucket, long units, long sinceNanos, long nowNanos) {
+    if (units > 0) {
+      bucket.refund(units, sinceNanos, nowNanos);
+    } else {
+      bucket.spend(-units);
+    }
+  }
+
+  private QuotaUnits grant(Account account, QuotaUnits wanted, long nowNanos) {
+    long freeRequests = (long) Math.floor(Math.max(0, requests.getLevel()));
+    long freeTokens = (long) Math.floor(Math.max(0, tokens.getLevel()));
+    long freeSlots = getFreeSlots(nowNanos);
+    double fraction =
+        Math.min(
+            Math.min(
+                fractionOf(freeRequests, wanted.requests()), fractionOf(freeSlots, wanted.slots())),
+            fractionOf(freeTokens, wanted.tokens()));
+    long bundles = Math.max(1, Math.max(wanted.requests(), wanted.slots()));
+    double least = 1.0 / bundles;
+    if (fraction < least) {
+      return QuotaUnits.NONE;
+    }
+    double share = Math.min(1, Math.max(fraction * GRANT_SHARE, least));
+    QuotaUnits granted =
+        QuotaUnits.of(
+            Math.min(freeRequests, (long) Math.ceil(wanted.requests() * share)),
+            Math.min(freeTokens, (long) Math.ceil(wanted.tokens() * share)),
+            Math.min(freeSlots, (long) Math.ceil(wanted.slots() * share)));
+    requests.handOut(granted.requests());
+    tokens.handOut(granted.tokens());
+    account.requests += granted.requests();
+    account.tokens += granted.tokens();
+    account.slots += granted.slots();
+    return granted;
+  }
+
+  private static double fractionOf(long free, long wanted) {
+    return wanted <= 0 ? Double.POSITIVE_INFINITY : (double) free / wanted;
+  }
+
+  private static long perRequest(QuotaUnits wanted) {
+    return wanted.tokens() / Math.max(1, wanted.requests());
+  }
+
+  private long retryAfterMs(long requestUnits, long tokenUnits) {
+    double seconds = Math.max(requests.secondsUntil(requestUnits), tokens.secondsUntil(tokenUnits));
+    return Math.min(Integer.MAX_VALUE, (long) Math.ceil(seconds * 1e3));
+  }
+
+  private long getFreeSlots(long nowNanos) {
+    if (!isResolved && nowNanos < unresolvedUntilNanos) {
+      return 0;
+    }
+    long used = ownSlots;
+    for (Account account : accounts.values()) {
+      used += account.slots;
+    }
+    return Math.max(0, contract.maxConcurrentRequests() - used);
+  }
+
+  private void advance(long nowNanos) {
+    if (nowNanos < grantsFromNanos) {
+      return;
+    }
+    // Refilled first: until their expiry, units handed out counted against the burst.
+    requests.refill(nowNanos);
+    tokens.refill(nowNanos);
+    Iterator<Account> all = accounts.values().iterator();
+    while (all.hasNext()) {
+      Account account = all.next();
+      if (nowNanos >= account.expiresNanos) {
+        requests.writeOff(account.requests);
+        tokens.writeOff(account.tokens);
+        account.requests = 0;
+        account.tokens = 0;
+      }
+      if (nowNanos >= account.slotsExpireNanos) {
+        account.slots = 0;
+      }
+      if (account.slots == 0 && nowNanos >= account.expiresNanos + ACCOUNT_IDLE_NANOS) {
+        all.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
@@ -0,0 +1,338 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gooseberryhook.coordination.QuotaDecision.Bound;
+import org.gooseberryhook.protocol.QuotaMessage.Correction;
+import org.gooseberryhook.protocol.QuotaMessage.Grant;
+import org.gooseberryhook.protocol.QuotaMessage.Need;
+import org.gooseberryhook.protocol.QuotaUnits;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.NodeId;
+
+/**
+ * What one holder has of one workspace: unspent units, their expiry, and predicted demand. Not safe
+ * for use by several threads.
+ */
+final class QuotaPocket {
+
+  /** Longest time between asks while there is demand; a quarter of a grant's life. */
+  static final long LONGEST_INTERVAL_NANOS = 500_000_000L;
+
+  /** Shortest time between asks, which bounds control traffic for contracts of small burst. */
+  static final long SHORTEST_INTERVAL_NANOS = 50_000_000L;
+
+  /** Time after which an unanswered ask is repeated. */
+  static final long ANSWER_TIMEOUT_NANOS = 200_000_000L;
+
+  /** Shortest time between asks for a request that waits. */
+  static final long URGENT_INTERVAL_NANOS = 10_000_000L;
+
+  /** Unanswered asks after which the grantor is looked up again. */
+  private static final int LOST_ASKS = 3;
+
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final long NANOS_PER_MS = 1_000_000L;
+  private static final int MAX_CORRECTIONS = 8;
+
+  /**
+   * Part of a burst that lies in one ask interval, so that unreported use leaves room to refill.
+   */
+  private static final double INTERVALS_PER_BURST = 4;
+
+  /** Units are held for this multiple of the demand predicted for one interval. */
+  private static final double PREFETCH_INTERVALS = 1.25;
+
+  /** Nodes that expect fewer requests per interval hold none in advance and ask when one comes. */
+  private static final double LEAST_PREFETCH_REQUESTS = 0.5;
+
+  /** Weight of the newest interval in the demand average; follows a move within three intervals. */
+  private static final double DEMAND_WEIGHT = 0.5;
+
+  private final String workspaceId;
+  private long term;
+  private long requests;
+  private long tokens;
+  private long slots;
+  private long spentRequests;
+  private long spentTokens;
+  private long expiresNanos;
+  private long stampMs;
+  private boolean isLive;
+
+  private NodeId askedNode;
+  private long askSequence;
+  private long askSentNanos;
+  private boolean isAskOpen;
+  private int lostAsks;
+  private long nextUrgentNanos;
+  private int hintMs;
+
+  private double requestsPerSecond;
+  private double tokensPerSecond;
+  private double admissionsPerSecond;
+  private long admittedRequests;
+  private long admittedTokens;
+  private long admissions;
+  private long waitingRequests;
+  private long waitingTokens;
+  private long waiting;
+  private long largestWaitingTokens;
+  private long lastUsedNanos;
+
+  private final List<Correction> corrections = new ArrayList<>();
+  private long refundRequests;
+  private long refundTokens;
+  private long refundStampMs;
+  private long debtTokens;
+
+  QuotaPocket(String workspaceId, long nowNanos) {
+    this.workspaceId = workspaceId;
+    this.askSentNanos = nowNanos - LONGEST_INTERVAL_NANOS;
+    this.nextUrgentNanos = nowNanos;
+    this.lastUsedNanos = nowNanos;
+  }
+
+  boolean isExpired(long nowNanos) {
+    return !isLive || nowNanos - expiresNanos >= 0;
+  }
+
+  /** Takes units, or notes the demand. */
+  QuotaDecision tryTake(long requestUnits, long tokenUnits, long nowNanos) {
+    expire(nowNanos);
+    lastUsedNanos = nowNanos;
+    if (!canTake(requestUnits, tokenUnits)) {
+      waiting++;
+      waitingRequests += requestUnits;
+      waitingTokens += tokenUnits;
+      largestWaitingTokens = Math.max(largestWaitingTokens, tokenUnits);
+      return new QuotaDecision.Limited(
+          Math.max(URGENT_INTERVAL_NANOS / NANOS_PER_MS, hintMs), missing(requestUnits));
+    }
+    requests -= requestUnits;
+    tokens -= tokenUnits;
+    slots--;
+    spentRequests += requestUnits;
+    spentTokens += tokenUnits;
+    admissions++;
+    admittedRequests += requestUnits;
+    admittedTokens += tokenUnits;
+    return new QuotaDecision.Admitted(
+        new QuotaAdmission(workspaceId, term, stampMs, requestUnits, tokenUnits, false));
+  }
+
+  boolean canTake(long requestUnits, long tokenUnits) {
+    return isLive
+        && debtTokens == 0
+        && requests >= requestUnits
+        && tokens >= tokenUnits
+        && slots >= 1;
+  }
+
+  private Bound missing(long requestUnits) {
+    if (!isLive || hintMs == 0) {
+      return Bound.AWAITING_GRANT;
+    }
+    if (requests < requestUnits) {
+      return Bound.REQUESTS;
+    }
+    return slots < 1 ? Bound.CONCURRENCY : Bound.TOKENS;
+  }
+
+  /** Notes the end of a request; its slot becomes free for the next one. */
+  void settle(QuotaAdmission admission, long requestsBack, long tokensBack, long nowNanos) {
+    expire(nowNanos);
+    if (isLive) {
+      slots++;
+    }
+    if (tokensBack < 0) {
+      debtTokens -= tokensBack;
+      payDebt();
+    }
+    if (admission.isLocal() || admission.term() != term) {
+      return;
+    }
+    if (requestsBack > 0 || tokensBack > 0) {
+      boolean isFirst = refundRequests == 0 && refundTokens == 0;
+      refundStampMs = isFirst ? admission.stampMs() : Math.min(refundStampMs, admission.stampMs());
+      refundRequests += requestsBack;
+      refundTokens += Math.max(0, tokensBack);
+    }
+  }
+
+  /** Tells whether an ask should be sent now. */
+  boolean isAskDue(long nowNanos, Contract contract, long running) {
+    if (isAskOpen) {
+      return nowNanos - askSentNanos >= ANSWER_TIMEOUT_NANOS;
+    }
+    if ((waiting > 0 || debtTokens > 0) && nowNanos - nextUrgentNanos >= 0) {
+      return true;
+    }
+    return nowNanos - askSentNanos >= toIntervalNanos(contract) && hasNews(running);
+  }
+
+  private boolean hasNews(long running) {
+    return isLive
+        || admissions > 0
+        || waiting > 0
+        || running > 0
+        || refundTokens > 0
+        || refundRequests > 0
+        || debtTokens > 0
+        || !corrections.isEmpty();
+  }
+
+  /** Tells whether the pocket can be forgotten. */
+  boolean isIdle(long nowNanos, long running, long idleNanos) {
+    return !hasNews(running) && nowNanos - lastUsedNanos >= idleNanos;
+  }
+
+  static long toIntervalNanos(Contract contract) {
+    double burstSeconds =
+        Math.min(
+            contract.requestBurst() / contract.requestsPerSecond(),
+            contract.tokenBurst() / contract.tokensPerSecond());
+    double nanos = burstSeconds * NANOS_PER_SECOND / INTERVALS_PER_BURST;
+    return (long) Math.max(SHORTEST_INTERVAL_NANOS, Math.min(LONGEST_INTERVAL_NANOS, nanos));
+  }
+
+  /** Builds the next ask; units above the predicted demand are given up in it. */
+  Need toNeed(NodeId to, long sequence, Contract contract, long running, long nowNanos) {
+    expire(nowNanos);
+    lostAsks = isAskOpen ? lostAsks + 1 : 0;
+    updateDemand(Math.max(1, nowNanos - askSentNanos));
+    double horizon = PREFETCH_INTERVALS * toIntervalNanos(contract) / NANOS_PER_SECOND;
+    boolean isPrefetched = admissionsPerSecond * horizon >= LEAST_PREFETCH_REQUESTS;
+    double ahead = isPrefetched ? horizon : 0;
+    long targetRequests =
+        target(requestsPerSecond * ahead, waitingRequests, contract.requestBurst());
+    long targetTokens = target(tokensPerSecond * ahead, waitingTokens, contract.tokenBurst());
+    targetTokens = Math.max(targetTokens, largestWaitingTokens);
+    long targetSlots =
+        target(admissionsPerSecond * ahead, waiting, contract.maxConcurrentRequests());
+    requests = Math.min(requests, targetRequests);
+    tokens = Math.min(tokens, targetTokens);
+    slots = Math.min(slots, targetSlots);
+    keepCorrections(sequence);
+    askedNode = to;
+    askSequence = sequence;
+    askSentNanos = nowNanos;
+    isAskOpen = true;
+    waiting = 0;
+    waitingRequests = 0;
+    waitingTokens = 0;
+    largestWaitingTokens = 0;
+    return new Need(
+        workspaceId,
+        term,
+        QuotaUnits.of(requests, tokens, slots),
+        QuotaUnits.of(spentRequests, spentTokens, running),
+        QuotaUnits.of(targetRequests - requests, targetTokens - tokens, targetSlots - slots),
+        List.copyOf(corrections));
+  }
+
+  private static long target(double predicted, long waitingUnits, double burst) {
+    return (long) Math.min(burst, Math.max(Math.ceil(predicted), waitingUnits));
+  }
+
+  private void updateDemand(long elapsedNanos) {
+    double seconds = elapsedNanos / NANOS_PER_SECOND;
+    double weight =
+        1 - Math.pow(1 - DEMAND_WEIGHT, (double) elapsedNanos / LONGEST_INTERVAL_NANOS * 2);
+    requestsPerSecond +=
+        weight * ((admittedRequests + waitingRequests) / seconds - requestsPerSecond);
+    tokensPerSecond += weight * ((admittedTokens + waitingTokens) / seconds - tokensPerSecond);
+    admissionsPerSecond += weight * ((admissions + waiting) / seconds - admissionsPerSecond);
+    admissions = 0;
+    admittedRequests = 0;
+    admittedTokens = 0;
+  }
+
+  private void keepCorrections(long sequence) {
+    if (corrections.size() > MAX_CORRECTIONS - 2) {
+      return;
+    }
+    if (refundRequests > 0 || refundTokens > 0) {
+      corrections.add(new Correction(sequence, refundStampMs, refundRequests, refundTokens));
+      refundRequests = 0;
+      refundTokens = 0;
+    }
+    if (debtTokens > 0) {
+      corrections.add(new Correction(sequence, stampMs, 0, -debtTokens));
+      debtTokens = 0;
+    }
+  }
+
+  /** Returns true if so many asks stayed unanswered that the grantor may have changed. */
+  boolean isGrantorLost() {
+    return isAskOpen && lostAsks >= LOST_ASKS;
+  }
+
+  /**
+   * Takes the answer to the latest ask; any other answer was given up.
+   *
+   * @return true if the answer was used
+   */
+  boolean accept(
+      NodeId from, long sequence, long answerStampMs, Grant grant, long knownTerm, long nowNanos) {
+    expire(nowNanos);
+    boolean isExpected =
+        isAskOpen && sequence == askSequence && from.equals(askedNode) && grant.term() >= knownTerm;
+    long newExpiry = askSentNanos + QuotaLedger.GRANT_TTL_NANOS;
+    if (!isExpected || nowNanos - newExpiry >= 0) {
+      return false;
+    }
+    isAskOpen = false;
+    if (grant.term() != term) {
+      startTerm(grant.term());
+    } else {
+      corrections.removeIf(sent -> sent.firstSequence() <= sequence);
+    }
+    if (!grant.keepsHeld() || !isLive) {
+      requests = 0;
+      tokens = 0;
+      slots = 0;
+    }
+    requests += grant.granted().requests();
+    tokens += grant.granted().tokens();
+    slots += grant.granted().slots();
+    stampMs = answerStampMs;
+    expiresNanos = newExpiry;
+    isLive = true;
+    payDebt();
+    hintMs = grant.retryAfterMs();
+    long pauseNanos = Math.min(LONGEST_INTERVAL_NANOS, hintMs * NANOS_PER_MS);
+    nextUrgentNanos = askSentNanos + Math.max(URGENT_INTERVAL_NANOS, pauseNanos);
+    return true;
+  }
+
+  private void startTerm(long newTerm) {
+    term = newTerm;
+    isLive = false;
+    spentRequests = 0;
+    spentTokens = 0;
+    refundRequests = 0;
+    refundTokens = 0;
+    // Debts to the earlier grantor are owed by the workspace, so they go to the new one.
+    for (Correction correction : corrections) {
+      debtTokens += Math.max(0, -correction.tokens());
+    }
+    corrections.clear();
+  }
+
+  private void payDebt() {
+    long paid = isLive ? Math.min(debtTokens, tokens) : 0;
+    tokens -= paid;
+    spentTokens += paid;
+    debtTokens -= paid;
+  }
+
+  private void expire(long nowNanos) {
+    if (isLive && nowNanos - expiresNanos >= 0) {
+      isLive = false;
+      requests = 0;
+      tokens = 0;
+      slots = 0;
+    }
+  }
+}
