Adapt the demo and a codec sample to merged modules

Cause: the configuration became a class with a persistent map and crash marks became a list. Change: demo and codec test use the new shapes.

--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/protocol/PeerCodecTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/protocol/PeerCodecTest.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
@@ -60,7 +59,7 @@
                       new ConfigurationChange.PutService(
                           new ServiceSpec("booking", Set.of("create"), true))),
                   new Versioned<>(0, new ConfigurationChange.SetTargetLeaving("t", "r")))),
-          new CrashMessage.CrashMarks(Map.of(5L, 2)),
+          new CrashMessage.CrashMarks(List.of(new CrashMessage.Mark(5L, "t1#1", true, 20))),
           new TargetMessage.TargetLeaving("t1", "planned"));
 
   /** Guards against fields that are lost or swapped on the wire. */
--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCluster.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCluster.java
@@ -6,7 +6,6 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,6 +15,7 @@
 import org.gooseberryhook.standin.EngineStandin;
 import org.gooseberryhook.standin.StandinEngine;
 import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.ConfigurationChange;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.LayerRange;
 import org.gooseberryhook.state.ModelSpec;
@@ -23,7 +23,6 @@
 import org.gooseberryhook.state.PriorityClass;
 import org.gooseberryhook.state.Target;
 import org.gooseberryhook.state.TargetKind;
-import org.gooseberryhook.state.Versioned;
 import org.gooseberryhook.transport.CallerKeys;
 import org.gooseberryhook.transport.NodeService;
 
@@ -143,12 +142,9 @@
             60_000,
             List.of(CallerKeys.digestOf(CALLER_KEY)));
     ModelSpec model = new ModelSpec(MODEL_ID, MODEL_VERSION, LAYER_COUNT, 1 << 30, 6);
-    return new Configuration(
-        1,
-        Map.of(WORKSPACE_ID, new Versioned<>(1, contract)),
-        Map.of(MODEL_ID, new Versioned<>(1, model)),
-        Map.of(),
-        Map.of());
+    return Configuration.EMPTY
+        .with(1, new ConfigurationChange.PutContract(contract))
+        .with(2, new ConfigurationChange.PutModel(model));
   }
 
   static int freePort() {
