--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Target.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Target.java
@@ -78,4 +78,33 @@
         checksFencing,
         leaving);
   }
+
+  /**
+   * Returns this target with what its engine holds.
+   *
+   * @param modelId the model
+   * @param heldVersion the version
+   * @param heldLayers the layers
+   * @return a copy, or this target if nothing is different
+   */
+  public Target withHeld(String modelId, String heldVersion, LayerRange heldLayers) {
+    boolean isSame =
+        serves.equals(modelId) && modelVersion.equals(heldVersion) && heldLayers.equals(layers);
+    if (isSame) {
+      return this;
+    }
+    return new Target(
+        targetId,
+        vmId,
+        place,
+        region,
+        kind,
+        address,
+        modelId,
+        heldVersion,
+        heldLayers,
+        accelerator,
+        checksFencing,
+        isLeaving);
+  }
 }
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
@@ -0,0 +1,386 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.Route;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.gooseberryhook.coordination.ChangeResult;
+import org.gooseberryhook.coordination.ConfigurationWriter;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.Outcome;
+import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.ConfigurationChange;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.ServiceSpec;
+import org.gooseberryhook.state.Versioned;
+
+/**
+ * Administration API, metrics and health checks of a node. Records carry their log version as ETag;
+ * a change needs the ETag that its author saw in {@code If-Match}, or {@code "0"} for a new record.
+ *
+ * @since 0.1
+ */
+public final class AdminApi {
+
+  private static final ObjectMapper STRICT =
+      JsonMapper.builder()
+          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+          .build();
+  private static final int MAX_BODY_BYTES = 1024 * 1024;
+  private static final long CHANGE_TIMEOUT_MS = 10_000;
+  private static final long RETRY_AFTER_MS = 2_000;
+  private static final int AUTHOR_CHARS = 12;
+  private static final String BEARER = "Bearer ";
+
+  private final String address;
+  private final List<String> operatorKeyDigests;
+  private final ClusterService cluster;
+  private final ConfigurationWriter writer;
+  private final AdminView view;
+  private final NodeMetrics metrics;
+  private final Executor worker;
+  private NettyServer server;
+
+  /**
+   * Creates an API.
+   *
+   * @param settings addresses and operator keys
+   * @param cluster the configuration in force
+   * @param writer writes changes
+   * @param view what operators see of the node
+   * @param metrics metrics to expose
+   * @param worker bounded pool for the handlers
+   */
+  public AdminApi(
+      NodeSettings settings,
+      ClusterService cluster,
+      ConfigurationWriter writer,
+      AdminView view,
+      NodeMetrics metrics,
+      Executor worker) {
+    this.address = settings.node().adminAddress();
+    this.operatorKeyDigests = settings.operators().keyDigests();
+    this.cluster = cluster;
+    this.writer = writer;
+    this.view = view;
+    this.metrics = metrics;
+    this.worker = worker;
+  }
+
+  /** Body of a planned change. */
+  record PlannedChangeBody(String kind, String id, String reason) {}
+
+  /** Starts listening. */
+  public void start() {
+    Jooby app = new Jooby();
+    app.setExecutionMode(ExecutionMode.WORKER);
+    app.setWorker(worker);
+    addRecords(
+        app,
+        "contracts",
+        configuration -> configuration.contracts(),
+        body -> new ConfigurationChange.PutContract(STRICT.readValue(body, Contract.class)),
+        ConfigurationChange.RemoveContract::new);
+    addRecords(
+        app,
+        "models",
+        configuration -> configuration.models(),
+        body -> new ConfigurationChange.PutModel(STRICT.readValue(body, ModelSpec.class)),
+        ConfigurationChange.RemoveModel::new);
+    addRecords(
+        app,
+        "services",
+        configuration -> configuration.services(),
+        body -> new ConfigurationChange.PutService(STRICT.readValue(body, ServiceSpec.class)),
+        ConfigurationChange.RemoveService::new);
+    app.get("/admin/v1/status", guarded(context -> sendJson(context, view.getStatus())));
+    app.get("/admin/v1/changes", guarded(this::listChanges));
+    app.get(
+        "/admin/v1/planned-changes",
+        guarded(context -> sendJson(context, view.getPlannedChanges())));
+    app.post("/admin/v1/planned-changes", guarded(this::declareChange));
+    app.delete("/admin/v1/planned-changes/{targetId}", guarded(this::cancelChange));
+    app.get("/admin/v1/crash-marks", guarded(context -> sendJson(context, view.getCrashMarks())));
+    app.delete("/admin/v1/crash-marks/{fingerprint}", guarded(this::clearCrashMarks));
+    app.get("/metrics", this::getMetrics);
+    app.get("/livez", context -> context.send("ok"));
+    app.get("/readyz", this::getReady);
+    app.error(AdminApi::onError);
+    listen(app);
+  }
+
+  /** Stops listening. */
+  public void stop() {
+    if (server != null) {
+      server.stop();
+    }
+  }
+
+  /** Reads a change from a body. */
+  @FunctionalInterface
+  private interface ChangeReader {
+    ConfigurationChange read(byte[] body) throws IOException;
+  }
+
+  private void listen(Jooby app) {
+    int colon = address.lastIndexOf(':');
+    ServerOptions options = new ServerOptions();
+    options.setHost(address.substring(0, colon));
+    options.setPort(Integer.parseInt(address.substring(colon + 1)));
+    options.setMaxRequestSize(MAX_BODY_BYTES);
+    server = new NettyServer();
+    server.setOptions(options);
+    server.start(app);
+  }
+
+  private <T> void addRecords(
+      Jooby app,
+      String name,
+      Function<Configuration, Map<String, Versioned<T>>> records,
+      ChangeReader reader,
+      Function<String, ConfigurationChange> remover) {
+    String path = "/admin/v1/" + name;
+    app.get(
+        path,
+        guarded(context -> sendJson(context, records.apply(cluster.getConfiguration()))));
+    app.get(
+        path + "/{id}",
+        guarded(
+            context -> {
+              String id = context.path("id").value();
+              Versioned<T> found = records.apply(cluster.getConfiguration()).get(id);
+              if (found == null) {
+                return Problems.send(
+                    context, Problem.of(ProblemKind.NOT_FOUND, name + "/" + id + " is not set"));
+              }
+              context.setResponseHeader("ETag", quote(found.version()));
+              return sendJson(context, found.value());
+            }));
+    app.put(path + "/{id}", guarded(context -> put(context, reader)));
+    app.delete(
+        path + "/{id}",
+        guarded(context -> submit(context, remover.apply(context.path("id").value()))));
+  }
+
+  private Object put(Context context, ChangeReader reader) throws Exception {
+    ConfigurationChange change;
+    try {
+      change = reader.read(context.body().bytes());
+    } catch (JsonProcessingException e) {
+      return badRequest(context, "the body is not valid: " + e.getOriginalMessage());
+    }
+    String id = context.path("id").value();
+    if (!change.recordKey().endsWith("/" + id)) {
+      return badRequest(context, "the body names another record than the path's " + id);
+    }
+    Optional<Problem> refusal = view.checkCapacity(change);
+    if (refusal.isPresent()) {
+      return Problems.send(context, refusal.get());
+    }
+    if (context.query("dryRun").booleanValue(false)) {
+      Map<String, Object> body = new LinkedHashMap<>();
+      body.put("dryRun", true);
+      body.put("wouldChange", change.recordKey());
+      body.put("currentVersion", cluster.getConfiguration().version());
+      return sendJson(context, body);
+    }
+    return submit(context, change);
+  }
+
+  private Object submit(Context context, ConfigurationChange change) throws Exception {
+    String ifMatch = context.header("If-Match").value("");
+    if (ifMatch.isEmpty()) {
+      return Problems.send(
+          context,
+          Problem.of(
+              ProblemKind.PRECONDITION_REQUIRED,
+              "If-Match is missing; send \"0\" for a new record"));
+    }
+    long expectedVersion;
+    try {
+      expectedVersion = Long.parseLong(ifMatch.replace("\"", ""));
+    } catch (NumberFormatException e) {
+      return badRequest(context, "If-Match is " + ifMatch + ", which is no ETag of this API");
+    }
+    return answer(context, change(context, change, expectedVersion), expectedVersion);
+  }
+
+  private ChangeResult change(Context context, ConfigurationChange change, long expectedVersion)
+      throws InterruptedException, ExecutionException {
+    String changeId = context.header("X-Change-Id").value(UUID.randomUUID().toString());
+    try {
+      ChangeResult result =
+          writer
+              .submit(
+                  changeId,
+                  authorOf(context),
+                  System.currentTimeMillis(),
+                  change,
+                  expectedVersion)
+              .get(CHANGE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      if (result instanceof ChangeResult.Accepted accepted) {
+        cluster.onAccepted(accepted.entry());
+        view.onAccepted(change);
+      }
+      return result;
+    } catch (TimeoutException e) {
+      return new ChangeResult.Unsettled(changeId, 0);
+    }
+  }
+
+  private Object answer(Context context, ChangeResult result, long expectedVersion)
+      throws JsonProcessingException {
+    if (result instanceof ChangeResult.Accepted accepted) {
+      context.setResponseHeader("ETag", quote(accepted.version()));
+      return sendJson(context, Map.of("version", accepted.version()));
+    }
+    if (result instanceof ChangeResult.ConflictWith conflict) {
+      context.setResponseCode(ProblemKind.CONFLICT.getHttpStatus());
+      Map<String, Object> body = new LinkedHashMap<>();
+      body.put("title", ProblemKind.CONFLICT.getText());
+      body.put("remedy", ProblemKind.CONFLICT.getRemedy());
+      body.put("yourVersion", expectedVersion);
+      body.put("currentVersion", conflict.current() == null ? 0 : conflict.current().version());
+      body.put("current", conflict.current() == null ? null : conflict.current().value());
+      return sendJson(context, body);
+    }
+    if (result instanceof ChangeResult.Refused refused) {
+      return Problems.send(
+          context, Problem.ofRetry(ProblemKind.STORE_AWAY, refused.reason(), RETRY_AFTER_MS));
+    }
+    ChangeResult.Unsettled unsettled = (ChangeResult.Unsettled) result;
+    return Problems.send(
+        context,
+        new Problem(
+            ProblemKind.STORE_AWAY,
+            "the change may have taken effect; look for change id "
+                + unsettled.changeId()
+                + " in GET /admin/v1/changes before you repeat it",
+            Outcome.UNKNOWN,
+            RETRY_AFTER_MS));
+  }
+
+  private Object listChanges(Context context) throws JsonProcessingException {
+    return sendJson(context, view.getChanges(context.query("after").longValue(0)));
+  }
+
+  private Object declareChange(Context context) throws Exception {
+    PlannedChangeBody body;
+    try {
+      body = STRICT.readValue(context.body().bytes(), PlannedChangeBody.class);
+    } catch (JsonProcessingException e) {
+      return badRequest(context, "the body is not valid: " + e.getOriginalMessage());
+    }
+    List<String> targetIds = view.getTargetIds(body.kind(), body.id());
+    if (targetIds.isEmpty()) {
+      return badRequest(
+          context,
+          "no target found for kind '" + body.kind() + "' and id '" + body.id()
+              + "'; kinds are target, vm and place");
+    }
+    Map<String, String> results = new LinkedHashMap<>();
+    for (String targetId : targetIds) {
+      ChangeResult result =
+          change(context, new ConfigurationChange.SetTargetLeaving(targetId, body.reason()), 0);
+      results.put(targetId, result.getClass().getSimpleName());
+    }
+    return sendJson(context, results);
+  }
+
+  private Object cancelChange(Context context) throws Exception {
+    String targetId = context.path("targetId").value();
+    return submit(context, new ConfigurationChange.ClearTargetLeaving(targetId));
+  }
+
+  private Object clearCrashMarks(Context context) {
+    String text = context.path("fingerprint").value();
+    try {
+      view.clearCrashMarks(Long.parseUnsignedLong(text, 16));
+      return context.send(StatusCode.NO_CONTENT);
+    } catch (NumberFormatException e) {
+      return badRequest(context, "'" + text + "' is not a fingerprint in hexadecimal");
+    }
+  }
+
+  private Object getMetrics(Context context) {
+    context.setResponseType(MediaType.valueOf("text/plain; version=0.0.4"));
+    return context.send(metrics.scrape());
+  }
+
+  private Object getReady(Context context) {
+    Optional<String> reason = view.getNotReadyReason();
+    if (reason.isPresent()) {
+      context.setResponseCode(StatusCode.SERVICE_UNAVAILABLE);
+    }
+    return context.send(reason.orElse("ready"));
+  }
+
+  private Route.Handler guarded(Route.Handler handler) {
+    return context -> {
+      if (!isOperator(context)) {
+        return Problems.send(
+            context, Problem.of(ProblemKind.UNAUTHENTICATED, "the operator key is not known"));
+      }
+      return handler.apply(context);
+    };
+  }
+
+  private boolean isOperator(Context context) {
+    String digest = digestOf(context);
+    boolean isKnown = false;
+    for (String known : operatorKeyDigests) {
+      isKnown |= CallerKeys.isSame(known, digest);
+    }
+    return isKnown;
+  }
+
+  private static String digestOf(Context context) {
+    String header = context.header("Authorization").value("");
+    String key = header.startsWith(BEARER) ? header.substring(BEARER.length()).trim() : "";
+    return CallerKeys.digestOf(key);
+  }
+
+  private static String authorOf(Context context) {
+    return "operator-" + digestOf(context).substring(0, AUTHOR_CHARS);
+  }
+
+  private static String quote(long version) {
+    return "\"" + version + "\"";
+  }
+
+  private static Object badRequest(Context context, String detail) {
+    return Problems.send(context, Problem.of(ProblemKind.BAD_REQUEST, detail));
+  }
+
+  private static Object sendJson(Context context, Object body) throws JsonProcessingException {
+    context.setResponseType(MediaType.json);
+    return context.send(Json.MAPPER.writeValueAsBytes(body));
+  }
+
+  private static void onError(Context context, Throwable cause, StatusCode status) {
+    Problems.sendError(context, cause, status);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -0,0 +1,310 @@
+package org.gooseberryhook.transport;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.gooseberryhook.coordination.ConfigurationLog;
+import org.gooseberryhook.coordination.ConfigurationSync;
+import org.gooseberryhook.coordination.Membership;
+import org.gooseberryhook.protocol.ConfigurationMessage;
+import org.gooseberryhook.protocol.MembershipMessage;
+import org.gooseberryhook.protocol.Outgoing;
+import org.gooseberryhook.protocol.PeerLink;
+import org.gooseberryhook.protocol.PeerMessage;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.ConfigurationLogEntry;
+import org.gooseberryhook.state.ConfigurationStore;
+import org.gooseberryhook.state.Member;
+import org.gooseberryhook.state.MemberStatus;
+import org.gooseberryhook.state.NodeId;
+import org.jboss.logging.Logger;
+
+/**
+ * Feeds membership and configuration with time, peer messages and reads of the table service, and
+ * passes other message families on to their handlers.
+ *
+ * @since 0.1
+ */
+public final class ClusterService implements PeerLink.Receiver {
+
+  private static final Logger LOG = Logger.getLogger(ClusterService.class);
+  private static final long POLL_PERIOD_MS = 1_000;
+  private static final long LISTENER_PERIOD_MS = 100;
+  private static final int LOG_PAGE = 500;
+
+  private final Membership membership;
+  private final ConfigurationStore store;
+  private final ConfigurationSync sync;
+  private final ConfigurationLog log;
+  private final ScheduledExecutorService timer;
+  private final RandomGenerator random;
+  private final Map<Class<? extends PeerMessage>, Handler> handlers = new ConcurrentHashMap<>();
+  private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+  private PeerLink link;
+  private List<ScheduledFuture<?>> tasks = List.of();
+  private long notifiedVersion = -1;
+
+  /**
+   * Creates a service.
+   *
+   * @param membership the members
+   * @param store the node's copy of the configuration
+   * @param log reads the configuration log
+   * @param timer runs the ticks; must not block
+   * @param random source of choices; must be safe for several threads
+   */
+  public ClusterService(
+      Membership membership,
+      ConfigurationStore store,
+      ConfigurationLog log,
+      ScheduledExecutorService timer,
+      RandomGenerator random) {
+    this.membership = membership;
+    this.store = store;
+    this.log = log;
+    this.timer = timer;
+    this.random = random;
+    this.sync = new ConfigurationSync(membership, store);
+  }
+
+  /**
+   * Handles the messages of one family.
+   *
+   * @since 0.1
+   */
+  @FunctionalInterface
+  public interface Handler {
+
+    /**
+     * Takes a message on a network thread; must not block.
+     *
+     * @param sender the run that sent it
+     * @param message the message
+     */
+    void onMessage(NodeId sender, PeerMessage message);
+  }
+
+  /**
+   * Sets the handler of a message family. Call before the start.
+   *
+   * @param family the sealed interface of the family
+   * @param handler the handler
+   */
+  public void setHandler(Class<? extends PeerMessage> family, Handler handler) {
+    handlers.put(family, handler);
+  }
+
+  /**
+   * Adds a listener that is told each new configuration, on the timer's thread.
+   *
+   * @param listener the listener
+   */
+  public void addListener(Consumer<Configuration> listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Starts the ticks.
+   *
+   * @param peerLink sends messages
+   */
+  public void start(PeerLink peerLink) {
+    this.link = peerLink;
+    long tickMs = TimeUnit.NANOSECONDS.toMillis(Membership.TICK_NANOS);
+    tasks =
+        List.of(
+            every(tickMs, this::tick),
+            every(LISTENER_PERIOD_MS, this::notifyListeners),
+            every(POLL_PERIOD_MS, this::poll));
+  }
+
+  /** Stops the ticks. */
+  public void stop() {
+    tasks.forEach(task -> task.cancel(false));
+  }
+
+  /** Tells the members that this node leaves. */
+  public void leave() {
+    send(membership.leave(random));
+  }
+
+  /**
+   * Tells whether the configuration may be trusted.
+   *
+   * @return true if the node may serve
+   */
+  public boolean isReady() {
+    return sync.isReady();
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration, never null
+   */
+  public Configuration getConfiguration() {
+    return store.get();
+  }
+
+  /**
+   * Returns the members that are alive or suspected, this node first.
+   *
+   * @return the members, never empty
+   */
+  public List<Member> getLiveMembers() {
+    List<Member> live = new ArrayList<>();
+    Member self = membership.getSelf();
+    live.add(self);
+    for (Member member : membership.getMembers()) {
+      boolean isLive =
+          member.status() == MemberStatus.ALIVE || member.status() == MemberStatus.SUSPECT;
+      if (isLive && !member.id().equals(self.id())) {
+        live.add(member);
+      }
+    }
+    return live;
+  }
+
+  /**
+   * Returns this node.
+   *
+   * @return the member, never null
+   */
+  public Member getSelf() {
+    return membership.getSelf();
+  }
+
+  /**
+   * Puts an accepted entry in force here and spreads it.
+   *
+   * @param entry the entry
+   */
+  public void onAccepted(ConfigurationLogEntry entry) {
+    send(sync.onEntries(List.of(entry), System.nanoTime(), random));
+    if (store.get().version() < entry.version()) {
+      readLog();
+    }
+  }
+
+  /**
+   * Sends a message to all other live members.
+   *
+   * @param message the message
+   */
+  public void broadcast(PeerMessage message) {
+    Member self = membership.getSelf();
+    for (Member member : getLiveMembers()) {
+      if (!member.id().equals(self.id())) {
+        link.send(member.address(), message);
+      }
+    }
+  }
+
+  /**
+   * Sends a message to one node.
+   *
+   * @param address peer address
+   * @param message the message
+   */
+  public void send(String address, PeerMessage message) {
+    link.send(address, message);
+  }
+
+  @Override
+  public void onMessage(NodeId sender, PeerMessage message) {
+    long nowNanos = System.nanoTime();
+    if (message instanceof MembershipMessage membershipMessage) {
+      send(membership.onMessage(sender, membershipMessage, nowNanos, random));
+      long version = versionOf(membershipMessage);
+      if (version != MembershipMessage.NO_VERSION) {
+        send(sync.onVersionHeard(sender, version, nowNanos));
+      }
+    } else if (message instanceof ConfigurationMessage configurationMessage) {
+      send(sync.onMessage(sender, configurationMessage, nowNanos, random));
+    } else {
+      handlers.forEach(
+          (family, handler) -> {
+            if (family.isInstance(message)) {
+              handler.onMessage(sender, message);
+            }
+          });
+    }
+  }
+
+  private static long versionOf(MembershipMessage message) {
+    if (message instanceof MembershipMessage.Probe probe) {
+      return probe.configurationVersion();
+    }
+    if (message instanceof MembershipMessage.ProbeAnswer answer) {
+      return answer.configurationVersion();
+    }
+    return MembershipMessage.NO_VERSION;
+  }
+
+  private ScheduledFuture<?> every(long periodMs, Runnable task) {
+    return timer.scheduleWithFixedDelay(
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            LOG.error("periodic task failed; it runs again", e);
+          }
+        },
+        periodMs,
+        periodMs,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    long nowNanos = System.nanoTime();
+    send(membership.onTick(nowNanos, random));
+    sync.onTick(nowNanos);
+  }
+
+  private synchronized void notifyListeners() {
+    Configuration configuration = store.get();
+    if (configuration.version() != notifiedVersion) {
+      notifiedVersion = configuration.version();
+      listeners.forEach(listener -> listener.accept(configuration));
+    }
+  }
+
+  private void poll() {
+    if (sync.isReady() && !sync.isPoller()) {
+      return;
+    }
+    log.readHead()
+        .thenAccept(
+            result -> {
+              if (result instanceof ConfigurationLog.LogResult.HeadVersion head
+                  && sync.onHeadRead(head.version())) {
+                readLog();
+              }
+            });
+  }
+
+  private void readLog() {
+    log.readAfter(store.get().version(), LOG_PAGE)
+        .thenAccept(
+            result -> {
+              if (result instanceof ConfigurationLog.LogResult.Entries found
+                  && !found.entries().isEmpty()) {
+                send(sync.onEntries(found.entries(), System.nanoTime(), random));
+                if (found.entries().size() == LOG_PAGE) {
+                  readLog();
+                }
+              }
+            });
+  }
+
+  private void send(List<Outgoing> messages) {
+    messages.forEach(outgoing -> link.send(outgoing.address(), outgoing.message()));
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
@@ -0,0 +1,287 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.gooseberryhook.coordination.PipelineComposer;
+import org.gooseberryhook.coordination.PipelineRouter;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.VmEntry;
+import org.gooseberryhook.protocol.VmList;
+import org.gooseberryhook.protocol.VmListResult;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.LayerRange;
+import org.gooseberryhook.state.Pipeline;
+import org.gooseberryhook.state.PipelineTable;
+import org.gooseberryhook.state.Target;
+import org.gooseberryhook.state.TargetKind;
+import org.gooseberryhook.state.TargetLoad;
+import org.jboss.logging.Logger;
+
+/**
+ * Keeps the pipelines and service targets up to date from the VM list, the declared planned changes
+ * and the engines' own reports.
+ *
+ * @since 0.1
+ */
+public final class FleetService {
+
+  private static final Logger LOG = Logger.getLogger(FleetService.class);
+  private static final long VM_LIST_PERIOD_MS = 1_000;
+  private static final long REFRESH_PERIOD_MS = PipelineRouter.REFRESH_PERIOD_MS;
+
+  /** Load reports asked for in each refresh, so that the cost does not grow with the fleet. */
+  private static final int REPORTS_PER_REFRESH = 8;
+
+  /** Time for which a target that died stays out of new pipelines although the VM list names it. */
+  private static final long DEAD_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  /** Time for which a peer's word that a target leaves counts before the configuration has it. */
+  private static final long EARLY_MARK_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  private final VmList vmList;
+  private final Supplier<Configuration> configuration;
+  private final PipelineComposer composer = new PipelineComposer();
+  private final PipelineTable table;
+  private final PipelineRouter router;
+  private final OkHttpClient client;
+  private final ScheduledExecutorService timer;
+  private final Map<String, Long> leavingUntilNanos = new ConcurrentHashMap<>();
+  private final Map<String, JsonNode> reports = new ConcurrentHashMap<>();
+  private final Map<String, Long> deadUntilNanos = new ConcurrentHashMap<>();
+  private volatile List<Target> targets = List.of();
+  private volatile Map<String, List<Target>> servicesByName = Map.of();
+  private List<ScheduledFuture<?>> tasks = List.of();
+
+  /**
+   * Creates a service.
+   *
+   * @param vmList the platform's VM list
+   * @param configuration the configuration in force
+   * @param table the pipelines that are routed to
+   * @param router is told of changes
+   * @param client HTTP client with a call timeout, for load reports
+   * @param timer runs the refreshes; must not block
+   */
+  public FleetService(
+      VmList vmList,
+      Supplier<Configuration> configuration,
+      PipelineTable table,
+      PipelineRouter router,
+      OkHttpClient client,
+      ScheduledExecutorService timer) {
+    this.vmList = vmList;
+    this.configuration = configuration;
+    this.table = table;
+    this.router = router;
+    this.client = client;
+    this.timer = timer;
+  }
+
+  /** Starts the refreshes. */
+  public void start() {
+    tasks =
+        List.of(
+            timer.scheduleWithFixedDelay(
+                this::readVmList, 0, VM_LIST_PERIOD_MS, TimeUnit.MILLISECONDS),
+            timer.scheduleWithFixedDelay(
+                this::refresh, REFRESH_PERIOD_MS, REFRESH_PERIOD_MS, TimeUnit.MILLISECONDS));
+  }
+
+  /** Stops the refreshes. */
+  public void stop() {
+    tasks.forEach(task -> task.cancel(false));
+  }
+
+  /**
+   * Returns the targets of a plain service that take new work.
+   *
+   * @param serviceName the service
+   * @return the targets, never null
+   */
+  public List<Target> getServiceTargets(String serviceName) {
+    return servicesByName.getOrDefault(serviceName, List.of());
+  }
+
+  /**
+   * Returns all targets as last seen.
+   *
+   * @return the targets, never null
+   */
+  public List<Target> getTargets() {
+    return targets;
+  }
+
+  /**
+   * Returns the pipelines that take new work.
+   *
+   * @return the pipelines, never null
+   */
+  public List<Pipeline> getPipelines() {
+    return composer.pipelines();
+  }
+
+  /**
+   * Marks a target as leaving at once, ahead of the configuration and the VM list.
+   *
+   * @param targetId the target
+   */
+  public void onTargetLeaving(String targetId) {
+    leavingUntilNanos.put(targetId, System.nanoTime() + EARLY_MARK_NANOS);
+    compose();
+  }
+
+  /**
+   * Takes a target that died out of the pipelines for a while.
+   *
+   * @param targetId the target
+   */
+  public void onTargetDied(String targetId) {
+    deadUntilNanos.put(targetId, System.nanoTime() + DEAD_NANOS);
+    compose();
+  }
+
+  /** Composes the pipelines again, for example after a configuration change. */
+  public void onConfigurationChanged() {
+    compose();
+  }
+
+  private void readVmList() {
+    vmList
+        .list()
+        .thenAccept(
+            result -> {
+              if (result instanceof VmListResult.Listed listed) {
+                targets =
+                    listed.vms().stream().map(VmEntry::toTargets).flatMap(List::stream).toList();
+                compose();
+              }
+            })
+        .exceptionally(
+            e -> {
+              LOG.warn("the VM list could not be applied; it is read again", e);
+              return null;
+            });
+  }
+
+  private synchronized void compose() {
+    Configuration present = configuration.get();
+    long nowNanos = System.nanoTime();
+    deadUntilNanos.values().removeIf(untilNanos -> untilNanos - nowNanos <= 0);
+    leavingUntilNanos.values().removeIf(untilNanos -> untilNanos - nowNanos <= 0);
+    List<Target> usable = new ArrayList<>();
+    for (Target target : targets) {
+      String id = target.targetId();
+      JsonNode report = reports.get(id);
+      boolean isLeaving =
+          target.isLeaving()
+              || leavingUntilNanos.containsKey(id)
+              || present.leavingTargets().containsKey(id)
+              || (report != null && report.path("isLeaving").asBoolean());
+      if (!deadUntilNanos.containsKey(id)) {
+        usable.add(withReport(target, report).withLeaving(isLeaving));
+      }
+    }
+    Map<String, Integer> layerCounts =
+        present.models().values().stream()
+            .collect(Collectors.toMap(m -> m.value().modelId(), m -> m.value().layerCount()));
+    PipelineComposer.Change change = composer.update(usable, layerCounts);
+    table.update(change.added(), change.removedPipelineIds());
+    router.onPipelinesChanged(change);
+    servicesByName =
+        usable.stream()
+            .filter(target -> target.kind() == TargetKind.SERVICE && !target.isLeaving())
+            .collect(Collectors.groupingBy(Target::serves));
+  }
+
+  /** The engine's own report of what it holds is newer than the VM list. */
+  private static Target withReport(Target target, JsonNode report) {
+    if (report == null || target.kind() != TargetKind.ENGINE) {
+      return target;
+    }
+    LayerRange layers =
+        LayerRange.of(report.path("firstLayer").asInt(), report.path("endLayer").asInt());
+    String modelId = report.path("modelId").asText();
+    String modelVersion = report.path("modelVersion").asText();
+    return target.withHeld(modelId, modelVersion, layers);
+  }
+
+  private void refresh() {
+    try {
+      router.refresh(System.nanoTime(), ThreadLocalRandom.current());
+      askForLoads(composer.pipelines().stream().map(Pipeline::head).toList());
+      askForLoads(targets.stream().filter(t -> t.kind() == TargetKind.ENGINE).toList());
+      if (!deadUntilNanos.isEmpty()) {
+        compose();
+      }
+    } catch (RuntimeException e) {
+      LOG.error("refresh of the fleet failed; it runs again", e);
+    }
+  }
+
+  private void askForLoads(List<Target> candidates) {
+    int count = Math.min(REPORTS_PER_REFRESH, candidates.size());
+    for (int i = 0; i < count; i++) {
+      askForLoad(candidates.get(ThreadLocalRandom.current().nextInt(candidates.size())));
+    }
+  }
+
+  private void askForLoad(Target head) {
+    Request request = new Request.Builder().url(head.address() + "/v1/state").build();
+    long askedNanos = System.nanoTime();
+    client
+        .newCall(request)
+        .enqueue(
+            new Callback() {
+              @Override
+              public void onFailure(Call call, IOException e) {
+                LOG.debugf("no load report from target %s: %s", head.targetId(), e.getMessage());
+              }
+
+              @Override
+              public void onResponse(Call call, Response response) throws IOException {
+                try (response) {
+                  if (response.isSuccessful()) {
+                    onReport(head, Json.MAPPER.readTree(response.body().bytes()), askedNanos);
+                  }
+                }
+              }
+            });
+  }
+
+  private void onReport(Target head, JsonNode report, long askedNanos) {
+    boolean isLeaving = report.path("isLeaving").asBoolean();
+    table.report(
+        new TargetLoad(
+            head.targetId(),
+            askedNanos,
+            Math.max(1, report.path("maxRunning").asInt(1)),
+            report.path("running").asInt(),
+            report.path("waiting").asInt(),
+            isLeaving));
+    JsonNode before = reports.put(head.targetId(), report);
+    if (before == null || isDifferent(before, report)) {
+      compose();
+    }
+  }
+
+  private static boolean isDifferent(JsonNode before, JsonNode now) {
+    return Stream.of("modelId", "modelVersion", "firstLayer", "endLayer", "isLeaving")
+        .anyMatch(field -> !before.path(field).equals(now.path(field)));
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -0,0 +1,505 @@
+package org.gooseberryhook.transport;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhook.coordination.Admission;
+import org.gooseberryhook.coordination.AttemptFailure;
+import org.gooseberryhook.coordination.CrashMarkRegistry;
+import org.gooseberryhook.coordination.Dispatch;
+import org.gooseberryhook.coordination.OverloadGate;
+import org.gooseberryhook.coordination.PromptBlocks;
+import org.gooseberryhook.coordination.QuotaAdmission;
+import org.gooseberryhook.coordination.QuotaDecision;
+import org.gooseberryhook.coordination.RequestFacts;
+import org.gooseberryhook.coordination.RouteResult;
+import org.gooseberryhook.coordination.RouteRule;
+import org.gooseberryhook.coordination.RunRule;
+import org.gooseberryhook.coordination.StreamSession;
+import org.gooseberryhook.protocol.AnswerSink;
+import org.gooseberryhook.protocol.EngineClient;
+import org.gooseberryhook.protocol.EngineStart;
+import org.gooseberryhook.protocol.ModelCall;
+import org.gooseberryhook.protocol.Outcome;
+import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+import org.gooseberryhook.protocol.TokenEvent;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.Isolation;
+import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.Pipeline;
+import org.gooseberryhook.state.PriorityClass;
+import org.jboss.logging.Logger;
+
+/**
+ * One model call with its admission and attempts. Guarded by its own monitor.
+ *
+ * @since 0.1
+ */
+final class ModelCallRun {
+
+  private static final Logger LOG = Logger.getLogger(ModelCallRun.class);
+  private static final int MAX_ATTEMPTS = 6;
+  private static final long STALL_TIMEOUT_MS = 2_000;
+  private static final long STALL_CHECK_MS = 250;
+  private static final long GRANT_RETRY_MS = 10;
+  private static final long MAX_GRANT_WAIT_MS = 500;
+  private static final long ROUTE_RETRY_MS = 50;
+  private static final long MAX_ROUTE_WAIT_MS = 3_000;
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final int BYTES_PER_TOKEN = 4;
+
+  private final ModelCallService service;
+  private final ModelCall call;
+  private final Contract contract;
+  private final ModelSpec model;
+  private final AnswerSink sink;
+  private final StreamSession session;
+  private final long fingerprint;
+  private final RequestFacts facts;
+  private final NodeMetrics.WorkspaceMeters meters;
+  private final Set<String> excludedTargetIds = new HashSet<>();
+  private final long arrivalNanos = System.nanoTime();
+  private final long deadlineNanos;
+  private QuotaAdmission quotaAdmission;
+  private OverloadGate.Arrival gateArrival;
+  private boolean isInGate;
+  private Pipeline pipeline;
+  private Dispatch dispatch;
+  private EngineClient.Attempt attempt;
+  private ScheduledFuture<?> stallCheck;
+  private ScheduledFuture<?> deadlineCheck;
+  private long lastEventNanos;
+  private long routeSinceNanos;
+  private int firstStepOfAttempt;
+  private boolean mayHaveRun;
+  private boolean isInFlight;
+  private boolean isOver;
+
+  ModelCallRun(
+      ModelCallService service,
+      ModelCall call,
+      Contract contract,
+      ModelSpec model,
+      AnswerSink sink) {
+    this.service = service;
+    this.call = call;
+    this.contract = contract;
+    this.model = model;
+    this.sink = sink;
+    this.session =
+        new StreamSession(
+            call.requestId(), model.layerCount(), call.maxTokens(), call.resumedTokenIds());
+    this.fingerprint =
+        CrashMarkRegistry.fingerprintOf(call.workspaceId(), call.modelId(), call.prompt());
+    byte[] promptBytes = call.prompt().getBytes(StandardCharsets.UTF_8);
+    this.facts =
+        new RequestFacts(
+            model.modelId(),
+            model.modelVersion(),
+            call.priorityClass(),
+            PromptBlocks.of(model.modelId(), model.modelVersion(), promptBytes),
+            Math.max(1, promptBytes.length / BYTES_PER_TOKEN),
+            call.maxTokens());
+    this.meters = service.getMetrics().of(call.workspaceId(), call.priorityClass());
+    this.deadlineNanos = arrivalNanos + TimeUnit.MILLISECONDS.toNanos(call.timeoutMs());
+  }
+
+  static String keyOf(String workspaceId, String requestId) {
+    return workspaceId + "/" + requestId;
+  }
+
+  String getKey() {
+    return keyOf(call.workspaceId(), call.requestId());
+  }
+
+  long getFingerprint() {
+    return fingerprint;
+  }
+
+  synchronized boolean isUsing(String targetId) {
+    return !isOver && isInFlight && pipeline != null && pipeline.isUsing(targetId);
+  }
+
+  synchronized void start() {
+    deadlineCheck =
+        service.getTimer().schedule(this::onDeadline, call.timeoutMs(), TimeUnit.MILLISECONDS);
+    stallCheck =
+        service
+            .getTimer()
+            .scheduleWithFixedDelay(
+                this::checkStall, STALL_TIMEOUT_MS, STALL_CHECK_MS, TimeUnit.MILLISECONDS);
+    service.getControls().retries().onRequest(call.workspaceId(), contract.retryBudgetPercent());
+    if (!call.resumedTokenIds().isEmpty()) {
+      meters.count("resumed");
+    }
+    if (getRunRule() instanceof RunRule.Refused) {
+      finishWith(refusedAsCrashing());
+      return;
+    }
+    admit();
+  }
+
+  /** Asks for units; a node that holds none yet waits a little for its first grant. */
+  private synchronized void admit() {
+    if (isOver) {
+      return;
+    }
+    long nowNanos = System.nanoTime();
+    QuotaDecision decision =
+        service
+            .getControls()
+            .quota()
+            .tryAdmit(call.workspaceId(), 1, call.getEstimatedTokens(), nowNanos);
+    if (decision instanceof QuotaDecision.Admitted admitted) {
+      quotaAdmission = admitted.admission();
+      meters.count("admitted");
+      enterGate();
+      return;
+    }
+    QuotaDecision.Limited limited = (QuotaDecision.Limited) decision;
+    boolean isWaiting = limited.bound() == QuotaDecision.Bound.AWAITING_GRANT;
+    long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
+    if (isWaiting && waitedMs < MAX_GRANT_WAIT_MS) {
+      service.getTimer().schedule(this::admit, GRANT_RETRY_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    meters.count("limited");
+    finishWith(
+        Problem.ofRetry(
+            ProblemKind.LIMITED,
+            "the bound " + limited.bound() + " of the contract of workspace "
+                + call.workspaceId() + " is reached",
+            Math.max(1, limited.retryAfterMs())));
+  }
+
+  private void enterGate() {
+    long goalNanos =
+        call.priorityClass() == PriorityClass.INTERACTIVE
+            ? TimeUnit.MILLISECONDS.toNanos(contract.firstTokenGoalMs())
+            : 0;
+    gateArrival =
+        new OverloadGate.Arrival(
+            getKey(),
+            call.workspaceId(),
+            contract.tokensPerSecond(),
+            call.priorityClass(),
+            deadlineNanos,
+            goalNanos);
+    isInGate = true;
+    onAdmission(service.offer(gateArrival));
+  }
+
+  synchronized void onAdmission(Admission admission) {
+    if (isOver || admission instanceof Admission.Queued) {
+      return;
+    }
+    if (admission instanceof Admission.Shed shed) {
+      isInGate = false;
+      meters.count("shed");
+      finishWith(
+          Problem.ofRetry(
+              ProblemKind.OVERLOADED, "the node sheds load of this class", shed.retryAfterMs()));
+      return;
+    }
+    meters.recordQueueing(System.nanoTime() - arrivalNanos);
+    beginRouting();
+  }
+
+  private void beginRouting() {
+    routeSinceNanos = System.nanoTime();
+    route();
+  }
+
+  private synchronized void route() {
+    if (isOver) {
+      return;
+    }
+    RunRule runRule = getRunRule();
+    if (runRule instanceof RunRule.Refused) {
+      finishWith(refusedAsCrashing());
+      return;
+    }
+    long nowNanos = System.nanoTime();
+    RouteRule rule = new RouteRule(Set.of(), Set.copyOf(excludedTargetIds), isolationOf(runRule));
+    RouteResult result =
+        service.getControls().router().route(facts, rule, nowNanos, ThreadLocalRandom.current());
+    if (result instanceof RouteResult.Chosen chosen) {
+      startAttempt(chosen, nowNanos);
+      return;
+    }
+    long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - routeSinceNanos);
+    if (waitedMs >= MAX_ROUTE_WAIT_MS) {
+      finishWith(noPipeline((RouteResult.NoPipeline) result));
+      return;
+    }
+    excludedTargetIds.clear();
+    service.getTimer().schedule(this::route, ROUTE_RETRY_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void startAttempt(RouteResult.Chosen chosen, long nowNanos) {
+    pipeline = chosen.pipeline();
+    dispatch = chosen.dispatch();
+    int attemptNumber = session.beginAttempt();
+    firstStepOfAttempt = session.getDeliveredCount();
+    lastEventNanos = nowNanos;
+    isInFlight = true;
+    attempt = null;
+    service.getControls().router().onDispatched(dispatch, nowNanos);
+    attempt =
+        service
+            .getEngines()
+            .start(pipeline.head().address(), orderFor(attemptNumber), this::onEvent);
+  }
+
+  private EngineStart orderFor(int attemptNumber) {
+    List<EngineStart.Stage> stages =
+        pipeline.stages().stream()
+            .map(
+                stage ->
+                    new EngineStart.Stage(
+                        stage.targetId(),
+                        stage.address(),
+                        stage.layers().firstLayer(),
+                        stage.layers().endLayer()))
+            .toList();
+    return new EngineStart(
+        call.requestId(),
+        attemptNumber,
+        pipeline.modelId(),
+        pipeline.modelVersion(),
+        model.layerCount(),
+        call.prompt(),
+        call.maxTokens(),
+        session.getDeliveredTokenIds(),
+        call.priorityClass() == PriorityClass.INTERACTIVE ? 0 : 1,
+        TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()),
+        stages);
+  }
+
+  private synchronized void onEvent(TokenEvent event) {
+    if (isOver) {
+      return;
+    }
+    StreamSession.Decision decision = session.onEvent(event);
+    if (decision instanceof StreamSession.Decision.Deliver deliver) {
+      onToken(deliver);
+    } else if (decision instanceof StreamSession.Decision.Complete complete) {
+      onComplete(complete);
+    } else if (decision instanceof StreamSession.Decision.Abandon abandon) {
+      repair(abandon.reason(), abandon.lostTarget());
+    } else if (decision instanceof StreamSession.Decision.Drop drop) {
+      service.getMetrics().count("dropped_events", "reason", drop.reason().name());
+    }
+  }
+
+  private void onToken(StreamSession.Decision.Deliver deliver) {
+    long nowNanos = System.nanoTime();
+    boolean isFirstOfAttempt = deliver.step() == firstStepOfAttempt;
+    if (isFirstOfAttempt) {
+      service.getControls().router().onFirstToken(dispatch, nowNanos);
+    } else {
+      service.getControls().router().onToken(dispatch, nowNanos);
+    }
+    if (deliver.step() == call.resumedTokenIds().size()) {
+      meters.recordFirstToken(nowNanos - arrivalNanos);
+    } else {
+      meters.recordTokenGap(nowNanos - lastEventNanos);
+    }
+    lastEventNanos = nowNanos;
+    if (!sink.onToken(deliver.step(), deliver.tokenId(), deliver.text())) {
+      meters.count("caller_gone");
+      cancelAttempt();
+      close(true);
+    }
+  }
+
+  private void onComplete(StreamSession.Decision.Complete complete) {
+    isInFlight = false;
+    service
+        .getControls()
+        .router()
+        .onFinished(dispatch, System.nanoTime(), ThreadLocalRandom.current());
+    Optional.of(UUID.randomUUID().toString())
+        .flatMap(
+            id ->
+                service
+                    .getControls()
+                    .crashMarks()
+                    .recordCompletion(fingerprint, id, System.nanoTime()))
+        .ifPresent(service::onCleared);
+    meters.recordRequest(System.nanoTime() - arrivalNanos);
+    meters.count("completed");
+    close(true);
+    sink.onComplete(complete.promptTokens(), complete.tokenCount(), complete.cachedTokens());
+  }
+
+  private void repair(String reason, String lostTarget) {
+    boolean isUntouched =
+        HttpEngineClient.NOT_SENT.equals(reason) || HttpEngineClient.REFUSED.equals(reason);
+    boolean hasProgress = session.getDeliveredCount() > firstStepOfAttempt;
+    mayHaveRun |= !isUntouched;
+    LOG.infof(
+        "request=%s workspace=%s attempt=%d abandoned at token %d: %s, target %s",
+        call.requestId(),
+        call.workspaceId(),
+        session.getAttempt(),
+        session.getDeliveredCount(),
+        reason,
+        lostTarget);
+    if (lostTarget != null && !HttpEngineClient.REFUSED.equals(reason)) {
+      service.onTargetDied(lostTarget);
+    }
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    isInFlight = false;
+    endDispatch(AttemptFailure.ENGINE, lostTarget);
+    exclude(lostTarget);
+    boolean isAllowed =
+        hasProgress || service.getControls().retries().trySpend(call.workspaceId());
+    if (session.getAttempt() >= MAX_ATTEMPTS || !isAllowed) {
+      finishWith(failed(isAllowed ? reason : reason + "; the retry budget is used up"));
+      return;
+    }
+    meters.count("retried");
+    beginRouting();
+  }
+
+  private void exclude(String lostTarget) {
+    if (lostTarget == null) {
+      pipeline.stages().forEach(stage -> excludedTargetIds.add(stage.targetId()));
+    } else {
+      excludedTargetIds.add(lostTarget);
+    }
+  }
+
+  private synchronized void checkStall() {
+    long silentNanos = System.nanoTime() - lastEventNanos;
+    boolean isStalled = silentNanos > TimeUnit.MILLISECONDS.toNanos(STALL_TIMEOUT_MS);
+    if (!isOver && isInFlight && isStalled) {
+      session.abandon("stalled", null);
+      repair("no token for " + STALL_TIMEOUT_MS + " ms", null);
+    }
+  }
+
+  private synchronized void onDeadline() {
+    finishWith(
+        new Problem(
+            ProblemKind.DEADLINE,
+            "the deadline of " + call.timeoutMs() + " ms passed",
+            getOutcome(),
+            0));
+  }
+
+  synchronized void cancel() {
+    finishWith(
+        new Problem(ProblemKind.FAILED, "the caller cancelled the request", getOutcome(), 0));
+  }
+
+  private RunRule getRunRule() {
+    return service.getControls().crashMarks().getRule(fingerprint, System.nanoTime());
+  }
+
+  private static Isolation isolationOf(RunRule rule) {
+    if (rule instanceof RunRule.Alone) {
+      return Isolation.ALONE;
+    }
+    return rule instanceof RunRule.ApartFromOtherSuspects
+        ? Isolation.NO_OTHER_SUSPECT
+        : Isolation.NONE;
+  }
+
+  private Problem refusedAsCrashing() {
+    meters.count("crashing");
+    return new Problem(
+        ProblemKind.CRASHES_TARGETS,
+        "this request has crashed several targets and is not run again",
+        getOutcome(),
+        0);
+  }
+
+  private Problem noPipeline(RouteResult.NoPipeline result) {
+    if (!mayHaveRun) {
+      return Problem.ofRetry(
+          ProblemKind.NO_TARGET,
+          "no pipeline of model " + call.modelId() + " can take the request: " + result.reason(),
+          Math.max(1, result.retryAfterMs()));
+    }
+    return failed("no other pipeline can go on");
+  }
+
+  private Problem failed(String reason) {
+    return new Problem(
+        ProblemKind.FAILED,
+        "gave up after " + session.getAttempt() + " attempts: " + reason,
+        getOutcome(),
+        RETRY_AFTER_MS);
+  }
+
+  private Outcome getOutcome() {
+    return mayHaveRun || isInFlight ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+  }
+
+  private synchronized void finishWith(Problem problem) {
+    if (isOver) {
+      return;
+    }
+    boolean isRun = getOutcome() != Outcome.NOT_RUN;
+    if (problem.outcome() == Outcome.UNKNOWN) {
+      meters.count("unknown");
+    }
+    cancelAttempt();
+    close(isRun);
+    sink.onProblem(problem);
+  }
+
+  private void cancelAttempt() {
+    if (isInFlight && attempt != null) {
+      attempt.cancel();
+    }
+    isInFlight = false;
+    endDispatch(AttemptFailure.CANCELLED, null);
+  }
+
+  private void endDispatch(AttemptFailure failure, String lostTarget) {
+    if (dispatch != null) {
+      service
+          .getControls()
+          .router()
+          .onFailed(
+              dispatch, failure, lostTarget, System.nanoTime(), ThreadLocalRandom.current());
+      dispatch = null;
+    }
+  }
+
+  private void close(boolean isRun) {
+    isOver = true;
+    stallCheck.cancel(false);
+    deadlineCheck.cancel(false);
+    long nowNanos = System.nanoTime();
+    if (isInGate) {
+      leaveGate(nowNanos);
+    }
+    if (quotaAdmission != null) {
+      int newTokens = session.getDeliveredCount() - call.resumedTokenIds().size();
+      long actualTokens = isRun ? (long) facts.promptTokens() + newTokens : 0;
+      service.getControls().quota().settle(quotaAdmission, isRun, actualTokens, nowNanos);
+    }
+    service.remove(this);
+  }
+
+  private void leaveGate(long nowNanos) {
+    isInGate = false;
+    OverloadGate gate = service.getControls().gate();
+    if (!gate.cancel(gateArrival)) {
+      gate.onFinished(getKey(), nowNanos);
+    }
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -1,69 +1,94 @@
 package org.gooseberryhook.transport;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.gooseberryhook.coordination.RouteChooser;
-import org.gooseberryhook.coordination.StreamSession;
+import org.gooseberryhook.coordination.Admission;
+import org.gooseberryhook.coordination.OverloadGate;
 import org.gooseberryhook.protocol.AnswerSink;
+import org.gooseberryhook.protocol.CrashMessage;
 import org.gooseberryhook.protocol.EngineClient;
-import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.ModelCall;
-import org.gooseberryhook.protocol.Outcome;
 import org.gooseberryhook.protocol.Problem;
 import org.gooseberryhook.protocol.ProblemKind;
-import org.gooseberryhook.protocol.TokenEvent;
-import org.gooseberryhook.state.Pipeline;
-import org.gooseberryhook.state.PriorityClass;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.ModelSpec;
 import org.jboss.logging.Logger;
 
 /**
- * Runs model calls: opens attempts on pipelines, passes tokens on and repairs broken attempts.
+ * Runs model calls: admits them, opens attempts on pipelines, passes tokens on and repairs broken
+ * attempts.
  *
  * @since 0.1
  */
 public final class ModelCallService {
 
   private static final Logger LOG = Logger.getLogger(ModelCallService.class);
-  private static final int MAX_ATTEMPTS = 4;
-  private static final long STALL_TIMEOUT_MS = 2_000;
-  private static final long RETRY_AFTER_MS = 1_000;
+  private static final long POLL_PERIOD_MS = 5;
+  private static final long CRASH_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final int MAX_CRASH_TARGETS = 10_000;
 
   private final EngineClient engines;
-  private final RouteChooser router;
+  private final CallControls controls;
+  private final CrashReporter crashReporter;
   private final ScheduledExecutorService timer;
-  private final Map<String, Run> runsByKey = new ConcurrentHashMap<>();
+  private final NodeMetrics metrics;
+  private final Map<String, ModelCallRun> runsByKey = new ConcurrentHashMap<>();
+  private final Map<String, Long> lastDeathNanos = new ConcurrentHashMap<>();
+  private ScheduledFuture<?> poll;
 
   /**
    * Creates a service.
    *
    * @param engines port to the engines
-   * @param router chooses pipelines
+   * @param controls the decisions that a call passes
+   * @param crashReporter is told of targets that died
    * @param timer runs stall and deadline checks; must not block
+   * @param metrics counts and times calls
    */
   public ModelCallService(
-      EngineClient engines, RouteChooser router, ScheduledExecutorService timer) {
+      EngineClient engines,
+      CallControls controls,
+      CrashReporter crashReporter,
+      ScheduledExecutorService timer,
+      NodeMetrics metrics) {
     this.engines = engines;
-    this.router = router;
+    this.controls = controls;
+    this.crashReporter = crashReporter;
     this.timer = timer;
+    this.metrics = metrics;
+  }
+
+  /** Starts the admission of queued calls. */
+  public void start() {
+    poll =
+        timer.scheduleWithFixedDelay(
+            this::pollGate, POLL_PERIOD_MS, POLL_PERIOD_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops the admission of queued calls; running calls go on. */
+  public void stop() {
+    if (poll != null) {
+      poll.cancel(false);
+    }
   }
 
   /**
    * Starts a call.
    *
    * @param call the call
-   * @param layerCount number of layers of the model
+   * @param contract the workspace's contract
+   * @param model the model
    * @param sink receives the answer
    */
-  public void submit(ModelCall call, int layerCount, AnswerSink sink) {
-    Run run = new Run(call, layerCount, sink);
-    if (runsByKey.putIfAbsent(run.key(), run) != null) {
+  public void submit(ModelCall call, Contract contract, ModelSpec model, AnswerSink sink) {
+    ModelCallRun run = new ModelCallRun(this, call, contract, model, sink);
+    if (runsByKey.putIfAbsent(run.getKey(), run) != null) {
       sink.onProblem(
           Problem.of(
               ProblemKind.CONFLICT, "request id " + call.requestId() + " is already running here"));
@@ -80,7 +105,7 @@
    * @return false if it is not running here
    */
   public boolean cancel(String workspaceId, String requestId) {
-    Run run = runsByKey.get(workspaceId + "/" + requestId);
+    ModelCallRun run = runsByKey.get(ModelCallRun.keyOf(workspaceId, requestId));
     if (run == null) {
       return false;
     }
@@ -97,200 +122,80 @@
     return runsByKey.size();
   }
 
-  /** One call with its attempts. Guarded by its own monitor. */
-  private final class Run {
-
-    private final ModelCall call;
-    private final int layerCount;
-    private final AnswerSink sink;
-    private final StreamSession session;
-    private final Set<String> excludedTargetIds = new HashSet<>();
-    private final long deadlineNanos;
-    private Pipeline pipeline;
-    private EngineClient.Attempt attempt;
-    private ScheduledFuture<?> stallCheck;
-    private ScheduledFuture<?> deadlineCheck;
-    private long lastEventNanos;
-    private boolean mayHaveRun;
-    private boolean isInFlight;
-    private boolean isOver;
-
-    Run(ModelCall call, int layerCount, AnswerSink sink) {
-      this.call = call;
-      this.layerCount = layerCount;
-      this.sink = sink;
-      this.session =
-          new StreamSession(call.requestId(), layerCount, call.maxTokens(), call.resumedTokenIds());
-      this.deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(call.timeoutMs());
-    }
-
-    String key() {
-      return call.workspaceId() + "/" + call.requestId();
-    }
-
-    synchronized void start() {
-      deadlineCheck = timer.schedule(this::onDeadline, call.timeoutMs(), TimeUnit.MILLISECONDS);
-      stallCheck =
-          timer.scheduleWithFixedDelay(
-              this::checkStall, STALL_TIMEOUT_MS, STALL_TIMEOUT_MS / 4, TimeUnit.MILLISECONDS);
-      startAttempt();
-    }
-
-    private void startAttempt() {
-      Optional<Pipeline> chosen = router.choose(call, excludedTargetIds);
-      if (chosen.isEmpty()) {
-        finishWith(noPipeline());
-        return;
-      }
-      pipeline = chosen.get();
-      int attemptNumber = session.beginAttempt();
-      lastEventNanos = System.nanoTime();
-      isInFlight = true;
-      EngineStart order = orderFor(attemptNumber);
-      attempt = engines.start(pipeline.head().address(), order, this::onEvent);
-    }
-
-    private EngineStart orderFor(int attemptNumber) {
-      List<EngineStart.Stage> stages =
-          pipeline.stages().stream()
-              .map(
-                  stage ->
-                      new EngineStart.Stage(
-                          stage.targetId(),
-                          stage.address(),
-                          stage.layers().firstLayer(),
-                          stage.layers().endLayer()))
-              .toList();
-      return new EngineStart(
-          call.requestId(),
-          attemptNumber,
-          pipeline.modelId(),
-          pipeline.modelVersion(),
-          layerCount,
-          call.prompt(),
-          call.maxTokens(),
-          session.getDeliveredTokenIds(),
-          call.priorityClass() == PriorityClass.INTERACTIVE ? 0 : 1,
-          TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()),
-          stages);
-    }
-
-    private synchronized void onEvent(TokenEvent event) {
-      if (isOver) {
-        return;
-      }
-      StreamSession.Decision decision = session.onEvent(event);
-      if (decision instanceof StreamSession.Decision.Deliver deliver) {
-        lastEventNanos = System.nanoTime();
-        if (!sink.onToken(deliver.step(), deliver.tokenId(), deliver.text())) {
-          abort();
-        }
-      } else if (decision instanceof StreamSession.Decision.Complete complete) {
-        close();
-        sink.onComplete(complete.promptTokens(), complete.tokenCount(), complete.cachedTokens());
-      } else if (decision instanceof StreamSession.Decision.Abandon abandon) {
-        repair(abandon);
-      }
-    }
-
-    private void repair(StreamSession.Decision.Abandon abandon) {
-      boolean isUntouched =
-          HttpEngineClient.NOT_SENT.equals(abandon.reason())
-              || HttpEngineClient.REFUSED.equals(abandon.reason());
-      mayHaveRun |= !isUntouched;
-      isInFlight = false;
-      LOG.infof(
-          "request=%s workspace=%s attempt=%d abandoned at token %d: %s, target %s",
-          call.requestId(),
-          call.workspaceId(),
-          session.getAttempt(),
-          session.getDeliveredCount(),
-          abandon.reason(),
-          abandon.lostTarget());
-      if (attempt != null) {
-        attempt.cancel();
-      }
-      exclude(abandon.lostTarget());
-      if (session.getAttempt() >= MAX_ATTEMPTS) {
-        finishWith(failed(abandon.reason()));
-        return;
-      }
-      startAttempt();
-    }
+  /**
+   * Returns whether a call with this id is running here.
+   *
+   * @param workspaceId the caller's workspace
+   * @param requestId the request
+   * @return true if it is
+   */
+  public boolean isRunning(String workspaceId, String requestId) {
+    return runsByKey.containsKey(ModelCallRun.keyOf(workspaceId, requestId));
+  }
 
-    private void exclude(String lostTarget) {
-      if (lostTarget == null) {
-        pipeline.stages().forEach(stage -> excludedTargetIds.add(stage.targetId()));
-      } else {
-        excludedTargetIds.add(lostTarget);
-      }
-    }
+  EngineClient getEngines() {
+    return engines;
+  }
 
-    private synchronized void checkStall() {
-      long silentNanos = System.nanoTime() - lastEventNanos;
-      if (!isOver && silentNanos > TimeUnit.MILLISECONDS.toNanos(STALL_TIMEOUT_MS)) {
-        repair(session.abandon("no token for " + STALL_TIMEOUT_MS + " ms", null));
-      }
-    }
+  CallControls getControls() {
+    return controls;
+  }
 
-    private synchronized void onDeadline() {
-      Outcome outcome = getOutcome();
-      finishWith(
-          new Problem(
-              ProblemKind.DEADLINE,
-              "the deadline of " + call.timeoutMs() + " ms passed",
-              outcome,
-              0));
-    }
+  ScheduledExecutorService getTimer() {
+    return timer;
+  }
 
-    private Problem noPipeline() {
-      if (!mayHaveRun) {
-        return Problem.ofRetry(
-            ProblemKind.NO_TARGET,
-            "no pipeline holds all layers of model " + call.modelId(),
-            RETRY_AFTER_MS);
-      }
-      return failed("no other pipeline can go on");
-    }
+  NodeMetrics getMetrics() {
+    return metrics;
+  }
 
-    private Problem failed(String reason) {
-      Outcome outcome = getOutcome();
-      return new Problem(
-          ProblemKind.FAILED,
-          "gave up after " + session.getAttempt() + " attempts: " + reason,
-          outcome,
-          RETRY_AFTER_MS);
-    }
+  void remove(ModelCallRun run) {
+    runsByKey.remove(run.getKey(), run);
+  }
 
-    private Outcome getOutcome() {
-      return mayHaveRun || isInFlight ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-    }
+  /** Tells the other nodes that a marked request completed. */
+  void onCleared(CrashMessage.CrashClears clears) {
+    crashReporter.onCleared(clears);
+  }
 
-    private void abort() {
-      if (attempt != null) {
-        attempt.cancel();
-      }
-      close();
-    }
+  /** Offers a call to the gate; the call is told of a later start by {@link #pollGate}. */
+  Admission offer(OverloadGate.Arrival arrival) {
+    return controls.gate().offer(arrival, System.nanoTime(), ThreadLocalRandom.current());
+  }
 
-    synchronized void cancel() {
-      finishWith(
-          new Problem(ProblemKind.FAILED, "the caller cancelled the request", getOutcome(), 0));
+  /**
+   * Counts a death of a target once, with all requests that this node had in flight on it.
+   *
+   * @param targetId the target
+   */
+  void onTargetDied(String targetId) {
+    long nowNanos = System.nanoTime();
+    Long before = lastDeathNanos.get(targetId);
+    boolean isKnown = before != null && nowNanos - before < CRASH_WINDOW_NANOS;
+    if (isKnown || lastDeathNanos.size() >= MAX_CRASH_TARGETS) {
+      lastDeathNanos.values().removeIf(nanos -> nowNanos - nanos >= CRASH_WINDOW_NANOS);
+      return;
     }
+    lastDeathNanos.put(targetId, nowNanos);
+    List<Long> fingerprints =
+        runsByKey.values().stream()
+            .filter(run -> run.isUsing(targetId))
+            .map(ModelCallRun::getFingerprint)
+            .distinct()
+            .toList();
+    LOG.warnf("target %s died with %d requests of this node", targetId, fingerprints.size());
+    crashReporter.onTargetDied(targetId, fingerprints);
+  }
 
-    synchronized void finishWith(Problem problem) {
-      if (isOver) {
-        return;
+  private void pollGate() {
+    try {
+      for (OverloadGate.Decision decision :
+          controls.gate().poll(System.nanoTime(), ThreadLocalRandom.current())) {
+        Optional.ofNullable(runsByKey.get(decision.requestId()))
+            .ifPresent(run -> run.onAdmission(decision.admission()));
       }
-      abort();
-      sink.onProblem(problem);
-    }
-
-    private void close() {
-      isOver = true;
-      stallCheck.cancel(false);
-      deadlineCheck.cancel(false);
-      runsByKey.remove(key(), this);
+    } catch (RuntimeException e) {
+      LOG.error("admission of queued requests failed; it runs again", e);
     }
   }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/Problems.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/Problems.java
@@ -3,8 +3,12 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.jooby.Context;
 import io.jooby.MediaType;
+import io.jooby.StatusCode;
 import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.Outcome;
 import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+import org.jboss.logging.Logger;
 
 /**
  * Sends problems over HTTP.
@@ -13,6 +17,7 @@
  */
 final class Problems {
 
+  private static final Logger LOG = Logger.getLogger(Problems.class);
   private static final long MS_PER_SECOND = 1_000;
 
   private Problems() {}
@@ -41,4 +46,28 @@
       throw new IllegalStateException("the problem can't be written as JSON", e);
     }
   }
+
+  /**
+   * Sends the problem of a failed handler.
+   *
+   * @param context the exchange
+   * @param cause what the handler threw
+   * @param status the status that the server chose
+   */
+  static void sendError(Context context, Throwable cause, StatusCode status) {
+    ProblemKind kind =
+        switch (status.value()) {
+          case 400 -> ProblemKind.BAD_REQUEST;
+          case 404, 405 -> ProblemKind.NOT_FOUND;
+          case 413 -> ProblemKind.TOO_LARGE;
+          default -> ProblemKind.INTERNAL;
+        };
+    String exchange = context.getMethod() + " " + context.getRequestPath();
+    if (kind == ProblemKind.INTERNAL) {
+      LOG.errorf(cause, "%s failed", exchange);
+      send(context, new Problem(kind, "the node failed to handle it", Outcome.UNKNOWN, 0));
+      return;
+    }
+    send(context, Problem.of(kind, exchange + ": " + status.reason()));
+  }
 }
