Add duty leases and a fault property for limits and leases

Cause: a shard needs exactly one grantor through faults and store outages. Change: DutyLeaseKeeper renews all leases in one transaction, reads back lost answers and goes on by pledges of its deputies; refunds are limited to what the bucket would hold, so no window admits more than its bound.

--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
@@ -0,0 +1,167 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.state.NodeId;
+
+/** What one node knows of one lease. Not safe for use by several threads. */
+final class LeaseEntry {
+
+  /** Attempts whose outcome is not known; older ones cannot matter after their time has run out. */
+  private static final int MAX_ATTEMPTS = 64;
+
+  record Attempt(DutyLease lease, long sentNanos) {}
+
+  final String key;
+  private final NodeId self;
+
+  /** Deputies that the holder should have; null if this node should not hold the lease. */
+  List<NodeId> deputies;
+
+  long version;
+  DutyLease lease;
+  long firstReadNanos;
+  private boolean isRead;
+
+  /** Whether the record was read since the last acquisition was sent. */
+  boolean isFresh;
+
+  boolean isHeld;
+  long fencingNumber;
+  long usableUntilNanos;
+  boolean isReleaseDue;
+
+  /** Acquisitions that may still take effect: call id to the record version that they expect. */
+  final Map<Long, Long> openAcquisitions = new HashMap<>();
+
+  boolean isAskingPledges;
+  boolean isSticky;
+  long firstPledgeSequence;
+  final Set<NodeId> pledges = new HashSet<>();
+
+  private final Set<NodeId> requiredElectors = new HashSet<>();
+  private final Map<Long, Attempt> attempts = new HashMap<>();
+  private long lastRenewal;
+
+  LeaseEntry(String key, NodeId self) {
+    this.key = key;
+    this.self = self;
+  }
+
+  long getLastRenewal() {
+    return lastRenewal;
+  }
+
+  boolean isHolder(long nowNanos) {
+    return isHeld && (isSticky || usableUntilNanos - nowNanos > 0);
+  }
+
+  /** Returns the deputies without whose promise the holder may not go on. */
+  Set<NodeId> getMissingPledges() {
+    Set<NodeId> missing = new HashSet<>(requiredElectors);
+    missing.remove(self);
+    missing.removeAll(pledges);
+    return missing;
+  }
+
+  /** Notes a record that was read; absent records have version 0 and no lease. */
+  void setRecord(long newVersion, DutyLease newLease, long nowNanos) {
+    boolean isSame = isRead && newVersion == version;
+    if (!isSame) {
+      firstReadNanos = nowNanos;
+    }
+    isRead = true;
+    isFresh = true;
+    version = newVersion;
+    lease = newLease;
+    lastRenewal = Math.max(lastRenewal, newLease == null ? 0 : newLease.renewal());
+  }
+
+  /** Builds the write that renews the lease, or acquires it under the next fencing number. */
+  TableOperation toClaim(long nowNanos) {
+    long number = lease == null ? 0 : lease.fencingNumber();
+    List<NodeId> electors = new ArrayList<>();
+    electors.add(self);
+    electors.addAll(deputies == null ? List.of() : deputies);
+    lastRenewal++;
+    DutyLease claim =
+        new DutyLease(
+            self,
+            isHeld ? fencingNumber : number + 1,
+            lastRenewal,
+            electors.stream().distinct().toList(),
+            isHeld && (isAskingPledges || isSticky));
+    if (attempts.size() >= MAX_ATTEMPTS) {
+      attempts.remove(attempts.keySet().stream().min(Long::compare).orElseThrow());
+    }
+    attempts.put(lastRenewal, new Attempt(claim, nowNanos));
+    requiredElectors.addAll(claim.electors());
+    if (lease != null) {
+      requiredElectors.addAll(lease.electors());
+    }
+    return TableOperation.ofPut(key, version, claim.toJson());
+  }
+
+  TableOperation toRelease() {
+    lastRenewal++;
+    long number = lease == null ? fencingNumber : lease.fencingNumber();
+    DutyLease released = new DutyLease(null, number, lastRenewal, List.of(), false);
+    return TableOperation.ofPut(key, version, released.toJson());
+  }
+
+  /** Returns this node's attempt that wrote a lease, or null. */
+  Attempt findAttempt(DutyLease written) {
+    Attempt attempt = written == null ? null : attempts.get(written.renewal());
+    return attempt != null && attempt.lease().equals(written) ? attempt : null;
+  }
+
+  Attempt getAttempt(long renewal) {
+    return attempts.get(renewal);
+  }
+
+  /** Notes that an attempt is known to have taken effect and is the present record. */
+  void confirm(Attempt attempt, long newVersion, long usableNanos, long nowNanos) {
+    setRecord(newVersion, attempt.lease(), nowNanos);
+    long until = attempt.sentNanos() + usableNanos;
+    boolean isLive = until - nowNanos > 0;
+    if (isHeld && attempt.lease().fencingNumber() == fencingNumber) {
+      usableUntilNanos = Math.max(usableUntilNanos, until);
+    } else if (!isHeld
+        && isLive
+        && deputies != null
+        && !isReleaseDue
+        && attempt.lease().fencingNumber() > fencingNumber) {
+      // A term that ended never starts again: its number was possibly seen to have ended.
+      isHeld = true;
+      fencingNumber = attempt.lease().fencingNumber();
+      usableUntilNanos = until;
+    }
+    attempts.keySet().removeIf(renewal -> renewal <= attempt.lease().renewal());
+    requiredElectors.clear();
+    requiredElectors.addAll(attempt.lease().electors());
+    attempts.values().forEach(open -> requiredElectors.addAll(open.lease().electors()));
+  }
+
+  /**
+   * Forgets acquisitions that can no longer take effect. A call that was made later saw another
+   * version, and versions are never used again.
+   */
+  void closeAcquisitions(long callId, long seenVersion) {
+    openAcquisitions
+        .entrySet()
+        .removeIf(open -> open.getKey() < callId && open.getValue() != seenVersion);
+  }
+
+  /** Stops acting as holder. */
+  void lose() {
+    isHeld = false;
+    isSticky = false;
+    isAskingPledges = false;
+    pledges.clear();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PledgeBook.java
@@ -0,0 +1,72 @@
+package org.gooseberryhook.coordination;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gooseberryhook.protocol.PledgeMessage.PledgedLease;
+import org.gooseberryhook.state.NodeId;
+
+/**
+ * Promises that a deputy has given, at most one per lease. They live in memory only: a restarted
+ * node has another incarnation and is no elector. Not safe for use by several threads.
+ */
+final class PledgeBook {
+
+  private record Pledge(NodeId holder, long fencingNumber, long renewal, long sequence) {}
+
+  private final Map<String, Pledge> pledges = new HashMap<>();
+  private final Map<NodeId, Long> releasedSequences = new HashMap<>();
+
+  /** Gives a promise; returns false if the ask is older than a release or another promise. */
+  boolean give(NodeId holder, long sequence, PledgedLease lease) {
+    if (sequence <= releasedSequences.getOrDefault(holder, Long.MIN_VALUE)) {
+      return false;
+    }
+    Pledge present = pledges.get(lease.leaseKey());
+    if (present != null
+        && (present.fencingNumber() > lease.fencingNumber()
+            || present.holder().equals(holder) && present.sequence() > sequence)) {
+      return false;
+    }
+    pledges.put(
+        lease.leaseKey(), new Pledge(holder, lease.fencingNumber(), lease.renewal(), sequence));
+    return true;
+  }
+
+  void release(NodeId holder, long sequence, List<String> leaseKeys) {
+    releasedSequences.merge(holder, sequence, Math::max);
+    for (String key : leaseKeys) {
+      Pledge present = pledges.get(key);
+      if (present != null && present.holder().equals(holder) && present.sequence() <= sequence) {
+        pledges.remove(key);
+      }
+    }
+  }
+
+  /** Drops a promise if the record proves that the holder no longer relies on it. */
+  void onRead(String key, DutyLease lease) {
+    Pledge present = pledges.get(key);
+    if (present == null) {
+      return;
+    }
+    boolean isOver =
+        lease.holder() == null
+            || lease.fencingNumber() > present.fencingNumber()
+            || !lease.frozen() && lease.renewal() > present.renewal();
+    if (isOver) {
+      pledges.remove(key);
+    }
+  }
+
+  /** Tells whether a promise forbids acquiring the lease. */
+  boolean isBound(String key, Set<NodeId> goneNodes) {
+    Pledge present = pledges.get(key);
+    return present != null && !goneNodes.contains(present.holder());
+  }
+
+  void removeHolder(NodeId node) {
+    pledges.values().removeIf(pledge -> pledge.holder().equals(node));
+    releasedSequences.remove(node);
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaAdmission.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaAdmission.java
@@ -5,7 +5,7 @@
  *
  * @param workspaceId the workspace
  * @param term fencing number of the grantor that gave the units
- * @param stampMs the grantor's monotonic time, not later than the admission, in milliseconds
+ * @param stamp position in the grantor's books that is not later than the admission
  * @param requestUnits request units charged
  * @param tokenUnits token units charged, an estimate
  * @param isLocal whether the units came straight from this node's own grantor
@@ -14,7 +14,7 @@
 public record QuotaAdmission(
     String workspaceId,
     long term,
-    long stampMs,
+    long stamp,
     long requestUnits,
     long tokenUnits,
     boolean isLocal) {}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaBucket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaBucket.java
@@ -1,7 +1,5 @@
 package org.gooseberryhook.coordination;
 
-import java.util.Arrays;
-
 /**
  * Token bucket whose units may be handed out in advance. Units that were handed out and may still
  * be spent count against the burst, so what is spent in any window of T seconds is at most burst +
@@ -11,27 +9,17 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /** Slices of the history; with the slice length this covers requests of up to 128 s. */
-  private static final int SLICE_COUNT = 128;
-
-  private static final long SLICE_NANOS = 1_000_000_000L;
-
-  private final double[] leastHeadroom = new double[SLICE_COUNT];
+  private final HeadroomHistory history = new HeadroomHistory();
   private double ratePerSecond;
   private double burst;
   private double level;
   private double outstanding;
   private long lastNanos;
-  private long newestSlice;
 
   QuotaBucket(double ratePerSecond, double burst, long nowNanos) {
     this.ratePerSecond = ratePerSecond;
     this.burst = burst;
     this.lastNanos = nowNanos;
-    this.newestSlice = Math.floorDiv(nowNanos, SLICE_NANOS);
-    Arrays.fill(leastHeadroom, Double.POSITIVE_INFINITY);
-    // Work admitted before this bucket existed must not be given back to it.
-    leastHeadroom[slotOf(newestSlice - SLICE_COUNT + 1)] = 0;
   }
 
   double getLevel() {
@@ -42,23 +30,26 @@
     return burst;
   }
 
-  /** Adds what has accrued; a clock value older than the last one changes nothing. */
-  void refill(long nowNanos) {
+  /**
+   * Adds what has accrued; a clock value older than the last one changes nothing.
+   *
+   * @param position rises with each event; tells refunds what came before and after a charge
+   */
+  void refill(long nowNanos, long position) {
     if (nowNanos > lastNanos) {
       level += ratePerSecond * ((nowNanos - lastNanos) / NANOS_PER_SECOND);
       lastNanos = nowNanos;
     }
     cap();
-    record();
+    history.record(position, burst - outstanding - level);
   }
 
   /** Changes the bounds; a lowered burst takes effect at once. */
-  void setBounds(double newRatePerSecond, double newBurst, long nowNanos) {
-    refill(nowNanos);
+  void setBounds(double newRatePerSecond, double newBurst, long nowNanos, long position) {
+    refill(nowNanos, position);
     ratePerSecond = newRatePerSecond;
     burst = newBurst;
     cap();
-    record();
   }
 
   /** Takes units that are spent now, or a debt. */
@@ -86,25 +77,16 @@
   }
 
   /**
-   * Gives back units spent at or after a time that turned out not to be used. Only as much is given
-   * back as the bucket would hold had it never been spent; otherwise units that were already
+   * Gives back units spent after a position that turned out not to be used. Only as much is given
+   * back as the bucket would hold had they never been spent; otherwise units that were already
    * refilled in between would be admitted twice within one window.
    */
-  void refund(double units, long sinceNanos, long nowNanos) {
-    refill(nowNanos);
-    long oldest = newestSlice - SLICE_COUNT + 1;
-    long from = Math.max(oldest, Math.floorDiv(sinceNanos, SLICE_NANOS));
-    double allowed = units;
-    for (long slice = from; slice <= newestSlice; slice++) {
-      allowed = Math.min(allowed, leastHeadroom[slotOf(slice)]);
-    }
-    if (allowed <= 0) {
-      return;
+  void refund(double units, long sincePosition) {
+    double allowed = Math.min(units, history.getLeastSince(sincePosition));
+    if (allowed > 0) {
+      history.lowerSince(sincePosition, allowed);
+      level += allowed;
     }
-    for (long slice = from; slice <= newestSlice; slice++) {
-      leastHeadroom[slotOf(slice)] -= allowed;
-    }
-    level += allowed;
   }
 
   /** Returns the seconds until the level reaches an amount. */
@@ -115,23 +97,4 @@
   private void cap() {
     level = Math.min(level, burst - outstanding);
   }
-
-  private void record() {
-    long slice = Math.floorDiv(lastNanos, SLICE_NANOS);
-    long firstNew = Math.max(newestSlice + 1, slice - SLICE_COUNT + 1);
-    for (long fresh = firstNew; fresh <= slice; fresh++) {
-      // The slice that falls out is merged into its successor, which becomes the oldest.
-      double dropped = leastHeadroom[slotOf(fresh)];
-      int successor = slotOf(fresh + 1);
-      leastHeadroom[successor] = Math.min(leastHeadroom[successor], dropped);
-      leastHeadroom[slotOf(fresh)] = Double.POSITIVE_INFINITY;
-    }
-    newestSlice = Math.max(newestSlice, slice);
-    int slot = slotOf(newestSlice);
-    leastHeadroom[slot] = Math.min(leastHeadroom[slot], burst - outstanding - level);
-  }
-
-  private static int slotOf(long slice) {
-    return Math.floorMod(slice, SLICE_COUNT);
-  }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.gooseberryhook.coordination.QuotaDecision.Bound;
 import org.gooseberryhook.protocol.QuotaMessage.Grant;
 import org.gooseberryhook.protocol.QuotaMessage.Need;
@@ -29,8 +30,6 @@
   /** Time between announcements to a node that has not reported yet. */
   static final long ANNOUNCE_EVERY_NANOS = 500_000_000L;
 
-  private static final long NANOS_PER_MS = 1_000_000L;
-
   /** One shard; its monitor guards all fields. */
   private static final class Shard {
     private final Map<String, Contract> contracts = new HashMap<>();
@@ -64,6 +63,7 @@
 
   private final NodeId self;
   private final RunningRequests running;
+  private final Set<Integer> activeShards = ConcurrentHashMap.newKeySet();
   private final Shard[] shards = new Shard[QuotaShard.SHARD_COUNT];
 
   /**
@@ -109,6 +109,38 @@
     }
   }
 
+  /**
+   * Starts, extends and ends terms according to the leases that this node holds. To be called after
+   * each tick of the lease keeper and before a lease is released.
+   *
+   * @param held leases by key, as the lease keeper returns them; other duties are left out
+   * @param earlierHolders see {@link #beginTerm}
+   * @param nowNanos the time
+   */
+  public void setHeldLeases(
+      Map<String, DutyLeaseKeeper.HeldLease> held,
+      Collection<NodeId> earlierHolders,
+      long nowNanos) {
+    Set<Integer> heldShards = new HashSet<>();
+    held.forEach(
+        (key, lease) -> {
+          QuotaShard shard = QuotaShard.ofLeaseKey(key);
+          if (shard == null) {
+            return;
+          }
+          heldShards.add(shard.index());
+          long until = lease.usableUntilNanos();
+          if (!extendTerm(shard.index(), lease.fencingNumber(), until)) {
+            beginTerm(shard.index(), lease.fencingNumber(), until, earlierHolders, nowNanos);
+          }
+        });
+    for (int index : activeShards) {
+      if (!heldShards.contains(index)) {
+        endTerm(index);
+      }
+    }
+  }
+
   /**
    * Starts granting for a shard after its lease was acquired. The books start empty, and nothing is
    * granted until all grants of earlier holders of the lease have expired.
@@ -130,6 +162,7 @@
     synchronized (shard) {
       shard.term = term;
       shard.isActive = true;
+      activeShards.add(shardIndex);
       shard.usableUntilNanos = usableUntilNanos;
       shard.grantsFromNanos =
           nowNanos + QuotaLedger.GRANT_TTL_NANOS + QuotaLedger.EXPIRY_MARGIN_NANOS;
@@ -148,13 +181,16 @@
    * @param shardIndex the shard
    * @param term fencing number of the lease
    * @param usableUntilNanos when the lease may no longer be used
+   * @return false if this is not the present term
    */
-  public void extendTerm(int shardIndex, long term, long usableUntilNanos) {
+  public boolean extendTerm(int shardIndex, long term, long usableUntilNanos) {
     Shard shard = shards[shardIndex];
     synchronized (shard) {
-      if (shard.isActive && shard.term == term) {
+      boolean isPresent = shard.isActive && shard.term == term;
+      if (isPresent) {
         shard.usableUntilNanos = usableUntilNanos;
       }
+      return isPresent;
     }
   }
 
@@ -167,6 +203,7 @@
     Shard shard = shards[shardIndex];
     synchronized (shard) {
       shard.isActive = false;
+      activeShards.remove(shardIndex);
       shard.ledgers.clear();
       shard.unresolved.clear();
     }
@@ -179,7 +216,8 @@
    * @param node the node
    */
   public void removeHolder(NodeId node) {
-    for (Shard shard : shards) {
+    for (int index : activeShards) {
+      Shard shard = shards[index];
       synchronized (shard) {
         resolve(shard, node);
         shard.ledgers.values().forEach(ledger -> ledger.removeHolder(node));
@@ -209,7 +247,7 @@
    */
   public List<OutgoingMessage> tick(long nowNanos) {
     Map<NodeId, List<ShardTerm>> due = new LinkedHashMap<>();
-    for (int index = 0; index < shards.length; index++) {
+    for (int index : activeShards) {
       Shard shard = shards[index];
       synchronized (shard) {
         if (shard.isUsable(nowNanos)
@@ -259,7 +297,7 @@
         }
       }
     }
-    return new QuotaGiven(ask.sequence(), Math.floorDiv(nowNanos, NANOS_PER_MS), grants);
+    return new QuotaGiven(ask.sequence(), grants);
   }
 
   /** Admits a request of this node straight from the bucket. */
@@ -285,7 +323,7 @@
     synchronized (shard) {
       QuotaLedger ledger = shard.ledgers.get(admission.workspaceId());
       if (ledger != null && shard.term == admission.term()) {
-        ledger.settleLocal(admission.stampMs(), requestsBack, tokensBack, nowNanos);
+        ledger.settleLocal(admission.stamp(), requestsBack, tokensBack, nowNanos);
       }
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
@@ -17,6 +17,7 @@
 import org.gooseberryhook.protocol.QuotaMessage.QuotaGiven;
 import org.gooseberryhook.protocol.QuotaMessage.QuotaTerms;
 import org.gooseberryhook.protocol.QuotaMessage.ShardTerm;
+import org.gooseberryhook.protocol.QuotaUnits;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.NodeId;
 
@@ -37,6 +38,7 @@
   private final QuotaGrantor ownGrantor;
   private final RunningRequests running;
   private final Function<QuotaShard, NodeId> homeNode;
+  private final long grantTtlNanos;
   private final Map<String, Contract> contracts = new ConcurrentHashMap<>();
   private final Map<String, QuotaPocket> pockets = new ConcurrentHashMap<>();
   private final Map<Integer, KnownGrantor> grantors = new ConcurrentHashMap<>();
@@ -57,6 +59,17 @@
       QuotaGrantor ownGrantor,
       RunningRequests running,
       Function<QuotaShard, NodeId> homeNode) {
+    this(self, ownGrantor, running, homeNode, QuotaLedger.GRANT_TTL_NANOS);
+  }
+
+  /** Creates a holder whose grants live for another time; any other time than usual is unsafe. */
+  QuotaHolder(
+      NodeId self,
+      QuotaGrantor ownGrantor,
+      RunningRequests running,
+      Function<QuotaShard, NodeId> homeNode,
+      long grantTtlNanos) {
+    this.grantTtlNanos = grantTtlNanos;
     this.self = self;
     this.ownGrantor = ownGrantor;
     this.running = running;
@@ -119,7 +132,8 @@
     QuotaPocket pocket =
         isOwn
             ? pockets.get(workspaceId)
-            : pockets.computeIfAbsent(workspaceId, id -> new QuotaPocket(id, nowNanos));
+            : pockets.computeIfAbsent(
+                workspaceId, id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
     if (pocket != null) {
       synchronized (pocket) {
         boolean isUsable = !pocket.isExpired(nowNanos) && pocket.canTake(requestUnits, tokenUnits);
@@ -153,7 +167,8 @@
       return;
     }
     QuotaPocket pocket =
-        pockets.computeIfAbsent(admission.workspaceId(), id -> new QuotaPocket(id, nowNanos));
+        pockets.computeIfAbsent(
+            admission.workspaceId(), id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
     synchronized (pocket) {
       running.add(admission.workspaceId(), -1);
       pocket.settle(admission, requestsBack, tokensBack, nowNanos);
@@ -201,7 +216,7 @@
       KnownGrantor known = grantors.get(shard.index());
       long knownTerm = known == null ? 0 : known.term();
       synchronized (pocket) {
-        if (pocket.accept(from, given.sequence(), given.stampMs(), grant, knownTerm, nowNanos)) {
+        if (pocket.accept(from, given.sequence(), grant, knownTerm, nowNanos)) {
           setGrantor(shard, from, grant.term());
         }
       }
@@ -250,7 +265,7 @@
       int shard = QuotaShard.of(workspaceId).index();
       NodeId grantor = reported.containsKey(shard) ? grantors.get(shard).node() : null;
       if (grantor != null && due.containsKey(grantor)) {
-        pockets.computeIfAbsent(workspaceId, id -> new QuotaPocket(id, nowNanos));
+        pockets.computeIfAbsent(workspaceId, id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
         due.get(grantor).add(workspaceId);
       }
     }
@@ -286,11 +301,13 @@
     for (String workspaceId : workspaces) {
       Contract contract = contracts.get(workspaceId);
       QuotaPocket pocket = pockets.get(workspaceId);
+      long slotsInUse = running.get(workspaceId);
       if (contract == null || pocket == null) {
+        QuotaUnits inUse = QuotaUnits.of(0, 0, slotsInUse);
+        needs.add(new Need(workspaceId, 0, QuotaUnits.NONE, inUse, QuotaUnits.NONE, List.of()));
         continue;
       }
       synchronized (pocket) {
-        long slotsInUse = running.get(workspaceId);
         needs.add(pocket.toNeed(grantor, sequence, contract, slotsInUse, nowNanos));
       }
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
@@ -33,7 +33,7 @@
 
   /** Books of one holder. */
   private static final class Account {
-    private long createdMs;
+    private long firstStamp;
     private long lastSequence;
     private QuotaUnits reportedSpent = QuotaUnits.NONE;
     private long requests;
@@ -50,6 +50,10 @@
   private final QuotaBucket tokens;
   private Contract contract;
   private long ownSlots;
+
+  /** Rises with each event; the value after a grant is the stamp of what is spent from it. */
+  private long position;
+
   private long unresolvedUntilNanos;
   private boolean isResolved;
 
@@ -74,8 +78,9 @@
   void setContract(Contract newContract, long nowNanos) {
     contract = newContract;
     long from = Math.max(nowNanos, grantsFromNanos);
-    requests.setBounds(newContract.requestsPerSecond(), newContract.requestBurst(), from);
-    tokens.setBounds(newContract.tokensPerSecond(), newContract.tokenBurst(), from);
+    requests.setBounds(
+        newContract.requestsPerSecond(), newContract.requestBurst(), from, ++position);
+    tokens.setBounds(newContract.tokensPerSecond(), newContract.tokenBurst(), from, position);
   }
 
   /** Notes that all slots in use that earlier grantors gave are known. */
@@ -119,17 +124,13 @@
     ownSlots++;
     return new QuotaDecision.Admitted(
         new QuotaAdmission(
-            contract.workspaceId(),
-            term,
-            Math.floorDiv(nowNanos, NANOS_PER_MS),
-            requestUnits,
-            tokenUnits,
-            true));
+            contract.workspaceId(), term, position + 1, requestUnits, tokenUnits, true));
   }
 
   /** Settles a local admission of this term. */
-  void settleLocal(long stampMs, long requestsBack, long tokensBack, long nowNanos) {
-    correct(new Correction(0, stampMs, requestsBack, tokensBack), nowNanos);
+  void settleLocal(long stamp, long requestsBack, long tokensBack, long nowNanos) {
+    advance(nowNanos);
+    correct(new Correction(0, stamp, requestsBack, tokensBack));
   }
 
   /**
@@ -142,7 +143,7 @@
     Account account = accounts.get(holder);
     if (account == null) {
       account = new Account();
-      account.createdMs = Math.floorDiv(nowNanos, NANOS_PER_MS);
+      account.firstStamp = position + 1;
       account.expiresNanos = nowNanos;
       accounts.put(holder, account);
     }
@@ -158,19 +159,26 @@
     if (need.term() == term) {
       for (Correction correction : need.corrections()) {
         if (correction.firstSequence() > account.lastSequence
-            && (correction.stampMs() >= account.createdMs || correction.tokens() < 0)) {
-          correct(correction, nowNanos);
+            && (correction.stamp() >= account.firstStamp || correction.tokens() < 0)) {
+          correct(correction);
         }
       }
     }
     account.lastSequence = sequence;
+    long excessSlots = Math.max(0, getUsedSlots() - contract.maxConcurrentRequests());
     QuotaUnits granted =
         nowNanos < grantsFromNanos ? QuotaUnits.NONE : grant(account, need.wanted(), nowNanos);
     account.expiresNanos = nowNanos + GRANT_TTL_NANOS + EXPIRY_MARGIN_NANOS;
     account.slotsExpireNanos = account.expiresNanos + contract.maxDeadlineMs() * NANOS_PER_MS;
     long waitMs = Math.max(0, (grantsFromNanos - nowNanos) / NANOS_PER_MS);
     long retryAfterMs = Math.max(waitMs, retryAfterMs(1, perRequest(need.wanted())));
-    return new Grant(contract.workspaceId(), term, keepsHeld, granted, (int) retryAfterMs);
+    if (excessSlots > 0 && keepsHeld) {
+      // The slots count as used until the holder's next report proves that it gave them up.
+      long withdrawn = Math.min(excessSlots, need.held().slots());
+      granted = QuotaUnits.of(granted.requests(), granted.tokens(), -withdrawn);
+    }
+    return new Grant(
+        contract.workspaceId(), term, position + 1, keepsHeld, granted, (int) retryAfterMs);
   }
 
   private void reconcile(Account account, Need need, boolean keepsHeld) {
@@ -196,15 +204,14 @@
     return kept;
   }
 
-  private void correct(Correction correction, long nowNanos) {
-    long sinceNanos = correction.stampMs() * NANOS_PER_MS;
-    correct(requests, correction.requests(), sinceNanos, nowNanos);
-    correct(tokens, correction.tokens(), sinceNanos, nowNanos);
+  private void correct(Correction correction) {
+    correct(requests, correction.requests(), correction.stamp());
+    correct(tokens, correction.tokens(), correction.stamp());
   }
 
-  private static void correct(QuotaBucket bucket, long units, long sinceNanos, long nowNanos) {
+  private static void correct(QuotaBucket bucket, long units, long stamp) {
     if (units > 0) {
-      bucket.refund(units, sinceNanos, nowNanos);
+      bucket.refund(units, stamp);
     } else {
       bucket.spend(-units);
     }
@@ -255,11 +262,15 @@
     if (!isResolved && nowNanos < unresolvedUntilNanos) {
       return 0;
     }
+    return Math.max(0, contract.maxConcurrentRequests() - getUsedSlots());
+  }
+
+  private long getUsedSlots() {
     long used = ownSlots;
     for (Account account : accounts.values()) {
       used += account.slots;
     }
-    return Math.max(0, contract.maxConcurrentRequests() - used);
+    return used;
   }
 
   private void advance(long nowNanos) {
@@ -267,8 +278,9 @@
       return;
     }
     // Refilled first: until their expiry, units handed out counted against the burst.
-    requests.refill(nowNanos);
-    tokens.refill(nowNanos);
+    position++;
+    requests.refill(nowNanos, position);
+    tokens.refill(nowNanos, position);
     Iterator<Account> all = accounts.values().iterator();
     while (all.hasNext()) {
       Account account = all.next();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
@@ -50,6 +50,7 @@
   private static final double DEMAND_WEIGHT = 0.5;
 
   private final String workspaceId;
+  private final long grantTtlNanos;
   private long term;
   private long requests;
   private long tokens;
@@ -57,7 +58,7 @@
   private long spentRequests;
   private long spentTokens;
   private long expiresNanos;
-  private long stampMs;
+  private long stamp;
   private boolean isLive;
 
   private NodeId askedNode;
@@ -83,11 +84,12 @@
   private final List<Correction> corrections = new ArrayList<>();
   private long refundRequests;
   private long refundTokens;
-  private long refundStampMs;
+  private long refundStamp;
   private long debtTokens;
 
-  QuotaPocket(String workspaceId, long nowNanos) {
+  QuotaPocket(String workspaceId, long grantTtlNanos, long nowNanos) {
     this.workspaceId = workspaceId;
+    this.grantTtlNanos = grantTtlNanos;
     this.askSentNanos = nowNanos - LONGEST_INTERVAL_NANOS;
     this.nextUrgentNanos = nowNanos;
     this.lastUsedNanos = nowNanos;
@@ -118,7 +120,7 @@
     admittedRequests += requestUnits;
     admittedTokens += tokenUnits;
     return new QuotaDecision.Admitted(
-        new QuotaAdmission(workspaceId, term, stampMs, requestUnits, tokenUnits, false));
+        new QuotaAdmission(workspaceId, term, stamp, requestUnits, tokenUnits, false));
   }
 
   boolean canTake(long requestUnits, long tokenUnits) {
@@ -154,7 +156,7 @@
     }
     if (requestsBack > 0 || tokensBack > 0) {
       boolean isFirst = refundRequests == 0 && refundTokens == 0;
-      refundStampMs = isFirst ? admission.stampMs() : Math.min(refundStampMs, admission.stampMs());
+      refundStamp = isFirst ? admission.stamp() : Math.min(refundStamp, admission.stamp());
       refundRequests += requestsBack;
       refundTokens += Math.max(0, tokensBack);
     }
@@ -253,12 +255,12 @@
       return;
     }
     if (refundRequests > 0 || refundTokens > 0) {
-      corrections.add(new Correction(sequence, refundStampMs, refundRequests, refundTokens));
+      corrections.add(new Correction(sequence, refundStamp, refundRequests, refundTokens));
       refundRequests = 0;
       refundTokens = 0;
     }
     if (debtTokens > 0) {
-      corrections.add(new Correction(sequence, stampMs, 0, -debtTokens));
+      corrections.add(new Correction(sequence, stamp, 0, -debtTokens));
       debtTokens = 0;
     }
   }
@@ -273,12 +275,11 @@
    *
    * @return true if the answer was used
    */
-  boolean accept(
-      NodeId from, long sequence, long answerStampMs, Grant grant, long knownTerm, long nowNanos) {
+  boolean accept(NodeId from, long sequence, Grant grant, long knownTerm, long nowNanos) {
     expire(nowNanos);
     boolean isExpected =
         isAskOpen && sequence == askSequence && from.equals(askedNode) && grant.term() >= knownTerm;
-    long newExpiry = askSentNanos + QuotaLedger.GRANT_TTL_NANOS;
+    long newExpiry = askSentNanos + grantTtlNanos;
     if (!isExpected || nowNanos - newExpiry >= 0) {
       return false;
     }
@@ -295,8 +296,8 @@
     }
     requests += grant.granted().requests();
     tokens += grant.granted().tokens();
-    slots += grant.granted().slots();
-    stampMs = answerStampMs;
+    slots = Math.max(0, slots + grant.granted().slots());
+    stamp = grant.stamp();
     expiresNanos = newExpiry;
     isLive = true;
     payDebt();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaShard.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaShard.java
@@ -38,6 +38,18 @@
     return new QuotaShard((int) Math.floorMod(hash, (long) SHARD_COUNT));
   }
 
+  /**
+   * Returns the shard of a lease key.
+   *
+   * @param leaseKey key of a duty lease
+   * @return the shard, or null if the lease is of another duty
+   */
+  public static QuotaShard ofLeaseKey(String leaseKey) {
+    return leaseKey.startsWith(LEASE_PREFIX)
+        ? new QuotaShard(Integer.parseInt(leaseKey.substring(LEASE_PREFIX.length())))
+        : null;
+  }
+
   /**
    * Returns the key of the duty lease of this shard's grantor.
    *
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/TableCall.java
@@ -0,0 +1,38 @@
+package org.gooseberryhook.coordination;
+
+import java.util.List;
+import org.gooseberryhook.protocol.TableOperation;
+
+/**
+ * A call to the table service that the caller should make. Its result goes back with the call id; a
+ * call that gets no result must be answered with {@code Unknown}.
+ *
+ * @since 0.1
+ */
+public sealed interface TableCall {
+
+  /**
+   * Returns the id of the call.
+   *
+   * @return the id
+   */
+  long callId();
+
+  /**
+   * A transaction.
+   *
+   * @param callId id of the call
+   * @param operations the operations
+   * @since 0.1
+   */
+  record Transact(long callId, List<TableOperation> operations) implements TableCall {}
+
+  /**
+   * A read of one record.
+   *
+   * @param callId id of the call
+   * @param key the key
+   * @since 0.1
+   */
+  record Get(long callId, String key) implements TableCall {}
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/QuotaMessage.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/QuotaMessage.java
@@ -28,12 +28,11 @@
    * Answers {@link QuotaAsk}.
    *
    * @param sequence number of the ask
-   * @param stampMs the grantor's monotonic clock, rounded down; only the grantor interprets it
    * @param grants one entry per workspace for which the sender is the grantor
    * @since 0.1
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record QuotaGiven(long sequence, long stampMs, List<Grant> grants) implements QuotaMessage {}
+  record QuotaGiven(long sequence, List<Grant> grants) implements QuotaMessage {}
 
   /**
    * Tells that the sender is the grantor of shards, and asks for a complete report of each.
@@ -78,25 +77,32 @@
    * Difference between what was charged at admission and what ran.
    *
    * @param firstSequence ask that carried this correction first; it is applied once
-   * @param stampMs grantor's stamp that is not later than the admissions concerned
+   * @param stamp stamp of a grant that is not later than the admissions concerned
    * @param requests request units to give back
    * @param tokens token units to give back; negative for a debt
    * @since 0.1
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record Correction(long firstSequence, long stampMs, long requests, long tokens) {}
+  record Correction(long firstSequence, long stamp, long requests, long tokens) {}
 
   /**
    * Units for one workspace.
    *
    * @param workspaceId the workspace
    * @param term fencing number of the grantor
+   * @param stamp position in the grantor's books, which corrections repeat
    * @param keepsHeld whether the units reported as held stay usable
-   * @param granted additional units
+   * @param granted additional units; a negative number of slots withdraws idle ones after a
+   *     contract was lowered
    * @param retryAfterMs time until more units are likely to be free, in milliseconds
    * @since 0.1
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Grant(
-      String workspaceId, long term, boolean keepsHeld, QuotaUnits granted, int retryAfterMs) {}
+      String workspaceId,
+      long term,
+      long stamp,
+      boolean keepsHeld,
+      QuotaUnits granted,
+      int retryAfterMs) {}
 }
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/ContractLimitsTest.java
@@ -0,0 +1,48 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import org.gooseberryhook.coordination.SimulatedCluster.Variant;
+import org.junit.jupiter.api.Test;
+
+/** Guards the bounds of contracts and the single holder of leases against faults of every kind. */
+class ContractLimitsTest {
+
+  private static final int SECONDS = 90;
+
+  /** Guards against double admission and double holders under loss, pauses, deaths and outages. */
+  @Property(tries = 60, seed = "20261203", shrinking = ShrinkingMode.OFF)
+  void boundsAndSingleHoldersSurviveFaults(
+      @ForAll long seed, @ForAll @IntRange(min = 3, max = 5) int nodeCount) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, nodeCount, Variant.CORRECT);
+    cluster.run(SECONDS);
+    assertThat(cluster.violations).isEmpty();
+    assertThat(cluster.admitted).as("admitted requests").isGreaterThan(200);
+  }
+
+  /** Guards against an oracle that is blind to holders which use expired grants. */
+  @Test
+  void theOracleCatchesAHolderThatIgnoresGrantExpiry() {
+    assertThat(countViolatingRuns(Variant.IGNORES_GRANT_EXPIRY)).isPositive();
+  }
+
+  /** Guards against an oracle that is blind to two holders of one lease. */
+  @Test
+  void theOracleCatchesAnAcquirerThatDoesNotWait() {
+    assertThat(countViolatingRuns(Variant.ACQUIRES_WITHOUT_WAITING)).isPositive();
+  }
+
+  private static int countViolatingRuns(Variant variant) {
+    int count = 0;
+    for (int seed = 1; seed <= 20; seed++) {
+      SimulatedCluster cluster = new SimulatedCluster(seed, 4, variant);
+      cluster.run(SECONDS);
+      count += cluster.violations.isEmpty() ? 0 : 1;
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/DutyLeaseKeeperTest.java
@@ -0,0 +1,136 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.protocol.FakeTableService;
+import org.gooseberryhook.protocol.PledgeMessage.PledgeAsk;
+import org.gooseberryhook.protocol.PledgeMessage.PledgeGiven;
+import org.gooseberryhook.protocol.PledgeMessage.PledgeRelease;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.state.NodeId;
+import org.junit.jupiter.api.Test;
+
+class DutyLeaseKeeperTest {
+
+  private static final long MS = 1_000_000L;
+  private static final String KEY = "duty/quota/7";
+
+  private final FakeTableService table = new FakeTableService();
+  private final List<NodeId> ids =
+      List.of(NodeId.of("10.0.0.1:7000", 1), NodeId.of("10.0.0.2:7000", 1));
+  private final List<DutyLeaseKeeper> keepers = new ArrayList<>();
+  private long now;
+
+  private void run(long millis) {
+    for (long end = now + millis * MS; now < end; now += 20 * MS) {
+      for (int index = 0; index < keepers.size(); index++) {
+        step(index);
+      }
+    }
+  }
+
+  private void step(int index) {
+    DutyLeaseKeeper keeper = keepers.get(index);
+    LeaseActions actions = keeper.tick(now);
+    for (TableCall call : actions.calls()) {
+      TableResult result =
+          call instanceof TableCall.Get get
+              ? table.get(get.key()).join()
+              : table.transact(((TableCall.Transact) call).operations()).join();
+      keeper.onTableResult(call.callId(), result, now);
+    }
+    for (OutgoingMessage sent : actions.messages()) {
+      DutyLeaseKeeper to = keepers.get(ids.indexOf(sent.to()));
+      if (sent.message() instanceof PledgeAsk ask) {
+        to.onPledgeAsk(ids.get(index), ask, now);
+      } else if (sent.message() instanceof PledgeGiven given) {
+        to.onPledgeGiven(ids.get(index), given, now);
+      } else if (sent.message() instanceof PledgeRelease release) {
+        to.onPledgeRelease(ids.get(index), release);
+      }
+    }
+  }
+
+  private void startBoth() {
+    ids.forEach(id -> keepers.add(new DutyLeaseKeeper(id, LeaseTiming.of(3000 * MS))));
+    keepers.get(0).setDuties(Map.of(KEY, List.of(ids.get(1))));
+    run(200);
+    assertThat(keepers.get(0).isHolder(KEY, now)).isTrue();
+  }
+
+  /** Guards against limits that refuse everything while the table service is away. */
+  @Test
+  void aPledgedHolderGoesOnThroughAnOutageAndTheLeaseMovesAfterwards() {
+    startBoth();
+    keepers.get(1).setDuties(Map.of(KEY, List.of(ids.get(0))));
+    table.setFault(FakeTableService.Fault.AWAY);
+    for (int second = 0; second < 60; second++) {
+      run(1000);
+      assertThat(keepers.get(0).isHolder(KEY, now)).isTrue();
+      assertThat(keepers.get(1).isHolder(KEY, now)).isFalse();
+    }
+    table.setFault(FakeTableService.Fault.NONE);
+    run(3000);
+    assertThat(keepers.get(0).getHeld(now).get(KEY).fencingNumber()).isEqualTo(1);
+    keepers.remove(0);
+    // Only the deputy is left; it was released from its promise when renewals worked again.
+    ids.get(0);
+    for (long end = now + 6000 * MS; now < end; now += 20 * MS) {
+      stepAlone(keepers.get(0));
+    }
+    assertThat(keepers.get(0).getHeld(now).get(KEY).fencingNumber()).isEqualTo(2);
+  }
+
+  private void stepAlone(DutyLeaseKeeper keeper) {
+    for (TableCall call : keeper.tick(now).calls()) {
+      TableResult result =
+          call instanceof TableCall.Get get
+              ? table.get(get.key()).join()
+              : table.transact(((TableCall.Transact) call).operations()).join();
+      keeper.onTableResult(call.callId(), result, now);
+    }
+  }
+
+  /** Guards against a holder that goes on in an outage although its deputy is not reachable. */
+  @Test
+  void aHolderWithoutPledgesStopsInTime() {
+    startBoth();
+    table.setFault(FakeTableService.Fault.AWAY);
+    for (long end = now + 2400 * MS; now < end; now += 20 * MS) {
+      stepAlone(keepers.get(0));
+    }
+    assertThat(keepers.get(0).isHolder(KEY, now)).isFalse();
+  }
+
+  /** Guards against a graceful stop after which the duty rests for a whole time to live. */
+  @Test
+  void aReleasedLeaseIsTakenOverAtOnceUnderTheNextNumber() {
+    startBoth();
+    keepers.get(1).setDuties(Map.of(KEY, List.of()));
+    run(200);
+    keepers.get(0).stop();
+    run(1200);
+    assertThat(keepers.get(0).isReleased()).isTrue();
+    assertThat(keepers.get(1).getHeld(now).get(KEY).fencingNumber()).isEqualTo(2);
+  }
+
+  /** Guards against a lost answer that is taken for a failure, or for success without proof. */
+  @Test
+  void anAcquisitionWhoseAnswerWasLostIsReadBack() {
+    DutyLeaseKeeper keeper = new DutyLeaseKeeper(ids.get(0), LeaseTiming.of(3000 * MS));
+    keepers.add(keeper);
+    keeper.setDuties(Map.of(KEY, List.of()));
+    stepAlone(keeper);
+    table.setFault(FakeTableService.Fault.LOST_AFTER_EFFECT);
+    now += 20 * MS;
+    stepAlone(keeper);
+    assertThat(keeper.isHolder(KEY, now)).isFalse();
+    table.setFault(FakeTableService.Fault.NONE);
+    now += 20 * MS;
+    stepAlone(keeper);
+    assertThat(keeper.getHeld(now).get(KEY).fencingNumber()).isEqualTo(1);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
@@ -0,0 +1,103 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaAsk;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.NodeId;
+import org.gooseberryhook.state.PriorityClass;
+import org.junit.jupiter.api.Test;
+
+class QuotaHolderTest {
+
+  private static final long MS = 1_000_000L;
+  private static final String WORKSPACE = "acme";
+
+  private final NodeId home = NodeId.of("10.0.0.1:7000", 1);
+  private final NodeId other = NodeId.of("10.0.0.2:7000", 1);
+  private final RunningRequests running = new RunningRequests();
+  private final QuotaGrantor grantor = new QuotaGrantor(home, running);
+  private final QuotaHolder local = new QuotaHolder(home, grantor, running, shard -> home);
+  private final QuotaHolder remote =
+      new QuotaHolder(
+          other, new QuotaGrantor(other, running), new RunningRequests(), shard -> home);
+  private long now;
+
+  private void start(long tokensPerSecond) {
+    Contract contract =
+        new Contract(
+            WORKSPACE,
+            PriorityClass.BATCH,
+            1000,
+            1000,
+            tokensPerSecond,
+            1000,
+            100,
+            null,
+            null,
+            1,
+            1,
+            0,
+            1000,
+            null);
+    grantor.setContract(contract, now);
+    local.setContract(contract);
+    remote.setContract(contract);
+    String key = QuotaShard.of(WORKSPACE).toLeaseKey();
+    grantor.setHeldLeases(
+        Map.of(key, new DutyLeaseKeeper.HeldLease(1, Long.MAX_VALUE)), List.of(), now);
+    now += 2_000_000 * MS;
+  }
+
+  private void exchange() {
+    for (OutgoingMessage sent : remote.tick(now)) {
+      remote.onGiven(home, grantor.onAsk(other, (QuotaAsk) sent.message(), now), now);
+    }
+    now += 20 * MS;
+  }
+
+  /** Guards against estimates that are too low and are never paid for, here and at other nodes. */
+  @Test
+  void overspendingIsADebtThatIsPaidBeforeFurtherAdmission() {
+    start(100);
+    remote.tryAdmit(WORKSPACE, 1, 100, now);
+    exchange();
+    QuotaDecision decision = remote.tryAdmit(WORKSPACE, 1, 100, now);
+    QuotaAdmission admission = ((QuotaDecision.Admitted) decision).admission();
+    remote.settle(admission, true, 2000, now);
+    exchange();
+    exchange();
+    assertThat(local.tryAdmit(WORKSPACE, 1, 1, now)).isInstanceOf(QuotaDecision.Limited.class);
+    // 1,000 of burst less 2,000 spent leaves a debt of 1,000, paid at 100 a second.
+    now += 9_500 * MS;
+    assertThat(local.tryAdmit(WORKSPACE, 1, 1, now)).isInstanceOf(QuotaDecision.Limited.class);
+    now += 1_000 * MS;
+    assertThat(local.tryAdmit(WORKSPACE, 1, 1, now)).isInstanceOf(QuotaDecision.Admitted.class);
+  }
+
+  /** Guards against work that did not run but is charged. */
+  @Test
+  void workThatDidNotRunCostsNothing() {
+    start(1);
+    for (int round = 0; round < 5; round++) {
+      QuotaDecision decision = local.tryAdmit(WORKSPACE, 1, 900, now);
+      assertThat(decision).isInstanceOf(QuotaDecision.Admitted.class);
+      local.settle(((QuotaDecision.Admitted) decision).admission(), false, 0, now);
+    }
+    assertThat(running.get(WORKSPACE)).isZero();
+  }
+
+  /** Guards against units that stay at a node whose demand is gone. */
+  @Test
+  void unusedUnitsAreReturnedWhenDemandFalls() {
+    start(1);
+    remote.tryAdmit(WORKSPACE, 1, 1000, now);
+    exchange();
+    assertThat(local.tryAdmit(WORKSPACE, 1, 500, now)).isInstanceOf(QuotaDecision.Limited.class);
+    now += 600 * MS;
+    exchange();
+    assertThat(local.tryAdmit(WORKSPACE, 1, 500, now)).isInstanceOf(QuotaDecision.Admitted.class);
+  }
+}
