Group the record writes of once-only calls

Cause: Two transactions per call would use up the table service at 150 calls/s (design section 10). Change: OnceRecordBatcher groups writes of 20 ms and up to 100 records and settles each as if it were sent alone. Asking for an outcome is added to OnceCall.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceCall.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceCall.java
@@ -36,6 +36,7 @@
 
   private enum Phase {
     NEW,
+    ASKING,
     CLAIMING,
     READING_CLAIM,
     PAUSING_CLAIM,
@@ -94,7 +95,8 @@
       answerAtDeadline();
     }
     switch (phase) {
-      case NEW -> claim(0, nowNanos);
+      case NEW -> onStart(event, nowNanos);
+      case ASKING -> onAsked(event);
       case CLAIMING -> onClaimWrite(event, nowNanos);
       case READING_CLAIM -> onClaimRead(event, nowNanos);
       case DISPATCHED -> onDispatched(event);
@@ -106,10 +108,40 @@
     return List.copyOf(decisions);
   }
 
+  private void onStart(OnceEvent event, long nowNanos) {
+    if (event instanceof OnceEvent.Start) {
+      claim(0, nowNanos);
+    } else if (event instanceof OnceEvent.Ask) {
+      phase = Phase.ASKING;
+      decisions.add(new OnceDecision.Read());
+    }
+  }
+
+  private void onAsked(OnceEvent event) {
+    if (event instanceof OnceEvent.ReadFailed failed) {
+      answerLast(new OnceResult.Unknown(failed.reason()));
+    } else if (event instanceof OnceEvent.ReadBack read) {
+      if (read.current() == null || read.current().record().state() == OnceState.NOT_RUN) {
+        // A newer claim may still be on its way to the store, so this proves nothing about it.
+        answerLast(
+            new OnceResult.Unknown(
+                "no call with this key is recorded as run; repeat it under the same key"));
+      } else if (read.current().record().state() == OnceState.RAN) {
+        answerLast(ranOf(read.current().record()));
+      } else {
+        onOtherClaim(read.current());
+      }
+    }
+  }
+
+  private void answerLast(OnceResult result) {
+    answer(result);
+    phase = Phase.DONE;
+  }
+
   private void claim(long expectedVersion, long nowNanos) {
     if (claimWrites == MAX_CLAIM_WRITES || isPast(request.deadlineNanos(), nowNanos)) {
-      answer(notRun(ProblemKind.OVERLOADED, "the key changed hands while it was claimed"));
-      phase = Phase.DONE;
+      answerLast(notRun(ProblemKind.OVERLOADED, "the key changed hands while it was claimed"));
       return;
     }
     claimSentNanos = nowNanos;
@@ -180,16 +212,14 @@
     } else if (current == null) {
       claim(0, nowNanos);
     } else if (!current.record().digest().equals(request.digest())) {
-      answer(
+      answerLast(
           new OnceResult.NotRun(
               Problem.of(ProblemKind.KEY_REUSED, "the key belongs to a different request")));
-      phase = Phase.DONE;
     } else {
       switch (current.record().state()) {
         case NOT_RUN -> claim(current.version(), nowNanos);
         case RAN -> {
-          answer(ranOf(current.record()));
-          phase = Phase.DONE;
+          answerLast(ranOf(current.record()));
         }
         default -> onOtherClaim(current);
       }
@@ -200,8 +230,7 @@
     if (current.record().state() == OnceState.CLAIMED) {
       ownClaim(current.version(), nowNanos);
     } else if (current.record().state() == OnceState.RAN) {
-      answer(ranOf(current.record()));
-      phase = Phase.DONE;
+      answerLast(ranOf(current.record()));
     } else {
       version = current.version();
       mayApplyLate = true;
@@ -221,8 +250,7 @@
       settlement = OnceSettlement.ofOtherClaim(current.version(), current.record(), answer, pause);
       settlement.startLookup(decisions);
     } else {
-      answer(answer);
-      phase = Phase.DONE;
+      answerLast(answer);
     }
   }
 
@@ -285,7 +313,7 @@
         answer(
             notRun(ProblemKind.DEADLINE, "the claim took too long; the call was not dispatched"));
       }
-      case DISPATCHED -> answer(new OnceResult.Unknown("no answer within the deadline"));
+      case ASKING, DISPATCHED -> answer(new OnceResult.Unknown("no answer within the deadline"));
       case SETTLING -> settlement.answerHeld(decisions);
       default -> {}
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceEvent.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceEvent.java
@@ -28,6 +28,13 @@
    */
   record Start() implements OnceEvent {}
 
+  /**
+   * A caller asks for the outcome of a key without calling; takes the place of {@link Start}.
+   *
+   * @since 0.1
+   */
+  record Ask() implements OnceEvent {}
+
   /**
    * The claim or outcome was written.
    *
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceRecordBatcher.java
@@ -0,0 +1,206 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+
+/**
+ * Groups conditional record writes in transactions. Each write gets the result that it would have
+ * got alone: when a group meets a conflict, the writes at fault get {@code Conflict} and the others
+ * are sent again in a group of their own. When the answer of a group is lost, each write gets
+ * {@code Unknown} and its owner reads its record back.
+ *
+ * <p>Not thread-safe. The owner calls {@link #poll} at {@link #getDueNanos} and after each change.
+ *
+ * @since 0.1
+ */
+public final class OnceRecordBatcher {
+
+  /** Longest time that a write waits for others. */
+  public static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Records in one transaction at most. */
+  public static final int MAX_RECORDS = 100;
+
+  /** Writes waiting or in flight at most; further ones are refused. */
+  public static final int MAX_PENDING = 20_000;
+
+  /**
+   * A transaction to send.
+   *
+   * @param groupId number to report the result under
+   * @param operations the writes, on distinct keys
+   * @since 0.1
+   */
+  public record Group(long groupId, List<TableOperation> operations) {}
+
+  /**
+   * The result of one write.
+   *
+   * @param ticket number that the owner gave the write
+   * @param result the result as if the write had been sent alone
+   * @since 0.1
+   */
+  public record Settled(long ticket, TableResult result) {}
+
+  private record Entry(long ticket, TableOperation operation, long addedNanos) {}
+
+  private final long maxWaitNanos;
+  private final ArrayDeque<Entry> waiting = new ArrayDeque<>();
+  private final ArrayDeque<List<Entry>> again = new ArrayDeque<>();
+  private final Map<Long, List<Entry>> inFlight = new HashMap<>();
+  private long lastGroupId;
+  private int pendingCount;
+
+  /**
+   * Creates a batcher.
+   *
+   * @param maxWaitNanos longest time that a write waits for others
+   */
+  public OnceRecordBatcher(long maxWaitNanos) {
+    this.maxWaitNanos = maxWaitNanos;
+  }
+
+  /**
+   * Adds a write.
+   *
+   * @param ticket number to report the result under, not in use by another write
+   * @param operation the write
+   * @param nowNanos monotonic clock
+   * @return false if too many writes are pending; the write is then not sent
+   */
+  public boolean add(long ticket, TableOperation operation, long nowNanos) {
+    if (pendingCount == MAX_PENDING) {
+      return false;
+    }
+    pendingCount++;
+    waiting.add(new Entry(ticket, operation, nowNanos));
+    return true;
+  }
+
+  /**
+   * Returns when the next group must be sent.
+   *
+   * @param nowNanos monotonic clock
+   * @return the time, or empty if no write waits
+   */
+  public Optional<Long> getDueNanos(long nowNanos) {
+    if (!again.isEmpty() || waiting.size() >= MAX_RECORDS) {
+      return Optional.of(nowNanos);
+    }
+    return waiting.isEmpty()
+        ? Optional.empty()
+        : Optional.of(waiting.peek().addedNanos + maxWaitNanos);
+  }
+
+  /**
+   * Takes the groups that are due.
+   *
+   * @param nowNanos monotonic clock
+   * @return the groups to send now
+   */
+  public List<Group> poll(long nowNanos) {
+    List<Group> groups = new ArrayList<>();
+    while (!again.isEmpty()) {
+      groups.add(toGroup(again.poll()));
+    }
+    while (isDue(nowNanos)) {
+      groups.add(toGroup(takeDistinct()));
+    }
+    return groups;
+  }
+
+  private boolean isDue(long nowNanos) {
+    return waiting.size() >= MAX_RECORDS
+        || !waiting.isEmpty() && nowNanos - waiting.peek().addedNanos >= maxWaitNanos;
+  }
+
+  /** Takes the oldest writes; a second write of the same key stays for the next group. */
+  private List<Entry> takeDistinct() {
+    List<Entry> taken = new ArrayList<>();
+    Set<String> keys = new HashSet<>();
+    Iterator<Entry> entries = waiting.iterator();
+    while (entries.hasNext() && taken.size() < MAX_RECORDS) {
+      Entry entry = entries.next();
+      if (keys.add(entry.operation.key())) {
+        taken.add(entry);
+        entries.remove();
+      }
+    }
+    return taken;
+  }
+
+  private Group toGroup(List<Entry> entries) {
+    lastGroupId++;
+    inFlight.put(lastGroupId, entries);
+    return new Group(lastGroupId, entries.stream().map(Entry::operation).toList());
+  }
+
+  /**
+   * Handles the result of a group. Writes that are not in the returned list are sent again by the
+   * next {@link #poll}.
+   *
+   * @param groupId number of the group; a number that is not in flight is ignored
+   * @param result the result of the transaction
+   * @return the writes that are settled
+   */
+  public List<Settled> onResult(long groupId, TableResult result) {
+    List<Entry> entries = inFlight.remove(groupId);
+    if (entries == null) {
+      return List.of();
+    }
+    List<Settled> settled = new ArrayList<>();
+    if (result instanceof TableResult.Conflict conflict) {
+      split(entries, conflict, settled);
+    } else {
+      for (int index = 0; index < entries.size(); index++) {
+        settled.add(new Settled(entries.get(index).ticket, toSingle(result, index)));
+      }
+    }
+    pendingCount -= settled.size();
+    return settled;
+  }
+
+  private static TableResult toSingle(TableResult result, int index) {
+    return result instanceof TableResult.Committed committed
+        ? new TableResult.Committed(List.of(committed.versions().get(index)))
+        : result;
+  }
+
+  private void split(List<Entry> entries, TableResult.Conflict conflict, List<Settled> settled) {
+    Map<String, TableRecord> current =
+        conflict.current().stream()
+            .collect(Collectors.toMap(TableRecord::key, Function.identity()));
+    List<Entry> others = new ArrayList<>();
+    for (Entry entry : entries) {
+      TableRecord record = current.get(entry.operation.key());
+      long version = record == null ? 0 : record.version();
+      if (version != entry.operation.expectedVersion() || entries.size() == 1) {
+        List<TableRecord> shown = record == null ? List.of() : List.of(record);
+        settled.add(new Settled(entry.ticket, new TableResult.Conflict(shown)));
+      } else {
+        others.add(entry);
+      }
+    }
+    if (others.size() == entries.size()) {
+      // The answer shows no culprit; halving finds it in a bounded number of rounds.
+      int half = others.size() / 2;
+      again.add(others.subList(0, half));
+      again.add(others.subList(half, others.size()));
+    } else if (!others.isEmpty()) {
+      again.add(others);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OnceRecordBatcherTest.java
@@ -0,0 +1,77 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhook.coordination.OnceRecordBatcher.Settled;
+import org.gooseberryhook.protocol.FakeTableService;
+import org.gooseberryhook.protocol.FakeTableService.Fault;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableResult;
+import org.junit.jupiter.api.Test;
+
+class OnceRecordBatcherTest {
+
+  /** Guards against a conflict or lost answer of one write that changes the result of another. */
+  @Property(tries = 300, seed = "31")
+  void eachWriteIsSettledOnceAsIfItWereSentAlone(@ForAll long seed) {
+    Random random = new Random(seed);
+    FakeTableService table = new FakeTableService();
+    OnceRecordBatcher batcher = new OnceRecordBatcher(0);
+    Map<Long, TableOperation> writes = new HashMap<>();
+    for (int key = 0; key < 20; key++) {
+      table.transact(List.of(TableOperation.ofPut("taken" + key, 0, "old"))).join();
+    }
+    for (long ticket = 0; ticket < 400; ticket++) {
+      String key = (random.nextInt(20) == 0 ? "taken" : "free") + random.nextInt(300);
+      writes.put(ticket, TableOperation.ofPut(key, 0, "by" + ticket));
+      batcher.add(ticket, writes.get(ticket), 0);
+    }
+    List<Settled> settled = new ArrayList<>();
+    while (batcher.getDueNanos(0).isPresent()) {
+      for (OnceRecordBatcher.Group group : batcher.poll(0)) {
+        assertThat(group.operations()).hasSizeLessThanOrEqualTo(OnceRecordBatcher.MAX_RECORDS);
+        boolean isLost = random.nextInt(6) == 0;
+        table.setFault(isLost ? Fault.LOST_AFTER_EFFECT : Fault.NONE);
+        settled.addAll(
+            batcher.onResult(group.groupId(), table.transact(group.operations()).join()));
+      }
+    }
+    table.setFault(Fault.NONE);
+    assertThat(settled).extracting(Settled::ticket).doesNotHaveDuplicates().hasSize(400);
+    for (Settled one : settled) {
+      String key = writes.get(one.ticket()).key();
+      var records = ((TableResult.Read) table.get(key).join()).records();
+      boolean isWriter = !records.isEmpty() && records.get(0).value().equals("by" + one.ticket());
+      if (one.result() instanceof TableResult.Committed committed) {
+        assertThat(isWriter).isTrue();
+        assertThat(committed.versions()).containsExactly(records.get(0).version());
+      } else if (one.result() instanceof TableResult.Conflict conflict) {
+        assertThat(isWriter).isFalse();
+        assertThat(conflict.current()).isEqualTo(records);
+      } else {
+        assertThat(one.result()).isInstanceOf(TableResult.Unknown.class);
+      }
+    }
+  }
+
+  /** Guards against writes that wait too long or go out one by one, and against endless memory. */
+  @Test
+  void aGroupIsSentAtItsDueTimeOrWhenItIsFull() {
+    OnceRecordBatcher batcher = new OnceRecordBatcher(OnceRecordBatcher.MAX_WAIT_NANOS);
+    batcher.add(1, TableOperation.ofPut("a", 0, "x"), 5);
+    assertThat(batcher.getDueNanos(5)).contains(5 + OnceRecordBatcher.MAX_WAIT_NANOS);
+    assertThat(batcher.poll(4 + OnceRecordBatcher.MAX_WAIT_NANOS)).isEmpty();
+    for (long ticket = 2; ticket <= OnceRecordBatcher.MAX_PENDING; ticket++) {
+      assertThat(batcher.add(ticket, TableOperation.ofPut("k" + ticket, 0, "x"), 6)).isTrue();
+    }
+    assertThat(batcher.add(0, TableOperation.ofPut("b", 0, "x"), 6)).isFalse();
+    assertThat(batcher.poll(6)).hasSize(200).allMatch(group -> group.operations().size() == 100);
+  }
+}
