Run once-only and idempotent service calls

Cause: The state machine of once-only calls needs ports, a thread, deadlines and bounds before a node can serve callers. Groups and pending writes are also bounded in characters. The oracle now checks that open claims are never told as not-run and that lost answers are settled, each with a broken variant.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceRecordBatcher.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceRecordBatcher.java
@@ -34,9 +34,15 @@
   /** Records in one transaction at most. */
   public static final int MAX_RECORDS = 100;
 
+  /** Characters of the values in one transaction at most, beyond its first record. */
+  public static final int MAX_GROUP_CHARS = 512 * 1024;
+
   /** Writes waiting or in flight at most; further ones are refused. */
   public static final int MAX_PENDING = 20_000;
 
+  /** Characters of all values waiting or in flight at most; further writes are refused. */
+  public static final long MAX_PENDING_CHARS = 32L * 1024 * 1024;
+
   /**
    * A transaction to send.
    *
@@ -55,7 +61,12 @@
    */
   public record Settled(long ticket, TableResult result) {}
 
-  private record Entry(long ticket, TableOperation operation, long addedNanos) {}
+  private record Entry(long ticket, TableOperation operation, long addedNanos) {
+
+    private int getChars() {
+      return operation.value() == null ? 0 : operation.value().length();
+    }
+  }
 
   private final long maxWaitNanos;
   private final ArrayDeque<Entry> waiting = new ArrayDeque<>();
@@ -63,6 +74,7 @@
   private final Map<Long, List<Entry>> inFlight = new HashMap<>();
   private long lastGroupId;
   private int pendingCount;
+  private long pendingChars;
 
   /**
    * Creates a batcher.
@@ -82,11 +94,13 @@
    * @return false if too many writes are pending; the write is then not sent
    */
   public boolean add(long ticket, TableOperation operation, long nowNanos) {
-    if (pendingCount == MAX_PENDING) {
+    Entry entry = new Entry(ticket, operation, nowNanos);
+    if (pendingCount == MAX_PENDING || pendingChars + entry.getChars() > MAX_PENDING_CHARS) {
       return false;
     }
     pendingCount++;
-    waiting.add(new Entry(ticket, operation, nowNanos));
+    pendingChars += entry.getChars();
+    waiting.add(entry);
     return true;
   }
 
@@ -132,9 +146,11 @@
     List<Entry> taken = new ArrayList<>();
     Set<String> keys = new HashSet<>();
     Iterator<Entry> entries = waiting.iterator();
-    while (entries.hasNext() && taken.size() < MAX_RECORDS) {
+    long chars = 0;
+    while (entries.hasNext() && taken.size() < MAX_RECORDS && chars < MAX_GROUP_CHARS) {
       Entry entry = entries.next();
       if (keys.add(entry.operation.key())) {
+        chars += entry.getChars();
         taken.add(entry);
         entries.remove();
       }
@@ -166,13 +182,18 @@
       split(entries, conflict, settled);
     } else {
       for (int index = 0; index < entries.size(); index++) {
-        settled.add(new Settled(entries.get(index).ticket, toSingle(result, index)));
+        settle(entries.get(index), toSingle(result, index), settled);
       }
     }
-    pendingCount -= settled.size();
     return settled;
   }
 
+  private void settle(Entry entry, TableResult result, List<Settled> settled) {
+    pendingCount--;
+    pendingChars -= entry.getChars();
+    settled.add(new Settled(entry.ticket, result));
+  }
+
   private static TableResult toSingle(TableResult result, int index) {
     return result instanceof TableResult.Committed committed
         ? new TableResult.Committed(List.of(committed.versions().get(index)))
@@ -189,7 +210,7 @@
       long version = record == null ? 0 : record.version();
       if (version != entry.operation.expectedVersion() || entries.size() == 1) {
         List<TableRecord> shown = record == null ? List.of() : List.of(record);
-        settled.add(new Settled(entry.ticket, new TableResult.Conflict(shown)));
+        settle(entry, new TableResult.Conflict(shown), settled);
       } else {
         others.add(entry);
       }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceSettlement.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceSettlement.java
@@ -86,6 +86,8 @@
   void answerHeld(List<OnceDecision> decisions) {
     if (heldAnswer != null) {
       decisions.add(new OnceDecision.Answer(heldAnswer));
+      // The body of an answer can be large and this object may stay for an hour.
+      heldAnswer = null;
     }
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/OnceRecord.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/OnceRecord.java
@@ -30,7 +30,7 @@
     long createdEpochMs) {
 
   /** Largest recorded body in characters; a larger one is recorded by its status alone. */
-  public static final int MAX_BODY_CHARS = 256 * 1024;
+  public static final int MAX_BODY_CHARS = 16 * 1024;
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/OnceCallService.java
@@ -0,0 +1,274 @@
+package org.gooseberryhook.transport;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.gooseberryhook.coordination.OnceCall;
+import org.gooseberryhook.coordination.OnceEvent;
+import org.gooseberryhook.coordination.OnceRequest;
+import org.gooseberryhook.protocol.OnceRecord;
+import org.gooseberryhook.protocol.OnceResult;
+import org.gooseberryhook.protocol.PlainServiceClient;
+import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.state.ServiceSpec;
+import org.jboss.logging.Logger;
+
+/**
+ * Runs once-only calls of this node: drives {@link OnceCall} over the table service and the plain
+ * services. All decisions are made on one thread; the ports do the input and output.
+ *
+ * <p>At most {@link #MAX_CALLS} callers wait at a time; further calls are refused as {@code
+ * not-run}. At most {@link #MAX_SETTLING} answered calls go on in the background, of which at most
+ * {@link #MAX_SETTLING_WORK} read, write or look up at the same time. When more would be settled,
+ * the oldest is dropped; its record stays {@code CLAIMED} or {@code UNKNOWN} until a caller asks.
+ *
+ * @since 0.1
+ */
+public final class OnceCallService {
+
+  /** Callers that wait at a time. */
+  public static final int MAX_CALLS = 5_000;
+
+  /** Answered calls that are settled in the background. */
+  public static final int MAX_SETTLING = 2_000;
+
+  /** Background reads, writes and lookups at the same time. */
+  public static final int MAX_SETTLING_WORK = 32;
+
+  /** Longest deadline of a call. */
+  public static final long MAX_DEADLINE_MS = 120_000;
+
+  /** Longest idempotency key in characters. */
+  public static final int MAX_KEY_CHARS = 256;
+
+  private static final Logger LOG = Logger.getLogger(OnceCallService.class);
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final char DELETE_CHAR = 0x7f;
+
+  private final Ports ports;
+  private final String nodeAddress;
+  private final RandomGenerator random;
+  private final ScheduledThreadPoolExecutor executor;
+  private final OnceRecordWriter writer;
+  private final Set<CompletableFuture<OnceResult>> open = ConcurrentHashMap.newKeySet();
+  private final LinkedHashSet<OnceCallRun> settling = new LinkedHashSet<>();
+  private int settlingWork;
+  private volatile boolean isStopping;
+
+  /**
+   * What the service works with.
+   *
+   * @param table the table service
+   * @param client the plain services
+   * @param specs declared service by name; null if there is none
+   * @param addresses base URLs of the targets that may be called now, by service name
+   * @param nanoClock monotonic clock in nanoseconds
+   * @param epochMsClock wall clock in milliseconds, only for reports and expiry
+   * @since 0.1
+   */
+  public record Ports(
+      TableService table,
+      PlainServiceClient client,
+      Function<String, ServiceSpec> specs,
+      Function<String, List<String>> addresses,
+      LongSupplier nanoClock,
+      LongSupplier epochMsClock) {}
+
+  /**
+   * Creates the service; {@link #start} must follow.
+   *
+   * @param ports what it works with
+   * @param nodeAddress peer address of this node
+   * @param random source of claim ids, target choice and jitter; must not repeat among nodes
+   */
+  public OnceCallService(Ports ports, String nodeAddress, RandomGenerator random) {
+    this.ports = ports;
+    this.nodeAddress = nodeAddress;
+    this.random = random;
+    this.executor =
+        new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "once-calls-" + nodeAddress));
+    this.executor.setRemoveOnCancelPolicy(true);
+    this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    this.writer =
+        new OnceRecordWriter(ports.table(), executor, ports.nanoClock(), ports.epochMsClock());
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    executor.prestartCoreThread();
+  }
+
+  /**
+   * Refuses new calls, waits for those that run and ends the thread. Callers that still wait then
+   * are told {@code unknown}; background work is dropped.
+   *
+   * @param timeoutMs longest wait in milliseconds
+   */
+  public void stop(long timeoutMs) {
+    isStopping = true;
+    CompletableFuture.allOf(open.toArray(CompletableFuture[]::new))
+        .completeOnTimeout(null, timeoutMs, TimeUnit.MILLISECONDS)
+        .join();
+    executor.shutdownNow();
+    open.forEach(
+        result ->
+            result.complete(
+                new OnceResult.Unknown("the node stopped before the call was settled")));
+  }
+
+  /**
+   * Calls an operation at most once for its key.
+   *
+   * @param workspace the workspace
+   * @param service name of a declared service
+   * @param operation name of the operation
+   * @param key the caller's idempotency key
+   * @param body body in UTF-8 text
+   * @param deadlineNanos deadline on the monotonic clock
+   * @return the result; completes soon after the deadline at the latest, never exceptionally; what
+   *     depends on it must not block the completing thread
+   */
+  public CompletableFuture<OnceResult> call(
+      String workspace,
+      String service,
+      String operation,
+      String key,
+      String body,
+      long deadlineNanos) {
+    return submit(
+        new OnceCallRun.Subject(workspace, service, operation, key),
+        body,
+        deadlineNanos,
+        new OnceEvent.Start());
+  }
+
+  /**
+   * Tells what became of the calls with a key, without calling.
+   *
+   * @param workspace the workspace
+   * @param service name of a declared service
+   * @param key the caller's idempotency key
+   * @param deadlineNanos deadline on the monotonic clock
+   * @return the result; never {@code not-run} for a valid question, because a call that is on its
+   *     way cannot be excluded
+   */
+  public CompletableFuture<OnceResult> outcome(
+      String workspace, String service, String key, long deadlineNanos) {
+    return submit(
+        new OnceCallRun.Subject(workspace, service, "", key),
+        null,
+        deadlineNanos,
+        new OnceEvent.Ask());
+  }
+
+  private CompletableFuture<OnceResult> submit(
+      OnceCallRun.Subject subject, String body, long deadlineNanos, OnceEvent first) {
+    ServiceSpec spec = ports.specs().apply(subject.service());
+    Problem problem = findProblem(subject, spec);
+    if (problem != null) {
+      return CompletableFuture.completedFuture(new OnceResult.NotRun(problem));
+    }
+    long limitNanos =
+        ports.nanoClock().getAsLong() + TimeUnit.MILLISECONDS.toNanos(MAX_DEADLINE_MS);
+    long usedNanos = deadlineNanos - limitNanos < 0 ? deadlineNanos : limitNanos;
+    String digest = body == null ? "" : OnceRecord.digestOf(subject.operation(), body);
+    CompletableFuture<OnceResult> result = new CompletableFuture<>();
+    open.add(result);
+    result.whenComplete((value, error) -> open.remove(result));
+    try {
+      executor.execute(
+          () -> {
+            OnceCall call = new OnceCall(toRequest(spec, digest, usedNanos), random);
+            new OnceCallRun(this, subject, body, call, result).begin(first, usedNanos);
+          });
+    } catch (RejectedExecutionException e) {
+      result.complete(
+          new OnceResult.NotRun(Problem.of(ProblemKind.NOT_READY, "the node is stopping")));
+    }
+    return result;
+  }
+
+  private OnceRequest toRequest(ServiceSpec spec, String digest, long deadlineNanos) {
+    String claimId =
+        Long.toHexString(random.nextLong()) + "-" + Long.toHexString(random.nextLong());
+    return new OnceRequest(
+        claimId,
+        nodeAddress,
+        digest,
+        spec.hasLookup(),
+        deadlineNanos,
+        ports.epochMsClock().getAsLong());
+  }
+
+  private Problem findProblem(OnceCallRun.Subject subject, ServiceSpec spec) {
+    if (isStopping) {
+      return Problem.of(ProblemKind.NOT_READY, "the node is stopping");
+    } else if (open.size() >= MAX_CALLS) {
+      return Problem.ofRetry(
+          ProblemKind.OVERLOADED, "too many once-only calls wait", RETRY_AFTER_MS);
+    } else if (spec == null) {
+      return Problem.of(ProblemKind.NOT_FOUND, "service " + subject.service() + " is not declared");
+    } else if (subject.workspace().contains("/") || subject.service().contains("/")) {
+      return Problem.of(ProblemKind.BAD_REQUEST, "workspace and service must not contain '/'");
+    } else if (subject.key().isEmpty()
+        || subject.key().length() > MAX_KEY_CHARS
+        || !subject.key().chars().allMatch(c -> c > ' ' && c < DELETE_CHAR)) {
+      // The key becomes a header field of the call to the service.
+      return Problem.of(
+          ProblemKind.BAD_REQUEST,
+          "Idempotency-Key must have 1 to " + MAX_KEY_CHARS + " visible ASCII characters");
+    }
+    return null;
+  }
+
+  /** Counts a run as background work from its answer until it is done. */
+  void update(OnceCallRun run) {
+    if (run.isDone()) {
+      settling.remove(run);
+    } else if (run.isAnswered() && settling.add(run) && settling.size() > MAX_SETTLING) {
+      OnceCallRun oldest = settling.iterator().next();
+      settling.remove(oldest);
+      oldest.drop();
+      LOG.warnf("dropped the settling of %s: %d calls are settled", oldest.getKey(), MAX_SETTLING);
+    }
+  }
+
+  /** Takes a place for background work; false if all are taken. */
+  boolean takeSettlingWork() {
+    if (settlingWork == MAX_SETTLING_WORK) {
+      return false;
+    }
+    settlingWork++;
+    return true;
+  }
+
+  void releaseSettlingWork() {
+    settlingWork--;
+  }
+
+  Ports getPorts() {
+    return ports;
+  }
+
+  OnceRecordWriter getWriter() {
+    return writer;
+  }
+
+  ScheduledThreadPoolExecutor getExecutor() {
+    return executor;
+  }
+
+  RandomGenerator getRandom() {
+    return random;
+  }
+}
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/CrashMarkRegistryTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/CrashMarkRegistryTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -15,6 +17,7 @@
 import org.gooseberryhook.protocol.CrashMessage.CrashMarks;
 import org.gooseberryhook.protocol.CrashMessage.Mark;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 class CrashMarkRegistryTest {
 
@@ -98,6 +101,19 @@
     assertThat(registry.getRule(7, expiredNanos)).isEqualTo(new RunRule.Normal());
   }
 
+  /** Guards against messages that another node reads differently. */
+  @Test
+  void messagesSurviveTheWire() throws IOException {
+    ObjectMapper mapper = new MessagePackMapper();
+    CrashMarks marks = new CrashMarks(List.of(new Mark(-5, "t#1", true, 12)));
+    CrashClears clears =
+        new CrashClears(List.of(new Clear(-5, "c", List.of("t#1", "t#2"), true, 3)));
+    assertThat(mapper.readValue(mapper.writeValueAsBytes(marks), CrashMarks.class))
+        .isEqualTo(marks);
+    assertThat(mapper.readValue(mapper.writeValueAsBytes(clears), CrashClears.class))
+        .isEqualTo(clears);
+  }
+
   /** Guards against unbounded memory and against eviction of the most dangerous requests. */
   @Test
   void theBoundEvictsRequestsWithFewMarksFirst() {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OnceCallTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OnceCallTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.gooseberryhook.protocol.LookupResult;
 import org.gooseberryhook.protocol.Outcome;
 import org.gooseberryhook.protocol.ServiceResult;
 import org.junit.jupiter.api.Test;
@@ -64,6 +65,27 @@
         .anyMatch(fault -> fault.contains("untrue not-run"));
   }
 
+  /** Guards against an oracle that misses claims which appear late and stay open. */
+  @Test
+  void theOracleCatchesAnUnknownClaimTakenForRefused() {
+    assertThat(
+            runBroken(
+                event ->
+                    event instanceof OnceEvent.WriteUnknown ? new OnceEvent.NotApplied("") : event))
+        .anyMatch(fault -> fault.contains("claim left open"));
+  }
+
+  /** Guards against an oracle that misses lost answers which are never settled. */
+  @Test
+  void theOracleCatchesACallThatIsNeverLookedUp() {
+    LookupResult none = new LookupResult.Unavailable("never asked");
+    assertThat(
+            runBroken(
+                event ->
+                    event instanceof OnceEvent.LookedUp ? new OnceEvent.LookedUp(none) : event))
+        .anyMatch(fault -> fault.contains("left unsettled"));
+  }
+
   private static List<String> runBroken(UnaryOperator<OnceEvent> distortion) {
     List<String> faults = new ArrayList<>();
     for (long seed = 0; seed < BROKEN_RUNS; seed++) {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OnceWorld.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/OnceWorld.java
@@ -41,6 +41,7 @@
     private OnceCall call;
     private OnceResult answer;
     private boolean isDead;
+    private boolean hasSeenOpenClaim;
 
     private Try(int index) {
       node = choose(64) % NODES;
@@ -128,6 +129,7 @@
       at(awakeNanos[attempt.node], () -> give(attempt, event));
       return;
     }
+    noteOpenClaim(attempt, event);
     for (OnceDecision decision : attempt.call.onEvent(distortion.apply(event), nowNanos)) {
       if (decision instanceof OnceDecision.Answer answer) {
         answer(attempt, answer.result());
@@ -139,6 +141,20 @@
     }
   }
 
+  private static void noteOpenClaim(Try attempt, OnceEvent event) {
+    OnceEvent.Stored stored =
+        event instanceof OnceEvent.Conflict conflict
+            ? conflict.current()
+            : event instanceof OnceEvent.ReadBack read ? read.current() : null;
+    attempt.hasSeenOpenClaim |=
+        attempt.answer == null
+            && stored != null
+            && !stored.record().claimId().equals(attempt.claimId)
+            && stored.record().digest().equals(attempt.digest)
+            && stored.record().state() != OnceState.RAN
+            && stored.record().state() != OnceState.NOT_RUN;
+  }
+
   private void answer(Try attempt, OnceResult result) {
     if (attempt.answer != null) {
       throw new AssertionError(attempt.claimId + " answered twice");
@@ -282,9 +298,19 @@
         faults.add("untrue record of " + attempt.key);
       }
     }
+    if (attempt.hasSeenOpenClaim && attempt.answer instanceof OnceResult.NotRun) {
+      faults.add("not-run beside an open claim told to " + attempt.claimId);
+    }
     if (attempt.isDead) {
       return;
     }
+    if (hasLookup
+        && result != null
+        && stored != null
+        && stored.record().state() == OnceState.UNKNOWN
+        && stored.record().claimId().equals(attempt.claimId)) {
+      faults.add("unknown left unsettled by " + attempt.claimId);
+    }
     if (attempt.answer == null || !attempt.call.isDone()) {
       faults.add("no end of " + attempt.claimId);
     }
