Draw claim ids from a source that never repeats

Cause: Two nodes with equal seeds would draw equal claim ids, take each other's claim for their own and both dispatch. Change: Claim ids are random UUIDs; the test gives all nodes one seed. Conclusion: At most one dispatch per key no longer depends on seeds.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/OnceCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/OnceCallService.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
@@ -89,7 +90,7 @@
    *
    * @param ports what it works with
    * @param nodeAddress peer address of this node
-   * @param random source of claim ids, target choice and jitter; must not repeat among nodes
+   * @param random source of target choice and jitter
    */
   public OnceCallService(Ports ports, String nodeAddress, RandomGenerator random) {
     this.ports = ports;
@@ -199,8 +200,9 @@
   }
 
   private OnceRequest toRequest(ServiceSpec spec, String digest, long deadlineNanos) {
-    String claimId =
-        Long.toHexString(random.nextLong()) + "-" + Long.toHexString(random.nextLong());
+    // Equal claim ids at two nodes would let both dispatch, so they never come from a seeded
+    // source.
+    String claimId = UUID.randomUUID().toString();
     return new OnceRequest(
         claimId,
         nodeAddress,
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/OnceCallServiceTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/OnceCallServiceTest.java
@@ -38,7 +38,8 @@
               name -> List.of(ADDRESS),
               System::nanoTime,
               System::currentTimeMillis);
-      nodes.add(new OnceCallService(ports, "10.0.1." + node + ":1", new Random(node)));
+      // Equal seeds must not make the nodes take each other's claims for their own.
+      nodes.add(new OnceCallService(ports, "10.0.1." + node + ":1", new Random(1)));
       nodes.get(node).start();
     }
   }
