--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpCaller.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpCaller.java
@@ -1,5 +1,7 @@
 package org.gooseberryhook.transport;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +21,17 @@
  */
 final class HttpCaller {
 
+  static final int OK = 200;
+  static final int NOT_FOUND = 404;
+  static final int CONFLICT = 409;
+
+  /** Reads and writes JSON; unknown fields are ignored, so that a system may add some. */
+  static final ObjectMapper MAPPER =
+      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+
   private final String name;
   private final OkHttpClient client;
   private final int maxInFlight;
@@ -63,6 +76,16 @@
     return future;
   }
 
+  /**
+   * Tells whether a status says that the request was refused before any effect.
+   *
+   * @param status HTTP status of one of the platform's systems
+   * @return true for 429 and 503
+   */
+  static boolean isRefused(int status) {
+    return status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
+  }
+
   /** What became of a request. */
   sealed interface Exchange {
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpTableService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpTableService.java
@@ -1,8 +1,6 @@
 package org.gooseberryhook.transport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -34,13 +32,7 @@
   public static final int DEFAULT_MAX_IN_FLIGHT = 64;
 
   private static final long MAX_ANSWER_BYTES = 16L << 20;
-  private static final int OK = 200;
-  private static final int CONFLICT = 409;
-  private static final int TOO_MANY_REQUESTS = 429;
-  private static final int UNAVAILABLE = 503;
   private static final MediaType JSON = MediaType.get("application/json");
-  private static final ObjectMapper MAPPER =
-      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
   private final HttpUrl base;
   private final HttpCaller caller;
@@ -75,7 +67,7 @@
   public CompletableFuture<TableResult> transact(List<TableOperation> operations) {
     byte[] body;
     try {
-      body = MAPPER.writeValueAsBytes(new Transaction(operations));
+      body = HttpCaller.MAPPER.writeValueAsBytes(new Transaction(operations));
     } catch (JsonProcessingException e) {
       return CompletableFuture.completedFuture(new TableResult.NotApplied("not sent: " + e));
     }
@@ -111,14 +103,15 @@
       return toFailure(exchange);
     }
     try {
-      if (answer.status() == OK) {
-        List<Long> versions = MAPPER.readValue(answer.body(), Versions.class).versions();
+      if (answer.status() == HttpCaller.OK) {
+        List<Long> versions = HttpCaller.MAPPER.readValue(answer.body(), Versions.class).versions();
         return versions != null && versions.size() == operationCount
             ? new TableResult.Committed(List.copyOf(versions))
             : new TableResult.Unknown("answer does not have one version for each operation");
       }
-      if (answer.status() == CONFLICT) {
-        List<TableRecord> current = MAPPER.readValue(answer.body(), Current.class).current();
+      if (answer.status() == HttpCaller.CONFLICT) {
+        List<TableRecord> current =
+            HttpCaller.MAPPER.readValue(answer.body(), Current.class).current();
         return current != null
             ? new TableResult.Conflict(List.copyOf(current))
             : new TableResult.Unknown("conflict answer lacks the current records");
@@ -130,11 +123,13 @@
   }
 
   private static TableResult toRead(HttpCaller.Exchange exchange) {
-    if (!(exchange instanceof HttpCaller.Exchange.Answered answer) || answer.status() != OK) {
+    if (!(exchange instanceof HttpCaller.Exchange.Answered answer)
+        || answer.status() != HttpCaller.OK) {
       return toFailure(exchange);
     }
     try {
-      List<TableRecord> records = MAPPER.readValue(answer.body(), Records.class).records();
+      List<TableRecord> records =
+          HttpCaller.MAPPER.readValue(answer.body(), Records.class).records();
       return records != null
           ? new TableResult.Read(List.copyOf(records))
           : new TableResult.Unknown("answer lacks the records");
@@ -151,7 +146,7 @@
       return new TableResult.Unknown(lost.reason());
     }
     int status = ((HttpCaller.Exchange.Answered) exchange).status();
-    return status == TOO_MANY_REQUESTS || status == UNAVAILABLE
+    return HttpCaller.isRefused(status)
         ? new TableResult.NotApplied("table: refused with status " + status)
         : new TableResult.Unknown("table: unexpected status " + status);
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpVmList.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpVmList.java
@@ -1,7 +1,5 @@
 package org.gooseberryhook.transport;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -30,9 +28,6 @@
   private static final int MAX_IN_FLIGHT = 2;
   // 390 nodes and 30,000 targets of about 300 bytes each are 9 MB.
   private static final long MAX_ANSWER_BYTES = 32L << 20;
-  private static final int OK = 200;
-  private static final ObjectMapper MAPPER =
-      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
   private final HttpUrl url;
   private final HttpCaller caller;
@@ -76,11 +71,11 @@
       return new VmListResult.Unavailable(lost.reason());
     }
     HttpCaller.Exchange.Answered answer = (HttpCaller.Exchange.Answered) exchange;
-    if (answer.status() != OK) {
+    if (answer.status() != HttpCaller.OK) {
       return new VmListResult.Unavailable("vm-list: unexpected status " + answer.status());
     }
     try {
-      VmEntry[] entries = MAPPER.readValue(answer.body(), VmEntry[].class);
+      VmEntry[] entries = HttpCaller.MAPPER.readValue(answer.body(), VmEntry[].class);
       return new VmListResult.Listed(toValid(entries));
     } catch (IOException | RuntimeException e) {
       return new VmListResult.Unavailable("vm-list: answer cannot be read: " + e);
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinAnswer.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinAnswer.java
@@ -68,10 +68,19 @@
    * Returns an answer with bytes.
    *
    * @param body the bytes
-   * @param delayMs time until the answer is sent, in milliseconds
    * @return the answer, never null
    */
-  public static StandinAnswer ofBytes(byte[] body, long delayMs) {
-    return new StandinAnswer(OK, BYTES, body, delayMs);
+  public static StandinAnswer ofBytes(byte[] body) {
+    return new StandinAnswer(OK, BYTES, body, 0);
+  }
+
+  /**
+   * Returns this answer with a delay.
+   *
+   * @param nextDelayMs time until the answer is sent, in milliseconds
+   * @return the answer, never null
+   */
+  public StandinAnswer withDelay(long nextDelayMs) {
+    return new StandinAnswer(status, contentType, body, nextDelayMs);
   }
 }
--- /dev/null
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/WeightStandin.java
@@ -0,0 +1,124 @@
+package org.gooseberryhook.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.gooseberryhook.protocol.WeightArtifact;
+
+/**
+ * Stand-in for the weight store, whose reads share one rate in bytes per second.
+ *
+ * <ul>
+ *   <li>{@code GET /weights} answers a list of {@link WeightArtifact}.
+ *   <li>{@code PUT /weights/{name}} with a {@link WeightArtifact} declares one.
+ *   <li>{@code POST /weights/{name}/reads?bytes=} answers {@code {bytes}} after the time that the
+ *       read takes; the bytes themselves are not sent. Without {@code bytes} the whole artifact is
+ *       read. A read that would take longer than ten minutes is refused with 429.
+ *   <li>{@code PUT /limits} with {@code {bytesPerSecond}}.
+ * </ul>
+ *
+ * @since 0.1
+ */
+public final class WeightStandin {
+
+  /** Rate at first: 10 GB/s. */
+  public static final double DEFAULT_BYTES_PER_SECOND = 10e9;
+
+  private static final long MAX_READ_MS = 600_000;
+  private static final int MAX_ARTIFACTS = 10_000;
+
+  private final StandinServer server;
+  private final RateLimit bytes = new RateLimit(DEFAULT_BYTES_PER_SECOND);
+  private final TreeMap<String, WeightArtifact> artifacts = new TreeMap<>();
+
+  /**
+   * Creates a stand-in that is not started yet.
+   *
+   * @param port port on the loopback address; 0 for a free one
+   */
+  public WeightStandin(int port) {
+    server =
+        new StandinServer("weight-standin", port)
+            .route("GET", "/weights", request -> StandinAnswer.ofJson(StandinAnswer.OK, list()))
+            .route("PUT", "/weights/{name}", this::putArtifact)
+            .route("POST", "/weights/{name}/reads", this::read)
+            .route("PUT", "/limits", this::setLimits);
+  }
+
+  /**
+   * Returns the server.
+   *
+   * @return the server, which has start, stop, the base URL and the faults
+   */
+  public StandinServer getServer() {
+    return server;
+  }
+
+  /**
+   * Sets the rate of all reads together.
+   *
+   * @param bytesPerSecond bytes per second, more than 0
+   */
+  public void setLimit(double bytesPerSecond) {
+    bytes.setRate(bytesPerSecond);
+  }
+
+  /**
+   * Adds or replaces an artifact.
+   *
+   * @param artifact the artifact
+   * @throws IllegalStateException if there is no room for another artifact
+   */
+  public synchronized void put(WeightArtifact artifact) {
+    if (artifacts.size() >= MAX_ARTIFACTS && !artifacts.containsKey(artifact.name())) {
+      throw new IllegalStateException("no room for more than " + MAX_ARTIFACTS + " artifacts");
+    }
+    artifacts.put(artifact.name(), artifact);
+  }
+
+  private synchronized List<WeightArtifact> list() {
+    return List.copyOf(artifacts.values());
+  }
+
+  private synchronized WeightArtifact find(String name) {
+    return artifacts.get(name);
+  }
+
+  private StandinAnswer putArtifact(StandinRequest request) throws IOException {
+    WeightArtifact artifact = StandinAnswer.MAPPER.readValue(request.body(), WeightArtifact.class);
+    String name = request.pathValues().get("name");
+    if (!name.equals(artifact.name())) {
+      return StandinAnswer.ofError(
+          StandinAnswer.BAD_REQUEST, "path names " + name + " but body names " + artifact.name());
+    }
+    put(artifact);
+    return StandinAnswer.ofJson(StandinAnswer.OK, artifact);
+  }
+
+  private StandinAnswer read(StandinRequest request) {
+    WeightArtifact artifact = find(request.pathValues().get("name"));
+    if (artifact == null) {
+      return StandinAnswer.ofError(StandinAnswer.NOT_FOUND, "artifact does not exist");
+    }
+    String asked = request.getQuery("bytes");
+    long readBytes = asked.isEmpty() ? artifact.sizeBytes() : Long.parseLong(asked);
+    if (readBytes < 0 || readBytes > artifact.sizeBytes()) {
+      return StandinAnswer.ofError(
+          StandinAnswer.BAD_REQUEST, "bytes must be in 0.." + artifact.sizeBytes());
+    }
+    long waitMs = bytes.takeAhead(readBytes, MAX_READ_MS);
+    if (waitMs < 0) {
+      return StandinAnswer.ofError(
+          StandinAnswer.TOO_MANY_REQUESTS, "read would take longer than " + MAX_READ_MS + " ms");
+    }
+    return StandinAnswer.ofJson(StandinAnswer.OK, Map.of("bytes", readBytes)).withDelay(waitMs);
+  }
+
+  private StandinAnswer setLimits(StandinRequest request) throws IOException {
+    JsonNode body = StandinAnswer.MAPPER.readTree(request.body());
+    setLimit(body.path("bytesPerSecond").asDouble(0));
+    return StandinAnswer.ofJson(StandinAnswer.OK, body);
+  }
+}
