Stop HTTP clients from repeating a refused request

Cause: OkHttp sends a POST again after a 503 with Retry-After: 0 even when its own retries are off, which would double a booking. Jooby's stop returns before the port is closed, so a stopped stand-in still served. Change: HttpClients removes such a header before OkHttp acts on it. StandinServer.stop waits until its port is closed and serves nothing after it was called.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpClients.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpClients.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.Interceptor;
@@ -29,6 +30,9 @@
 
   private static final int IDLE_CONNECTIONS = 128;
   private static final long IDLE_CONNECTION_SECONDS = 30;
+  private static final int UNAVAILABLE = 503;
+  private static final String RETRY_AFTER = "Retry-After";
+  private static final Pattern NO_WAIT = Pattern.compile("0+");
   private static final long IDLE_THREAD_SECONDS = 10;
 
   private final ConnectionPool pool =
@@ -58,6 +62,7 @@
         .followRedirects(false)
         .followSslRedirects(false)
         .addNetworkInterceptor(HttpClients::markSent)
+        .addNetworkInterceptor(HttpClients::suppressRepeat)
         .build();
   }
 
@@ -91,6 +96,15 @@
     return chain.proceed(chain.request());
   }
 
+  /** OkHttp repeats a request, whatever its method, after a 503 with {@code Retry-After: 0}. */
+  private static Response suppressRepeat(Interceptor.Chain chain) throws IOException {
+    Response response = chain.proceed(chain.request());
+    return response.code() == UNAVAILABLE
+            && NO_WAIT.matcher(response.header(RETRY_AFTER, "")).matches()
+        ? response.newBuilder().removeHeader(RETRY_AFTER).build()
+        : response;
+  }
+
   /**
    * Tag of a request that records whether its bytes may have reached the network. It is set before
    * the first byte is written, so an unset mark proves that the server has not seen the request.
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinServer.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinServer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /**
@@ -33,6 +34,8 @@
   private static final String HOST = "127.0.0.1";
   private static final int MAX_REQUEST_BYTES = 9 << 20;
   private static final int MAX_DELAYED = 100_000;
+  private static final long STOP_TIMEOUT_MS = 10_000;
+  private static final long STOP_POLL_MS = 5;
   private static final int IO_THREADS = 2;
   private static final int WORKER_THREADS = 2;
 
@@ -43,6 +46,7 @@
   private ServerSocket claim;
   private NettyServer server;
   private volatile ScheduledThreadPoolExecutor delays;
+  private volatile boolean isRunning;
 
   /**
    * Creates a server that is not started yet.
@@ -98,17 +102,32 @@
     delays = newDelays();
     server = new NettyServer();
     server.setOptions(options);
-    server.start(newApp());
+    isRunning = true;
+    try {
+      server.start(newApp());
+    } catch (RuntimeException e) {
+      isRunning = false;
+      delays.shutdownNow();
+      server = null;
+      throw new IllegalStateException(name + " cannot start on port " + port, e);
+    }
     return this;
   }
 
-  /** Stops the server and drops delayed effects and answers; does nothing if it is stopped. */
+  /**
+   * Stops the server and drops delayed effects and answers. Afterwards connections are refused.
+   * Does nothing if the server is stopped.
+   *
+   * @throws IllegalStateException if the port is still open after ten seconds
+   */
   public synchronized void stop() {
     closeClaim();
     if (server != null) {
+      isRunning = false;
       delays.shutdownNow();
       server.stop();
       server = null;
+      awaitClosed();
     }
   }
 
@@ -162,6 +181,10 @@
   }
 
   private Object serve(Context context, StandinHandler handler) {
+    if (!isRunning) {
+      close(context);
+      return context;
+    }
     StandinRequest request = StandinRequest.of(context);
     if (delays.getQueue().size() >= MAX_DELAYED) {
       return send(
@@ -251,6 +274,22 @@
     }
   }
 
+  /** Netty closes its sockets some time after the call that stops it. */
+  private void awaitClosed() {
+    long startNanos = System.nanoTime();
+    while (true) {
+      try {
+        listen(name, port).close();
+        return;
+      } catch (IOException | IllegalStateException e) {
+        if (System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(STOP_TIMEOUT_MS)) {
+          throw new IllegalStateException(name + " does not close port " + port, e);
+        }
+      }
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STOP_POLL_MS));
+    }
+  }
+
   private void closeClaim() {
     if (claim == null) {
       return;
