--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinServer.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinServer.java
@@ -13,9 +13,13 @@
 import java.lang.reflect.Field;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 /**
  * An HTTP server on the loopback address that shows faults on request.
@@ -30,37 +34,32 @@
   private static final String HOST = "127.0.0.1";
   private static final int MAX_REQUEST_BYTES = 9 << 20;
   private static final int MAX_DELAYED = 100_000;
+  private static final long STOP_TIMEOUT_MS = 10_000;
+  private static final long STOP_POLL_MS = 5;
   private static final int IO_THREADS = 2;
   private static final int WORKER_THREADS = 2;
 
   private final String name;
   private final int port;
   private final FaultSwitch faults = new FaultSwitch();
-  private final Jooby app = new Jooby();
-  private final NettyServer server = new NettyServer();
-  private final ScheduledThreadPoolExecutor delays;
+  private final List<Consumer<Jooby>> routes = new ArrayList<>();
+  private ServerSocket claim;
+  private NettyServer server;
+  private volatile ScheduledThreadPoolExecutor delays;
+  private volatile boolean isRunning;
 
   /**
    * Creates a server that is not started yet.
    *
    * @param name name of the stand-in, used in thread names
-   * @param port port on the loopback address; 0 for a free one
+   * @param port port on the loopback address; 0 for a free one, which is held until the start
    */
   public StandinServer(String name, int port) {
     this.name = name;
-    this.port = port == 0 ? findFreePort() : port;
-    this.delays =
-        new ScheduledThreadPoolExecutor(
-            1,
-            task -> {
-              Thread thread = new Thread(task, name + "-delays");
-              thread.setDaemon(true);
-              return thread;
-            });
-    app.setExecutionMode(ExecutionMode.EVENT_LOOP);
-    app.setStartupSummary(List.of(StartupSummary.NONE));
-    app.put("/faults", context -> send(context, setFaults(context)));
-    app.get("/faults", context -> send(context, StandinAnswer.ofJson(200, faults.get())));
+    this.claim = port == 0 ? listen(name, 0) : null;
+    this.port = port == 0 ? claim.getLocalPort() : port;
+    routes.add(app -> app.put("/faults", context -> send(context, setFaults(context))));
+    routes.add(app -> app.get("/faults", context -> send(context, getFaultList())));
   }
 
   /**
@@ -72,37 +71,64 @@
    * @return this server
    */
   public StandinServer route(String method, String pattern, StandinHandler handler) {
-    app.route(method, pattern, context -> context.detach(detached -> serve(detached, handler)));
+    routes.add(
+        app -> app.route(method, pattern, context -> context.detach(next -> serve(next, handler))));
     return this;
   }
 
   /**
-   * Starts the server.
+   * Starts the server. A server that was stopped may be started again on the same port; what its
+   * handlers hold is kept.
    *
    * @return this server
-   * @throws IllegalStateException if the port is in use
+   * @throws IllegalStateException if the server runs already or the port is in use
    */
-  public StandinServer start() {
+  public synchronized StandinServer start() {
+    if (server != null) {
+      throw new IllegalStateException(name + " runs already; stop it first");
+    }
     ServerOptions options = new ServerOptions();
     options.setHost(HOST);
     options.setPort(port);
     options.setIoThreads(IO_THREADS);
     options.setWorkerThreads(WORKER_THREADS);
     options.setMaxRequestSize(MAX_REQUEST_BYTES);
+    // Jooby listens with SO_REUSEPORT, so two servers would share a port without an error. A plain
+    // socket shows whether the port is in use.
+    if (claim == null) {
+      claim = listen(name, port);
+    }
+    closeClaim();
+    delays = newDelays();
+    server = new NettyServer();
     server.setOptions(options);
+    isRunning = true;
     try {
-      server.start(app);
+      server.start(newApp());
     } catch (RuntimeException e) {
-      throw new IllegalStateException(
-          name + " cannot listen on " + HOST + ":" + port + "; choose another port", e);
+      isRunning = false;
+      delays.shutdownNow();
+      server = null;
+      throw new IllegalStateException(name + " cannot start on port " + port, e);
     }
     return this;
   }
 
-  /** Stops the server and drops delayed effects and answers. */
-  public void stop() {
-    delays.shutdownNow();
-    server.stop();
+  /**
+   * Stops the server and drops delayed effects and answers. Afterwards connections are refused.
+   * Does nothing if the server is stopped.
+   *
+   * @throws IllegalStateException if the port is still open after ten seconds
+   */
+  public synchronized void stop() {
+    closeClaim();
+    if (server != null) {
+      isRunning = false;
+      delays.shutdownNow();
+      server.stop();
+      server = null;
+      awaitClosed();
+    }
   }
 
   /**
@@ -132,7 +158,33 @@
     return port;
   }
 
+  private Jooby newApp() {
+    Jooby app = new Jooby();
+    app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+    app.setStartupSummary(List.of(StartupSummary.NONE));
+    routes.forEach(route -> route.accept(app));
+    return app;
+  }
+
+  private ScheduledThreadPoolExecutor newDelays() {
+    ScheduledThreadPoolExecutor executor =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, name + "-delays");
+              thread.setDaemon(true);
+              return thread;
+            });
+    // A request that arrives during the stop must not fail with an exception.
+    executor.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
+    return executor;
+  }
+
   private Object serve(Context context, StandinHandler handler) {
+    if (!isRunning) {
+      close(context);
+      return context;
+    }
     StandinRequest request = StandinRequest.of(context);
     if (delays.getQueue().size() >= MAX_DELAYED) {
       return send(
@@ -187,6 +239,10 @@
     delays.schedule(action, delayMs, TimeUnit.MILLISECONDS);
   }
 
+  private StandinAnswer getFaultList() {
+    return StandinAnswer.ofJson(StandinAnswer.OK, faults.get());
+  }
+
   private StandinAnswer setFaults(Context context) {
     try {
       faults.set(
@@ -209,11 +265,40 @@
     }
   }
 
-  private static int findFreePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-      return socket.getLocalPort();
+  private static ServerSocket listen(String name, int port) {
+    try {
+      return new ServerSocket(port, 1, InetAddress.getByName(HOST));
+    } catch (IOException e) {
+      throw new IllegalStateException(
+          name + " cannot listen on " + HOST + ":" + port + "; choose another port", e);
+    }
+  }
+
+  /** Netty closes its sockets some time after the call that stops it. */
+  private void awaitClosed() {
+    long startNanos = System.nanoTime();
+    while (true) {
+      try {
+        listen(name, port).close();
+        return;
+      } catch (IOException | IllegalStateException e) {
+        if (System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(STOP_TIMEOUT_MS)) {
+          throw new IllegalStateException(name + " does not close port " + port, e);
+        }
+      }
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STOP_POLL_MS));
+    }
+  }
+
+  private void closeClaim() {
+    if (claim == null) {
+      return;
+    }
+    try {
+      claim.close();
     } catch (IOException e) {
-      throw new UncheckedIOException("no free port on " + HOST, e);
+      throw new UncheckedIOException(name + " cannot release port " + port, e);
     }
+    claim = null;
   }
 }
