Add the open-loop load generator with a text summary

Cause: promises and recovery times had no tool that measures them from the caller's side. Change: experiments in TOML, open-loop arrivals, checks of every answer against TokenFunction, faults by schedule, effect comparison for once-only calls, recovery time, per-block comparison figures and LoadCommand. The load module now depends on gooseberryhook-standin and jcommander.

--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/AddressBook.java
@@ -0,0 +1,122 @@
+package org.gooseberryhook.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.gooseberryhook.protocol.Json;
+
+/**
+ * Address answer of one caller: keeps it for its validity, uses the first address and goes to the
+ * next one when that fails. Thread-safe; while one thread asks again, others use the old answer.
+ */
+final class AddressBook {
+
+  private static final long MAX_VALIDITY_MS = 3_600_000;
+
+  /** Time before nodes are asked again when none of them answered. */
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final OkHttpClient client;
+  private final List<String> baseAddresses;
+  private final String key;
+  private List<String> addresses;
+  private int position;
+  private long validUntilNanos;
+  private boolean isRefreshing;
+
+  AddressBook(OkHttpClient client, List<String> baseAddresses, String key) {
+    this.client = client;
+    this.baseAddresses = List.copyOf(baseAddresses);
+    this.key = key;
+    this.addresses = this.baseAddresses;
+    this.validUntilNanos = System.nanoTime();
+  }
+
+  /** Returns the address to use now. */
+  String current() {
+    List<String> candidates;
+    synchronized (this) {
+      if (isRefreshing || System.nanoTime() - validUntilNanos < 0) {
+        return addresses.get(position);
+      }
+      isRefreshing = true;
+      candidates = candidates();
+    }
+    Optional<Answer> answer = Optional.empty();
+    try {
+      answer = ask(candidates);
+    } finally {
+      finishRefresh(answer);
+    }
+    synchronized (this) {
+      return addresses.get(position);
+    }
+  }
+
+  /** Goes to the next address; after the last, the nodes are asked again. */
+  synchronized void onFailed(String address) {
+    if (!addresses.get(position).equals(address)) {
+      return;
+    }
+    position++;
+    if (position == addresses.size()) {
+      position = 0;
+      validUntilNanos = System.nanoTime();
+    }
+  }
+
+  private List<String> candidates() {
+    Set<String> candidates = new LinkedHashSet<>();
+    candidates.addAll(addresses.subList(position, addresses.size()));
+    candidates.addAll(addresses);
+    candidates.addAll(baseAddresses);
+    return List.copyOf(candidates);
+  }
+
+  private synchronized void finishRefresh(Optional<Answer> answer) {
+    isRefreshing = false;
+    long nowNanos = System.nanoTime();
+    if (answer.isEmpty()) {
+      validUntilNanos = nowNanos + RETRY_NANOS;
+      return;
+    }
+    addresses = answer.get().addresses();
+    position = 0;
+    validUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(answer.get().validForMs());
+  }
+
+  private Optional<Answer> ask(List<String> candidates) {
+    for (String address : candidates) {
+      Request request =
+          new Request.Builder()
+              .url("http://" + address + "/v1/addresses")
+              .header("Authorization", "Bearer " + key)
+              .build();
+      try (Response response = client.newCall(request).execute()) {
+        JsonNode body = Json.MAPPER.readTree(response.body().bytes());
+        List<String> listed = new ArrayList<>();
+        body.path("addresses").forEach(entry -> listed.add(entry.asText()));
+        if (response.isSuccessful() && !listed.isEmpty()) {
+          long validForMs = body.path("valid_for_ms").asLong(0);
+          return Optional.of(
+              new Answer(listed, Math.max(0, Math.min(validForMs, MAX_VALIDITY_MS))));
+        }
+      } catch (IOException e) {
+        // The next candidate is asked; a node that is down is an expected fault.
+        continue;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Answer of a node. */
+  private record Answer(List<String> addresses, long validForMs) {}
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/EffectCheck.java
@@ -0,0 +1,47 @@
+package org.gooseberryhook.load;
+
+import java.util.Map;
+
+/** Compares what callers were told about once-only calls with the effects at the service. */
+final class EffectCheck {
+
+  private EffectCheck() {}
+
+  /** What the caller of a once-only call knows. */
+  enum CallState {
+    /** No final answer yet, or an answer was lost: the call may have run. */
+    UNKNOWN,
+    /** The call was confirmed. */
+    RAN,
+    /** Every answer said {@code not-run}. */
+    NOT_RUN
+  }
+
+  /**
+   * Differences between calls and effects.
+   *
+   * @param lost confirmed calls without effect
+   * @param doubled calls with more than one effect
+   * @param falseNotRun calls with an effect whose caller was told {@code not-run}
+   */
+  record Differences(long lost, long doubled, long falseNotRun) {}
+
+  static Differences compare(Map<String, CallState> calls, Map<String, Long> effects) {
+    long lost = 0;
+    long doubled = 0;
+    long falseNotRun = 0;
+    for (Map.Entry<String, CallState> call : calls.entrySet()) {
+      long count = effects.getOrDefault(call.getKey(), 0L);
+      if (count > 1) {
+        doubled++;
+      }
+      if (count == 0 && call.getValue() == CallState.RAN) {
+        lost++;
+      }
+      if (count > 0 && call.getValue() == CallState.NOT_RUN) {
+        falseNotRun++;
+      }
+    }
+    return new Differences(lost, doubled, falseNotRun);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
@@ -0,0 +1,119 @@
+package org.gooseberryhook.load;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Runs an experiment file against entry nodes and writes a report.
+ *
+ * @since 0.1
+ */
+@Parameters(commandDescription = "Run an experiment against entry nodes and write a report")
+public final class LoadCommand {
+
+  private static final int EXIT_VIOLATIONS = 1;
+
+  @Parameter(names = "--experiment", required = true, description = "Experiment file (TOML)")
+  private Path experimentFile;
+
+  @Parameter(
+      names = "--target",
+      description = "Entry nodes to ask for addresses, ip:port[,ip:port]; replaces [[variants]]")
+  private List<String> targets = new ArrayList<>();
+
+  @Parameter(names = "--out", description = "Directory of the report")
+  private Path outDirectory = Path.of("load-report");
+
+  @Parameter(names = "--seed", description = "Seed; replaces the one of the file")
+  private Long seed;
+
+  @Parameter(
+      names = {"--help", "-h"},
+      help = true,
+      description = "Show these options")
+  private boolean isHelp;
+
+  private final Map<String, FaultAction> actions;
+  private final PrintStream out;
+
+  /** Creates a command whose faults are HTTP requests only. */
+  public LoadCommand() {
+    this(Map.of(), System.out);
+  }
+
+  /**
+   * Creates a command.
+   *
+   * @param actions fault actions by name
+   * @param out where progress and summary are printed
+   */
+  public LoadCommand(Map<String, FaultAction> actions, PrintStream out) {
+    this.actions = Map.copyOf(actions);
+    this.out = out;
+  }
+
+  /**
+   * Tells whether the user asked for the options.
+   *
+   * @return true for {@code --help}
+   */
+  public boolean isHelp() {
+    return isHelp;
+  }
+
+  /**
+   * Runs the experiment.
+   *
+   * @return 0 if no promise was broken and the run proves what it should, 1 otherwise
+   */
+  public int run() {
+    try {
+      ExperimentParser.Result parsed = ExperimentParser.parse(Files.readString(experimentFile));
+      if (parsed instanceof ExperimentParser.Invalid invalid) {
+        out.println("load: " + experimentFile + " has " + invalid.faults().size() + " faults:");
+        invalid.faults().forEach(fault -> out.println("  " + fault));
+        return EXIT_VIOLATIONS;
+      }
+      Experiment experiment = withOptions(((ExperimentParser.Valid) parsed).experiment());
+      LoadResult result = new LoadGenerator(experiment, actions, this::printProgress).run();
+      out.print(LoadSummary.of(result));
+      return result.getViolationCount() == 0 ? 0 : EXIT_VIOLATIONS;
+    } catch (IOException e) {
+      out.println("load: " + e);
+      return EXIT_VIOLATIONS;
+    } catch (IllegalArgumentException e) {
+      out.println("load: " + e.getMessage());
+      return EXIT_VIOLATIONS;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      out.println("load: interrupted; nothing was written");
+      return EXIT_VIOLATIONS;
+    }
+  }
+
+  private Experiment withOptions(Experiment experiment) {
+    Experiment changed = seed == null ? experiment : experiment.withSeed(seed);
+    if (targets.isEmpty()) {
+      return changed;
+    }
+    return changed.withVariants(List.of(new Variant("target", targets)));
+  }
+
+  private void printProgress(LoadGenerator.Progress progress) {
+    out.printf(
+        "%4d s  arrived %7d  completed %7d  failed %5d  in flight %5d  violations %d%n",
+        Math.round(progress.elapsedMs() / 1_000.0),
+        progress.arrived(),
+        progress.completed(),
+        progress.failed(),
+        progress.inFlight(),
+        progress.violations());
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ServiceRun.java
@@ -0,0 +1,117 @@
+package org.gooseberryhook.load;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.gooseberryhook.load.EffectCheck.CallState;
+import org.gooseberryhook.load.Experiment.ServiceShape;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.Outcome;
+
+/**
+ * One call of a plain service. A once-only call keeps its key over repeats, and a lost answer is
+ * settled by asking for the outcome of the key.
+ */
+final class ServiceRun extends RequestRun {
+
+  private static final int MAX_OUTCOME_QUESTIONS = 10;
+  private static final long OUTCOME_WAIT_MS = 500;
+
+  private final ServiceShape shape;
+  private final String key;
+
+  /** Whether an earlier try may have run, so that a later {@code not-run} does not cover it. */
+  private boolean isAmbiguous;
+
+  private boolean isAskingOutcome;
+  private int outcomeQuestions;
+
+  ServiceRun(CallContext context, PlannedRequest planned, ServiceShape shape) {
+    super(context, planned);
+    this.shape = shape;
+    this.key = context.idOf(planned);
+    if (shape.isOnce()) {
+      context.onceCalls.put(key, CallState.UNKNOWN);
+    }
+  }
+
+  @Override
+  void attempt(String address) throws IOException {
+    if (isAskingOutcome) {
+      askOutcome(address);
+      return;
+    }
+    Request.Builder request =
+        request(
+            address,
+            "/v1/services/" + shape.service() + "/" + shape.operation(),
+            shape.body().getBytes(StandardCharsets.UTF_8));
+    if (shape.isOnce()) {
+      request.header("Idempotency-Key", key);
+    }
+    try (Response response = context.getClient(false).newCall(request.build()).execute()) {
+      if (response.isSuccessful()) {
+        response.body().bytes();
+        completeAs(CallState.RAN);
+      } else {
+        onProblem(address, ProblemAnswer.of(response));
+      }
+    }
+  }
+
+  @Override
+  void onBroken(String address, boolean mayHaveRun) {
+    isAmbiguous |= mayHaveRun && !isAskingOutcome;
+    super.onBroken(address, mayHaveRun);
+  }
+
+  private void onProblem(String address, ProblemAnswer problem) {
+    countProblem(problem);
+    if (problem.kind().equals("not-ready")) {
+      goToNextAddress(address);
+    } else if (problem.outcome() == Outcome.RAN && shape.isOnce()) {
+      completeAs(CallState.RAN);
+    } else if (problem.outcome() != Outcome.NOT_RUN && shape.isOnce()) {
+      isAmbiguous = true;
+      isAskingOutcome = true;
+      context.submitAfter(this, OUTCOME_WAIT_MS);
+    } else if (!repeat(problem)) {
+      endNotRun();
+    }
+  }
+
+  private void askOutcome(String address) throws IOException {
+    Request request = request(address, "/v1/outcomes/" + key, new byte[0]).get().build();
+    Outcome outcome = Outcome.UNKNOWN;
+    try (Response response = context.getClient(false).newCall(request).execute()) {
+      byte[] body = response.body().bytes();
+      if (response.isSuccessful()) {
+        outcome = ProblemAnswer.outcomeOf(Json.MAPPER.readTree(body).path("outcome").asText());
+      }
+    }
+    outcomeQuestions++;
+    if (outcome == Outcome.RAN) {
+      completeAs(CallState.RAN);
+    } else if (outcome == Outcome.NOT_RUN || outcomeQuestions >= MAX_OUTCOME_QUESTIONS) {
+      fail(null);
+    } else {
+      context.submitAfter(this, OUTCOME_WAIT_MS);
+    }
+  }
+
+  private void completeAs(CallState state) {
+    if (shape.isOnce()) {
+      context.onceCalls.put(key, state);
+    }
+    measurements.onUseful(planned, 1, System.nanoTime());
+    complete();
+  }
+
+  private void endNotRun() {
+    if (shape.isOnce() && !isAmbiguous) {
+      context.onceCalls.put(key, CallState.NOT_RUN);
+    }
+    fail(null);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/TomlSection.java
@@ -0,0 +1,172 @@
+package org.gooseberryhook.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * One table of a TOML file. Reading a key marks it as known; faults go to a shared list, and the
+ * reader gets a harmless value so that the remaining keys are checked too.
+ */
+final class TomlSection {
+
+  private final JsonNode node;
+  private final String path;
+  private final List<String> faults;
+  private final Set<String> knownKeys = new TreeSet<>();
+
+  TomlSection(JsonNode node, String path, List<String> faults) {
+    this.node = node;
+    this.path = path;
+    this.faults = faults;
+  }
+
+  boolean has(String key) {
+    knownKeys.add(key);
+    return node.has(key);
+  }
+
+  String text(String key, String defaultValue) {
+    if (!has(key)) {
+      return orMissing(key, defaultValue, "");
+    }
+    JsonNode value = node.get(key);
+    if (!value.isTextual()) {
+      addFault(key, "is " + value + "; use a text in quotes");
+      return "";
+    }
+    return value.asText();
+  }
+
+  String text(String key) {
+    String value = text(key, null);
+    if (node.path(key).isTextual() && value.isBlank()) {
+      addFault(key, "is empty; give a name");
+    }
+    return value;
+  }
+
+  long integer(String key, Long defaultValue, long min, long max) {
+    if (!has(key)) {
+      return orMissing(key, defaultValue, min);
+    }
+    JsonNode value = node.get(key);
+    if (!value.isIntegralNumber() || value.asLong() < min || value.asLong() > max) {
+      addFault(key, "is " + value + "; use a whole number from " + min + " to " + max);
+      return min;
+    }
+    return value.asLong();
+  }
+
+  double number(String key, Double defaultValue, double min) {
+    if (!has(key)) {
+      return orMissing(key, defaultValue, 1.0);
+    }
+    JsonNode value = node.get(key);
+    if (!value.isNumber() || !(value.asDouble() >= min) || Double.isInfinite(value.asDouble())) {
+      addFault(key, "is " + value + "; use a number of at least " + min);
+      return 1.0;
+    }
+    return value.asDouble();
+  }
+
+  boolean flag(String key, boolean defaultValue) {
+    if (!has(key)) {
+      return defaultValue;
+    }
+    if (!node.get(key).isBoolean()) {
+      addFault(key, "is " + node.get(key) + "; use true or false");
+      return defaultValue;
+    }
+    return node.get(key).asBoolean();
+  }
+
+  /** Reads a name of an enumeration in lower case. */
+  <E extends Enum<E>> E choice(String key, Class<E> type, E defaultValue) {
+    if (!has(key)) {
+      return defaultValue;
+    }
+    List<String> names = new ArrayList<>();
+    for (E constant : type.getEnumConstants()) {
+      String name = constant.name().toLowerCase(Locale.ROOT);
+      if (name.equals(node.get(key).asText())) {
+        return constant;
+      }
+      names.add(name);
+    }
+    addFault(key, "is " + node.get(key) + "; use one of " + names);
+    return defaultValue;
+  }
+
+  List<String> texts(String key) {
+    List<String> values = new ArrayList<>();
+    if (has(key)) {
+      for (JsonNode value : node.get(key)) {
+        values.add(value.asText());
+      }
+    }
+    if (values.isEmpty()) {
+      addFault(key, "names nothing; give a list of texts");
+    }
+    return values;
+  }
+
+  TomlSection section(String key) {
+    JsonNode value = has(key) ? node.get(key) : MissingNode.getInstance();
+    if (has(key) && !value.isObject()) {
+      addFault(key, "is " + value + "; write a table [" + pathOf(key) + "]");
+    }
+    return new TomlSection(value, pathOf(key), faults);
+  }
+
+  List<TomlSection> sections(String key) {
+    List<TomlSection> sections = new ArrayList<>();
+    if (!has(key)) {
+      return sections;
+    }
+    JsonNode value = node.get(key);
+    if (!value.isArray()) {
+      addFault(key, "is not a list; write tables [[" + pathOf(key) + "]]");
+      return sections;
+    }
+    for (JsonNode element : value) {
+      String elementPath = pathOf(key) + "[" + sections.size() + "]";
+      if (!element.isObject()) {
+        faults.add(elementPath + " is " + element + "; write a table [[" + pathOf(key) + "]]");
+      }
+      sections.add(new TomlSection(element, elementPath, faults));
+    }
+    return sections;
+  }
+
+  /** Adds a fault for each key that was never asked for. */
+  void refuseUnknownKeys() {
+    node.fieldNames()
+        .forEachRemaining(
+            key -> {
+              if (!knownKeys.contains(key)) {
+                addFault(key, "is not known; use one of " + knownKeys);
+              }
+            });
+  }
+
+  void addFault(String key, String what) {
+    faults.add(pathOf(key) + " " + what);
+  }
+
+  private <T> T orMissing(String key, T defaultValue, T substitute) {
+    if (defaultValue != null) {
+      return defaultValue;
+    }
+    addFault(key, "is missing");
+    return substitute;
+  }
+
+  private String pathOf(String key) {
+    return path.isEmpty() ? key : path + "." + key;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/Variant.java
@@ -0,0 +1,28 @@
+package org.gooseberryhook.load;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A deployment under test.
+ *
+ * @param name name in reports
+ * @param addresses {@code ip:port} of entry nodes to ask for addresses, not empty
+ * @since 0.1
+ */
+public record Variant(String name, List<String> addresses) {
+
+  /**
+   * Creates a variant.
+   *
+   * @throws IllegalArgumentException if there is no address
+   */
+  public Variant {
+    Objects.requireNonNull(name, "name");
+    addresses = List.copyOf(addresses);
+    if (addresses.isEmpty()) {
+      throw new IllegalArgumentException(
+          "variant " + name + " has no address; name at least one entry node");
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/VariantBlocks.java
@@ -0,0 +1,42 @@
+package org.gooseberryhook.load;
+
+import java.util.SplittableRandom;
+
+/**
+ * Order of the variants of a comparison: time is cut into blocks, and each round of as many blocks
+ * as there are variants runs every variant once in an order drawn from the seed. A drift of the
+ * machine therefore hits the variants alike.
+ */
+final class VariantBlocks {
+
+  private static final long ROUND_FACTOR = 0x9E3779B97F4A7C15L;
+
+  private final long seed;
+  private final int variantCount;
+  private final long blockNanos;
+
+  VariantBlocks(long seed, int variantCount, long blockNanos) {
+    this.seed = seed;
+    this.variantCount = variantCount;
+    this.blockNanos = blockNanos;
+  }
+
+  int blockAt(long atNanos) {
+    return (int) (atNanos / blockNanos);
+  }
+
+  int variantOf(int block) {
+    return orderOf(block / variantCount)[block % variantCount];
+  }
+
+  private int[] orderOf(int round) {
+    SplittableRandom random = new SplittableRandom(seed ^ ((round + 1) * ROUND_FACTOR));
+    int[] order = new int[variantCount];
+    for (int i = 0; i < variantCount; i++) {
+      int other = random.nextInt(i + 1);
+      order[i] = order[other];
+      order[other] = i;
+    }
+    return order;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load and experiment tool: open-loop callers, faults by schedule, and reports. */
+package org.gooseberryhook.load;
--- /dev/null
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
@@ -0,0 +1,171 @@
+package org.gooseberryhook.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Runs the generator over real sockets. */
+class LoadGeneratorTest {
+
+  private static final String MODEL_CALLS =
+      """
+      name = "tiny"
+      seed = 7
+      duration_ms = %d
+      [model]
+      id = "drafting"
+      version = "v1"
+      layers = 8
+      [[workspaces]]
+      name = "omaruru-quotes"
+      key = "tiny-key"
+      rate = 30
+      bound_requests_per_second = 100
+      [[mix]]
+      kind = "model"
+      weight = 3
+      prompt_chars = 200
+      prefixes = 2
+      prefix_chars = 100
+      answer_tokens = 20
+      """;
+
+  private static final String WHOLE_CALLS =
+      """
+      [[mix]]
+      kind = "model"
+      stream = false
+      prompt_chars = 50
+      answer_tokens = 10
+      """;
+
+  /** Guards against a correct system being reported as faulty, also while parts of it die. */
+  @Test
+  void aCorrectSystemHasNoViolationWhileAnEngineAndAnEntryNodeDie() throws Exception {
+    TinyCluster cluster = new TinyCluster();
+    String faults =
+        """
+        [[faults]]
+        name = "engine dies"
+        at_ms = 700
+        method = "PUT"
+        url = "%s"
+        body = '{"isDead":true,"isLeaving":false,"slowFactor":0}'
+        [[faults]]
+        name = "entry node dies"
+        at_ms = 1200
+        action = "stop-node"
+        """
+            .formatted(cluster.getFaultsUrl("t0"));
+    try {
+      LoadResult result =
+          run(
+              MODEL_CALLS.formatted(2_000) + WHOLE_CALLS + faults,
+              cluster.getAddresses(),
+              Map.of("stop-node", () -> cluster.stopNode(0)));
+      assertThat(result.getViolationCount()).as("%s", result.counts()).isZero();
+      assertThat(result.counts().get(Count.ARRIVED)).isGreaterThan(30);
+      assertThat(result.counts().get(Count.COMPLETED))
+          .as("%s", result.problems())
+          .isEqualTo(result.counts().get(Count.ARRIVED));
+      assertThat(result.counts().get(Count.FAILOVERS)).isPositive();
+      assertThat(result.faults()).allMatch(fault -> fault.error().isEmpty());
+    } finally {
+      cluster.stop();
+    }
+  }
+
+  static Stream<Arguments> brokenAnswers() {
+    return Stream.of(
+        Arguments.of(Count.WRONG, script(t -> tokens(t, 0, 5) + ScriptedNode.event(5, 50_001))),
+        Arguments.of(
+            Count.WRONG,
+            script(t -> tokens(t, 0, 20) + ScriptedNode.event(20, 1) + ScriptedNode.done())),
+        Arguments.of(Count.DUPLICATED, script(t -> tokens(t, 0, 5) + tokens(t, 4, 20))),
+        Arguments.of(Count.INCOMPLETE, script(t -> tokens(t, 0, 5) + tokens(t, 6, 20))),
+        Arguments.of(Count.INCOMPLETE, script(t -> tokens(t, 0, 19) + ScriptedNode.done())),
+        Arguments.of(
+            Count.FALSE_NOT_RUN,
+            script(
+                t ->
+                    tokens(t, 0, 5)
+                        + "event: error\ndata: {\"title\":\"failed\",\"outcome\":\"not-run\"}\n\n")));
+  }
+
+  /** Guards against a broken answer that passes as a good one. */
+  @ParameterizedTest
+  @MethodSource("brokenAnswers")
+  void aBrokenAnswerIsCaught(Count expected, ScriptedNode.Script script) throws Exception {
+    ScriptedNode node = new ScriptedNode(script, "{}");
+    try {
+      LoadResult result = run(MODEL_CALLS.formatted(200), List.of(node.getAddress()), Map.of());
+      assertThat(result.counts().get(expected)).isPositive();
+      assertThat(result.getViolationCount())
+          .isEqualTo(result.counts().get(expected))
+          .isEqualTo(result.counts().get(Count.ARRIVED));
+    } finally {
+      node.stop();
+    }
+  }
+
+  /** Guards against confirmed once-only calls whose effect is missing. */
+  @Test
+  void confirmedCallsWithoutEffectAreCountedAsLost() throws Exception {
+    ScriptedNode node = new ScriptedNode(tokens -> "", "{}");
+    String onceCalls =
+        """
+        name = "once"
+        seed = 7
+        duration_ms = 200
+        effects_url = "http://%s/effects"
+        [[workspaces]]
+        name = "omaruru-quotes"
+        key = "tiny-key"
+        rate = 30
+        [[mix]]
+        kind = "once"
+        service = "booking"
+        operation = "book"
+        """
+            .formatted(node.getAddress());
+    try {
+      LoadResult result = run(onceCalls, List.of(node.getAddress()), Map.of());
+      assertThat(result.counts().get(Count.LOST_EFFECTS))
+          .isPositive()
+          .isEqualTo(result.counts().get(Count.COMPLETED));
+    } finally {
+      node.stop();
+    }
+  }
+
+  private static LoadResult run(
+      String toml, List<String> addresses, Map<String, FaultAction> actions)
+      throws IOException, InterruptedException {
+    ExperimentParser.Result parsed = ExperimentParser.parse(toml);
+    assertThat(parsed).isInstanceOf(ExperimentParser.Valid.class);
+    Experiment experiment =
+        ((ExperimentParser.Valid) parsed)
+            .experiment()
+            .withVariants(List.of(new Variant("target", addresses)));
+    return new LoadGenerator(experiment, actions, progress -> {}).run();
+  }
+
+  private static ScriptedNode.Script script(ScriptedNode.Script script) {
+    return script;
+  }
+
+  private static String tokens(List<Integer> tokens, int from, int to) {
+    StringBuilder events = new StringBuilder();
+    for (int step = from; step < to; step++) {
+      events.append(ScriptedNode.event(step, tokens.get(step)));
+    }
+    return events.toString();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/ScriptedNode.java
@@ -0,0 +1,77 @@
+package org.gooseberryhook.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.standin.TokenFunction;
+
+/** A node that answers streams as a script says, and service calls with 200. */
+final class ScriptedNode {
+
+  /** Turns the right answer into the events to send. */
+  @FunctionalInterface
+  interface Script {
+
+    String eventsOf(List<Integer> rightTokens);
+  }
+
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newFixedThreadPool(4);
+
+  ScriptedNode(Script script, String effects) throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/v1/completions", exchange -> answerModelCall(exchange, script));
+    server.createContext(
+        "/v1/addresses",
+        exchange ->
+            send(exchange, "{\"addresses\":[\"" + getAddress() + "\"],\"valid_for_ms\":10000}"));
+    server.createContext("/v1/services", exchange -> send(exchange, "{}"));
+    server.createContext("/effects", exchange -> send(exchange, effects));
+    server.start();
+  }
+
+  String getAddress() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  void stop() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+
+  static String event(int step, int tokenId) {
+    return "data: {\"step\":" + step + ",\"token_id\":" + tokenId + "}\n\n";
+  }
+
+  static String done() {
+    return "data: [DONE]\n\n";
+  }
+
+  private static void answerModelCall(HttpExchange exchange, Script script) throws IOException {
+    JsonNode body = Json.MAPPER.readTree(exchange.getRequestBody().readAllBytes());
+    List<Integer> tokens =
+        TokenFunction.answerTo(
+            "v1",
+            TinyCluster.LAYER_COUNT,
+            body.path("prompt").asText(),
+            body.path("max_tokens").asInt());
+    send(exchange, script.eventsOf(tokens));
+  }
+
+  private static void send(HttpExchange exchange, String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    exchange.getRequestBody().readAllBytes();
+    exchange.sendResponseHeaders(200, bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+}
