Write load results as JSON and one self-contained HTML file

Cause: results were printed as text only, without plots over time and over percentiles. Change: ExperimentReport writes result.json and report.html with inline SVG.

--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LatencyGroup.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LatencyGroup.java
@@ -11,7 +11,7 @@
 final class LatencyGroup {
 
   /** Percentiles at which the curve of a distribution is given; dense towards the tail. */
-  static final List<Double> CURVE_PERCENTILES =
+  private static final List<Double> CURVE_PERCENTILES =
       List.of(
           0.0, 10.0, 20.0, 30.0, 40.0, 50.0, 60.0, 70.0, 75.0, 80.0, 85.0, 90.0, 92.5, 95.0, 96.5,
           98.0, 99.0, 99.3, 99.6, 99.8, 99.9, 99.95, 99.99);
@@ -67,9 +67,11 @@
   }
 
   private static LoadResult.Latency toLatency(Histogram histogram) {
-    List<Double> curve = new ArrayList<>();
+    List<LoadResult.Point> curve = new ArrayList<>();
     if (histogram.getTotalCount() > 0) {
-      CURVE_PERCENTILES.forEach(percentile -> curve.add(millisAt(histogram, percentile)));
+      for (double percentile : CURVE_PERCENTILES) {
+        curve.add(new LoadResult.Point(percentile, millisAt(histogram, percentile)));
+      }
     }
     return new LoadResult.Latency(
         histogram.getTotalCount(),
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
@@ -83,7 +83,9 @@
       }
       Experiment experiment = withOptions(((ExperimentParser.Valid) parsed).experiment());
       LoadResult result = new LoadGenerator(experiment, actions, this::printProgress).run();
+      ExperimentReport.write(result, outDirectory);
       out.print(LoadSummary.of(result));
+      out.println("report: " + outDirectory.resolve(ExperimentReport.HTML_FILE));
       return result.getViolationCount() == 0 ? 0 : EXIT_VIOLATIONS;
     } catch (IOException e) {
       out.println("load: " + e);
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadResult.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadResult.java
@@ -69,7 +69,7 @@
    * @param p99 99th percentile
    * @param p999 99.9th percentile
    * @param max largest value
-   * @param curve value at each of {@link LatencyGroup#CURVE_PERCENTILES}; empty without values
+   * @param curve the distribution by percentile, dense towards the tail; empty without values
    */
   public record Latency(
       long count,
@@ -79,7 +79,15 @@
       double p99,
       double p999,
       double max,
-      List<Double> curve) {}
+      List<Point> curve) {}
+
+  /**
+   * A point of a latency distribution.
+   *
+   * @param percentile the percentile, 0 to 100
+   * @param ms the latency there, in milliseconds
+   */
+  public record Point(double percentile, double ms) {}
 
   /**
    * What a fault did.
