--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/Experiment.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/Experiment.java
@@ -205,6 +205,29 @@
         blockMs);
   }
 
+  /**
+   * Returns this experiment with other faults.
+   *
+   * @param newFaults the faults
+   * @return a copy, never null
+   */
+  public Experiment withFaults(List<Fault> newFaults) {
+    return new Experiment(
+        name,
+        seed,
+        durationMs,
+        warmUpMs,
+        arrivals,
+        workspaces,
+        model,
+        mix,
+        caller,
+        newFaults,
+        effectsUrl,
+        variants,
+        blockMs);
+  }
+
   /**
    * Returns this experiment against other deployments.
    *
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
@@ -34,6 +34,9 @@
   @Parameter(names = "--seed", description = "Seed; replaces the one of the file")
   private Long seed;
 
+  @Parameter(names = "--without-faults", description = "Leave out the faults of the file")
+  private boolean isWithoutFaults;
+
   @Parameter(
       names = {"--help", "-h"},
       help = true,
@@ -102,6 +105,9 @@
 
   private Experiment withOptions(Experiment experiment) {
     Experiment changed = seed == null ? experiment : experiment.withSeed(seed);
+    if (isWithoutFaults) {
+      changed = changed.withFaults(List.of());
+    }
     if (targets.isEmpty()) {
       return changed;
     }
