Test effect comparison and label the last percentile exactly

Cause: the outcome question and doubled effects were not tested, and the plots labelled percentile 99.99 as 100. Change: seven cases of told outcome against effects over real sockets; tick labels are texts; tighter y axes. Conclusion: lost, doubled and falsely refused once-only calls are caught.

--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/SvgChart.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/SvgChart.java
@@ -65,8 +65,8 @@
     DoubleUnaryOperator tail = percentile -> -Math.log10(1 - percentile / 100);
     SvgChart chart = new SvgChart(tail, tail.applyAsDouble(99.99), niceMax(lines));
     List<Mark> ticks = new ArrayList<>();
-    for (double percentile : new double[] {0, 50, 75, 90, 95, 99, 99.9, 99.99}) {
-      ticks.add(new Mark(percentile, format(percentile)));
+    for (String percentile : List.of("0", "50", "75", "90", "95", "99", "99.9", "99.99")) {
+      ticks.add(new Mark(Double.parseDouble(percentile), percentile));
     }
     return chart.draw("percentile", yLabel, ticks, lines, List.of());
   }
@@ -166,10 +166,10 @@
     return max <= 0 ? 1 : niceStep(max / TICK_COUNT) * TICK_COUNT;
   }
 
-  /** Returns the smallest of 1, 2, 2.5, 5 times a power of ten that is at least the value. */
+  /** Returns the smallest of 1, 2, 2.5, 3, 4, 5 times a power of ten that is at least the value. */
   private static double niceStep(double value) {
     double power = Math.pow(10, Math.floor(Math.log10(value)));
-    for (double factor : new double[] {1, 2, 2.5, 5}) {
+    for (double factor : new double[] {1, 2, 2.5, 3, 4, 5}) {
       if (factor * power >= value - 1e-12) {
         return factor * power;
       }
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
@@ -100,7 +100,7 @@
   @ParameterizedTest
   @MethodSource("brokenAnswers")
   void aBrokenAnswerIsCaught(Count expected, ScriptedNode.Script script) throws Exception {
-    ScriptedNode node = new ScriptedNode(script, "{}");
+    ScriptedNode node = new ScriptedNode(script, 200, "{}", 0);
     try {
       LoadResult result = run(MODEL_CALLS.formatted(200), List.of(node.getAddress()), Map.of());
       assertThat(result.counts().get(expected)).isPositive();
@@ -112,10 +112,23 @@
     }
   }
 
-  /** Guards against confirmed once-only calls whose effect is missing. */
-  @Test
-  void confirmedCallsWithoutEffectAreCountedAsLost() throws Exception {
-    ScriptedNode node = new ScriptedNode(tokens -> "", "{}");
+  static Stream<Arguments> onceOnlyCalls() {
+    return Stream.of(
+        Arguments.of(200, "{}", 0, Count.LOST_EFFECTS),
+        Arguments.of(200, "{}", 2, Count.DOUBLED_EFFECTS),
+        Arguments.of(503, "{\"outcome\":\"not-run\"}", 1, Count.FALSE_NOT_RUN),
+        Arguments.of(503, "{\"outcome\":\"not-run\"}", 0, null),
+        Arguments.of(502, "{\"outcome\":\"unknown\"}", 1, null),
+        Arguments.of(502, "{\"outcome\":\"unknown\"}", 0, Count.LOST_EFFECTS),
+        Arguments.of(200, "{}", 1, null));
+  }
+
+  /** Guards against once-only calls whose effects differ from what their callers were told. */
+  @ParameterizedTest
+  @MethodSource("onceOnlyCalls")
+  void effectsAreComparedWithWhatCallersWereTold(
+      int status, String body, int effectsPerCall, Count expected) throws Exception {
+    ScriptedNode node = new ScriptedNode(tokens -> "", status, body, effectsPerCall);
     String onceCalls =
         """
         name = "once"
@@ -134,9 +147,12 @@
             .formatted(node.getAddress());
     try {
       LoadResult result = run(onceCalls, List.of(node.getAddress()), Map.of());
-      assertThat(result.counts().get(Count.LOST_EFFECTS))
-          .isPositive()
-          .isEqualTo(result.counts().get(Count.COMPLETED));
+      long arrived = result.counts().get(Count.ARRIVED);
+      assertThat(arrived).isPositive();
+      assertThat(result.getViolationCount()).isEqualTo(expected == null ? 0 : arrived);
+      if (expected != null) {
+        assertThat(result.counts().get(expected)).isEqualTo(arrived);
+      }
     } finally {
       node.stop();
     }
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/ScriptedNode.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/ScriptedNode.java
@@ -8,12 +8,15 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.standin.TokenFunction;
 
-/** A node that answers streams as a script says, and service calls with 200. */
+/** A node and a plain service that answer as a script says; a lost answer is found as ran. */
 final class ScriptedNode {
 
   /** Turns the right answer into the events to send. */
@@ -25,8 +28,10 @@
 
   private final HttpServer server;
   private final ExecutorService threads = Executors.newFixedThreadPool(4);
+  private final Set<String> keys = ConcurrentHashMap.newKeySet();
 
-  ScriptedNode(Script script, String effects) throws IOException {
+  ScriptedNode(Script script, int serviceStatus, String serviceBody, int effectsPerCall)
+      throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(threads);
     server.createContext("/v1/completions", exchange -> answerModelCall(exchange, script));
@@ -34,8 +39,21 @@
         "/v1/addresses",
         exchange ->
             send(exchange, "{\"addresses\":[\"" + getAddress() + "\"],\"valid_for_ms\":10000}"));
-    server.createContext("/v1/services", exchange -> send(exchange, "{}"));
-    server.createContext("/effects", exchange -> send(exchange, effects));
+    server.createContext(
+        "/v1/services",
+        exchange -> {
+          keys.add(exchange.getRequestHeaders().getFirst("Idempotency-Key"));
+          send(exchange, serviceStatus, serviceBody);
+        });
+    server.createContext("/v1/outcomes", exchange -> send(exchange, "{\"outcome\":\"ran\"}"));
+    server.createContext(
+        "/effects",
+        exchange ->
+            send(
+                exchange,
+                keys.stream()
+                    .map(key -> "\"" + key + "\":" + effectsPerCall)
+                    .collect(Collectors.joining(",", "{", "}"))));
     server.start();
   }
 
@@ -68,9 +86,13 @@
   }
 
   private static void send(HttpExchange exchange, String text) throws IOException {
+    send(exchange, 200, text);
+  }
+
+  private static void send(HttpExchange exchange, int status, String text) throws IOException {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     exchange.getRequestBody().readAllBytes();
-    exchange.sendResponseHeaders(200, bytes.length);
+    exchange.sendResponseHeaders(status, bytes.length);
     exchange.getResponseBody().write(bytes);
     exchange.close();
   }
