Assemble the node from its services

Cause: the daemon did not drive the decision modules yet. Change: caller API for models, services, outcomes and addresses; administration API; node assembly with drain.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
@@ -163,9 +163,7 @@
       ChangeReader reader,
       Function<String, ConfigurationChange> remover) {
     String path = "/admin/v1/" + name;
-    app.get(
-        path,
-        guarded(context -> sendJson(context, records.apply(cluster.getConfiguration()))));
+    app.get(path, guarded(context -> sendJson(context, records.apply(cluster.getConfiguration()))));
     app.get(
         path + "/{id}",
         guarded(
@@ -235,11 +233,7 @@
       ChangeResult result =
           writer
               .submit(
-                  changeId,
-                  authorOf(context),
-                  System.currentTimeMillis(),
-                  change,
-                  expectedVersion)
+                  changeId, authorOf(context), System.currentTimeMillis(), change, expectedVersion)
               .get(CHANGE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
       if (result instanceof ChangeResult.Accepted accepted) {
         cluster.onAccepted(accepted.entry());
@@ -298,7 +292,10 @@
     if (targetIds.isEmpty()) {
       return badRequest(
           context,
-          "no target found for kind '" + body.kind() + "' and id '" + body.id()
+          "no target found for kind '"
+              + body.kind()
+              + "' and id '"
+              + body.id()
               + "'; kinds are target, vm and place");
     }
     Map<String, String> results = new LinkedHashMap<>();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
@@ -5,8 +5,8 @@
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.MediaType;
+import io.jooby.Route;
 import io.jooby.ServerOptions;
-import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,17 +14,15 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.ModelCall;
 import org.gooseberryhook.protocol.Outcome;
 import org.gooseberryhook.protocol.Problem;
 import org.gooseberryhook.protocol.ProblemKind;
-import org.gooseberryhook.state.Configuration;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.ModelSpec;
 import org.gooseberryhook.state.PriorityClass;
-import org.gooseberryhook.state.Versioned;
 
 /**
  * HTTP interface for callers.
@@ -33,61 +31,79 @@
  */
 public final class CallerApi {
 
-  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  /** Time for which callers may keep an answer to the question which address to use. */
+  static final int ADDRESS_VALIDITY_MS = 10_000;
+
   private static final int MAX_REQUEST_ID_CHARS = 128;
   private static final long DEFAULT_TIMEOUT_MS = 60_000;
   private static final String BEARER = "Bearer ";
 
-  private final String host;
-  private final int port;
-  private final Supplier<Configuration> configuration;
+  private final NodeSettings settings;
+  private final ClusterService cluster;
+  private final KeyIndex keys;
   private final ModelCallService modelCalls;
-  private final Supplier<List<String>> addresses;
+  private final ServiceCallApi serviceCalls;
+  private final Function<String, List<String>> addresses;
   private final Executor worker;
   private NettyServer server;
 
   /**
    * Creates an interface.
    *
-   * @param callerAddress {@code ip:port} to listen on
-   * @param configuration the configuration in force
+   * @param settings address and bounds
+   * @param cluster the configuration in force
+   * @param keys finds the workspace of a key
    * @param modelCalls runs model calls
-   * @param addresses the caller addresses of the nodes, best first
+   * @param serviceCalls runs plain service calls
+   * @param addresses the caller addresses for a workspace, best first
    * @param worker bounded pool for the handlers
    */
   public CallerApi(
-      String callerAddress,
-      Supplier<Configuration> configuration,
+      NodeSettings settings,
+      ClusterService cluster,
+      KeyIndex keys,
       ModelCallService modelCalls,
-      Supplier<List<String>> addresses,
+      ServiceCallApi serviceCalls,
+      Function<String, List<String>> addresses,
       Executor worker) {
-    int colon = callerAddress.lastIndexOf(':');
-    this.host = callerAddress.substring(0, colon);
-    this.port = Integer.parseInt(callerAddress.substring(colon + 1));
-    this.configuration = configuration;
+    this.settings = settings;
+    this.cluster = cluster;
+    this.keys = keys;
     this.modelCalls = modelCalls;
+    this.serviceCalls = serviceCalls;
     this.addresses = addresses;
     this.worker = worker;
   }
 
+  /** A handler of an authenticated call. */
+  @FunctionalInterface
+  interface CallerHandler {
+    Object apply(Context context, Contract contract) throws Exception;
+  }
+
   /** Starts listening. */
   public void start() {
     Jooby app = new Jooby();
     app.setExecutionMode(ExecutionMode.WORKER);
     app.setWorker(worker);
-    app.post("/v1/completions", context -> callModel(context, false));
-    app.post("/v1/chat/completions", context -> callModel(context, true));
-    app.get("/v1/models", this::listModels);
-    app.get("/v1/addresses", this::listAddresses);
-    app.post("/v1/requests/{requestId}/cancel", this::cancel);
+    app.post(
+        "/v1/completions", guarded((context, contract) -> callModel(context, contract, false)));
+    app.post(
+        "/v1/chat/completions", guarded((context, contract) -> callModel(context, contract, true)));
+    app.get("/v1/models", guarded(CallerApi::listModels));
+    app.get("/v1/addresses", guarded(this::listAddresses));
+    app.post("/v1/requests/{requestId}/cancel", guarded(this::cancel));
+    app.post("/v1/services/{service}/{operation}", guarded(serviceCalls::call));
+    app.get("/v1/outcomes/{key}", guarded(this::getOutcome));
     app.get("/livez", context -> context.send("ok"));
-    app.error(CallerApi::onError);
+    app.error(Problems::sendError);
+    String address = settings.node().callerAddress();
+    int colon = address.lastIndexOf(':');
     ServerOptions options = new ServerOptions();
-    options.setHost(host);
-    options.setPort(port);
-    options.setMaxRequestSize(MAX_BODY_BYTES);
-    options.setMaxHeaderSize(MAX_HEADER_BYTES);
+    options.setHost(address.substring(0, colon));
+    options.setPort(Integer.parseInt(address.substring(colon + 1)));
+    options.setMaxRequestSize(settings.limits().maxBodyBytes());
+    options.setMaxHeaderSize(settings.limits().maxHeaderBytes());
     server = new NettyServer();
     server.setOptions(options);
     server.start(app);
@@ -100,45 +116,93 @@
     }
   }
 
-  private Object callModel(Context context, boolean isChat) {
-    Optional<Contract> contract = authenticate(context);
-    if (contract.isEmpty()) {
-      return unauthenticated(context);
+  private Route.Handler guarded(CallerHandler handler) {
+    return context -> {
+      if (!cluster.isReady()) {
+        return Problems.send(
+            context,
+            Problem.ofRetry(
+                ProblemKind.NOT_READY, "this node has no trusted configuration yet", 1_000));
+      }
+      String header = context.header("Authorization").value("");
+      Optional<Contract> contract =
+          header.startsWith(BEARER)
+              ? keys.find(header.substring(BEARER.length()).trim(), cluster.getConfiguration())
+              : Optional.empty();
+      if (contract.isEmpty()) {
+        return Problems.send(
+            context, Problem.of(ProblemKind.UNAUTHENTICATED, "the key is missing or not known"));
+      }
+      return handler.apply(context, contract.get());
+    };
+  }
+
+  private Object callModel(Context context, Contract contract, boolean isChat) {
+    if (modelCalls.getRunningCount() >= settings.limits().maxConcurrentRequests()) {
+      return Problems.send(
+          context,
+          Problem.ofRetry(ProblemKind.OVERLOADED, "this node runs its most requests", 1_000));
     }
     ModelRequestBody body;
     try {
       body = ModelRequestBody.read(context.body().bytes());
     } catch (ModelRequestBody.BadBodyException e) {
-      return Problems.send(context, Problem.of(ProblemKind.BAD_REQUEST, e.getMessage()));
+      return badRequest(context, e.getMessage());
     }
-    Optional<ModelSpec> model = configuration.get().getModel(body.model());
+    Optional<ModelSpec> model = cluster.getConfiguration().getModel(body.model());
     if (model.isEmpty()) {
       return Problems.send(
           context, Problem.of(ProblemKind.NOT_FOUND, "model " + body.model() + " is not declared"));
     }
-    if (!contract.get().models().contains(body.model())) {
+    if (!contract.models().contains(body.model())) {
       return Problems.send(
           context,
           Problem.of(ProblemKind.FORBIDDEN, "the contract does not name model " + body.model()));
     }
     String requestId = context.header("X-Request-Id").value(UUID.randomUUID().toString());
-    if (requestId.length() > MAX_REQUEST_ID_CHARS) {
-      return Problems.send(
+    if (requestId.isEmpty() || requestId.length() > MAX_REQUEST_ID_CHARS) {
+      return badRequest(
+          context, "X-Request-Id has no characters or more than " + MAX_REQUEST_ID_CHARS);
+    }
+    String resumeFrom = context.header("X-Resume-From").value("");
+    boolean isResumeWrong =
+        !resumeFrom.isEmpty()
+            && !resumeFrom.equals(Integer.toString(body.getResumeTokenIds().size()));
+    if (isResumeWrong) {
+      return badRequest(
           context,
-          Problem.of(
-              ProblemKind.BAD_REQUEST,
-              "X-Request-Id is longer than " + MAX_REQUEST_ID_CHARS + " characters"));
+          "X-Resume-From is "
+              + resumeFrom
+              + " but resume_token_ids has "
+              + body.getResumeTokenIds().size()
+              + " tokens");
+    }
+    long timeoutMs = timeoutOf(context, contract);
+    if (timeoutMs <= 0) {
+      return badRequest(context, "X-Request-Timeout-Ms is no positive number of milliseconds");
     }
     context.setResponseHeader("X-Request-Id", requestId);
-    ModelCall call = toCall(context, contract.get(), body, requestId);
+    ModelCall call = toCall(contract, body, requestId, timeoutMs);
     modelCalls.submit(
-        call, model.get().layerCount(), new ModelAnswerWriter(context, requestId, body, isChat));
+        call, contract, model.get(), new ModelAnswerWriter(context, requestId, body, isChat));
     return context;
   }
 
+  /** Returns the time allowed, at most the contract's; 0 if the header is wrong. */
+  static long timeoutOf(Context context, Contract contract) {
+    String text = context.header("X-Request-Timeout-Ms").value("");
+    if (text.isEmpty()) {
+      return Math.min(DEFAULT_TIMEOUT_MS, contract.maxDeadlineMs());
+    }
+    try {
+      return Math.min(Long.parseLong(text), contract.maxDeadlineMs());
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
   private static ModelCall toCall(
-      Context context, Contract contract, ModelRequestBody body, String requestId) {
-    long timeoutMs = context.header("X-Request-Timeout-Ms").longValue(DEFAULT_TIMEOUT_MS);
+      Contract contract, ModelRequestBody body, String requestId, long timeoutMs) {
     boolean isBatch =
         contract.priorityClass() == PriorityClass.BATCH || "batch".equals(body.priority());
     return new ModelCall(
@@ -148,17 +212,14 @@
         body.getPrompt(),
         body.getMaxTokens(),
         isBatch ? PriorityClass.BATCH : PriorityClass.INTERACTIVE,
-        Math.max(1, Math.min(timeoutMs, contract.maxDeadlineMs())),
+        timeoutMs,
         body.getResumeTokenIds());
   }
 
-  private Object listModels(Context context) throws JsonProcessingException {
-    Optional<Contract> contract = authenticate(context);
-    if (contract.isEmpty()) {
-      return unauthenticated(context);
-    }
+  private static Object listModels(Context context, Contract contract)
+      throws JsonProcessingException {
     List<Map<String, Object>> models =
-        contract.get().models().stream()
+        contract.models().stream()
             .sorted()
             .map(model -> Map.<String, Object>of("id", model, "object", "model"))
             .toList();
@@ -168,25 +229,16 @@
     return sendJson(context, body);
   }
 
-  private Object listAddresses(Context context) throws JsonProcessingException {
-    Optional<Contract> contract = authenticate(context);
-    if (contract.isEmpty()) {
-      return unauthenticated(context);
-    }
+  private Object listAddresses(Context context, Contract contract) throws JsonProcessingException {
     Map<String, Object> body = new LinkedHashMap<>();
-    body.put("addresses", addresses.get());
-    body.put("valid_for_ms", 10_000);
+    body.put("addresses", addresses.apply(contract.workspaceId()));
+    body.put("valid_for_ms", ADDRESS_VALIDITY_MS);
     return sendJson(context, body);
   }
 
-  private Object cancel(Context context) throws JsonProcessingException {
-    Optional<Contract> contract = authenticate(context);
-    if (contract.isEmpty()) {
-      return unauthenticated(context);
-    }
+  private Object cancel(Context context, Contract contract) throws JsonProcessingException {
     String requestId = context.path("requestId").value();
-    boolean isCancelled = modelCalls.cancel(contract.get().workspaceId(), requestId);
-    if (!isCancelled) {
+    if (!modelCalls.cancel(contract.workspaceId(), requestId)) {
       return Problems.send(
           context,
           new Problem(
@@ -198,44 +250,20 @@
     return sendJson(context, Map.of("id", requestId, "cancelled", true));
   }
 
-  private Optional<Contract> authenticate(Context context) {
-    String header = context.header("Authorization").value("");
-    if (!header.startsWith(BEARER)) {
-      return Optional.empty();
-    }
-    String digest = CallerKeys.digestOf(header.substring(BEARER.length()).trim());
-    for (Versioned<Contract> entry : configuration.get().contracts().values()) {
-      for (String known : entry.value().callerKeyDigests()) {
-        if (CallerKeys.isSame(known, digest)) {
-          return Optional.of(entry.value());
-        }
-      }
+  private Object getOutcome(Context context, Contract contract) throws Exception {
+    String key = context.path("key").value();
+    if (modelCalls.isRunning(contract.workspaceId(), key)) {
+      return sendJson(context, Map.of("key", key, "outcome", Outcome.RUNNING.getText()));
     }
-    return Optional.empty();
+    return serviceCalls.getOutcome(context, contract, key);
   }
 
-  private static Object unauthenticated(Context context) {
-    return Problems.send(
-        context, Problem.of(ProblemKind.UNAUTHENTICATED, "the key is missing or not known"));
+  private static Object badRequest(Context context, String detail) {
+    return Problems.send(context, Problem.of(ProblemKind.BAD_REQUEST, detail));
   }
 
-  private static Object sendJson(Context context, Object body) throws JsonProcessingException {
+  static Object sendJson(Context context, Object body) throws JsonProcessingException {
     context.setResponseType(MediaType.json);
     return context.send(Json.MAPPER.writeValueAsBytes(body));
   }
-
-  private static void onError(Context context, Throwable cause, StatusCode status) {
-    ProblemKind kind =
-        switch (status.value()) {
-          case 400 -> ProblemKind.BAD_REQUEST;
-          case 404, 405 -> ProblemKind.NOT_FOUND;
-          case 413 -> ProblemKind.TOO_LARGE;
-          default -> ProblemKind.INTERNAL;
-        };
-    String detail =
-        kind == ProblemKind.INTERNAL
-            ? "the node failed to handle the request"
-            : context.getMethod() + " " + context.getRequestPath() + ": " + status.reason();
-    Problems.send(context, Problem.of(kind, detail));
-  }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -172,6 +172,18 @@
     return live;
   }
 
+  /**
+   * Returns the latest log entries.
+   *
+   * @param afterVersion only entries after this version
+   * @return the entries that are still kept, in order
+   */
+  public List<ConfigurationLogEntry> getChanges(long afterVersion) {
+    long oldest =
+        Math.max(afterVersion, store.get().version() - ConfigurationStore.MAX_TAIL_ENTRIES);
+    return store.getEntriesAfter(oldest).orElse(List.of());
+  }
+
   /**
    * Returns this node.
    *
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/KeyIndex.java
@@ -0,0 +1,69 @@
+package org.gooseberryhook.transport;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.Versioned;
+
+/**
+ * Finds the workspace of a caller key. A lookup goes by the key's digest, so its time tells nothing
+ * about a key.
+ *
+ * @since 0.1
+ */
+public final class KeyIndex {
+
+  private final Map<String, String> workspaceByDigest = new ConcurrentHashMap<>();
+  private final Map<String, Versioned<Contract>> known = new HashMap<>();
+
+  /**
+   * Takes a configuration; only contracts that changed are indexed again.
+   *
+   * @param configuration the configuration in force
+   */
+  public synchronized void update(Configuration configuration) {
+    Map<String, Versioned<Contract>> contracts = configuration.contracts();
+    contracts.forEach(
+        (workspaceId, entry) -> {
+          Versioned<Contract> before = known.get(workspaceId);
+          if (before == null || before.version() != entry.version()) {
+            forget(workspaceId, before);
+            known.put(workspaceId, entry);
+            digestsOf(entry).forEach(digest -> workspaceByDigest.put(digest, workspaceId));
+          }
+        });
+    List<String> gone = known.keySet().stream().filter(id -> !contracts.containsKey(id)).toList();
+    gone.forEach(workspaceId -> forget(workspaceId, known.remove(workspaceId)));
+  }
+
+  /**
+   * Returns the contract that a key belongs to.
+   *
+   * @param key the key as the caller sent it
+   * @param configuration the configuration in force
+   * @return the contract, or empty if the key is not known
+   */
+  public Optional<Contract> find(String key, Configuration configuration) {
+    String digest = CallerKeys.digestOf(key);
+    return configuration
+        .getContract(workspaceByDigest.get(digest))
+        .filter(
+            contract ->
+                contract.callerKeyDigests().stream()
+                    .anyMatch(known -> CallerKeys.isSame(known, digest)));
+  }
+
+  private void forget(String workspaceId, Versioned<Contract> before) {
+    if (before != null) {
+      digestsOf(before).forEach(digest -> workspaceByDigest.remove(digest, workspaceId));
+    }
+  }
+
+  private static List<String> digestsOf(Versioned<Contract> entry) {
+    return entry.value().callerKeyDigests();
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -174,8 +174,11 @@
     finishWith(
         Problem.ofRetry(
             ProblemKind.LIMITED,
-            "the bound " + limited.bound() + " of the contract of workspace "
-                + call.workspaceId() + " is reached",
+            "the bound "
+                + limited.bound()
+                + " of the contract of workspace "
+                + call.workspaceId()
+                + " is reached",
             Math.max(1, limited.retryAfterMs())));
   }
 
@@ -362,8 +365,7 @@
     isInFlight = false;
     endDispatch(AttemptFailure.ENGINE, lostTarget);
     exclude(lostTarget);
-    boolean isAllowed =
-        hasProgress || service.getControls().retries().trySpend(call.workspaceId());
+    boolean isAllowed = hasProgress || service.getControls().retries().trySpend(call.workspaceId());
     if (session.getAttempt() >= MAX_ATTEMPTS || !isAllowed) {
       finishWith(failed(isAllowed ? reason : reason + "; the retry budget is used up"));
       return;
@@ -473,8 +475,7 @@
       service
           .getControls()
           .router()
-          .onFailed(
-              dispatch, failure, lostTarget, System.nanoTime(), ThreadLocalRandom.current());
+          .onFailed(dispatch, failure, lostTarget, System.nanoTime(), ThreadLocalRandom.current());
       dispatch = null;
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -133,6 +133,16 @@
     return runsByKey.containsKey(ModelCallRun.keyOf(workspaceId, requestId));
   }
 
+  /**
+   * Returns the number of calls of this node that run on a target.
+   *
+   * @param targetId the target
+   * @return the count
+   */
+  int countOn(String targetId) {
+    return (int) runsByKey.values().stream().filter(run -> run.isUsing(targetId)).count();
+  }
+
   EngineClient getEngines() {
     return engines;
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -1,7 +1,13 @@
 package org.gooseberryhook.transport;
 
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
+import java.util.Random;
+import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.SynchronousQueue;
@@ -9,11 +15,29 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Supplier;
-import okhttp3.ConnectionPool;
+import java.util.random.RandomGenerator;
 import okhttp3.OkHttpClient;
-import org.gooseberryhook.coordination.RouteChooser;
-import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.coordination.ConfigurationLog;
+import org.gooseberryhook.coordination.ConfigurationWriter;
+import org.gooseberryhook.coordination.CrashMarkRegistry;
+import org.gooseberryhook.coordination.HomeNodes;
+import org.gooseberryhook.coordination.Membership;
+import org.gooseberryhook.coordination.OverloadGate;
+import org.gooseberryhook.coordination.PipelineHealth;
+import org.gooseberryhook.coordination.PipelineRouter;
+import org.gooseberryhook.coordination.PrefixIndex;
+import org.gooseberryhook.coordination.RetryBudget;
+import org.gooseberryhook.protocol.CrashMessage;
+import org.gooseberryhook.protocol.PeerMessage;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.protocol.TargetMessage;
+import org.gooseberryhook.state.ConfigurationStore;
+import org.gooseberryhook.state.Member;
+import org.gooseberryhook.state.MemberStatus;
+import org.gooseberryhook.state.NodeId;
+import org.gooseberryhook.state.PipelineTable;
+import org.gooseberryhook.state.Target;
+import org.jboss.logging.Logger;
 
 /**
  * An entry node: the services of one process, started and stopped together.
@@ -22,67 +46,303 @@
  */
 public final class NodeService {
 
+  private static final Logger LOG = Logger.getLogger(NodeService.class);
   private static final int MAX_STREAM_THREADS = 8_192;
-  private static final int MAX_WORKER_THREADS = 256;
-  private static final int MAX_IDLE_CONNECTIONS = 512;
+  private static final int MAX_WORKER_THREADS = 512;
+  private static final int TIMER_THREADS = 4;
+  private static final int MAX_STREAMS = 8_192;
+  private static final int MAX_LOAD_REPORTS = 64;
   private static final long THREAD_IDLE_SECONDS = 30;
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final long CRASH_SPREAD_MS = 5_000;
+  private static final long DRAIN_CHECK_MS = 50;
+  private static final long RELEASE_TIMEOUT_MS = 2_000;
+  private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+  private static final int HOME_COUNT = 3;
+  private static final int MAX_ADDRESSES = 9;
+  private static final int MIN_CONCURRENT = 64;
 
+  private final NodeSettings settings;
+  private final NodeId self;
+  private final RandomGenerator random = new Random();
   private final ThreadPoolExecutor streamPool = boundedPool("engine-stream", MAX_STREAM_THREADS);
   private final ThreadPoolExecutor workerPool = boundedPool("caller-worker", MAX_WORKER_THREADS);
+  private final ThreadPoolExecutor adminPool = boundedPool("admin-worker", MAX_WORKER_THREADS / 8);
   private final ScheduledExecutorService timer =
-      Executors.newScheduledThreadPool(2, threads("node-timer"));
-  private final OkHttpClient client =
-      new OkHttpClient.Builder()
-          .connectTimeout(CONNECT_TIMEOUT)
-          .readTimeout(Duration.ZERO)
-          .connectionPool(
-              new ConnectionPool(MAX_IDLE_CONNECTIONS, THREAD_IDLE_SECONDS, TimeUnit.SECONDS))
-          .retryOnConnectionFailure(false)
-          .build();
-  private final String callerAddress;
+      Executors.newScheduledThreadPool(TIMER_THREADS, threads("node-timer"));
+  private final HttpClients clients = new HttpClients();
+  private final NodeMetrics metrics = new NodeMetrics();
+  private final CrashMarkRegistry crashMarks = new CrashMarkRegistry();
+  private final ConfigurationStore store = new ConfigurationStore();
+  private final ClusterService cluster;
+  private final PeerTransport peers;
+  private final FleetService fleet;
+  private final QuotaService quota;
+  private final ModelCallService modelCalls;
+  private final OnceCallService onceCalls;
   private final CallerApi callerApi;
+  private final AdminApi adminApi;
+  private volatile boolean isLeaving;
 
   /**
    * Creates a node.
    *
-   * @param callerAddress {@code ip:port} for callers
-   * @param configuration the configuration in force
-   * @param router chooses pipelines
-   * @param addresses the caller addresses of the nodes, best first
+   * @param settings valid settings
    */
-  public NodeService(
-      String callerAddress,
-      Supplier<Configuration> configuration,
-      RouteChooser router,
-      Supplier<List<String>> addresses) {
-    this.callerAddress = callerAddress;
-    ModelCallService modelCalls =
-        new ModelCallService(new HttpEngineClient(client, streamPool), router, timer);
-    this.callerApi = new CallerApi(callerAddress, configuration, modelCalls, addresses, workerPool);
-  }
-
-  /** Starts the node. */
+  public NodeService(NodeSettings settings) {
+    this.settings = settings;
+    NodeSettings.Node node = settings.node();
+    this.self = NodeId.of(node.peerAddress(), System.currentTimeMillis());
+    Member member =
+        new Member(self, node.place(), node.region(), node.callerAddress(), MemberStatus.ALIVE, 0);
+    TableService table = HttpTableService.of(clients, settings.platform().tableService());
+    this.cluster =
+        new ClusterService(
+            new Membership(member, node.seeds()),
+            store,
+            new ConfigurationLog(table),
+            timer,
+            random);
+    this.peers = new PeerTransport(self, toSocketAddress(node.peerAddress()), cluster);
+    PipelineTable pipelines = new PipelineTable();
+    PipelineRouter router = new PipelineRouter(pipelines, new PipelineHealth(), new PrefixIndex());
+    this.fleet =
+        new FleetService(
+            HttpVmList.of(clients, settings.platform().vmList()),
+            store::get,
+            pipelines,
+            router,
+            clients.newClient("load-report", MAX_LOAD_REPORTS, REPORT_TIMEOUT),
+            timer);
+    this.quota = new QuotaService(self, cluster, table, timer);
+    RetryBudget retries = new RetryBudget();
+    OkHttpClient engineClient = clients.newClient("engine", MAX_STREAMS, Duration.ZERO);
+    int maxConcurrent = settings.limits().maxConcurrentRequests();
+    this.modelCalls =
+        new ModelCallService(
+            new HttpEngineClient(engineClient, streamPool),
+            new CallControls(
+                crashMarks,
+                quota.getHolder(),
+                new OverloadGate(
+                    maxConcurrent,
+                    Math.min(MIN_CONCURRENT, maxConcurrent),
+                    maxConcurrent,
+                    maxConcurrent),
+                router,
+                retries),
+            new ClusterCrashReporter(),
+            timer,
+            metrics);
+    HttpPlainServiceClient services = new HttpPlainServiceClient(clients);
+    this.onceCalls =
+        new OnceCallService(
+            new OnceCallService.Ports(
+                table,
+                services,
+                name -> store.get().getService(name).orElse(null),
+                this::getServiceAddresses,
+                System::nanoTime,
+                System::currentTimeMillis),
+            node.peerAddress(),
+            new SecureRandom());
+    KeyIndex keys = new KeyIndex();
+    cluster.addListener(keys::update);
+    cluster.addListener(ignored -> fleet.onConfigurationChanged());
+    cluster.setHandler(TargetMessage.class, this::onTargetMessage);
+    cluster.setHandler(CrashMessage.class, this::onCrashMessage);
+    ServiceCallApi serviceCalls =
+        new ServiceCallApi(
+            cluster,
+            quota.getHolder(),
+            onceCalls,
+            new IdempotentCall(services, this::getServiceAddresses, System::nanoTime, random),
+            retries,
+            metrics);
+    this.callerApi =
+        new CallerApi(
+            settings, cluster, keys, modelCalls, serviceCalls, this::getAddresses, workerPool);
+    this.adminApi =
+        new AdminApi(
+            settings,
+            cluster,
+            new ConfigurationWriter(table),
+            new NodeAdminView(
+                cluster, fleet, quota, modelCalls, crashMarks, router, pipelines, () -> isLeaving),
+            metrics,
+            adminPool);
+    metrics.gauge("running_requests", modelCalls::getRunningCount);
+    metrics.gauge("configuration_version", () -> store.get().version());
+    metrics.gauge("live_members", () -> cluster.getLiveMembers().size());
+    metrics.gauge("peer_bytes_out", () -> peers.getCounts().bytesOut());
+    metrics.gauge("peer_bytes_in", () -> peers.getCounts().bytesIn());
+  }
+
+  /** Starts the node. Callers are refused as not ready until a configuration is trusted. */
   public void start() {
+    peers.start();
+    cluster.start(peers);
+    fleet.start();
+    quota.start();
+    onceCalls.start();
+    modelCalls.start();
+    timer.scheduleWithFixedDelay(
+        this::spreadCrashMarks, CRASH_SPREAD_MS, CRASH_SPREAD_MS, TimeUnit.MILLISECONDS);
+    adminApi.start();
     callerApi.start();
+    LOG.infof(
+        "node %s in place %s serves callers at %s",
+        self.address(), settings.node().place(), settings.node().callerAddress());
+  }
+
+  /**
+   * Stops gracefully: the node leaves the address answers, serves those who still come, waits for
+   * its streams, releases its leases and stops.
+   *
+   * @return number of streams that the drain timeout cut off
+   */
+  public int drain() {
+    LOG.infof("node %s drains %d requests", self.address(), modelCalls.getRunningCount());
+    isLeaving = true;
+    cluster.leave();
+    quota.release();
+    long deadlineNanos =
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs());
+    long quietNanos =
+        System.nanoTime()
+            + Math.min(
+                TimeUnit.MILLISECONDS.toNanos(CallerApi.ADDRESS_VALIDITY_MS),
+                TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs() / 2));
+    while (System.nanoTime() - deadlineNanos < 0
+        && (modelCalls.getRunningCount() > 0 || System.nanoTime() - quietNanos < 0)) {
+      sleep(DRAIN_CHECK_MS);
+    }
+    int cutOff = modelCalls.getRunningCount();
+    long releaseNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
+    while (!quota.isReleased() && System.nanoTime() - releaseNanos < 0) {
+      sleep(DRAIN_CHECK_MS);
+    }
+    stop();
+    LOG.infof("node %s stopped; %d requests were cut off", self.address(), cutOff);
+    return cutOff;
   }
 
   /** Stops the node at once. */
   public void stop() {
     callerApi.stop();
+    adminApi.stop();
+    modelCalls.stop();
+    onceCalls.stop(RELEASE_TIMEOUT_MS);
+    fleet.stop();
+    quota.stop();
+    cluster.stop();
+    peers.stop();
     timer.shutdownNow();
     streamPool.shutdownNow();
     workerPool.shutdownNow();
-    client.connectionPool().evictAll();
+    adminPool.shutdownNow();
+    clients.stop();
+    metrics.stop();
   }
 
   /**
-   * Returns the address for callers.
+   * Returns the settings.
    *
-   * @return {@code ip:port}
+   * @return the settings, never null
    */
-  public String getCallerAddress() {
-    return callerAddress;
+  public NodeSettings getSettings() {
+    return settings;
+  }
+
+  /**
+   * Tells whether the node may serve.
+   *
+   * @return true if its configuration is trusted
+   */
+  public boolean isReady() {
+    return cluster.isReady();
+  }
+
+  /** Home nodes of the workspace first, then some others; nodes that leave are not named. */
+  private List<String> getAddresses(String workspaceId) {
+    List<Member> members =
+        cluster.getLiveMembers().stream()
+            .filter(member -> !(isLeaving && member.id().equals(self)))
+            .toList();
+    List<HomeNodes.PlacedNode> nodes =
+        members.stream()
+            .map(member -> new HomeNodes.PlacedNode(member.id(), member.place()))
+            .toList();
+    List<String> addresses = new ArrayList<>();
+    for (NodeId id : HomeNodes.of(workspaceId, nodes, Math.max(HOME_COUNT, MAX_ADDRESSES))) {
+      members.stream()
+          .filter(member -> member.id().equals(id))
+          .findFirst()
+          .ifPresent(member -> addresses.add(member.callerAddress()));
+    }
+    return addresses;
+  }
+
+  private List<String> getServiceAddresses(String service) {
+    return fleet.getServiceTargets(service).stream().map(Target::address).toList();
+  }
+
+  private void onTargetMessage(NodeId sender, PeerMessage message) {
+    if (message instanceof TargetMessage.TargetLeaving leaving) {
+      fleet.onTargetLeaving(leaving.targetId());
+    }
+  }
+
+  private void onCrashMessage(NodeId sender, PeerMessage message) {
+    if (message instanceof CrashMessage.CrashMarks marks) {
+      crashMarks.merge(marks, System.nanoTime());
+    } else if (message instanceof CrashMessage.CrashClears clears) {
+      crashMarks.merge(clears, System.nanoTime());
+    }
+  }
+
+  /** Repeats the marks to one other node, so that a node that missed them learns them. */
+  private void spreadCrashMarks() {
+    long nowNanos = System.nanoTime();
+    List<CrashMessage.Mark> marks = crashMarks.getMarks(nowNanos);
+    List<Member> members = cluster.getLiveMembers();
+    if (marks.isEmpty() || members.size() < 2) {
+      return;
+    }
+    Member other = members.get(1 + random.nextInt(members.size() - 1));
+    cluster.send(other.address(), new CrashMessage.CrashMarks(marks));
+    cluster.send(other.address(), new CrashMessage.CrashClears(crashMarks.getClears(nowNanos)));
+  }
+
+  /** Marks the requests of a crash here and at the other nodes. */
+  private final class ClusterCrashReporter implements CrashReporter {
+
+    @Override
+    public void onTargetDied(String targetId, Collection<Long> fingerprints) {
+      fleet.onTargetDied(targetId);
+      if (!fingerprints.isEmpty()) {
+        String eventId = targetId + "/" + UUID.randomUUID();
+        cluster.broadcast(crashMarks.recordCrash(eventId, fingerprints, System.nanoTime()));
+      }
+    }
+
+    @Override
+    public void onCleared(CrashMessage.CrashClears clears) {
+      cluster.broadcast(clears);
+    }
+  }
+
+  private static void sleep(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static InetSocketAddress toSocketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
   private static ThreadPoolExecutor boundedPool(String name, int maxThreads) {
