--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/ConfigurationSync.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/ConfigurationSync.java
@@ -40,7 +40,6 @@
   private static final int MAX_ENTRIES_PER_ANSWER = 200;
 
   private static final int RECORDS_PER_PART = 200;
-  private static final int MAX_PARTS = 10_000;
 
   /** Repeated requests for one part before another node is asked from the start. */
   private static final int MAX_REPEATS = 3;
@@ -59,16 +58,12 @@
   private int repeats;
   private long pullDeadlineNanos;
   private Source source;
-  private Assembly assembly;
+  private SnapshotAssembly assembly;
 
   /** A snapshot that other nodes are fetching from this one. */
   private record Source(
       long version, List<Versioned<ConfigurationChange>> records, long keepUntilNanos) {}
 
-  /** A snapshot that this node is fetching. */
-  private record Assembly(
-      String address, long version, int partCount, List<Versioned<ConfigurationChange>> records) {}
-
   /**
    * Creates a synchronization.
    *
@@ -171,15 +166,16 @@
     if (!isPulling || nowNanos - pullDeadlineNanos < 0) {
       return List.of();
     }
-    if (assembly == null || assembly.version <= store.get().version() || repeats >= MAX_REPEATS) {
+    if (assembly == null
+        || assembly.getVersion() <= store.get().version()
+        || repeats >= MAX_REPEATS) {
       isPulling = false;
       assembly = null;
       return List.of();
     }
     repeats++;
     pullDeadlineNanos = nowNanos + PULL_TIMEOUT_NANOS;
-    int part = assembly.records.size() / RECORDS_PER_PART;
-    return List.of(new Outgoing(assembly.address, new SnapshotAsk(assembly.version, part)));
+    return assembly.askMissing();
   }
 
   /**
@@ -272,28 +268,24 @@
   }
 
   private void onPart(NodeId sender, SnapshotPart part, long nowNanos, List<Outgoing> out) {
-    if (part.version() <= store.get().version() || part.partCount() > MAX_PARTS) {
+    if (part.version() <= store.get().version()) {
       return;
     }
-    if (part.part() == 0 && assembly == null) {
-      assembly =
-          new Assembly(sender.address(), part.version(), part.partCount(), new ArrayList<>());
-    } else if (assembly == null
-        || !assembly.address.equals(sender.address())
-        || assembly.version != part.version()
-        || part.part() * RECORDS_PER_PART != assembly.records.size()) {
+    if (part.part() == 0 && assembly == null && SnapshotAssembly.isPossible(part)) {
+      assembly = new SnapshotAssembly(sender.address(), part);
+    }
+    if (assembly == null || !assembly.add(sender.address(), part)) {
       return;
     }
-    assembly.records.addAll(part.records());
     isPulling = true;
     repeats = 0;
     pullDeadlineNanos = nowNanos + PULL_TIMEOUT_NANOS;
-    if (part.part() + 1 < assembly.partCount) {
-      out.add(new Outgoing(sender.address(), new SnapshotAsk(part.version(), part.part() + 1)));
+    out.addAll(assembly.askNext());
+    if (!assembly.isComplete()) {
       return;
     }
     hear(part.version());
-    store.applySnapshot(Configuration.ofRecords(part.version(), assembly.records));
+    store.applySnapshot(assembly.build());
     assembly = null;
     isPulling = false;
     onVersionChanged();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberTable.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -24,10 +25,15 @@
   /** Dead members are kept and probed now and then for this time: partitions last an hour. */
   private static final long DEAD_RETENTION_NANOS = TimeUnit.HOURS.toNanos(3);
 
-  /** Share of the probes that go to the own place. */
-  private static final double OWN_PLACE_SHARE = 0.8;
+  /** Share of the random probes that go to the own place; with the ring it is 0.8 of all. */
+  private static final double OWN_PLACE_SHARE = 0.6;
 
+  private static final Comparator<Member> RING_ORDER =
+      Comparator.comparing(Member::place).thenComparing(Member::address);
+
+  private final Member self;
   private final String ownPlace;
+  private boolean isRingTurn;
   private final Map<String, Member> members = new HashMap<>();
   private final Map<String, Long> deadSinceNanos = new HashMap<>();
   private final List<String> nextInOwnPlace = new ArrayList<>();
@@ -36,8 +42,9 @@
   private int presentCount;
   private long changeCount;
 
-  MemberTable(String ownPlace) {
-    this.ownPlace = ownPlace;
+  MemberTable(Member self) {
+    this.self = self;
+    this.ownPlace = self.place();
   }
 
   Member get(String address) {
@@ -101,15 +108,44 @@
   }
 
   /**
-   * Returns the next member to probe, or null if no other is present. Each round visits every
-   * member once in random order, so that the time to the next probe of a member is bounded.
+   * Returns the next member to probe, or null if no other is present. Every second probe goes to
+   * the next member in the order of place and address, so that each member is probed at least every
+   * two periods; random probes alone left one death in fifty unnoticed for four periods. The others
+   * visit every member once in random order.
    */
   String nextToProbe(RandomGenerator random) {
+    isRingTurn = !isRingTurn;
+    String successor = isRingTurn ? getSuccessor() : null;
+    if (successor != null) {
+      return successor;
+    }
     boolean isOwn = random.nextDouble() < OWN_PLACE_SHARE;
     String found = next(isOwn, random);
     return found != null ? found : next(!isOwn, random);
   }
 
+  /** Returns the next member in the ring that is not suspect, or null if there is none. */
+  private String getSuccessor() {
+    Member first = null;
+    Member following = null;
+    for (Member member : members.values()) {
+      if (member.status().compareTo(MemberStatus.SUSPECT) >= 0) {
+        continue;
+      }
+      if (first == null || RING_ORDER.compare(member, first) < 0) {
+        first = member;
+      }
+      boolean isAfter = RING_ORDER.compare(member, self) > 0;
+      if (isAfter && (following == null || RING_ORDER.compare(member, following) < 0)) {
+        following = member;
+      }
+    }
+    if (following == null) {
+      following = first;
+    }
+    return following == null ? null : following.address();
+  }
+
   /** Returns up to {@code limit} random present members without the excluded one. */
   List<String> randomPresent(int limit, String excluded, RandomGenerator random) {
     List<String> candidates = new ArrayList<>();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
@@ -23,7 +23,7 @@
 
   MemberView(Member self) {
     this.self = self;
-    this.table = new MemberTable(self.place());
+    this.table = new MemberTable(self);
     claims.add(self);
   }
 
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/SnapshotAssembly.java
@@ -0,0 +1,93 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gooseberryhook.protocol.ConfigurationMessage.SnapshotAsk;
+import org.gooseberryhook.protocol.ConfigurationMessage.SnapshotPart;
+import org.gooseberryhook.protocol.Outgoing;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.ConfigurationChange;
+import org.gooseberryhook.state.Versioned;
+
+/**
+ * A snapshot that is being fetched from one peer. Several parts are asked for at a time: one by
+ * one, 185 parts from the other region took more than ten seconds. Not safe for use by several
+ * threads.
+ */
+final class SnapshotAssembly {
+
+  /** Parts on their way at the same time; at about 54 KB each they take 0.5 MB. */
+  private static final int WINDOW = 8;
+
+  private static final int MAX_PARTS = 10_000;
+
+  private final String address;
+  private final long version;
+  private final List<List<Versioned<ConfigurationChange>>> parts = new ArrayList<>();
+  private int received;
+  private int nextToAsk = 1;
+
+  /** Starts an assembly; the part itself is then added like the others. */
+  SnapshotAssembly(String address, SnapshotPart first) {
+    this.address = address;
+    this.version = first.version();
+    for (int i = 0; i < first.partCount(); i++) {
+      parts.add(null);
+    }
+  }
+
+  static boolean isPossible(SnapshotPart first) {
+    return first.partCount() >= 1 && first.partCount() <= MAX_PARTS;
+  }
+
+  long getVersion() {
+    return version;
+  }
+
+  /** Adds a part; returns false if it is of another snapshot or was added before. */
+  boolean add(String sender, SnapshotPart part) {
+    boolean isSame = sender.equals(address) && part.version() == version;
+    boolean isInRange = part.part() >= 0 && part.part() < parts.size();
+    if (!isSame || !isInRange || parts.get(part.part()) != null) {
+      return false;
+    }
+    parts.set(part.part(), part.records());
+    received++;
+    return true;
+  }
+
+  /** Asks for further parts as far as the window reaches. */
+  List<Outgoing> askNext() {
+    List<Outgoing> asks = new ArrayList<>();
+    while (nextToAsk < parts.size() && nextToAsk < received + WINDOW) {
+      asks.add(ask(nextToAsk));
+      nextToAsk++;
+    }
+    return asks;
+  }
+
+  /** Asks again for the parts that were asked for and did not come. */
+  List<Outgoing> askMissing() {
+    List<Outgoing> asks = new ArrayList<>();
+    for (int part = 0; part < nextToAsk; part++) {
+      if (parts.get(part) == null) {
+        asks.add(ask(part));
+      }
+    }
+    return asks;
+  }
+
+  boolean isComplete() {
+    return received == parts.size();
+  }
+
+  Configuration build() {
+    List<Versioned<ConfigurationChange>> records = new ArrayList<>();
+    parts.forEach(records::addAll);
+    return Configuration.ofRecords(version, records);
+  }
+
+  private Outgoing ask(int part) {
+    return new Outgoing(address, new SnapshotAsk(version, part));
+  }
+}
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/ConfigurationSyncTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/ConfigurationSyncTest.java
@@ -115,7 +115,7 @@
         "change-" + version,
         "operator",
         0,
-        new ConfigurationChange.SetTargetLeaving("t" + version % 100, "reason " + version));
+        new ConfigurationChange.SetTargetLeaving("t" + version % 1_000, "reason " + version));
   }
 
   private static ClusterSimulation started(long seed) {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/MembershipTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/MembershipTest.java
@@ -159,7 +159,10 @@
 
   private static ClusterSimulation started(int nodes, double lossRate, long seed) {
     ClusterSimulation simulation = new ClusterSimulation(nodes, lossRate, seed);
-    simulation.runFor(30_000);
+    // At a high loss rate some member is under a short suspicion at most instants.
+    for (int second = 0; second < 60 && (second < 30 || !simulation.isAgreed()); second++) {
+      simulation.runFor(1_000);
+    }
     assertThat(simulation.isAgreed()).isTrue();
     return simulation;
   }
