--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -181,7 +181,7 @@
   public List<ConfigurationLogEntry> getChanges(long afterVersion) {
     long oldest =
         Math.max(afterVersion, store.get().version() - ConfigurationStore.MAX_TAIL_ENTRIES);
-    return store.getEntriesAfter(oldest).orElse(List.of());
+    return store.getEntriesAfter(oldest, ConfigurationStore.MAX_TAIL_ENTRIES).orElse(List.of());
   }
 
   /**
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -262,6 +262,24 @@
     return cluster.isReady();
   }
 
+  /**
+   * Returns the version of the configuration in force.
+   *
+   * @return the version; 0 before the first change
+   */
+  public long getConfigurationVersion() {
+    return store.get().version();
+  }
+
+  /**
+   * Returns the number of pipelines that take new work.
+   *
+   * @return the count
+   */
+  public int getPipelineCount() {
+    return fleet.getPipelines().size();
+  }
+
   /** Home nodes of the workspace first, then some others; nodes that leave are not named. */
   private List<String> getAddresses(String workspaceId) {
     List<Member> members =
--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCommand.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCommand.java
@@ -24,6 +24,8 @@
   private static final int NODE_COUNT = 3;
   private static final int PIPELINE_COUNT = 6;
   private static final int ANSWER_TOKENS = 40;
+  private static final long STEP_MICROS = 8_000;
+  private static final long PREFILL_MICROS_PER_TOKEN = 50;
   private static final MediaType JSON = MediaType.get("application/json");
 
   @Parameter(names = "--once", description = "Serve a mixed sample, print what it proved, and exit")
@@ -45,9 +47,9 @@
 
   @Override
   public int run() {
-    DemoCluster cluster = new DemoCluster();
-    cluster.start(NODE_COUNT, PIPELINE_COUNT);
+    DemoCluster cluster = new DemoCluster(PIPELINE_COUNT, STEP_MICROS, PREFILL_MICROS_PER_TOKEN);
     try {
+      cluster.start(NODE_COUNT);
       if (isOnce) {
         runSample(cluster);
         System.out.println(isFailed ? "demo: FAILED" : "demo: all checks passed");
