Decode path variables in the stand-ins

Cause: Jooby hands path variables over undecoded, so the lookup of a once-only key with a space or slash answered "never seen". Change: StandinRequest decodes them. Conclusion: the key lookup of ServiceStandinTest now uses such a key.

--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinRequest.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinRequest.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.standin;
 
 import io.jooby.Context;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -9,7 +10,7 @@
  * A copy of a request, which stays valid after its connection was closed.
  *
  * @param path the path
- * @param pathValues values of the path variables
+ * @param pathValues decoded values of the path variables
  * @param query values of the query parameters
  * @param headers values of the headers; the names are in lower case
  * @param body the body
@@ -31,9 +32,14 @@
   static StandinRequest of(Context context) {
     Map<String, String> headers = new HashMap<>();
     context.headerMap().forEach((name, value) -> headers.put(name.toLowerCase(Locale.ROOT), value));
+    // Jooby hands over the path variables as they were sent, without decoding them.
+    Map<String, String> pathValues = new HashMap<>();
+    context
+        .pathMap()
+        .forEach((name, value) -> pathValues.put(name, new QueryStringDecoder(value).path()));
     return new StandinRequest(
         context.getRequestPath(),
-        Map.copyOf(context.pathMap()),
+        pathValues,
         Map.copyOf(context.queryMap()),
         headers,
         context.body().bytes());
--- a/gooseberryhook-standin/src/test/java/org/gooseberryhook/standin/ServiceStandinTest.java
+++ b/gooseberryhook-standin/src/test/java/org/gooseberryhook/standin/ServiceStandinTest.java
@@ -13,9 +13,12 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a service stand-in that hides a doubled dispatch. */
+/** Guards against a service stand-in that hides a doubled dispatch or forgets a key. */
 class ServiceStandinTest {
 
+  private static final String KEY = "k 1/%+";
+  private static final String KEY_PATH = "/services/booking/keys/k%201%2F%25+";
+
   private final ServiceStandin standin = new ServiceStandin(0);
   private final HttpClient client = HttpClient.newHttpClient();
 
@@ -31,7 +34,7 @@
 
   @Test
   void aDoubledDispatchShowsInTheCountAlsoWhenTheFirstAnswerWasLost() throws Exception {
-    assertThat(send("GET", "/services/booking/keys/k1", "").statusCode()).isEqualTo(404);
+    assertThat(send("GET", KEY_PATH, "").statusCode()).isEqualTo(404);
     send("PUT", "/faults", "[{\"kind\":\"lose-answer\",\"count\":1,\"pathPrefix\":\"/services\"}]");
     assertThatThrownBy(() -> send("POST", "/services/booking/book", "{}"))
         .isInstanceOf(IOException.class);
@@ -41,18 +44,18 @@
     assertThat(effect.effectNumber()).isEqualTo(2);
     assertThat(effect.bodyDigest())
         .isEqualTo("44136fa355b3678a1146ad16f7e8649e94fb4fc21fe77e8310c060f61caaff8a");
-    assertThat(send("GET", "/services/booking/keys/k1", "").body()).isEqualTo(second.body());
+    assertThat(send("GET", KEY_PATH, "").body()).isEqualTo(second.body());
     send("POST", "/services/booking/lookupSheet", "{}");
     byte[] counts = send("GET", "/effects", "").body();
     assertThat(StandinAnswer.MAPPER.readValue(counts, Map.class))
-        .isEqualTo(Map.of("booking/k1", 2));
+        .isEqualTo(Map.of("booking/" + KEY, 2));
   }
 
   private HttpResponse<byte[]> send(String method, String path, String body) throws Exception {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create(standin.getServer().getBaseUrl() + path))
             .version(HttpClient.Version.HTTP_1_1)
-            .header("Idempotency-Key", "k1")
+            .header("Idempotency-Key", KEY)
             .method(method, HttpRequest.BodyPublishers.ofString(body))
             .build();
     return client.send(request, HttpResponse.BodyHandlers.ofByteArray());
