Prove ended runs by refused connections and free their leases

Cause: a shard whose grantor died waited for leases, and its first calls were limited before the first grant. Change: a refused connection proves that a run has ended; its membership, pledges and slots are settled at once; a first lease term grants at once; deputies are chosen in other places; calls wait up to 2 s for a first grant.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLease.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLease.java
@@ -19,6 +19,9 @@
 public record DutyLease(
     NodeId holder, long fencingNumber, long renewal, List<NodeId> electors, boolean frozen) {
 
+  /** Number of the first holder; there was none before it. */
+  static final long FIRST_FENCING_NUMBER = 1;
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   /** Copies the electors; a missing list is empty. */
@@ -38,7 +41,7 @@
       return MAPPER.readValue(json, DutyLease.class);
     } catch (JsonProcessingException e) {
       throw new IllegalArgumentException(
-          "lease record cannot be read; delete the record to start anew: " + json, e);
+          "lease record cannot be read; stop its holder, then delete the record: " + json, e);
     }
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.gooseberryhook.state.Member;
 import org.gooseberryhook.state.MemberStatus;
+import org.gooseberryhook.state.NodeId;
 
 /**
  * What this node holds about itself and the others, and the claims that it still has to pass on.
@@ -83,6 +84,15 @@
     }
   }
 
+  /** Notes the proof that a run of a member has ended. */
+  void declareEnded(NodeId id, long nowNanos) {
+    Member member = table.get(id.address());
+    if (member != null && member.id().equals(id) && member.status() != MemberStatus.DEAD) {
+      suspicions.remove(id.address());
+      store(member.with(MemberStatus.DEAD, member.refutation()), true, nowNanos);
+    }
+  }
+
   /** Takes claims; returns whether this node refuted one about itself. */
   boolean applyAll(List<Member> heard, boolean isList, long nowNanos) {
     boolean hasRefuted = false;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
@@ -205,6 +205,17 @@
     return view.getSelf();
   }
 
+  /**
+   * Takes the proof that a run has ended, for example a refused connection to its address. The
+   * member is dead at once; a later run at the address is not affected.
+   *
+   * @param id the run
+   * @param nowNanos monotonic time
+   */
+  public synchronized void onRunEnded(NodeId id, long nowNanos) {
+    view.declareEnded(id, nowNanos);
+  }
+
   /**
    * Returns the other members, also suspect, leaving and dead ones.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -143,7 +143,8 @@
 
   /**
    * Starts granting for a shard after its lease was acquired. The books start empty, and nothing is
-   * granted until all grants of earlier holders of the lease have expired.
+   * granted until all grants of earlier holders of the lease have expired. The first term of a
+   * lease has no earlier holders and grants at once.
    *
    * @param shardIndex the shard
    * @param term fencing number of the lease
@@ -164,11 +165,16 @@
       shard.isActive = true;
       activeShards.add(shardIndex);
       shard.usableUntilNanos = usableUntilNanos;
+      boolean isFirstTerm = term == DutyLease.FIRST_FENCING_NUMBER;
       shard.grantsFromNanos =
-          nowNanos + QuotaLedger.GRANT_TTL_NANOS + QuotaLedger.EXPIRY_MARGIN_NANOS;
+          isFirstTerm
+              ? nowNanos
+              : nowNanos + QuotaLedger.GRANT_TTL_NANOS + QuotaLedger.EXPIRY_MARGIN_NANOS;
       shard.ledgers.clear();
       shard.unresolved.clear();
-      shard.unresolved.addAll(earlierHolders);
+      if (!isFirstTerm) {
+        shard.unresolved.addAll(earlierHolders);
+      }
       shard.unresolved.remove(self);
       shard.isResolved = shard.unresolved.isEmpty();
       shard.announcedNanos = nowNanos - ANNOUNCE_EVERY_NANOS;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerLink.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerLink.java
@@ -17,6 +17,16 @@
    */
   void send(String address, PeerMessage message);
 
+  /**
+   * Checks whether a process still listens at an address. A refused connection proves that the run
+   * that listened there has ended, since the system accepts connections for a paused process too.
+   *
+   * @param address peer address
+   * @param onRefused run on a network thread if the connection was refused; not run if the check
+   *     tells nothing
+   */
+  default void checkEnded(String address, Runnable onRefused) {}
+
   /**
    * Called for each message that arrives.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -1,8 +1,11 @@
 package org.gooseberryhook.transport;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
@@ -37,6 +40,9 @@
   private static final Logger LOG = Logger.getLogger(ClusterService.class);
   private static final long POLL_PERIOD_MS = 1_000;
   private static final long LISTENER_PERIOD_MS = 100;
+  private static final long CHECK_PERIOD_MS = 300;
+  private static final int MAX_CHECKS = 16;
+  private static final int MAX_ENDED_RUNS = 10_000;
   private static final int LOG_PAGE = 500;
 
   private final Membership membership;
@@ -47,6 +53,16 @@
   private final RandomGenerator random;
   private final Map<Class<? extends PeerMessage>, Handler> handlers = new ConcurrentHashMap<>();
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<NodeId>> endListeners = new CopyOnWriteArrayList<>();
+  private final Set<NodeId> endedRuns =
+      Collections.newSetFromMap(
+          Collections.synchronizedMap(
+              new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<NodeId, Boolean> eldest) {
+                  return size() > MAX_ENDED_RUNS;
+                }
+              }));
   private PeerLink link;
   private List<ScheduledFuture<?>> tasks = List.of();
   private long notifiedVersion = -1;
@@ -110,6 +126,28 @@
     listeners.add(listener);
   }
 
+  /**
+   * Adds a listener that is told each run of a node that is proved to have ended.
+   *
+   * @param listener the listener; must not block
+   */
+  public void addEndListener(Consumer<NodeId> listener) {
+    endListeners.add(listener);
+  }
+
+  /**
+   * Takes the proof that a run has ended: a refused connection, or an operator's word.
+   *
+   * @param id the run
+   */
+  public void onRunEnded(NodeId id) {
+    if (endedRuns.add(id)) {
+      LOG.infof("the run %d of node %s has ended", id.incarnation(), id.address());
+      membership.onRunEnded(id, System.nanoTime());
+      endListeners.forEach(listener -> listener.accept(id));
+    }
+  }
+
   /**
    * Starts the ticks.
    *
@@ -122,6 +160,7 @@
         List.of(
             every(tickMs, this::tick),
             every(LISTENER_PERIOD_MS, this::notifyListeners),
+            every(CHECK_PERIOD_MS, this::checkEndedRuns),
             every(POLL_PERIOD_MS, this::poll));
   }
 
@@ -274,6 +313,14 @@
         TimeUnit.MILLISECONDS);
   }
 
+  private void checkEndedRuns() {
+    membership.getMembers().stream()
+        .filter(member -> member.status() != MemberStatus.ALIVE)
+        .filter(member -> !endedRuns.contains(member.id()))
+        .limit(MAX_CHECKS)
+        .forEach(member -> link.checkEnded(member.address(), () -> onRunEnded(member.id())));
+  }
+
   private void tick() {
     long nowNanos = System.nanoTime();
     send(membership.onTick(nowNanos, random));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -49,7 +49,7 @@
   private static final long STALL_TIMEOUT_MS = 2_000;
   private static final long STALL_CHECK_MS = 250;
   private static final long GRANT_RETRY_MS = 10;
-  private static final long MAX_GRANT_WAIT_MS = 500;
+  private static final long MAX_GRANT_WAIT_MS = 2_000;
   private static final long ROUTE_RETRY_MS = 50;
   private static final long MAX_ROUTE_WAIT_MS = 3_000;
   private static final long RETRY_AFTER_MS = 1_000;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -145,6 +145,7 @@
                 System::currentTimeMillis),
             node.peerAddress(),
             new SecureRandom());
+    cluster.addEndListener(quota::onNodeEnded);
     KeyIndex keys = new KeyIndex();
     cluster.addListener(keys::update);
     cluster.addListener(ignored -> fleet.onConfigurationChanged());
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerConnection.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerConnection.java
@@ -179,7 +179,7 @@
   }
 
   /** Peers are named by IP address, so that no name is looked up on the event loop. */
-  private static InetSocketAddress parse(String address) {
+  static InetSocketAddress parse(String address) {
     int colon = address.lastIndexOf(':');
     if (colon < 1) {
       return null;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerTransport.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerTransport.java
@@ -1,24 +1,29 @@
 package org.gooseberryhook.transport;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -57,6 +62,8 @@
 
   private final NodeId self;
   private final InetSocketAddress bindAddress;
+  private static final int CHECK_TIMEOUT_MS = 500;
+
   private final Receiver receiver;
   private final PeerCodec codec = new PeerCodec();
   private final TransportCounters counters = new TransportCounters();
@@ -165,6 +172,37 @@
     peer.send(frame);
   }
 
+  @Override
+  public void checkEnded(String address, Runnable onRefused) {
+    EventLoopGroup running = group;
+    InetSocketAddress remote = PeerConnection.parse(address);
+    if (running == null || running.isShuttingDown() || remote == null) {
+      return;
+    }
+    new Bootstrap()
+        .group(running)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CHECK_TIMEOUT_MS)
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(remote)
+        .addListener(
+            done -> {
+              ChannelFuture connected = (ChannelFuture) done;
+              if (connected.isSuccess()) {
+                connected.channel().close();
+              } else if (isRefused(connected.cause())) {
+                onRefused.run();
+              }
+            });
+  }
+
+  /** Netty wraps a refusal in a private class whose cause or superclass is the plain exception. */
+  private static boolean isRefused(Throwable cause) {
+    return cause instanceof ConnectException
+        && !(cause instanceof ConnectTimeoutException)
+        && String.valueOf(cause.getMessage()).contains("refused");
+  }
+
   /**
    * Forgets a peer and closes the connection to it. To be called when a member is declared dead or
    * replaced: TCP may take minutes to find a broken connection, and a new one is opened on demand.
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -1,6 +1,8 @@
 package org.gooseberryhook.transport;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -191,14 +193,44 @@
     Map<String, List<NodeId>> duties = new LinkedHashMap<>();
     for (int index : shards) {
       QuotaShard shard = new QuotaShard(index);
-      List<NodeId> homes = HomeNodes.of(shard, nodes, null, DEPUTY_COUNT + 1);
+      List<NodeId> homes = HomeNodes.of(shard, nodes, null, nodes.size());
       if (!homes.isEmpty() && homes.get(0).equals(self)) {
-        duties.put(shard.toLeaseKey(), homes.subList(1, homes.size()));
+        duties.put(shard.toLeaseKey(), getDeputies(homes, nodes));
       }
     }
     return duties;
   }
 
+  /** Chooses deputies in other places first, so that the loss of a place leaves an elector. */
+  private static List<NodeId> getDeputies(List<NodeId> homes, List<HomeNodes.PlacedNode> nodes) {
+    Map<NodeId, String> placeById =
+        nodes.stream()
+            .collect(Collectors.toMap(HomeNodes.PlacedNode::id, HomeNodes.PlacedNode::place));
+    Set<String> places = new HashSet<>();
+    places.add(placeById.get(homes.get(0)));
+    List<NodeId> deputies = new ArrayList<>();
+    List<NodeId> others = new ArrayList<>();
+    for (NodeId home : homes.subList(1, homes.size())) {
+      if (places.add(placeById.get(home))) {
+        deputies.add(home);
+      } else {
+        others.add(home);
+      }
+    }
+    deputies.addAll(others);
+    return List.copyOf(deputies.subList(0, Math.min(DEPUTY_COUNT, deputies.size())));
+  }
+
+  /**
+   * Takes the proof that a run of a node has ended, so that its leases and units are free.
+   *
+   * @param node the run
+   */
+  public void onNodeEnded(NodeId node) {
+    leases.onVmGone(node);
+    grantor.removeHolder(node);
+  }
+
   private void call(TableCall tableCall) {
     CompletableFuture<TableResult> result =
         tableCall instanceof TableCall.Transact transact
