Test resumed streams and repeats after Retry-After

Cause: a resume that sends too few tokens, or repeats beyond the stated number, would have gone unnoticed. Change: two tests over real sockets with a scripted node. Conclusion: callers resume with all received tokens and repeat as stated.

--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
@@ -84,16 +84,18 @@
 
   static Stream<Arguments> brokenAnswers() {
     return Stream.of(
-        Arguments.of(Count.WRONG, script(t -> tokens(t, 0, 5) + ScriptedNode.event(5, 50_001))),
+        Arguments.of(
+            Count.WRONG, script((t, r) -> tokens(t, 0, 5) + ScriptedNode.event(5, 50_001))),
         Arguments.of(
             Count.WRONG,
-            script(t -> tokens(t, 0, 20) + ScriptedNode.event(20, 1) + ScriptedNode.done())),
-        Arguments.of(Count.DUPLICATED, script(t -> tokens(t, 0, 5) + tokens(t, 4, 20))),
-        Arguments.of(Count.INCOMPLETE, script(t -> tokens(t, 0, 5) + tokens(t, 6, 20))),
-        Arguments.of(Count.INCOMPLETE, script(t -> tokens(t, 0, 19) + ScriptedNode.done())),
+            script((t, r) -> tokens(t, 0, 20) + ScriptedNode.event(20, 1) + ScriptedNode.done())),
+        Arguments.of(Count.DUPLICATED, script((t, r) -> tokens(t, 0, 5) + tokens(t, 4, 20))),
+        Arguments.of(Count.INCOMPLETE, script((t, r) -> tokens(t, 0, 5) + tokens(t, 6, 20))),
+        Arguments.of(Count.INCOMPLETE, script((t, r) -> tokens(t, 0, 19) + ScriptedNode.done())),
         Arguments.of(
             Count.FALSE_NOT_RUN,
-            script(t -> tokens(t, 0, 5) + "event: error\ndata: {\"outcome\":\"not-run\"}\n\n")));
+            script(
+                (t, r) -> tokens(t, 0, 5) + "event: error\ndata: {\"outcome\":\"not-run\"}\n\n")));
   }
 
   /** Guards against a broken answer that passes as a good one. */
@@ -112,6 +114,46 @@
     }
   }
 
+  /** Guards against a resume that loses, repeats or does not send the received tokens. */
+  @Test
+  void aBrokenStreamIsResumedWithTheReceivedTokens() throws Exception {
+    ScriptedNode.Script script =
+        (t, r) ->
+            r.equals(t.subList(0, 5)) ? tokens(t, 5, 20) + ScriptedNode.done() : tokens(t, 0, 5);
+    ScriptedNode node = new ScriptedNode(script, 200, "{}", 0);
+    try {
+      LoadResult result = run(MODEL_CALLS.formatted(200), List.of(node.getAddress()), Map.of());
+      assertThat(result.getViolationCount()).isZero();
+      assertThat(result.counts().get(Count.RESUMES))
+          .isPositive()
+          .isEqualTo(result.counts().get(Count.COMPLETED))
+          .isEqualTo(result.counts().get(Count.ARRIVED));
+    } finally {
+      node.stop();
+    }
+  }
+
+  /** Guards against callers that repeat too often or not at all after {@code not-run}. */
+  @Test
+  void notRunIsRepeatedAfterRetryAfterAtMostTheStatedTimes() throws Exception {
+    ScriptedNode node =
+        new ScriptedNode((t, r) -> "", 503, "{\"outcome\":\"not-run\",\"retry_after_ms\":10}", 0);
+    try {
+      LoadResult result =
+          run(
+              onceCalls(node.getAddress()) + "[caller]\nmax_repeats = 2\n",
+              List.of(node.getAddress()),
+              Map.of());
+      long arrived = result.counts().get(Count.ARRIVED);
+      assertThat(result.counts())
+          .containsEntry(Count.REPEATS, 2 * arrived)
+          .containsEntry(Count.NOT_RUN, 3 * arrived)
+          .containsEntry(Count.FAILED, arrived);
+    } finally {
+      node.stop();
+    }
+  }
+
   static Stream<Arguments> onceOnlyCalls() {
     return Stream.of(
         Arguments.of(200, "{}", 0, Count.LOST_EFFECTS),
@@ -128,25 +170,9 @@
   @MethodSource("onceOnlyCalls")
   void effectsAreComparedWithWhatCallersWereTold(
       int status, String body, int effectsPerCall, Count expected) throws Exception {
-    ScriptedNode node = new ScriptedNode(tokens -> "", status, body, effectsPerCall);
-    String onceCalls =
-        """
-        name = "once"
-        seed = 7
-        duration_ms = 200
-        effects_url = "http://%s/effects"
-        [[workspaces]]
-        name = "omaruru-quotes"
-        key = "tiny-key"
-        rate = 30
-        [[mix]]
-        kind = "once"
-        service = "booking"
-        operation = "book"
-        """
-            .formatted(node.getAddress());
+    ScriptedNode node = new ScriptedNode((tokens, resumed) -> "", status, body, effectsPerCall);
     try {
-      LoadResult result = run(onceCalls, List.of(node.getAddress()), Map.of());
+      LoadResult result = run(onceCalls(node.getAddress()), List.of(node.getAddress()), Map.of());
       long arrived = result.counts().get(Count.ARRIVED);
       assertThat(arrived).isPositive();
       assertThat(result.getViolationCount()).isEqualTo(expected == null ? 0 : arrived);
@@ -170,6 +196,24 @@
     return new LoadGenerator(experiment, actions, progress -> {}).run();
   }
 
+  private static String onceCalls(String address) {
+    return """
+        name = "once"
+        seed = 7
+        duration_ms = 200
+        effects_url = "http://%s/effects"
+        [[workspaces]]
+        name = "omaruru-quotes"
+        key = "tiny-key"
+        rate = 30
+        [[mix]]
+        kind = "once"
+        service = "booking"
+        operation = "book"
+        """
+        .formatted(address);
+  }
+
   private static ScriptedNode.Script script(ScriptedNode.Script script) {
     return script;
   }
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/ScriptedNode.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/ScriptedNode.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,7 +24,7 @@
   @FunctionalInterface
   interface Script {
 
-    String eventsOf(List<Integer> rightTokens);
+    String eventsOf(List<Integer> rightTokens, List<Integer> resumedTokens);
   }
 
   private final HttpServer server;
@@ -82,7 +83,9 @@
             TinyCluster.LAYER_COUNT,
             body.path("prompt").asText(),
             body.path("max_tokens").asInt());
-    send(exchange, script.eventsOf(tokens));
+    List<Integer> resumed = new ArrayList<>();
+    body.path("resume_token_ids").forEach(token -> resumed.add(token.asInt()));
+    send(exchange, script.eventsOf(tokens, resumed));
   }
 
   private static void send(HttpExchange exchange, String text) throws IOException {
