--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/BlockComparison.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/BlockComparison.java
@@ -31,7 +31,8 @@
    *     completed calls if the mix has no model calls
    * @param firstTokenP50 median time to the first token, in milliseconds; 0 without streams
    * @param firstTokenP95 95th percentile, in milliseconds
-   * @param firstTokenP99 99th percentile, in milliseconds
+   * @param firstTokenP99 99th percentile, in milliseconds; the largest value if the block has fewer
+   *     than 100 streams, so give blocks enough arrivals
    */
   public record Sample(
       double usefulPerSecond, double firstTokenP50, double firstTokenP95, double firstTokenP99) {}
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/CallContext.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/CallContext.java
@@ -36,7 +36,10 @@
   final Measurements measurements;
   final PromptMaker prompts;
   final long startNanos;
+
+  /** State of each once-only call by key; as large as the number of arrivals, which is finite. */
   final Map<String, CallState> onceCalls = new ConcurrentHashMap<>();
+
   private final String runId;
   private final ThreadPoolExecutor pool;
   private final ScheduledThreadPoolExecutor timer;
