Name a dead head, free ended leases at once, start with retries

Cause: a resumed stream failed when it met a head that had died unnoticed and the workspace had no stored retry; a stopping node blamed targets for its own interruption. Change: a stream that ends early names its head; a target found dead is left out without blame; a workspace starts with five retries; leases of ended runs are taken over without waiting; a stopping node repairs nothing.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -1,8 +1,8 @@
 package org.gooseberryhook.coordination;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,11 +34,21 @@
   /** Deputies are asked when less than this share of the usable time is left. */
   private static final double PLEDGE_SHARE = 0.5;
 
+  /** Ended runs that are remembered; later ones push out the oldest. */
+  private static final int MAX_GONE_NODES = 4_096;
+
   private final NodeId self;
   private final LeaseTiming timing;
   private final Map<String, LeaseEntry> entries = new TreeMap<>();
   private final LeaseCalls calls;
-  private final Set<NodeId> goneNodes = new HashSet<>();
+  private final Set<NodeId> goneNodes =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<NodeId, Boolean> eldest) {
+              return size() > MAX_GONE_NODES;
+            }
+          });
   private final PledgeBook book = new PledgeBook();
   private final List<OutgoingMessage> outbox = new ArrayList<>();
   private long lastPledgeSequence;
@@ -130,7 +140,7 @@
   }
 
   /**
-   * Notes that a node's process can no longer act: its VM left the VM list.
+   * Notes that a run of a node can no longer act: its process has ended or its VM is gone.
    *
    * @param node the node
    */
@@ -351,9 +361,11 @@
     if (lease == null || lease.holder() == null || self.equals(lease.holder())) {
       return true;
     }
+    // A run that has ended can't use its lease any more, so there is nothing to wait for.
     boolean isGone = goneNodes.contains(lease.holder()) || self.isReplacing(lease.holder());
     boolean isAllowed = isGone || lease.electors().contains(self);
-    return isAllowed && nowNanos - entry.firstReadNanos >= timing.acquireWaitNanos();
+    boolean isWaited = nowNanos - entry.firstReadNanos >= timing.acquireWaitNanos();
+    return isAllowed && (isGone || isWaited);
   }
 
   private void askPledges(long nowNanos) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/RetryBudget.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/RetryBudget.java
@@ -20,6 +20,9 @@
   /** Retries that a bucket holds at most. */
   public static final double MAX_STORED_RETRIES = 20;
 
+  /** Retries that a workspace starts with, so that its first failure can be repaired. */
+  public static final double INITIAL_RETRIES = 5;
+
   private static final int SHARDS = 16;
 
   private final List<Shard> shards = new ArrayList<>();
@@ -44,7 +47,8 @@
   public void onRequest(String workspaceId, int retryBudgetPercent) {
     Shard shard = shardOf(workspaceId);
     synchronized (shard) {
-      double stored = shard.getOrDefault(workspaceId, 0.0);
+      double initial = retryBudgetPercent > 0 ? INITIAL_RETRIES : 0;
+      double stored = shard.getOrDefault(workspaceId, initial);
       shard.put(workspaceId, Math.min(MAX_STORED_RETRIES, stored + retryBudgetPercent / 100.0));
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerLink.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerLink.java
@@ -1,5 +1,6 @@
 package org.gooseberryhook.protocol;
 
+import java.util.function.Consumer;
 import org.gooseberryhook.state.NodeId;
 
 /**
@@ -27,6 +28,13 @@
    */
   default void checkEnded(String address, Runnable onRefused) {}
 
+  /**
+   * Sets who is told that a connection to a peer was closed, which may mean that its run has ended.
+   *
+   * @param listener takes the peer address on a network thread; must not block
+   */
+  default void setDisconnectListener(Consumer<String> listener) {}
+
   /**
    * Called for each message that arrives.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -41,6 +41,7 @@
   private static final long POLL_PERIOD_MS = 1_000;
   private static final long LISTENER_PERIOD_MS = 100;
   private static final long CHECK_PERIOD_MS = 300;
+  private static final long[] CHECK_DELAYS_MS = {5, 50, 200};
   private static final int MAX_CHECKS = 16;
   private static final int MAX_ENDED_RUNS = 10_000;
   private static final int LOG_PAGE = 500;
@@ -155,6 +156,7 @@
    */
   public void start(PeerLink peerLink) {
     this.link = peerLink;
+    peerLink.setDisconnectListener(this::onDisconnected);
     long tickMs = TimeUnit.NANOSECONDS.toMillis(Membership.TICK_NANOS);
     tasks =
         List.of(
@@ -313,6 +315,25 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** A process closes its connections before its listening socket, so the check is repeated. */
+  private void onDisconnected(String address) {
+    membership.getMembers().stream()
+        .filter(member -> member.address().equals(address))
+        .filter(member -> !endedRuns.contains(member.id()))
+        .forEach(
+            member -> {
+              for (long delayMs : CHECK_DELAYS_MS) {
+                timer.schedule(() -> checkEnded(member), delayMs, TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  private void checkEnded(Member member) {
+    if (!endedRuns.contains(member.id())) {
+      link.checkEnded(member.address(), () -> onRunEnded(member.id()));
+    }
+  }
+
   private void checkEndedRuns() {
     membership.getMembers().stream()
         .filter(member -> member.status() != MemberStatus.ALIVE)
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
@@ -34,6 +34,9 @@
   /** Error text of an attempt that the engine refused before running anything. */
   public static final String REFUSED = "refused";
 
+  /** Error text of an attempt whose engine answered with an error instead of a stream. */
+  public static final String UNREACHABLE = "engine answered with an error";
+
   private static final MediaType JSON = MediaType.get("application/json");
   private static final ObjectReader EVENT_READER = Json.MAPPER.readerFor(TokenEvent.class);
   private static final int HTTP_OVERLOADED = 503;
@@ -81,7 +84,7 @@
       if (response.code() == HTTP_OVERLOADED || response.code() == HTTP_TOO_MANY) {
         listener.accept(error(start, REFUSED, headTargetId));
       } else if (!response.isSuccessful()) {
-        listener.accept(error(start, "engine answered " + response.code(), headTargetId));
+        listener.accept(error(start, UNREACHABLE, headTargetId));
       } else {
         readLines(response.body().source(), start, listener);
       }
@@ -97,7 +100,9 @@
     while (true) {
       String line = source.readUtf8Line();
       if (line == null) {
-        listener.accept(error(start, "the stream ended without an end mark", null));
+        // The head owns the connection, so a stream that just ends means that the head is gone.
+        listener.accept(
+            error(start, "the stream ended without an end mark", start.stages().get(0).targetId()));
         return;
       }
       if (line.isEmpty()) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -49,7 +49,7 @@
   private static final long STALL_TIMEOUT_MS = 2_000;
   private static final long STALL_CHECK_MS = 250;
   private static final long GRANT_RETRY_MS = 10;
-  private static final long MAX_GRANT_WAIT_MS = 2_000;
+  private static final long MAX_GRANT_WAIT_MS = 5_000;
   private static final long ROUTE_RETRY_MS = 50;
   private static final long MAX_ROUTE_WAIT_MS = 3_000;
   private static final long RETRY_AFTER_MS = 1_000;
@@ -166,7 +166,7 @@
     QuotaDecision.Limited limited = (QuotaDecision.Limited) decision;
     boolean isWaiting = limited.bound() == QuotaDecision.Bound.AWAITING_GRANT;
     long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
-    if (isWaiting && waitedMs < MAX_GRANT_WAIT_MS) {
+    if (isWaiting && waitedMs < Math.min(MAX_GRANT_WAIT_MS, call.timeoutMs() / 2)) {
       service.getTimer().schedule(this::admit, GRANT_RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
@@ -356,9 +356,7 @@
         session.getDeliveredCount(),
         reason,
         lostTarget);
-    if (lostTarget != null && !HttpEngineClient.REFUSED.equals(reason)) {
-      service.onTargetDied(lostTarget);
-    }
+    reportTarget(reason, lostTarget);
     if (attempt != null) {
       attempt.cancel();
     }
@@ -366,6 +364,10 @@
     endDispatch(AttemptFailure.ENGINE, lostTarget);
     exclude(lostTarget);
     boolean isAllowed = hasProgress || service.getControls().retries().trySpend(call.workspaceId());
+    if (service.isStopping()) {
+      finishWith(failed("the node stops"));
+      return;
+    }
     if (session.getAttempt() >= MAX_ATTEMPTS || !isAllowed) {
       finishWith(failed(isAllowed ? reason : reason + "; the retry budget is used up"));
       return;
@@ -374,6 +376,20 @@
     beginRouting();
   }
 
+  /** Only a stream that broke can be the fault of the request; a target found dead is not. */
+  private void reportTarget(String reason, String lostTarget) {
+    if (lostTarget == null || HttpEngineClient.REFUSED.equals(reason)) {
+      return;
+    }
+    boolean isFoundDead =
+        HttpEngineClient.NOT_SENT.equals(reason) || HttpEngineClient.UNREACHABLE.equals(reason);
+    if (isFoundDead) {
+      service.onTargetFoundDead(lostTarget);
+    } else {
+      service.onTargetDied(lostTarget);
+    }
+  }
+
   private void exclude(String lostTarget) {
     if (lostTarget == null) {
       pipeline.stages().forEach(stage -> excludedTargetIds.add(stage.targetId()));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -41,6 +41,7 @@
   private final Map<String, ModelCallRun> runsByKey = new ConcurrentHashMap<>();
   private final Map<String, Long> lastDeathNanos = new ConcurrentHashMap<>();
   private ScheduledFuture<?> poll;
+  private volatile boolean isStopping;
 
   /**
    * Creates a service.
@@ -71,8 +72,9 @@
             this::pollGate, POLL_PERIOD_MS, POLL_PERIOD_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Stops the admission of queued calls; running calls go on. */
+  /** Stops the admission of queued calls and repairs; running attempts go on. */
   public void stop() {
+    isStopping = true;
     if (poll != null) {
       poll.cancel(false);
     }
@@ -179,6 +181,9 @@
    * @param targetId the target
    */
   void onTargetDied(String targetId) {
+    if (isStopping) {
+      return;
+    }
     long nowNanos = System.nanoTime();
     Long before = lastDeathNanos.get(targetId);
     boolean isKnown = before != null && nowNanos - before < CRASH_WINDOW_NANOS;
@@ -197,6 +202,17 @@
     crashReporter.onTargetDied(targetId, fingerprints);
   }
 
+  /** Takes a target out of use that did not answer; no request is blamed. */
+  void onTargetFoundDead(String targetId) {
+    if (!isStopping) {
+      crashReporter.onTargetDied(targetId, List.of());
+    }
+  }
+
+  boolean isStopping() {
+    return isStopping;
+  }
+
   private void pollGate() {
     try {
       for (OverloadGate.Decision decision :
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeAdminView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeAdminView.java
@@ -9,7 +9,6 @@
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import org.gooseberryhook.coordination.CrashMarkRegistry;
-import org.gooseberryhook.coordination.PipelineRouter;
 import org.gooseberryhook.protocol.Problem;
 import org.gooseberryhook.protocol.TargetMessage;
 import org.gooseberryhook.state.Configuration;
@@ -42,7 +41,6 @@
       QuotaService quota,
       ModelCallService modelCalls,
       CrashMarkRegistry crashMarks,
-      PipelineRouter router,
       PipelineTable pipelines,
       BooleanSupplier isLeaving) {
     this.cluster = cluster;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -115,36 +115,9 @@
             timer);
     this.quota = new QuotaService(self, cluster, table, timer);
     RetryBudget retries = new RetryBudget();
-    OkHttpClient engineClient = clients.newClient("engine", MAX_STREAMS, Duration.ZERO);
-    int maxConcurrent = settings.limits().maxConcurrentRequests();
-    this.modelCalls =
-        new ModelCallService(
-            new HttpEngineClient(engineClient, streamPool),
-            new CallControls(
-                crashMarks,
-                quota.getHolder(),
-                new OverloadGate(
-                    maxConcurrent,
-                    Math.min(MIN_CONCURRENT, maxConcurrent),
-                    maxConcurrent,
-                    maxConcurrent),
-                router,
-                retries),
-            new ClusterCrashReporter(),
-            timer,
-            metrics);
+    this.modelCalls = newModelCalls(router, retries);
     HttpPlainServiceClient services = new HttpPlainServiceClient(clients);
-    this.onceCalls =
-        new OnceCallService(
-            new OnceCallService.Ports(
-                table,
-                services,
-                name -> store.get().getService(name).orElse(null),
-                this::getServiceAddresses,
-                System::nanoTime,
-                System::currentTimeMillis),
-            node.peerAddress(),
-            new SecureRandom());
+    this.onceCalls = newOnceCalls(table, services);
     cluster.addEndListener(quota::onNodeEnded);
     KeyIndex keys = new KeyIndex();
     cluster.addListener(keys::update);
@@ -162,15 +135,46 @@
     this.callerApi =
         new CallerApi(
             settings, cluster, keys, modelCalls, serviceCalls, this::getAddresses, workerPool);
-    this.adminApi =
-        new AdminApi(
-            settings,
-            cluster,
-            new ConfigurationWriter(table),
-            new NodeAdminView(
-                cluster, fleet, quota, modelCalls, crashMarks, router, pipelines, () -> isLeaving),
-            metrics,
-            adminPool);
+    this.adminApi = newAdminApi(table, pipelines);
+    registerGauges();
+  }
+
+  private ModelCallService newModelCalls(PipelineRouter router, RetryBudget retries) {
+    int maxConcurrent = settings.limits().maxConcurrentRequests();
+    OverloadGate gate =
+        new OverloadGate(
+            maxConcurrent, Math.min(MIN_CONCURRENT, maxConcurrent), maxConcurrent, maxConcurrent);
+    OkHttpClient engineClient = clients.newClient("engine", MAX_STREAMS, Duration.ZERO);
+    return new ModelCallService(
+        new HttpEngineClient(engineClient, streamPool),
+        new CallControls(crashMarks, quota.getHolder(), gate, router, retries),
+        new ClusterCrashReporter(),
+        timer,
+        metrics);
+  }
+
+  private OnceCallService newOnceCalls(TableService table, HttpPlainServiceClient services) {
+    return new OnceCallService(
+        new OnceCallService.Ports(
+            table,
+            services,
+            name -> store.get().getService(name).orElse(null),
+            this::getServiceAddresses,
+            System::nanoTime,
+            System::currentTimeMillis),
+        settings.node().peerAddress(),
+        new SecureRandom());
+  }
+
+  private AdminApi newAdminApi(TableService table, PipelineTable pipelines) {
+    NodeAdminView view =
+        new NodeAdminView(
+            cluster, fleet, quota, modelCalls, crashMarks, pipelines, () -> isLeaving);
+    return new AdminApi(
+        settings, cluster, new ConfigurationWriter(table), view, metrics, adminPool);
+  }
+
+  private void registerGauges() {
     metrics.gauge("running_requests", modelCalls::getRunningCount);
     metrics.gauge("configuration_version", () -> store.get().version());
     metrics.gauge("live_members", () -> cluster.getLiveMembers().size());
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerConnection.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerConnection.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 /**
  * Sending side to one peer. The connection is opened when there is something to send. All fields
@@ -42,6 +43,7 @@
   private final String address;
   private final EventLoop eventLoop;
   private final TransportCounters counters;
+  private final Consumer<String> onDisconnect;
   private final ArrayBlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(MAX_QUEUED);
   private final AtomicBoolean isDrainScheduled = new AtomicBoolean();
   private volatile Channel channel;
@@ -50,10 +52,15 @@
   private long backoffNanos = MIN_BACKOFF_NANOS;
   private long notBeforeNanos = System.nanoTime();
 
-  PeerConnection(String address, EventLoop eventLoop, TransportCounters counters) {
+  PeerConnection(
+      String address,
+      EventLoop eventLoop,
+      TransportCounters counters,
+      Consumer<String> onDisconnect) {
     this.address = address;
     this.eventLoop = eventLoop;
     this.counters = counters;
+    this.onDisconnect = onDisconnect;
   }
 
   void send(byte[] frame) {
@@ -168,6 +175,7 @@
   }
 
   private void onDisconnected() {
+    onDisconnect.accept(address);
     channel = null;
     notBeforeNanos = System.nanoTime() + MIN_BACKOFF_NANOS;
     dropQueue();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerTransport.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerTransport.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.gooseberryhook.protocol.PeerCodec;
 import org.gooseberryhook.protocol.PeerLink;
 import org.gooseberryhook.protocol.PeerMessage;
@@ -70,6 +71,7 @@
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicInteger inboundCount = new AtomicInteger();
   private final Map<String, PeerConnection> peers = new ConcurrentHashMap<>();
+  private volatile Consumer<String> disconnectListener = address -> {};
   private volatile EventLoopGroup group;
   private volatile Channel serverChannel;
 
@@ -155,7 +157,9 @@
     PeerConnection peer = running == null ? null : peers.get(address);
     if (peer == null && running != null && hasRoom()) {
       peer =
-          peers.computeIfAbsent(address, key -> new PeerConnection(key, running.next(), counters));
+          peers.computeIfAbsent(
+              address,
+              key -> new PeerConnection(key, running.next(), counters, this::onDisconnected));
     }
     if (peer == null || running.isShuttingDown()) {
       counters.addDropped(1);
@@ -196,6 +200,15 @@
             });
   }
 
+  @Override
+  public void setDisconnectListener(Consumer<String> listener) {
+    disconnectListener = listener;
+  }
+
+  private void onDisconnected(String address) {
+    disconnectListener.accept(address);
+  }
+
   /** Netty wraps a refusal in a private class whose cause or superclass is the plain exception. */
   private static boolean isRefused(Throwable cause) {
     return cause instanceof ConnectException
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ServiceCallApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ServiceCallApi.java
@@ -29,7 +29,7 @@
 
   private static final String KEY_HEADER = "Idempotency-Key";
   private static final long GRANT_RETRY_MS = 10;
-  private static final long MAX_GRANT_WAIT_MS = 2_000;
+  private static final long MAX_GRANT_WAIT_MS = 5_000;
   private static final long RETRY_AFTER_MS = 1_000;
   private static final int HTTP_ACCEPTED = 202;
 
--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCommand.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCommand.java
@@ -14,6 +14,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import okio.BufferedSource;
+import org.gooseberryhook.load.LocalCluster;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.standin.TokenFunction;
 
@@ -21,11 +22,7 @@
 @Parameters(commandDescription = "Run entry nodes and stand-ins in one JVM on loopback")
 final class DemoCommand implements Command {
 
-  private static final int NODE_COUNT = 3;
-  private static final int PIPELINE_COUNT = 6;
   private static final int ANSWER_TOKENS = 40;
-  private static final long STEP_MICROS = 8_000;
-  private static final long PREFILL_MICROS_PER_TOKEN = 50;
   private static final MediaType JSON = MediaType.get("application/json");
 
   @Parameter(names = "--once", description = "Serve a mixed sample, print what it proved, and exit")
@@ -47,9 +44,9 @@
 
   @Override
   public int run() {
-    DemoCluster cluster = new DemoCluster(PIPELINE_COUNT, STEP_MICROS, PREFILL_MICROS_PER_TOKEN);
+    LocalCluster cluster = new LocalCluster(DemoLayout.get());
     try {
-      cluster.start(NODE_COUNT);
+      cluster.start();
       if (isOnce) {
         runSample(cluster);
         System.out.println(isFailed ? "demo: FAILED" : "demo: all checks passed");
@@ -69,12 +66,12 @@
     }
   }
 
-  private void runSample(DemoCluster cluster) throws IOException {
+  private void runSample(LocalCluster cluster) throws IOException {
     String prompt = "Quote a ramp with a rise of 300 mm for the clinic at Otjikango.";
     List<Integer> expected =
         TokenFunction.answerTo(
-            DemoCluster.MODEL_VERSION, DemoCluster.LAYER_COUNT, prompt, ANSWER_TOKENS);
-    List<Integer> whole = callWhole(cluster.getAddress(0), prompt);
+            DemoLayout.MODEL_VERSION, DemoLayout.LAYER_COUNT, prompt, ANSWER_TOKENS);
+    List<Integer> whole = callWhole(cluster.getCallerAddresses().get(0), prompt);
     report(
         "whole answer equals the model's function, so each layer ran once in order",
         whole.equals(expected));
@@ -85,7 +82,7 @@
         "a stage died after 10 tokens; no token was lost, repeated or changed",
         repaired.equals(expected));
     List<Integer> received = callStream(cluster, 0, prompt, List.of(), -1, 15);
-    cluster.getNode(0).stop();
+    cluster.getNodes().get(0).stop();
     List<Integer> resumed = new ArrayList<>(received);
     resumed.addAll(callStream(cluster, 2, prompt, received, -1, ANSWER_TOKENS));
     report(
@@ -108,14 +105,14 @@
 
   /** Reads a stream; kills a stage that runs it after some tokens, or stops reading early. */
   private List<Integer> callStream(
-      DemoCluster cluster,
+      LocalCluster cluster,
       int node,
       String prompt,
       List<Integer> resumed,
       int killAfterTokens,
       int maxRead)
       throws IOException {
-    Request request = request(cluster.getAddress(node), prompt, true, resumed);
+    Request request = request(cluster.getCallerAddresses().get(node), prompt, true, resumed);
     List<Integer> tokens = new ArrayList<>();
     try (Response response = client.newCall(request).execute()) {
       BufferedSource source = response.body().source();
@@ -136,7 +133,7 @@
     return tokens;
   }
 
-  private static void killBusyStage(DemoCluster cluster) {
+  private static void killBusyStage(LocalCluster cluster) {
     cluster.getFleet().getAll().stream()
         .filter(engine -> engine.getRunningCount() > 0)
         .findFirst()
@@ -147,28 +144,28 @@
       String address, String prompt, boolean isStream, List<Integer> resumed) throws IOException {
     Map<String, Object> body =
         Map.of(
-            "model", DemoCluster.MODEL_ID,
+            "model", DemoLayout.MODEL_ID,
             "prompt", prompt,
             "max_tokens", ANSWER_TOKENS,
             "stream", isStream,
             "resume_token_ids", resumed);
     return new Request.Builder()
         .url("http://" + address + "/v1/completions")
-        .header("Authorization", "Bearer " + DemoCluster.CALLER_KEY)
+        .header("Authorization", "Bearer " + DemoLayout.CALLER_KEY)
         .post(RequestBody.create(Json.MAPPER.writeValueAsBytes(body), JSON))
         .build();
   }
 
-  private static void printCurlLines(DemoCluster cluster) {
+  private static void printCurlLines(LocalCluster cluster) {
     System.out.println("The demo is up. Try:");
     System.out.printf(
         "curl -N -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \\%n"
             + "  -d '{\"model\":\"%s\",\"prompt\":\"Quote a ramp\",\"max_tokens\":20,"
             + "\"stream\":true}' http://%s/v1/completions%n",
-        DemoCluster.CALLER_KEY, DemoCluster.MODEL_ID, cluster.getAddress(0));
+        DemoLayout.CALLER_KEY, DemoLayout.MODEL_ID, cluster.getCallerAddresses().get(0));
     System.out.printf(
         "curl -H 'Authorization: Bearer %s' http://%s/v1/addresses%n",
-        DemoCluster.CALLER_KEY, cluster.getAddress(1));
+        DemoLayout.CALLER_KEY, cluster.getCallerAddresses().get(1));
     System.out.println("Press Ctrl-C to stop.");
   }
 }
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/AdminClient.java
@@ -0,0 +1,156 @@
+package org.gooseberryhook.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.Map;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.gooseberryhook.protocol.Json;
+
+/**
+ * Client of the administration API.
+ *
+ * @since 0.1
+ */
+public final class AdminClient {
+
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final OkHttpClient CLIENT = new OkHttpClient();
+
+  private final String baseUrl;
+  private final String operatorKey;
+
+  /**
+   * Creates a client.
+   *
+   * @param address {@code ip:port} of a node's administration API
+   * @param operatorKey the operator's key
+   */
+  public AdminClient(String address, String operatorKey) {
+    this.baseUrl = "http://" + address + "/admin/v1/";
+    this.operatorKey = operatorKey;
+  }
+
+  /**
+   * An answer.
+   *
+   * @param status HTTP status
+   * @param etag version of the record; null if there is none
+   * @param body the body; null if it is empty
+   * @since 0.1
+   */
+  public record Answer(int status, String etag, JsonNode body) {
+
+    /**
+     * Tells whether the call succeeded.
+     *
+     * @return true for a 2xx status
+     */
+    public boolean isOk() {
+      return status >= 200 && status < 300;
+    }
+  }
+
+  /**
+   * Reads.
+   *
+   * @param path path below {@code /admin/v1/}
+   * @return the answer, never null
+   * @throws IOException if the node can't be reached
+   */
+  public Answer get(String path) throws IOException {
+    return send(newRequest(path).get());
+  }
+
+  /**
+   * Puts a record.
+   *
+   * @param path path below {@code /admin/v1/}
+   * @param value the record
+   * @param expectedVersion version that the record must have; 0 if it must be absent
+   * @throws IOException if the change is not accepted
+   */
+  public void put(String path, Object value, long expectedVersion) throws IOException {
+    Answer answer = tryPut(path, value, expectedVersion);
+    if (!answer.isOk()) {
+      throw new IOException(
+          "PUT " + path + " was answered " + answer.status() + " " + answer.body());
+    }
+  }
+
+  /**
+   * Puts a record.
+   *
+   * @param path path below {@code /admin/v1/}
+   * @param value the record
+   * @param expectedVersion version that the record must have; 0 if it must be absent
+   * @return the answer, never null
+   * @throws IOException if the node can't be reached
+   */
+  public Answer tryPut(String path, Object value, long expectedVersion) throws IOException {
+    return putText(path, Json.MAPPER.writeValueAsString(value), expectedVersion);
+  }
+
+  /**
+   * Puts a record.
+   *
+   * @param path path below {@code /admin/v1/}
+   * @param json the record as JSON text
+   * @param expectedVersion version that the record must have; 0 if it must be absent
+   * @return the answer, never null
+   * @throws IOException if the node can't be reached
+   */
+  public Answer putText(String path, String json, long expectedVersion) throws IOException {
+    return send(
+        newRequest(path)
+            .header("If-Match", "\"" + expectedVersion + "\"")
+            .put(RequestBody.create(json, JSON)));
+  }
+
+  /**
+   * Deletes a record.
+   *
+   * @param path path below {@code /admin/v1/}
+   * @param expectedVersion version that the record must have
+   * @return the answer, never null
+   * @throws IOException if the node can't be reached
+   */
+  public Answer delete(String path, long expectedVersion) throws IOException {
+    return send(newRequest(path).header("If-Match", "\"" + expectedVersion + "\"").delete());
+  }
+
+  /**
+   * Declares a planned change.
+   *
+   * @param kind target, vm, place or node-gone
+   * @param id what the change is about
+   * @param reason why, for other operators
+   * @return the answer, never null
+   * @throws IOException if the node can't be reached
+   */
+  public Answer declare(String kind, String id, String reason) throws IOException {
+    Map<String, String> body = Map.of("kind", kind, "id", id, "reason", reason);
+    return send(
+        newRequest("planned-changes")
+            .post(RequestBody.create(Json.MAPPER.writeValueAsString(body), JSON)));
+  }
+
+  private Request.Builder newRequest(String path) {
+    return new Request.Builder()
+        .url(baseUrl + path)
+        .header("Authorization", "Bearer " + operatorKey);
+  }
+
+  private static Answer send(Request.Builder request) throws IOException {
+    try (Response response = CLIENT.newCall(request.build()).execute()) {
+      byte[] bytes = response.body().bytes();
+      return new Answer(
+          response.code(),
+          response.header("ETag"),
+          bytes.length == 0 ? null : Json.MAPPER.readTree(bytes));
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
@@ -0,0 +1,320 @@
+package org.gooseberryhook.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.gooseberryhook.protocol.VmEntry;
+import org.gooseberryhook.protocol.VmTarget;
+import org.gooseberryhook.standin.EngineFleet;
+import org.gooseberryhook.standin.EngineStandin;
+import org.gooseberryhook.standin.StandinEngine;
+import org.gooseberryhook.standin.StandinPlatform;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.LayerRange;
+import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.ServiceSpec;
+import org.gooseberryhook.transport.CallerKeys;
+import org.gooseberryhook.transport.NodeService;
+import org.gooseberryhook.transport.NodeSettings;
+
+/**
+ * Entry nodes and stand-ins in one JVM, joined by real connections on loopback, for the demo, tests
+ * and experiments.
+ *
+ * @since 0.1
+ */
+public final class LocalCluster {
+
+  /** Key of the administration API. */
+  public static final String OPERATOR_KEY = "demo-operator-key";
+
+  private static final int MAX_CACHED_BLOCKS = 4_096;
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  private static final int MAX_CONCURRENT_REQUESTS = 2_000;
+  private static final long LAYER_BYTES = 1L << 30;
+  private static final long READY_TIMEOUT_MS = 30_000;
+  private static final long NANOS_PER_MS = 1_000_000;
+  private static final long POLL_MS = 20;
+
+  private final LocalLayout layout;
+  private final EngineFleet fleet;
+  private final StandinPlatform platform = StandinPlatform.ofFreePorts();
+  private final List<NodeService> nodes = new CopyOnWriteArrayList<>();
+  private final int enginePort = freePort();
+  private final EngineStandin engineServer;
+
+  /**
+   * Creates a cluster that is not started.
+   *
+   * @param layout what it consists of
+   */
+  public LocalCluster(LocalLayout layout) {
+    this.layout = layout;
+    this.fleet = new EngineFleet(layout.stepMicros(), layout.prefillMicrosPerToken());
+    this.engineServer = new EngineStandin(fleet, enginePort);
+  }
+
+  /**
+   * Starts everything, declares the model, the service and the contracts, and waits until every
+   * node serves them.
+   *
+   * @throws IOException if a part does not become ready in time
+   */
+  public void start() throws IOException {
+    platform.start();
+    engineServer.start();
+    for (int i = 0; i < layout.pipelineCount(); i++) {
+      addPipeline(i, layout.modelVersion());
+    }
+    for (int i = 0; i < layout.serviceReplicas(); i++) {
+      addServiceReplica(i);
+    }
+    for (int i = 0; i < layout.nodeCount(); i++) {
+      addNode();
+    }
+    await("all nodes to be ready", () -> nodes.stream().allMatch(NodeService::isReady));
+    AdminClient admin = newAdminClient(0);
+    admin.put("models/" + layout.modelId(), newModel(layout.modelVersion()), 0);
+    admin.put(
+        "services/" + layout.serviceName(),
+        new ServiceSpec(layout.serviceName(), Set.of(layout.onceOnlyOperation()), true),
+        0);
+    for (Contract contract : layout.contracts()) {
+      admin.put("contracts/" + contract.workspaceId(), contract, 0);
+    }
+    awaitVersion(2L + layout.contracts().size());
+  }
+
+  /** Stops everything at once. */
+  public void stop() {
+    nodes.forEach(NodeService::stop);
+    nodes.clear();
+    engineServer.stop();
+    platform.stop();
+  }
+
+  /**
+   * Starts another node that joins through the present ones.
+   *
+   * @return the node
+   */
+  public NodeService addNode() {
+    List<String> seeds =
+        nodes.stream().map(node -> node.getSettings().node().peerAddress()).toList();
+    NodeService node = new NodeService(newSettings(nodes.size(), seeds));
+    node.start();
+    nodes.add(node);
+    return node;
+  }
+
+  /**
+   * Takes a node out of the list; the caller stops it.
+   *
+   * @param node the node
+   */
+  public void removeNode(NodeService node) {
+    nodes.remove(node);
+  }
+
+  /**
+   * Returns the layout.
+   *
+   * @return the layout, never null
+   */
+  public LocalLayout getLayout() {
+    return layout;
+  }
+
+  /**
+   * Returns the engines.
+   *
+   * @return the fleet, never null
+   */
+  public EngineFleet getFleet() {
+    return fleet;
+  }
+
+  /**
+   * Returns the platform.
+   *
+   * @return the stand-ins, never null
+   */
+  public StandinPlatform getPlatform() {
+    return platform;
+  }
+
+  /**
+   * Returns the nodes.
+   *
+   * @return the running nodes, in the order of their start
+   */
+  public List<NodeService> getNodes() {
+    return new ArrayList<>(nodes);
+  }
+
+  /**
+   * Returns the addresses for callers.
+   *
+   * @return {@code ip:port} of each running node
+   */
+  public List<String> getCallerAddresses() {
+    return nodes.stream().map(node -> node.getSettings().node().callerAddress()).toList();
+  }
+
+  /**
+   * Returns the base URL of the engine stand-in; a target is below {@code /targets/{targetId}}.
+   *
+   * @return the URL, never null
+   */
+  public String getEngineUrl() {
+    return "http://127.0.0.1:" + enginePort;
+  }
+
+  /**
+   * Returns a client of a node's administration API.
+   *
+   * @param index number of the node
+   * @return the client, never null
+   */
+  public AdminClient newAdminClient(int index) {
+    return new AdminClient(nodes.get(index).getSettings().node().adminAddress(), OPERATOR_KEY);
+  }
+
+  /**
+   * Returns the model with a version.
+   *
+   * @param version the version
+   * @return the specification, never null
+   */
+  public ModelSpec newModel(String version) {
+    return new ModelSpec(
+        layout.modelId(), version, layout.layerCount(), LAYER_BYTES, layout.pipelineCount());
+  }
+
+  /**
+   * Adds the targets of one pipeline and names them in the VM list.
+   *
+   * @param number number of the pipeline; the targets are {@code t{number}-{stage}}
+   * @param version version that they hold
+   */
+  public void addPipeline(int number, String version) {
+    int layersPerStage = layout.layerCount() / layout.stageCount();
+    String place = placeOf(number);
+    for (int stage = 0; stage < layout.stageCount(); stage++) {
+      String targetId = "t" + number + "-" + stage;
+      LayerRange layers = LayerRange.of(stage * layersPerStage, (stage + 1) * layersPerStage);
+      fleet.add(
+          new StandinEngine(
+              targetId, layout.modelId(), version, layers, layout.maxRunning(), MAX_CACHED_BLOCKS));
+      VmTarget target =
+          new VmTarget(
+              targetId,
+              VmTarget.ENGINE,
+              getEngineUrl() + "/targets/" + targetId,
+              layout.modelId(),
+              version,
+              layers.firstLayer(),
+              layers.endLayer(),
+              "accelerator-" + stage,
+              true);
+      putVm("vm-" + targetId, place, target);
+    }
+  }
+
+  /**
+   * Waits until every node has a version in force and pipelines to route to.
+   *
+   * @param version the version
+   * @throws IOException if it takes too long
+   */
+  public void awaitVersion(long version) throws IOException {
+    await(
+        "configuration version " + version + " and pipelines everywhere",
+        () ->
+            nodes.stream()
+                .allMatch(
+                    node ->
+                        node.getConfigurationVersion() >= version && node.getPipelineCount() > 0));
+  }
+
+  /**
+   * Waits for a condition.
+   *
+   * @param what what is waited for, for the message
+   * @param condition the condition
+   * @throws IOException if it does not hold in time
+   */
+  public static void await(String what, BooleanSupplier condition) throws IOException {
+    long deadlineNanos = System.nanoTime() + READY_TIMEOUT_MS * NANOS_PER_MS;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - deadlineNanos > 0) {
+        throw new IOException("timed out after " + READY_TIMEOUT_MS + " ms waiting for " + what);
+      }
+      try {
+        Thread.sleep(POLL_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted while waiting for " + what, e);
+      }
+    }
+  }
+
+  private NodeSettings newSettings(int number, List<String> seeds) {
+    return new NodeSettings(
+        new NodeSettings.Node(
+            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + freePort(),
+            placeOf(number),
+            layout.region(),
+            layout.places(),
+            seeds,
+            layout.drainTimeoutMs()),
+        new NodeSettings.Platform(
+            platform.getBaseUrl(StandinPlatform.Part.TABLE),
+            platform.getBaseUrl(StandinPlatform.Part.OBJECTS),
+            platform.getBaseUrl(StandinPlatform.Part.WEIGHTS),
+            platform.getBaseUrl(StandinPlatform.Part.VMS)),
+        new NodeSettings.Operators(List.of(CallerKeys.digestOf(OPERATOR_KEY))),
+        List.of(new NodeSettings.TargetGroup("models", layout.modelId(), true)),
+        new NodeSettings.Limits(MAX_CONCURRENT_REQUESTS, MAX_BODY_BYTES, MAX_HEADER_BYTES));
+  }
+
+  private void addServiceReplica(int number) {
+    VmTarget target =
+        new VmTarget(
+            layout.serviceName() + "-" + number,
+            VmTarget.SERVICE,
+            platform.getBaseUrl(StandinPlatform.Part.SERVICES),
+            layout.serviceName(),
+            "",
+            0,
+            0,
+            "",
+            false);
+    putVm("vm-" + target.targetId(), placeOf(number), target);
+  }
+
+  private void putVm(String vmId, String place, VmTarget target) {
+    platform.getVms().put(new VmEntry(vmId, place, layout.region(), VmEntry.LIVE, List.of(target)));
+  }
+
+  private String placeOf(int number) {
+    return layout.places().get(number % layout.places().size());
+  }
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException("no free loopback port", e);
+    }
+  }
+}
