--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -66,7 +66,7 @@
               }));
   private PeerLink link;
   private List<ScheduledFuture<?>> tasks = List.of();
-  private long notifiedVersion = -1;
+  private volatile long appliedVersion = -1;
 
   /**
    * Creates a service.
@@ -194,6 +194,15 @@
     return store.get();
   }
 
+  /**
+   * Returns the version that all listeners have taken, so that it is in force here.
+   *
+   * @return the version; -1 before the first
+   */
+  public long getAppliedVersion() {
+    return appliedVersion;
+  }
+
   /**
    * Returns the members that are alive or suspected, this node first.
    *
@@ -244,6 +253,7 @@
     if (store.get().version() < entry.version()) {
       readLog();
     }
+    applySoon();
   }
 
   /**
@@ -281,6 +291,7 @@
       }
     } else if (message instanceof ConfigurationMessage configurationMessage) {
       send(sync.onMessage(sender, configurationMessage, nowNanos, random));
+      applySoon();
     } else {
       handlers.forEach(
           (family, handler) -> {
@@ -348,11 +359,17 @@
     sync.onTick(nowNanos);
   }
 
+  private void applySoon() {
+    if (store.get().version() != appliedVersion) {
+      timer.execute(this::notifyListeners);
+    }
+  }
+
   private synchronized void notifyListeners() {
     Configuration configuration = store.get();
-    if (configuration.version() != notifiedVersion) {
-      notifiedVersion = configuration.version();
+    if (configuration.version() != appliedVersion) {
       listeners.forEach(listener -> listener.accept(configuration));
+      appliedVersion = configuration.version();
     }
   }
 
@@ -377,6 +394,7 @@
               if (result instanceof ConfigurationLog.LogResult.Entries found
                   && !found.entries().isEmpty()) {
                 send(sync.onEntries(found.entries(), System.nanoTime(), random));
+                applySoon();
                 if (found.entries().size() == LOG_PAGE) {
                   readLog();
                 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -270,10 +270,10 @@
   /**
    * Returns the version of the configuration in force.
    *
-   * @return the version; 0 before the first change
+   * @return the version; -1 before the first is known
    */
   public long getConfigurationVersion() {
-    return store.get().version();
+    return cluster.getAppliedVersion();
   }
 
   /**
--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCommand.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/DemoCommand.java
@@ -97,6 +97,9 @@
   private List<Integer> callWhole(String address, String prompt) throws IOException {
     try (Response response = client.newCall(request(address, prompt, false, List.of())).execute()) {
       JsonNode body = Json.MAPPER.readTree(response.body().bytes());
+      if (!response.isSuccessful()) {
+        System.out.println("      answered " + response.code() + ": " + body);
+      }
       List<Integer> tokens = new ArrayList<>();
       body.path("token_ids").forEach(token -> tokens.add(token.asInt()));
       return tokens;
