--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/AdmissionQueue.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/AdmissionQueue.java
@@ -87,11 +87,12 @@
     return false;
   }
 
-  /** Takes out all requests whose deadline is before a time. */
-  List<OverloadGate.Arrival> takeDue(long beforeNanos) {
+  /** Takes out all requests that have less time left than they need. */
+  List<OverloadGate.Arrival> takeDue(long nowNanos, NeededTime needed) {
     List<Waiting> due = new ArrayList<>();
     for (Waiting waiting : order) {
-      if (waiting.arrival.deadlineNanos() - beforeNanos < 0) {
+      long neededNanos = needed.nanos(waiting.arrival, waiting.sinceNanos);
+      if (waiting.arrival.deadlineNanos() - nowNanos < neededNanos) {
         due.add(waiting);
       }
     }
@@ -117,6 +118,11 @@
     }
   }
 
+  /** Tells how much time a request needs to finish. */
+  interface NeededTime {
+    long nanos(OverloadGate.Arrival arrival, long arrivedNanos);
+  }
+
   /** A waiting request. */
   record Waiting(OverloadGate.Arrival arrival, long sinceNanos, double virtualStart, long number) {}
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OverloadGate.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OverloadGate.java
@@ -37,7 +37,8 @@
   private static final long MIN_RETRY_AFTER_MS = 500;
   private static final long MAX_RETRY_AFTER_MS = 30_000;
   private static final double SERVICE_SMOOTHING = 0.05;
-  private static final double SERVICE_MARGIN = 1.3;
+  private static final double SERVICE_MARGIN = 1.5;
+  private static final double MAX_NEEDED_SHARE = 0.5;
   private static final double SHED_SMOOTHING = 0.02;
 
   private final int maxQueued;
@@ -96,7 +97,6 @@
     queueOf(arrival).add(arrival, nowNanos);
     startWaiting(nowNanos, random);
     if (!started.containsKey(arrival.requestId())) {
-      limit.onWait();
       return new Queued();
     }
     pending.removeIf(decision -> decision.requestId().equals(arrival.requestId()));
@@ -135,8 +135,8 @@
     double usedNanos = nowNanos - ended.sinceNanos;
     serviceNanos[at] = smooth(serviceNanos[at], usedNanos);
     meanServiceNanos = smooth(meanServiceNanos, usedNanos);
-    double allowedNanos = Math.max(1, arrival.deadlineNanos() - ended.arrivedNanos);
-    limit.onCompleted((nowNanos - ended.arrivedNanos) / allowedNanos, nowNanos);
+    boolean isUseful = nowNanos - arrival.deadlineNanos() <= 0;
+    limit.onCompleted(usedNanos, isUseful, queued() > 0, nowNanos);
   }
 
   /**
@@ -175,7 +175,7 @@
       AdmissionQueue.Waiting next = queue.take();
       Arrival arrival = next.arrival();
       int at = arrival.priorityClass().ordinal();
-      if (nowNanos + serviceNanos[at] - arrival.deadlineNanos() > 0) {
+      if (nowNanos + neededNanos(arrival, next.sinceNanos()) - arrival.deadlineNanos() > 0) {
         pending.add(new Decision(arrival.requestId(), shed(arrival, nowNanos, random)));
         continue;
       }
@@ -218,8 +218,8 @@
 
   private boolean isHopeless(Arrival arrival, long nowNanos) {
     double waitNanos = estimatedWaitNanos(arrival);
-    double needNanos = serviceNanos[arrival.priorityClass().ordinal()] * SERVICE_MARGIN;
-    if (waitNanos + needNanos > arrival.deadlineNanos() - nowNanos) {
+    long neededNanos = neededNanos(arrival, nowNanos);
+    if (waitNanos + neededNanos > arrival.deadlineNanos() - nowNanos) {
       return true;
     }
     return arrival.firstTokenGoalNanos() > 0 && waitNanos > arrival.firstTokenGoalNanos();
@@ -240,6 +240,17 @@
     return (queueOf(arrival).countAhead(arrival) + 1) * nanosPerStart / share;
   }
 
+  /**
+   * Returns the time that a start must have left; one that ends late wastes its whole slot. It is
+   * at most half of the request's time, so that a fresh request starts whatever was observed
+   * before. Without that bound a slow spell stops all starts, and with them all new observations.
+   */
+  private long neededNanos(Arrival arrival, long arrivedNanos) {
+    double neededNanos = serviceNanos[arrival.priorityClass().ordinal()] * SERVICE_MARGIN;
+    double allowedNanos = arrival.deadlineNanos() - arrivedNanos;
+    return (long) Math.min(neededNanos, allowedNanos * MAX_NEEDED_SHARE);
+  }
+
   private static double smooth(double old, double value) {
     return old == 0 ? value : old + SERVICE_SMOOTHING * (value - old);
   }
@@ -251,9 +262,8 @@
     }
     hasSwept = true;
     lastSweepNanos = nowNanos;
-    for (int at = 0; at < queues.length; at++) {
-      long needNanos = (long) serviceNanos[at];
-      for (Arrival late : queues[at].takeDue(nowNanos + needNanos)) {
+    for (AdmissionQueue queue : queues) {
+      for (Arrival late : queue.takeDue(nowNanos, this::neededNanos)) {
         pending.add(new Decision(late.requestId(), shed(late, nowNanos, random)));
       }
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineGroup.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineGroup.java
@@ -36,7 +36,7 @@
       lost.add(target.targetId());
       Pipeline user = byTarget.get(target.targetId());
       if (user == null) {
-        removeSpare(target);
+        remove(spares, target);
       } else {
         broken.put(user.pipelineId(), user);
       }
@@ -80,13 +80,14 @@
     for (Target stage : pipeline.stages()) {
       Target next = stage;
       if (lost.contains(stage.targetId())) {
-        next = choose(stage.layers(), target -> true, kept.isEmpty() ? stage : kept.get(0));
+        Target neighbour = kept.isEmpty() ? stage : kept.get(0);
+        next = choose(spares.getOrDefault(stage.layers(), new TreeMap<>()), neighbour);
         if (next == null) {
           kept.forEach(this::addSpare);
           taken.forEach(this::addSpare);
           return;
         }
-        removeSpare(next);
+        remove(spares, next);
         taken.add(next);
       }
       repaired.add(next);
@@ -112,23 +113,23 @@
 
   /** Takes chains until none is left, so that no pipeline could be composed of the spares. */
   private void composeWithin(Predicate<Target> scope) {
-    TreeMap<LayerRange, Integer> counts = new TreeMap<>();
-    spares.forEach(
-        (range, targets) -> {
-          int count = (int) targets.values().stream().filter(scope).count();
-          if (count > 0) {
-            counts.put(range, count);
-          }
-        });
+    TreeMap<LayerRange, TreeMap<String, Target>> scoped = new TreeMap<>();
+    for (TreeMap<String, Target> sameRange : spares.values()) {
+      for (Target target : sameRange.values()) {
+        if (scope.test(target)) {
+          put(scoped, target);
+        }
+      }
+    }
     List<LayerRange> path = new ArrayList<>();
-    while (findPath(0, counts, path, new HashSet<>())) {
+    while (findPath(0, scoped, path, new HashSet<>())) {
       List<Target> stages = new ArrayList<>();
       for (LayerRange range : path) {
-        Target stage =
-            choose(range, scope, stages.isEmpty() ? null : stages.get(stages.size() - 1));
-        removeSpare(stage);
+        Target previous = stages.isEmpty() ? null : stages.get(stages.size() - 1);
+        Target stage = choose(scoped.get(range), previous);
+        remove(scoped, stage);
+        remove(spares, stage);
         stages.add(stage);
-        counts.computeIfPresent(range, (key, count) -> count == 1 ? null : count - 1);
       }
       add(stages);
       path.clear();
@@ -138,7 +139,7 @@
   /** Searches ranges that tile the rest of the model, long ranges first for short chains. */
   private boolean findPath(
       int fromLayer,
-      TreeMap<LayerRange, Integer> counts,
+      TreeMap<LayerRange, TreeMap<String, Target>> scoped,
       List<LayerRange> path,
       Set<Integer> dead) {
     if (fromLayer == layerCount) {
@@ -149,9 +150,9 @@
     }
     LayerRange shortest = LayerRange.of(fromLayer, fromLayer + 1);
     LayerRange longest = LayerRange.of(fromLayer, Integer.MAX_VALUE);
-    for (LayerRange range : counts.subMap(shortest, true, longest, true).descendingMap().keySet()) {
+    for (LayerRange range : scoped.subMap(shortest, true, longest, true).descendingMap().keySet()) {
       path.add(range);
-      if (findPath(range.endLayer(), counts, path, dead)) {
+      if (findPath(range.endLayer(), scoped, path, dead)) {
         return true;
       }
       path.remove(path.size() - 1);
@@ -160,17 +161,17 @@
     return false;
   }
 
-  /** Returns the nearest spare to a neighbour, by id among equals, or null if there is none. */
-  private Target choose(LayerRange range, Predicate<Target> scope, Target neighbour) {
+  /** Returns the target nearest to a neighbour, by id among equals, or null if there is none. */
+  private static Target choose(TreeMap<String, Target> targets, Target neighbour) {
     Target best = null;
     int bestDistance = Integer.MAX_VALUE;
-    for (Target target : spares.getOrDefault(range, new TreeMap<>()).values()) {
-      int distance = scope.test(target) ? distance(target, neighbour) : Integer.MAX_VALUE;
+    for (Target target : targets.values()) {
+      int distance = distance(target, neighbour);
       if (distance < bestDistance) {
         best = target;
         bestDistance = distance;
       }
-      if (bestDistance == 0) {
+      if (distance == 0) {
         break;
       }
     }
@@ -191,17 +192,19 @@
   }
 
   private void addSpare(Target target) {
-    spares
-        .computeIfAbsent(target.layers(), range -> new TreeMap<>())
-        .put(target.targetId(), target);
+    put(spares, target);
+  }
+
+  private static void put(TreeMap<LayerRange, TreeMap<String, Target>> into, Target target) {
+    into.computeIfAbsent(target.layers(), range -> new TreeMap<>()).put(target.targetId(), target);
   }
 
-  private void removeSpare(Target target) {
-    TreeMap<String, Target> sameRange = spares.get(target.layers());
+  private static void remove(TreeMap<LayerRange, TreeMap<String, Target>> from, Target target) {
+    TreeMap<String, Target> sameRange = from.get(target.layers());
     if (sameRange != null) {
       sameRange.remove(target.targetId());
       if (sameRange.isEmpty()) {
-        spares.remove(target.layers());
+        from.remove(target.layers());
       }
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
@@ -26,7 +26,7 @@
 public final class PipelineRouter {
 
   /** Period at which {@link #refresh} is to be called, in milliseconds. */
-  public static final long REFRESH_PERIOD_MS = 250;
+  public static final long REFRESH_PERIOD_MS = 1_000;
 
   /** Share of a pipeline's slots that batch work may fill while there is interactive demand. */
   public static final double BATCH_SLOT_SHARE = 0.7;
@@ -133,6 +133,27 @@
     return chosen != null ? chosen : refuse(search);
   }
 
+  /**
+   * Registers a request on a named pipeline, for example on the repaired chain that imports its
+   * cache.
+   *
+   * @param pipelineId the pipeline
+   * @param facts the request
+   * @param rule limits on where it may run
+   * @param cachedShare share of the prompt expected in the cache, from 0 to 1
+   * @param nowNanos monotonic time
+   * @return the choice, or a refusal if the pipeline is gone, out of use or excluded by the rule
+   */
+  public RouteResult claim(
+      String pipelineId, RequestFacts facts, RouteRule rule, double cachedShare, long nowNanos) {
+    PipelineEntry entry = table.entry(facts.modelId(), facts.modelVersion(), pipelineId);
+    boolean isUsable = entry != null && entry.isInUse() && !rule.isExcluding(entry.pipeline());
+    if (!isUsable || !entry.tryBegin(rule.isolation(), nowNanos)) {
+      return new NoPipeline(Reason.NONE_USABLE, RETRY_AFTER_MS);
+    }
+    return chosen(entry, facts, rule, cachedShare, nowNanos);
+  }
+
   /**
    * Notes that the start order was sent.
    *
@@ -269,7 +290,8 @@
     for (int best = candidates.takeBest(); best >= 0; best = candidates.takeBest()) {
       PipelineEntry entry = candidates.entry(best);
       if (entry.tryBegin(search.rule.isolation(), search.nowNanos)) {
-        return chosen(entry, search, candidates.cachedShare(best));
+        return chosen(
+            entry, search.facts, search.rule, candidates.cachedShare(best), search.nowNanos);
       }
     }
     return null;
@@ -279,17 +301,17 @@
   private Chosen chooseFirst(Search search) {
     for (PipelineEntry entry : search.index.ranked(search.facts.priorityClass())) {
       if (isAllowed(search, entry) && entry.tryBegin(search.rule.isolation(), search.nowNanos)) {
-        return chosen(entry, search, 0);
+        return chosen(entry, search.facts, search.rule, 0, search.nowNanos);
       }
     }
     return null;
   }
 
-  private static Chosen chosen(PipelineEntry entry, Search search, double cachedShare) {
-    double uncachedTokens = search.facts.promptTokens() * (1 - cachedShare);
+  private static Chosen chosen(
+      PipelineEntry entry, RequestFacts facts, RouteRule rule, double cachedShare, long nowNanos) {
+    double uncachedTokens = facts.promptTokens() * (1 - cachedShare);
     Dispatch dispatch =
-        new Dispatch(
-            entry, search.facts, search.rule.isolation(), false, uncachedTokens, search.nowNanos);
+        new Dispatch(entry, facts, rule.isolation(), false, uncachedTokens, nowNanos);
     return new Chosen(entry.pipeline(), dispatch);
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/RouteIndex.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/RouteIndex.java
@@ -3,7 +3,9 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.gooseberryhook.state.PipelineEntry;
 import org.gooseberryhook.state.PriorityClass;
 
@@ -29,9 +31,10 @@
       List<PipelineEntry> all, ToDoubleFunction<PipelineEntry> estimate, Demand demand) {
     this.all = all;
     this.demand = demand;
-    PipelineEntry[] inUse =
-        all.stream().filter(PipelineEntry::isInUse).toArray(PipelineEntry[]::new);
-    outOfUse = all.stream().filter(e -> !e.isInUse()).toArray(PipelineEntry[]::new);
+    Map<Boolean, List<PipelineEntry>> byUse =
+        all.stream().collect(Collectors.partitioningBy(PipelineEntry::isInUse));
+    PipelineEntry[] inUse = byUse.get(true).toArray(PipelineEntry[]::new);
+    outOfUse = byUse.get(false).toArray(PipelineEntry[]::new);
     byEstimate = sorted(inUse, estimate);
     byFreeCapacity = sorted(inUse, e -> (double) e.occupied() / e.slots());
   }
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/DecisionTimer.java
@@ -0,0 +1,120 @@
+package org.gooseberryhook.load;
+
+import java.util.List;
+import java.util.Random;
+import org.HdrHistogram.Histogram;
+import org.gooseberryhook.coordination.AttemptFailure;
+import org.gooseberryhook.coordination.CompletionEstimate;
+import org.gooseberryhook.coordination.PipelineComposer;
+import org.gooseberryhook.coordination.PipelineHealth;
+import org.gooseberryhook.coordination.PipelineRouter;
+import org.gooseberryhook.coordination.PrefixIndex;
+import org.gooseberryhook.coordination.PromptBlocks;
+import org.gooseberryhook.coordination.RequestFacts;
+import org.gooseberryhook.coordination.RouteResult.Chosen;
+import org.gooseberryhook.coordination.RouteRule;
+import org.gooseberryhook.state.PipelineEntry;
+import org.gooseberryhook.state.PipelineTable;
+import org.gooseberryhook.state.PriorityClass;
+import org.gooseberryhook.state.Target;
+import org.gooseberryhook.state.TargetLoad;
+
+/** Measures the time of routing decisions on one fleet, in real time. */
+final class DecisionTimer {
+
+  private static final int STAGES = 8;
+  private static final int SLOTS = 16;
+  private static final int PROMPTS = 500;
+  private static final int PROMPT_BYTES = 4_096;
+
+  private final Histogram decisionNanos = new Histogram(10_000_000_000L, 3);
+  private final Histogram refreshNanos = new Histogram(10_000_000_000L, 3);
+  private final Histogram scanNanos = new Histogram(10_000_000_000L, 3);
+  private final PipelineTable table = new PipelineTable();
+  private final PipelineHealth health = new PipelineHealth();
+  private final PipelineRouter router = new PipelineRouter(table, health, new PrefixIndex());
+  private final CompletionEstimate estimate = new CompletionEstimate(health);
+  private final RequestFacts[] facts = new RequestFacts[PROMPTS];
+  private final List<Target> targets;
+  private final Random random;
+  private final double composeMs;
+  private double blackhole;
+
+  DecisionTimer(int replicas, long seed) {
+    random = new Random(seed);
+    targets = new BenchFleet(replicas, STAGES, seed).targets();
+    long startNanos = System.nanoTime();
+    PipelineComposer composer = new PipelineComposer();
+    PipelineComposer.Change change = composer.update(targets, BenchFleet.LAYER_COUNTS);
+    composeMs = (System.nanoTime() - startNanos) / 1e6;
+    router.onPipelinesChanged(change);
+    for (int i = 0; i < PROMPTS; i++) {
+      byte[] prompt = new byte[PROMPT_BYTES];
+      random.nextBytes(prompt);
+      facts[i] =
+          new RequestFacts(
+              BenchFleet.MODEL_ID,
+              BenchFleet.MODEL_VERSION,
+              PriorityClass.INTERACTIVE,
+              PromptBlocks.of(BenchFleet.MODEL_ID, BenchFleet.MODEL_VERSION, prompt),
+              PROMPT_BYTES / 4,
+              128);
+    }
+  }
+
+  /** Reports new loads, refreshes the index and times decisions. */
+  void round(int decisions, boolean isRecorded) {
+    long nowNanos = System.nanoTime();
+    for (Target target : targets) {
+      int running = random.nextInt(SLOTS + 1);
+      table.report(new TargetLoad(target.targetId(), nowNanos, SLOTS, running, 0, false));
+    }
+    nowNanos = System.nanoTime();
+    router.refresh(nowNanos, random);
+    record(refreshNanos, nowNanos, isRecorded);
+    for (int i = 0; i < decisions; i++) {
+      RequestFacts next = facts[random.nextInt(PROMPTS)];
+      nowNanos = System.nanoTime();
+      Chosen chosen = (Chosen) router.route(next, RouteRule.ANY, nowNanos, random);
+      record(decisionNanos, nowNanos, isRecorded);
+      router.onDispatched(chosen.dispatch(), nowNanos);
+      router.onFailed(chosen.dispatch(), AttemptFailure.NOT_SENT, null, nowNanos, random);
+    }
+    for (int i = 0; i < decisions / 1_000; i++) {
+      nowNanos = System.nanoTime();
+      scan(facts[i % PROMPTS]);
+      record(scanNanos, nowNanos, isRecorded);
+    }
+  }
+
+  double meanNanos() {
+    return decisionNanos.getMean();
+  }
+
+  /** Returns one line of the report. */
+  String describe(int replicas) {
+    return String.format(
+        "%6d  %9.0f  %9d  %12.0f  %10.2f  %10.1f",
+        replicas,
+        decisionNanos.getMean(),
+        decisionNanos.getValueAtPercentile(99),
+        scanNanos.getMean(),
+        refreshNanos.getMean() / 1e6,
+        composeMs);
+  }
+
+  private void scan(RequestFacts next) {
+    double best = Double.MAX_VALUE;
+    for (PipelineEntry entry : table.entries(next.modelId(), next.modelVersion())) {
+      best = Math.min(best, estimate.nanos(entry, next, 0, 128));
+    }
+    blackhole += best;
+  }
+
+  private static void record(Histogram histogram, long startNanos, boolean isRecorded) {
+    long nanos = System.nanoTime() - startNanos;
+    if (isRecorded) {
+      histogram.recordValue(nanos);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/EngineModel.java
@@ -0,0 +1,127 @@
+package org.gooseberryhook.load;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * A pipeline of engines in simulated time: batching slots, a queue, and a prefix cache with LRU
+ * eviction. The step time of a request is fixed when it starts, from the size of the batch then.
+ */
+final class EngineModel {
+
+  /** True growth of the step time from an empty to a full batch; the router assumes 0.5. */
+  static final double FULL_BATCH_SLOWDOWN = 0.8;
+
+  private final int slots;
+  private final double stageNanos;
+  private final double linkNanos;
+  private final double promptNanosPerToken;
+  private final Map<Long, Boolean> cache;
+  private final PriorityQueue<Long> ends = new PriorityQueue<>();
+  private final ArrayDeque<Job> queue = new ArrayDeque<>();
+
+  EngineModel(
+      int slots, double stageNanos, double linkNanos, double promptNanosPerToken, int cacheBlocks) {
+    this.slots = slots;
+    this.stageNanos = stageNanos;
+    this.linkNanos = linkNanos;
+    this.promptNanosPerToken = promptNanosPerToken;
+    this.cache =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > cacheBlocks;
+          }
+        };
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  int running() {
+    return ends.size();
+  }
+
+  int waiting() {
+    return queue.size();
+  }
+
+  /** Returns whether the job starts now; otherwise it waits. */
+  boolean offer(Job job, long nowNanos) {
+    if (ends.size() < slots) {
+      start(job, nowNanos);
+      return true;
+    }
+    queue.add(job);
+    return false;
+  }
+
+  /** Ends one running job and returns the job that starts in its place, or null. */
+  Job endOne(long nowNanos) {
+    ends.poll();
+    Job next = queue.poll();
+    if (next != null) {
+      start(next, nowNanos);
+    }
+    return next;
+  }
+
+  /** Returns the completion time of a job from the true state, in nanoseconds from now. */
+  double trueCompletionNanos(Job job, long nowNanos) {
+    double waitNanos = 0;
+    if (ends.size() >= slots) {
+      long[] sorted = ends.stream().mapToLong(Long::longValue).toArray();
+      Arrays.sort(sorted);
+      int turns = queue.size() / slots;
+      double roundNanos = job.steps * stepNanos(slots);
+      waitNanos = sorted[queue.size() % slots] - nowNanos + turns * roundNanos;
+    }
+    int batch = Math.min(slots, ends.size() + 1);
+    return waitNanos + promptNanos(job) + job.steps * stepNanos(batch);
+  }
+
+  private void start(Job job, long nowNanos) {
+    job.stepNanos = stepNanos(ends.size() + 1);
+    job.firstTokenNanos = nowNanos + (long) (promptNanos(job) + job.stepNanos);
+    job.endNanos = job.firstTokenNanos + (long) ((job.steps - 1) * job.stepNanos);
+    for (long hash : job.hashes) {
+      cache.put(hash, Boolean.TRUE);
+    }
+    ends.add(job.endNanos);
+  }
+
+  private double stepNanos(int batch) {
+    return stageNanos * (1 + FULL_BATCH_SLOWDOWN * batch / slots) + linkNanos;
+  }
+
+  private double promptNanos(Job job) {
+    int cached = 0;
+    while (cached < job.hashes.length && cache.containsKey(job.hashes[cached])) {
+      cached++;
+    }
+    double uncachedShare = 1 - (double) cached / Math.max(1, job.hashes.length);
+    return job.promptTokens * uncachedShare * promptNanosPerToken;
+  }
+
+  /** A request in the engine. */
+  static final class Job {
+    final long[] hashes;
+    final int promptTokens;
+    final int steps;
+    double stepNanos;
+    long firstTokenNanos;
+    long endNanos;
+
+    Job(long[] hashes, int promptTokens, int steps) {
+      this.hashes = hashes;
+      this.promptTokens = promptTokens;
+      this.steps = steps;
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RoutingSimulation.java
@@ -0,0 +1,303 @@
+package org.gooseberryhook.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.HdrHistogram.Histogram;
+import org.gooseberryhook.coordination.CompletionEstimate;
+import org.gooseberryhook.coordination.PipelineComposer;
+import org.gooseberryhook.coordination.PipelineHealth;
+import org.gooseberryhook.coordination.PipelineRouter;
+import org.gooseberryhook.coordination.PrefixIndex;
+import org.gooseberryhook.coordination.PromptBlocks;
+import org.gooseberryhook.coordination.RequestFacts;
+import org.gooseberryhook.coordination.RouteResult;
+import org.gooseberryhook.coordination.RouteResult.Chosen;
+import org.gooseberryhook.coordination.RouteRule;
+import org.gooseberryhook.state.Pipeline;
+import org.gooseberryhook.state.PipelineEntry;
+import org.gooseberryhook.state.PipelineTable;
+import org.gooseberryhook.state.PriorityClass;
+import org.gooseberryhook.state.Target;
+import org.gooseberryhook.state.TargetLoad;
+
+/**
+ * Several entry nodes that route to shared engines in simulated time. Load reports are taken every
+ * {@link #REPORT_PERIOD_NANOS} and reach the nodes {@link #REPORT_LAG_NANOS} later. The same seed
+ * gives the same fleet and the same requests for every policy.
+ */
+final class RoutingSimulation {
+
+  /** How pipelines are chosen. */
+  enum Policy {
+    /** The router. */
+    ROUTER,
+    /** The router with prompts that it cannot tell apart. */
+    ROUTER_WITHOUT_PREFIXES,
+    /** The best estimate over all pipelines, with the same lagging information. */
+    FULL_SCAN,
+    /** The best completion time over all pipelines, from the true state of the engines. */
+    PERFECT_KNOWLEDGE,
+    /** One pipeline at random. */
+    RANDOM
+  }
+
+  static final long REPORT_PERIOD_NANOS = 500_000_000L;
+  static final long REPORT_LAG_NANOS = 200_000_000L;
+
+  private static final int NODES = 9;
+  private static final int STAGES = 4;
+  private static final int SLOTS = 16;
+  private static final int CACHE_BLOCKS = 640;
+  private static final double PROMPT_NANOS_PER_TOKEN = 400_000;
+  private static final int PROMPT_BYTES = 8_192;
+  private static final int SHARED_PROMPT_BYTES = 6_144;
+  private static final int PROMPT_FAMILIES = 400;
+  private static final int MEAN_STEPS = 64;
+  private static final double WARM_UP_SHARE = 0.3;
+
+  private final Policy policy;
+  private final Random requests;
+  private final long endNanos;
+  private final double requestsPerNano;
+  private final List<Node> nodes = new ArrayList<>();
+  private final Map<String, EngineModel> engines = new HashMap<>();
+  private final List<Pipeline> pipelines;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Histogram completionMs = new Histogram(3_600_000L, 3);
+  private final Histogram firstTokenMs = new Histogram(3_600_000L, 3);
+  private long nextEvent;
+  private long nowNanos;
+
+  RoutingSimulation(Policy policy, int replicas, double load, int seconds, long seed) {
+    this.policy = policy;
+    this.requests = new Random(seed);
+    this.endNanos = seconds * 1_000_000_000L;
+    BenchFleet fleet = new BenchFleet(replicas, STAGES, seed);
+    PipelineComposer composer = new PipelineComposer();
+    PipelineComposer.Change change = composer.update(fleet.targets(), BenchFleet.LAYER_COUNTS);
+    this.pipelines = composer.pipelines();
+    double capacityPerNano = 0;
+    for (Pipeline pipeline : pipelines) {
+      double stageNanos = fleet.stageNanos(pipeline);
+      double linkNanos = fleet.linkNanos(pipeline);
+      engines.put(
+          pipeline.pipelineId(),
+          new EngineModel(SLOTS, stageNanos, linkNanos, PROMPT_NANOS_PER_TOKEN, CACHE_BLOCKS));
+      double promptNanos = PROMPT_BYTES / 4.0 * PROMPT_NANOS_PER_TOKEN;
+      double fullStep = stageNanos * (1 + EngineModel.FULL_BATCH_SLOWDOWN) + linkNanos;
+      capacityPerNano += SLOTS / (promptNanos + MEAN_STEPS * fullStep);
+    }
+    this.requestsPerNano = load * capacityPerNano;
+    for (int i = 0; i < NODES; i++) {
+      nodes.add(new Node(change, seed + i));
+    }
+  }
+
+  /** Runs to the end and returns the result. */
+  Result run() {
+    at(0, this::arrive);
+    at(0, this::report);
+    at(0, this::refresh);
+    while (!events.isEmpty() && nowNanos < endNanos) {
+      Event next = events.poll();
+      nowNanos = next.atNanos;
+      next.action.run();
+    }
+    return new Result(
+        completionMs.getTotalCount(),
+        completionMs.getMean(),
+        completionMs.getValueAtPercentile(95),
+        firstTokenMs.getMean());
+  }
+
+  private void arrive() {
+    double gapNanos = -Math.log(1 - requests.nextDouble()) / requestsPerNano;
+    at(nowNanos + (long) gapNanos, this::arrive);
+    Node node = nodes.get(requests.nextInt(NODES));
+    RequestFacts facts = nextFacts();
+    EngineModel.Job job =
+        new EngineModel.Job(facts.prompt().hashes(), facts.promptTokens(), facts.steps());
+    if (!(choose(node, facts, job) instanceof Chosen chosen)) {
+      throw new IllegalStateException("no pipeline was chosen although none is out of use");
+    }
+    node.router.onDispatched(chosen.dispatch(), nowNanos);
+    long arrivedNanos = nowNanos;
+    Flight flight = new Flight(node, chosen, job, arrivedNanos);
+    EngineModel engine = engines.get(chosen.pipeline().pipelineId());
+    node.flights.put(job, flight);
+    if (engine.offer(job, nowNanos)) {
+      started(engine, flight);
+    }
+  }
+
+  private RequestFacts nextFacts() {
+    byte[] prompt = new byte[PROMPT_BYTES];
+    // The square of a uniform number makes a few families frequent and most of them rare.
+    double u = requests.nextDouble();
+    int family = (int) (u * u * PROMPT_FAMILIES);
+    new Random(family).nextBytes(prompt);
+    byte[] tail = new byte[PROMPT_BYTES - SHARED_PROMPT_BYTES];
+    requests.nextBytes(tail);
+    System.arraycopy(tail, 0, prompt, SHARED_PROMPT_BYTES, tail.length);
+    int steps = 1 + (int) (-Math.log(1 - requests.nextDouble()) * MEAN_STEPS);
+    return new RequestFacts(
+        BenchFleet.MODEL_ID,
+        BenchFleet.MODEL_VERSION,
+        PriorityClass.INTERACTIVE,
+        PromptBlocks.of(BenchFleet.MODEL_ID, BenchFleet.MODEL_VERSION, prompt),
+        PROMPT_BYTES / 4,
+        steps);
+  }
+
+  private RouteResult choose(Node node, RequestFacts facts, EngineModel.Job job) {
+    if (policy == Policy.ROUTER) {
+      return node.router.route(facts, RouteRule.ANY, nowNanos, node.random);
+    }
+    if (policy == Policy.ROUTER_WITHOUT_PREFIXES) {
+      RequestFacts blind =
+          new RequestFacts(
+              facts.modelId(),
+              facts.modelVersion(),
+              facts.priorityClass(),
+              PromptBlocks.EMPTY,
+              facts.promptTokens(),
+              facts.steps());
+      return node.router.route(blind, RouteRule.ANY, nowNanos, node.random);
+    }
+    if (policy == Policy.FULL_SCAN) {
+      return node.fullScan(facts, nowNanos);
+    }
+    Pipeline best = pipelines.get(node.random.nextInt(pipelines.size()));
+    if (policy == Policy.PERFECT_KNOWLEDGE) {
+      double bestNanos = Double.MAX_VALUE;
+      for (Pipeline pipeline : pipelines) {
+        double nanos = engines.get(pipeline.pipelineId()).trueCompletionNanos(job, nowNanos);
+        if (nanos < bestNanos) {
+          bestNanos = nanos;
+          best = pipeline;
+        }
+      }
+    }
+    return node.router.claim(best.pipelineId(), facts, RouteRule.ANY, 0, nowNanos);
+  }
+
+  private void started(EngineModel engine, Flight flight) {
+    at(flight.job.endNanos, () -> finish(engine, flight));
+  }
+
+  private void finish(EngineModel engine, Flight flight) {
+    EngineModel.Job job = flight.job;
+    PipelineRouter router = flight.node.router;
+    router.onFirstToken(flight.chosen.dispatch(), job.firstTokenNanos);
+    for (int token = 1; token < job.steps; token++) {
+      long atNanos = job.firstTokenNanos + (long) (token * job.stepNanos);
+      router.onToken(flight.chosen.dispatch(), atNanos);
+    }
+    router.onFinished(flight.chosen.dispatch(), nowNanos, flight.node.random);
+    flight.node.flights.remove(job);
+    if (flight.arrivedNanos > endNanos * WARM_UP_SHARE) {
+      completionMs.recordValue((nowNanos - flight.arrivedNanos) / 1_000_000);
+      firstTokenMs.recordValue((job.firstTokenNanos - flight.arrivedNanos) / 1_000_000);
+    }
+    EngineModel.Job next = engine.endOne(nowNanos);
+    if (next != null) {
+      started(engine, flightOf(next));
+    }
+  }
+
+  private Flight flightOf(EngineModel.Job job) {
+    for (Node node : nodes) {
+      Flight flight = node.flights.get(job);
+      if (flight != null) {
+        return flight;
+      }
+    }
+    throw new IllegalStateException("a job without a node waits in an engine");
+  }
+
+  private void report() {
+    at(nowNanos + REPORT_PERIOD_NANOS, this::report);
+    List<TargetLoad> loads = new ArrayList<>();
+    for (Pipeline pipeline : pipelines) {
+      EngineModel engine = engines.get(pipeline.pipelineId());
+      for (Target stage : pipeline.stages()) {
+        loads.add(
+            new TargetLoad(
+                stage.targetId(), nowNanos, SLOTS, engine.running(), engine.waiting(), false));
+      }
+    }
+    at(nowNanos + REPORT_LAG_NANOS, () -> nodes.forEach(node -> loads.forEach(node.table::report)));
+  }
+
+  private void refresh() {
+    at(nowNanos + PipelineRouter.REFRESH_PERIOD_MS * 1_000_000, this::refresh);
+    nodes.forEach(node -> node.router.refresh(nowNanos, node.random));
+  }
+
+  private void at(long atNanos, Runnable action) {
+    events.add(new Event(atNanos, nextEvent++, action));
+  }
+
+  /**
+   * What a run measured after its warm-up.
+   *
+   * @param completed requests
+   * @param meanCompletionMs mean time from arrival to the last token
+   * @param p95CompletionMs 95th percentile of it
+   * @param meanFirstTokenMs mean time from arrival to the first token
+   */
+  record Result(
+      long completed, double meanCompletionMs, double p95CompletionMs, double meanFirstTokenMs) {}
+
+  private record Flight(Node node, Chosen chosen, EngineModel.Job job, long arrivedNanos) {}
+
+  private record Event(long atNanos, long number, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(atNanos, other.atNanos);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+
+  /** One entry node. */
+  private static final class Node {
+    private final PipelineTable table = new PipelineTable();
+    private final PipelineHealth health = new PipelineHealth();
+    private final PrefixIndex prefixes = new PrefixIndex();
+    private final PipelineRouter router = new PipelineRouter(table, health, prefixes);
+    private final CompletionEstimate estimate = new CompletionEstimate(health);
+    private final Map<EngineModel.Job, Flight> flights = new HashMap<>();
+    private final Random random;
+
+    Node(PipelineComposer.Change change, long seed) {
+      random = new Random(seed);
+      router.onPipelinesChanged(change);
+    }
+
+    RouteResult fullScan(RequestFacts facts, long nowNanos) {
+      Map<String, Double> cachedShares = new HashMap<>();
+      for (PrefixIndex.Hit hit : prefixes.find(facts.prompt().hashes(), nowNanos)) {
+        double share = facts.prompt().shareOf(hit.blocks()) * hit.trust();
+        cachedShares.put(hit.pipelineId(), share);
+      }
+      String best = null;
+      double bestShare = 0;
+      double bestNanos = Double.MAX_VALUE;
+      for (PipelineEntry entry : table.entries(facts.modelId(), facts.modelVersion())) {
+        String pipelineId = entry.pipeline().pipelineId();
+        double share = cachedShares.getOrDefault(pipelineId, 0.0);
+        double nanos = estimate.nanos(entry, facts, share, MEAN_STEPS);
+        if (nanos < bestNanos && entry.isInUse()) {
+          best = pipelineId;
+          bestShare = share;
+          bestNanos = nanos;
+        }
+      }
+      return router.claim(best, facts, RouteRule.ANY, bestShare, nowNanos);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load and experiment tools. */
+package org.gooseberryhook.load;
