Feed the prefix index from cache events by target

Cause: each of nine nodes knew only the ninth of the cached prompts that it had routed itself, and only four of up to eight holders of a prefix were scored. Conclusion: the prefix index without cache events is worth little with many nodes.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/CompletionEstimate.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/CompletionEstimate.java
@@ -9,6 +9,8 @@
  */
 public final class CompletionEstimate {
 
+  private static final double TYPICAL_PROMPT_TOKENS = 512;
+
   private final PipelineHealth health;
 
   /**
@@ -32,13 +34,22 @@
    */
   public double nanos(
       PipelineEntry entry, RequestFacts facts, double cachedShare, double meanSteps) {
+    double uncachedTokens = facts.promptTokens() * (1 - cachedShare);
+    return nanos(entry, uncachedTokens, facts.steps(), meanSteps);
+  }
+
+  /** Estimates the completion time of an average request, for sorting. */
+  double typicalNanos(PipelineEntry entry, double meanSteps) {
+    return nanos(entry, TYPICAL_PROMPT_TOKENS, meanSteps, meanSteps);
+  }
+
+  private double nanos(PipelineEntry entry, double uncachedTokens, double steps, double meanSteps) {
     int occupied = entry.occupied();
     int slots = entry.slots();
     double stepNanos = health.stepNanos(entry, occupied + 1);
     double queueNanos =
         occupied < slots ? 0 : (occupied - slots + 1.0) / slots * meanSteps * stepNanos;
-    double uncachedTokens = facts.promptTokens() * (1 - cachedShare);
     double promptNanos = uncachedTokens * health.promptNanosPerToken(entry);
-    return queueNanos + promptNanos + facts.steps() * stepNanos;
+    return queueNanos + promptNanos + steps * stepNanos;
   }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
@@ -13,6 +13,7 @@
 import org.gooseberryhook.state.PipelineTable;
 import org.gooseberryhook.state.PipelineTable.ModelKey;
 import org.gooseberryhook.state.PriorityClass;
+import org.gooseberryhook.state.TargetActivity;
 
 /**
  * Chooses a pipeline for each request by estimated completion time over a candidate set of constant
@@ -76,6 +77,20 @@
     indexes.keySet().retainAll(keys);
   }
 
+  /**
+   * Takes a cache event, late or after a gap. An event of a target that no pipeline uses is
+   * ignored.
+   *
+   * @param event the event
+   * @param nowNanos monotonic time
+   */
+  public void onCacheEvent(PrefixIndex.CacheEvent event, long nowNanos) {
+    TargetActivity target = table.find(event.targetId());
+    if (target != null) {
+      prefixes.onCacheEvent(target.pipelineId(), event, nowNanos);
+    }
+  }
+
   /**
    * Compares pipelines with their peers and sorts them anew. To be called every {@link
    * #REFRESH_PERIOD_MS}; a request that finds an index of an older fleet sorts it itself.
@@ -87,7 +102,7 @@
     for (ModelKey key : table.modelKeys()) {
       List<PipelineEntry> entries = table.entries(key.modelId(), key.modelVersion());
       health.review(entries, nowNanos, random);
-      indexes.compute(key, (ignored, old) -> sort(key, entries, old));
+      indexes.compute(key, (ignored, old) -> sort(entries, old));
     }
   }
 
@@ -121,7 +136,7 @@
       }
     }
     CandidateSet candidates = new CandidateSet(MAX_CANDIDATES);
-    Search search = new Search(facts, rule, index, nowNanos);
+    RouteSearch search = new RouteSearch(facts, rule, index, nowNanos);
     collect(search, entries, candidates, random);
     Chosen chosen = chooseBest(search, candidates);
     if (chosen == null) {
@@ -245,15 +260,18 @@
   }
 
   private void collect(
-      Search search, List<PipelineEntry> entries, CandidateSet candidates, RandomGenerator random) {
-    RequestFacts facts = search.facts;
-    for (PrefixIndex.Hit hit : prefixes.find(facts.prompt().hashes(), search.nowNanos)) {
+      RouteSearch search,
+      List<PipelineEntry> entries,
+      CandidateSet candidates,
+      RandomGenerator random) {
+    RequestFacts facts = search.facts();
+    for (PrefixIndex.Hit hit : prefixes.find(facts.prompt().hashes(), search.nowNanos())) {
       PipelineEntry entry = table.entry(facts.modelId(), facts.modelVersion(), hit.pipelineId());
       if (entry != null) {
         offer(search, candidates, entry, facts.prompt().shareOf(hit.blocks()) * hit.trust());
       }
     }
-    PipelineEntry[] ranked = search.index.ranked(facts.priorityClass());
+    PipelineEntry[] ranked = search.index().ranked(facts.priorityClass());
     int window =
         Math.min(ranked.length, Math.max(RANKED_CANDIDATES, ranked.length / RANKED_WINDOW_DIVISOR));
     for (int i = 0; i < RANKED_CANDIDATES && window > 0; i++) {
@@ -265,43 +283,44 @@
   }
 
   private void offer(
-      Search search, CandidateSet candidates, PipelineEntry entry, double cachedShare) {
+      RouteSearch search, CandidateSet candidates, PipelineEntry entry, double cachedShare) {
     if (isAllowed(search, entry) && !candidates.contains(entry)) {
       candidates.add(entry, cachedShare, score(search, entry, cachedShare));
     }
   }
 
-  private double score(Search search, PipelineEntry entry, double cachedShare) {
-    double nanos = estimate.nanos(entry, search.facts, cachedShare, search.index.meanSteps());
+  private double score(RouteSearch search, PipelineEntry entry, double cachedShare) {
+    double nanos = estimate.nanos(entry, search.facts(), cachedShare, search.index().meanSteps());
     // Batch work goes where most capacity is free; the estimate decides between equals.
     return search.isBatch()
         ? (double) entry.occupied() / entry.slots() + nanos / Long.MAX_VALUE
         : nanos;
   }
 
-  private boolean isAllowed(Search search, PipelineEntry entry) {
-    if (!entry.isInUse() || search.rule.isExcluding(entry.pipeline())) {
+  private boolean isAllowed(RouteSearch search, PipelineEntry entry) {
+    if (!entry.isInUse() || search.rule().isExcluding(entry.pipeline())) {
       return false;
     }
-    return !search.isBatch() || entry.occupied() < search.batchShare * entry.slots();
+    return !search.isBatch() || entry.occupied() < search.batchShare() * entry.slots();
   }
 
-  private Chosen chooseBest(Search search, CandidateSet candidates) {
+  private Chosen chooseBest(RouteSearch search, CandidateSet candidates) {
     for (int best = candidates.takeBest(); best >= 0; best = candidates.takeBest()) {
       PipelineEntry entry = candidates.entry(best);
-      if (entry.tryBegin(search.rule.isolation(), search.nowNanos)) {
+      if (entry.tryBegin(search.rule().isolation(), search.nowNanos())) {
         return chosen(
-            entry, search.facts, search.rule, candidates.cachedShare(best), search.nowNanos);
+            entry, search.facts(), search.rule(), candidates.cachedShare(best), search.nowNanos());
       }
     }
     return null;
   }
 
   /** Takes the first usable pipeline of the ranking when no candidate was usable. */
-  private Chosen chooseFirst(Search search) {
-    for (PipelineEntry entry : search.index.ranked(search.facts.priorityClass())) {
-      if (isAllowed(search, entry) && entry.tryBegin(search.rule.isolation(), search.nowNanos)) {
-        return chosen(entry, search.facts, search.rule, 0, search.nowNanos);
+  private Chosen chooseFirst(RouteSearch search) {
+    for (PipelineEntry entry : search.index().ranked(search.facts().priorityClass())) {
+      if (isAllowed(search, entry)
+          && entry.tryBegin(search.rule().isolation(), search.nowNanos())) {
+        return chosen(entry, search.facts(), search.rule(), 0, search.nowNanos());
       }
     }
     return null;
@@ -334,12 +353,12 @@
     return new Chosen(entry.pipeline(), dispatch);
   }
 
-  private static NoPipeline refuse(Search search) {
-    if (search.rule.isolation() != Isolation.NONE) {
+  private static NoPipeline refuse(RouteSearch search) {
+    if (search.rule().isolation() != Isolation.NONE) {
       return new NoPipeline(Reason.NONE_ISOLATED, RETRY_AFTER_MS);
     }
-    if (search.isBatch() && search.index.ranked(PriorityClass.BATCH).length > 0) {
-      search.index.noteBatchFull(search.nowNanos);
+    if (search.isBatch() && search.index().ranked(PriorityClass.BATCH).length > 0) {
+      search.index().noteBatchFull(search.nowNanos());
       return new NoPipeline(Reason.BATCH_SHARE_USED, RETRY_AFTER_MS);
     }
     return new NoPipeline(Reason.NONE_USABLE, RETRY_AFTER_MS);
@@ -352,44 +371,15 @@
       return index;
     }
     return indexes.compute(
-        key, (k, old) -> old != null && old.isOf(entries) ? old : sort(k, entries, old));
+        key, (k, old) -> old != null && old.isOf(entries) ? old : sort(entries, old));
   }
 
-  private RouteIndex sort(ModelKey key, List<PipelineEntry> entries, RouteIndex old) {
+  private RouteIndex sort(List<PipelineEntry> entries, RouteIndex old) {
     double meanSteps = old == null ? 128 : old.meanSteps();
-    RequestFacts typical =
-        new RequestFacts(
-            key.modelId(),
-            key.modelVersion(),
-            PriorityClass.INTERACTIVE,
-            PromptBlocks.EMPTY,
-            512,
-            (int) meanSteps);
-    return RouteIndex.of(entries, entry -> estimate.nanos(entry, typical, 0, meanSteps), old);
+    return RouteIndex.of(entries, entry -> estimate.typicalNanos(entry, meanSteps), old);
   }
 
   private static ModelKey keyOf(RequestFacts facts) {
     return new ModelKey(facts.modelId(), facts.modelVersion());
   }
-
-  /** One search for a pipeline. */
-  private static final class Search {
-    private final RequestFacts facts;
-    private final RouteRule rule;
-    private final RouteIndex index;
-    private final long nowNanos;
-    private final double batchShare;
-
-    Search(RequestFacts facts, RouteRule rule, RouteIndex index, long nowNanos) {
-      this.facts = facts;
-      this.rule = rule;
-      this.index = index;
-      this.nowNanos = nowNanos;
-      this.batchShare = index.hasInteractiveDemand(nowNanos) ? BATCH_SLOT_SHARE : 1.0;
-    }
-
-    boolean isBatch() {
-      return facts.priorityClass() == PriorityClass.BATCH;
-    }
-  }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PrefixIndex.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PrefixIndex.java
@@ -27,7 +27,7 @@
   public static final int MAX_HOLDERS = 8;
 
   /** Pipelines returned for a prompt. */
-  public static final int MAX_HITS = 4;
+  public static final int MAX_HITS = 8;
 
   /** Age at which an entry is ignored, in nanoseconds. */
   public static final long MAX_AGE_NANOS = 600_000_000_000L;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
@@ -150,7 +150,10 @@
     for (Target stage : pipeline.stages()) {
       Map<String, TargetActivity> shard = shardOf(stage.targetId());
       synchronized (shard) {
-        stages.add(shard.computeIfAbsent(stage.targetId(), id -> new TargetActivity(shard)));
+        TargetActivity activity =
+            shard.computeIfAbsent(stage.targetId(), id -> new TargetActivity(shard));
+        activity.setPipelineId(pipeline.pipelineId());
+        stages.add(activity);
       }
       if (previous != null) {
         hops.add(linkBetween(previous, stage));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/TargetActivity.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/TargetActivity.java
@@ -24,6 +24,7 @@
   private int ownDelta;
   private int ownInFlight;
   private int suspects;
+  private volatile String pipelineId = "";
   private volatile boolean isReserved;
   private volatile boolean isLeaving;
   private volatile int occupied;
@@ -125,6 +126,19 @@
     return slots;
   }
 
+  /**
+   * Returns the pipeline that last took the target as a stage.
+   *
+   * @return the pipeline id
+   */
+  public String pipelineId() {
+    return pipelineId;
+  }
+
+  void setPipelineId(String value) {
+    pipelineId = value;
+  }
+
   public CircuitBreaker breaker() {
     return breaker;
   }
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/PipelineRouterTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/PipelineRouterTest.java
@@ -102,6 +102,24 @@
     assertThat(started).isEqualTo(60 * SLOTS - 1);
   }
 
+  /** Guards against cold prompts where a cache is warm, and against queues at warm caches. */
+  @Test
+  void aCachedPrefixAttractsRequestsUntilItsPipelineIsBusy() {
+    byte[] prompt = new byte[40_000];
+    RequestFacts facts = RoutingFixtures.facts(PriorityClass.INTERACTIVE, prompt);
+    PipelineEntry warm = table.entries("m", "1").get(42);
+    Target head = warm.pipeline().head();
+    long[] hashes = facts.prompt().hashes();
+    router.onCacheEvent(
+        new PrefixIndex.CacheEvent(head.targetId(), 1, hashes, new long[0]), nowNanos);
+    Chosen first = (Chosen) router.route(facts, RouteRule.ANY, nowNanos, random);
+    assertThat(first.pipeline()).isEqualTo(warm.pipeline());
+    TargetLoad busy = new TargetLoad(head.targetId(), nowNanos, SLOTS, SLOTS, 200, false);
+    table.report(busy);
+    Chosen second = (Chosen) router.route(facts, RouteRule.ANY, nowNanos, random);
+    assertThat(second.pipeline()).isNotEqualTo(warm.pipeline());
+  }
+
   /** Guards against counters that drift or choices that fail while the fleet changes. */
   @Test
   void theFleetChangesWhileRequestsAreRouted() throws Exception {
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/EngineModel.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/EngineModel.java
@@ -1,10 +1,13 @@
 package org.gooseberryhook.load;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import org.gooseberryhook.coordination.PrefixIndex.CacheEvent;
 
 /**
  * A pipeline of engines in simulated time: batching slots, a queue, and a prefix cache with LRU
@@ -22,6 +25,9 @@
   private final Map<Long, Boolean> cache;
   private final PriorityQueue<Long> ends = new PriorityQueue<>();
   private final ArrayDeque<Job> queue = new ArrayDeque<>();
+  private final List<Long> stored = new ArrayList<>();
+  private final List<Long> removed = new ArrayList<>();
+  private long nextSequence = 1;
 
   EngineModel(
       int slots, double stageNanos, double linkNanos, double promptNanosPerToken, int cacheBlocks) {
@@ -35,7 +41,11 @@
 
           @Override
           protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-            return size() > cacheBlocks;
+            boolean isFull = size() > cacheBlocks;
+            if (isFull) {
+              removed.add(eldest.getKey());
+            }
+            return isFull;
           }
         };
   }
@@ -72,6 +82,17 @@
     return next;
   }
 
+  /** Returns what changed in the cache since the last call. */
+  CacheEvent takeCacheEvent(String targetId) {
+    // A block that came and went, or went and came, is reported by what holds now.
+    stored.removeIf(hash -> !cache.containsKey(hash));
+    removed.removeIf(cache::containsKey);
+    CacheEvent event = new CacheEvent(targetId, nextSequence++, toArray(stored), toArray(removed));
+    stored.clear();
+    removed.clear();
+    return event;
+  }
+
   /** Returns the completion time of a job from the true state, in nanoseconds from now. */
   double trueCompletionNanos(Job job, long nowNanos) {
     double waitNanos = 0;
@@ -86,12 +107,18 @@
     return waitNanos + promptNanos(job) + job.steps * stepNanos(batch);
   }
 
+  private static long[] toArray(List<Long> values) {
+    return values.stream().mapToLong(Long::longValue).toArray();
+  }
+
   private void start(Job job, long nowNanos) {
     job.stepNanos = stepNanos(ends.size() + 1);
     job.firstTokenNanos = nowNanos + (long) (promptNanos(job) + job.stepNanos);
     job.endNanos = job.firstTokenNanos + (long) ((job.steps - 1) * job.stepNanos);
     for (long hash : job.hashes) {
-      cache.put(hash, Boolean.TRUE);
+      if (cache.put(hash, Boolean.TRUE) == null) {
+        stored.add(hash);
+      }
     }
     ends.add(job.endNanos);
   }
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RoutingSimulation.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RoutingSimulation.java
@@ -12,6 +12,7 @@
 import org.gooseberryhook.coordination.PipelineHealth;
 import org.gooseberryhook.coordination.PipelineRouter;
 import org.gooseberryhook.coordination.PrefixIndex;
+import org.gooseberryhook.coordination.PrefixIndex.CacheEvent;
 import org.gooseberryhook.coordination.PromptBlocks;
 import org.gooseberryhook.coordination.RequestFacts;
 import org.gooseberryhook.coordination.RouteResult;
@@ -48,6 +49,7 @@
   static final long REPORT_PERIOD_NANOS = 500_000_000L;
   static final long REPORT_LAG_NANOS = 200_000_000L;
 
+  private static final double CACHE_EVENT_LOSS = 0.05;
   private static final int NODES = 9;
   private static final int STAGES = 4;
   private static final int SLOTS = 16;
@@ -231,6 +233,22 @@
       }
     }
     at(nowNanos + REPORT_LAG_NANOS, () -> nodes.forEach(node -> loads.forEach(node.table::report)));
+    if (policy == Policy.ROUTER || policy == Policy.FULL_SCAN) {
+      reportCaches();
+    }
+  }
+
+  /** Sends cache events, which arrive late, and of which some are lost. */
+  private void reportCaches() {
+    for (Pipeline pipeline : pipelines) {
+      String pipelineId = pipeline.pipelineId();
+      CacheEvent event = engines.get(pipelineId).takeCacheEvent(pipeline.head().targetId());
+      for (Node node : nodes) {
+        if (node.random.nextDouble() >= CACHE_EVENT_LOSS) {
+          at(nowNanos + REPORT_LAG_NANOS, () -> node.router.onCacheEvent(event, nowNanos));
+        }
+      }
+    }
   }
 
   private void refresh() {
