Report attempts that never ran as not sent; start the gate low

Cause: the router must hear exactly one end of each dispatch, and a first concurrency limit of 2,000 takes most of a minute to come down. Change: a finished dispatch is forgotten, refused and unsent attempts are reported as such, the gate starts at 128.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -329,6 +329,7 @@
         .getControls()
         .router()
         .onFinished(dispatch, System.nanoTime(), ThreadLocalRandom.current());
+    dispatch = null;
     Optional.of(UUID.randomUUID().toString())
         .flatMap(
             id ->
@@ -361,7 +362,7 @@
       attempt.cancel();
     }
     isInFlight = false;
-    endDispatch(AttemptFailure.ENGINE, lostTarget);
+    endDispatch(isUntouched ? AttemptFailure.NOT_SENT : AttemptFailure.ENGINE, lostTarget);
     exclude(lostTarget);
     boolean isAllowed = hasProgress || service.getControls().retries().trySpend(call.workspaceId());
     if (service.isStopping()) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -59,7 +59,11 @@
   private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
   private static final int HOME_COUNT = 3;
   private static final int MAX_ADDRESSES = 9;
-  private static final int MIN_CONCURRENT = 64;
+
+  /** A first limit far above what the fleet carries takes most of a minute to come down. */
+  private static final int INITIAL_CONCURRENT = 128;
+
+  private static final int MIN_CONCURRENT = 16;
 
   private final NodeSettings settings;
   private final NodeId self;
@@ -143,7 +147,10 @@
     int maxConcurrent = settings.limits().maxConcurrentRequests();
     OverloadGate gate =
         new OverloadGate(
-            maxConcurrent, Math.min(MIN_CONCURRENT, maxConcurrent), maxConcurrent, maxConcurrent);
+            Math.min(INITIAL_CONCURRENT, maxConcurrent),
+            Math.min(MIN_CONCURRENT, maxConcurrent),
+            maxConcurrent,
+            maxConcurrent);
     OkHttpClient engineClient = clients.newClient("engine", MAX_STREAMS, Duration.ZERO);
     return new ModelCallService(
         new HttpEngineClient(engineClient, streamPool),
