Answer repeated accusations with the claim alone

Cause: Each accusation of a node that rejoins was answered by a request for a whole list of 25 KB. Change: Only the first accusation asks for the list.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.gooseberryhook.protocol.MembershipMessage.MemberList;
 import org.gooseberryhook.state.Member;
 import org.gooseberryhook.state.MemberStatus;
 
@@ -14,6 +15,8 @@
  */
 final class MemberView {
 
+  private static final int MEMBERS_PER_LIST = 100;
+
   private final MemberTable table;
   private final ClaimQueue claims = new ClaimQueue();
   private final Suspicions suspicions = new Suspicions();
@@ -113,16 +116,20 @@
     return carried;
   }
 
-  /** Returns the whole view, this node first. */
-  List<Member> listFor(String address) {
-    List<Member> list = new ArrayList<>();
-    list.add(self);
+  /** Returns the whole view in parts, this node first. */
+  List<MemberList> listsFor(String address) {
+    List<Member> all = new ArrayList<>();
+    all.add(self);
     for (Member member : table.all()) {
       if (!member.address().equals(address) || !member.isPresent()) {
-        list.add(member);
+        all.add(member);
       }
     }
-    return list;
+    List<MemberList> parts = new ArrayList<>();
+    for (int from = 0; from < all.size(); from += MEMBERS_PER_LIST) {
+      parts.add(new MemberList(all.subList(from, Math.min(all.size(), from + MEMBERS_PER_LIST))));
+    }
+    return parts;
   }
 
   /** Returns the next claim whose member is to be asked, or null if there is none. */
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
@@ -46,9 +46,7 @@
   private static final long MIN_SYNC_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long JOIN_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final int INDIRECT_PEERS = 3;
-  private static final int RECHECKS_PER_TICK = 1;
   private static final int LEAVING_PROBES = 5;
-  private static final int MEMBERS_PER_LIST = 100;
 
   /** At 35 to 65 bytes a claim, probes and gossip together stay below 2 KB/s in each direction. */
   private static final int CLAIMS_PER_PROBE = 10;
@@ -106,7 +104,7 @@
       nextGossipNanos = nowNanos + GOSSIP_PERIOD_NANOS;
       gossip(random, out);
     }
-    sendRechecks(nowNanos, out);
+    sendRecheck(nowNanos, out);
     if (nowNanos - nextReconnectNanos >= 0) {
       nextReconnectNanos = nowNanos + RECONNECT_PERIOD_NANOS;
       table.forgetExpired(nowNanos);
@@ -145,14 +143,12 @@
     } else if (message instanceof IndirectAnswer answer) {
       probes.onIndirectAnswer(answer.sequence());
     } else if (message instanceof Gossip gossip) {
-      if (view.applyAll(gossip.claims(), false, nowNanos)) {
-        join(sender.address(), nowNanos, out);
-      }
+      applyAndDefend(sender, gossip.claims(), nowNanos, out);
     } else if (message instanceof Join join) {
       if (join.self().id().equals(sender)) {
         view.applyAll(List.of(join.self()), false, nowNanos);
       }
-      sendList(sender.address(), out);
+      view.listsFor(sender.address()).forEach(l -> out.add(new Outgoing(sender.address(), l)));
     } else if (message instanceof MemberList list) {
       view.applyAll(list.members(), true, nowNanos);
     }
@@ -289,18 +285,16 @@
     }
   }
 
-  private void sendRechecks(long nowNanos, List<Outgoing> out) {
-    for (int i = 0; i < RECHECKS_PER_TICK; i++) {
-      Member claim = view.nextRecheck();
-      if (claim == null) {
-        return;
-      }
-      boolean isPresent = table.get(claim.address()).isPresent();
-      long number = isPresent ? probes.addOwn(claim.address(), nowNanos) : probes.next();
-      Probe probe =
-          new Probe(number, configurationVersion, view.getHash(), List.of(claim.toClaim()));
-      out.add(new Outgoing(claim.address(), probe));
+  /** Asks at most one disputed member in each tick, which bounds the traffic of a rejoin. */
+  private void sendRecheck(long nowNanos, List<Outgoing> out) {
+    Member claim = view.nextRecheck();
+    if (claim == null) {
+      return;
     }
+    boolean isPresent = table.get(claim.address()).isPresent();
+    long number = isPresent ? probes.addOwn(claim.address(), nowNanos) : probes.next();
+    Probe probe = new Probe(number, configurationVersion, view.getHash(), List.of(claim.toClaim()));
+    out.add(new Outgoing(claim.address(), probe));
   }
 
   /** Tries a dead member or a seed that is not a member, so that separated groups meet again. */
@@ -334,10 +328,25 @@
     if (relay != null) {
       out.add(new Outgoing(relay.askerAddress(), new IndirectAnswer(relay.askerSequence())));
     }
-    if (view.applyAll(answer.claims(), false, nowNanos)) {
+    applyAndDefend(sender, answer.claims(), nowNanos, out);
+    compareViews(sender, answer.viewHash(), nowNanos, out);
+  }
+
+  /**
+   * Takes claims and answers accusations. The first one is answered by a join, because the sender
+   * may be of a group that was apart; its whole list takes 25 KB, so later ones get the claim only.
+   */
+  private void applyAndDefend(
+      NodeId sender, List<Member> heard, long nowNanos, List<Outgoing> out) {
+    long refutationBefore = view.getSelf().refutation();
+    if (!view.applyAll(heard, false, nowNanos)) {
+      return;
+    }
+    if (view.getSelf().refutation() != refutationBefore) {
       join(sender.address(), nowNanos, out);
+    } else {
+      out.add(new Outgoing(sender.address(), new Gossip(List.of(view.getSelf().toClaim()))));
     }
-    compareViews(sender, answer.viewHash(), nowNanos, out);
   }
 
   private void relay(NodeId sender, IndirectProbe asked, long nowNanos, List<Outgoing> out) {
@@ -371,14 +380,6 @@
     }
   }
 
-  private void sendList(String address, List<Outgoing> out) {
-    List<Member> list = view.listFor(address);
-    for (int from = 0; from < list.size(); from += MEMBERS_PER_LIST) {
-      int to = Math.min(list.size(), from + MEMBERS_PER_LIST);
-      out.add(new Outgoing(address, new MemberList(list.subList(from, to))));
-    }
-  }
-
   private Probe newProbe(long number, String address, int claimLimit) {
     List<Member> carried = view.claimsFor(address, claimLimit, false);
     return new Probe(number, configurationVersion, view.getHash(), carried);
