Ask a suspect before a heard suspicion leads to its death

Cause: After a partition of 120 s a refutation was sometimes lost among hundreds of claims, and the 10 s of a heard suspicion ran out. Change: When a heard suspicion expires, the node probes the member itself and raises an own suspicion only if that is not answered.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
@@ -76,12 +76,20 @@
     suspicions.raise(address, nowNanos);
   }
 
-  void declareExpiredDead(long nowNanos) {
+  /**
+   * Declares members dead whose own suspicion has expired. Where the suspicion was only heard of,
+   * this node asks the member first, because the refutation may have been lost among many claims.
+   */
+  void settleExpired(long nowNanos) {
     for (String address : suspicions.getExpired(nowNanos)) {
       Member member = table.get(address);
+      boolean isOwn = suspicions.isOwn(address);
       suspicions.remove(address);
-      if (member != null) {
+      if (member != null && isOwn) {
         store(member.with(MemberStatus.DEAD, member.refutation()), true, nowNanos);
+      } else if (member != null) {
+        suspicions.hear(address, nowNanos);
+        rechecks.put(address, member);
       }
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
@@ -95,7 +95,7 @@
     }
     lastTickNanos = nowNanos;
     checkProbes(nowNanos, random, out);
-    view.declareExpiredDead(nowNanos);
+    view.settleExpired(nowNanos);
     if (nowNanos - nextProbeNanos >= 0) {
       nextProbeNanos = nowNanos + PROBE_PERIOD_NANOS;
       probeNext(nowNanos, random, out);
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Suspicions.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Suspicions.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Suspect members and when they are to be declared dead. Not safe for use by several threads.
+ * Suspect members and when their suspicion is to be settled. Not safe for use by several threads.
  *
  * <p>The node that raised a suspicion probes the suspect again, so its verdict after three seconds
  * rests on its own observation. A node that only heard of the suspicion waits for that verdict:
@@ -18,7 +18,7 @@
   /** Time from an own suspicion to death, in nanoseconds. */
   static final long OWN_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  /** Time from a heard suspicion to death, in case that the node that raised it is gone. */
+  /** Time from a heard suspicion to an own probe, if no verdict is heard, in nanoseconds. */
   static final long HEARD_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private final Map<String, Timer> timers = new LinkedHashMap<>();
@@ -45,6 +45,11 @@
     return timers.isEmpty();
   }
 
+  boolean isOwn(String address) {
+    Timer timer = timers.get(address);
+    return timer != null && timer.isOwn;
+  }
+
   List<String> getOwn() {
     List<String> own = new ArrayList<>();
     timers.forEach(
