--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/MemberView.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.gooseberryhook.protocol.MembershipMessage.MemberList;
 import org.gooseberryhook.state.Member;
 import org.gooseberryhook.state.MemberStatus;
 import org.gooseberryhook.state.NodeId;
@@ -15,6 +16,8 @@
  */
 final class MemberView {
 
+  private static final int MEMBERS_PER_LIST = 100;
+
   private final MemberTable table;
   private final ClaimQueue claims = new ClaimQueue();
   private final Suspicions suspicions = new Suspicions();
@@ -74,12 +77,20 @@
     suspicions.raise(address, nowNanos);
   }
 
-  void declareExpiredDead(long nowNanos) {
+  /**
+   * Declares members dead whose own suspicion has expired. Where the suspicion was only heard of,
+   * this node asks the member first, because the refutation may have been lost among many claims.
+   */
+  void settleExpired(long nowNanos) {
     for (String address : suspicions.getExpired(nowNanos)) {
       Member member = table.get(address);
+      boolean isOwn = suspicions.isOwn(address);
       suspicions.remove(address);
-      if (member != null) {
+      if (member != null && isOwn) {
         store(member.with(MemberStatus.DEAD, member.refutation()), true, nowNanos);
+      } else if (member != null) {
+        suspicions.hear(address, nowNanos);
+        rechecks.put(address, member);
       }
     }
   }
@@ -123,16 +134,20 @@
     return carried;
   }
 
-  /** Returns the whole view, this node first. */
-  List<Member> listFor(String address) {
-    List<Member> list = new ArrayList<>();
-    list.add(self);
+  /** Returns the whole view in parts, this node first. */
+  List<MemberList> listsFor(String address) {
+    List<Member> all = new ArrayList<>();
+    all.add(self);
     for (Member member : table.all()) {
       if (!member.address().equals(address) || !member.isPresent()) {
-        list.add(member);
+        all.add(member);
       }
     }
-    return list;
+    List<MemberList> parts = new ArrayList<>();
+    for (int from = 0; from < all.size(); from += MEMBERS_PER_LIST) {
+      parts.add(new MemberList(all.subList(from, Math.min(all.size(), from + MEMBERS_PER_LIST))));
+    }
+    return parts;
   }
 
   /** Returns the next claim whose member is to be asked, or null if there is none. */
