--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaBucket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaBucket.java
@@ -76,10 +76,16 @@
     cap();
   }
 
+  /** Adds units that were reserved until now and are not needed; debts and credits count now. */
+  void credit(double units) {
+    level += units;
+    cap();
+  }
+
   /**
-   * Gives back units spent after a position that turned out not to be used. Only as much is given
-   * back as the bucket would hold had they never been spent; otherwise units that were already
-   * refilled in between would be admitted twice within one window.
+   * Gives back units spent after a position on work that did not run. Only as much is given back as
+   * the bucket would hold had they never been spent; otherwise units that were already refilled in
+   * between would be admitted twice within one window.
    */
   void refund(double units, long sincePosition) {
     double allowed = Math.min(units, history.getLeastSince(sincePosition));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -318,12 +318,12 @@
   }
 
   /** Corrects a local admission; one of an earlier term changes nothing. */
-  void settle(QuotaAdmission admission, long requestsBack, long tokensBack, long nowNanos) {
+  void settle(QuotaAdmission admission, boolean isRun, long tokensBack, long nowNanos) {
     Shard shard = shardOf(admission.workspaceId());
     synchronized (shard) {
       QuotaLedger ledger = shard.ledgers.get(admission.workspaceId());
       if (ledger != null && shard.term == admission.term()) {
-        ledger.settleLocal(admission.stamp(), requestsBack, tokensBack, nowNanos);
+        ledger.settleLocal(admission, isRun, tokensBack, nowNanos);
       }
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
@@ -159,11 +159,10 @@
    * @param nowNanos the time
    */
   public void settle(QuotaAdmission admission, boolean isRun, long actualTokens, long nowNanos) {
-    long requestsBack = isRun ? 0 : admission.requestUnits();
     long tokensBack = admission.tokenUnits() - (isRun ? actualTokens : 0);
     if (admission.isLocal() && ownGrantor.isGrantorOf(admission.workspaceId(), nowNanos)) {
       running.add(admission.workspaceId(), -1);
-      ownGrantor.settle(admission, requestsBack, tokensBack, nowNanos);
+      ownGrantor.settle(admission, isRun, tokensBack, nowNanos);
       return;
     }
     QuotaPocket pocket =
@@ -171,7 +170,7 @@
             admission.workspaceId(), id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
     synchronized (pocket) {
       running.add(admission.workspaceId(), -1);
-      pocket.settle(admission, requestsBack, tokensBack, nowNanos);
+      pocket.settle(admission, isRun, tokensBack, nowNanos);
     }
   }
 
@@ -304,7 +303,7 @@
       long slotsInUse = running.get(workspaceId);
       if (contract == null || pocket == null) {
         QuotaUnits inUse = QuotaUnits.of(0, 0, slotsInUse);
-        needs.add(new Need(workspaceId, 0, QuotaUnits.NONE, inUse, QuotaUnits.NONE, List.of()));
+        needs.add(new Need(workspaceId, 0, QuotaUnits.NONE, inUse, QuotaUnits.NONE, 0, List.of()));
         continue;
       }
       synchronized (pocket) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
@@ -29,7 +29,7 @@
   private static final long ACCOUNT_IDLE_NANOS = 60_000_000_000L;
 
   /** An ask gets at most this share of what is free, so that other holders find some. */
-  private static final double GRANT_SHARE = 0.5;
+  private static final double GRANT_SHARE = 1.0;
 
   /** Books of one holder. */
   private static final class Account {
@@ -128,9 +128,10 @@
   }
 
   /** Settles a local admission of this term. */
-  void settleLocal(long stamp, long requestsBack, long tokensBack, long nowNanos) {
+  void settleLocal(QuotaAdmission admission, boolean isRun, long tokensBack, long nowNanos) {
     advance(nowNanos);
-    correct(new Correction(0, stamp, requestsBack, tokensBack));
+    long requestsBack = isRun ? 0 : admission.requestUnits();
+    correct(new Correction(0, admission.stamp(), requestsBack, tokensBack, isRun));
   }
 
   /**
@@ -167,7 +168,7 @@
     account.lastSequence = sequence;
     long excessSlots = Math.max(0, getUsedSlots() - contract.maxConcurrentRequests());
     QuotaUnits granted =
-        nowNanos < grantsFromNanos ? QuotaUnits.NONE : grant(account, need.wanted(), nowNanos);
+        nowNanos < grantsFromNanos ? QuotaUnits.NONE : grant(account, need, nowNanos);
     account.expiresNanos = nowNanos + GRANT_TTL_NANOS + EXPIRY_MARGIN_NANOS;
     account.slotsExpireNanos = account.expiresNanos + contract.maxDeadlineMs() * NANOS_PER_MS;
     long waitMs = Math.max(0, (grantsFromNanos - nowNanos) / NANOS_PER_MS);
@@ -205,19 +206,18 @@
   }
 
   private void correct(Correction correction) {
-    correct(requests, correction.requests(), correction.stamp());
-    correct(tokens, correction.tokens(), correction.stamp());
-  }
-
-  private static void correct(QuotaBucket bucket, long units, long stamp) {
-    if (units > 0) {
-      bucket.refund(units, stamp);
+    if (correction.tokens() < 0) {
+      tokens.spend(-correction.tokens());
+    } else if (correction.ran()) {
+      tokens.credit(correction.tokens());
     } else {
-      bucket.spend(-units);
+      requests.refund(correction.requests(), correction.stamp());
+      tokens.refund(correction.tokens(), correction.stamp());
     }
   }
 
-  private QuotaUnits grant(Account account, QuotaUnits wanted, long nowNanos) {
+  private QuotaUnits grant(Account account, Need need, long nowNanos) {
+    QuotaUnits wanted = need.wanted();
     long freeRequests = (long) Math.floor(Math.max(0, requests.getLevel()));
     long freeTokens = (long) Math.floor(Math.max(0, tokens.getLevel()));
     long freeSlots = getFreeSlots(nowNanos);
@@ -227,7 +227,9 @@
                 fractionOf(freeRequests, wanted.requests()), fractionOf(freeSlots, wanted.slots())),
             fractionOf(freeTokens, wanted.tokens()));
     long bundles = Math.max(1, Math.max(wanted.requests(), wanted.slots()));
-    double least = 1.0 / bundles;
+    // Less than one whole request would lie idle at the holder.
+    double least =
+        Math.max(1.0 / bundles, (double) need.leastTokens() / Math.max(1, wanted.tokens()));
     if (fraction < least) {
       return QuotaUnits.NONE;
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
@@ -66,6 +66,9 @@
   private long askSentNanos;
   private boolean isAskOpen;
   private int lostAsks;
+  private long reportedRunning;
+  private QuotaUnits wanted = QuotaUnits.NONE;
+  private long intervalNanos = LONGEST_INTERVAL_NANOS;
   private long nextUrgentNanos;
   private int hintMs;
 
@@ -85,6 +88,7 @@
   private long refundRequests;
   private long refundTokens;
   private long refundStamp;
+  private long creditTokens;
   private long debtTokens;
 
   QuotaPocket(String workspaceId, long grantTtlNanos, long nowNanos) {
@@ -142,7 +146,7 @@
   }
 
   /** Notes the end of a request; its slot becomes free for the next one. */
-  void settle(QuotaAdmission admission, long requestsBack, long tokensBack, long nowNanos) {
+  void settle(QuotaAdmission admission, boolean isRun, long tokensBack, long nowNanos) {
     expire(nowNanos);
     if (isLive) {
       slots++;
@@ -154,12 +158,14 @@
     if (admission.isLocal() || admission.term() != term) {
       return;
     }
-    if (requestsBack > 0 || tokensBack > 0) {
-      boolean isFirst = refundRequests == 0 && refundTokens == 0;
-      refundStamp = isFirst ? admission.stamp() : Math.min(refundStamp, admission.stamp());
-      refundRequests += requestsBack;
-      refundTokens += Math.max(0, tokensBack);
+    if (isRun) {
+      creditTokens += Math.max(0, tokensBack);
+      return;
     }
+    boolean isFirst = refundRequests == 0 && refundTokens == 0;
+    refundStamp = isFirst ? admission.stamp() : Math.min(refundStamp, admission.stamp());
+    refundRequests += admission.requestUnits();
+    refundTokens += tokensBack;
   }
 
   /** Tells whether an ask should be sent now. */
@@ -174,19 +180,22 @@
   }
 
   private boolean hasNews(long running) {
-    return isLive
+    return requests > 0
+        || tokens > 0
+        || slots > 0
         || admissions > 0
         || waiting > 0
-        || running > 0
+        || running != reportedRunning
         || refundTokens > 0
         || refundRequests > 0
+        || creditTokens > 0
         || debtTokens > 0
         || !corrections.isEmpty();
   }
 
   /** Tells whether the pocket can be forgotten. */
   boolean isIdle(long nowNanos, long running, long idleNanos) {
-    return !hasNews(running) && nowNanos - lastUsedNanos >= idleNanos;
+    return running == 0 && !hasNews(running) && nowNanos - lastUsedNanos >= idleNanos;
   }
 
   static long toIntervalNanos(Contract contract) {
@@ -220,6 +229,10 @@
     askSequence = sequence;
     askSentNanos = nowNanos;
     isAskOpen = true;
+    reportedRunning = running;
+    intervalNanos = toIntervalNanos(contract);
+    wanted = QuotaUnits.of(targetRequests - requests, targetTokens - tokens, targetSlots - slots);
+    long leastTokens = Math.max(0, Math.min(wanted.tokens(), largestWaitingTokens - tokens));
     waiting = 0;
     waitingRequests = 0;
     waitingTokens = 0;
@@ -229,7 +242,8 @@
         term,
         QuotaUnits.of(requests, tokens, slots),
         QuotaUnits.of(spentRequests, spentTokens, running),
-        QuotaUnits.of(targetRequests - requests, targetTokens - tokens, targetSlots - slots),
+        wanted,
+        leastTokens,
         List.copyOf(corrections));
   }
 
@@ -251,16 +265,20 @@
   }
 
   private void keepCorrections(long sequence) {
-    if (corrections.size() > MAX_CORRECTIONS - 2) {
+    if (corrections.size() > MAX_CORRECTIONS - 3) {
       return;
     }
     if (refundRequests > 0 || refundTokens > 0) {
-      corrections.add(new Correction(sequence, refundStamp, refundRequests, refundTokens));
+      corrections.add(new Correction(sequence, refundStamp, refundRequests, refundTokens, false));
       refundRequests = 0;
       refundTokens = 0;
     }
+    if (creditTokens > 0) {
+      corrections.add(new Correction(sequence, stamp, 0, creditTokens, true));
+      creditTokens = 0;
+    }
     if (debtTokens > 0) {
-      corrections.add(new Correction(sequence, stamp, 0, -debtTokens));
+      corrections.add(new Correction(sequence, stamp, 0, -debtTokens, true));
       debtTokens = 0;
     }
   }
@@ -302,8 +320,12 @@
     isLive = true;
     payDebt();
     hintMs = grant.retryAfterMs();
-    long pauseNanos = Math.min(LONGEST_INTERVAL_NANOS, hintMs * NANOS_PER_MS);
-    nextUrgentNanos = askSentNanos + Math.max(URGENT_INTERVAL_NANOS, pauseNanos);
+    // After a short answer the bound is met; asking sooner would only add messages.
+    boolean isShort =
+        grant.granted().requests() < wanted.requests()
+            || grant.granted().tokens() < wanted.tokens()
+            || grant.granted().slots() < wanted.slots();
+    nextUrgentNanos = askSentNanos + (isShort ? intervalNanos : URGENT_INTERVAL_NANOS);
     return true;
   }
 
@@ -314,6 +336,7 @@
     spentTokens = 0;
     refundRequests = 0;
     refundTokens = 0;
+    creditTokens = 0;
     // Debts to the earlier grantor are owed by the workspace, so they go to the new one.
     for (Correction correction : corrections) {
       debtTokens += Math.max(0, -correction.tokens());
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/QuotaMessage.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/QuotaMessage.java
@@ -61,6 +61,7 @@
    * @param held unspent units that the holder keeps; whatever else it was given is returned
    * @param spent requests and tokens spent in this term so far; slots in use now
    * @param wanted units asked for in addition to those held
+   * @param leastTokens least number of tokens that is of use in addition to those held
    * @param corrections corrections that are not yet acknowledged
    * @since 0.1
    */
@@ -71,6 +72,7 @@
       QuotaUnits held,
       QuotaUnits spent,
       QuotaUnits wanted,
+      long leastTokens,
       List<Correction> corrections) {}
 
   /**
@@ -80,10 +82,12 @@
    * @param stamp stamp of a grant that is not later than the admissions concerned
    * @param requests request units to give back
    * @param tokens token units to give back; negative for a debt
+   * @param ran whether the work ran, so that the tokens were reserved until its end; false for work
+   *     that did not run, which counts as never admitted
    * @since 0.1
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record Correction(long firstSequence, long stamp, long requests, long tokens) {}
+  record Correction(long firstSequence, long stamp, long requests, long tokens, boolean ran) {}
 
   /**
    * Units for one workspace.
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/SimulatedCluster.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/SimulatedCluster.java
@@ -335,8 +335,15 @@
     boolean isRun = isExact || random.nextInt(5) > 0;
     long actual = isExact ? request.charge.tokens : random.nextLong(request.charge.tokens + 1);
     node.holder.settle(request.admission, isRun, actual, clock(node));
-    request.charge.requests = isRun ? 1 : 0;
-    request.charge.tokens = isRun ? actual : 0;
+    if (isRun) {
+      Charge credit = new Charge();
+      credit.tokens = actual - request.charge.tokens;
+      charges.get(request.admission.workspaceId()).put(now + order++ % STEP, credit);
+    } else {
+      // What did not run counts as never admitted.
+      request.charge.requests = 0;
+      request.charge.tokens = 0;
+    }
   }
 
   private void send(Node from, OutgoingMessage message) {
