Ask for twice the admitted demand while requests wait

Cause: a waiting request is tried many times, and counting each try made small holders ask for units that they could not use. Change: the demand is found by doubling; the grantor gives half of what is free.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
@@ -29,7 +29,7 @@
   private static final long ACCOUNT_IDLE_NANOS = 60_000_000_000L;
 
   /** An ask gets at most this share of what is free, so that other holders find some. */
-  private static final double GRANT_SHARE = 1.0;
+  private static final double GRANT_SHARE = 0.5;
 
   /** Books of one holder. */
   private static final class Account {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
@@ -40,6 +40,9 @@
    */
   private static final double INTERVALS_PER_BURST = 4;
 
+  /** Factor by which an ask exceeds what was admitted while requests wait. */
+  private static final long GROWTH = 2;
+
   /** Units are held for this multiple of the demand predicted for one interval. */
   private static final double PREFETCH_INTERVALS = 1.25;
 
@@ -78,9 +81,8 @@
   private long admittedRequests;
   private long admittedTokens;
   private long admissions;
-  private long waitingRequests;
-  private long waitingTokens;
   private long waiting;
+  private long largestWaitingRequests;
   private long largestWaitingTokens;
   private long lastUsedNanos;
 
@@ -109,8 +111,7 @@
     lastUsedNanos = nowNanos;
     if (!canTake(requestUnits, tokenUnits)) {
       waiting++;
-      waitingRequests += requestUnits;
-      waitingTokens += tokenUnits;
+      largestWaitingRequests = Math.max(largestWaitingRequests, requestUnits);
       largestWaitingTokens = Math.max(largestWaitingTokens, tokenUnits);
       return new QuotaDecision.Limited(
           Math.max(URGENT_INTERVAL_NANOS / NANOS_PER_MS, hintMs), missing(requestUnits));
@@ -211,16 +212,31 @@
   Need toNeed(NodeId to, long sequence, Contract contract, long running, long nowNanos) {
     expire(nowNanos);
     lostAsks = isAskOpen ? lostAsks + 1 : 0;
+    long lastRequests = admittedRequests;
+    long lastTokens = admittedTokens;
+    long lastAdmissions = admissions;
     updateDemand(Math.max(1, nowNanos - askSentNanos));
     double horizon = PREFETCH_INTERVALS * toIntervalNanos(contract) / NANOS_PER_SECOND;
     boolean isPrefetched = admissionsPerSecond * horizon >= LEAST_PREFETCH_REQUESTS;
     double ahead = isPrefetched ? horizon : 0;
+    // How many requests wait is not known, as each is tried many times. So twice what was admitted
+    // is asked for, which finds any demand within a few asks.
+    long growth = waiting > 0 ? GROWTH : 0;
     long targetRequests =
-        target(requestsPerSecond * ahead, waitingRequests, contract.requestBurst());
-    long targetTokens = target(tokensPerSecond * ahead, waitingTokens, contract.tokenBurst());
-    targetTokens = Math.max(targetTokens, largestWaitingTokens);
+        target(
+            requestsPerSecond * ahead,
+            Math.max(largestWaitingRequests, growth * lastRequests),
+            contract.requestBurst());
+    long targetTokens =
+        target(
+            tokensPerSecond * ahead,
+            Math.max(largestWaitingTokens, growth * lastTokens),
+            contract.tokenBurst());
     long targetSlots =
-        target(admissionsPerSecond * ahead, waiting, contract.maxConcurrentRequests());
+        target(
+            admissionsPerSecond * ahead,
+            Math.max(Math.min(1, waiting), growth * lastAdmissions),
+            contract.maxConcurrentRequests());
     requests = Math.min(requests, targetRequests);
     tokens = Math.min(tokens, targetTokens);
     slots = Math.min(slots, targetSlots);
@@ -234,8 +250,7 @@
     wanted = QuotaUnits.of(targetRequests - requests, targetTokens - tokens, targetSlots - slots);
     long leastTokens = Math.max(0, Math.min(wanted.tokens(), largestWaitingTokens - tokens));
     waiting = 0;
-    waitingRequests = 0;
-    waitingTokens = 0;
+    largestWaitingRequests = 0;
     largestWaitingTokens = 0;
     return new Need(
         workspaceId,
@@ -255,10 +270,10 @@
     double seconds = elapsedNanos / NANOS_PER_SECOND;
     double weight =
         1 - Math.pow(1 - DEMAND_WEIGHT, (double) elapsedNanos / LONGEST_INTERVAL_NANOS * 2);
-    requestsPerSecond +=
-        weight * ((admittedRequests + waitingRequests) / seconds - requestsPerSecond);
-    tokensPerSecond += weight * ((admittedTokens + waitingTokens) / seconds - tokensPerSecond);
-    admissionsPerSecond += weight * ((admissions + waiting) / seconds - admissionsPerSecond);
+    long growth = waiting > 0 ? GROWTH : 1;
+    requestsPerSecond += weight * (growth * admittedRequests / seconds - requestsPerSecond);
+    tokensPerSecond += weight * (growth * admittedTokens / seconds - tokensPerSecond);
+    admissionsPerSecond += weight * (growth * admissions / seconds - admissionsPerSecond);
     admissions = 0;
     admittedRequests = 0;
     admittedTokens = 0;
