--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
@@ -38,7 +38,10 @@
   /**
    * Part of a burst that lies in one ask interval, so that unreported use leaves room to refill.
    */
-  private static final double INTERVALS_PER_BURST = 4;
+  private static final double INTERVALS_PER_BURST = 3;
+
+  /** Factor by which an ask exceeds what was admitted while requests wait. */
+  private static final long GROWTH = 2;
 
   /** Units are held for this multiple of the demand predicted for one interval. */
   private static final double PREFETCH_INTERVALS = 1.25;
@@ -66,6 +69,9 @@
   private long askSentNanos;
   private boolean isAskOpen;
   private int lostAsks;
+  private long reportedRunning;
+  private QuotaUnits wanted = QuotaUnits.NONE;
+  private long intervalNanos = LONGEST_INTERVAL_NANOS;
   private long nextUrgentNanos;
   private int hintMs;
 
@@ -75,9 +81,8 @@
   private long admittedRequests;
   private long admittedTokens;
   private long admissions;
-  private long waitingRequests;
-  private long waitingTokens;
   private long waiting;
+  private long largestWaitingRequests;
   private long largestWaitingTokens;
   private long lastUsedNanos;
 
@@ -85,6 +90,7 @@
   private long refundRequests;
   private long refundTokens;
   private long refundStamp;
+  private long creditTokens;
   private long debtTokens;
 
   QuotaPocket(String workspaceId, long grantTtlNanos, long nowNanos) {
@@ -105,8 +111,7 @@
     lastUsedNanos = nowNanos;
     if (!canTake(requestUnits, tokenUnits)) {
       waiting++;
-      waitingRequests += requestUnits;
-      waitingTokens += tokenUnits;
+      largestWaitingRequests = Math.max(largestWaitingRequests, requestUnits);
       largestWaitingTokens = Math.max(largestWaitingTokens, tokenUnits);
       return new QuotaDecision.Limited(
           Math.max(URGENT_INTERVAL_NANOS / NANOS_PER_MS, hintMs), missing(requestUnits));
@@ -142,7 +147,7 @@
   }
 
   /** Notes the end of a request; its slot becomes free for the next one. */
-  void settle(QuotaAdmission admission, long requestsBack, long tokensBack, long nowNanos) {
+  void settle(QuotaAdmission admission, boolean isRun, long tokensBack, long nowNanos) {
     expire(nowNanos);
     if (isLive) {
       slots++;
@@ -154,12 +159,14 @@
     if (admission.isLocal() || admission.term() != term) {
       return;
     }
-    if (requestsBack > 0 || tokensBack > 0) {
-      boolean isFirst = refundRequests == 0 && refundTokens == 0;
-      refundStamp = isFirst ? admission.stamp() : Math.min(refundStamp, admission.stamp());
-      refundRequests += requestsBack;
-      refundTokens += Math.max(0, tokensBack);
+    if (isRun) {
+      creditTokens += Math.max(0, tokensBack);
+      return;
     }
+    boolean isFirst = refundRequests == 0 && refundTokens == 0;
+    refundStamp = isFirst ? admission.stamp() : Math.min(refundStamp, admission.stamp());
+    refundRequests += admission.requestUnits();
+    refundTokens += tokensBack;
   }
 
   /** Tells whether an ask should be sent now. */
@@ -174,19 +181,22 @@
   }
 
   private boolean hasNews(long running) {
-    return isLive
+    return requests > 0
+        || tokens > 0
+        || slots > 0
         || admissions > 0
         || waiting > 0
-        || running > 0
+        || running != reportedRunning
         || refundTokens > 0
         || refundRequests > 0
+        || creditTokens > 0
         || debtTokens > 0
         || !corrections.isEmpty();
   }
 
   /** Tells whether the pocket can be forgotten. */
   boolean isIdle(long nowNanos, long running, long idleNanos) {
-    return !hasNews(running) && nowNanos - lastUsedNanos >= idleNanos;
+    return running == 0 && !hasNews(running) && nowNanos - lastUsedNanos >= idleNanos;
   }
 
   static long toIntervalNanos(Contract contract) {
@@ -202,16 +212,31 @@
   Need toNeed(NodeId to, long sequence, Contract contract, long running, long nowNanos) {
     expire(nowNanos);
     lostAsks = isAskOpen ? lostAsks + 1 : 0;
+    long lastRequests = admittedRequests;
+    long lastTokens = admittedTokens;
+    long lastAdmissions = admissions;
     updateDemand(Math.max(1, nowNanos - askSentNanos));
     double horizon = PREFETCH_INTERVALS * toIntervalNanos(contract) / NANOS_PER_SECOND;
     boolean isPrefetched = admissionsPerSecond * horizon >= LEAST_PREFETCH_REQUESTS;
     double ahead = isPrefetched ? horizon : 0;
+    // How many requests wait is not known, as each is tried many times. So twice what was admitted
+    // is asked for, which finds any demand within a few asks.
+    long growth = waiting > 0 ? GROWTH : 0;
     long targetRequests =
-        target(requestsPerSecond * ahead, waitingRequests, contract.requestBurst());
-    long targetTokens = target(tokensPerSecond * ahead, waitingTokens, contract.tokenBurst());
-    targetTokens = Math.max(targetTokens, largestWaitingTokens);
+        target(
+            requestsPerSecond * ahead,
+            Math.max(largestWaitingRequests, growth * lastRequests),
+            contract.requestBurst());
+    long targetTokens =
+        target(
+            tokensPerSecond * ahead,
+            Math.max(largestWaitingTokens, growth * lastTokens),
+            contract.tokenBurst());
     long targetSlots =
-        target(admissionsPerSecond * ahead, waiting, contract.maxConcurrentRequests());
+        target(
+            admissionsPerSecond * ahead,
+            Math.max(Math.min(1, waiting), growth * lastAdmissions),
+            contract.maxConcurrentRequests());
     requests = Math.min(requests, targetRequests);
     tokens = Math.min(tokens, targetTokens);
     slots = Math.min(slots, targetSlots);
@@ -220,16 +245,20 @@
     askSequence = sequence;
     askSentNanos = nowNanos;
     isAskOpen = true;
+    reportedRunning = running;
+    intervalNanos = toIntervalNanos(contract);
+    wanted = QuotaUnits.of(targetRequests - requests, targetTokens - tokens, targetSlots - slots);
+    long leastTokens = Math.max(0, Math.min(wanted.tokens(), largestWaitingTokens - tokens));
     waiting = 0;
-    waitingRequests = 0;
-    waitingTokens = 0;
+    largestWaitingRequests = 0;
     largestWaitingTokens = 0;
     return new Need(
         workspaceId,
         term,
         QuotaUnits.of(requests, tokens, slots),
         QuotaUnits.of(spentRequests, spentTokens, running),
-        QuotaUnits.of(targetRequests - requests, targetTokens - tokens, targetSlots - slots),
+        wanted,
+        leastTokens,
         List.copyOf(corrections));
   }
 
@@ -241,26 +270,30 @@
     double seconds = elapsedNanos / NANOS_PER_SECOND;
     double weight =
         1 - Math.pow(1 - DEMAND_WEIGHT, (double) elapsedNanos / LONGEST_INTERVAL_NANOS * 2);
-    requestsPerSecond +=
-        weight * ((admittedRequests + waitingRequests) / seconds - requestsPerSecond);
-    tokensPerSecond += weight * ((admittedTokens + waitingTokens) / seconds - tokensPerSecond);
-    admissionsPerSecond += weight * ((admissions + waiting) / seconds - admissionsPerSecond);
+    long growth = waiting > 0 ? GROWTH : 1;
+    requestsPerSecond += weight * (growth * admittedRequests / seconds - requestsPerSecond);
+    tokensPerSecond += weight * (growth * admittedTokens / seconds - tokensPerSecond);
+    admissionsPerSecond += weight * (growth * admissions / seconds - admissionsPerSecond);
     admissions = 0;
     admittedRequests = 0;
     admittedTokens = 0;
   }
 
   private void keepCorrections(long sequence) {
-    if (corrections.size() > MAX_CORRECTIONS - 2) {
+    if (corrections.size() > MAX_CORRECTIONS - 3) {
       return;
     }
     if (refundRequests > 0 || refundTokens > 0) {
-      corrections.add(new Correction(sequence, refundStamp, refundRequests, refundTokens));
+      corrections.add(new Correction(sequence, refundStamp, refundRequests, refundTokens, false));
       refundRequests = 0;
       refundTokens = 0;
     }
+    if (creditTokens > 0) {
+      corrections.add(new Correction(sequence, stamp, 0, creditTokens, true));
+      creditTokens = 0;
+    }
     if (debtTokens > 0) {
-      corrections.add(new Correction(sequence, stamp, 0, -debtTokens));
+      corrections.add(new Correction(sequence, stamp, 0, -debtTokens, true));
       debtTokens = 0;
     }
   }
@@ -302,8 +335,12 @@
     isLive = true;
     payDebt();
     hintMs = grant.retryAfterMs();
-    long pauseNanos = Math.min(LONGEST_INTERVAL_NANOS, hintMs * NANOS_PER_MS);
-    nextUrgentNanos = askSentNanos + Math.max(URGENT_INTERVAL_NANOS, pauseNanos);
+    // After a short answer the bound is met; asking sooner would only add messages.
+    boolean isShort =
+        grant.granted().requests() < wanted.requests()
+            || grant.granted().tokens() < wanted.tokens()
+            || grant.granted().slots() < wanted.slots();
+    nextUrgentNanos = askSentNanos + (isShort ? intervalNanos : URGENT_INTERVAL_NANOS);
     return true;
   }
 
@@ -314,6 +351,7 @@
     spentTokens = 0;
     refundRequests = 0;
     refundTokens = 0;
+    creditTokens = 0;
     // Debts to the earlier grantor are owed by the workspace, so they go to the new one.
     for (Correction correction : corrections) {
       debtTokens += Math.max(0, -correction.tokens());
