--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Contract.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Contract.java
@@ -18,7 +18,8 @@
  * @param services plain services that may be called
  * @param firstTokenGoalMs goal for the first token, in milliseconds
  * @param tokenGapGoalMs goal for the gap between tokens, in milliseconds
- * @param retryBudgetPercent retries allowed per hundred requests
+ * @param retryBudgetPercent retries allowed per hundred requests, beyond the first five of a
+ *     workspace at a node
  * @param maxDeadlineMs longest deadline a request may ask for, in milliseconds
  * @param callerKeyDigests SHA-256 digests of the caller keys, lower-case hex
  * @since 0.1
