Bound the remembered gone nodes and split the lease keeper

Change: at most 1,024 gone nodes are kept; HeldLease is a type of its own and LeaseEntry decides whether its record may be acquired.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,6 +31,9 @@
   /** Time between asks to the deputies that have not promised. */
   static final long PLEDGE_RETRY_NANOS = 200_000_000L;
 
+  /** Nodes remembered as gone; far above the VMs that fail or restart while a lease is stuck. */
+  static final int MAX_GONE_NODES = 1024;
+
   /** Deputies are asked when less than this share of the usable time is left. */
   private static final double PLEDGE_SHARE = 0.5;
 
@@ -38,7 +41,7 @@
   private final LeaseTiming timing;
   private final Map<String, LeaseEntry> entries = new TreeMap<>();
   private final LeaseCalls calls;
-  private final Set<NodeId> goneNodes = new HashSet<>();
+  private final Set<NodeId> goneNodes = new LinkedHashSet<>();
   private final PledgeBook book = new PledgeBook();
   private final List<OutgoingMessage> outbox = new ArrayList<>();
   private long lastPledgeSequence;
@@ -93,15 +96,6 @@
     return entry != null && entry.isHolder(nowNanos);
   }
 
-  /**
-   * A lease that this node holds.
-   *
-   * @param fencingNumber number of this term
-   * @param usableUntilNanos when it may no longer be used unless it is renewed
-   * @since 0.1
-   */
-  public record HeldLease(long fencingNumber, long usableUntilNanos) {}
-
   /**
    * Returns the leases that this node may use.
    *
@@ -136,6 +130,10 @@
    */
   public synchronized void onVmGone(NodeId node) {
     goneNodes.add(node);
+    if (goneNodes.size() > MAX_GONE_NODES) {
+      // Forgetting one only delays the takeover of leases that still name it.
+      goneNodes.remove(goneNodes.iterator().next());
+    }
     book.removeHolder(node);
   }
 
@@ -347,13 +345,7 @@
         || book.isBound(entry.key, goneNodes)) {
       return false;
     }
-    DutyLease lease = entry.lease;
-    if (lease == null || lease.holder() == null || self.equals(lease.holder())) {
-      return true;
-    }
-    boolean isGone = goneNodes.contains(lease.holder()) || self.isReplacing(lease.holder());
-    boolean isAllowed = isGone || lease.electors().contains(self);
-    return isAllowed && nowNanos - entry.firstReadNanos >= timing.acquireWaitNanos();
+    return entry.isAcquirable(goneNodes, timing.acquireWaitNanos(), nowNanos);
   }
 
   private void askPledges(long nowNanos) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
@@ -82,6 +82,19 @@
     lastRenewal = Math.max(lastRenewal, newLease == null ? 0 : newLease.renewal());
   }
 
+  /**
+   * Tells whether the record allows this node to acquire the lease now. Only electors may acquire
+   * by waiting, because a holder that relies on pledges has asked only them.
+   */
+  boolean isAcquirable(Set<NodeId> goneNodes, long waitNanos, long nowNanos) {
+    if (lease == null || lease.holder() == null || self.equals(lease.holder())) {
+      return true;
+    }
+    boolean isGone = goneNodes.contains(lease.holder()) || self.isReplacing(lease.holder());
+    boolean isAllowed = isGone || lease.electors().contains(self);
+    return isAllowed && nowNanos - firstReadNanos >= waitNanos;
+  }
+
   /** Builds the write that renews the lease, or acquires it under the next fencing number. */
   TableOperation toClaim(long nowNanos) {
     long number = lease == null ? 0 : lease.fencingNumber();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -118,9 +118,7 @@
    * @param nowNanos the time
    */
   public void setHeldLeases(
-      Map<String, DutyLeaseKeeper.HeldLease> held,
-      Collection<NodeId> earlierHolders,
-      long nowNanos) {
+      Map<String, HeldLease> held, Collection<NodeId> earlierHolders, long nowNanos) {
     Set<Integer> heldShards = new HashSet<>();
     held.forEach(
         (key, lease) -> {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
@@ -49,8 +49,7 @@
     local.setContract(contract);
     remote.setContract(contract);
     String key = QuotaShard.of(WORKSPACE).toLeaseKey();
-    grantor.setHeldLeases(
-        Map.of(key, new DutyLeaseKeeper.HeldLease(1, Long.MAX_VALUE)), List.of(), now);
+    grantor.setHeldLeases(Map.of(key, new HeldLease(1, Long.MAX_VALUE)), List.of(), now);
     now += 2_000_000 * MS;
   }
 
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/QuotaScenario.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/QuotaScenario.java
@@ -15,7 +15,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.HdrHistogram.Histogram;
-import org.gooseberryhook.coordination.DutyLeaseKeeper.HeldLease;
+import org.gooseberryhook.coordination.HeldLease;
 import org.gooseberryhook.coordination.HomeNodes;
 import org.gooseberryhook.coordination.OutgoingMessage;
 import org.gooseberryhook.coordination.QuotaAdmission;
