--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -1,7 +1,6 @@
 package org.gooseberryhook.coordination;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -38,25 +37,11 @@
   /** Deputies are asked when less than this share of the usable time is left. */
   private static final double PLEDGE_SHARE = 0.5;
 
-  /** Ended runs that are remembered; later ones push out the oldest. */
-  private static final int MAX_GONE_NODES = 4_096;
-
   private final NodeId self;
   private final LeaseTiming timing;
   private final Map<String, LeaseEntry> entries = new TreeMap<>();
   private final LeaseCalls calls;
-<<<<<<< HEAD
-  private final Set<NodeId> goneNodes =
-      Collections.newSetFromMap(
-          new LinkedHashMap<>() {
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<NodeId, Boolean> eldest) {
-              return size() > MAX_GONE_NODES;
-            }
-          });
-=======
   private final Set<NodeId> goneNodes = new LinkedHashSet<>();
->>>>>>> limits
   private final PledgeBook book = new PledgeBook();
   private final List<OutgoingMessage> outbox = new ArrayList<>();
   private long lastPledgeSequence;
@@ -360,19 +345,7 @@
         || book.isBound(entry.key, goneNodes)) {
       return false;
     }
-<<<<<<< HEAD
-    DutyLease lease = entry.lease;
-    if (lease == null || lease.holder() == null || self.equals(lease.holder())) {
-      return true;
-    }
-    // A run that has ended can't use its lease any more, so there is nothing to wait for.
-    boolean isGone = goneNodes.contains(lease.holder()) || self.isReplacing(lease.holder());
-    boolean isAllowed = isGone || lease.electors().contains(self);
-    boolean isWaited = nowNanos - entry.firstReadNanos >= timing.acquireWaitNanos();
-    return isAllowed && (isGone || isWaited);
-=======
     return entry.isAcquirable(goneNodes, timing.acquireWaitNanos(), nowNanos);
->>>>>>> limits
   }
 
   private void askPledges(long nowNanos) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
@@ -92,7 +92,8 @@
     }
     boolean isGone = goneNodes.contains(lease.holder()) || self.isReplacing(lease.holder());
     boolean isAllowed = isGone || lease.electors().contains(self);
-    return isAllowed && nowNanos - firstReadNanos >= waitNanos;
+    // A run that has ended can't use its lease any more, so there is nothing to wait for.
+    return isAllowed && (isGone || nowNanos - firstReadNanos >= waitNanos);
   }
 
   /** Builds the write that renews the lease, or acquires it under the next fencing number. */
