--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerLink.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerLink.java
@@ -28,6 +28,13 @@
    */
   default void checkEnded(String address, Runnable onRefused) {}
 
+  /**
+   * Forgets a peer that is dead or replaced, and closes the connection to it.
+   *
+   * @param address peer address
+   */
+  default void disconnect(String address) {}
+
   /**
    * Sets who is told that a connection to a peer was closed, which may mean that its run has ended.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,6 +67,8 @@
               }));
   private PeerLink link;
   private List<ScheduledFuture<?>> tasks = List.of();
+  private Set<String> deadAddresses = Set.of();
+  private long checkedChangeCount = -1;
   private volatile long appliedVersion = -1;
 
   /**
@@ -145,6 +148,7 @@
     if (endedRuns.add(id)) {
       LOG.infof("the run %d of node %s has ended", id.incarnation(), id.address());
       membership.onRunEnded(id, System.nanoTime());
+      link.disconnect(id.address());
       endListeners.forEach(listener -> listener.accept(id));
     }
   }
@@ -353,10 +357,26 @@
         .forEach(member -> link.checkEnded(member.address(), () -> onRunEnded(member.id())));
   }
 
+  /** TCP may keep the connection to a VM that vanished for minutes. */
+  private void disconnectDead() {
+    long changeCount = membership.getChangeCount();
+    if (changeCount == checkedChangeCount) {
+      return;
+    }
+    checkedChangeCount = changeCount;
+    Set<String> dead = new HashSet<>();
+    membership.getMembers().stream()
+        .filter(member -> member.status() == MemberStatus.DEAD)
+        .forEach(member -> dead.add(member.address()));
+    dead.stream().filter(address -> !deadAddresses.contains(address)).forEach(link::disconnect);
+    deadAddresses = dead;
+  }
+
   private void tick() {
     long nowNanos = System.nanoTime();
     send(membership.onTick(nowNanos, random));
     sync.onTick(nowNanos);
+    disconnectDead();
   }
 
   private void applySoon() {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerTransport.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/PeerTransport.java
@@ -222,6 +222,7 @@
    *
    * @param address peer address; an unknown address is ignored
    */
+  @Override
   public void disconnect(String address) {
     PeerConnection peer = peers.remove(address);
     if (peer != null) {
