Stop the home node in the failover test; widen the record window

Cause: the test stopped node 0, which callers use first only when rendezvous hashing of its random port says so, so FAILOVERS was 0 in some runs; once-only records of nine nodes exceeded 300 transactions/s from 500 calls/s on. Change: the test stops the node that the address answer names first; records wait up to 40 ms.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceRecordBatcher.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OnceRecordBatcher.java
@@ -28,8 +28,11 @@
  */
 public final class OnceRecordBatcher {
 
-  /** Longest time that a write waits for others. */
-  public static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  /**
+   * Longest time that a write waits for others. With 20 ms, nine nodes exceeded 300 transactions a
+   * second from 500 calls a second on; with 40 ms they stay below it at 7,500.
+   */
+  public static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
   /** Records in one transaction at most. */
   public static final int MAX_RECORDS = 100;
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/LoadGeneratorTest.java
@@ -69,7 +69,7 @@
           run(
               MODEL_CALLS.formatted(2_000) + WHOLE_CALLS + faults,
               cluster.getAddresses(),
-              Map.of("stop-node", () -> cluster.stopNode(0)));
+              Map.of("stop-node", cluster::stopHomeNode));
       assertThat(result.getViolationCount()).as("%s", result.counts()).isZero();
       assertThat(result.counts().get(Count.ARRIVED)).isGreaterThan(30);
       assertThat(result.counts().get(Count.COMPLETED))
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
@@ -1,8 +1,13 @@
 package org.gooseberryhook.load;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.PriorityClass;
 import org.gooseberryhook.transport.CallerKeys;
@@ -48,8 +53,18 @@
     return cluster.getEngineUrl() + "/targets/" + targetId + "/faults";
   }
 
-  void stopNode(int index) {
-    cluster.getNodes().get(index).stop();
+  /** Stops the node that callers are told to use first. */
+  void stopHomeNode() throws IOException {
+    Request request =
+        new Request.Builder()
+            .url("http://" + addresses.get(0) + "/v1/addresses")
+            .header("Authorization", "Bearer " + KEY)
+            .build();
+    try (Response response = new OkHttpClient().newCall(request).execute()) {
+      JsonNode body = Json.MAPPER.readTree(response.body().bytes());
+      String home = body.path("addresses").path(0).asText();
+      cluster.getNodes().get(addresses.indexOf(home)).stop();
+    }
   }
 
   void stop() {
