Avoid a deadlock of runs that lose one stage; re-route unrun attempts

Cause: each run that lost a stage asked all other runs for their pipelines under its own lock and theirs, so two runs could wait for each other; attempts that never ran used up the retry budget; a request 2 ms above its rate was refused. Change: the question takes no lock; attempts that are proved not to have run are routed again without the budget; a wait of up to 300 ms comes before a refusal.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
@@ -56,6 +56,17 @@
     this.streamExecutor = Objects.requireNonNull(streamExecutor, "streamExecutor");
   }
 
+  /**
+   * Tells whether an attempt that failed is proved not to have run. By the engine protocol, a start
+   * order that is not answered with 200 has not run.
+   *
+   * @param reason error text of the attempt
+   * @return true if nothing of it ran
+   */
+  static boolean isProvedNotRun(String reason) {
+    return NOT_SENT.equals(reason) || REFUSED.equals(reason) || UNREACHABLE.equals(reason);
+  }
+
   @Override
   public Attempt start(String headAddress, EngineStart start, Consumer<TokenEvent> listener) {
     byte[] body;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -50,6 +50,7 @@
   private static final long STALL_CHECK_MS = 250;
   private static final long GRANT_RETRY_MS = 10;
   private static final long MAX_GRANT_WAIT_MS = 5_000;
+  private static final long MAX_PACING_MS = 300;
   private static final long ROUTE_RETRY_MS = 50;
   private static final long MAX_ROUTE_WAIT_MS = 3_000;
   private static final long RETRY_AFTER_MS = 1_000;
@@ -70,7 +71,7 @@
   private QuotaAdmission quotaAdmission;
   private OverloadGate.Arrival gateArrival;
   private boolean isInGate;
-  private Pipeline pipeline;
+  private volatile Pipeline pipeline;
   private Dispatch dispatch;
   private EngineClient.Attempt attempt;
   private ScheduledFuture<?> stallCheck;
@@ -79,8 +80,8 @@
   private long routeSinceNanos;
   private int firstStepOfAttempt;
   private boolean mayHaveRun;
-  private boolean isInFlight;
-  private boolean isOver;
+  private volatile boolean isInFlight;
+  private volatile boolean isOver;
 
   ModelCallRun(
       ModelCallService service,
@@ -123,8 +124,10 @@
     return fingerprint;
   }
 
-  synchronized boolean isUsing(String targetId) {
-    return !isOver && isInFlight && pipeline != null && pipeline.isUsing(targetId);
+  /** Takes no lock, since a run asks all others while it holds its own. */
+  boolean isUsing(String targetId) {
+    Pipeline present = pipeline;
+    return !isOver && isInFlight && present != null && present.isUsing(targetId);
   }
 
   synchronized void start() {
@@ -170,6 +173,12 @@
       service.getTimer().schedule(this::admit, GRANT_RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
+    if (!isWaiting && isSoon(limited, waitedMs)) {
+      service
+          .getTimer()
+          .schedule(this::admit, Math.max(1, limited.retryAfterMs()), TimeUnit.MILLISECONDS);
+      return;
+    }
     meters.count("limited");
     finishWith(
         Problem.ofRetry(
@@ -182,6 +191,11 @@
             Math.max(1, limited.retryAfterMs())));
   }
 
+  /** A short wait inside the bound is better than a refusal that comes back at once. */
+  private static boolean isSoon(QuotaDecision.Limited limited, long waitedMs) {
+    return limited.retryAfterMs() > 0 && waitedMs + limited.retryAfterMs() <= MAX_PACING_MS;
+  }
+
   private void enterGate() {
     long goalNanos =
         call.priorityClass() == PriorityClass.INTERACTIVE
@@ -345,8 +359,7 @@
   }
 
   private void repair(String reason, String lostTarget) {
-    boolean isUntouched =
-        HttpEngineClient.NOT_SENT.equals(reason) || HttpEngineClient.REFUSED.equals(reason);
+    boolean isUntouched = HttpEngineClient.isProvedNotRun(reason);
     boolean hasProgress = session.getDeliveredCount() > firstStepOfAttempt;
     mayHaveRun |= !isUntouched;
     LOG.infof(
@@ -364,7 +377,10 @@
     isInFlight = false;
     endDispatch(isUntouched ? AttemptFailure.NOT_SENT : AttemptFailure.ENGINE, lostTarget);
     exclude(lostTarget);
-    boolean isAllowed = hasProgress || service.getControls().retries().trySpend(call.workspaceId());
+    // An attempt that never ran costs the fleet nothing, and a stream that advanced is worth more
+    // than the retry; only repeated work without result is bounded by the budget.
+    boolean isAllowed =
+        isUntouched || hasProgress || service.getControls().retries().trySpend(call.workspaceId());
     if (service.isStopping()) {
       finishWith(failed("the node stops"));
       return;
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
@@ -67,6 +67,10 @@
     }
   }
 
+  void kill(String targetId) {
+    cluster.getFleet().kill(cluster.getFleet().get(targetId).orElseThrow());
+  }
+
   void stop() {
     cluster.stop();
   }
