Fuzz whole nodes against the seven promises

Cause: the decision classes had property tests each, but none over nodes together. Change: a seeded simulation of 3 to 5 nodes with an oracle of P1 to P7 and the contracts' bounds.

--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzOracle.java
@@ -0,0 +1,350 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gooseberryhook.protocol.FakeTableService;
+import org.gooseberryhook.protocol.OnceResult;
+import org.gooseberryhook.protocol.Outcome;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.ConfigurationChange;
+import org.gooseberryhook.state.ConfigurationLogEntry;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.Pipeline;
+import org.gooseberryhook.state.Target;
+import org.gooseberryhook.state.Versioned;
+
+/**
+ * Knows the promises P1 to P7 and the invariant Q of the contracts, and nothing of how they are
+ * kept.
+ *
+ * <p>P5 and P7 hold for a node that can hear, which is checked as follows. Either the node has been
+ * awake, polling and without any fault of its table service for the whole bound; the head that it
+ * reads each second then names every accepted change. Or, since before the change was accepted, no
+ * message was lost, no node was paused, started or ended, and every node listed every other one as
+ * alive; pushes and probes then reach it. Faults of shorter reach make no claim, because a node may
+ * rightly be unaware of a change that nobody could tell it.
+ */
+final class FuzzOracle {
+
+  /** What is checked. */
+  enum Promise {
+    P1,
+    P2,
+    P3,
+    P4,
+    P5,
+    P6,
+    P7,
+    Q
+  }
+
+  private static final long MS = FuzzWorld.MS;
+  private static final long LEAVING_BOUND_NANOS = 3_000 * MS;
+  private static final long IN_FORCE_BOUND_NANOS = 10_000 * MS;
+  private static final long RELEASE_BOUND_NANOS = 2_000 * MS;
+
+  /** Clocks of nodes run up to a hundredth fast, so their buckets refill by that much more. */
+  private static final double CLOCK_SLACK = 1.011;
+
+  /** Units that rounding to whole units may add. */
+  private static final double UNIT_SLACK = 1;
+
+  final Map<Promise, Long> checks = new EnumMap<>(Promise.class);
+  final Map<String, Long> reached = new HashMap<>();
+  Promise broken;
+  String violation;
+
+  private final FuzzWorld world;
+  private final FakeTableService table;
+  private final Set<FuzzModelCall> ran = new HashSet<>();
+  private final Set<FuzzModelCall> toldNotRun = new HashSet<>();
+  private final Map<String, Integer> effects = new HashMap<>();
+  private final Set<String> effectClaims = new HashSet<>();
+  private final Set<String> toldNotRunClaims = new HashSet<>();
+  private final Map<String, Long> leavingSince = new HashMap<>();
+  private final List<Configuration> fold = new ArrayList<>(List.of(Configuration.EMPTY));
+  private final List<String> changeIds = new ArrayList<>(List.of(""));
+  private final Map<Long, Long> acceptedAt = new HashMap<>();
+  private final Set<String> refused = new HashSet<>();
+  private final Map<FuzzNode, Long> tableBad = new HashMap<>();
+  private final Map<FuzzNode, Long> lastVersions = new HashMap<>();
+  private final Map<String, Bucket> buckets = new HashMap<>();
+  private long netBad;
+  private long highestAccepted;
+
+  /** A bucket that starts full and never runs below zero while all windows keep the bound. */
+  private static final class Bucket {
+    private double requests;
+    private double tokens;
+    private Contract bound;
+    private long lastNanos;
+  }
+
+  FuzzOracle(FuzzWorld world, FakeTableService table) {
+    this.world = world;
+    this.table = table;
+  }
+
+  private void check(Promise promise, boolean isKept, String what) {
+    checks.merge(promise, 1L, Long::sum);
+    if (!isKept && violation == null) {
+      broken = promise;
+      violation = promise + " at " + world.now / MS + " ms: " + what;
+    }
+  }
+
+  void reach(String what) {
+    reached.merge(what, 1L, Long::sum);
+  }
+
+  void onToken(FuzzModelCall.Request request, int step, int tokenId) {
+    List<Integer> expected = FuzzEngines.expected(request.prompt);
+    boolean isNext = step == request.received.size() && step < expected.size();
+    check(
+        Promise.P1,
+        isNext && expected.get(step) == tokenId,
+        "token " + step + " of " + request.id + " is not what all layers in order give");
+    request.received.add(tokenId);
+  }
+
+  void onComplete(FuzzModelCall.Request request) {
+    reach("answers");
+    reach(request.resumes > 0 ? "resumed answers" : "plain answers");
+    check(
+        Promise.P2,
+        request.received.equals(FuzzEngines.expected(request.prompt)),
+        "the answer of " + request.id + " was called whole at " + request.received.size());
+  }
+
+  void onEngineRun(FuzzModelCall call) {
+    ran.add(call);
+    check(Promise.P3, !toldNotRun.contains(call), call.request.id + " ran after not-run");
+  }
+
+  void onProblem(FuzzModelCall call, Outcome outcome) {
+    reach("problems " + outcome);
+    if (outcome == Outcome.NOT_RUN) {
+      toldNotRun.add(call);
+      check(Promise.P3, !ran.contains(call), call.request.id + " had run before not-run");
+    }
+  }
+
+  void onEffect(FuzzOnceTry attempt) {
+    int count = effects.merge(attempt.key, 1, Integer::sum);
+    effectClaims.add(attempt.claimId);
+    check(Promise.P4, count == 1, count + " effects of " + attempt.key);
+    boolean isTrue = !toldNotRunClaims.contains(attempt.claimId);
+    check(Promise.P3, isTrue, attempt.claimId + " took effect after not-run");
+  }
+
+  boolean hasEffect(String key) {
+    return effects.containsKey(key);
+  }
+
+  void onOnceAnswer(FuzzOnceTry attempt, OnceResult result) {
+    reach("once " + result.outcome());
+    if (result instanceof OnceResult.NotRun) {
+      toldNotRunClaims.add(attempt.claimId);
+      boolean isTrue = !effectClaims.contains(attempt.claimId);
+      check(Promise.P3, isTrue, attempt.claimId + " had taken effect before not-run");
+    } else if (result instanceof OnceResult.Ran answer) {
+      boolean isOwn = hasEffect(attempt.key) && answer.body().equals("result of " + attempt.key);
+      check(Promise.P2, isOwn, "answer of " + attempt.key + " is " + answer.body());
+    }
+  }
+
+  void onStart(FuzzNode node, Pipeline pipeline) {
+    for (Target stage : pipeline.stages()) {
+      Long since = leavingSince.get(stage.targetId());
+      boolean mustKnow = since != null && mustKnow(node, since, LEAVING_BOUND_NANOS);
+      check(
+          Promise.P5,
+          !mustKnow,
+          node.id + " starts on " + stage.targetId() + " that leaves since " + since);
+    }
+  }
+
+  void onClearing(String targetId) {
+    leavingSince.remove(targetId);
+  }
+
+  void onPlannedEnd(FuzzNode node) {
+    reach("planned stops");
+    check(Promise.P6, node.calls.isEmpty(), node.id + " cuts off " + node.calls.size());
+    boolean isReleased = node.leases.isReleased();
+    boolean canRelease = world.now - tableBad.getOrDefault(node, 0L) > RELEASE_BOUND_NANOS;
+    check(Promise.P6, isReleased || !canRelease, node.id + " ends with leases");
+    if (isReleased) {
+      List<TableRecord> records =
+          ((TableResult.Read) table.scan("duty/", "", 10_000).join()).records();
+      for (TableRecord found : records) {
+        boolean isFree = !node.id.equals(DutyLease.ofJson(found.value()).holder());
+        check(Promise.P6, isFree, node.id + " has released but holds " + found);
+      }
+    }
+  }
+
+  void onAccepted(ConfigurationLogEntry entry) {
+    reach("accepted changes");
+    readLog();
+    boolean isLogged =
+        entry.version() < changeIds.size()
+            && changeIds.get((int) entry.version()).equals(entry.changeId());
+    check(Promise.P7, isLogged, "accepted " + entry + " is not in the log");
+    acceptedAt.putIfAbsent(entry.version(), world.now);
+    highestAccepted = Math.max(highestAccepted, entry.version());
+    if (entry.change() instanceof ConfigurationChange.SetTargetLeaving set) {
+      leavingSince.put(set.targetId(), world.now);
+    }
+  }
+
+  void onRefused(String changeId) {
+    reach("refused changes");
+    readLog();
+    refused.add(changeId);
+    check(Promise.P7, !changeIds.contains(changeId), "refused " + changeId + " is in the log");
+  }
+
+  private void readLog() {
+    ConfigurationLog.LogResult read =
+        new ConfigurationLog(table).readAfter(changeIds.size() - 1, 10_000).join();
+    for (ConfigurationLogEntry entry : ((ConfigurationLog.LogResult.Entries) read).entries()) {
+      changeIds.add(entry.changeId());
+      fold.add(fold.get(fold.size() - 1).with(entry.version(), entry.change()));
+      boolean isAllowed = !refused.contains(entry.changeId());
+      check(Promise.P7, isAllowed, entry.changeId() + " appears after it was refused");
+    }
+  }
+
+  /** Checks what must hold at any moment; to be called after every event. */
+  void step() {
+    noteHearing();
+    for (FuzzNode node : world.liveNodes()) {
+      checkConfiguration(node);
+    }
+    for (String workspace : FuzzWorld.WORKSPACES) {
+      refill(workspace);
+      checkSlots(workspace);
+    }
+  }
+
+  private void noteHearing() {
+    List<FuzzNode> live = world.liveNodes();
+    if (!world.isNetworkWhole()) {
+      netBad = world.now;
+    }
+    for (FuzzNode node : live) {
+      boolean isDeaf = node.isPaused() || world.isTableAway(node) || world.tableFaultPercent > 0;
+      if (isDeaf || node.sync.isReady() && !node.sync.isPoller()) {
+        tableBad.put(node, world.now);
+      }
+      boolean isSeeingAll = node.liveMembers().size() >= live.size();
+      if (node.isPaused() || node.isStopping || !isSeeingAll) {
+        netBad = world.now;
+      }
+    }
+  }
+
+  private boolean mustKnow(FuzzNode node, long since, long boundNanos) {
+    long deafUntil = Math.max(node.startNanos, tableBad.getOrDefault(node, 0L));
+    boolean hasReadTable = Math.max(since, deafUntil) + boundNanos < world.now;
+    boolean hasHeardPeers =
+        netBad < since && node.startNanos < since && since + boundNanos < world.now;
+    return !node.isPaused() && (hasReadTable || hasHeardPeers);
+  }
+
+  private void checkConfiguration(FuzzNode node) {
+    long version = node.inForce.version();
+    Long before = lastVersions.put(node, version);
+    if (before == null || before != version) {
+      readLog();
+      check(Promise.P7, before == null || before <= version, node.id + " reverts to " + version);
+      Configuration expected = fold.get((int) Math.min(version, fold.size() - 1));
+      boolean isSame =
+          expected.contracts().equals(node.inForce.contracts())
+              && expected.leavingTargets().equals(node.inForce.leavingTargets());
+      check(Promise.P7, isSame, node.id + " has another content of version " + version);
+    }
+    for (long missing = version + 1; missing <= highestAccepted; missing++) {
+      Long since = acceptedAt.get(missing);
+      boolean isLate = since != null && mustKnow(node, since, IN_FORCE_BOUND_NANOS);
+      check(Promise.P7, !isLate, node.id + " has version " + version + " without " + missing);
+    }
+  }
+
+  /** The bounds are the highest that any node has in force; a change starts with a full burst. */
+  private Contract highestBound(String workspace) {
+    Contract highest = null;
+    for (FuzzNode node : world.liveNodes()) {
+      Versioned<Contract> found = node.inForce.contracts().get(workspace);
+      if (found != null
+          && (highest == null || found.value().requestsPerSecond() > highest.requestsPerSecond())) {
+        highest = found.value();
+      }
+    }
+    return highest;
+  }
+
+  private Bucket refill(String workspace) {
+    Bucket bucket = buckets.computeIfAbsent(workspace, id -> new Bucket());
+    Contract bound = highestBound(workspace);
+    if (bound != null && !bound.equals(bucket.bound)) {
+      bucket.bound = bound;
+      bucket.requests = bound.requestBurst();
+      bucket.tokens = bound.tokenBurst();
+    }
+    if (bucket.bound != null) {
+      double seconds = CLOCK_SLACK * (world.now - bucket.lastNanos) / 1e9;
+      add(bucket, seconds * bucket.bound.requestsPerSecond());
+      addTokens(bucket, seconds * bucket.bound.tokensPerSecond());
+    }
+    bucket.lastNanos = world.now;
+    return bucket;
+  }
+
+  private static void add(Bucket bucket, double requests) {
+    bucket.requests = Math.min(bucket.bound.requestBurst(), bucket.requests + requests);
+  }
+
+  private static void addTokens(Bucket bucket, double tokens) {
+    bucket.tokens = Math.min(bucket.bound.tokenBurst(), bucket.tokens + tokens);
+  }
+
+  void onAdmitted(String workspace, long tokens) {
+    reach("admissions");
+    Bucket bucket = refill(workspace);
+    bucket.requests--;
+    bucket.tokens -= tokens;
+    boolean isKept = bucket.requests >= -UNIT_SLACK && bucket.tokens >= -UNIT_SLACK;
+    check(
+        Promise.Q,
+        isKept,
+        workspace + " over by " + -bucket.requests + " requests, " + -bucket.tokens + " tokens");
+  }
+
+  void onSettled(String workspace, long requestsBack, long tokensBack) {
+    Bucket bucket = refill(workspace);
+    add(bucket, requestsBack);
+    addTokens(bucket, tokensBack);
+  }
+
+  private void checkSlots(String workspace) {
+    long running = 0;
+    for (FuzzNode node : world.liveNodes()) {
+      for (FuzzModelCall call : node.calls) {
+        running += call.isHoldingSlot(workspace) ? 1 : 0;
+      }
+    }
+    check(
+        Promise.Q,
+        running <= FuzzWorld.MAX_CONCURRENT,
+        workspace + " runs " + running + " requests at the same time");
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzWorld.java
@@ -0,0 +1,413 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.gooseberryhook.protocol.FakeTableService;
+import org.gooseberryhook.protocol.PeerMessage;
+import org.gooseberryhook.state.Configuration;
+import org.gooseberryhook.state.ConfigurationChange;
+import org.gooseberryhook.state.Contract;
+import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.NodeId;
+import org.gooseberryhook.state.PriorityClass;
+import org.gooseberryhook.state.Versioned;
+
+/** Nodes, engines, services, table and network in simulated time, all driven by one seed. */
+final class FuzzWorld {
+
+  static final long MS = 1_000_000L;
+  static final int MAX_CONCURRENT = 8;
+  static final List<String> WORKSPACES = List.of("fixed", "edited");
+  private static final long START_MS = 4_000;
+  private static final long ACTIVE_MS = 30_000;
+  private static final long CALM_MS = 14_000;
+  private static final int ACTIONS = 110;
+  private static final int MAX_RESUMES = 3;
+
+  /** The nodes as they are, or broken on purpose in one way. */
+  enum Variant {
+    CORRECT,
+    NO_RECEIPT_CHECK,
+    ANY_END_COMPLETES,
+    ALWAYS_NOT_RUN,
+    REPEATS_DISPATCH,
+    IGNORES_LEAVING,
+    EXITS_AT_ONCE,
+    TAKES_ANY_SNAPSHOT,
+    IGNORES_GRANT_EXPIRY
+  }
+
+  /** Kinds of actions; kinds that are listed twice are drawn twice as often. */
+  enum Kind {
+    CALLS,
+    CRASHING_CALL,
+    ONCE,
+    KILL,
+    PAUSE,
+    PARTITION,
+    LOSS,
+    TABLE_AWAY,
+    TABLE_FAULTS,
+    EDIT,
+    STOP_NODE,
+    STOP_TARGET,
+    KILL_TARGET,
+    ENGINE_FAULTS
+  }
+
+  /** One action; the meaning of the numbers depends on the kind. */
+  record Action(long atMs, Kind kind, int a, int b, int c) {}
+
+  private record Event(long atNanos, long order, Runnable action) {}
+
+  final SplittableRandom random;
+  final Variant variant;
+  final FuzzOracle oracle;
+  final FuzzEngines engines;
+  long now = 1_700_000_000_000L * MS;
+  int tableFaultPercent;
+  int engineFaultPercent;
+  long steps;
+  long traceHash;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparing(Event::order));
+  private final FakeTableService table = new FakeTableService();
+  private final FuzzNode[] nodes;
+  private List<FuzzNode> live = List.of();
+  private final long endNanos;
+  private int sides;
+  private int tableCut;
+  private int lossPercent;
+  private long tableAwayUntil;
+  private long order;
+  private long ids;
+
+  FuzzWorld(long seed, Variant variant, List<Action> actions) {
+    this.random = new SplittableRandom(seed);
+    this.variant = variant;
+    this.oracle = new FuzzOracle(this, table);
+    this.engines = new FuzzEngines(this);
+    this.nodes = new FuzzNode[3 + random.nextInt(3)];
+    submitFirst();
+    for (int index = 0; index < nodes.length; index++) {
+      start(index);
+    }
+    long startNanos = now;
+    actions.forEach(action -> at(action.atMs() * MS, () -> act(action)));
+    at((START_MS + ACTIVE_MS) * MS, this::heal);
+    for (long atMs = START_MS + ACTIVE_MS; atMs < START_MS + ACTIVE_MS + CALM_MS; atMs += 500) {
+      at(atMs * MS, () -> call(random.nextInt(100), "calm"));
+    }
+    endNanos = startNanos + (START_MS + ACTIVE_MS + CALM_MS) * MS;
+  }
+
+  /** Draws the actions of a seed. */
+  static List<Action> actionsOf(long seed) {
+    SplittableRandom random = new SplittableRandom(~seed);
+    Kind[] kinds = Kind.values();
+    List<Action> actions = new ArrayList<>();
+    for (int i = 0; i < ACTIONS; i++) {
+      // More than half of the actions are requests, so that faults find some in flight.
+      int dice = random.nextInt(100);
+      Kind kind =
+          dice < 45 ? Kind.CALLS : dice < 60 ? Kind.ONCE : kinds[random.nextInt(kinds.length)];
+      long atMs = START_MS + random.nextLong(ACTIVE_MS);
+      actions.add(
+          new Action(atMs, kind, random.nextInt(1000), random.nextInt(1000), random.nextInt(1000)));
+    }
+    actions.sort(Comparator.comparingLong(Action::atMs));
+    return actions;
+  }
+
+  /** Runs until the end or the first violation. */
+  FuzzOracle run() {
+    while (!events.isEmpty() && events.peek().atNanos() <= endNanos && oracle.violation == null) {
+      Event event = events.poll();
+      now = event.atNanos();
+      event.action().run();
+      oracle.step();
+      steps++;
+      traceHash = traceHash * 31 + now;
+    }
+    return oracle;
+  }
+
+  void at(long delay, Runnable action) {
+    events.add(new Event(now + delay, order++, action));
+  }
+
+  long nextId() {
+    return ids++;
+  }
+
+  static String addressOf(int index) {
+    return "10.0.0." + index + ":7000";
+  }
+
+  List<String> addresses() {
+    List<String> addresses = new ArrayList<>();
+    for (int index = 0; index < nodes.length; index++) {
+      addresses.add(addressOf(index));
+    }
+    return addresses;
+  }
+
+  List<FuzzNode> liveNodes() {
+    return live;
+  }
+
+  boolean isTableAway(FuzzNode node) {
+    return tableAwayUntil > now || (tableCut >> node.index & 1) == 1;
+  }
+
+  boolean isNetworkWhole() {
+    return lossPercent == 0
+        && isConnected(0, 1)
+        && isConnected(0, 2)
+        && live.size() == nodes.length
+        && sides == 0;
+  }
+
+  private boolean isConnected(int a, int b) {
+    return (sides >> a & 1) == (sides >> b & 1);
+  }
+
+  /** Tells whether a connection to the address of a run is refused because the run has ended. */
+  boolean isRefusing(FuzzNode from, NodeId run) {
+    for (int index = 0; index < nodes.length; index++) {
+      if (addressOf(index).equals(run.address()) && isConnected(from.index, index)) {
+        FuzzNode there = nodes[index];
+        return there.isEnded && !run.isReplacing(there.id);
+      }
+    }
+    return false;
+  }
+
+  void send(FuzzNode from, String address, PeerMessage message) {
+    boolean isLost = random.nextInt(100) < lossPercent;
+    int copies = isLost ? 0 : random.nextInt(40) == 0 ? 2 : 1;
+    Configuration inForce = from.inForce;
+    for (int copy = 0; copy < copies; copy++) {
+      boolean isLate = lossPercent > 0 && random.nextInt(30) == 0;
+      long delay = random.nextLong(isLate ? 4_000 * MS : 10 * MS);
+      at(
+          delay,
+          () -> {
+            for (FuzzNode to : live) {
+              if (to.id.address().equals(address) && isConnected(from.index, to.index)) {
+                to.post(0, () -> to.receive(from.id, message, inForce));
+              }
+            }
+          });
+    }
+  }
+
+  private void start(int index) {
+    nodes[index] = new FuzzNode(this, index, table);
+    refreshLive();
+  }
+
+  private void refreshLive() {
+    List<FuzzNode> now = new ArrayList<>();
+    for (FuzzNode node : nodes) {
+      if (node != null && !node.isEnded) {
+        now.add(node);
+      }
+    }
+    live = List.copyOf(now);
+  }
+
+  /** Ends the process of a node; its callers go on elsewhere, and it starts again later. */
+  void end(FuzzNode node) {
+    if (node.isEnded) {
+      return;
+    }
+    node.isEnded = true;
+    refreshLive();
+    node.calls.forEach(call -> at(random.nextLong(1_000 * MS), () -> resume(call)));
+    at((200 + random.nextLong(5_000)) * MS, () -> start(node.index));
+  }
+
+  private void resume(FuzzModelCall lost) {
+    FuzzModelCall.Request request = lost.request;
+    FuzzNode node = chooseNode(random.nextInt(100));
+    if (request.current == lost && !lost.isOver && node != null && request.resumes < MAX_RESUMES) {
+      request.resumes++;
+      begin(node, request);
+    }
+  }
+
+  private static void begin(FuzzNode node, FuzzModelCall.Request request) {
+    FuzzModelCall call = new FuzzModelCall(node, request);
+    node.calls.add(call);
+    call.admit();
+  }
+
+  /** Returns a node that serves, near a number; null if none does. */
+  private FuzzNode chooseNode(int number) {
+    for (int offset = 0; offset < live.size(); offset++) {
+      FuzzNode node = live.get((number + offset) % live.size());
+      if (node.sync.isReady() && !node.isPaused()) {
+        return node;
+      }
+    }
+    return null;
+  }
+
+  private void call(int number, String prompt) {
+    FuzzNode node = chooseNode(number);
+    if (node != null) {
+      String workspace = WORKSPACES.get(random.nextInt(WORKSPACES.size()));
+      String full = prompt + " " + (prompt.equals("crash") ? number % 3 : random.nextInt(1000));
+      begin(node, new FuzzModelCall.Request("r" + nextId(), workspace, full));
+    }
+  }
+
+  private void heal() {
+    sides = 0;
+    tableCut = 0;
+    lossPercent = 0;
+    tableAwayUntil = 0;
+    tableFaultPercent = 0;
+    engineFaultPercent = 0;
+    live.forEach(node -> node.pausedUntil = now);
+  }
+
+  private void act(Action action) {
+    FuzzNode node = chooseNode(action.a());
+    if (node == null) {
+      return;
+    }
+    long durationNanos = (200 + action.b() * 8L) * MS;
+    switch (action.kind()) {
+      case CALLS -> {
+        for (int i = 0; i <= action.b() % 8; i++) {
+          call(action.a() + action.c() % (i + 1), "prompt");
+        }
+      }
+      case CRASHING_CALL -> {
+        for (int i = 0; i < 4; i++) {
+          at(i * 700 * MS, () -> call(action.b(), "crash"));
+        }
+      }
+      case ONCE -> {
+        for (int i = 0; i <= action.c() % 3; i++) {
+          at(i * (action.b() % 2) * 1_500 * MS, () -> once(action));
+        }
+      }
+      case KILL -> end(node);
+      case PAUSE -> pause(node, durationNanos);
+      case STOP_NODE -> node.stop();
+      case EDIT -> {
+        edit(node, action.c());
+        edit(chooseNode(action.b()), action.c() + 1);
+      }
+      case STOP_TARGET -> stopTarget(node, action);
+      case KILL_TARGET -> engines.kill(targetOf(action), durationNanos);
+      default -> disturb(action, durationNanos);
+    }
+  }
+
+  private void disturb(Action action, long durationNanos) {
+    switch (action.kind()) {
+      case PARTITION -> {
+        sides = action.a() % (1 << nodes.length);
+        tableCut = action.c() % (1 << nodes.length) & sides;
+        at(
+            durationNanos,
+            () -> {
+              sides = 0;
+              tableCut = 0;
+            });
+      }
+      case LOSS -> {
+        lossPercent = 1 + action.a() % 40;
+        at(durationNanos, () -> lossPercent = 0);
+      }
+      case TABLE_AWAY -> tableAwayUntil = now + durationNanos;
+      case TABLE_FAULTS -> {
+        tableFaultPercent = 5 + action.a() % 40;
+        at(durationNanos, () -> tableFaultPercent = 0);
+      }
+      default -> {
+        engineFaultPercent = 1 + action.a() % 12;
+        at(durationNanos, () -> engineFaultPercent = 0);
+      }
+    }
+  }
+
+  private void pause(FuzzNode node, long durationNanos) {
+    node.pausedUntil = now + durationNanos;
+    List.copyOf(node.calls)
+        .forEach(
+            call ->
+                at(
+                    1_000 * MS,
+                    () -> {
+                      if (node.isPaused()) {
+                        resume(call);
+                      }
+                    }));
+  }
+
+  private void once(Action action) {
+    FuzzNode node = chooseNode(random.nextInt(100));
+    if (node != null) {
+      new FuzzOnceTry(node, "once/w/s/k" + action.a() % 8, "claim" + nextId());
+    }
+  }
+
+  private String targetOf(Action action) {
+    return engines.targets.get(action.c() % engines.targets.size()).targetId();
+  }
+
+  private void stopTarget(FuzzNode node, Action action) {
+    String targetId = targetOf(action);
+    // Half of the fleet stays, so that requests go on.
+    if (targetId.compareTo("t2") >= 0) {
+      return;
+    }
+    node.submit("x" + nextId(), new ConfigurationChange.SetTargetLeaving(targetId, "plan"), 0);
+  }
+
+  private void edit(FuzzNode node, int number) {
+    Versioned<Contract> seen = node.inForce.contracts().get("edited");
+    Contract contract = contractOf("edited", 10 + number % 30);
+    node.submit("x" + nextId(), new ConfigurationChange.PutContract(contract), seen.version());
+  }
+
+  private static Contract contractOf(String workspace, int rate) {
+    return new Contract(
+        workspace,
+        PriorityClass.INTERACTIVE,
+        rate,
+        rate / 2.0,
+        rate * 18,
+        rate * 9,
+        MAX_CONCURRENT,
+        null,
+        null,
+        1,
+        1,
+        20,
+        8_000,
+        null);
+  }
+
+  private void submitFirst() {
+    ConfigurationWriter writer = new ConfigurationWriter(table);
+    ModelSpec model = new ModelSpec("m", "1", FuzzEngines.LAYERS, 1, 4);
+    List<ConfigurationChange> changes = new ArrayList<>();
+    changes.add(new ConfigurationChange.PutModel(model));
+    for (String workspace : WORKSPACES) {
+      changes.add(new ConfigurationChange.PutContract(contractOf(workspace, 20)));
+    }
+    for (ConfigurationChange change : changes) {
+      writer.submit("first" + nextId(), "operator", 0, change, 0).join();
+    }
+  }
+}
