Keep the order of pipelines the same in each process

Cause: Map.copyOf iterates in an order that differs between processes, so equal seeds of the fuzz gave different routes. Conclusion: a failing seed of the fuzz can be run again.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -182,7 +183,10 @@
     if (entries.isEmpty()) {
       models.remove(key);
     } else {
-      models.put(key, new Snapshot(List.copyOf(entries.values()), Map.copyOf(entries)));
+      // Map.copyOf would iterate in another order in each process, and routing depends on the
+      // order.
+      Map<String, PipelineEntry> byId = Collections.unmodifiableMap(entries);
+      models.put(key, new Snapshot(List.copyOf(entries.values()), byId));
     }
   }
 
