Let no planned stop of a node cut off accepted calls

Cause: a draining node went on accepting calls while it waited for the release of its leases, or under steady traffic until the drain timeout, and cut them off at the end; it did not wait for once-only calls at all. Change: when the addresses given out have expired, new calls are refused as not-run; the node then waits for model calls and once-only calls, lets the last answers reach the network and releases. Conclusion: what a node accepted before its stop is answered within the drain timeout.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -32,6 +32,7 @@
   private static final long POLL_PERIOD_MS = 5;
   private static final long CRASH_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final int MAX_CRASH_TARGETS = 10_000;
+  private static final long RETRY_AFTER_MS = 1_000;
 
   private final EngineClient engines;
   private final CallControls controls;
@@ -41,6 +42,7 @@
   private final Map<String, ModelCallRun> runsByKey = new ConcurrentHashMap<>();
   private final Map<String, Long> lastDeathNanos = new ConcurrentHashMap<>();
   private ScheduledFuture<?> poll;
+  private volatile boolean isRefusing;
   private volatile boolean isStopping;
 
   /**
@@ -96,9 +98,21 @@
               ProblemKind.CONFLICT, "request id " + call.requestId() + " is already running here"));
       return;
     }
+    // Looked at after the run is counted, so that a stop either refuses the run or waits for it.
+    if (isRefusing) {
+      remove(run);
+      sink.onProblem(
+          Problem.ofRetry(ProblemKind.NOT_READY, "the node is stopping", RETRY_AFTER_MS));
+      return;
+    }
     run.start();
   }
 
+  /** Refuses new calls from now on; running ones go on with repairs. */
+  public void refuseNew() {
+    isRefusing = true;
+  }
+
   /**
    * Cancels a running call.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import okhttp3.OkHttpClient;
 import org.gooseberryhook.coordination.ConfigurationLog;
@@ -56,6 +57,10 @@
   private static final long CRASH_SPREAD_MS = 5_000;
   private static final long DRAIN_CHECK_MS = 50;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
+
+  /** A call is no longer counted shortly before its answer is on the network. */
+  private static final long ANSWER_FLUSH_MS = 200;
+
   private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
   private static final int HOME_COUNT = 3;
   private static final int MAX_ADDRESSES = 9;
@@ -207,10 +212,11 @@
   }
 
   /**
-   * Stops gracefully: the node leaves the address answers, serves those who still come, waits for
-   * its streams, releases its leases and stops.
+   * Stops gracefully: the node leaves the address answers, serves those who still come until their
+   * addresses expire, refuses later ones, waits for its streams and once-only calls, releases its
+   * leases and stops.
    *
-   * @return number of streams that the drain timeout cut off
+   * @return number of calls that the drain timeout cut off
    */
   public int drain() {
     LOG.infof("node %s drains %d requests", self.address(), modelCalls.getRunningCount());
@@ -219,25 +225,25 @@
     quota.release();
     long deadlineNanos =
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs());
-    long quietNanos =
-        System.nanoTime()
-            + Math.min(
-                TimeUnit.MILLISECONDS.toNanos(CallerApi.ADDRESS_VALIDITY_MS),
-                TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs() / 2));
-    while (System.nanoTime() - deadlineNanos < 0
-        && (modelCalls.getRunningCount() > 0 || System.nanoTime() - quietNanos < 0)) {
-      sleep(DRAIN_CHECK_MS);
-    }
-    int cutOff = modelCalls.getRunningCount();
+    long quietMs = Math.min(CallerApi.ADDRESS_VALIDITY_MS, settings.node().drainTimeoutMs() / 2);
+    awaitUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(quietMs), () -> false);
+    // A call that is accepted during the waits below would be cut off at their end.
+    modelCalls.refuseNew();
+    onceCalls.refuseNew();
+    awaitUntil(deadlineNanos, () -> getOpenCalls() == 0);
+    int cutOff = getOpenCalls();
+    awaitUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_FLUSH_MS), () -> false);
     long releaseNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
-    while (!quota.isReleased() && System.nanoTime() - releaseNanos < 0) {
-      sleep(DRAIN_CHECK_MS);
-    }
+    awaitUntil(releaseNanos, quota::isReleased);
     stop();
     LOG.infof("node %s stopped; %d requests were cut off", self.address(), cutOff);
     return cutOff;
   }
 
+  private int getOpenCalls() {
+    return modelCalls.getRunningCount() + onceCalls.getOpenCount();
+  }
+
   /** Stops the node at once. */
   public void stop() {
     callerApi.stop();
@@ -361,9 +367,11 @@
     }
   }
 
-  private static void sleep(long ms) {
+  private static void awaitUntil(long deadlineNanos, BooleanSupplier isDone) {
     try {
-      Thread.sleep(ms);
+      while (!isDone.getAsBoolean() && System.nanoTime() - deadlineNanos < 0) {
+        Thread.sleep(DRAIN_CHECK_MS);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/OnceCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/OnceCallService.java
@@ -109,6 +109,20 @@
     executor.prestartCoreThread();
   }
 
+  /** Refuses new calls from now on; callers that wait are answered. */
+  public void refuseNew() {
+    isStopping = true;
+  }
+
+  /**
+   * Returns the number of callers that wait for an answer.
+   *
+   * @return the count
+   */
+  public int getOpenCount() {
+    return open.size();
+  }
+
   /**
    * Refuses new calls, waits for those that run and ends the thread. Callers that still wait then
    * are told {@code unknown}; background work is dropped.
@@ -116,7 +130,7 @@
    * @param timeoutMs longest wait in milliseconds
    */
   public void stop(long timeoutMs) {
-    isStopping = true;
+    refuseNew();
     CompletableFuture.allOf(open.toArray(CompletableFuture[]::new))
         .completeOnTimeout(null, timeoutMs, TimeUnit.MILLISECONDS)
         .join();
@@ -186,6 +200,11 @@
     CompletableFuture<OnceResult> result = new CompletableFuture<>();
     open.add(result);
     result.whenComplete((value, error) -> open.remove(result));
+    // Looked at again after the call is counted, so that a stop refuses the call or waits for it.
+    if (isStopping) {
+      result.complete(new OnceResult.NotRun(stopping()));
+      return result;
+    }
     try {
       executor.execute(
           () -> {
@@ -193,8 +212,7 @@
             new OnceCallRun(this, subject, body, call, result).begin(first, usedNanos);
           });
     } catch (RejectedExecutionException e) {
-      result.complete(
-          new OnceResult.NotRun(Problem.of(ProblemKind.NOT_READY, "the node is stopping")));
+      result.complete(new OnceResult.NotRun(stopping()));
     }
     return result;
   }
@@ -214,7 +232,7 @@
 
   private Problem findProblem(OnceCallRun.Subject subject, ServiceSpec spec) {
     if (isStopping) {
-      return Problem.of(ProblemKind.NOT_READY, "the node is stopping");
+      return stopping();
     } else if (open.size() >= MAX_CALLS) {
       return Problem.ofRetry(
           ProblemKind.OVERLOADED, "too many once-only calls wait", RETRY_AFTER_MS);
@@ -233,6 +251,10 @@
     return null;
   }
 
+  private static Problem stopping() {
+    return Problem.ofRetry(ProblemKind.NOT_READY, "the node is stopping", RETRY_AFTER_MS);
+  }
+
   /** Counts a run as background work from its answer until it is done. */
   void update(OnceCallRun run) {
     if (run.isDone()) {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/OnceCallServiceTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/OnceCallServiceTest.java
@@ -71,6 +71,16 @@
             refused -> assertThat(refused.problem().kind()).isEqualTo(ProblemKind.KEY_REUSED));
   }
 
+  /** Guards against callers that a planned stop leaves without their answer. */
+  @Test
+  void callsAcceptedBeforeAStopAreAnsweredAndLaterOnesAreNotRun() {
+    CompletableFuture<OnceResult> early = call(0, "early", "body");
+    nodes.get(0).refuseNew();
+    assertThat(call(0, "late", "body").join().outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(early.join()).isEqualTo(new OnceResult.Ran(200, "add 1"));
+    assertThat(plain.getEffects("w/late")).isZero();
+  }
+
   /** Guards against untrue answers when the store or the service fails. */
   @Test
   void failuresOfStoreAndServiceAreToldTruly() {
