--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -356,7 +356,7 @@
   private void tick() {
     long nowNanos = System.nanoTime();
     send(membership.onTick(nowNanos, random));
-    sync.onTick(nowNanos);
+    send(sync.onTick(nowNanos));
   }
 
   private void applySoon() {
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ClusterServiceTest.java
@@ -0,0 +1,53 @@
+package org.gooseberryhook.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhook.coordination.ConfigurationLog;
+import org.gooseberryhook.coordination.Membership;
+import org.gooseberryhook.protocol.ConfigurationMessage.SnapshotAsk;
+import org.gooseberryhook.protocol.ConfigurationMessage.SnapshotPart;
+import org.gooseberryhook.protocol.FakeTableService;
+import org.gooseberryhook.protocol.PeerMessage;
+import org.gooseberryhook.state.ConfigurationStore;
+import org.gooseberryhook.state.Member;
+import org.gooseberryhook.state.MemberStatus;
+import org.gooseberryhook.state.NodeId;
+import org.junit.jupiter.api.Test;
+
+class ClusterServiceTest {
+
+  /** Guards against a snapshot that stays incomplete because one of its parts was lost. */
+  @Test
+  void aLostPartOfASnapshotIsAskedForAgain() throws InterruptedException {
+    Member self = new Member(NodeId.of("10.0.0.1:1", 1), "p", "r", "c", MemberStatus.ALIVE, 0);
+    FakeTableService table = new FakeTableService();
+    table.setFault(FakeTableService.Fault.AWAY);
+    ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    BlockingQueue<PeerMessage> asks = new LinkedBlockingQueue<>();
+    ClusterService cluster =
+        new ClusterService(
+            new Membership(self, List.of()),
+            new ConfigurationStore(),
+            new ConfigurationLog(table),
+            timer,
+            new Random(1));
+    cluster.start(
+        (address, message) -> {
+          if (message instanceof SnapshotAsk) {
+            asks.add(message);
+          }
+        });
+    cluster.onMessage(NodeId.of("10.0.0.2:1", 1), new SnapshotPart(7, 0, 2, List.of()));
+    assertThat(asks.poll(10, TimeUnit.SECONDS)).isEqualTo(new SnapshotAsk(7, 1));
+    assertThat(asks.poll(10, TimeUnit.SECONDS)).isEqualTo(new SnapshotAsk(7, 1));
+    cluster.stop();
+    timer.shutdownNow();
+  }
+}
