--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzOnceTry.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzOnceTry.java
@@ -31,6 +31,7 @@
         new OnceCall(
             new OnceRequest(claimId, node.id.address(), "d", true, deadline, world.now / MS),
             node.random);
+    node.onceTries.add(this);
     tickAt(deadline);
     give(new OnceEvent.Start());
   }
@@ -47,6 +48,7 @@
 
   private void execute(OnceDecision decision) {
     if (decision instanceof OnceDecision.Answer answer) {
+      node.onceTries.remove(this);
       world.oracle.onOnceAnswer(this, answer.result());
     } else if (decision instanceof OnceDecision.WaitUntil wait) {
       tickAt(wait.nanos());
