--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -375,8 +375,8 @@
   private void tick() {
     long nowNanos = System.nanoTime();
     send(membership.onTick(nowNanos, random));
-    sync.onTick(nowNanos);
     disconnectDead();
+    send(sync.onTick(nowNanos));
   }
 
   private void applySoon() {
