Share one lease service among duties and bound its transactions

Cause: QuotaService drove the lease keeper alone, so placement and order leases would have needed keepers and renewals of their own. A renewal of more than 100 leases was one transaction, which the table service refuses, so all leases of such a node ended. Change: LeaseService drives one keeper for all duties. Renewals and releases are split into transactions of at most 100 operations. The time to live grows from 3 s to 15 s with the number of nodes; it is written into the lease record, so that an acquirer that sees a smaller cluster still waits for the whole time, and it never shrinks within a run. Conclusion: both new tests fail without the split and without the wait for the recorded time.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLease.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLease.java
@@ -14,10 +14,17 @@
  * @param electors the holder and its deputies; only they may acquire the lease while the holder's
  *     VM exists
  * @param frozen whether the holder may have gone on by pledges without renewing
+ * @param ttlMs time that an acquirer must wait after it first read this renewal, in milliseconds.
+ *     It is part of the record because nodes that see different cluster sizes use different times
  * @since 0.1
  */
 public record DutyLease(
-    NodeId holder, long fencingNumber, long renewal, List<NodeId> electors, boolean frozen) {
+    NodeId holder,
+    long fencingNumber,
+    long renewal,
+    List<NodeId> electors,
+    boolean frozen,
+    long ttlMs) {
 
   /** Number of the first holder; there was none before it. */
   static final long FIRST_FENCING_NUMBER = 1;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -37,8 +37,10 @@
   /** Ended runs that are remembered; later ones push out the oldest. */
   private static final int MAX_GONE_NODES = 4_096;
 
+  private static final long NANOS_PER_MS = 1_000_000;
+
   private final NodeId self;
-  private final LeaseTiming timing;
+  private LeaseTiming timing;
   private final Map<String, LeaseEntry> entries = new TreeMap<>();
   private final LeaseCalls calls;
   private final Set<NodeId> goneNodes =
@@ -86,6 +88,19 @@
     }
   }
 
+  /**
+   * Changes the times. A shorter time to live than the present one is ignored: an acquirer that
+   * reads the shorter time would not wait for an earlier, longer renewal to run out.
+   *
+   * @param newTiming the times for the present size of the cluster
+   */
+  public synchronized void setTiming(LeaseTiming newTiming) {
+    if (newTiming.acquireWaitNanos() > timing.acquireWaitNanos()) {
+      timing = newTiming;
+      calls.setTiming(newTiming);
+    }
+  }
+
   /** Releases all leases; later ticks repeat the release until it is known to be done. */
   public synchronized void stop() {
     setDuties(Map.of());
@@ -276,8 +291,8 @@
   }
 
   private void confirm(LeaseEntry entry, LeaseEntry.Attempt attempt, long version, long nowNanos) {
-    entry.confirm(attempt, version, timing.usableNanos(), nowNanos);
-    boolean isFresh = attempt.sentNanos() + timing.usableNanos() - nowNanos > 0;
+    entry.confirm(attempt, version, nowNanos);
+    boolean isFresh = attempt.usableUntilNanos() - nowNanos > 0;
     if (entry.isHeld && entry.isAskingPledges && isFresh) {
       releasePledges(entry);
     }
@@ -364,7 +379,8 @@
     // A run that has ended can't use its lease any more, so there is nothing to wait for.
     boolean isGone = goneNodes.contains(lease.holder()) || self.isReplacing(lease.holder());
     boolean isAllowed = isGone || lease.electors().contains(self);
-    boolean isWaited = nowNanos - entry.firstReadNanos >= timing.acquireWaitNanos();
+    long waitNanos = Math.max(timing.acquireWaitNanos(), lease.ttlMs() * NANOS_PER_MS);
+    boolean isWaited = nowNanos - entry.firstReadNanos >= waitNanos;
     return isAllowed && (isGone || isWaited);
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
@@ -15,7 +15,10 @@
  */
 final class LeaseCalls {
 
-  /** Operations in one acquisition; renewals of all leases go into one transaction. */
+  /** Operations in one transaction; the table service refuses more. */
+  static final int MAX_OPERATIONS = 100;
+
+  /** Operations in one acquisition. */
   static final int MAX_ACQUISITIONS = 64;
 
   /** Reads in one tick, so that a restart of many nodes does not flood the table service. */
@@ -35,7 +38,7 @@
   record Call(long id, Kind kind, List<String> keys, List<Long> renewals, long sentNanos) {}
 
   private final NodeId self;
-  private final LeaseTiming timing;
+  private LeaseTiming timing;
   private final Map<Long, Call> calls = new HashMap<>();
   private final List<TableCall> readBacks = new ArrayList<>();
   private long lastCallId;
@@ -54,6 +57,10 @@
     return calls.remove(callId);
   }
 
+  void setTiming(LeaseTiming newTiming) {
+    timing = newTiming;
+  }
+
   void renewSoon(long nowNanos) {
     nextRenewNanos = nowNanos;
   }
@@ -79,7 +86,10 @@
     if (nowNanos - nextRenewNanos >= 0 && !isCalling(Kind.RENEW, nowNanos)) {
       nextRenewNanos = nowNanos + timing.renewEveryNanos();
       List<LeaseEntry> held = entries.stream().filter(entry -> entry.isHeld).toList();
-      addClaims(due, Kind.RENEW, held, nowNanos);
+      for (int from = 0; from < held.size(); from += MAX_OPERATIONS) {
+        int end = Math.min(held.size(), from + MAX_OPERATIONS);
+        addClaims(due, Kind.RENEW, held.subList(from, end), nowNanos);
+      }
     }
     if (nowNanos - nextReadNanos >= 0 && !isCalling(Kind.READ, nowNanos)) {
       addReads(due, entries, nowNanos);
@@ -111,7 +121,7 @@
     List<Long> renewals = new ArrayList<>();
     List<TableOperation> operations = new ArrayList<>();
     for (LeaseEntry entry : claimed) {
-      operations.add(entry.toClaim(nowNanos));
+      operations.add(entry.toClaim(timing, nowNanos));
       keys.add(entry.key);
       renewals.add(entry.getLastRenewal());
     }
@@ -151,7 +161,7 @@
     List<TableOperation> operations = new ArrayList<>();
     for (LeaseEntry entry : entries) {
       boolean isOwn = entry.lease != null && self.equals(entry.lease.holder());
-      if (entry.isReleaseDue && isOwn) {
+      if (entry.isReleaseDue && isOwn && keys.size() < MAX_OPERATIONS) {
         keys.add(entry.key);
         operations.add(entry.toRelease());
       }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseEntry.java
@@ -15,7 +15,14 @@
   /** Attempts whose outcome is not known; older ones cannot matter after their time has run out. */
   private static final int MAX_ATTEMPTS = 64;
 
-  record Attempt(DutyLease lease, long sentNanos) {}
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  record Attempt(DutyLease lease, long sentNanos, long usableNanos) {
+
+    long usableUntilNanos() {
+      return sentNanos + usableNanos;
+    }
+  }
 
   final String key;
   private final NodeId self;
@@ -83,7 +90,7 @@
   }
 
   /** Builds the write that renews the lease, or acquires it under the next fencing number. */
-  TableOperation toClaim(long nowNanos) {
+  TableOperation toClaim(LeaseTiming timing, long nowNanos) {
     long number = lease == null ? 0 : lease.fencingNumber();
     List<NodeId> electors = new ArrayList<>();
     electors.add(self);
@@ -95,11 +102,12 @@
             isHeld ? fencingNumber : number + 1,
             lastRenewal,
             electors.stream().distinct().toList(),
-            isHeld && (isAskingPledges || isSticky));
+            isHeld && (isAskingPledges || isSticky),
+            timing.acquireWaitNanos() / NANOS_PER_MS);
     if (attempts.size() >= MAX_ATTEMPTS) {
       attempts.remove(attempts.keySet().stream().min(Long::compare).orElseThrow());
     }
-    attempts.put(lastRenewal, new Attempt(claim, nowNanos));
+    attempts.put(lastRenewal, new Attempt(claim, nowNanos, timing.usableNanos()));
     requiredElectors.addAll(claim.electors());
     if (lease != null) {
       requiredElectors.addAll(lease.electors());
@@ -110,7 +118,7 @@
   TableOperation toRelease() {
     lastRenewal++;
     long number = lease == null ? fencingNumber : lease.fencingNumber();
-    DutyLease released = new DutyLease(null, number, lastRenewal, List.of(), false);
+    DutyLease released = new DutyLease(null, number, lastRenewal, List.of(), false, 0);
     return TableOperation.ofPut(key, version, released.toJson());
   }
 
@@ -125,9 +133,9 @@
   }
 
   /** Notes that an attempt is known to have taken effect and is the present record. */
-  void confirm(Attempt attempt, long newVersion, long usableNanos, long nowNanos) {
+  void confirm(Attempt attempt, long newVersion, long nowNanos) {
     setRecord(newVersion, attempt.lease(), nowNanos);
-    long until = attempt.sentNanos() + usableNanos;
+    long until = attempt.usableUntilNanos();
     boolean isLive = until - nowNanos > 0;
     if (isHeld && attempt.lease().fencingNumber() == fencingNumber) {
       usableUntilNanos = Math.max(usableUntilNanos, until);
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseTiming.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseTiming.java
@@ -13,6 +13,12 @@
 
   private static final int MARGIN_DIVISOR = 5;
   private static final int RENEWALS_PER_TTL = 3;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long MIN_TTL_SECONDS = 3;
+  private static final long MAX_TTL_SECONDS = 15;
+
+  /** At 390 nodes and 15 s the table service sees 78 renewals a second; smaller clusters fewer. */
+  private static final int NODES_PER_TTL_SECOND = 26;
 
   /**
    * Returns the times for a time to live: a margin of a fifth, and three renewals in it.
@@ -24,4 +30,16 @@
     return new LeaseTiming(
         ttlNanos - ttlNanos / MARGIN_DIVISOR, ttlNanos, ttlNanos / RENEWALS_PER_TTL);
   }
+
+  /**
+   * Returns the times for a cluster: 3 s for up to 78 nodes, growing to 15 s at 390 nodes, so that
+   * the renewals of all nodes stay below 78 transactions a second.
+   *
+   * @param nodeCount live nodes
+   * @return the times, never null
+   */
+  public static LeaseTiming ofNodes(int nodeCount) {
+    long seconds = (nodeCount + NODES_PER_TTL_SECOND - 1) / NODES_PER_TTL_SECOND;
+    return of(Math.min(MAX_TTL_SECONDS, Math.max(MIN_TTL_SECONDS, seconds)) * NANOS_PER_SECOND);
+  }
 }
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/LeaseService.java
@@ -0,0 +1,259 @@
+package org.gooseberryhook.transport;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.gooseberryhook.coordination.DutyLeaseKeeper;
+import org.gooseberryhook.coordination.DutyLeaseKeeper.HeldLease;
+import org.gooseberryhook.coordination.HomeNodes;
+import org.gooseberryhook.coordination.LeaseActions;
+import org.gooseberryhook.coordination.LeaseTiming;
+import org.gooseberryhook.coordination.OutgoingMessage;
+import org.gooseberryhook.coordination.TableCall;
+import org.gooseberryhook.protocol.PeerMessage;
+import org.gooseberryhook.protocol.PledgeMessage;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.state.NodeId;
+import org.jboss.logging.Logger;
+
+/**
+ * Drives the duty leases of a node. All duties share one keeper, so that the leases of a node are
+ * renewed together.
+ *
+ * @since 0.1
+ */
+public final class LeaseService {
+
+  private static final Logger LOG = Logger.getLogger(LeaseService.class);
+  private static final long TICK_MS = 50;
+  private static final int DEPUTY_COUNT = 2;
+
+  private final ClusterService cluster;
+  private final TableService table;
+  private final ScheduledExecutorService timer;
+  private final DutyLeaseKeeper keeper;
+  private final List<Source> sources = new CopyOnWriteArrayList<>();
+  private ScheduledFuture<?> task;
+  private boolean isStopping;
+
+  /**
+   * Creates a service without duties.
+   *
+   * @param self this node
+   * @param cluster members and messages
+   * @param table the table service
+   * @param timer runs the ticks; must not block
+   */
+  public LeaseService(
+      NodeId self, ClusterService cluster, TableService table, ScheduledExecutorService timer) {
+    this.cluster = cluster;
+    this.table = table;
+    this.timer = timer;
+    this.keeper = new DutyLeaseKeeper(self, LeaseTiming.ofNodes(1));
+    cluster.setHandler(PledgeMessage.class, this::onPledgeMessage);
+  }
+
+  /** A source of duties; what it gave last is kept when it fails. */
+  private static final class Source {
+
+    private final Function<Nodes, Map<String, List<NodeId>>> duties;
+    private Map<String, List<NodeId>> last = Map.of();
+
+    private Source(Function<Nodes, Map<String, List<NodeId>>> duties) {
+      this.duties = duties;
+    }
+
+    private Map<String, List<NodeId>> get(Nodes nodes) {
+      try {
+        last = duties.apply(nodes);
+      } catch (RuntimeException e) {
+        LOG.error("duties could not be determined; the earlier ones are kept", e);
+      }
+      return last;
+    }
+  }
+
+  /**
+   * The live nodes at one time.
+   *
+   * @param self this node
+   * @param placed all live nodes, with this one
+   * @since 0.1
+   */
+  public record Nodes(NodeId self, List<HomeNodes.PlacedNode> placed) {
+
+    /**
+     * Returns the deputies of a duty that this node should hold.
+     *
+     * @param homes all live nodes in order of preference for the duty
+     * @return the deputies, best first; empty if another node should hold the duty
+     */
+    public Optional<List<NodeId>> getDeputies(List<NodeId> homes) {
+      return homes.isEmpty() || !homes.get(0).equals(self)
+          ? Optional.empty()
+          : Optional.of(chooseDeputies(homes));
+    }
+
+    /**
+     * Returns the deputies of a duty that this node should hold, by the hash of its key.
+     *
+     * @param key key of the lease
+     * @return the deputies, best first; empty if another node should hold the duty
+     */
+    public Optional<List<NodeId>> getDeputies(String key) {
+      return getDeputies(HomeNodes.of(key, placed, placed.size()));
+    }
+
+    /** Chooses deputies in other places first, so that the loss of a place leaves an elector. */
+    private List<NodeId> chooseDeputies(List<NodeId> homes) {
+      Map<NodeId, String> placeById =
+          placed.stream()
+              .collect(Collectors.toMap(HomeNodes.PlacedNode::id, HomeNodes.PlacedNode::place));
+      Set<String> places = new HashSet<>();
+      places.add(placeById.get(homes.get(0)));
+      List<NodeId> deputies = new ArrayList<>();
+      List<NodeId> others = new ArrayList<>();
+      for (NodeId home : homes.subList(1, homes.size())) {
+        if (places.add(placeById.get(home))) {
+          deputies.add(home);
+        } else {
+          others.add(home);
+        }
+      }
+      deputies.addAll(others);
+      return List.copyOf(deputies.subList(0, Math.min(DEPUTY_COUNT, deputies.size())));
+    }
+  }
+
+  /**
+   * Adds duties.
+   *
+   * @param duties asked at each tick for the leases that this node should hold, with their
+   *     deputies; must not block
+   */
+  public void addDuties(Function<Nodes, Map<String, List<NodeId>>> duties) {
+    sources.add(new Source(duties));
+  }
+
+  /**
+   * Tells whether this node may act as the holder, on the monotonic clock. To be asked right before
+   * each act.
+   *
+   * @param key key of the lease
+   * @return true if the lease may be used
+   */
+  public boolean isHolder(String key) {
+    return keeper.isHolder(key, System.nanoTime());
+  }
+
+  /**
+   * Returns the leases that this node may use.
+   *
+   * @param prefix prefix of the keys
+   * @return a copy, by key
+   */
+  public Map<String, HeldLease> getHeld(String prefix) {
+    Map<String, HeldLease> held = new LinkedHashMap<>(keeper.getHeld(System.nanoTime()));
+    held.keySet().removeIf(key -> !key.startsWith(prefix));
+    return held;
+  }
+
+  /** Starts the ticks. */
+  public void start() {
+    task = timer.scheduleWithFixedDelay(this::safeTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Begins to release the leases; ticks go on until {@link #stop()}. */
+  public synchronized void release() {
+    isStopping = true;
+    keeper.stop();
+  }
+
+  /**
+   * Tells whether all leases are released.
+   *
+   * @return true if none is held
+   */
+  public boolean isReleased() {
+    return keeper.isReleased();
+  }
+
+  /** Stops the ticks. */
+  public void stop() {
+    if (task != null) {
+      task.cancel(false);
+    }
+  }
+
+  /**
+   * Takes the proof that a run of a node has ended, so that its leases are free.
+   *
+   * @param node the run
+   */
+  public void onNodeEnded(NodeId node) {
+    keeper.onVmGone(node);
+  }
+
+  private void safeTick() {
+    try {
+      tick();
+    } catch (RuntimeException e) {
+      LOG.error("tick of the leases failed; it runs again", e);
+    }
+  }
+
+  private synchronized void tick() {
+    if (!isStopping && cluster.isReady()) {
+      Nodes nodes = getNodes();
+      keeper.setTiming(LeaseTiming.ofNodes(nodes.placed().size()));
+      Map<String, List<NodeId>> duties = new LinkedHashMap<>();
+      sources.forEach(source -> duties.putAll(source.get(nodes)));
+      keeper.setDuties(duties);
+    }
+    LeaseActions actions = keeper.tick(System.nanoTime());
+    actions.calls().forEach(this::call);
+    for (OutgoingMessage outgoing : actions.messages()) {
+      cluster.send(outgoing.to().address(), outgoing.message());
+    }
+  }
+
+  private Nodes getNodes() {
+    return new Nodes(
+        cluster.getSelf().id(),
+        cluster.getLiveMembers().stream()
+            .map(member -> new HomeNodes.PlacedNode(member.id(), member.place()))
+            .toList());
+  }
+
+  private void call(TableCall tableCall) {
+    CompletableFuture<TableResult> result =
+        tableCall instanceof TableCall.Transact transact
+            ? table.transact(transact.operations())
+            : table.get(((TableCall.Get) tableCall).key());
+    result.thenAccept(
+        answer -> keeper.onTableResult(tableCall.callId(), answer, System.nanoTime()));
+  }
+
+  private void onPledgeMessage(NodeId sender, PeerMessage message) {
+    long nowNanos = System.nanoTime();
+    if (message instanceof PledgeMessage.PledgeAsk ask) {
+      keeper.onPledgeAsk(sender, ask, nowNanos);
+    } else if (message instanceof PledgeMessage.PledgeGiven given) {
+      keeper.onPledgeGiven(sender, given, nowNanos);
+    } else if (message instanceof PledgeMessage.PledgeRelease release) {
+      keeper.onPledgeRelease(sender, release);
+    }
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeAdminView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeAdminView.java
@@ -29,7 +29,7 @@
 
   private final ClusterService cluster;
   private final FleetService fleet;
-  private final QuotaService quota;
+  private final LeaseService leases;
   private final ModelCallService modelCalls;
   private final CrashMarkRegistry crashMarks;
   private final PipelineTable pipelines;
@@ -38,14 +38,14 @@
   NodeAdminView(
       ClusterService cluster,
       FleetService fleet,
-      QuotaService quota,
+      LeaseService leases,
       ModelCallService modelCalls,
       CrashMarkRegistry crashMarks,
       PipelineTable pipelines,
       BooleanSupplier isLeaving) {
     this.cluster = cluster;
     this.fleet = fleet;
-    this.quota = quota;
+    this.leases = leases;
     this.modelCalls = modelCalls;
     this.crashMarks = crashMarks;
     this.pipelines = pipelines;
@@ -67,7 +67,9 @@
     status.put(
         "pipelines",
         fleet.getPipelines().stream().limit(MAX_LISTED).map(Pipeline::pipelineId).toList());
-    status.put("leases", quota.getHeldLeases());
+    Map<String, Long> fencingNumbers = new LinkedHashMap<>();
+    leases.getHeld("").forEach((key, lease) -> fencingNumbers.put(key, lease.fencingNumber()));
+    status.put("leases", fencingNumbers);
     return status;
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -80,6 +80,7 @@
   private final ClusterService cluster;
   private final PeerTransport peers;
   private final FleetService fleet;
+  private final LeaseService leases;
   private final QuotaService quota;
   private final ModelCallService modelCalls;
   private final OnceCallService onceCalls;
@@ -117,11 +118,13 @@
             router,
             clients.newClient("load-report", MAX_LOAD_REPORTS, REPORT_TIMEOUT),
             timer);
-    this.quota = new QuotaService(self, cluster, table, timer);
+    this.leases = new LeaseService(self, cluster, table, timer);
+    this.quota = new QuotaService(self, cluster, leases, timer);
     RetryBudget retries = new RetryBudget();
     this.modelCalls = newModelCalls(router, retries);
     HttpPlainServiceClient services = new HttpPlainServiceClient(clients);
     this.onceCalls = newOnceCalls(table, services);
+    cluster.addEndListener(leases::onNodeEnded);
     cluster.addEndListener(quota::onNodeEnded);
     KeyIndex keys = new KeyIndex();
     cluster.addListener(keys::update);
@@ -176,7 +179,7 @@
   private AdminApi newAdminApi(TableService table, PipelineTable pipelines) {
     NodeAdminView view =
         new NodeAdminView(
-            cluster, fleet, quota, modelCalls, crashMarks, pipelines, () -> isLeaving);
+            cluster, fleet, leases, modelCalls, crashMarks, pipelines, () -> isLeaving);
     return new AdminApi(
         settings, cluster, new ConfigurationWriter(table), view, metrics, adminPool);
   }
@@ -194,6 +197,7 @@
     peers.start();
     cluster.start(peers);
     fleet.start();
+    leases.start();
     quota.start();
     onceCalls.start();
     modelCalls.start();
@@ -216,7 +220,7 @@
     LOG.infof("node %s drains %d requests", self.address(), modelCalls.getRunningCount());
     isLeaving = true;
     cluster.leave();
-    quota.release();
+    leases.release();
     long deadlineNanos =
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs());
     long quietNanos =
@@ -230,7 +234,7 @@
     }
     int cutOff = modelCalls.getRunningCount();
     long releaseNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
-    while (!quota.isReleased() && System.nanoTime() - releaseNanos < 0) {
+    while (!leases.isReleased() && System.nanoTime() - releaseNanos < 0) {
       sleep(DRAIN_CHECK_MS);
     }
     stop();
@@ -246,6 +250,7 @@
     onceCalls.stop(RELEASE_TIMEOUT_MS);
     fleet.stop();
     quota.stop();
+    leases.stop();
     cluster.stop();
     peers.stop();
     timer.shutdownNow();
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/DutyLeaseKeeperTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/DutyLeaseKeeperTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.gooseberryhook.protocol.FakeTableService;
 import org.gooseberryhook.protocol.PledgeMessage.PledgeAsk;
 import org.gooseberryhook.protocol.PledgeMessage.PledgeGiven;
@@ -86,11 +87,7 @@
 
   private void stepAlone(DutyLeaseKeeper keeper) {
     for (TableCall call : keeper.tick(now).calls()) {
-      TableResult result =
-          call instanceof TableCall.Get get
-              ? table.get(get.key()).join()
-              : table.transact(((TableCall.Transact) call).operations()).join();
-      keeper.onTableResult(call.callId(), result, now);
+      keeper.onTableResult(call.callId(), answer(call), now);
     }
   }
 
@@ -133,4 +130,52 @@
     stepAlone(keeper);
     assertThat(keeper.getHeld(now).get(KEY).fencingNumber()).isEqualTo(1);
   }
+
+  /** Guards against a transaction that the table service refuses whole, so that all leases end. */
+  @Test
+  void manyLeasesAreRenewedAndReleasedInTransactionsOfAtMost100() {
+    DutyLeaseKeeper keeper = new DutyLeaseKeeper(ids.get(0), LeaseTiming.ofNodes(9));
+    Map<String, List<NodeId>> duties = new TreeMap<>();
+    for (int index = 0; index < 250; index++) {
+      duties.put("duty/quota/" + index, List.of());
+    }
+    keeper.setDuties(duties);
+    for (int tick = 0; tick < 1_500; tick++) {
+      if (tick == 1_000) {
+        assertThat(keeper.getHeld(now)).hasSize(250);
+        keeper.stop();
+      }
+      now += 20 * MS;
+      for (TableCall call : keeper.tick(now).calls()) {
+        if (call instanceof TableCall.Transact transact) {
+          assertThat(transact.operations()).hasSizeLessThanOrEqualTo(100);
+        }
+        keeper.onTableResult(call.callId(), answer(call), now);
+      }
+    }
+    assertThat(keeper.isReleased()).isTrue();
+  }
+
+  /** Guards against two holders when nodes see different cluster sizes. */
+  @Test
+  void anAcquirerWithShortTimesWaitsAsLongAsTheRecordSays() {
+    startBoth();
+    keepers.get(0).setTiming(LeaseTiming.ofNodes(390));
+    run(2000);
+    keepers.get(1).setDuties(Map.of(KEY, List.of()));
+    long stopped = now;
+    while (now - stopped < 14_000 * MS) {
+      stepAlone(keepers.get(1));
+      now += 20 * MS;
+      boolean isSecond = keepers.get(1).isHolder(KEY, now);
+      assertThat(isSecond && keepers.get(0).isHolder(KEY, now)).isFalse();
+    }
+    assertThat(keepers.get(1).isHolder(KEY, now)).isFalse();
+  }
+
+  private TableResult answer(TableCall call) {
+    return call instanceof TableCall.Get get
+        ? table.get(get.key()).join()
+        : table.transact(((TableCall.Transact) call).operations()).join();
+  }
 }
