--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LoadQueue.java
@@ -0,0 +1,84 @@
+package org.gooseberryhook.coordination;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides which target loads next in one load slot. Places take turns, so that a place that comes
+ * back with all its targets empty does not keep the others waiting. One load runs at a time.
+ *
+ * <p>Not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class LoadQueue {
+
+  /** Time after which a load that was not confirmed gives its slot back, in nanoseconds. */
+  static final long MAX_LOAD_NANOS = 600_000_000_000L;
+
+  private final Map<String, Long> lastTurnByPlace = new HashMap<>();
+  private long lastTurn;
+  private String loadingId;
+  private long loadingSinceNanos;
+
+  /**
+   * A target that is ready to load.
+   *
+   * @param targetId the target
+   * @param place its place (zone)
+   * @since 0.1
+   */
+  public record Candidate(String targetId, String place) {}
+
+  /**
+   * Returns the target that may be ordered to load now and starts its turn.
+   *
+   * @param candidates the targets that are ready
+   * @param nowNanos monotonic time
+   * @return the target; empty if a load is under way or nothing is ready
+   */
+  public Optional<String> start(Collection<Candidate> candidates, long nowNanos) {
+    if (loadingId != null && nowNanos - loadingSinceNanos < MAX_LOAD_NANOS) {
+      return Optional.empty();
+    }
+    Optional<Candidate> next =
+        candidates.stream()
+            .min(
+                Comparator.comparingLong(
+                        (Candidate candidate) ->
+                            lastTurnByPlace.getOrDefault(candidate.place(), 0L))
+                    .thenComparing(Candidate::targetId));
+    next.ifPresent(
+        candidate -> {
+          lastTurn++;
+          lastTurnByPlace.put(candidate.place(), lastTurn);
+          loadingId = candidate.targetId();
+          loadingSinceNanos = nowNanos;
+        });
+    return next.map(Candidate::targetId);
+  }
+
+  /**
+   * Ends the turn of a target; ignored if another one has its turn.
+   *
+   * @param targetId the target
+   */
+  public void finish(String targetId) {
+    if (targetId.equals(loadingId)) {
+      loadingId = null;
+    }
+  }
+
+  /**
+   * Tells whether a target has its turn.
+   *
+   * @param targetId the target
+   * @return true if it may be ordered to load
+   */
+  public boolean isLoading(String targetId) {
+    return targetId.equals(loadingId);
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
@@ -9,6 +9,7 @@
 import org.gooseberryhook.coordination.RouteResult.NoPipeline;
 import org.gooseberryhook.coordination.RouteResult.Reason;
 import org.gooseberryhook.state.Isolation;
+import org.gooseberryhook.state.ModelSpec;
 import org.gooseberryhook.state.PipelineEntry;
 import org.gooseberryhook.state.PipelineTable;
 import org.gooseberryhook.state.PipelineTable.ModelKey;
@@ -77,6 +78,18 @@
     indexes.keySet().retainAll(keys);
   }
 
+  /**
+   * Returns the model in the version that a new request uses for its whole life.
+   *
+   * @param model the declared model
+   * @param requestId the request
+   * @return the model, with an earlier version while that one still serves
+   */
+  public ModelSpec chooseVersion(ModelSpec model, String requestId) {
+    return model.withVersion(
+        table.chooseVersion(model.modelId(), model.modelVersion(), requestId.hashCode()));
+  }
+
   /**
    * Takes a cache event, late or after a gap. An event of a target that no pipeline uses is
    * ignored.
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PlacementStepper.java
@@ -0,0 +1,173 @@
+package org.gooseberryhook.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.gooseberryhook.state.Accelerator;
+import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.PlacementPlan;
+import org.gooseberryhook.state.PlacementPlan.Replica;
+
+/**
+ * Changes the plan of one model in steps that keep it served. Missing replicas go to free targets.
+ * Where a new version finds none, one replica of an old version is converted at a time, and only
+ * while all replicas of the new version and at least one other replica serve.
+ *
+ * @since 0.1
+ */
+public final class PlacementStepper {
+
+  private final PlacementPlanner planner;
+
+  /**
+   * Creates a stepper.
+   *
+   * @param planner places the replicas of one version
+   */
+  public PlacementStepper(PlacementPlanner planner) {
+    this.planner = planner;
+  }
+
+  /**
+   * What is known when a step is decided.
+   *
+   * @param model the declared model
+   * @param present the plan in force for this model; it may hold several versions
+   * @param fleet targets that are alive, are not leaving and may be used for this model; those
+   *     without memory are kept where they are and never ordered
+   * @param isServing whether all stages of a replica report that they hold it
+   * @since 0.1
+   */
+  public record Situation(
+      ModelSpec model,
+      PlacementPlan present,
+      Collection<Accelerator> fleet,
+      Predicate<Replica> isServing) {}
+
+  /**
+   * Decides the next step.
+   *
+   * @param situation what is known
+   * @return the changed plan; empty if nothing is to be changed now
+   */
+  public Optional<PlacementPlan> next(Situation situation) {
+    Map<String, Accelerator> byId = new HashMap<>();
+    situation.fleet().forEach(accelerator -> byId.put(accelerator.targetId(), accelerator));
+    List<Replica> current = new ArrayList<>();
+    List<Replica> old = new ArrayList<>();
+    for (Replica replica : situation.present().replicas()) {
+      if (replica.stages().stream().allMatch(stage -> byId.containsKey(stage.targetId()))) {
+        boolean isCurrent = replica.modelVersion().equals(situation.model().modelVersion());
+        (isCurrent ? current : old).add(replica);
+      }
+    }
+    PlacementPlan next = decide(situation, byId, current, old);
+    return next.replicas().equals(situation.present().replicas())
+        ? Optional.empty()
+        : Optional.of(next);
+  }
+
+  private PlacementPlan decide(
+      Situation situation,
+      Map<String, Accelerator> byId,
+      List<Replica> current,
+      List<Replica> old) {
+    ModelSpec model = situation.model();
+    boolean isAllServing = current.stream().allMatch(situation.isServing());
+    if (current.size() >= model.replicas() && (isAllServing || old.isEmpty())) {
+      return planner.plan(List.of(model), byId.values(), new PlacementPlan(current, List.of()));
+    }
+    List<Accelerator> free = new ArrayList<>(byId.values());
+    Set<String> taken = targetsOf(old);
+    taken.addAll(targetsOf(current));
+    free.removeIf(a -> taken.contains(a.targetId()) || a.memoryBytes() == 0);
+    PlacementPlan filled = fill(model, current, free, byId);
+    if (filled.replicas().size() > current.size()) {
+      return join(filled, old, old.size() + " of earlier versions serve until these do");
+    }
+    boolean isOtherServing =
+        current.size() + old.stream().filter(situation.isServing()).count() > 1;
+    if (old.isEmpty() || !isAllServing || !isOtherServing) {
+      return join(filled, old, "waiting for a free target or for another replica to serve");
+    }
+    return convertOne(situation, byId, current, old, free)
+        .orElseGet(() -> join(filled, old, "no replica of an earlier version can be converted"));
+  }
+
+  private Optional<PlacementPlan> convertOne(
+      Situation situation,
+      Map<String, Accelerator> byId,
+      List<Replica> current,
+      List<Replica> old,
+      List<Accelerator> free) {
+    ModelSpec model = situation.model();
+    ModelSpec oneMore =
+        new ModelSpec(
+            model.modelId(),
+            model.modelVersion(),
+            model.layerCount(),
+            model.layerBytes(),
+            current.size() + 1);
+    Map<String, Long> oldByPlace =
+        old.stream().collect(Collectors.groupingBy(Replica::place, Collectors.counting()));
+    List<Replica> victims =
+        old.stream()
+            .sorted(
+                Comparator.comparing((Replica replica) -> situation.isServing().test(replica))
+                    .thenComparing(replica -> -oldByPlace.get(replica.place())))
+            .toList();
+    for (Replica victim : victims) {
+      List<Accelerator> own =
+          victim.stages().stream().map(stage -> byId.get(stage.targetId())).toList();
+      if (own.stream().anyMatch(accelerator -> accelerator.memoryBytes() == 0)) {
+        continue;
+      }
+      List<Accelerator> withFree = new ArrayList<>(free);
+      withFree.addAll(own);
+      for (List<Accelerator> usable : List.of(own, withFree)) {
+        PlacementPlan plan = fill(oneMore, current, usable, byId);
+        if (plan.replicas().size() > current.size()) {
+          List<Replica> rest = new ArrayList<>(old);
+          rest.remove(victim);
+          return Optional.of(join(plan, rest, "one replica of an earlier version is converted"));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private PlacementPlan fill(
+      ModelSpec model,
+      List<Replica> current,
+      List<Accelerator> free,
+      Map<String, Accelerator> byId) {
+    List<Accelerator> usable = new ArrayList<>(free);
+    targetsOf(current).forEach(targetId -> usable.add(byId.get(targetId)));
+    return planner.plan(List.of(model), usable, new PlacementPlan(current, List.of()));
+  }
+
+  private static PlacementPlan join(PlacementPlan plan, List<Replica> old, String reason) {
+    if (old.isEmpty()) {
+      return plan;
+    }
+    List<Replica> replicas = new ArrayList<>(plan.replicas());
+    replicas.addAll(old);
+    List<String> reasons = new ArrayList<>(plan.reasons());
+    reasons.add(reason);
+    return new PlacementPlan(replicas, reasons);
+  }
+
+  private static Set<String> targetsOf(List<Replica> replicas) {
+    return replicas.stream()
+        .flatMap(replica -> replica.stages().stream())
+        .map(PlacementPlan.Stage::targetId)
+        .collect(Collectors.toSet());
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/VmTarget.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/VmTarget.java
@@ -16,6 +16,8 @@
  * @param endLayer index after the last layer; 0 for a plain service
  * @param accelerator kind of accelerator; null or empty if unknown
  * @param checksFencing whether the engine refuses orders that carry an old fencing number
+ * @param memoryBytes memory for layers, in bytes; 0 if not known
+ * @param layerMicros time of one layer for one step, in microseconds; 0 if not known
  * @since 0.1
  */
 public record VmTarget(
@@ -27,7 +29,46 @@
     int firstLayer,
     int endLayer,
     String accelerator,
-    boolean checksFencing) {
+    boolean checksFencing,
+    long memoryBytes,
+    double layerMicros) {
+
+  /**
+   * Creates a target whose memory and speed are not known.
+   *
+   * @param targetId unique name of the target
+   * @param kind {@code engine} or {@code service}
+   * @param address base URL
+   * @param serves model id for an engine, service name for a plain service
+   * @param modelVersion version of the loaded model; null or empty for a plain service
+   * @param firstLayer index of the first layer; 0 for a plain service
+   * @param endLayer index after the last layer; 0 for a plain service
+   * @param accelerator kind of accelerator; null or empty if unknown
+   * @param checksFencing whether the engine refuses orders that carry an old fencing number
+   */
+  public VmTarget(
+      String targetId,
+      String kind,
+      String address,
+      String serves,
+      String modelVersion,
+      int firstLayer,
+      int endLayer,
+      String accelerator,
+      boolean checksFencing) {
+    this(
+        targetId,
+        kind,
+        address,
+        serves,
+        modelVersion,
+        firstLayer,
+        endLayer,
+        accelerator,
+        checksFencing,
+        0,
+        0);
+  }
 
   /** Kind text of a model engine. */
   public static final String ENGINE = "engine";
@@ -65,7 +106,9 @@
         isEngine ? LayerRange.of(firstLayer, endLayer) : null,
         accelerator == null ? "" : accelerator,
         checksFencing,
-        vm.isLeaving());
+        vm.isLeaving(),
+        memoryBytes,
+        layerMicros);
   }
 
   private static boolean isMissing(String text) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/ModelSpec.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/ModelSpec.java
@@ -24,4 +24,14 @@
           "model " + modelId + " needs layerCount of at least 1 and replicas of at least 0");
     }
   }
+
+  /**
+   * Returns this model with another version.
+   *
+   * @param version the version
+   * @return a copy, never null
+   */
+  public ModelSpec withVersion(String version) {
+    return new ModelSpec(modelId, version, layerCount, layerBytes, replicas);
+  }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineTable.java
@@ -101,6 +101,42 @@
     return snapshot == null ? List.of() : snapshot.list;
   }
 
+  /**
+   * Chooses the version of a new request. While an earlier version has more than one pipeline, the
+   * versions share the requests by their pipelines, so that the first pipeline of a new version is
+   * not overloaded. The last pipeline of an earlier version gets none while the declared version
+   * has one, so that its streams can end before it is converted.
+   *
+   * @param modelId the model
+   * @param declaredVersion the version that new requests should use
+   * @param requestHash spreads the requests
+   * @return a version with pipelines; the declared version if there is none
+   */
+  public String chooseVersion(String modelId, String declaredVersion, int requestHash) {
+    int declaredCount = entries(modelId, declaredVersion).size();
+    ModelKey earlier = null;
+    int earlierCount = 0;
+    for (Map.Entry<ModelKey, Snapshot> found : models.entrySet()) {
+      ModelKey key = found.getKey();
+      int count = found.getValue().list.size();
+      boolean isEarlier =
+          key.modelId().equals(modelId) && !key.modelVersion().equals(declaredVersion);
+      if (isEarlier && count > earlierCount) {
+        earlier = key;
+        earlierCount = count;
+      }
+    }
+    if (earlier == null) {
+      return declaredVersion;
+    }
+    boolean isShared = earlierCount > 1;
+    boolean isEarlierChosen =
+        declaredCount == 0
+            || (isShared
+                && Math.floorMod(requestHash, declaredCount + earlierCount) < earlierCount);
+    return isEarlierChosen ? earlier.modelVersion() : declaredVersion;
+  }
+
   /**
    * Returns one pipeline of a model version.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Target.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Target.java
@@ -17,6 +17,9 @@
  * @param accelerator kind of accelerator; empty if unknown
  * @param checksFencing whether the engine refuses orders that carry an old fencing number
  * @param isLeaving whether the target must receive no new work
+ * @param memoryBytes memory for layers, in bytes; 0 if not known, and then the target is never
+ *     ordered to load
+ * @param layerMicros time of one layer for one step, in microseconds; 0 if not known
  * @since 0.1
  */
 public record Target(
@@ -31,7 +34,55 @@
     LayerRange layers,
     String accelerator,
     boolean checksFencing,
-    boolean isLeaving) {
+    boolean isLeaving,
+    long memoryBytes,
+    double layerMicros) {
+
+  /**
+   * Creates a target whose memory and speed are not known.
+   *
+   * @param targetId unique name of the target
+   * @param vmId the VM it runs on
+   * @param place the data centre of the VM
+   * @param region the region of the place
+   * @param kind what the target runs
+   * @param address base URL
+   * @param serves model id for an engine, service name for a plain service
+   * @param modelVersion version of the loaded model; empty for a plain service
+   * @param layers the layer range held; null for a plain service
+   * @param accelerator kind of accelerator; empty if unknown
+   * @param checksFencing whether the engine refuses orders that carry an old fencing number
+   * @param isLeaving whether the target must receive no new work
+   */
+  public Target(
+      String targetId,
+      String vmId,
+      String place,
+      String region,
+      TargetKind kind,
+      String address,
+      String serves,
+      String modelVersion,
+      LayerRange layers,
+      String accelerator,
+      boolean checksFencing,
+      boolean isLeaving) {
+    this(
+        targetId,
+        vmId,
+        place,
+        region,
+        kind,
+        address,
+        serves,
+        modelVersion,
+        layers,
+        accelerator,
+        checksFencing,
+        isLeaving,
+        0,
+        0);
+  }
 
   /**
    * Creates a target.
@@ -76,7 +127,9 @@
         layers,
         accelerator,
         checksFencing,
-        leaving);
+        leaving,
+        memoryBytes,
+        layerMicros);
   }
 
   /**
@@ -105,6 +158,8 @@
         heldLayers,
         accelerator,
         checksFencing,
-        isLeaving);
+        isLeaving,
+        memoryBytes,
+        layerMicros);
   }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
@@ -61,6 +61,7 @@
   private final ConfigurationWriter writer;
   private final AdminView view;
   private final NodeMetrics metrics;
+  private final PlacementApi placement;
   private final Executor worker;
   private NettyServer server;
 
@@ -72,6 +73,7 @@
    * @param writer writes changes
    * @param view what operators see of the node
    * @param metrics metrics to expose
+   * @param placement routes of the plans
    * @param worker bounded pool for the handlers
    */
   public AdminApi(
@@ -80,6 +82,7 @@
       ConfigurationWriter writer,
       AdminView view,
       NodeMetrics metrics,
+      PlacementApi placement,
       Executor worker) {
     this.address = settings.node().adminAddress();
     this.operatorKeyDigests = settings.operators().keyDigests();
@@ -87,6 +90,7 @@
     this.writer = writer;
     this.view = view;
     this.metrics = metrics;
+    this.placement = placement;
     this.worker = worker;
   }
 
@@ -125,6 +129,7 @@
     app.delete("/admin/v1/planned-changes/{targetId}", guarded(this::cancelChange));
     app.get("/admin/v1/crash-marks", guarded(context -> sendJson(context, view.getCrashMarks())));
     app.delete("/admin/v1/crash-marks/{fingerprint}", guarded(this::clearCrashMarks));
+    placement.addTo(app, this::guarded);
     app.get("/metrics", this::getMetrics);
     app.get("/livez", context -> context.send("ok"));
     app.get("/readyz", this::getReady);
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ControlServices.java
@@ -0,0 +1,67 @@
+package org.gooseberryhook.transport;
+
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import org.gooseberryhook.protocol.TableService;
+
+/**
+ * The duties of a node that have one holder each: placement and engine orders, and the leases under
+ * which they and the other duties act.
+ *
+ * @since 0.1
+ */
+final class ControlServices {
+
+  /** Calls to engines at the same time. */
+  private static final int MAX_ENGINE_CALLS = 64;
+
+  private static final long MAX_STATE_BYTES = 64 * 1024;
+
+  private final LeaseService leases;
+  private final PlacementService placement;
+  private final EngineOrderService orders;
+
+  ControlServices(
+      NodeSettings settings,
+      ClusterService cluster,
+      FleetService fleet,
+      LeaseService leases,
+      TableService table,
+      HttpClients clients,
+      ScheduledExecutorService timer) {
+    this.leases = leases;
+    this.placement = new PlacementService(cluster, fleet, leases, table, timer);
+    HttpCaller engines =
+        new HttpCaller(
+            clients,
+            "engine-order",
+            MAX_ENGINE_CALLS,
+            Duration.ofNanos(EngineOrderService.DELIVERY_NANOS),
+            MAX_STATE_BYTES);
+    this.orders =
+        new EngineOrderService(
+            leases,
+            fleet,
+            placement,
+            engines,
+            timer,
+            settings::isFencingChecked,
+            settings.limits().maxConcurrentLoads());
+  }
+
+  PlacementApi newApi() {
+    return new PlacementApi(placement);
+  }
+
+  void start() {
+    leases.start();
+    placement.start();
+    orders.start();
+  }
+
+  void stop() {
+    orders.stop();
+    placement.stop();
+    leases.stop();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/EngineOrderService.java
@@ -0,0 +1,365 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.gooseberryhook.coordination.DutyLeaseKeeper.HeldLease;
+import org.gooseberryhook.coordination.EngineOrderKeeper;
+import org.gooseberryhook.coordination.EngineOrderKeeper.Held;
+import org.gooseberryhook.coordination.EngineOrderKeeper.Step;
+import org.gooseberryhook.coordination.LoadQueue;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.state.LayerRange;
+import org.gooseberryhook.state.NodeId;
+import org.gooseberryhook.state.Target;
+import org.jboss.logging.Logger;
+
+/**
+ * Brings engines to the state that the plans want. Each target belongs by its hash to one of a few
+ * load slots. The holder of {@code duty/load-slot/<n>} takes the order leases of the slot's targets
+ * that differ from the plan and lets one of them load at a time, so the number of loads under way
+ * over all nodes is at most the number of slots.
+ *
+ * @since 0.1
+ */
+public final class EngineOrderService {
+
+  /** Longest delivery time of an order: the whole call is given up after it. */
+  static final long DELIVERY_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private static final Logger LOG = Logger.getLogger(EngineOrderService.class);
+  private static final String SLOT_PREFIX = "duty/load-slot/";
+  private static final String ORDER_PREFIX = "duty/order/";
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final long TICK_MS = 200;
+
+  /** Targets of one slot that are drained and ordered at the same time; the others wait. */
+  private static final int MAX_JOBS_PER_SLOT = 16;
+
+  /** Time for streams to end before a target is loaded although some still run on it. */
+  private static final long MAX_DRAIN_NANOS = TimeUnit.SECONDS.toNanos(120);
+
+  private static final int HTTP_CONFLICT = 409;
+
+  private final LeaseService leases;
+  private final FleetService fleet;
+  private final PlacementService placement;
+  private final HttpCaller caller;
+  private final ScheduledExecutorService timer;
+  private final Predicate<String> isFencingChecked;
+  private final int slotCount;
+  private final Map<String, Slot> slots = new HashMap<>();
+  private final Map<String, Job> jobs = new TreeMap<>();
+  private ScheduledFuture<?> task;
+
+  /**
+   * Creates a service.
+   *
+   * @param leases holds the leases on slots and orders
+   * @param fleet the targets
+   * @param placement the plans
+   * @param caller calls engines; its timeout must be at most the longest delivery time
+   * @param timer runs the ticks; must not block
+   * @param isFencingChecked tells for a model id whether its engines refuse old fencing numbers
+   * @param slotCount loads under way at once over all nodes; the same at all nodes
+   */
+  EngineOrderService(
+      LeaseService leases,
+      FleetService fleet,
+      PlacementService placement,
+      HttpCaller caller,
+      ScheduledExecutorService timer,
+      Predicate<String> isFencingChecked,
+      int slotCount) {
+    this.leases = leases;
+    this.fleet = fleet;
+    this.placement = placement;
+    this.caller = caller;
+    this.timer = timer;
+    this.isFencingChecked = isFencingChecked;
+    this.slotCount = slotCount;
+    leases.addDuties(this::getDuties);
+  }
+
+  /** Body of an order. */
+  record LoadOrder(
+      long fencingNumber, String modelId, String modelVersion, int firstLayer, int endLayer) {}
+
+  /** A load slot in one term of its lease. */
+  private record Slot(long fencingNumber, long sinceNanos, LoadQueue queue) {}
+
+  /** A target that is brought to its wanted state in one term of its order lease. */
+  private static final class Job {
+
+    private final Target target;
+    private final String slotKey;
+    private final long sinceNanos = System.nanoTime();
+    private EngineOrderKeeper keeper;
+    private long fencingNumber;
+    private boolean isReady;
+
+    private Job(Target target, String slotKey) {
+      this.target = target;
+      this.slotKey = slotKey;
+    }
+
+    private String orderKey() {
+      return ORDER_PREFIX + target.targetId();
+    }
+  }
+
+  /** Starts the ticks. */
+  public void start() {
+    task = timer.scheduleWithFixedDelay(this::safeTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops the ticks. */
+  public void stop() {
+    if (task != null) {
+      task.cancel(false);
+    }
+  }
+
+  private String slotOf(String targetId) {
+    return SLOT_PREFIX + Math.floorMod(targetId.hashCode(), slotCount);
+  }
+
+  /** The slots by the hash of their keys; the orders go with the slot. */
+  private synchronized Map<String, List<NodeId>> getDuties(LeaseService.Nodes nodes) {
+    Map<String, List<NodeId>> duties = new LinkedHashMap<>();
+    for (int number = 0; number < slotCount; number++) {
+      String key = SLOT_PREFIX + number;
+      nodes.getDeputies(key).ifPresent(deputies -> duties.put(key, deputies));
+    }
+    for (Job job : jobs.values()) {
+      List<NodeId> deputies = duties.get(job.slotKey);
+      if (deputies != null) {
+        duties.put(job.orderKey(), deputies);
+      }
+    }
+    return duties;
+  }
+
+  private void safeTick() {
+    try {
+      tick();
+    } catch (RuntimeException e) {
+      LOG.error("tick of the engine orders failed; it runs again", e);
+    }
+  }
+
+  private synchronized void tick() {
+    long nowNanos = System.nanoTime();
+    Map<String, Held> wanted = placement.getWanted();
+    Map<String, HeldLease> heldSlots = leases.getHeld(SLOT_PREFIX);
+    takeSlots(heldSlots, nowNanos);
+    removeSettled(wanted, heldSlots, nowNanos);
+    addDifferent(wanted, heldSlots);
+    Map<String, HeldLease> heldOrders = leases.getHeld(ORDER_PREFIX);
+    for (Job job : jobs.values()) {
+      HeldLease lease = heldOrders.get(job.orderKey());
+      if (lease != null) {
+        takeTerm(job, lease, nowNanos);
+        job.keeper.setWanted(wanted.get(job.target.targetId()));
+        if (job.keeper.next(nowNanos) instanceof Step.Read) {
+          read(job);
+        }
+      }
+    }
+  }
+
+  private void takeSlots(Map<String, HeldLease> heldSlots, long nowNanos) {
+    slots.keySet().retainAll(heldSlots.keySet());
+    heldSlots.forEach(
+        (key, lease) -> {
+          Slot slot = slots.get(key);
+          if (slot == null || slot.fencingNumber() != lease.fencingNumber()) {
+            slots.put(key, new Slot(lease.fencingNumber(), nowNanos, new LoadQueue()));
+          }
+        });
+  }
+
+  private void removeSettled(
+      Map<String, Held> wanted, Map<String, HeldLease> heldSlots, long nowNanos) {
+    jobs.values()
+        .removeIf(
+            job -> {
+              boolean isDone =
+                  !wanted.containsKey(job.target.targetId())
+                      || !heldSlots.containsKey(job.slotKey)
+                      || (job.keeper != null && job.keeper.isSettled(nowNanos));
+              if (isDone && slots.containsKey(job.slotKey)) {
+                slots.get(job.slotKey).queue().finish(job.target.targetId());
+              }
+              return isDone;
+            });
+  }
+
+  private void addDifferent(Map<String, Held> wanted, Map<String, HeldLease> heldSlots) {
+    if (heldSlots.isEmpty() || wanted.isEmpty()) {
+      return;
+    }
+    Map<String, Integer> countBySlot = new HashMap<>();
+    jobs.values().forEach(job -> countBySlot.merge(job.slotKey, 1, Integer::sum));
+    for (Target engine : fleet.getEngines()) {
+      String slotKey = slotOf(engine.targetId());
+      Held planned = wanted.get(engine.targetId());
+      boolean isDifferent = planned != null && !planned.equals(FleetService.toHeld(engine));
+      if (isDifferent
+          && FleetService.isOrderable(engine)
+          && heldSlots.containsKey(slotKey)
+          && !jobs.containsKey(engine.targetId())
+          && countBySlot.merge(slotKey, 1, Integer::sum) <= MAX_JOBS_PER_SLOT) {
+        jobs.put(engine.targetId(), new Job(engine, slotKey));
+      }
+    }
+  }
+
+  private void takeTerm(Job job, HeldLease lease, long nowNanos) {
+    if (job.keeper == null || job.fencingNumber != lease.fencingNumber()) {
+      job.fencingNumber = lease.fencingNumber();
+      job.isReady = false;
+      job.keeper =
+          new EngineOrderKeeper(
+              isFencingChecked.test(job.target.serves()),
+              lease.fencingNumber(),
+              DELIVERY_NANOS,
+              nowNanos);
+    }
+  }
+
+  private void read(Job job) {
+    EngineOrderKeeper keeper = job.keeper;
+    caller
+        .call(new Request.Builder().url(job.target.address() + "/v1/state"))
+        .thenAccept(exchange -> onRead(job, keeper, exchange));
+  }
+
+  private synchronized void onRead(Job job, EngineOrderKeeper keeper, HttpCaller.Exchange answer) {
+    if (job.keeper != keeper) {
+      return;
+    }
+    long nowNanos = System.nanoTime();
+    JsonNode state = toState(answer);
+    Optional<Held> held = state == null ? Optional.empty() : Optional.of(toHeld(state));
+    boolean isRight = held.isPresent() && held.get().equals(wantedOf(job));
+    if (state != null) {
+      fleet.onReport(job.target, state, nowNanos);
+    }
+    Slot slot = slots.get(job.slotKey);
+    if (isRight && slot != null) {
+      slot.queue().finish(job.target.targetId());
+    }
+    job.isReady = held.isPresent() && !isRight && isDrained(job, state, nowNanos);
+    // An unread state keeps the keeper from ordering before the target and its slot are free.
+    boolean isOrderAllowed = isRight || (job.isReady && isTurn(job, nowNanos));
+    Step step = keeper.onRead(isOrderAllowed ? held : Optional.empty(), nowNanos);
+    if (step instanceof Step.Order order) {
+      send(job, keeper, order);
+    }
+  }
+
+  private Held wantedOf(Job job) {
+    return placement.getWanted().get(job.target.targetId());
+  }
+
+  /** New work stops when all nodes know the plan; then the streams may end. */
+  private boolean isDrained(Job job, JsonNode state, long nowNanos) {
+    boolean isQuiet = state.path("chains").asInt() == 0;
+    boolean isTimeOver = nowNanos - job.sinceNanos >= MAX_DRAIN_NANOS;
+    return placement.getSpreadNanos() > 0 && (isQuiet || isTimeOver);
+  }
+
+  private boolean isTurn(Job job, long nowNanos) {
+    Slot slot = slots.get(job.slotKey);
+    // An order of the slot's earlier holder may still be on its way.
+    if (slot == null || nowNanos - slot.sinceNanos() < DELIVERY_NANOS) {
+      return false;
+    }
+    if (slot.queue().isLoading(job.target.targetId())) {
+      return true;
+    }
+    List<LoadQueue.Candidate> ready = new ArrayList<>();
+    for (Job other : jobs.values()) {
+      if (other.isReady && other.slotKey.equals(job.slotKey)) {
+        ready.add(new LoadQueue.Candidate(other.target.targetId(), other.target.place()));
+      }
+    }
+    return slot.queue().start(ready, nowNanos).filter(job.target.targetId()::equals).isPresent();
+  }
+
+  private void send(Job job, EngineOrderKeeper keeper, Step.Order order) {
+    LayerRange layers = order.wanted().layers();
+    byte[] body;
+    try {
+      body =
+          Json.MAPPER.writeValueAsBytes(
+              new LoadOrder(
+                  order.fencingNumber(),
+                  order.wanted().modelId(),
+                  order.wanted().modelVersion(),
+                  layers.firstLayer(),
+                  layers.endLayer()));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("order cannot be written as JSON", e);
+    }
+    if (!leases.isHolder(job.orderKey()) || !leases.isHolder(job.slotKey)) {
+      keeper.onOrdered(false);
+      return;
+    }
+    LOG.infof("target %s is ordered to load %s", job.target.targetId(), order.wanted());
+    caller
+        .call(
+            new Request.Builder()
+                .url(job.target.address() + "/v1/orders")
+                .post(RequestBody.create(body, JSON)))
+        .thenAccept(exchange -> onOrdered(job, keeper, exchange));
+  }
+
+  private synchronized void onOrdered(
+      Job job, EngineOrderKeeper keeper, HttpCaller.Exchange exchange) {
+    boolean isRefused =
+        exchange instanceof HttpCaller.Exchange.Answered answered
+            && answered.status() == HTTP_CONFLICT;
+    if (!keeper.onOrdered(isRefused) && job.keeper == keeper) {
+      LOG.warnf("target %s refused an old fencing number; a later holder exists", job.orderKey());
+      jobs.remove(job.target.targetId(), job);
+      if (slots.containsKey(job.slotKey)) {
+        slots.get(job.slotKey).queue().finish(job.target.targetId());
+      }
+    }
+  }
+
+  private static JsonNode toState(HttpCaller.Exchange exchange) {
+    if (exchange instanceof HttpCaller.Exchange.Answered answered
+        && answered.status() == HttpCaller.OK) {
+      try {
+        return Json.MAPPER.readTree(answered.body());
+      } catch (IOException e) {
+        LOG.debug("a state could not be read", e);
+      }
+    }
+    return null;
+  }
+
+  private static Held toHeld(JsonNode state) {
+    return new Held(
+        state.path("modelId").asText(),
+        state.path("modelVersion").asText(),
+        LayerRange.of(state.path("firstLayer").asInt(), state.path("endLayer").asInt()));
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -18,6 +19,7 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.gooseberryhook.coordination.EngineOrderKeeper;
 import org.gooseberryhook.coordination.PipelineComposer;
 import org.gooseberryhook.coordination.PipelineRouter;
 import org.gooseberryhook.protocol.Json;
@@ -26,11 +28,13 @@
 import org.gooseberryhook.protocol.VmListResult;
 import org.gooseberryhook.state.Configuration;
 import org.gooseberryhook.state.LayerRange;
+import org.gooseberryhook.state.ModelSpec;
 import org.gooseberryhook.state.Pipeline;
 import org.gooseberryhook.state.PipelineTable;
 import org.gooseberryhook.state.Target;
 import org.gooseberryhook.state.TargetKind;
 import org.gooseberryhook.state.TargetLoad;
+import org.gooseberryhook.state.Versioned;
 import org.jboss.logging.Logger;
 
 /**
@@ -54,6 +58,9 @@
   /** Time for which a peer's word that a target leaves counts before the configuration has it. */
   private static final long EARLY_MARK_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /** Time without a load report after which placement counts a target as dead. */
+  private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final VmList vmList;
   private final Supplier<Configuration> configuration;
   private final PipelineComposer composer = new PipelineComposer();
@@ -64,6 +71,8 @@
   private final Map<String, Long> leavingUntilNanos = new ConcurrentHashMap<>();
   private final Map<String, JsonNode> reports = new ConcurrentHashMap<>();
   private final Map<String, Long> deadUntilNanos = new ConcurrentHashMap<>();
+  private final Map<String, Long> silentSinceNanos = new ConcurrentHashMap<>();
+  private volatile PlannedStates planned = new PlannedStates(Map.of(), Set.of());
   private volatile List<Target> targets = List.of();
   private volatile Map<String, List<Target>> servicesByName = Map.of();
   private List<ScheduledFuture<?>> tasks = List.of();
@@ -161,6 +170,75 @@
     compose();
   }
 
+  /**
+   * What the plans in force want.
+   *
+   * @param heldByTarget wanted state by target id
+   * @param modelIds models that have a plan
+   */
+  record PlannedStates(Map<String, EngineOrderKeeper.Held> heldByTarget, Set<String> modelIds) {}
+
+  /** Takes new plans. Targets that hold something else than planned get no new work. */
+  void setPlanned(PlannedStates states) {
+    if (!states.equals(planned)) {
+      planned = states;
+      compose();
+    }
+  }
+
+  /** Returns the engines that are alive, as they last reported; leaving ones are marked. */
+  List<Target> getEngines() {
+    Configuration present = configuration.get();
+    long nowNanos = System.nanoTime();
+    return targets.stream()
+        .filter(target -> target.kind() == TargetKind.ENGINE)
+        .filter(target -> !isSilent(target.targetId(), nowNanos))
+        .map(target -> withReport(target, reports.get(target.targetId())))
+        .map(target -> target.withLeaving(isLeaving(target, present)))
+        .toList();
+  }
+
+  private boolean isSilent(String targetId, long nowNanos) {
+    Long sinceNanos = silentSinceNanos.get(targetId);
+    return sinceNanos != null && nowNanos - sinceNanos >= SILENT_NANOS;
+  }
+
+  private boolean isLeaving(Target target, Configuration present) {
+    String id = target.targetId();
+    JsonNode report = reports.get(id);
+    return target.isLeaving()
+        || leavingUntilNanos.containsKey(id)
+        || present.leavingTargets().containsKey(id)
+        || (report != null && report.path("isLeaving").asBoolean());
+  }
+
+  /**
+   * Tells whether a target waits for a load order, or holds a version that is no longer planned.
+   */
+  private boolean isConverting(Target target, Configuration present) {
+    if (target.kind() != TargetKind.ENGINE) {
+      return false;
+    }
+    EngineOrderKeeper.Held wanted = planned.heldByTarget().get(target.targetId());
+    if (wanted != null) {
+      return isOrderable(target) && !wanted.equals(toHeld(target));
+    }
+    Versioned<ModelSpec> model = present.models().get(target.serves());
+    return model != null
+        && planned.modelIds().contains(target.serves())
+        && !model.value().modelVersion().equals(target.modelVersion());
+  }
+
+  /** Tells whether memory and speed are known, so that placement may order a load. */
+  static boolean isOrderable(Target target) {
+    return target.memoryBytes() > 0 && target.layerMicros() > 0;
+  }
+
+  /** Returns what an engine holds. */
+  static EngineOrderKeeper.Held toHeld(Target target) {
+    return new EngineOrderKeeper.Held(target.serves(), target.modelVersion(), target.layers());
+  }
+
   private void readVmList() {
     vmList
         .list()
@@ -169,6 +247,7 @@
               if (result instanceof VmListResult.Listed listed) {
                 targets =
                     listed.vms().stream().map(VmEntry::toTargets).flatMap(List::stream).toList();
+                silentSinceNanos.keySet().retainAll(idsOf(targets));
                 compose();
               }
             })
@@ -179,6 +258,10 @@
             });
   }
 
+  private static Set<String> idsOf(List<Target> listed) {
+    return listed.stream().map(Target::targetId).collect(Collectors.toSet());
+  }
+
   private synchronized void compose() {
     Configuration present = configuration.get();
     long nowNanos = System.nanoTime();
@@ -187,14 +270,9 @@
     List<Target> usable = new ArrayList<>();
     for (Target target : targets) {
       String id = target.targetId();
-      JsonNode report = reports.get(id);
-      boolean isLeaving =
-          target.isLeaving()
-              || leavingUntilNanos.containsKey(id)
-              || present.leavingTargets().containsKey(id)
-              || (report != null && report.path("isLeaving").asBoolean());
       if (!deadUntilNanos.containsKey(id)) {
-        usable.add(withReport(target, report).withLeaving(isLeaving));
+        Target held = withReport(target, reports.get(id));
+        usable.add(held.withLeaving(isLeaving(target, present) || isConverting(held, present)));
       }
     }
     Map<String, Integer> layerCounts =
@@ -250,6 +328,7 @@
             new Callback() {
               @Override
               public void onFailure(Call call, IOException e) {
+                silentSinceNanos.putIfAbsent(head.targetId(), System.nanoTime());
                 LOG.debugf("no load report from target %s: %s", head.targetId(), e.getMessage());
               }
 
@@ -257,14 +336,18 @@
               public void onResponse(Call call, Response response) throws IOException {
                 try (response) {
                   if (response.isSuccessful()) {
+                    silentSinceNanos.remove(head.targetId());
                     onReport(head, Json.MAPPER.readTree(response.body().bytes()), askedNanos);
+                  } else {
+                    silentSinceNanos.putIfAbsent(head.targetId(), System.nanoTime());
                   }
                 }
               }
             });
   }
 
-  private void onReport(Target head, JsonNode report, long askedNanos) {
+  /** Takes an engine's own report. */
+  void onReport(Target head, JsonNode report, long askedNanos) {
     boolean isLeaving = report.path("isLeaving").asBoolean();
     table.report(
         new TargetLoad(
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -89,7 +89,8 @@
    * @param sink receives the answer
    */
   public void submit(ModelCall call, Contract contract, ModelSpec model, AnswerSink sink) {
-    ModelCallRun run = new ModelCallRun(this, call, contract, model, sink);
+    ModelSpec served = controls.router().chooseVersion(model, call.requestId());
+    ModelCallRun run = new ModelCallRun(this, call, contract, served, sink);
     if (runsByKey.putIfAbsent(run.getKey(), run) != null) {
       sink.onProblem(
           Problem.of(
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -10,11 +10,8 @@
 import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.SynchronousQueue;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import okhttp3.OkHttpClient;
 import org.gooseberryhook.coordination.ConfigurationLog;
@@ -52,7 +49,6 @@
   private static final int TIMER_THREADS = 4;
   private static final int MAX_STREAMS = 8_192;
   private static final int MAX_LOAD_REPORTS = 64;
-  private static final long THREAD_IDLE_SECONDS = 30;
   private static final long CRASH_SPREAD_MS = 5_000;
   private static final long DRAIN_CHECK_MS = 50;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
@@ -68,11 +64,14 @@
   private final NodeSettings settings;
   private final NodeId self;
   private final RandomGenerator random = new Random();
-  private final ThreadPoolExecutor streamPool = boundedPool("engine-stream", MAX_STREAM_THREADS);
-  private final ThreadPoolExecutor workerPool = boundedPool("caller-worker", MAX_WORKER_THREADS);
-  private final ThreadPoolExecutor adminPool = boundedPool("admin-worker", MAX_WORKER_THREADS / 8);
+  private final ThreadPoolExecutor streamPool =
+      NodeThreads.newPool("engine-stream", MAX_STREAM_THREADS);
+  private final ThreadPoolExecutor workerPool =
+      NodeThreads.newPool("caller-worker", MAX_WORKER_THREADS);
+  private final ThreadPoolExecutor adminPool =
+      NodeThreads.newPool("admin-worker", MAX_WORKER_THREADS / 8);
   private final ScheduledExecutorService timer =
-      Executors.newScheduledThreadPool(TIMER_THREADS, threads("node-timer"));
+      Executors.newScheduledThreadPool(TIMER_THREADS, NodeThreads.newFactory("node-timer"));
   private final HttpClients clients = new HttpClients();
   private final NodeMetrics metrics = new NodeMetrics();
   private final CrashMarkRegistry crashMarks = new CrashMarkRegistry();
@@ -81,6 +80,7 @@
   private final PeerTransport peers;
   private final FleetService fleet;
   private final LeaseService leases;
+  private final ControlServices control;
   private final QuotaService quota;
   private final ModelCallService modelCalls;
   private final OnceCallService onceCalls;
@@ -120,6 +120,7 @@
             timer);
     this.leases = new LeaseService(self, cluster, table, timer);
     this.quota = new QuotaService(self, cluster, leases, timer);
+    this.control = new ControlServices(settings, cluster, fleet, leases, table, clients, timer);
     RetryBudget retries = new RetryBudget();
     this.modelCalls = newModelCalls(router, retries);
     HttpPlainServiceClient services = new HttpPlainServiceClient(clients);
@@ -181,7 +182,13 @@
         new NodeAdminView(
             cluster, fleet, leases, modelCalls, crashMarks, pipelines, () -> isLeaving);
     return new AdminApi(
-        settings, cluster, new ConfigurationWriter(table), view, metrics, adminPool);
+        settings,
+        cluster,
+        new ConfigurationWriter(table),
+        view,
+        metrics,
+        control.newApi(),
+        adminPool);
   }
 
   private void registerGauges() {
@@ -197,7 +204,7 @@
     peers.start();
     cluster.start(peers);
     fleet.start();
-    leases.start();
+    control.start();
     quota.start();
     onceCalls.start();
     modelCalls.start();
@@ -250,7 +257,7 @@
     onceCalls.stop(RELEASE_TIMEOUT_MS);
     fleet.stop();
     quota.stop();
-    leases.stop();
+    control.stop();
     cluster.stop();
     peers.stop();
     timer.shutdownNow();
@@ -379,23 +386,4 @@
     return new InetSocketAddress(
         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
-
-  private static ThreadPoolExecutor boundedPool(String name, int maxThreads) {
-    return new ThreadPoolExecutor(
-        0,
-        maxThreads,
-        THREAD_IDLE_SECONDS,
-        TimeUnit.SECONDS,
-        new SynchronousQueue<>(),
-        threads(name));
-  }
-
-  private static ThreadFactory threads(String name) {
-    AtomicInteger number = new AtomicInteger();
-    return task -> {
-      Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
-      thread.setDaemon(true);
-      return thread;
-    };
-  }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeSettings.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeSettings.java
@@ -107,7 +107,25 @@
    * @param maxConcurrentRequests requests of callers that run at the same time
    * @param maxBodyBytes length of a request body
    * @param maxHeaderBytes length of all headers of a request
+   * @param maxConcurrentLoads loads of weights under way at once over all nodes, so that engines do
+   *     not share the weight store's rate among too many; the same at all nodes
    * @since 0.1
    */
-  public record Limits(int maxConcurrentRequests, int maxBodyBytes, int maxHeaderBytes) {}
+  public record Limits(
+      int maxConcurrentRequests, int maxBodyBytes, int maxHeaderBytes, int maxConcurrentLoads) {
+
+    /** Loads under way at once if the settings do not say. */
+    public static final int DEFAULT_CONCURRENT_LOADS = 4;
+
+    /**
+     * Creates limits with the default number of loads.
+     *
+     * @param maxConcurrentRequests requests of callers that run at the same time
+     * @param maxBodyBytes length of a request body
+     * @param maxHeaderBytes length of all headers of a request
+     */
+    public Limits(int maxConcurrentRequests, int maxBodyBytes, int maxHeaderBytes) {
+      this(maxConcurrentRequests, maxBodyBytes, maxHeaderBytes, DEFAULT_CONCURRENT_LOADS);
+    }
+  }
 }
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeThreads.java
@@ -0,0 +1,35 @@
+package org.gooseberryhook.transport;
+
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Bounded pools of named daemon threads. */
+final class NodeThreads {
+
+  private static final long THREAD_IDLE_SECONDS = 30;
+
+  private NodeThreads() {}
+
+  /** Returns a pool without a queue; a task beyond the limit is rejected. */
+  static ThreadPoolExecutor newPool(String name, int maxThreads) {
+    return new ThreadPoolExecutor(
+        0,
+        maxThreads,
+        THREAD_IDLE_SECONDS,
+        TimeUnit.SECONDS,
+        new SynchronousQueue<>(),
+        newFactory(name));
+  }
+
+  static ThreadFactory newFactory(String name) {
+    AtomicInteger number = new AtomicInteger();
+    return task -> {
+      Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
+      thread.setDaemon(true);
+      return thread;
+    };
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/SettingsReader.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/SettingsReader.java
@@ -43,6 +43,7 @@
   public static final int MAX_HEADER_BYTES = 16 << 10;
 
   private static final int MIN_DRAIN_TIMEOUT_MS = 1_000;
+  private static final int MAX_CONCURRENT_LOADS = 64;
   private static final int MAX_CONCURRENT_REQUESTS = 100_000;
   private static final int MIN_BYTES = 1 << 10;
   private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
@@ -221,7 +222,12 @@
             table.integer(
                 "maxConcurrentRequests", DEFAULT_CONCURRENT_REQUESTS, 1, MAX_CONCURRENT_REQUESTS),
             table.integer("maxBodyBytes", MAX_BODY_BYTES, MIN_BYTES, MAX_BODY_BYTES),
-            table.integer("maxHeaderBytes", MAX_HEADER_BYTES, MIN_BYTES, MAX_HEADER_BYTES));
+            table.integer("maxHeaderBytes", MAX_HEADER_BYTES, MIN_BYTES, MAX_HEADER_BYTES),
+            table.integer(
+                "maxConcurrentLoads",
+                NodeSettings.Limits.DEFAULT_CONCURRENT_LOADS,
+                1,
+                MAX_CONCURRENT_LOADS));
     table.reportUnknownKeys();
     return limits;
   }
--- /dev/null
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/LoadQueueTest.java
@@ -0,0 +1,45 @@
+package org.gooseberryhook.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhook.coordination.LoadQueue.Candidate;
+import org.junit.jupiter.api.Test;
+
+class LoadQueueTest {
+
+  /** Guards against a place that comes back and keeps the loads of the others waiting. */
+  @Test
+  void placesTakeTurnsAndOneTargetLoadsAtATime() {
+    LoadQueue queue = new LoadQueue();
+    List<Candidate> waiting = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      waiting.add(new Candidate("a" + i, "big"));
+    }
+    waiting.add(new Candidate("z1", "small"));
+    waiting.add(new Candidate("z2", "small"));
+    List<String> order = new ArrayList<>();
+    while (!waiting.isEmpty()) {
+      String started = queue.start(waiting, 0).orElseThrow();
+      assertThat(queue.start(waiting, 0)).isEmpty();
+      order.add(started);
+      waiting.removeIf(candidate -> candidate.targetId().equals(started));
+      queue.finish("another");
+      assertThat(queue.isLoading(started)).isTrue();
+      queue.finish(started);
+    }
+    assertThat(order.subList(0, 4)).contains("z1", "z2");
+  }
+
+  /** Guards against a slot that is blocked for ever by a load that never ends. */
+  @Test
+  void aLoadThatNeverEndsGivesItsSlotBack() {
+    LoadQueue queue = new LoadQueue();
+    queue.start(List.of(new Candidate("a", "p")), 0);
+    List<Candidate> next = List.of(new Candidate("b", "p"));
+    assertThat(queue.start(next, LoadQueue.MAX_LOAD_NANOS - 1)).isEmpty();
+    assertThat(queue.start(next, LoadQueue.MAX_LOAD_NANOS)).isEqualTo(Optional.of("b"));
+  }
+}
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
@@ -49,6 +49,7 @@
   private final List<NodeService> nodes = new CopyOnWriteArrayList<>();
   private final int enginePort = freePort();
   private final EngineStandin engineServer;
+  private boolean isMemoryKnown;
 
   /**
    * Creates a cluster that is not started.
@@ -92,6 +93,11 @@
     awaitVersion(2L + layout.contracts().size());
   }
 
+  /** Names memory and speed of targets that are added later, so that placement may order loads. */
+  public void setMemoryKnown() {
+    isMemoryKnown = true;
+  }
+
   /** Stops everything at once. */
   public void stop() {
     nodes.forEach(NodeService::stop);
@@ -223,7 +229,9 @@
               layers.firstLayer(),
               layers.endLayer(),
               "accelerator-" + stage,
-              true);
+              true,
+              isMemoryKnown ? layersPerStage * LAYER_BYTES : 0,
+              isMemoryKnown ? (double) layout.stepMicros() / layout.layerCount() : 0);
       putVm("vm-" + targetId, place, target);
     }
   }
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
@@ -3,11 +3,12 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.PriorityClass;
 import org.gooseberryhook.transport.CallerKeys;
 
-/** Two nodes and four single-stage engines on loopback. */
+/** Two nodes and single-stage engines on loopback. */
 final class TinyCluster {
 
   static final int LAYER_COUNT = 8;
@@ -17,6 +18,10 @@
   private final List<String> addresses;
 
   TinyCluster() throws IOException {
+    this(4, cluster -> {});
+  }
+
+  TinyCluster(int pipelineCount, Consumer<LocalCluster> prepare) throws IOException {
     cluster =
         new LocalCluster(
             new LocalLayout(
@@ -27,7 +32,7 @@
                 "v1",
                 LAYER_COUNT,
                 1,
-                4,
+                pipelineCount,
                 32,
                 2_000,
                 5,
@@ -36,10 +41,15 @@
                 1,
                 List.of(newContract()),
                 2_000));
+    prepare.accept(cluster);
     cluster.start();
     addresses = cluster.getCallerAddresses();
   }
 
+  LocalCluster getCluster() {
+    return cluster;
+  }
+
   List<String> getAddresses() {
     return addresses;
   }
--- /dev/null
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/VersionChangeTest.java
@@ -0,0 +1,120 @@
+package org.gooseberryhook.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.standin.StandinEngine;
+import org.gooseberryhook.standin.TokenFunction;
+import org.junit.jupiter.api.Test;
+
+/** Changes the version of a model under running calls, over real sockets. */
+class VersionChangeTest {
+
+  private static final int CALLERS = 4;
+  private static final int TOKENS = 20;
+  private static final OkHttpClient CLIENT = new OkHttpClient();
+
+  private final Queue<String> faults = new ConcurrentLinkedQueue<>();
+  private final Map<String, AtomicInteger> countByVersion =
+      Map.of("v1", new AtomicInteger(), "v2", new AtomicInteger());
+  private final AtomicBoolean isStopping = new AtomicBoolean();
+
+  /** Guards against answers that mix versions, calls that fail, and a change that never ends. */
+  @Test
+  void noCallFailsOrMixesVersionsWhileReplicasAreConvertedOneByOne() throws Exception {
+    TinyCluster tiny = new TinyCluster(2, LocalCluster::setMemoryKnown);
+    LocalCluster cluster = tiny.getCluster();
+    List<Thread> callers = new ArrayList<>();
+    try {
+      for (int i = 0; i < CALLERS; i++) {
+        String address = tiny.getAddresses().get(i % tiny.getAddresses().size());
+        int number = i;
+        callers.add(new Thread(() -> callUntilStopped(address, number), "version-caller-" + i));
+      }
+      callers.forEach(Thread::start);
+      LocalCluster.await("calls on v1", () -> countByVersion.get("v1").get() > 20);
+      // A grantor starts with an empty bucket, so the first calls may be refused as not run.
+      faults.clear();
+      AdminClient admin = cluster.newAdminClient(0);
+      String etag = admin.get("models/drafting").etag();
+      long version = Long.parseLong(etag.replace("\"", ""));
+      admin.put("models/drafting", cluster.newModel("v2"), version);
+      LocalCluster.await("all engines to hold v2", () -> isAllHolding(cluster, "v2"));
+      LocalCluster.await("calls on v2", () -> countByVersion.get("v2").get() > 20);
+      JsonNode plan = admin.get("placement/drafting").body();
+      assertThat(plan.path("replicas")).hasSize(2);
+      assertThat(plan.path("reasons").toString()).contains("drafting v2: 2 of 2 replicas");
+      assertThat(admin.get("placement/drafting?preview=true").body().path("replicas"))
+          .isEqualTo(plan.path("replicas"));
+    } finally {
+      isStopping.set(true);
+      for (Thread caller : callers) {
+        caller.join();
+      }
+      tiny.stop();
+    }
+    assertThat(faults).isEmpty();
+    assertThat(cluster.getFleet().getAll()).allMatch(engine -> engine.getLoadCount() == 1);
+  }
+
+  private static boolean isAllHolding(LocalCluster cluster, String version) {
+    return cluster.getFleet().getAll().stream()
+        .map(StandinEngine::getState)
+        .allMatch(state -> state.modelVersion().equals(version));
+  }
+
+  private void callUntilStopped(String address, int number) {
+    for (int i = 0; !isStopping.get(); i++) {
+      try {
+        call(address, "ramp " + number + "-" + i);
+      } catch (IOException e) {
+        faults.add(e.toString());
+      }
+    }
+  }
+
+  private void call(String address, String prompt) throws IOException {
+    String body =
+        Json.MAPPER.writeValueAsString(
+            Map.of("model", "drafting", "prompt", prompt, "max_tokens", TOKENS));
+    Request request =
+        new Request.Builder()
+            .url("http://" + address + "/v1/completions")
+            .header("Authorization", "Bearer " + TinyCluster.KEY)
+            .post(RequestBody.create(body, MediaType.get("application/json")))
+            .build();
+    try (Response response = CLIENT.newCall(request).execute()) {
+      String answer = response.body().string();
+      String text = Json.MAPPER.readTree(answer).path("choices").path(0).path("text").asText();
+      String version = text.equals(textOf("v1", prompt)) ? "v1" : "v2";
+      if (response.isSuccessful() && text.equals(textOf(version, prompt))) {
+        countByVersion.get(version).incrementAndGet();
+      } else {
+        faults.add(response.code() + " " + answer);
+      }
+    }
+  }
+
+  private static String textOf(String version, String prompt) {
+    List<Integer> tokens = TokenFunction.answerTo(version, TinyCluster.LAYER_COUNT, prompt, TOKENS);
+    return IntStream.range(0, TOKENS)
+        .mapToObj(step -> TokenFunction.textOf(tokens.get(step)))
+        .collect(Collectors.joining());
+  }
+}
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -119,6 +120,7 @@
       }
     }
     runs.put(run.key, run);
+    run.stages().forEach(engine -> engine.join(run.key));
     startWaiting(headOf(start));
     return true;
   }
@@ -218,6 +220,13 @@
       return start.stages().stream().anyMatch(stage -> stage.targetId().equals(targetId));
     }
 
+    List<StandinEngine> stages() {
+      return start.stages().stream()
+          .map(stage -> engines.get(stage.targetId()))
+          .filter(Objects::nonNull)
+          .toList();
+    }
+
     void begin() {
       for (EngineStart.Stage stage : start.stages()) {
         StandinEngine engine = engines.get(stage.targetId());
@@ -330,6 +339,7 @@
         isOver = true;
       }
       runs.remove(key, this);
+      stages().forEach(engine -> engine.part(key));
       StandinEngine head = engines.get(headOf(start));
       if (head != null) {
         head.leave(key);
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
@@ -60,15 +60,9 @@
    * @param modelVersion version to hold
    * @param firstLayer first layer to hold
    * @param endLayer index after the last layer to hold
-   * @param isChecking whether the engine refuses old fencing numbers
    */
   public record LoadOrder(
-      long fencingNumber,
-      String modelId,
-      String modelVersion,
-      int firstLayer,
-      int endLayer,
-      boolean isChecking) {}
+      long fencingNumber, String modelId, String modelVersion, int firstLayer, int endLayer) {}
 
   /** Starts listening. */
   public void start() {
@@ -145,7 +139,6 @@
     boolean isDone =
         engine.load(
             order.fencingNumber(),
-            order.isChecking(),
             order.modelId(),
             order.modelVersion(),
             LayerRange.of(order.firstLayer(), order.endLayer()));
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinEngine.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinEngine.java
@@ -35,6 +35,9 @@
   private boolean isDead;
   private boolean isLeaving;
   private double slowFactor = 1;
+  private boolean isChecking = true;
+  private int loadCount;
+  private final Set<String> chains = new HashSet<>();
 
   /**
    * Creates an engine.
@@ -92,6 +95,7 @@
    * @param maxRunning requests in the batch at most
    * @param fencingNumber highest fencing number seen
    * @param isLeaving whether the engine takes no new work
+   * @param chains attempts that pass through this engine as any of their stages
    */
   public record State(
       String targetId,
@@ -102,7 +106,8 @@
       int running,
       int maxRunning,
       long fencingNumber,
-      boolean isLeaving) {}
+      boolean isLeaving,
+      int chains) {}
 
   /**
    * Returns the state.
@@ -119,7 +124,8 @@
         running.size(),
         maxRunning,
         fencingNumber,
-        isLeaving);
+        isLeaving,
+        chains.size());
   }
 
   /**
@@ -132,6 +138,7 @@
     if (dead) {
       cachedBlocks.clear();
       running.clear();
+      chains.clear();
     }
   }
 
@@ -153,6 +160,42 @@
     isLeaving = leaving;
   }
 
+  /**
+   * Sets whether the engine refuses old fencing numbers; at first it does.
+   *
+   * @param checking false to accept every order
+   */
+  public synchronized void setChecking(boolean checking) {
+    isChecking = checking;
+  }
+
+  /**
+   * Returns how many load orders were carried out.
+   *
+   * @return the count
+   */
+  public synchronized int getLoadCount() {
+    return loadCount;
+  }
+
+  /**
+   * Notes that an attempt runs through this engine.
+   *
+   * @param runKey key of the attempt
+   */
+  public synchronized void join(String runKey) {
+    chains.add(runKey);
+  }
+
+  /**
+   * Notes that an attempt no longer runs through this engine.
+   *
+   * @param runKey key of the attempt
+   */
+  public synchronized void part(String runKey) {
+    chains.remove(runKey);
+  }
+
   /**
    * Slows the engine.
    *
@@ -260,14 +303,13 @@
    * Carries out a load order.
    *
    * @param number fencing number of the order
-   * @param isChecking whether this engine refuses old numbers
    * @param newModelId model to hold
    * @param newVersion version to hold
    * @param newLayers layers to hold
    * @return false if the order was refused because of its number
    */
   public synchronized boolean load(
-      long number, boolean isChecking, String newModelId, String newVersion, LayerRange newLayers) {
+      long number, String newModelId, String newVersion, LayerRange newLayers) {
     if (isChecking && number < fencingNumber) {
       return false;
     }
@@ -275,6 +317,7 @@
     modelId = newModelId;
     modelVersion = newVersion;
     layers = newLayers;
+    loadCount++;
     cachedBlocks.clear();
     return true;
   }
