--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ControlServices.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ControlServices.java
@@ -5,8 +5,8 @@
 import org.gooseberryhook.protocol.TableService;
 
 /**
- * The duties of a node that have one holder each: placement and engine orders, and the leases under
- * which they and the other duties act.
+ * The duties of a node that have one holder each: placement, engine orders and the sweep of
+ * once-only records, and the leases under which they and the other duties act.
  *
  * @since 0.1
  */
@@ -20,6 +20,7 @@
   private final LeaseService leases;
   private final PlacementService placement;
   private final EngineOrderService orders;
+  private final OnceSweepService sweep;
 
   ControlServices(
       NodeSettings settings,
@@ -47,6 +48,7 @@
             timer,
             settings::isFencingChecked,
             settings.limits().maxConcurrentLoads());
+    this.sweep = new OnceSweepService(leases, table, timer);
   }
 
   PlacementApi newApi() {
@@ -57,9 +59,11 @@
     leases.start();
     placement.start();
     orders.start();
+    sweep.start();
   }
 
   void stop() {
+    sweep.stop();
     orders.stop();
     placement.stop();
     leases.stop();
