--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -38,7 +38,7 @@
   private static final double PLEDGE_SHARE = 0.5;
 
   private final NodeId self;
-  private final LeaseTiming timing;
+  private LeaseTiming timing;
   private final Map<String, LeaseEntry> entries = new TreeMap<>();
   private final LeaseCalls calls;
   private final Set<NodeId> goneNodes = new LinkedHashSet<>();
@@ -79,6 +79,19 @@
     }
   }
 
+  /**
+   * Changes the times. A shorter time to live than the present one is ignored: an acquirer that
+   * reads the shorter time would not wait for an earlier, longer renewal to run out.
+   *
+   * @param newTiming the times for the present size of the cluster
+   */
+  public synchronized void setTiming(LeaseTiming newTiming) {
+    if (newTiming.acquireWaitNanos() > timing.acquireWaitNanos()) {
+      timing = newTiming;
+      calls.setTiming(newTiming);
+    }
+  }
+
   /** Releases all leases; later ticks repeat the release until it is known to be done. */
   public synchronized void stop() {
     setDuties(Map.of());
@@ -264,8 +277,8 @@
   }
 
   private void confirm(LeaseEntry entry, LeaseEntry.Attempt attempt, long version, long nowNanos) {
-    entry.confirm(attempt, version, timing.usableNanos(), nowNanos);
-    boolean isFresh = attempt.sentNanos() + timing.usableNanos() - nowNanos > 0;
+    entry.confirm(attempt, version, nowNanos);
+    boolean isFresh = attempt.usableUntilNanos() - nowNanos > 0;
     if (entry.isHeld && entry.isAskingPledges && isFresh) {
       releasePledges(entry);
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -10,11 +10,8 @@
 import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.SynchronousQueue;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import okhttp3.OkHttpClient;
@@ -53,7 +50,6 @@
   private static final int TIMER_THREADS = 4;
   private static final int MAX_STREAMS = 8_192;
   private static final int MAX_LOAD_REPORTS = 64;
-  private static final long THREAD_IDLE_SECONDS = 30;
   private static final long CRASH_SPREAD_MS = 5_000;
   private static final long DRAIN_CHECK_MS = 50;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
@@ -73,11 +69,14 @@
   private final NodeSettings settings;
   private final NodeId self;
   private final RandomGenerator random = new Random();
-  private final ThreadPoolExecutor streamPool = boundedPool("engine-stream", MAX_STREAM_THREADS);
-  private final ThreadPoolExecutor workerPool = boundedPool("caller-worker", MAX_WORKER_THREADS);
-  private final ThreadPoolExecutor adminPool = boundedPool("admin-worker", MAX_WORKER_THREADS / 8);
+  private final ThreadPoolExecutor streamPool =
+      NodeThreads.newPool("engine-stream", MAX_STREAM_THREADS);
+  private final ThreadPoolExecutor workerPool =
+      NodeThreads.newPool("caller-worker", MAX_WORKER_THREADS);
+  private final ThreadPoolExecutor adminPool =
+      NodeThreads.newPool("admin-worker", MAX_WORKER_THREADS / 8);
   private final ScheduledExecutorService timer =
-      Executors.newScheduledThreadPool(TIMER_THREADS, threads("node-timer"));
+      Executors.newScheduledThreadPool(TIMER_THREADS, NodeThreads.newFactory("node-timer"));
   private final HttpClients clients = new HttpClients();
   private final NodeMetrics metrics = new NodeMetrics();
   private final CrashMarkRegistry crashMarks = new CrashMarkRegistry();
@@ -85,6 +84,8 @@
   private final ClusterService cluster;
   private final PeerTransport peers;
   private final FleetService fleet;
+  private final LeaseService leases;
+  private final ControlServices control;
   private final QuotaService quota;
   private final ModelCallService modelCalls;
   private final OnceCallService onceCalls;
@@ -122,11 +123,14 @@
             router,
             clients.newClient("load-report", MAX_LOAD_REPORTS, REPORT_TIMEOUT),
             timer);
-    this.quota = new QuotaService(self, cluster, table, timer);
+    this.leases = new LeaseService(self, cluster, table, timer);
+    this.quota = new QuotaService(self, cluster, leases, timer);
+    this.control = new ControlServices(settings, cluster, fleet, leases, table, clients, timer);
     RetryBudget retries = new RetryBudget();
     this.modelCalls = newModelCalls(router, retries);
     HttpPlainServiceClient services = new HttpPlainServiceClient(clients);
     this.onceCalls = newOnceCalls(table, services);
+    cluster.addEndListener(leases::onNodeEnded);
     cluster.addEndListener(quota::onNodeEnded);
     KeyIndex keys = new KeyIndex();
     cluster.addListener(keys::update);
@@ -181,9 +185,15 @@
   private AdminApi newAdminApi(TableService table, PipelineTable pipelines) {
     NodeAdminView view =
         new NodeAdminView(
-            cluster, fleet, quota, modelCalls, crashMarks, pipelines, () -> isLeaving);
+            cluster, fleet, leases, modelCalls, crashMarks, pipelines, () -> isLeaving);
     return new AdminApi(
-        settings, cluster, new ConfigurationWriter(table), view, metrics, adminPool);
+        settings,
+        cluster,
+        new ConfigurationWriter(table),
+        view,
+        metrics,
+        control.newApi(),
+        adminPool);
   }
 
   private void registerGauges() {
@@ -199,6 +209,7 @@
     peers.start();
     cluster.start(peers);
     fleet.start();
+    control.start();
     quota.start();
     onceCalls.start();
     modelCalls.start();
@@ -222,7 +233,7 @@
     LOG.infof("node %s drains %d requests", self.address(), modelCalls.getRunningCount());
     isLeaving = true;
     cluster.leave();
-    quota.release();
+    leases.release();
     long deadlineNanos =
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs());
     long quietMs = Math.min(CallerApi.ADDRESS_VALIDITY_MS, settings.node().drainTimeoutMs() / 2);
@@ -234,7 +245,7 @@
     int cutOff = getOpenCalls();
     awaitUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_FLUSH_MS), () -> false);
     long releaseNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
-    awaitUntil(releaseNanos, quota::isReleased);
+    awaitUntil(releaseNanos, leases::isReleased);
     stop();
     LOG.infof("node %s stopped; %d requests were cut off", self.address(), cutOff);
     return cutOff;
@@ -252,6 +263,7 @@
     onceCalls.stop(RELEASE_TIMEOUT_MS);
     fleet.stop();
     quota.stop();
+    control.stop();
     cluster.stop();
     peers.stop();
     timer.shutdownNow();
@@ -382,23 +394,4 @@
     return new InetSocketAddress(
         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
-
-  private static ThreadPoolExecutor boundedPool(String name, int maxThreads) {
-    return new ThreadPoolExecutor(
-        0,
-        maxThreads,
-        THREAD_IDLE_SECONDS,
-        TimeUnit.SECONDS,
-        new SynchronousQueue<>(),
-        threads(name));
-  }
-
-  private static ThreadFactory threads(String name) {
-    AtomicInteger number = new AtomicInteger();
-    return task -> {
-      Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
-      thread.setDaemon(true);
-      return thread;
-    };
-  }
 }
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/TinyCluster.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -12,7 +13,7 @@
 import org.gooseberryhook.state.PriorityClass;
 import org.gooseberryhook.transport.CallerKeys;
 
-/** Two nodes and four single-stage engines on loopback. */
+/** Two nodes and single-stage engines on loopback. */
 final class TinyCluster {
 
   static final int LAYER_COUNT = 8;
@@ -22,6 +23,10 @@
   private final List<String> addresses;
 
   TinyCluster() throws IOException {
+    this(4, cluster -> {});
+  }
+
+  TinyCluster(int pipelineCount, Consumer<LocalCluster> prepare) throws IOException {
     cluster =
         new LocalCluster(
             new LocalLayout(
@@ -32,7 +37,7 @@
                 "v1",
                 LAYER_COUNT,
                 1,
-                4,
+                pipelineCount,
                 32,
                 2_000,
                 5,
@@ -41,10 +46,15 @@
                 1,
                 List.of(newContract()),
                 2_000));
+    prepare.accept(cluster);
     cluster.start();
     addresses = cluster.getCallerAddresses();
   }
 
+  LocalCluster getCluster() {
+    return cluster;
+  }
+
   List<String> getAddresses() {
     return addresses;
   }
