Fence acquisitions that may arrive after a release

Cause: a node that gave up a lease counted it as released once it read a vacant record, although an acquisition of its own with a lost answer could still take effect; the ended node then held the lease. Change: a vacant record is written anew, so that such an acquisition fails for good, and the lease counts as released only then. Conclusion: a released lease stays released.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -266,6 +266,8 @@
       if (call.kind() == Kind.RELEASE) {
         entry.isReleaseDue = false;
         entry.isFresh = false;
+        // They expect an older version, so none of them can take effect any more.
+        entry.openAcquisitions.clear();
         continue;
       }
       LeaseEntry.Attempt attempt = entry.getAttempt(call.renewals().get(index));
@@ -315,7 +317,8 @@
     if (entry.isHeld && !isOwn) {
       drop(entry);
     }
-    if (entry.isReleaseDue && (lease == null || !self.equals(lease.holder()))) {
+    boolean mayAppear = !entry.openAcquisitions.isEmpty();
+    if (entry.isReleaseDue && !mayAppear && (lease == null || !self.equals(lease.holder()))) {
       entry.isReleaseDue = false;
     }
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
@@ -151,7 +151,10 @@
     List<TableOperation> operations = new ArrayList<>();
     for (LeaseEntry entry : entries) {
       boolean isOwn = entry.lease != null && self.equals(entry.lease.holder());
-      if (entry.isReleaseDue && isOwn) {
+      // Writing a vacant record anew makes an acquisition fail that may still be on its way.
+      boolean isVacant = entry.lease == null || entry.lease.holder() == null;
+      boolean isFenced = isVacant && !entry.openAcquisitions.isEmpty();
+      if (entry.isReleaseDue && (isOwn || isFenced)) {
         keys.add(entry.key);
         operations.add(entry.toRelease());
       }
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/DutyLeaseKeeperTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/DutyLeaseKeeperTest.java
@@ -133,4 +133,22 @@
     stepAlone(keeper);
     assertThat(keeper.getHeld(now).get(KEY).fencingNumber()).isEqualTo(1);
   }
+
+  /** Guards against a lease that appears after its node has released everything and ended. */
+  @Test
+  void anAcquisitionThatArrivesLateTakesNoEffectAfterTheRelease() {
+    DutyLeaseKeeper keeper = new DutyLeaseKeeper(ids.get(0), LeaseTiming.of(3000 * MS));
+    keeper.setDuties(Map.of(KEY, List.of()));
+    stepAlone(keeper);
+    now += 20 * MS;
+    TableCall.Transact late = (TableCall.Transact) keeper.tick(now).calls().get(0);
+    keeper.onTableResult(late.callId(), new TableResult.Unknown("answer lost"), now);
+    keeper.stop();
+    for (long end = now + 3000 * MS; now < end; now += 20 * MS) {
+      stepAlone(keeper);
+    }
+    assertThat(keeper.isReleased()).isTrue();
+    TableResult effect = table.transact(late.operations()).join();
+    assertThat(effect).isInstanceOf(TableResult.Conflict.class);
+  }
 }
