Leave out some kinds of faults in each seed of the fuzz

Cause: runs with all faults at once rarely came near the bound of a contract. Change: each seed has its own share and choice of faults; bursts are long and rushes repeated. Conclusion: the oracle of the contracts sees nodes that use expired grants.

--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzEngines.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzEngines.java
@@ -137,7 +137,8 @@
     emit(
         attempt,
         TokenEvent.ofToken(order.requestId(), order.attempt(), step, hidden, "x", receipts));
-    world.at((5 + world.random.nextInt(80)) * MS, () -> step(attempt));
+    int slowness = order.prompt().startsWith("slow") ? 8 : 1;
+    world.at((5 + world.random.nextInt(80)) * slowness * MS, () -> step(attempt));
   }
 
   private int chooseRuns() {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzOracle.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzOracle.java
@@ -59,6 +59,10 @@
   final long[] checks = new long[Promise.values().length];
   final Map<String, Long> reached = new HashMap<>();
   Promise broken;
+
+  /** Fewest request units left after an admission; shows how tight the runs are. */
+  double leastRequests = Double.MAX_VALUE;
+
   String violation;
 
   private final FuzzWorld world;
@@ -333,6 +337,7 @@
     Bucket bucket = refill(workspace);
     bucket.requests--;
     bucket.tokens -= tokens;
+    if (workspace.equals("fixed")) leastRequests = Math.min(leastRequests, bucket.requests);
     boolean isKept = bucket.requests >= -UNIT_SLACK && bucket.tokens >= -UNIT_SLACK;
     check(
         Promise.Q,
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzWorld.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzWorld.java
@@ -19,13 +19,12 @@
 final class FuzzWorld {
 
   static final long MS = 1_000_000L;
-  private static final int RUSH_CALLS = 12;
+  private static final int RUSH_CALLS = 10;
   private static final long PRE_PAUSE_NANOS = 800 * MS;
   static final List<String> WORKSPACES = List.of("fixed", "edited");
-  private static final long START_MS = 4_000;
-  private static final long ACTIVE_MS = 30_000;
+  static final long START_MS = 4_000;
+  static final long ACTIVE_MS = 30_000;
   private static final long CALM_MS = 14_000;
-  private static final int ACTIONS = 110;
   private static final int MAX_RESUMES = 3;
 
   /** The nodes as they are, or broken on purpose in one way. */
@@ -41,28 +40,6 @@
     IGNORES_GRANT_EXPIRY
   }
 
-  /** Kinds of actions; kinds that are listed twice are drawn twice as often. */
-  enum Kind {
-    CALLS,
-    CRASHING_CALL,
-    RUSH,
-    ONCE,
-    KILL,
-    PAUSE,
-    PARTITION,
-    LOSS,
-    TABLE_AWAY,
-    TABLE_FAULTS,
-    EDIT,
-    STOP_NODE,
-    STOP_TARGET,
-    KILL_TARGET,
-    ENGINE_FAULTS
-  }
-
-  /** One action; the meaning of the numbers depends on the kind. */
-  record Action(long atMs, Kind kind, int a, int b, int c) {}
-
   private record Event(long atNanos, long order, Runnable action) {}
 
   final SplittableRandom random;
@@ -88,7 +65,7 @@
   private long order;
   private long ids;
 
-  FuzzWorld(long seed, Variant variant, List<Action> actions) {
+  FuzzWorld(long seed, Variant variant, List<FuzzAction> actions) {
     this.random = new SplittableRandom(seed);
     this.variant = variant;
     this.oracle = new FuzzOracle(this, table);
@@ -107,24 +84,6 @@
     endNanos = startNanos + (START_MS + ACTIVE_MS + CALM_MS) * MS;
   }
 
-  /** Draws the actions of a seed. */
-  static List<Action> actionsOf(long seed) {
-    SplittableRandom random = new SplittableRandom(~seed);
-    Kind[] kinds = Kind.values();
-    List<Action> actions = new ArrayList<>();
-    for (int i = 0; i < ACTIONS; i++) {
-      // More than half of the actions are requests, so that faults find some in flight.
-      int dice = random.nextInt(100);
-      Kind kind =
-          dice < 45 ? Kind.CALLS : dice < 60 ? Kind.ONCE : kinds[random.nextInt(kinds.length)];
-      long atMs = START_MS + random.nextLong(ACTIVE_MS);
-      actions.add(
-          new Action(atMs, kind, random.nextInt(1000), random.nextInt(1000), random.nextInt(1000)));
-    }
-    actions.sort(Comparator.comparingLong(Action::atMs));
-    return actions;
-  }
-
   /** Runs until the end or the first violation. */
   FuzzOracle run() {
     while (!events.isEmpty() && events.peek().atNanos() <= endNanos && oracle.violation == null) {
@@ -139,7 +98,7 @@
   }
 
   void at(long delay, Runnable action) {
-    events.add(new Event(now + delay, order++, action));
+    events.add(new Event(now + Math.max(0, delay), order++, action));
   }
 
   long nextId() {
@@ -264,20 +223,30 @@
     FuzzNode node = chooseNode(number);
     if (node != null) {
       String workspace = WORKSPACES.get(random.nextInt(WORKSPACES.size()));
+      // A crashing call is repeated with the same prompt, also by other callers.
       String full = prompt + " " + (prompt.equals("crash") ? number % 3 : random.nextInt(1000));
       begin(node, new FuzzModelCall.Request("r" + nextId(), workspace, full));
     }
   }
 
   /** Many calls at all nodes at once; those at a paused node wait for its end of the pause. */
-  private void rush(int callsPerNode) {
-    for (FuzzNode node : live) {
-      for (int i = 0; i < callsPerNode && node.isServing() | node.isPaused(); i++) {
-        String prompt = "rush " + i;
-        FuzzModelCall.Request request =
-            new FuzzModelCall.Request("r" + nextId(), WORKSPACES.get(0), prompt);
-        node.post(0, () -> begin(node, request));
-      }
+  private void rush() {
+    for (int round = 0; round < 4; round++) {
+      at(round * 100 * MS, () -> live.forEach(node -> demand(node, RUSH_CALLS)));
+    }
+  }
+
+  private void demand(FuzzNode node, int calls) {
+    for (int i = 0; i < calls; i++) {
+      FuzzModelCall.Request request =
+          new FuzzModelCall.Request("r" + nextId(), WORKSPACES.get(0), "rush " + i);
+      node.post(
+          0,
+          () -> {
+            if (node.isServing()) {
+              begin(node, request);
+            }
+          });
     }
   }
 
@@ -291,7 +260,7 @@
     live.forEach(node -> node.pausedUntil = now);
   }
 
-  private void act(Action action) {
+  private void act(FuzzAction action) {
     FuzzNode node = chooseNode(action.a());
     if (node == null) {
       return;
@@ -300,7 +269,7 @@
     switch (action.kind()) {
       case CALLS -> {
         for (int i = 0; i <= action.b() % 8; i++) {
-          call(action.a() + action.c() % (i + 1), "prompt");
+          call(action.a() + action.c() % (i + 1), action.b() % 5 == 0 ? "slow" : "prompt");
         }
       }
       case CRASHING_CALL -> {
@@ -313,7 +282,7 @@
           at(i * (action.b() % 2) * 1_500 * MS, () -> once(action));
         }
       }
-      case RUSH -> rush(RUSH_CALLS);
+      case RUSH -> rush();
       case KILL -> end(node);
       case PAUSE -> demandThenPause(node, durationNanos);
       case STOP_NODE -> node.stop();
@@ -327,12 +296,12 @@
     }
   }
 
-  private void disturb(Action action, long durationNanos) {
+  private void disturb(FuzzAction action, long durationNanos) {
     switch (action.kind()) {
       case PARTITION -> {
         sides = action.a() % (1 << nodes.length);
         tableCut = action.c() % (1 << nodes.length) & sides;
-        at(durationNanos - MS, () -> rush(RUSH_CALLS));
+        at(durationNanos - 301 * MS, this::rush);
         at(
             durationNanos,
             () -> {
@@ -359,14 +328,14 @@
   /** Demand before a pause leaves the node with units that it must not use after it. */
   private void demandThenPause(FuzzNode node, long durationNanos) {
     for (long delay = 0; delay < PRE_PAUSE_NANOS; delay += 100 * MS) {
-      at(delay, () -> rush(2));
+      at(delay, () -> demand(node, 1 + random.nextInt(2)));
     }
     at(PRE_PAUSE_NANOS, () -> pause(node, durationNanos));
   }
 
   private void pause(FuzzNode node, long durationNanos) {
     node.pausedUntil = now + durationNanos;
-    at(durationNanos - MS, () -> rush(RUSH_CALLS));
+    at(durationNanos - 301 * MS, this::rush);
     List.copyOf(node.calls)
         .forEach(
             call ->
@@ -379,18 +348,18 @@
                     }));
   }
 
-  private void once(Action action) {
+  private void once(FuzzAction action) {
     FuzzNode node = chooseNode(random.nextInt(100));
     if (node != null) {
       new FuzzOnceTry(node, "once/w/s/k" + action.a() % 8, "claim" + nextId());
     }
   }
 
-  private String targetOf(Action action) {
+  private String targetOf(FuzzAction action) {
     return engines.targets.get(action.c() % engines.targets.size()).targetId();
   }
 
-  private void stopTarget(FuzzNode node, Action action) {
+  private void stopTarget(FuzzNode node, FuzzAction action) {
     String targetId = targetOf(action);
     // Half of the fleet stays, so that requests go on.
     if (targetId.compareTo("t2") >= 0) {
@@ -407,17 +376,19 @@
 
   /** Many slots let a rush meet the request bound; few slots are a bound of their own. */
   static int slotsOf(String workspace) {
-    return workspace.equals("edited") ? 6 : 40;
+    return workspace.equals("edited") ? 6 : 100;
   }
 
+  /** A long burst lets holders ask for many units ahead, so that wrong ones show. */
   private static Contract contractOf(String workspace, int rate) {
+    double burstSeconds = workspace.equals("edited") ? 0.5 : 2;
     return new Contract(
         workspace,
         PriorityClass.INTERACTIVE,
         rate,
-        rate / 2.0,
+        rate * burstSeconds,
         rate * 18,
-        rate * 9,
+        rate * 18 * burstSeconds,
         slotsOf(workspace),
         null,
         null,
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/NodesFuzzTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/NodesFuzzTest.java
@@ -11,7 +11,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import org.gooseberryhook.coordination.FuzzOracle.Promise;
-import org.gooseberryhook.coordination.FuzzWorld.Action;
 import org.gooseberryhook.coordination.FuzzWorld.Variant;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
@@ -26,7 +25,7 @@
   /** Guards against faults between parts that each keep their own tests. */
   @Property(tries = 40, seed = "20261203", shrinking = ShrinkingMode.OFF)
   void nodesKeepThePromisesUnderAllFaults(@ForAll long seed) {
-    FuzzWorld world = new FuzzWorld(seed, Variant.CORRECT, FuzzWorld.actionsOf(seed));
+    FuzzWorld world = new FuzzWorld(seed, Variant.CORRECT, FuzzAction.of(seed));
     assertThat(world.run().violation).as(() -> describe(seed)).isNull();
   }
 
@@ -45,7 +44,7 @@
   void theOracleCatchesABrokenNode(Variant variant, Promise promise) {
     List<Promise> found = new ArrayList<>();
     for (long seed = 1; seed <= MAX_SEEDS && !found.contains(promise); seed++) {
-      FuzzOracle oracle = new FuzzWorld(seed, variant, FuzzWorld.actionsOf(seed)).run();
+      FuzzOracle oracle = new FuzzWorld(seed, variant, FuzzAction.of(seed)).run();
       if (oracle.violation != null) {
         found.add(oracle.broken);
       }
@@ -66,7 +65,7 @@
     Map<String, Long> reached = new TreeMap<>();
     List<String> failures = new ArrayList<>();
     for (; System.nanoTime() - startNanos < limitNanos && failures.size() < 3; seed++) {
-      FuzzWorld world = new FuzzWorld(seed, Variant.CORRECT, FuzzWorld.actionsOf(seed));
+      FuzzWorld world = new FuzzWorld(seed, Variant.CORRECT, FuzzAction.of(seed));
       FuzzOracle oracle = world.run();
       steps += world.steps;
       runs++;
@@ -86,10 +85,10 @@
 
   /** Drops actions one by one while the same promise still breaks. */
   private static String describe(long seed) {
-    List<Action> actions = new ArrayList<>(FuzzWorld.actionsOf(seed));
+    List<FuzzAction> actions = new ArrayList<>(FuzzAction.of(seed));
     FuzzOracle oracle = new FuzzWorld(seed, Variant.CORRECT, actions).run();
     for (int i = actions.size() - 1; i >= 0; i--) {
-      List<Action> fewer = new ArrayList<>(actions);
+      List<FuzzAction> fewer = new ArrayList<>(actions);
       fewer.remove(i);
       FuzzOracle next = new FuzzWorld(seed, Variant.CORRECT, fewer).run();
       if (next.broken == oracle.broken) {
