--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ModelCallServiceTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ModelCallServiceTest.java
@@ -4,12 +4,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.gooseberryhook.coordination.PipelineHealth;
+import org.gooseberryhook.coordination.PipelineRouter;
+import org.gooseberryhook.coordination.PrefixIndex;
 import org.gooseberryhook.protocol.AnswerSink;
 import org.gooseberryhook.protocol.ModelCall;
 import org.gooseberryhook.protocol.Outcome;
 import org.gooseberryhook.protocol.Problem;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.PipelineTable;
 import org.gooseberryhook.state.PriorityClass;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +23,9 @@
   @Test
   void aCallAfterNewOnesAreRefusedIsNotRunAndNotCounted() {
     NodeMetrics metrics = new NodeMetrics();
-    ModelCallService service = new ModelCallService(null, null, null, null, metrics);
+    PipelineRouter router =
+        new PipelineRouter(new PipelineTable(), new PipelineHealth(), new PrefixIndex());
+    ModelCallService service = new ModelCallService(null, new CallControls(null, null, null, router, null), null, null, metrics);
     service.refuseNew();
     List<Problem> problems = new ArrayList<>();
     service.submit(call(), contract(), new ModelSpec("m", "1", 2, 1, 1), sinkTo(problems));
