Keep a resumed answer on the model version that it began with

Cause: a caller that resumes an answer after a version change gave no version, so tokens of two versions could be joined. Change: answers name their version in X-Model-Version; a resuming caller sends it back and its answer goes on in that version or is not run. A test orders a spare engine to load a missing replica. Conclusion: callers that resume without the header are still at risk while a version changes.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
@@ -36,6 +36,7 @@
 
   private static final int MAX_REQUEST_ID_CHARS = 128;
   private static final long DEFAULT_TIMEOUT_MS = 60_000;
+  private static final String VERSION_HEADER = "X-Model-Version";
   private static final String BEARER = "Bearer ";
 
   private final NodeSettings settings;
@@ -183,11 +184,22 @@
     }
     context.setResponseHeader("X-Request-Id", requestId);
     ModelCall call = toCall(contract, body, requestId, timeoutMs);
+    ModelSpec served = versionOf(context, body, model.get(), requestId);
+    context.setResponseHeader(VERSION_HEADER, served.modelVersion());
     modelCalls.submit(
-        call, contract, model.get(), new ModelAnswerWriter(context, requestId, body, isChat));
+        call, contract, served, new ModelAnswerWriter(context, requestId, body, isChat));
     return context;
   }
 
+  /** A resumed answer goes on in the version that its first part named, or is not run at all. */
+  private ModelSpec versionOf(
+      Context context, ModelRequestBody body, ModelSpec declared, String requestId) {
+    String begun = context.header(VERSION_HEADER).value("");
+    return body.getResumeTokenIds().isEmpty() || begun.isEmpty()
+        ? modelCalls.chooseVersion(declared, requestId)
+        : declared.withVersion(begun);
+  }
+
   /** Returns the time allowed, at most the contract's; 0 if the header is wrong. */
   static long timeoutOf(Context context, Contract contract) {
     String text = context.header("X-Request-Timeout-Ms").value("");
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -80,17 +80,27 @@
     }
   }
 
+  /**
+   * Returns the model in the version that a request uses for its whole life.
+   *
+   * @param model the declared model
+   * @param requestId the request
+   * @return the model, with an earlier version while that one still serves
+   */
+  public ModelSpec chooseVersion(ModelSpec model, String requestId) {
+    return controls.router().chooseVersion(model, requestId);
+  }
+
   /**
    * Starts a call.
    *
    * @param call the call
    * @param contract the workspace's contract
-   * @param model the model
+   * @param model the model in the version that the whole answer uses
    * @param sink receives the answer
    */
   public void submit(ModelCall call, Contract contract, ModelSpec model, AnswerSink sink) {
-    ModelSpec served = controls.router().chooseVersion(model, call.requestId());
-    ModelCallRun run = new ModelCallRun(this, call, contract, served, sink);
+    ModelCallRun run = new ModelCallRun(this, call, contract, model, sink);
     if (runsByKey.putIfAbsent(run.getKey(), run) != null) {
       sink.onProblem(
           Problem.of(
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
@@ -38,6 +38,7 @@
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
   private static final int MAX_HEADER_BYTES = 16 * 1024;
   private static final int MAX_CONCURRENT_REQUESTS = 2_000;
+  private static final String SPARE = "spare";
   private static final long LAYER_BYTES = 1L << 30;
   private static final long READY_TIMEOUT_MS = 30_000;
   private static final long NANOS_PER_MS = 1_000_000;
@@ -236,6 +237,31 @@
     }
   }
 
+  /**
+   * Adds an engine that holds nothing of the model and has memory for all of its layers.
+   *
+   * @param targetId the target
+   */
+  public void addSpare(String targetId) {
+    fleet.add(
+        new StandinEngine(
+            targetId, SPARE, SPARE, LayerRange.of(0, 1), layout.maxRunning(), MAX_CACHED_BLOCKS));
+    VmTarget target =
+        new VmTarget(
+            targetId,
+            VmTarget.ENGINE,
+            getEngineUrl() + "/targets/" + targetId,
+            SPARE,
+            SPARE,
+            0,
+            1,
+            "accelerator-spare",
+            true,
+            layout.layerCount() * LAYER_BYTES,
+            (double) layout.stepMicros() / layout.layerCount());
+    putVm("vm-" + targetId, placeOf(0), target);
+  }
+
   /**
    * Waits until every node has a version in force and pipelines to route to.
    *
--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/VersionChangeTest.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/VersionChangeTest.java
@@ -21,6 +21,7 @@
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.standin.StandinEngine;
 import org.gooseberryhook.standin.TokenFunction;
+import org.gooseberryhook.state.ModelSpec;
 import org.junit.jupiter.api.Test;
 
 /** Changes the version of a model under running calls, over real sockets. */
@@ -73,6 +74,29 @@
     assertThat(cluster.getFleet().getAll()).allMatch(engine -> engine.getLoadCount() == 1);
   }
 
+  /** Guards against a missing replica that stays missing although a target is free. */
+  @Test
+  void aSpareTargetIsOrderedToLoadAMissingReplica() throws Exception {
+    TinyCluster tiny = new TinyCluster(1, cluster -> {});
+    LocalCluster cluster = tiny.getCluster();
+    try {
+      cluster.addSpare("s0");
+      AdminClient admin = cluster.newAdminClient(0);
+      long version = Long.parseLong(admin.get("models/drafting").etag().replace("\"", ""));
+      admin.put("models/drafting", new ModelSpec("drafting", "v1", 8, 1L << 30, 2), version);
+      LocalCluster.await(
+          "two pipelines at all nodes",
+          () -> cluster.getNodes().stream().allMatch(node -> node.getPipelineCount() == 2));
+      StandinEngine.State state = cluster.getFleet().get("s0").orElseThrow().getState();
+      assertThat(state.modelVersion()).isEqualTo("v1");
+      assertThat(state.fencingNumber()).isPositive();
+      // The first target's memory is not known, so it is never ordered.
+      assertThat(cluster.getFleet().get("t0-0").orElseThrow().getLoadCount()).isZero();
+    } finally {
+      tiny.stop();
+    }
+  }
+
   private static boolean isAllHolding(LocalCluster cluster, String version) {
     return cluster.getFleet().getAll().stream()
         .map(StandinEngine::getState)
