--- a/gooseberryhook-load/src/test/java/org/gooseberryhook/load/VersionChangeTest.java
+++ b/gooseberryhook-load/src/test/java/org/gooseberryhook/load/VersionChangeTest.java
@@ -63,6 +63,8 @@
       assertThat(plan.path("reasons").toString()).contains("drafting v2: 2 of 2 replicas");
       assertThat(admin.get("placement/drafting?preview=true").body().path("replicas"))
           .isEqualTo(plan.path("replicas"));
+      assertThat(resume(tiny.getAddresses().get(0), "v1")).isGreaterThanOrEqualTo(400);
+      assertThat(resume(tiny.getAddresses().get(0), "v2")).isEqualTo(200);
     } finally {
       isStopping.set(true);
       for (Thread caller : callers) {
@@ -103,6 +105,38 @@
         .allMatch(state -> state.modelVersion().equals(version));
   }
 
+  /** Resumes an answer of which a version gave the first two tokens. */
+  private static int resume(String address, String version) throws IOException {
+    List<Integer> begun =
+        TokenFunction.answerTo(version, TinyCluster.LAYER_COUNT, "resumed", TOKENS).subList(0, 2);
+    String body =
+        Json.MAPPER.writeValueAsString(
+            Map.of(
+                "model",
+                "drafting",
+                "prompt",
+                "resumed",
+                "max_tokens",
+                TOKENS,
+                "resume_token_ids",
+                begun));
+    Request request =
+        newRequest(address, body)
+            .header("X-Resume-From", "2")
+            .header("X-Model-Version", version)
+            .build();
+    try (Response response = CLIENT.newCall(request).execute()) {
+      return response.code();
+    }
+  }
+
+  private static Request.Builder newRequest(String address, String body) {
+    return new Request.Builder()
+        .url("http://" + address + "/v1/completions")
+        .header("Authorization", "Bearer " + TinyCluster.KEY)
+        .post(RequestBody.create(body, MediaType.get("application/json")));
+  }
+
   private void callUntilStopped(String address, int number) {
     for (int i = 0; !isStopping.get(); i++) {
       try {
@@ -117,12 +151,7 @@
     String body =
         Json.MAPPER.writeValueAsString(
             Map.of("model", "drafting", "prompt", prompt, "max_tokens", TOKENS));
-    Request request =
-        new Request.Builder()
-            .url("http://" + address + "/v1/completions")
-            .header("Authorization", "Bearer " + TinyCluster.KEY)
-            .post(RequestBody.create(body, MediaType.get("application/json")))
-            .build();
+    Request request = newRequest(address, body).build();
     try (Response response = CLIENT.newCall(request).execute()) {
       String answer = response.body().string();
       String text = Json.MAPPER.readTree(answer).path("choices").path(0).path("text").asText();
