--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ModelCallServiceTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ModelCallServiceTest.java
@@ -25,7 +25,9 @@
     NodeMetrics metrics = new NodeMetrics();
     PipelineRouter router =
         new PipelineRouter(new PipelineTable(), new PipelineHealth(), new PrefixIndex());
-    ModelCallService service = new ModelCallService(null, new CallControls(null, null, null, router, null), null, null, metrics);
+    ModelCallService service =
+        new ModelCallService(
+            null, new CallControls(null, null, null, router, null), null, null, metrics);
     service.refuseNew();
     List<Problem> problems = new ArrayList<>();
     service.submit(call(), contract(), new ModelSpec("m", "1", 2, 1, 1), sinkTo(problems));
