Doubt mass silence of engines and repeat load orders slowly

Cause: a node that lost its links would have moved the replicas of all engines that it could not reach; a load that takes minutes was ordered again five times a second. Change: silence counts as death only for up to a fifth of the engines, at least two; otherwise the VM list decides.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PlacementStepper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PlacementStepper.java
@@ -24,6 +24,12 @@
  */
 public final class PlacementStepper {
 
+  /** Engines that may be silent in a fleet of any size before this node doubts its own links. */
+  private static final int MIN_BELIEVED_SILENT = 2;
+
+  /** A fleet of which more than one in this many is silent is taken for a fault of this node. */
+  private static final int ENGINES_PER_BELIEVED_SILENT = 5;
+
   private final PlacementPlanner planner;
 
   /**
@@ -51,6 +57,19 @@
       Collection<Accelerator> fleet,
       Predicate<Replica> isServing) {}
 
+  /**
+   * Tells whether engines that do not answer this node are taken for dead. When many are silent at
+   * once, the cause is likely a link of this node, and moving their replicas would do the harm; the
+   * VM list then decides alone.
+   *
+   * @param silentCount engines on the VM list that have not answered for a while
+   * @param engineCount engines on the VM list
+   * @return true if the silent ones count as dead
+   */
+  public static boolean isSilenceBelieved(int silentCount, int engineCount) {
+    return silentCount <= Math.max(MIN_BELIEVED_SILENT, engineCount / ENGINES_PER_BELIEVED_SILENT);
+  }
+
   /**
    * Decides the next step.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/EngineOrderService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/EngineOrderService.java
@@ -111,6 +111,7 @@
     private EngineOrderKeeper keeper;
     private long fencingNumber;
     private boolean isReady;
+    private long orderedNanos = sinceNanos - DELIVERY_NANOS;
 
     private Job(Target target, String slotKey) {
       this.target = target;
@@ -266,7 +267,9 @@
     }
     job.isReady = held.isPresent() && !isRight && isDrained(job, state, nowNanos);
     // An unread state keeps the keeper from ordering before the target and its slot are free.
-    boolean isOrderAllowed = isRight || (job.isReady && isTurn(job, nowNanos));
+    // A load may take minutes; the order is repeated once in a delivery time, in case it was lost.
+    boolean isOrderDue = nowNanos - job.orderedNanos >= DELIVERY_NANOS;
+    boolean isOrderAllowed = isRight || (job.isReady && isTurn(job, nowNanos) && isOrderDue);
     Step step = keeper.onRead(isOrderAllowed ? held : Optional.empty(), nowNanos);
     if (step instanceof Step.Order order) {
       send(job, keeper, order);
@@ -321,6 +324,7 @@
       keeper.onOrdered(false);
       return;
     }
+    job.orderedNanos = System.nanoTime();
     LOG.infof("target %s is ordered to load %s", job.target.targetId(), order.wanted());
     caller
         .call(
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
@@ -22,6 +22,7 @@
 import org.gooseberryhook.coordination.EngineOrderKeeper;
 import org.gooseberryhook.coordination.PipelineComposer;
 import org.gooseberryhook.coordination.PipelineRouter;
+import org.gooseberryhook.coordination.PlacementStepper;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.VmEntry;
 import org.gooseberryhook.protocol.VmList;
@@ -190,9 +191,16 @@
   List<Target> getEngines() {
     Configuration present = configuration.get();
     long nowNanos = System.nanoTime();
-    return targets.stream()
-        .filter(target -> target.kind() == TargetKind.ENGINE)
-        .filter(target -> !isSilent(target.targetId(), nowNanos))
+    List<Target> engines =
+        targets.stream().filter(target -> target.kind() == TargetKind.ENGINE).toList();
+    Set<String> silent =
+        engines.stream()
+            .map(Target::targetId)
+            .filter(targetId -> isSilent(targetId, nowNanos))
+            .collect(Collectors.toSet());
+    boolean isBelieved = PlacementStepper.isSilenceBelieved(silent.size(), engines.size());
+    return engines.stream()
+        .filter(target -> !isBelieved || !silent.contains(target.targetId()))
         .map(target -> withReport(target, reports.get(target.targetId())))
         .map(target -> target.withLeaving(isLeaving(target, present)))
         .toList();
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/PlacementStepperTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/PlacementStepperTest.java
@@ -119,6 +119,15 @@
     assertThat(step(model.withVersion("v2"), plan, fleet)).isEmpty();
   }
 
+  /** Guards against a cut-off node that moves the replicas of the whole fleet. */
+  @Property(tries = 1)
+  void theSilenceOfManyEnginesIsNotBelieved() {
+    assertThat(PlacementStepper.isSilenceBelieved(1, 2)).isTrue();
+    assertThat(PlacementStepper.isSilenceBelieved(20, 100)).isTrue();
+    assertThat(PlacementStepper.isSilenceBelieved(21, 100)).isFalse();
+    assertThat(PlacementStepper.isSilenceBelieved(100, 100)).isFalse();
+  }
+
   private Optional<PlacementPlan> step(
       ModelSpec model, PlacementPlan plan, List<Accelerator> fleet) {
     return stepper.next(new PlacementStepper.Situation(model, plan, fleet, this::isServing));
