--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -159,11 +159,12 @@
       long nowNanos) {
     Shard shard = shards[shardIndex];
     synchronized (shard) {
+      // A lease that lapsed here and was confirmed late begins its term a second time.
+      boolean isFirstTerm = term == DutyLease.FIRST_FENCING_NUMBER && shard.term < term;
       shard.term = term;
       shard.isActive = true;
       activeShards.add(shardIndex);
       shard.usableUntilNanos = usableUntilNanos;
-      boolean isFirstTerm = term == DutyLease.FIRST_FENCING_NUMBER;
       shard.grantsFromNanos =
           isFirstTerm
               ? nowNanos
