Add node, standin, admin and check-settings commands; harden the APIs

Cause: Only the demo could be run; a request whose headers the server cut off was run without its body; bodies above 16 KiB went to temporary files. Change: The commands; ListenAddress checks ports; HttpExchanges holds the server bounds, percent-decoding and content types; planned changes carry their version; node-gone ends a run by an operator's word; CapacityCheck refuses raised contracts; conflicts show both versions.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/ProblemKind.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/ProblemKind.java
@@ -24,6 +24,14 @@
   PRECONDITION_REQUIRED("precondition-required", 428, "Send If-Match with the current ETag."),
   /** The body is too large. */
   TOO_LARGE("too-large", 413, "Send a smaller body."),
+  /** The headers are too large. */
+  HEADERS_TOO_LARGE("headers-too-large", 431, "Send fewer or shorter headers."),
+  /** The body has a content type that is not understood. */
+  UNSUPPORTED_TYPE(
+      "unsupported-content-type", 415, "Send JSON with 'Content-Type: application/json'."),
+  /** The fleet cannot carry what the contract promises. */
+  EXCEEDS_CAPACITY(
+      "exceeds-capacity", 422, "Lower tokensPerSecond, or add replicas of the model first."),
   /** A limit of the contract is reached. */
   LIMITED("limited", 429, "Send the request again after the time in Retry-After."),
   /** The request crashed several targets. */
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Configuration.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/Configuration.java
@@ -22,14 +22,14 @@
   private final PersistentMap<Versioned<Contract>> contracts;
   private final PersistentMap<Versioned<ModelSpec>> models;
   private final PersistentMap<Versioned<ServiceSpec>> services;
-  private final PersistentMap<String> leavingTargets;
+  private final PersistentMap<Versioned<String>> leavingTargets;
 
   private Configuration(
       long version,
       PersistentMap<Versioned<Contract>> contracts,
       PersistentMap<Versioned<ModelSpec>> models,
       PersistentMap<Versioned<ServiceSpec>> services,
-      PersistentMap<String> leavingTargets) {
+      PersistentMap<Versioned<String>> leavingTargets) {
     this.version = version;
     this.contracts = contracts;
     this.models = models;
@@ -64,7 +64,7 @@
     PersistentMap<Versioned<Contract>> newContracts = contracts;
     PersistentMap<Versioned<ModelSpec>> newModels = models;
     PersistentMap<Versioned<ServiceSpec>> newServices = services;
-    PersistentMap<String> newLeaving = leavingTargets;
+    PersistentMap<Versioned<String>> newLeaving = leavingTargets;
     if (change instanceof ConfigurationChange.PutContract put) {
       newContracts =
           contracts.with(
@@ -81,7 +81,8 @@
     } else if (change instanceof ConfigurationChange.RemoveService remove) {
       newServices = services.without(remove.serviceName());
     } else if (change instanceof ConfigurationChange.SetTargetLeaving set) {
-      newLeaving = leavingTargets.with(set.targetId(), set.reason());
+      newLeaving =
+          leavingTargets.with(set.targetId(), new Versioned<>(changeVersion, set.reason()));
     } else if (change instanceof ConfigurationChange.ClearTargetLeaving clear) {
       newLeaving = leavingTargets.without(clear.targetId());
     }
@@ -91,7 +92,7 @@
   /**
    * Returns all records as changes that rebuild this configuration.
    *
-   * @return the records, each with the log version that made it (0 for leaving targets)
+   * @return the records, each with the log version that made it
    */
   public List<Versioned<ConfigurationChange>> toRecords() {
     List<Versioned<ConfigurationChange>> records = new ArrayList<>(contracts.size());
@@ -102,7 +103,7 @@
     leavingTargets.forEach(
         (targetId, reason) ->
             records.add(
-                new Versioned<>(0, new ConfigurationChange.SetTargetLeaving(targetId, reason))));
+                of(reason, new ConfigurationChange.SetTargetLeaving(targetId, reason.value()))));
     contracts
         .values()
         .forEach(c -> records.add(of(c, new ConfigurationChange.PutContract(c.value()))));
@@ -146,11 +147,12 @@
   }
 
   /**
-   * Returns the reasons by target id for targets that are declared as leaving.
+   * Returns the reasons, with the log version that set them, by target id for targets that are
+   * declared as leaving.
    *
    * @return an immutable map, never null
    */
-  public Map<String, String> leavingTargets() {
+  public Map<String, Versioned<String>> leavingTargets() {
     return leavingTargets;
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.transport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -9,7 +10,6 @@
 import io.jooby.Jooby;
 import io.jooby.MediaType;
 import io.jooby.Route;
-import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import java.io.IOException;
@@ -53,6 +53,7 @@
   private static final long CHANGE_TIMEOUT_MS = 10_000;
   private static final long RETRY_AFTER_MS = 2_000;
   private static final int AUTHOR_CHARS = 12;
+  private static final String NODE_GONE = "node-gone";
   private static final String BEARER = "Bearer ";
 
   private final String address;
@@ -98,6 +99,7 @@
     Jooby app = new Jooby();
     app.setExecutionMode(ExecutionMode.WORKER);
     app.setWorker(worker);
+    app.use(HttpExchanges.headerLimit(SettingsReader.MAX_HEADER_BYTES));
     addRecords(
         app,
         "contracts",
@@ -116,20 +118,29 @@
         configuration -> configuration.services(),
         body -> new ConfigurationChange.PutService(STRICT.readValue(body, ServiceSpec.class)),
         ConfigurationChange.RemoveService::new);
-    app.get("/admin/v1/status", guarded(context -> sendJson(context, view.getStatus())));
+    app.get(
+        "/admin/v1/status", guarded(context -> HttpExchanges.sendJson(context, view.getStatus())));
     app.get("/admin/v1/changes", guarded(this::listChanges));
     app.get(
         "/admin/v1/planned-changes",
-        guarded(context -> sendJson(context, view.getPlannedChanges())));
+        guarded(context -> HttpExchanges.sendJson(context, view.getPlannedChanges())));
     app.post("/admin/v1/planned-changes", guarded(this::declareChange));
     app.delete("/admin/v1/planned-changes/{targetId}", guarded(this::cancelChange));
-    app.get("/admin/v1/crash-marks", guarded(context -> sendJson(context, view.getCrashMarks())));
+    app.get(
+        "/admin/v1/crash-marks",
+        guarded(context -> HttpExchanges.sendJson(context, view.getCrashMarks())));
     app.delete("/admin/v1/crash-marks/{fingerprint}", guarded(this::clearCrashMarks));
     app.get("/metrics", this::getMetrics);
     app.get("/livez", context -> context.send("ok"));
     app.get("/readyz", this::getReady);
     app.error(AdminApi::onError);
-    listen(app);
+    server =
+        HttpExchanges.start(
+            app,
+            "the administration API",
+            address,
+            MAX_BODY_BYTES,
+            SettingsReader.MAX_HEADER_BYTES);
   }
 
   /** Stops listening. */
@@ -145,17 +156,6 @@
     ConfigurationChange read(byte[] body) throws IOException;
   }
 
-  private void listen(Jooby app) {
-    int colon = address.lastIndexOf(':');
-    ServerOptions options = new ServerOptions();
-    options.setHost(address.substring(0, colon));
-    options.setPort(Integer.parseInt(address.substring(colon + 1)));
-    options.setMaxRequestSize(MAX_BODY_BYTES);
-    server = new NettyServer();
-    server.setOptions(options);
-    server.start(app);
-  }
-
   private <T> void addRecords(
       Jooby app,
       String name,
@@ -163,36 +163,48 @@
       ChangeReader reader,
       Function<String, ConfigurationChange> remover) {
     String path = "/admin/v1/" + name;
-    app.get(path, guarded(context -> sendJson(context, records.apply(cluster.getConfiguration()))));
+    app.get(
+        path,
+        guarded(
+            context -> HttpExchanges.sendJson(context, records.apply(cluster.getConfiguration()))));
     app.get(
         path + "/{id}",
         guarded(
             context -> {
-              String id = context.path("id").value();
+              String id = HttpExchanges.getPath(context, "id");
               Versioned<T> found = records.apply(cluster.getConfiguration()).get(id);
               if (found == null) {
                 return Problems.send(
                     context, Problem.of(ProblemKind.NOT_FOUND, name + "/" + id + " is not set"));
               }
               context.setResponseHeader("ETag", quote(found.version()));
-              return sendJson(context, found.value());
+              return HttpExchanges.sendJson(context, found.value());
             }));
     app.put(path + "/{id}", guarded(context -> put(context, reader)));
     app.delete(
         path + "/{id}",
-        guarded(context -> submit(context, remover.apply(context.path("id").value()))));
+        guarded(context -> submit(context, remover.apply(HttpExchanges.getPath(context, "id")))));
   }
 
   private Object put(Context context, ChangeReader reader) throws Exception {
+    Optional<Problem> typeProblem = HttpExchanges.findContentTypeProblem(context);
+    if (typeProblem.isPresent()) {
+      return Problems.send(context, typeProblem.get());
+    }
     ConfigurationChange change;
     try {
       change = reader.read(context.body().bytes());
     } catch (JsonProcessingException e) {
       return badRequest(context, "the body is not valid: " + e.getOriginalMessage());
     }
-    String id = context.path("id").value();
-    if (!change.recordKey().endsWith("/" + id)) {
-      return badRequest(context, "the body names another record than the path's " + id);
+    String id = HttpExchanges.getPath(context, "id");
+    String bodyId = change.recordKey().substring(change.recordKey().indexOf('/') + 1);
+    if (!bodyId.equals(id)) {
+      return badRequest(context, "the body names " + bodyId + " but the path names " + id);
+    }
+    // Keys of the table service join ids by slashes, so an id with a slash could mean another's.
+    if (id.isEmpty() || id.indexOf('/') >= 0) {
+      return badRequest(context, "the id '" + id + "' is empty or contains a slash");
     }
     Optional<Problem> refusal = view.checkCapacity(change);
     if (refusal.isPresent()) {
@@ -203,7 +215,7 @@
       body.put("dryRun", true);
       body.put("wouldChange", change.recordKey());
       body.put("currentVersion", cluster.getConfiguration().version());
-      return sendJson(context, body);
+      return HttpExchanges.sendJson(context, body);
     }
     return submit(context, change);
   }
@@ -223,7 +235,10 @@
     } catch (NumberFormatException e) {
       return badRequest(context, "If-Match is " + ifMatch + ", which is no ETag of this API");
     }
-    return answer(context, change(context, change, expectedVersion), expectedVersion);
+    ChangeResult result = change(context, change, expectedVersion);
+    return result instanceof ChangeResult.ConflictWith conflict
+        ? sendConflict(context, conflict, change, expectedVersion)
+        : answer(context, result);
   }
 
   private ChangeResult change(Context context, ConfigurationChange change, long expectedVersion)
@@ -245,21 +260,38 @@
     }
   }
 
-  private Object answer(Context context, ChangeResult result, long expectedVersion)
+  /** Shows both versions, so that the operator who came second can merge them. */
+  private static Object sendConflict(
+      Context context,
+      ChangeResult.ConflictWith conflict,
+      ConfigurationChange change,
+      long expectedVersion)
       throws JsonProcessingException {
+    Versioned<ConfigurationChange> current = conflict.current();
+    Problem problem =
+        Problem.of(
+            ProblemKind.CONFLICT,
+            change.recordKey()
+                + " has version "
+                + (current == null ? 0 : current.version())
+                + ", not "
+                + expectedVersion);
+    Map<String, Object> body =
+        Json.MAPPER.convertValue(
+            problem.toBody(), new TypeReference<LinkedHashMap<String, Object>>() {});
+    body.put("yourVersion", expectedVersion);
+    body.put("yours", change);
+    body.put("currentVersion", current == null ? 0 : current.version());
+    body.put("current", current == null ? null : current.value());
+    context.setResponseCode(ProblemKind.CONFLICT.getHttpStatus());
+    context.setResponseType(MediaType.valueOf("application/problem+json"));
+    return context.send(Json.MAPPER.writeValueAsBytes(body));
+  }
+
+  private Object answer(Context context, ChangeResult result) throws JsonProcessingException {
     if (result instanceof ChangeResult.Accepted accepted) {
       context.setResponseHeader("ETag", quote(accepted.version()));
-      return sendJson(context, Map.of("version", accepted.version()));
-    }
-    if (result instanceof ChangeResult.ConflictWith conflict) {
-      context.setResponseCode(ProblemKind.CONFLICT.getHttpStatus());
-      Map<String, Object> body = new LinkedHashMap<>();
-      body.put("title", ProblemKind.CONFLICT.getText());
-      body.put("remedy", ProblemKind.CONFLICT.getRemedy());
-      body.put("yourVersion", expectedVersion);
-      body.put("currentVersion", conflict.current() == null ? 0 : conflict.current().version());
-      body.put("current", conflict.current() == null ? null : conflict.current().value());
-      return sendJson(context, body);
+      return HttpExchanges.sendJson(context, Map.of("version", accepted.version()));
     }
     if (result instanceof ChangeResult.Refused refused) {
       return Problems.send(
@@ -278,7 +310,7 @@
   }
 
   private Object listChanges(Context context) throws JsonProcessingException {
-    return sendJson(context, view.getChanges(context.query("after").longValue(0)));
+    return HttpExchanges.sendJson(context, view.getChanges(context.query("after").longValue(0)));
   }
 
   private Object declareChange(Context context) throws Exception {
@@ -288,6 +320,12 @@
     } catch (JsonProcessingException e) {
       return badRequest(context, "the body is not valid: " + e.getOriginalMessage());
     }
+    if (body == null || body.kind() == null || body.id() == null || body.reason() == null) {
+      return badRequest(context, "kind, id and reason must be given");
+    }
+    if (NODE_GONE.equals(body.kind())) {
+      return declareNodeGone(context, body);
+    }
     List<String> targetIds = view.getTargetIds(body.kind(), body.id());
     if (targetIds.isEmpty()) {
       return badRequest(
@@ -296,7 +334,7 @@
               + body.kind()
               + "' and id '"
               + body.id()
-              + "'; kinds are target, vm and place");
+              + "'; kinds are target, vm, place and node-gone");
     }
     Map<String, String> results = new LinkedHashMap<>();
     for (String targetId : targetIds) {
@@ -304,16 +342,25 @@
           change(context, new ConfigurationChange.SetTargetLeaving(targetId, body.reason()), 0);
       results.put(targetId, result.getClass().getSimpleName());
     }
-    return sendJson(context, results);
+    return HttpExchanges.sendJson(context, results);
+  }
+
+  /** An operator's word that the process at a peer address has ended and will not act again. */
+  private Object declareNodeGone(Context context, PlannedChangeBody body) throws Exception {
+    Optional<Problem> refusal = view.declareNodeGone(body.id(), body.reason());
+    if (refusal.isPresent()) {
+      return Problems.send(context, refusal.get());
+    }
+    return HttpExchanges.sendJson(context, Map.of(body.id(), "RunEnded"));
   }
 
   private Object cancelChange(Context context) throws Exception {
-    String targetId = context.path("targetId").value();
+    String targetId = HttpExchanges.getPath(context, "targetId");
     return submit(context, new ConfigurationChange.ClearTargetLeaving(targetId));
   }
 
   private Object clearCrashMarks(Context context) {
-    String text = context.path("fingerprint").value();
+    String text = HttpExchanges.getPath(context, "fingerprint");
     try {
       view.clearCrashMarks(Long.parseUnsignedLong(text, 16));
       return context.send(StatusCode.NO_CONTENT);
@@ -372,11 +419,6 @@
     return Problems.send(context, Problem.of(ProblemKind.BAD_REQUEST, detail));
   }
 
-  private static Object sendJson(Context context, Object body) throws JsonProcessingException {
-    context.setResponseType(MediaType.json);
-    return context.send(Json.MAPPER.writeValueAsBytes(body));
-  }
-
   private static void onError(Context context, Throwable cause, StatusCode status) {
     Problems.sendError(context, cause, status);
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminView.java
@@ -31,6 +31,15 @@
   /** Returns the targets that a planned change of a kind means; empty if there are none. */
   List<String> getTargetIds(String kind, String id);
 
+  /**
+   * Takes an operator's word that the run at a peer address has ended and tells the other nodes.
+   *
+   * @param peerAddress {@code ip:port}
+   * @param reason why the operator knows, for the log
+   * @return why it is refused, or empty if it was done
+   */
+  Optional<Problem> declareNodeGone(String peerAddress, String reason);
+
   /** Refuses a change that the fleet cannot carry. */
   Optional<Problem> checkCapacity(ConfigurationChange change);
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
@@ -4,9 +4,7 @@
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
-import io.jooby.MediaType;
 import io.jooby.Route;
-import io.jooby.ServerOptions;
 import io.jooby.netty.NettyServer;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,7 +13,6 @@
 import java.util.UUID;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
-import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.ModelCall;
 import org.gooseberryhook.protocol.Outcome;
 import org.gooseberryhook.protocol.Problem;
@@ -86,6 +83,7 @@
     Jooby app = new Jooby();
     app.setExecutionMode(ExecutionMode.WORKER);
     app.setWorker(worker);
+    app.use(HttpExchanges.headerLimit(settings.limits().maxHeaderBytes()));
     app.post(
         "/v1/completions", guarded((context, contract) -> callModel(context, contract, false)));
     app.post(
@@ -97,16 +95,13 @@
     app.get("/v1/outcomes/{key}", guarded(this::getOutcome));
     app.get("/livez", context -> context.send("ok"));
     app.error(Problems::sendError);
-    String address = settings.node().callerAddress();
-    int colon = address.lastIndexOf(':');
-    ServerOptions options = new ServerOptions();
-    options.setHost(address.substring(0, colon));
-    options.setPort(Integer.parseInt(address.substring(colon + 1)));
-    options.setMaxRequestSize(settings.limits().maxBodyBytes());
-    options.setMaxHeaderSize(settings.limits().maxHeaderBytes());
-    server = new NettyServer();
-    server.setOptions(options);
-    server.start(app);
+    server =
+        HttpExchanges.start(
+            app,
+            "the caller API",
+            settings.node().callerAddress(),
+            settings.limits().maxBodyBytes(),
+            settings.limits().maxHeaderBytes());
   }
 
   /** Stops listening. */
@@ -133,6 +128,8 @@
         return Problems.send(
             context, Problem.of(ProblemKind.UNAUTHENTICATED, "the key is missing or not known"));
       }
+      long requestsPerSecond = Math.max(1, (long) contract.get().requestsPerSecond());
+      context.setResponseHeader("RateLimit-Limit", Long.toString(requestsPerSecond));
       return handler.apply(context, contract.get());
     };
   }
@@ -143,6 +140,10 @@
           context,
           Problem.ofRetry(ProblemKind.OVERLOADED, "this node runs its most requests", 1_000));
     }
+    Optional<Problem> typeProblem = HttpExchanges.findContentTypeProblem(context);
+    if (typeProblem.isPresent()) {
+      return Problems.send(context, typeProblem.get());
+    }
     ModelRequestBody body;
     try {
       body = ModelRequestBody.read(context.body().bytes());
@@ -226,18 +227,18 @@
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("object", "list");
     body.put("data", models);
-    return sendJson(context, body);
+    return HttpExchanges.sendJson(context, body);
   }
 
   private Object listAddresses(Context context, Contract contract) throws JsonProcessingException {
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("addresses", addresses.apply(contract.workspaceId()));
     body.put("valid_for_ms", ADDRESS_VALIDITY_MS);
-    return sendJson(context, body);
+    return HttpExchanges.sendJson(context, body);
   }
 
   private Object cancel(Context context, Contract contract) throws JsonProcessingException {
-    String requestId = context.path("requestId").value();
+    String requestId = HttpExchanges.getPath(context, "requestId");
     if (!modelCalls.cancel(contract.workspaceId(), requestId)) {
       return Problems.send(
           context,
@@ -247,13 +248,14 @@
               Outcome.UNKNOWN,
               0));
     }
-    return sendJson(context, Map.of("id", requestId, "cancelled", true));
+    return HttpExchanges.sendJson(context, Map.of("id", requestId, "cancelled", true));
   }
 
   private Object getOutcome(Context context, Contract contract) throws Exception {
-    String key = context.path("key").value();
+    String key = HttpExchanges.getPath(context, "key");
     if (modelCalls.isRunning(contract.workspaceId(), key)) {
-      return sendJson(context, Map.of("key", key, "outcome", Outcome.RUNNING.getText()));
+      return HttpExchanges.sendJson(
+          context, Map.of("key", key, "outcome", Outcome.RUNNING.getText()));
     }
     return serviceCalls.getOutcome(context, contract, key);
   }
@@ -261,9 +263,4 @@
   private static Object badRequest(Context context, String detail) {
     return Problems.send(context, Problem.of(ProblemKind.BAD_REQUEST, detail));
   }
-
-  static Object sendJson(Context context, Object body) throws JsonProcessingException {
-    context.setResponseType(MediaType.json);
-    return context.send(Json.MAPPER.writeValueAsBytes(body));
-  }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -222,6 +223,18 @@
     return live;
   }
 
+  /**
+   * Returns another member, also one that is suspected, leaving or dead.
+   *
+   * @param address its peer address
+   * @return the member, or empty if it is not known
+   */
+  public Optional<Member> findMember(String address) {
+    return membership.getMembers().stream()
+        .filter(member -> member.address().equals(address))
+        .findFirst();
+  }
+
   /**
    * Returns the latest log entries.
    *
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpExchanges.java
@@ -0,0 +1,144 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.Route;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.exception.BadRequestException;
+import io.jooby.netty.NettyServer;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+
+/**
+ * What the caller API and the administration API have in common: the server's bounds, and reading
+ * and writing of an exchange.
+ *
+ * @since 0.1
+ */
+final class HttpExchanges {
+
+  /**
+   * Headers that the server reads beyond the limit, so that the answer can say what is wrong. Above
+   * this the server drops the rest of the request.
+   */
+  private static final int HEADER_READ_FACTOR = 4;
+
+  private static final int HEADER_SEPARATOR_BYTES = 4;
+
+  private HttpExchanges() {}
+
+  /**
+   * Starts a server.
+   *
+   * @param app the routes
+   * @param purpose who listens, for error messages
+   * @param address {@code ip:port}
+   * @param maxBodyBytes length of a request body
+   * @param maxHeaderBytes length of all headers of a request
+   * @return the running server
+   * @throws IllegalStateException if the port is in use
+   */
+  static NettyServer start(
+      Jooby app, String purpose, String address, int maxBodyBytes, int maxHeaderBytes) {
+    ListenAddress listen = ListenAddress.of(address);
+    listen.requireFree(purpose);
+    ServerOptions options = new ServerOptions();
+    options.setHost(listen.host());
+    options.setPort(listen.port());
+    options.setMaxRequestSize(maxBodyBytes);
+    // Jooby writes a body that is longer than its buffer to a temporary file, and VMs have no disk.
+    options.setBufferSize(maxBodyBytes + 1);
+    options.setMaxHeaderSize(HEADER_READ_FACTOR * maxHeaderBytes);
+    app.setStartupSummary(List.of(StartupSummary.NONE));
+    NettyServer server = new NettyServer();
+    server.setOptions(options);
+    server.start(app);
+    return server;
+  }
+
+  /**
+   * Returns a filter that refuses requests with too long headers.
+   *
+   * @param maxHeaderBytes length of all headers of a request
+   * @return the filter, never null
+   */
+  static Route.Filter headerLimit(int maxHeaderBytes) {
+    return next ->
+        context -> {
+          long bytes = 0;
+          for (Map.Entry<String, List<String>> header : context.header().toMultimap().entrySet()) {
+            for (String value : header.getValue()) {
+              bytes += header.getKey().length() + value.length() + HEADER_SEPARATOR_BYTES;
+            }
+          }
+          if (bytes > maxHeaderBytes) {
+            return Problems.send(
+                context,
+                Problem.of(
+                    ProblemKind.HEADERS_TOO_LARGE,
+                    "the headers have " + bytes + " bytes; at most " + maxHeaderBytes + " fit"));
+          }
+          return next.apply(context);
+        };
+  }
+
+  /**
+   * Returns a path variable. Jooby leaves percent-encoding in place.
+   *
+   * @param context the exchange
+   * @param name name of the variable
+   * @return the decoded value, never null
+   * @throws BadRequestException if the encoding is not valid
+   */
+  static String getPath(Context context, String name) {
+    String raw = context.path(name).value();
+    try {
+      return URLDecoder.decode(raw.replace("+", "%2B"), StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      throw new BadRequestException("the percent-encoding of '" + raw + "' is not valid", e);
+    }
+  }
+
+  /**
+   * Checks that a body is said to be JSON. A missing content type counts as JSON.
+   *
+   * @param context the exchange
+   * @return the problem, or empty if there is none
+   */
+  static Optional<Problem> findContentTypeProblem(Context context) {
+    String header = context.header("Content-Type").value("");
+    String type = header.split(";", 2)[0].trim().toLowerCase(Locale.ROOT);
+    if (type.isEmpty() || type.equals("application/json") || type.endsWith("+json")) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        Problem.of(ProblemKind.UNSUPPORTED_TYPE, "the body has the content type " + type));
+  }
+
+  /**
+   * Tells whether a request says how long its body is. The server passes on a request whose headers
+   * it could not read to the end without its body, and such a request must not have an effect.
+   *
+   * @param context the exchange
+   * @return true if the body is known to be whole
+   */
+  static boolean hasBodyLength(Context context) {
+    return context.header("Content-Length").isPresent()
+        || context.header("Transfer-Encoding").isPresent();
+  }
+
+  static Object sendJson(Context context, Object body) throws JsonProcessingException {
+    context.setResponseType(MediaType.json);
+    return context.send(Json.MAPPER.writeValueAsBytes(body));
+  }
+}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeAdminView.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeAdminView.java
@@ -9,14 +9,18 @@
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import org.gooseberryhook.coordination.CrashMarkRegistry;
+import org.gooseberryhook.coordination.PipelineHealth;
 import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
 import org.gooseberryhook.protocol.TargetMessage;
 import org.gooseberryhook.state.Configuration;
 import org.gooseberryhook.state.ConfigurationChange;
 import org.gooseberryhook.state.Member;
+import org.gooseberryhook.state.MemberStatus;
 import org.gooseberryhook.state.Pipeline;
 import org.gooseberryhook.state.PipelineTable;
 import org.gooseberryhook.state.Target;
+import org.jboss.logging.Logger;
 
 /**
  * What operators see of a node.
@@ -25,6 +29,7 @@
  */
 final class NodeAdminView implements AdminView {
 
+  private static final Logger LOG = Logger.getLogger(NodeAdminView.class);
   private static final int MAX_LISTED = 1_000;
 
   private final ClusterService cluster;
@@ -32,7 +37,7 @@
   private final QuotaService quota;
   private final ModelCallService modelCalls;
   private final CrashMarkRegistry crashMarks;
-  private final PipelineTable pipelines;
+  private final CapacityCheck capacity;
   private final BooleanSupplier isLeaving;
 
   NodeAdminView(
@@ -42,14 +47,15 @@
       ModelCallService modelCalls,
       CrashMarkRegistry crashMarks,
       PipelineTable pipelines,
+      PipelineHealth health,
       BooleanSupplier isLeaving) {
     this.cluster = cluster;
     this.fleet = fleet;
     this.quota = quota;
     this.modelCalls = modelCalls;
     this.crashMarks = crashMarks;
-    this.pipelines = pipelines;
     this.isLeaving = isLeaving;
+    this.capacity = new CapacityCheck(pipelines, health);
   }
 
   @Override
@@ -79,10 +85,11 @@
         .leavingTargets()
         .forEach(
             (targetId, reason) -> {
-              int running = pipelines.find(targetId) == null ? 0 : modelCalls.countOn(targetId);
+              int running = modelCalls.countOn(targetId);
               Map<String, Object> change = new LinkedHashMap<>();
               change.put("targetId", targetId);
-              change.put("reason", reason);
+              change.put("version", reason.version());
+              change.put("reason", reason.value());
               change.put("runningHere", running);
               change.put("waitingFor", running == 0 ? "nothing at this node" : "running streams");
               changes.add(change);
@@ -138,6 +145,27 @@
 
   @Override
   public Optional<Problem> checkCapacity(ConfigurationChange change) {
+    return change instanceof ConfigurationChange.PutContract put
+        ? capacity.check(put.contract(), cluster.getConfiguration())
+        : Optional.empty();
+  }
+
+  @Override
+  public Optional<Problem> declareNodeGone(String peerAddress, String reason) {
+    Optional<Member> found = cluster.findMember(peerAddress);
+    if (found.isEmpty()) {
+      return Optional.of(
+          Problem.of(ProblemKind.NOT_FOUND, "no node has the peer address " + peerAddress));
+    }
+    if (found.get().status() == MemberStatus.ALIVE) {
+      return Optional.of(
+          Problem.of(
+              ProblemKind.CONFLICT,
+              "node " + peerAddress + " still answers this node; stop its process first"));
+    }
+    LOG.warnf("an operator says that node %s has ended: %s", peerAddress, reason);
+    cluster.onRunEnded(found.get().id());
+    cluster.broadcast(new TargetMessage.RunEnded(found.get().id(), reason));
     return Optional.empty();
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -55,6 +55,7 @@
   private static final long THREAD_IDLE_SECONDS = 30;
   private static final long CRASH_SPREAD_MS = 5_000;
   private static final long DRAIN_CHECK_MS = 50;
+  private static final long DRAIN_LOG_MS = 1_000;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
   private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
   private static final int HOME_COUNT = 3;
@@ -108,7 +109,8 @@
             random);
     this.peers = new PeerTransport(self, toSocketAddress(node.peerAddress()), cluster);
     PipelineTable pipelines = new PipelineTable();
-    PipelineRouter router = new PipelineRouter(pipelines, new PipelineHealth(), new PrefixIndex());
+    PipelineHealth health = new PipelineHealth();
+    PipelineRouter router = new PipelineRouter(pipelines, health, new PrefixIndex());
     this.fleet =
         new FleetService(
             HttpVmList.of(clients, settings.platform().vmList()),
@@ -139,7 +141,7 @@
     this.callerApi =
         new CallerApi(
             settings, cluster, keys, modelCalls, serviceCalls, this::getAddresses, workerPool);
-    this.adminApi = newAdminApi(table, pipelines);
+    this.adminApi = newAdminApi(table, pipelines, health);
     registerGauges();
   }
 
@@ -173,10 +175,10 @@
         new SecureRandom());
   }
 
-  private AdminApi newAdminApi(TableService table, PipelineTable pipelines) {
+  private AdminApi newAdminApi(TableService table, PipelineTable pipelines, PipelineHealth health) {
     NodeAdminView view =
         new NodeAdminView(
-            cluster, fleet, quota, modelCalls, crashMarks, pipelines, () -> isLeaving);
+            cluster, fleet, quota, modelCalls, crashMarks, pipelines, health, () -> isLeaving);
     return new AdminApi(
         settings, cluster, new ConfigurationWriter(table), view, metrics, adminPool);
   }
@@ -191,6 +193,8 @@
 
   /** Starts the node. Callers are refused as not ready until a configuration is trusted. */
   public void start() {
+    ListenAddress.of(settings.node().callerAddress()).requireFree("the caller API");
+    ListenAddress.of(settings.node().adminAddress()).requireFree("the administration API");
     peers.start();
     cluster.start(peers);
     fleet.start();
@@ -213,6 +217,7 @@
    * @return number of streams that the drain timeout cut off
    */
   public int drain() {
+    long startNanos = System.nanoTime();
     LOG.infof("node %s drains %d requests", self.address(), modelCalls.getRunningCount());
     isLeaving = true;
     cluster.leave();
@@ -224,12 +229,23 @@
             + Math.min(
                 TimeUnit.MILLISECONDS.toNanos(CallerApi.ADDRESS_VALIDITY_MS),
                 TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs() / 2));
+    long nextLogNanos = startNanos;
     while (System.nanoTime() - deadlineNanos < 0
         && (modelCalls.getRunningCount() > 0 || System.nanoTime() - quietNanos < 0)) {
+      if (System.nanoTime() - nextLogNanos >= 0) {
+        logDrain(quietNanos);
+        nextLogNanos += TimeUnit.MILLISECONDS.toNanos(DRAIN_LOG_MS);
+      }
       sleep(DRAIN_CHECK_MS);
     }
     int cutOff = modelCalls.getRunningCount();
-    long releaseNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
+    long releaseNanos =
+        Math.min(
+            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS),
+            startNanos + TimeUnit.MILLISECONDS.toNanos(SettingsReader.MAX_DRAIN_TIMEOUT_MS));
+    if (!quota.isReleased()) {
+      LOG.info("the drain waits for leases to be released");
+    }
     while (!quota.isReleased() && System.nanoTime() - releaseNanos < 0) {
       sleep(DRAIN_CHECK_MS);
     }
@@ -238,6 +254,14 @@
     return cutOff;
   }
 
+  private void logDrain(long quietNanos) {
+    long quietMs = TimeUnit.NANOSECONDS.toMillis(quietNanos - System.nanoTime());
+    LOG.infof(
+        "the drain waits for %d running requests%s",
+        modelCalls.getRunningCount(),
+        quietMs > 0 ? " and " + quietMs + " ms for callers to learn other addresses" : "");
+  }
+
   /** Stops the node at once. */
   public void stop() {
     callerApi.stop();
@@ -319,6 +343,17 @@
   private void onTargetMessage(NodeId sender, PeerMessage message) {
     if (message instanceof TargetMessage.TargetLeaving leaving) {
       fleet.onTargetLeaving(leaving.targetId());
+    } else if (message instanceof TargetMessage.RunEnded ended) {
+      onRunEndedElsewhere(sender, ended);
+    }
+  }
+
+  /** A node that is told of its own end goes on: the word was wrong or meant an earlier run. */
+  private void onRunEndedElsewhere(NodeId sender, TargetMessage.RunEnded ended) {
+    if (ended.run().equals(self)) {
+      LOG.errorf("node %s says that this run has ended: %s", sender.address(), ended.reason());
+    } else {
+      cluster.onRunEnded(ended.run());
     }
   }
 
@@ -370,9 +405,8 @@
   }
 
   private static InetSocketAddress toSocketAddress(String address) {
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    ListenAddress listen = ListenAddress.of(address);
+    return new InetSocketAddress(listen.host(), listen.port());
   }
 
   private static ThreadPoolExecutor boundedPool(String name, int maxThreads) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/Problems.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/Problems.java
@@ -39,6 +39,10 @@
     if (problem.retryAfterMs() > 0) {
       long seconds = Math.max(1, (problem.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND);
       context.setResponseHeader("Retry-After", Long.toString(seconds));
+      if (problem.kind() == ProblemKind.LIMITED) {
+        context.setResponseHeader("RateLimit-Remaining", "0");
+        context.setResponseHeader("RateLimit-Reset", Long.toString(seconds));
+      }
     }
     try {
       return context.send(Json.MAPPER.writeValueAsBytes(problem.toBody()));
@@ -68,6 +72,7 @@
       send(context, new Problem(kind, "the node failed to handle it", Outcome.UNKNOWN, 0));
       return;
     }
-    send(context, Problem.of(kind, exchange + ": " + status.reason()));
+    String detail = cause.getMessage() == null ? status.reason() : cause.getMessage();
+    send(context, Problem.of(kind, exchange + ": " + detail));
   }
 }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ServiceCallApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ServiceCallApi.java
@@ -57,8 +57,8 @@
 
   /** Runs a call; the handler's thread waits for it, within the call's deadline. */
   Object call(Context context, Contract contract) throws Exception {
-    String service = context.path("service").value();
-    String operation = context.path("operation").value();
+    String service = HttpExchanges.getPath(context, "service");
+    String operation = HttpExchanges.getPath(context, "operation");
     Optional<ServiceSpec> spec = cluster.getConfiguration().getService(service);
     if (spec.isEmpty()) {
       return Problems.send(
@@ -69,6 +69,10 @@
           context,
           Problem.of(ProblemKind.FORBIDDEN, "the contract does not name service " + service));
     }
+    Optional<Problem> typeProblem = HttpExchanges.findContentTypeProblem(context);
+    if (typeProblem.isPresent()) {
+      return Problems.send(context, typeProblem.get());
+    }
     String key = context.header(KEY_HEADER).value("");
     boolean isOnceOnly = spec.get().isOnceOnly(operation);
     if (isOnceOnly && (key.isEmpty() || key.length() > OnceCallService.MAX_KEY_CHARS)) {
@@ -83,6 +87,13 @@
                   + OnceCallService.MAX_KEY_CHARS
                   + " characters"));
     }
+    if (isOnceOnly && !HttpExchanges.hasBodyLength(context)) {
+      return Problems.send(
+          context,
+          Problem.of(
+              ProblemKind.BAD_REQUEST,
+              operation + " runs at most once and needs the header Content-Length"));
+    }
     long timeoutMs = CallerApi.timeoutOf(context, contract);
     if (timeoutMs <= 0) {
       return Problems.send(
@@ -195,7 +206,7 @@
       body.put("status", ran.status());
       body.put("result", ran.body());
     }
-    return CallerApi.sendJson(context, body);
+    return HttpExchanges.sendJson(context, body);
   }
 
   private static Object sendOnce(
@@ -214,7 +225,8 @@
     }
     if (result instanceof OnceResult.Running) {
       context.setResponseCode(HTTP_ACCEPTED);
-      return CallerApi.sendJson(context, Map.of("key", key, "outcome", Outcome.RUNNING.getText()));
+      return HttpExchanges.sendJson(
+          context, Map.of("key", key, "outcome", Outcome.RUNNING.getText()));
     }
     meters.count("unknown");
     return Problems.send(
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/protocol/PeerCodecTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/protocol/PeerCodecTest.java
@@ -60,7 +60,8 @@
                           new ServiceSpec("booking", Set.of("create"), true))),
                   new Versioned<>(0, new ConfigurationChange.SetTargetLeaving("t", "r")))),
           new CrashMessage.CrashMarks(List.of(new CrashMessage.Mark(5L, "t1#1", true, 20))),
-          new TargetMessage.TargetLeaving("t1", "planned"));
+          new TargetMessage.TargetLeaving("t1", "planned"),
+          new TargetMessage.RunEnded(SENDER, "power cut"));
 
   /** Guards against fields that are lost or swapped on the wire. */
   @Example
--- /dev/null
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/AdminTable.java
@@ -0,0 +1,147 @@
+package org.gooseberryhook.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gooseberryhook.protocol.Json;
+
+/** Turns answers of the administration API into text for a terminal. */
+final class AdminTable {
+
+  private static final int MAX_CELL_CHARS = 40;
+
+  /** Columns of lists whose records have more fields than a terminal is wide. */
+  private static final Map<String, List<String>> COLUMNS =
+      Map.of(
+          "contracts",
+          List.of(
+              "id",
+              "version",
+              "priorityClass",
+              "requestsPerSecond",
+              "tokensPerSecond",
+              "maxConcurrentRequests",
+              "models",
+              "services"));
+
+  private AdminTable() {}
+
+  /**
+   * Lays out an answer.
+   *
+   * @param resource what was asked for, which decides on the columns
+   * @param body the answer
+   * @return lines that end with a line break
+   */
+  static String of(String resource, JsonNode body) {
+    boolean isMapOfRecords = body.isObject() && !body.isEmpty() && allHaveVersion(body);
+    if (!body.isArray() && !isMapOfRecords) {
+      return ofFields(body);
+    }
+    List<Map<String, String>> rows = new ArrayList<>();
+    if (body.isArray()) {
+      body.forEach(element -> rows.add(toRow(element)));
+    } else {
+      body.fields().forEachRemaining(field -> rows.add(toRow(field.getKey(), field.getValue())));
+    }
+    if (rows.isEmpty()) {
+      return "none\n";
+    }
+    Set<String> columns = new LinkedHashSet<>();
+    rows.forEach(row -> columns.addAll(row.keySet()));
+    List<String> shown = COLUMNS.getOrDefault(resource, List.copyOf(columns));
+    return layOut(columns.containsAll(shown) ? shown : List.copyOf(columns), rows);
+  }
+
+  static String toPrettyJson(JsonNode body) throws JsonProcessingException {
+    return Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(body);
+  }
+
+  static String encodeSegment(String segment) {
+    return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+
+  private static boolean allHaveVersion(JsonNode body) {
+    for (JsonNode value : body) {
+      if (!value.has("version") || !value.has("value")) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static String ofFields(JsonNode body) {
+    if (body.isEmpty()) {
+      return "none\n";
+    }
+    StringBuilder text = new StringBuilder();
+    body.fields()
+        .forEachRemaining(
+            field -> {
+              if (field.getValue().isArray() && field.getValue().path(0).isObject()) {
+                text.append(field.getKey()).append(":\n");
+                of("", field.getValue()).lines().forEach(l -> text.append("  " + l + "\n"));
+              } else {
+                text.append(String.format("%-24s %s%n", field.getKey(), cell(field.getValue())));
+              }
+            });
+    return text.toString();
+  }
+
+  private static Map<String, String> toRow(String id, JsonNode versioned) {
+    Map<String, String> row = new LinkedHashMap<>();
+    row.put("id", id);
+    row.put("version", cell(versioned.path("version")));
+    row.putAll(toRow(versioned.path("value")));
+    return row;
+  }
+
+  private static Map<String, String> toRow(JsonNode element) {
+    Map<String, String> row = new LinkedHashMap<>();
+    element.fields().forEachRemaining(f -> row.put(f.getKey(), cell(f.getValue())));
+    return row;
+  }
+
+  private static String cell(JsonNode value) {
+    if (!value.isArray()) {
+      return value.isValueNode() ? value.asText() : value.toString();
+    }
+    List<String> parts = new ArrayList<>();
+    value.forEach(part -> parts.add(part.isValueNode() ? part.asText() : part.toString()));
+    return String.join(",", parts);
+  }
+
+  private static String layOut(List<String> columns, List<Map<String, String>> rows) {
+    StringBuilder text = new StringBuilder();
+    Map<String, Integer> widths = new LinkedHashMap<>();
+    for (String column : columns) {
+      int width =
+          rows.stream().mapToInt(row -> cut(row.getOrDefault(column, "")).length()).max().orElse(0);
+      widths.put(column, Math.max(width, column.length()));
+    }
+    List<Map<String, String>> lines = new ArrayList<>();
+    Map<String, String> head = new LinkedHashMap<>();
+    columns.forEach(column -> head.put(column, column));
+    lines.add(head);
+    lines.addAll(rows);
+    for (Map<String, String> row : lines) {
+      StringBuilder line = new StringBuilder();
+      widths.forEach(
+          (column, width) ->
+              line.append(String.format("%-" + width + "s  ", cut(row.getOrDefault(column, "")))));
+      text.append(line.toString().stripTrailing()).append('\n');
+    }
+    return text.toString();
+  }
+
+  private static String cut(String cell) {
+    return cell.length() <= MAX_CELL_CHARS ? cell : cell.substring(0, MAX_CELL_CHARS - 3) + "...";
+  }
+}
--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/Main.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/Main.java
@@ -5,11 +5,16 @@
 import com.beust.jcommander.ParameterException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.gooseberryhook.load.LoadCommand;
 
 /** Entry point of the command line. */
 public final class Main {
 
-  private static final int EXIT_USAGE = 2;
+  /** Exit status of a command that failed. */
+  static final int EXIT_FAILURE = 1;
+
+  /** Exit status of a wrong command line. */
+  static final int EXIT_USAGE = 2;
 
   private Main() {}
 
@@ -30,6 +35,10 @@
    * @param args the command line
    */
   public static void main(String[] args) {
+    if (args.length > 0 && args[0].equals("node")) {
+      // A node prints nothing but its log; other commands keep stdout for their results.
+      System.setProperty("gooseberryhook.log", "System.out");
+    }
     System.exit(run(args));
   }
 
@@ -40,12 +49,20 @@
    * @return the exit status
    */
   static int run(String[] args) {
+    LoadCommand load = new LoadCommand();
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("demo", new DemoCommand());
+    commands.put("node", new NodeCommand());
+    commands.put("standin", new StandinCommand());
+    commands.put("admin", new AdminCommand());
+    commands.put("check-settings", new CheckSettingsCommand());
+    commands.put("load", new LoadAdapter(load));
     ProgramOptions options = new ProgramOptions();
     JCommander commander = JCommander.newBuilder().programName("gooseberryhook").build();
     commander.addObject(options);
-    commands.forEach(commander::addCommand);
+    commands.forEach(
+        (name, command) ->
+            commander.addCommand(name, command instanceof LoadAdapter ? load : command));
     try {
       commander.parse(args);
     } catch (ParameterException e) {
@@ -64,4 +81,18 @@
     }
     return command.run();
   }
+
+  /** The load tool's command, which is in another module. */
+  private record LoadAdapter(LoadCommand load) implements Command {
+
+    @Override
+    public boolean isHelp() {
+      return load.isHelp();
+    }
+
+    @Override
+    public int run() {
+      return load.run();
+    }
+  }
 }
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
@@ -7,15 +7,18 @@
 import io.jooby.MediaType;
 import io.jooby.Sender;
 import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.TokenEvent;
 import org.gooseberryhook.state.LayerRange;
+import org.gooseberryhook.transport.ListenAddress;
 
 /**
  * HTTP front of an {@link EngineFleet}: each target has the base URL {@code
@@ -72,7 +75,9 @@
 
   /** Starts listening. */
   public void start() {
+    new ListenAddress("127.0.0.1", port).requireFree("the engine stand-in");
     app = new Jooby();
+    app.setStartupSummary(List.of(StartupSummary.NONE));
     app.setExecutionMode(ExecutionMode.WORKER);
     app.post("/targets/{targetId}/v1/chains", this::startChain);
     app.delete("/targets/{targetId}/v1/chains/{requestId}/{attempt}", this::cancelChain);
