--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -64,6 +65,7 @@
   private final Map<String, Long> leavingUntilNanos = new ConcurrentHashMap<>();
   private final Map<String, JsonNode> reports = new ConcurrentHashMap<>();
   private final Map<String, Long> deadUntilNanos = new ConcurrentHashMap<>();
+  private Set<String> declaredLeaving = Set.of();
   private volatile List<Target> targets = List.of();
   private volatile Map<String, List<Target>> servicesByName = Map.of();
   private List<ScheduledFuture<?>> tasks = List.of();
@@ -156,8 +158,18 @@
     compose();
   }
 
-  /** Composes the pipelines again, for example after a configuration change. */
-  public void onConfigurationChanged() {
+  /**
+   * Composes the pipelines again after a configuration change. A peer's early word that a target
+   * leaves ends with the declaration, so that a cancelled planned change has effect at once.
+   */
+  public synchronized void onConfigurationChanged() {
+    Set<String> declared = Set.copyOf(configuration.get().leavingTargets().keySet());
+    for (String targetId : declaredLeaving) {
+      if (!declared.contains(targetId)) {
+        leavingUntilNanos.remove(targetId);
+      }
+    }
+    declaredLeaving = declared;
     compose();
   }
 
--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/Main.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/Main.java
@@ -39,7 +39,14 @@
       // A node prints nothing but its log; other commands keep stdout for their results.
       System.setProperty("gooseberryhook.log", "System.out");
     }
-    System.exit(run(args));
+    int status = EXIT_FAILURE;
+    try {
+      status = run(args);
+    } catch (RuntimeException e) {
+      // Without an exit the threads that are no daemons would keep the process up.
+      System.err.println("gooseberryhook: " + e);
+    }
+    System.exit(status);
   }
 
   /**
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinEngine.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinEngine.java
@@ -28,6 +28,7 @@
   private final Set<String> running = new HashSet<>();
   private final ArrayDeque<CacheEvent> cacheEvents = new ArrayDeque<>();
   private long nextCacheSequence = 1;
+  private long startCount;
   private long fencingNumber;
   private String modelId;
   private String modelVersion;
@@ -196,9 +197,19 @@
     if (running.size() >= maxRunning) {
       return false;
     }
+    startCount++;
     return running.add(runKey);
   }
 
+  /**
+   * Returns how many attempts took a place in the batch so far.
+   *
+   * @return the count
+   */
+  public synchronized long getStartCount() {
+    return startCount;
+  }
+
   /**
    * Gives a place in the batch back.
    *
