--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
@@ -220,16 +220,20 @@
   private static Object listModels(Context context, Contract contract)
       throws JsonProcessingException {
     List<Map<String, Object>> models =
-        contract.models().stream()
-            .sorted()
-            .map(model -> Map.<String, Object>of("id", model, "object", "model"))
-            .toList();
+        contract.models().stream().sorted().map(CallerApi::describeModel).toList();
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("object", "list");
     body.put("data", models);
     return HttpExchanges.sendJson(context, body);
   }
 
+  private static Map<String, Object> describeModel(String modelId) {
+    Map<String, Object> model = new LinkedHashMap<>();
+    model.put("id", modelId);
+    model.put("object", "model");
+    return model;
+  }
+
   private Object listAddresses(Context context, Contract contract) throws JsonProcessingException {
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("addresses", addresses.apply(contract.workspaceId()));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelAnswerWriter.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelAnswerWriter.java
@@ -85,7 +85,10 @@
       return;
     }
     if (isChat) {
-      choice.put("message", Map.of("role", "assistant", "content", text.toString()));
+      Map<String, Object> message = new LinkedHashMap<>();
+      message.put("role", "assistant");
+      message.put("content", text.toString());
+      choice.put("message", message);
     } else {
       choice.put("text", text.toString());
     }
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
@@ -42,6 +42,7 @@
   private static final long READY_TIMEOUT_MS = 30_000;
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long POLL_MS = 20;
+  private static final int START_TRIES = 3;
 
   private final LocalLayout layout;
   private final EngineFleet fleet;
@@ -108,12 +109,27 @@
   public NodeService addNode() {
     List<String> seeds =
         nodes.stream().map(node -> node.getSettings().node().peerAddress()).toList();
-    NodeService node = new NodeService(newSettings(nodes.size(), seeds));
-    node.start();
+    NodeService node = startNode(seeds);
     nodes.add(node);
     return node;
   }
 
+  /** Another process may take a port that was free a moment ago, so the start is repeated. */
+  private NodeService startNode(List<String> seeds) {
+    for (int i = 1; ; i++) {
+      NodeService node = new NodeService(newSettings(nodes.size(), seeds));
+      try {
+        node.start();
+        return node;
+      } catch (IllegalStateException e) {
+        node.stop();
+        if (i == START_TRIES) {
+          throw e;
+        }
+      }
+    }
+  }
+
   /**
    * Takes a node out of the list; the caller stops it.
    *
