--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -52,6 +52,7 @@
   private static final int MAX_LOAD_REPORTS = 64;
   private static final long CRASH_SPREAD_MS = 5_000;
   private static final long DRAIN_CHECK_MS = 50;
+  private static final long DRAIN_LOG_MS = 1_000;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
 
   /** A call is no longer counted shortly before its answer is on the network. */
@@ -114,7 +115,8 @@
             random);
     this.peers = new PeerTransport(self, toSocketAddress(node.peerAddress()), cluster);
     PipelineTable pipelines = new PipelineTable();
-    PipelineRouter router = new PipelineRouter(pipelines, new PipelineHealth(), new PrefixIndex());
+    PipelineHealth health = new PipelineHealth();
+    PipelineRouter router = new PipelineRouter(pipelines, health, new PrefixIndex());
     this.fleet =
         new FleetService(
             HttpVmList.of(clients, settings.platform().vmList()),
@@ -148,7 +150,7 @@
     this.callerApi =
         new CallerApi(
             settings, cluster, keys, modelCalls, serviceCalls, this::getAddresses, workerPool);
-    this.adminApi = newAdminApi(table, pipelines);
+    this.adminApi = newAdminApi(table, pipelines, health);
     registerGauges();
   }
 
@@ -182,10 +184,10 @@
         new SecureRandom());
   }
 
-  private AdminApi newAdminApi(TableService table, PipelineTable pipelines) {
+  private AdminApi newAdminApi(TableService table, PipelineTable pipelines, PipelineHealth health) {
     NodeAdminView view =
         new NodeAdminView(
-            cluster, fleet, leases, modelCalls, crashMarks, pipelines, () -> isLeaving);
+            cluster, fleet, leases, modelCalls, crashMarks, pipelines, health, () -> isLeaving);
     return new AdminApi(
         settings,
         cluster,
@@ -206,6 +208,8 @@
 
   /** Starts the node. Callers are refused as not ready until a configuration is trusted. */
   public void start() {
+    ListenAddress.of(settings.node().callerAddress()).requireFree("the caller API");
+    ListenAddress.of(settings.node().adminAddress()).requireFree("the administration API");
     peers.start();
     cluster.start(peers);
     fleet.start();
@@ -237,15 +241,21 @@
     long deadlineNanos =
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.node().drainTimeoutMs());
     long quietMs = Math.min(CallerApi.ADDRESS_VALIDITY_MS, settings.node().drainTimeoutMs() / 2);
-    awaitUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(quietMs), () -> false);
+    awaitUntil(
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(quietMs),
+        "callers to learn other addresses",
+        () -> false);
     // A call that is accepted during the waits below would be cut off at their end.
     modelCalls.refuseNew();
     onceCalls.refuseNew();
-    awaitUntil(deadlineNanos, () -> getOpenCalls() == 0);
+    awaitUntil(deadlineNanos, "calls to end", () -> getOpenCalls() == 0);
     int cutOff = getOpenCalls();
-    awaitUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_FLUSH_MS), () -> false);
+    awaitUntil(
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_FLUSH_MS),
+        "answers to be sent",
+        () -> false);
     long releaseNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
-    awaitUntil(releaseNanos, leases::isReleased);
+    awaitUntil(releaseNanos, "leases to be released", leases::isReleased);
     stop();
     LOG.infof("node %s stopped; %d requests were cut off", self.address(), cutOff);
     return cutOff;
@@ -337,6 +347,17 @@
   private void onTargetMessage(NodeId sender, PeerMessage message) {
     if (message instanceof TargetMessage.TargetLeaving leaving) {
       fleet.onTargetLeaving(leaving.targetId());
+    } else if (message instanceof TargetMessage.RunEnded ended) {
+      onRunEndedElsewhere(sender, ended);
+    }
+  }
+
+  /** A node that is told of its own end goes on: the word was wrong or meant an earlier run. */
+  private void onRunEndedElsewhere(NodeId sender, TargetMessage.RunEnded ended) {
+    if (ended.run().equals(self)) {
+      LOG.errorf("node %s says that this run has ended: %s", sender.address(), ended.reason());
+    } else {
+      cluster.onRunEnded(ended.run());
     }
   }
 
@@ -379,9 +400,14 @@
     }
   }
 
-  private static void awaitUntil(long deadlineNanos, BooleanSupplier isDone) {
+  private void awaitUntil(long deadlineNanos, String what, BooleanSupplier isDone) {
+    long nextLogNanos = System.nanoTime();
     try {
       while (!isDone.getAsBoolean() && System.nanoTime() - deadlineNanos < 0) {
+        if (System.nanoTime() - nextLogNanos >= 0) {
+          LOG.infof("the drain waits for %s; %d calls are open", what, getOpenCalls());
+          nextLogNanos += TimeUnit.MILLISECONDS.toNanos(DRAIN_LOG_MS);
+        }
         Thread.sleep(DRAIN_CHECK_MS);
       }
     } catch (InterruptedException e) {
@@ -390,8 +416,7 @@
   }
 
   private static InetSocketAddress toSocketAddress(String address) {
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    ListenAddress listen = ListenAddress.of(address);
+    return new InetSocketAddress(listen.host(), listen.port());
   }
 }
