Start a new quota grantor once all nodes gave up their units

Cause: after the death of a grantor its shards granted nothing for 2.1 s, the life of grants, although every live node can give its units up in one message; nodes without a connection to the dead one learned of its end up to 1.7 s later; a new duty waited up to half a second for its first read of the lease. Change: a report to a new grantor gives up units of earlier terms, and granting starts when all nodes that are not proved to have ended have reported; a holder gets units only after 2 s of membership, so that the others know it; a proved end is told to eight members at once; new duties are read at once; a slot that may be in use unreported counts as awaited, not as a reached bound; an end proved during the start of a term is no longer missed. A node known to no live member but the dead grantor for over 2 s is not covered.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -76,6 +76,9 @@
     duties.forEach(
         (key, deputies) -> {
           LeaseEntry entry = entries.computeIfAbsent(key, id -> new LeaseEntry(id, self));
+          if (entry.deputies == null) {
+            calls.readSoon();
+          }
           entry.deputies = List.copyOf(deputies);
         });
     for (LeaseEntry entry : entries.values()) {
@@ -146,6 +149,7 @@
    */
   public synchronized void onVmGone(NodeId node) {
     goneNodes.add(node);
+    calls.readSoon();
     book.removeHolder(node);
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
@@ -42,6 +42,7 @@
   private long nextRenewNanos;
   private long nextReadNanos;
   private String lastReadKey = "";
+  private boolean isReadDue;
   private boolean isStarted;
 
   LeaseCalls(NodeId self, LeaseTiming timing) {
@@ -67,6 +68,11 @@
     }
   }
 
+  /** Makes the next tick read the wanted records without waiting for the period. */
+  void readSoon() {
+    isReadDue = true;
+  }
+
   List<TableCall> collect(
       Collection<LeaseEntry> entries, Predicate<LeaseEntry> canAcquire, long nowNanos) {
     if (!isStarted) {
@@ -81,7 +87,9 @@
       List<LeaseEntry> held = entries.stream().filter(entry -> entry.isHeld).toList();
       addClaims(due, Kind.RENEW, held, nowNanos);
     }
-    if (nowNanos - nextReadNanos >= 0 && !isCalling(Kind.READ, nowNanos)) {
+    boolean isDue = isReadDue || nowNanos - nextReadNanos >= 0;
+    if (isDue && !isCalling(Kind.READ, nowNanos)) {
+      isReadDue = false;
       addReads(due, entries, nowNanos);
     }
     if (!isCalling(Kind.ACQUIRE, nowNanos)) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/Membership.java
@@ -15,6 +15,7 @@
 import org.gooseberryhook.protocol.MembershipMessage.ProbeAnswer;
 import org.gooseberryhook.protocol.Outgoing;
 import org.gooseberryhook.state.Member;
+import org.gooseberryhook.state.MemberStatus;
 import org.gooseberryhook.state.NodeId;
 
 /**
@@ -48,6 +49,10 @@
   private static final int INDIRECT_PEERS = 3;
   private static final int RECHECKS_PER_TICK = 1;
   private static final int LEAVING_PROBES = 5;
+
+  /** Covers all nodes of a small cluster, in which few nodes have a connection to the ended one. */
+  private static final int MAX_ENDED_NOTICES = 8;
+
   private static final int MEMBERS_PER_LIST = 100;
 
   /** At 35 to 65 bytes a claim, probes and gossip together stay below 2 KB/s in each direction. */
@@ -211,9 +216,19 @@
    *
    * @param id the run
    * @param nowNanos monotonic time
+   * @return messages that tell others, so that they look for a proof themselves
    */
-  public synchronized void onRunEnded(NodeId id, long nowNanos) {
+  public synchronized List<Outgoing> onRunEnded(NodeId id, long nowNanos) {
     view.declareEnded(id, nowNanos);
+    List<Outgoing> out = new ArrayList<>();
+    // Others hear of it by gossip within seconds; those asked now may be the next lease holders.
+    for (Member member : table.all()) {
+      if (member.status() == MemberStatus.ALIVE && out.size() < MAX_ENDED_NOTICES) {
+        String address = member.address();
+        out.add(new Outgoing(address, newProbe(probes.next(), address, CLAIMS_PER_GOSSIP)));
+      }
+    }
+    return out;
   }
 
   /**
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaBucket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaBucket.java
@@ -44,6 +44,11 @@
     history.record(position, burst - outstanding - level);
   }
 
+  /** Makes units accrue from an earlier time than the one given at first. */
+  void startAt(long nowNanos) {
+    lastNanos = Math.min(lastNanos, nowNanos);
+  }
+
   /** Changes the bounds; a lowered burst takes effect at once. */
   void setBounds(double newRatePerSecond, double newBurst, long nowNanos, long position) {
     refill(nowNanos, position);
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -35,6 +35,7 @@
     private final Map<String, Contract> contracts = new HashMap<>();
     private final Map<String, QuotaLedger> ledgers = new HashMap<>();
     private final Set<NodeId> unresolved = new HashSet<>();
+    private final Set<NodeId> unreported = new HashSet<>();
     private long term;
     private long grantsFromNanos;
     private long usableUntilNanos;
@@ -115,11 +116,13 @@
    *
    * @param held leases by key, as the lease keeper returns them; other duties are left out
    * @param earlierHolders see {@link #beginTerm}
+   * @param unendedNodes see {@link #beginTerm}
    * @param nowNanos the time
    */
   public void setHeldLeases(
       Map<String, DutyLeaseKeeper.HeldLease> held,
       Collection<NodeId> earlierHolders,
+      Collection<NodeId> unendedNodes,
       long nowNanos) {
     Set<Integer> heldShards = new HashSet<>();
     held.forEach(
@@ -131,7 +134,13 @@
           heldShards.add(shard.index());
           long until = lease.usableUntilNanos();
           if (!extendTerm(shard.index(), lease.fencingNumber(), until)) {
-            beginTerm(shard.index(), lease.fencingNumber(), until, earlierHolders, nowNanos);
+            beginTerm(
+                shard.index(),
+                lease.fencingNumber(),
+                until,
+                earlierHolders,
+                unendedNodes,
+                nowNanos);
           }
         });
     for (int index : activeShards) {
@@ -143,14 +152,17 @@
 
   /**
    * Starts granting for a shard after its lease was acquired. The books start empty, and nothing is
-   * granted until all grants of earlier holders of the lease have expired. The first term of a
-   * lease has no earlier holders and grants at once.
+   * granted until all grants of earlier holders of the lease have expired, or every node that may
+   * have some has given them up in its report. The first term of a lease has no earlier holders and
+   * grants at once.
    *
    * @param shardIndex the shard
    * @param term fencing number of the lease
    * @param usableUntilNanos when the lease may no longer be used
    * @param earlierHolders nodes that may still run requests on slots of earlier grantors; slots are
    *     given once each has reported or is removed, or when the longest deadline has passed
+   * @param unendedNodes all nodes that were ever seen and are not proved to have ended, whether or
+   *     not they are thought to be alive; the holder of this node has given up its own units
    * @param nowNanos the time
    */
   public void beginTerm(
@@ -158,6 +170,7 @@
       long term,
       long usableUntilNanos,
       Collection<NodeId> earlierHolders,
+      Collection<NodeId> unendedNodes,
       long nowNanos) {
     Shard shard = shards[shardIndex];
     synchronized (shard) {
@@ -176,6 +189,10 @@
         shard.unresolved.addAll(earlierHolders);
       }
       shard.unresolved.remove(self);
+      shard.unreported.clear();
+      shard.unreported.addAll(unendedNodes);
+      shard.unreported.remove(self);
+      startIfReported(shard, nowNanos);
       shard.isResolved = shard.unresolved.isEmpty();
       shard.announcedNanos = nowNanos - ANNOUNCE_EVERY_NANOS;
     }
@@ -212,6 +229,7 @@
       activeShards.remove(shardIndex);
       shard.ledgers.clear();
       shard.unresolved.clear();
+      shard.unreported.clear();
     }
   }
 
@@ -220,12 +238,13 @@
    * the VM list or a later incarnation runs at its address.
    *
    * @param node the node
+   * @param nowNanos the time
    */
-  public void removeHolder(NodeId node) {
+  public void removeHolder(NodeId node, long nowNanos) {
     for (int index : activeShards) {
       Shard shard = shards[index];
       synchronized (shard) {
-        resolve(shard, node);
+        resolve(shard, node, nowNanos);
         shard.ledgers.values().forEach(ledger -> ledger.removeHolder(node));
       }
     }
@@ -299,7 +318,7 @@
       Shard shard = shards[complete.shard()];
       synchronized (shard) {
         if (shard.isUsable(nowNanos) && shard.term == complete.term()) {
-          resolve(shard, from);
+          resolve(shard, from, nowNanos);
         }
       }
     }
@@ -334,13 +353,23 @@
     }
   }
 
-  private static void resolve(Shard shard, NodeId node) {
+  private static void resolve(Shard shard, NodeId node, long nowNanos) {
+    if (shard.unreported.remove(node)) {
+      startIfReported(shard, nowNanos);
+    }
     if (shard.unresolved.remove(node) && shard.unresolved.isEmpty()) {
       shard.isResolved = true;
       shard.ledgers.values().forEach(QuotaLedger::setResolved);
     }
   }
 
+  private static void startIfReported(Shard shard, long nowNanos) {
+    if (shard.unreported.isEmpty() && nowNanos < shard.grantsFromNanos) {
+      shard.grantsFromNanos = nowNanos;
+      shard.ledgers.values().forEach(ledger -> ledger.startAt(nowNanos));
+    }
+  }
+
   private Shard shardOf(String workspaceId) {
     return shards[QuotaShard.of(workspaceId).index()];
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
@@ -32,6 +32,12 @@
   /** Time after which the state of a workspace without requests is forgotten. */
   private static final long IDLE_NANOS = 60_000_000_000L;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final long NANOS_PER_MS = 1_000_000L;
+
+  /** Refused requests beyond this time share it, so that no caller is told to stay away longer. */
+  private static final long MAX_PROMISE_NANOS = 10_000_000_000L;
+
   private record KnownGrantor(NodeId node, long term) {}
 
   private final NodeId self;
@@ -43,6 +49,7 @@
   private final Map<String, QuotaPocket> pockets = new ConcurrentHashMap<>();
   private final Map<Integer, KnownGrantor> grantors = new ConcurrentHashMap<>();
   private final Map<Integer, Long> reportsDue = new ConcurrentHashMap<>();
+  private final Map<String, Long> promisedNanos = new ConcurrentHashMap<>();
   private final AtomicLong lastSequence = new AtomicLong();
 
   /**
@@ -92,6 +99,7 @@
    */
   public void removeContract(String workspaceId) {
     contracts.remove(workspaceId);
+    promisedNanos.remove(workspaceId);
     pockets.remove(workspaceId);
   }
 
@@ -149,6 +157,38 @@
     return ownGrantor.tryTake(workspaceId, requestUnits, tokenUnits, nowNanos);
   }
 
+  /**
+   * Returns when the caller of a refused request should come back. Callers are spread at the rate
+   * of the contract; told the same short time, they would use up their repeats on the same few
+   * units.
+   *
+   * @param workspaceId the workspace
+   * @param limited the refusal
+   * @param tokenUnits estimated tokens of the request
+   * @param nowNanos the time
+   * @return milliseconds, at least 1; 0 if coming back does not help
+   */
+  public long getRetryAfterMs(
+      String workspaceId, QuotaDecision.Limited limited, long tokenUnits, long nowNanos) {
+    Contract contract = contracts.get(workspaceId);
+    if (contract == null || limited.bound() == Bound.BURST) {
+      return limited.retryAfterMs();
+    }
+    double seconds =
+        Math.max(1 / contract.requestsPerSecond(), tokenUnits / contract.tokensPerSecond());
+    long firstNanos = nowNanos + limited.retryAfterMs() * NANOS_PER_MS;
+    long latestNanos = nowNanos + MAX_PROMISE_NANOS;
+    long promised =
+        promisedNanos.merge(
+            workspaceId,
+            firstNanos,
+            (last, first) -> {
+              long next = last + (long) (seconds * NANOS_PER_SECOND);
+              return next - first > 0 ? Math.min(next, latestNanos) : first;
+            });
+    return Math.max(1, (promised - nowNanos) / NANOS_PER_MS);
+  }
+
   /**
    * Settles an admission. Must be called exactly once for each, at the latest when the request's
    * deadline has passed.
@@ -199,6 +239,25 @@
     return messages;
   }
 
+  /**
+   * Gives up the units that another grantor gave for shards whose lease this node holds now. To be
+   * called before {@link QuotaGrantor#beginTerm}.
+   *
+   * @param shardIndex the shard
+   * @param term fencing number of the lease
+   */
+  public void giveUpBefore(int shardIndex, long term) {
+    setGrantor(new QuotaShard(shardIndex), self, term);
+    pockets.forEach(
+        (workspaceId, pocket) -> {
+          if (QuotaShard.of(workspaceId).index() == shardIndex) {
+            synchronized (pocket) {
+              pocket.giveUpBefore(term);
+            }
+          }
+        });
+  }
+
   /**
    * Takes an answer.
    *
@@ -265,7 +324,12 @@
       int shard = QuotaShard.of(workspaceId).index();
       NodeId grantor = reported.containsKey(shard) ? grantors.get(shard).node() : null;
       if (grantor != null && due.containsKey(grantor)) {
-        pockets.computeIfAbsent(workspaceId, id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
+        QuotaPocket pocket =
+            pockets.computeIfAbsent(
+                workspaceId, id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
+        synchronized (pocket) {
+          pocket.giveUpBefore(grantors.get(shard).term());
+        }
         due.get(grantor).add(workspaceId);
       }
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
@@ -25,6 +25,9 @@
 
   private static final long NANOS_PER_MS = 1_000_000L;
 
+  /** Time to come back while holders have yet to report; one announcement takes that long. */
+  private static final long REPORT_WAIT_MS = 500;
+
   /** Idle time after which the books of a holder that holds nothing are closed. */
   private static final long ACCOUNT_IDLE_NANOS = 60_000_000_000L;
 
@@ -44,7 +47,7 @@
   }
 
   private final long term;
-  private final long grantsFromNanos;
+  private long grantsFromNanos;
   private final Map<NodeId, Account> accounts = new HashMap<>();
   private final QuotaBucket requests;
   private final QuotaBucket tokens;
@@ -83,6 +86,15 @@
     tokens.setBounds(newContract.tokensPerSecond(), newContract.tokenBurst(), from, position);
   }
 
+  /** Notes that no unit of an earlier grantor can be used any more; granting starts. */
+  void startAt(long nowNanos) {
+    if (nowNanos < grantsFromNanos) {
+      grantsFromNanos = nowNanos;
+      requests.startAt(nowNanos);
+      tokens.startAt(nowNanos);
+    }
+  }
+
   /** Notes that all slots in use that earlier grantors gave are known. */
   void setResolved() {
     isResolved = true;
@@ -110,6 +122,9 @@
       return new QuotaDecision.Limited(waitMs, Bound.AWAITING_GRANT);
     }
     advance(nowNanos);
+    if (isAwaitingReports(nowNanos)) {
+      return new QuotaDecision.Limited(REPORT_WAIT_MS, Bound.AWAITING_GRANT);
+    }
     if (getFreeSlots(nowNanos) < 1) {
       return new QuotaDecision.Limited(retryAfterMs(requestUnits, tokenUnits), Bound.CONCURRENCY);
     }
@@ -258,8 +273,13 @@
     return Math.min(Integer.MAX_VALUE, (long) Math.ceil(seconds * 1e3));
   }
 
+  /** Tells whether slots that earlier grantors gave may be in use without being known here. */
+  private boolean isAwaitingReports(long nowNanos) {
+    return !isResolved && nowNanos < unresolvedUntilNanos;
+  }
+
   private long getFreeSlots(long nowNanos) {
-    if (!isResolved && nowNanos < unresolvedUntilNanos) {
+    if (isAwaitingReports(nowNanos)) {
       return 0;
     }
     return Math.max(0, contract.maxConcurrentRequests() - getUsedSlots());
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
@@ -123,6 +123,16 @@
         new QuotaAdmission(workspaceId, term, stamp, requestUnits, tokenUnits, false));
   }
 
+  /** Gives up what an earlier grantor gave, so that the present one need not wait for its end. */
+  void giveUpBefore(long presentTerm) {
+    if (term < presentTerm) {
+      isLive = false;
+      requests = 0;
+      tokens = 0;
+      slots = 0;
+    }
+  }
+
   boolean canTake(long requestUnits, long tokenUnits) {
     return isLive
         && debtTokens == 0
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -144,7 +145,7 @@
   public void onRunEnded(NodeId id) {
     if (endedRuns.add(id)) {
       LOG.infof("the run %d of node %s has ended", id.incarnation(), id.address());
-      membership.onRunEnded(id, System.nanoTime());
+      send(membership.onRunEnded(id, System.nanoTime()));
       endListeners.forEach(listener -> listener.accept(id));
     }
   }
@@ -222,6 +223,23 @@
     return live;
   }
 
+  /**
+   * Returns the runs of nodes that may still act: all that were seen and are not proved to have
+   * ended, this node included.
+   *
+   * @return the runs, whatever their status
+   */
+  public Set<NodeId> getUnendedRuns() {
+    Set<NodeId> runs = new HashSet<>();
+    runs.add(membership.getSelf().id());
+    for (Member member : membership.getMembers()) {
+      if (!endedRuns.contains(member.id())) {
+        runs.add(member.id());
+      }
+    }
+    return runs;
+  }
+
   /**
    * Returns the latest log entries.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -46,6 +46,9 @@
   private static final long TICK_MS = 50;
   private static final int DEPUTY_COUNT = 2;
 
+  /** Several times the time in which claims of a new member reach all nodes of a place. */
+  private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private static final long SMALL_CLUSTER_TTL_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   private final ClusterService cluster;
@@ -56,6 +59,7 @@
   private final QuotaHolder holder;
   private final Map<String, Long> versionByWorkspace = new HashMap<>();
   private final Set<Integer> shards = ConcurrentHashMap.newKeySet();
+  private final Map<NodeId, Long> memberSinceNanos = new ConcurrentHashMap<>();
   private ScheduledFuture<?> task;
   private boolean isStopping;
 
@@ -177,10 +181,19 @@
     if (!isStopping && cluster.isReady()) {
       leases.setDuties(getDuties());
     }
+    noteMembers(nowNanos);
     LeaseActions actions = leases.tick(nowNanos);
     Set<NodeId> earlierHolders =
         cluster.getLiveMembers().stream().map(Member::id).collect(Collectors.toSet());
-    grantor.setHeldLeases(leases.getHeld(nowNanos), earlierHolders, nowNanos);
+    Map<String, DutyLeaseKeeper.HeldLease> held = leases.getHeld(nowNanos);
+    held.forEach(
+        (key, lease) -> {
+          QuotaShard shard = QuotaShard.ofLeaseKey(key);
+          if (shard != null) {
+            holder.giveUpBefore(shard.index(), lease.fencingNumber());
+          }
+        });
+    grantor.setHeldLeases(held, earlierHolders, cluster.getUnendedRuns(), nowNanos);
     actions.calls().forEach(this::call);
     send(actions.messages());
     send(grantor.tick(nowNanos));
@@ -226,9 +239,9 @@
    *
    * @param node the run
    */
-  public void onNodeEnded(NodeId node) {
+  public synchronized void onNodeEnded(NodeId node) {
     leases.onVmGone(node);
-    grantor.removeHolder(node);
+    grantor.removeHolder(node, System.nanoTime());
   }
 
   private void call(TableCall tableCall) {
@@ -247,7 +260,9 @@
   private void onQuotaMessage(NodeId sender, PeerMessage message) {
     long nowNanos = System.nanoTime();
     if (message instanceof QuotaMessage.QuotaAsk ask) {
-      cluster.send(sender.address(), grantor.onAsk(sender, ask, nowNanos));
+      if (isSettled(sender, nowNanos)) {
+        cluster.send(sender.address(), grantor.onAsk(sender, ask, nowNanos));
+      }
     } else if (message instanceof QuotaMessage.QuotaGiven given) {
       holder.onGiven(sender, given, nowNanos);
     } else if (message instanceof QuotaMessage.QuotaTerms terms) {
@@ -255,6 +270,22 @@
     }
   }
 
+  /**
+   * Tells whether a node has been a member for so long that the others know it. A later grantor
+   * starts early once all nodes that it knows have given up their units, so a node that only this
+   * one knows must not have any.
+   */
+  private boolean isSettled(NodeId node, long nowNanos) {
+    Long sinceNanos = memberSinceNanos.get(node);
+    return sinceNanos != null && nowNanos - sinceNanos >= SETTLE_NANOS;
+  }
+
+  private void noteMembers(long nowNanos) {
+    Set<NodeId> present = cluster.getUnendedRuns();
+    memberSinceNanos.keySet().retainAll(present);
+    present.forEach(node -> memberSinceNanos.putIfAbsent(node, nowNanos));
+  }
+
   private void onPledgeMessage(NodeId sender, PeerMessage message) {
     long nowNanos = System.nanoTime();
     if (message instanceof PledgeMessage.PledgeAsk ask) {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.gooseberryhook.protocol.QuotaMessage.QuotaAsk;
+import org.gooseberryhook.protocol.QuotaMessage.QuotaTerms;
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.NodeId;
 import org.gooseberryhook.state.PriorityClass;
@@ -25,7 +26,7 @@
           other, new QuotaGrantor(other, running), new RunningRequests(), shard -> home);
   private long now;
 
-  private void start(long tokensPerSecond) {
+  private Contract start(long tokensPerSecond) {
     Contract contract =
         new Contract(
             WORKSPACE,
@@ -47,8 +48,9 @@
     remote.setContract(contract);
     String key = QuotaShard.of(WORKSPACE).toLeaseKey();
     grantor.setHeldLeases(
-        Map.of(key, new DutyLeaseKeeper.HeldLease(1, Long.MAX_VALUE)), List.of(), now);
+        Map.of(key, new DutyLeaseKeeper.HeldLease(1, Long.MAX_VALUE)), List.of(), List.of(), now);
     now += 2_000_000 * MS;
+    return contract;
   }
 
   private void exchange() {
@@ -58,6 +60,10 @@
     now += 20 * MS;
   }
 
+  private QuotaDecision admitRemotely() {
+    return remote.tryAdmit(WORKSPACE, 1, 10, now);
+  }
+
   /** Guards against estimates that are too low and are never paid for, here and at other nodes. */
   @Test
   void overspendingIsADebtThatIsPaidBeforeFurtherAdmission() {
@@ -100,4 +106,34 @@
     exchange();
     assertThat(local.tryAdmit(WORKSPACE, 1, 500, now)).isInstanceOf(QuotaDecision.Admitted.class);
   }
+
+  /** Guards against units of an old grantor that are spent next to those of the new one. */
+  @Test
+  void aNewGrantorWaitsUntilEveryNodeHasGivenUpItsUnits() {
+    final Contract contract = start(10_000);
+    for (int request = 0; request < 10; request++) {
+      admitRemotely();
+    }
+    exchange();
+    NodeId next = NodeId.of("10.0.0.9:7000", 1);
+    NodeId silent = NodeId.of("10.0.0.8:7000", 1);
+    QuotaGrantor successor = new QuotaGrantor(next, new RunningRequests());
+    successor.setContract(contract, now);
+    int shard = QuotaShard.of(WORKSPACE).index();
+    successor.beginTerm(shard, 2, Long.MAX_VALUE, List.of(other), List.of(other, silent), now);
+    assertThat(admitRemotely()).isInstanceOf(QuotaDecision.Admitted.class);
+    assertThat(admitRemotely()).isInstanceOf(QuotaDecision.Admitted.class);
+    for (OutgoingMessage announced : successor.tick(now)) {
+      remote.onTerms(next, (QuotaTerms) announced.message());
+    }
+    for (OutgoingMessage report : remote.tick(now)) {
+      successor.onAsk(other, (QuotaAsk) report.message(), now);
+    }
+    assertThat(admitRemotely()).isInstanceOf(QuotaDecision.Limited.class);
+    assertThat(successor.tryTake(WORKSPACE, 1, 1, now + 500 * MS))
+        .isInstanceOf(QuotaDecision.Limited.class);
+    successor.removeHolder(silent, now + 500 * MS);
+    assertThat(successor.tryTake(WORKSPACE, 1, 1, now + 600 * MS))
+        .isInstanceOf(QuotaDecision.Admitted.class);
+  }
 }
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/SimulatedCluster.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/SimulatedCluster.java
@@ -240,7 +240,7 @@
           nodes.forEach(
               other -> {
                 other.keeper.onVmGone(node.id);
-                other.grantor.removeHolder(node.id);
+                other.grantor.removeHolder(node.id, clock(other));
               });
           nodes.add(start(node.id.address()));
         });
@@ -265,7 +265,11 @@
     }
     LeaseActions actions = node.keeper.tick(clock);
     List<NodeId> all = nodes.stream().map(each -> each.id).toList();
-    node.grantor.setHeldLeases(node.keeper.getHeld(clock), all, clock);
+    Map<String, DutyLeaseKeeper.HeldLease> held = node.keeper.getHeld(clock);
+    held.forEach(
+        (key, lease) ->
+            node.holder.giveUpBefore(QuotaShard.ofLeaseKey(key).index(), lease.fencingNumber()));
+    node.grantor.setHeldLeases(held, all, all, clock);
     actions.calls().forEach(call -> sendCall(node, call));
     actions.messages().forEach(message -> send(node, message));
     node.grantor.tick(clock).forEach(message -> send(node, message));
