Raise the gate by free slots, wait for units, notice silence sooner

Cause: the home node of a large workspace shed with half of the fleet idle, because its limit grew by a tenth in two service times and stages without a load report hid free slots; callers near a bound were all told the same few milliseconds and used up their repeats; a hung stage went unnoticed for 2 s. Change: free slots of the load reports, shared among the nodes, raise a limit that is nearly reached; stages without a report do not count, and reports are asked for in turns; requests wait up to 250 ms for units and a refusal spreads callers at the contract's rate; a stall is ten usual gaps, 0.5 s to 2 s (5 s for the first token of batch), and a late check shows a paused node.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/ConcurrencyLimit.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/ConcurrencyLimit.java
@@ -51,6 +51,20 @@
     return limits[level];
   }
 
+  /**
+   * Raises the limit at once, because the engines report free slots.
+   *
+   * @param target limit that the free slots allow; a lower one than the present changes nothing
+   */
+  void raiseTo(int target) {
+    int before = level;
+    while (level + 1 < limits.length && limits[level + 1] <= target) {
+      level++;
+    }
+    // What completes in the running window ran under the old limit.
+    hasWindow &= level == before;
+  }
+
   /**
    * Notes a completion.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OverloadGate.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/OverloadGate.java
@@ -32,6 +32,9 @@
   /** Share of the queue that each class keeps from the other one. */
   private static final double RESERVED_QUEUE_SHARE = 0.1;
 
+  /** Share of the limit in use from which free slots raise it. */
+  private static final double NEAR_LIMIT_SHARE = 0.8;
+
   private static final long DEMAND_NANOS = 5_000_000_000L;
   private static final long SWEEP_PERIOD_NANOS = 50_000_000L;
   private static final long MIN_RETRY_AFTER_MS = 500;
@@ -139,6 +142,20 @@
     limit.onCompleted(usedNanos, isUseful, queued() > 0, nowNanos);
   }
 
+  /**
+   * Raises the limit while the engines have free slots. Without it a node that takes over the
+   * callers of another one sheds for minutes, because completions alone raise the limit by a tenth
+   * in two service times.
+   *
+   * @param freeSlots this node's part of the slots that the load reports show as free
+   */
+  public synchronized void onFreeSlots(int freeSlots) {
+    boolean isNearLimit = running() + queued() >= limit.limit() * NEAR_LIMIT_SHARE;
+    if (isNearLimit && freeSlots > 0) {
+      limit.raiseTo(running() + freeSlots);
+    }
+  }
+
   /**
    * Drops a waiting request whose caller has gone. A running request ends with {@link #onFinished}.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PipelineRouter.java
@@ -106,6 +106,21 @@
     }
   }
 
+  /**
+   * Counts the free slots of the pipelines in use, as the load reports show them.
+   *
+   * @return slots without a request, at least 0
+   */
+  public int countFreeSlots() {
+    int free = 0;
+    for (ModelKey key : table.modelKeys()) {
+      for (PipelineEntry entry : table.entries(key.modelId(), key.modelVersion())) {
+        free += entry.isInUse() ? Math.max(0, entry.slots() - entry.occupied()) : 0;
+      }
+    }
+    return free;
+  }
+
   /**
    * Chooses a pipeline and registers the request on it.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineEntry.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/PipelineEntry.java
@@ -69,16 +69,17 @@
   }
 
   /**
-   * Returns the batching slots of the smallest stage.
+   * Returns the batching slots of the smallest stage that has reported its load. Reports of a large
+   * fleet come in over many seconds, and an assumed small stage would hide free slots until then.
    *
    * @return a count of at least 1
    */
   public int slots() {
     int least = Integer.MAX_VALUE;
     for (TargetActivity stage : stages) {
-      least = Math.min(least, stage.slots());
+      least = stage.isReported() ? Math.min(least, stage.slots()) : least;
     }
-    return least;
+    return least == Integer.MAX_VALUE ? TargetActivity.DEFAULT_SLOTS : least;
   }
 
   /**
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/state/TargetActivity.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/state/TargetActivity.java
@@ -29,6 +29,7 @@
   private volatile boolean isLeaving;
   private volatile int occupied;
   private volatile int slots = DEFAULT_SLOTS;
+  private volatile boolean isReported;
   private volatile double stepNanos;
   private volatile long stepSamples;
   private volatile double peerStepNanos;
@@ -49,6 +50,7 @@
       }
       load = report;
       slots = report.slots();
+      isReported = true;
       isLeaving = report.isLeaving();
       while (!ownEvents.isEmpty() && ownEvents.peek().atNanos - report.takenAtNanos() <= 0) {
         ownDelta -= ownEvents.poll().delta;
@@ -126,6 +128,15 @@
     return slots;
   }
 
+  /**
+   * Tells whether a load report has come in.
+   *
+   * @return false while the slots are assumed
+   */
+  public boolean isReported() {
+    return isReported;
+  }
+
   /**
    * Returns the pipeline that last took the target as a stage.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/FleetService.java
@@ -68,6 +68,9 @@
   private volatile Map<String, List<Target>> servicesByName = Map.of();
   private List<ScheduledFuture<?>> tasks = List.of();
 
+  /** Targets take turns; nodes begin at different ones. */
+  private int nextReport = ThreadLocalRandom.current().nextInt(1_000_000);
+
   /**
    * Creates a service.
    *
@@ -224,6 +227,7 @@
   private void refresh() {
     try {
       router.refresh(System.nanoTime(), ThreadLocalRandom.current());
+      nextReport += REPORTS_PER_REFRESH;
       askForLoads(composer.pipelines().stream().map(Pipeline::head).toList());
       askForLoads(targets.stream().filter(t -> t.kind() == TargetKind.ENGINE).toList());
       if (!deadUntilNanos.isEmpty()) {
@@ -237,7 +241,7 @@
   private void askForLoads(List<Target> candidates) {
     int count = Math.min(REPORTS_PER_REFRESH, candidates.size());
     for (int i = 0; i < count; i++) {
-      askForLoad(candidates.get(ThreadLocalRandom.current().nextInt(candidates.size())));
+      askForLoad(candidates.get(Math.floorMod(nextReport + i, candidates.size())));
     }
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -46,10 +46,21 @@
 
   private static final Logger LOG = Logger.getLogger(ModelCallRun.class);
   private static final int MAX_ATTEMPTS = 6;
-  private static final long STALL_TIMEOUT_MS = 2_000;
-  private static final long STALL_CHECK_MS = 250;
-  private static final long GRANT_RETRY_MS = 10;
-  private static final long MAX_GRANT_WAIT_MS = 5_000;
+
+  /** A hung engine that keeps its connection shows only by its silence. */
+  private static final long MAX_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+  /** Pauses of a busy node or engine reach 300 ms; taking those for a stall costs a replay. */
+  private static final long MIN_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Batch requests wait in an engine's queue behind interactive ones. */
+  private static final long BATCH_FIRST_TOKEN_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+
+  /** Silence of this many usual gaps is a stall. */
+  private static final int STALL_GAPS = 10;
+
+  private static final int MIN_GAP_SAMPLES = 4;
+  private static final double GAP_SMOOTHING = 0.2;
   private static final long ROUTE_RETRY_MS = 50;
   private static final long MAX_ROUTE_WAIT_MS = 3_000;
   private static final long RETRY_AFTER_MS = 1_000;
@@ -73,11 +84,12 @@
   private Pipeline pipeline;
   private Dispatch dispatch;
   private EngineClient.Attempt attempt;
-  private ScheduledFuture<?> stallCheck;
   private ScheduledFuture<?> deadlineCheck;
   private long lastEventNanos;
   private long routeSinceNanos;
   private int firstStepOfAttempt;
+  private int gapSamples;
+  private double meanGapNanos;
   private boolean mayHaveRun;
   private boolean isInFlight;
   private boolean isOver;
@@ -130,11 +142,6 @@
   synchronized void start() {
     deadlineCheck =
         service.getTimer().schedule(this::onDeadline, call.timeoutMs(), TimeUnit.MILLISECONDS);
-    stallCheck =
-        service
-            .getTimer()
-            .scheduleWithFixedDelay(
-                this::checkStall, STALL_TIMEOUT_MS, STALL_CHECK_MS, TimeUnit.MILLISECONDS);
     service.getControls().retries().onRequest(call.workspaceId(), contract.retryBudgetPercent());
     if (!call.resumedTokenIds().isEmpty()) {
       meters.count("resumed");
@@ -164,10 +171,9 @@
       return;
     }
     QuotaDecision.Limited limited = (QuotaDecision.Limited) decision;
-    boolean isWaiting = limited.bound() == QuotaDecision.Bound.AWAITING_GRANT;
     long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
-    if (isWaiting && waitedMs < Math.min(MAX_GRANT_WAIT_MS, call.timeoutMs() / 2)) {
-      service.getTimer().schedule(this::admit, GRANT_RETRY_MS, TimeUnit.MILLISECONDS);
+    if (waitedMs < Math.min(QuotaWait.maxWaitMs(limited), call.timeoutMs() / 2)) {
+      service.getTimer().schedule(this::admit, QuotaWait.RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
     meters.count("limited");
@@ -179,7 +185,11 @@
                 + " of the contract of workspace "
                 + call.workspaceId()
                 + " is reached",
-            Math.max(1, limited.retryAfterMs())));
+            service
+                .getControls()
+                .quota()
+                .getRetryAfterMs(
+                    call.workspaceId(), limited, call.getEstimatedTokens(), nowNanos)));
   }
 
   private void enterGate() {
@@ -251,6 +261,7 @@
     dispatch = chosen.dispatch();
     int attemptNumber = session.beginAttempt();
     firstStepOfAttempt = session.getDeliveredCount();
+    gapSamples = 0;
     lastEventNanos = nowNanos;
     isInFlight = true;
     attempt = null;
@@ -309,6 +320,7 @@
       service.getControls().router().onFirstToken(dispatch, nowNanos);
     } else {
       service.getControls().router().onToken(dispatch, nowNanos);
+      learnGap(nowNanos - lastEventNanos);
     }
     if (deliver.step() == call.resumedTokenIds().size()) {
       meters.recordFirstToken(nowNanos - arrivalNanos);
@@ -399,13 +411,34 @@
     }
   }
 
-  private synchronized void checkStall() {
-    long silentNanos = System.nanoTime() - lastEventNanos;
-    boolean isStalled = silentNanos > TimeUnit.MILLISECONDS.toNanos(STALL_TIMEOUT_MS);
-    if (!isOver && isInFlight && isStalled) {
+  /** Abandons an attempt that has been silent for too long. */
+  synchronized void checkStall(long nowNanos) {
+    if (isOver || !isInFlight) {
+      return;
+    }
+    long silentNanos = nowNanos - lastEventNanos;
+    if (silentNanos > getStallNanos()) {
       session.abandon("stalled", null);
-      repair("no token for " + STALL_TIMEOUT_MS + " ms", null);
+      repair("no token for " + TimeUnit.NANOSECONDS.toMillis(silentNanos) + " ms", null);
+    }
+  }
+
+  private long getStallNanos() {
+    boolean isBeforeFirst = session.getDeliveredCount() == firstStepOfAttempt;
+    if (isBeforeFirst && call.priorityClass() == PriorityClass.BATCH) {
+      return BATCH_FIRST_TOKEN_NANOS;
     }
+    if (gapSamples < MIN_GAP_SAMPLES) {
+      return MAX_STALL_NANOS;
+    }
+    long usual = (long) (STALL_GAPS * meanGapNanos);
+    return Math.max(MIN_STALL_NANOS, Math.min(MAX_STALL_NANOS, usual));
+  }
+
+  private void learnGap(long gapNanos) {
+    gapSamples++;
+    meanGapNanos =
+        gapSamples == 1 ? gapNanos : meanGapNanos + GAP_SMOOTHING * (gapNanos - meanGapNanos);
   }
 
   private synchronized void onDeadline() {
@@ -499,7 +532,6 @@
 
   private void close(boolean isRun) {
     isOver = true;
-    stallCheck.cancel(false);
     deadlineCheck.cancel(false);
     long nowNanos = System.nanoTime();
     if (isInGate) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallService.java
@@ -30,6 +30,11 @@
 
   private static final Logger LOG = Logger.getLogger(ModelCallService.class);
   private static final long POLL_PERIOD_MS = 5;
+  private static final long STALL_CHECK_MS = 100;
+
+  /** A check that is later than this shows that the node itself was paused. */
+  private static final long MAX_CHECK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private static final long CRASH_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final int MAX_CRASH_TARGETS = 10_000;
 
@@ -41,6 +46,8 @@
   private final Map<String, ModelCallRun> runsByKey = new ConcurrentHashMap<>();
   private final Map<String, Long> lastDeathNanos = new ConcurrentHashMap<>();
   private ScheduledFuture<?> poll;
+  private ScheduledFuture<?> stallChecks;
+  private long lastStallCheckNanos;
   private volatile boolean isStopping;
 
   /**
@@ -70,6 +77,10 @@
     poll =
         timer.scheduleWithFixedDelay(
             this::pollGate, POLL_PERIOD_MS, POLL_PERIOD_MS, TimeUnit.MILLISECONDS);
+    lastStallCheckNanos = System.nanoTime();
+    stallChecks =
+        timer.scheduleWithFixedDelay(
+            this::checkStalls, STALL_CHECK_MS, STALL_CHECK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Stops the admission of queued calls and repairs; running attempts go on. */
@@ -77,6 +88,7 @@
     isStopping = true;
     if (poll != null) {
       poll.cancel(false);
+      stallChecks.cancel(false);
     }
   }
 
@@ -213,6 +225,23 @@
     return isStopping;
   }
 
+  /** Looks for silent engines, unless the silence is this node's own. */
+  private void checkStalls() {
+    long nowNanos = System.nanoTime();
+    boolean isLate = nowNanos - lastStallCheckNanos > MAX_CHECK_DELAY_NANOS;
+    lastStallCheckNanos = nowNanos;
+    if (isLate) {
+      return;
+    }
+    for (ModelCallRun run : runsByKey.values()) {
+      try {
+        run.checkStall(nowNanos);
+      } catch (RuntimeException e) {
+        LOG.errorf(e, "the stall check of request %s failed; it runs again", run.getKey());
+      }
+    }
+  }
+
   private void pollGate() {
     try {
       for (OverloadGate.Decision decision :
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -54,6 +54,13 @@
   private static final int MAX_LOAD_REPORTS = 64;
   private static final long THREAD_IDLE_SECONDS = 30;
   private static final long CRASH_SPREAD_MS = 5_000;
+
+  /** As often as load reports come in. */
+  private static final long FREE_SLOTS_MS = 250;
+
+  /** Each node takes half of its part, so that nodes that rise together do not overshoot. */
+  private static final int FREE_SLOTS_DIVISOR = 2;
+
   private static final long DRAIN_CHECK_MS = 50;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
   private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
@@ -71,14 +78,14 @@
   private final ThreadPoolExecutor streamPool = boundedPool("engine-stream", MAX_STREAM_THREADS);
   private final ThreadPoolExecutor workerPool = boundedPool("caller-worker", MAX_WORKER_THREADS);
   private final ThreadPoolExecutor adminPool = boundedPool("admin-worker", MAX_WORKER_THREADS / 8);
-  private final ScheduledExecutorService timer =
-      Executors.newScheduledThreadPool(TIMER_THREADS, threads("node-timer"));
+  private final ScheduledExecutorService timer = newTimer();
   private final HttpClients clients = new HttpClients();
   private final NodeMetrics metrics = new NodeMetrics();
   private final CrashMarkRegistry crashMarks = new CrashMarkRegistry();
   private final ConfigurationStore store = new ConfigurationStore();
   private final ClusterService cluster;
   private final PeerTransport peers;
+  private final PipelineRouter router;
   private final FleetService fleet;
   private final QuotaService quota;
   private final ModelCallService modelCalls;
@@ -108,7 +115,7 @@
             random);
     this.peers = new PeerTransport(self, toSocketAddress(node.peerAddress()), cluster);
     PipelineTable pipelines = new PipelineTable();
-    PipelineRouter router = new PipelineRouter(pipelines, new PipelineHealth(), new PrefixIndex());
+    this.router = new PipelineRouter(pipelines, new PipelineHealth(), new PrefixIndex());
     this.fleet =
         new FleetService(
             HttpVmList.of(clients, settings.platform().vmList()),
@@ -199,6 +206,8 @@
     modelCalls.start();
     timer.scheduleWithFixedDelay(
         this::spreadCrashMarks, CRASH_SPREAD_MS, CRASH_SPREAD_MS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(
+        this::shareFreeSlots, FREE_SLOTS_MS, FREE_SLOTS_MS, TimeUnit.MILLISECONDS);
     adminApi.start();
     callerApi.start();
     LOG.infof(
@@ -256,6 +265,15 @@
     metrics.stop();
   }
 
+  /**
+   * Returns the identity of this run of the node.
+   *
+   * @return address and incarnation, never null
+   */
+  public NodeId getId() {
+    return self;
+  }
+
   /**
    * Returns the settings.
    *
@@ -330,6 +348,14 @@
     }
   }
 
+  private void shareFreeSlots() {
+    if (isLeaving) {
+      return;
+    }
+    int share = router.countFreeSlots() / (FREE_SLOTS_DIVISOR * cluster.getLiveMembers().size());
+    modelCalls.getControls().gate().onFreeSlots(share);
+  }
+
   /** Repeats the marks to one other node, so that a node that missed them learns them. */
   private void spreadCrashMarks() {
     long nowNanos = System.nanoTime();
@@ -375,6 +401,14 @@
         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
+  private static ScheduledExecutorService newTimer() {
+    ScheduledThreadPoolExecutor timer =
+        new ScheduledThreadPoolExecutor(TIMER_THREADS, threads("node-timer"));
+    // Otherwise the deadline of each finished request keeps it in memory.
+    timer.setRemoveOnCancelPolicy(true);
+    return timer;
+  }
+
   private static ThreadPoolExecutor boundedPool(String name, int maxThreads) {
     return new ThreadPoolExecutor(
         0,
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ServiceCallApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ServiceCallApi.java
@@ -28,8 +28,6 @@
 final class ServiceCallApi {
 
   private static final String KEY_HEADER = "Idempotency-Key";
-  private static final long GRANT_RETRY_MS = 10;
-  private static final long MAX_GRANT_WAIT_MS = 5_000;
   private static final long RETRY_AFTER_MS = 1_000;
   private static final int HTTP_ACCEPTED = 202;
 
@@ -111,7 +109,7 @@
           Problem.ofRetry(
               ProblemKind.LIMITED,
               "the bound " + limited.bound() + " of the contract is reached",
-              Math.max(1, limited.retryAfterMs())));
+              quota.getRetryAfterMs(contract.workspaceId(), limited, 0, System.nanoTime())));
     }
     QuotaAdmission admission = ((QuotaDecision.Admitted) decision).admission();
     meters.count("admitted");
@@ -156,14 +154,13 @@
     while (true) {
       long nowNanos = System.nanoTime();
       QuotaDecision decision = quota.tryAdmit(contract.workspaceId(), 1, 0, nowNanos);
-      boolean isWaiting =
-          decision instanceof QuotaDecision.Limited limited
-              && limited.bound() == QuotaDecision.Bound.AWAITING_GRANT;
+      long maxWaitMs =
+          decision instanceof QuotaDecision.Limited limited ? QuotaWait.maxWaitMs(limited) : 0;
       long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos);
-      if (!isWaiting || waitedMs >= MAX_GRANT_WAIT_MS) {
+      if (waitedMs >= maxWaitMs) {
         return decision;
       }
-      Thread.sleep(GRANT_RETRY_MS);
+      Thread.sleep(QuotaWait.RETRY_MS);
     }
   }
 
