Write and parse token events without general mapping

Cause: each token built maps for its chunk and mapped its event by reflection; a caller that closed before the first token made the response fail with an exception that killed the reading thread. Change: chunks are built from a fixed head and tail, events are read by a streaming parser with a bound of 64 KiB for a line, a closed caller ends the run.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
@@ -1,7 +1,6 @@
 package org.gooseberryhook.transport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.Objects;
@@ -38,8 +37,11 @@
   public static final String UNREACHABLE = "engine answered with an error";
 
   private static final MediaType JSON = MediaType.get("application/json");
-  private static final ObjectReader EVENT_READER = Json.MAPPER.readerFor(TokenEvent.class);
   private static final int HTTP_OVERLOADED = 503;
+
+  /** Far above an event of 100 stages. */
+  private static final long MAX_LINE_BYTES = 64 * 1024;
+
   private static final int HTTP_TOO_MANY = 429;
 
   private final OkHttpClient client;
@@ -98,17 +100,19 @@
   private static void readLines(
       BufferedSource source, EngineStart start, Consumer<TokenEvent> listener) throws IOException {
     while (true) {
-      String line = source.readUtf8Line();
-      if (line == null) {
+      long lineBytes = source.indexOf((byte) '\n', 0, MAX_LINE_BYTES);
+      if (lineBytes < 0) {
         // The head owns the connection, so a stream that just ends means that the head is gone.
         listener.accept(
             error(start, "the stream ended without an end mark", start.stages().get(0).targetId()));
         return;
       }
-      if (line.isEmpty()) {
+      byte[] line = source.readByteArray(lineBytes);
+      source.skip(1);
+      if (line.length == 0) {
         continue;
       }
-      TokenEvent event = EVENT_READER.readValue(line);
+      TokenEvent event = TokenEventParser.parse(line);
       listener.accept(event);
       if (event.isEnd() || event.error() != null) {
         return;
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelAnswerWriter.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelAnswerWriter.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.transport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.jooby.Context;
 import io.jooby.MediaType;
 import io.jooby.Sender;
@@ -34,6 +35,12 @@
   private final AtomicLong pendingBytes = new AtomicLong();
   private final StringBuilder text = new StringBuilder();
   private final List<Integer> tokenIds = new ArrayList<>();
+  private final StringBuilder part = new StringBuilder();
+
+  /** A chunk before and after the text of its token; only text, step and token id change. */
+  private String chunkHead;
+
+  private String chunkTail;
   private Sender sender;
   private volatile boolean isBroken;
 
@@ -53,21 +60,14 @@
       tokenIds.add(tokenId);
       return true;
     }
-    if (sender == null) {
-      openStream();
-    }
-    Map<String, Object> choice = new LinkedHashMap<>();
-    choice.put("index", 0);
-    if (isChat) {
-      choice.put("delta", Map.of("content", tokenText));
-    } else {
-      choice.put("text", tokenText);
+    if (sender == null && !openStream()) {
+      return false;
     }
-    choice.put("finish_reason", null);
-    Map<String, Object> chunk = shape(choice, true);
-    chunk.put("step", step);
-    chunk.put("token_id", tokenId);
-    send("id: " + (step + 1) + "\ndata: " + toJson(chunk) + "\n\n");
+    part.setLength(0);
+    part.append("id: ").append(step + 1).append("\ndata: ").append(chunkHead);
+    JsonStringEncoder.getInstance().quoteAsString(tokenText, part);
+    part.append(chunkTail).append(step).append(",\"token_id\":").append(tokenId).append("}\n\n");
+    send(part.toString());
     return !isBroken && pendingBytes.get() < MAX_PENDING_BYTES;
   }
 
@@ -109,8 +109,8 @@
   }
 
   private void completeStream(Map<String, Object> choice, Map<String, Object> usage) {
-    if (sender == null) {
-      openStream();
+    if (sender == null && !openStream()) {
+      return;
     }
     choice.put(isChat ? "delta" : "text", isChat ? Map.of() : "");
     choice.put("finish_reason", "length");
@@ -133,10 +133,27 @@
     return body;
   }
 
-  private void openStream() {
+  /** Begins the response; returns false if the caller has closed the connection already. */
+  private boolean openStream() {
     context.setResponseType(MediaType.valueOf("text/event-stream"));
     context.setResponseHeader("Cache-Control", "no-cache");
-    sender = context.responseSender();
+    chunkHead =
+        "{\"id\":"
+            + toJson(requestId)
+            + ",\"object\":\""
+            + (isChat ? "chat.completion.chunk" : "text_completion")
+            + "\",\"model\":"
+            + toJson(modelId)
+            + ",\"choices\":[{\"index\":0,"
+            + (isChat ? "\"delta\":{\"content\":\"" : "\"text\":\"");
+    chunkTail = (isChat ? "\"}" : "\"") + ",\"finish_reason\":null}],\"step\":";
+    try {
+      sender = context.responseSender();
+      return true;
+    } catch (IllegalStateException e) {
+      isBroken = true;
+      return false;
+    }
   }
 
   private void send(String part) {
