Run experiments in one process; measure recovery and relaying

Cause: faults of the experiment files need the process that runs the nodes, and effects were compared under keys that the service does not use.

--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/EffectCheck.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/EffectCheck.java
@@ -1,5 +1,6 @@
 package org.gooseberryhook.load;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /** Compares what callers were told about once-only calls with the effects at the service. */
@@ -27,11 +28,13 @@
   record Differences(long lost, long doubled, long falseNotRun) {}
 
   static Differences compare(Map<String, CallState> calls, Map<String, Long> effects) {
+    Map<String, Long> countByKey = new HashMap<>();
+    effects.forEach((name, count) -> countByKey.merge(keyOf(name), count, Long::sum));
     long lost = 0;
     long doubled = 0;
     long falseNotRun = 0;
     for (Map.Entry<String, CallState> call : calls.entrySet()) {
-      long count = effects.getOrDefault(call.getKey(), 0L);
+      long count = countByKey.getOrDefault(call.getKey(), 0L);
       if (count > 1) {
         doubled++;
       }
@@ -44,4 +47,9 @@
     }
     return new Differences(lost, doubled, falseNotRun);
   }
+
+  /** Nodes and services put their own names before a caller's key, each with a slash. */
+  private static String keyOf(String effectName) {
+    return effectName.substring(effectName.lastIndexOf('/') + 1);
+  }
 }
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/Experiment.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/Experiment.java
@@ -250,4 +250,27 @@
         newVariants,
         blockMs);
   }
+
+  /**
+   * Returns this experiment with another list of effects.
+   *
+   * @param newEffectsUrl where the plain service lists its effects by key; empty for none
+   * @return a copy, never null
+   */
+  public Experiment withEffectsUrl(String newEffectsUrl) {
+    return new Experiment(
+        name,
+        seed,
+        durationMs,
+        warmUpMs,
+        arrivals,
+        workspaces,
+        model,
+        mix,
+        caller,
+        faults,
+        newEffectsUrl,
+        variants,
+        blockMs);
+  }
 }
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LoadCommand.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -37,6 +38,16 @@
   @Parameter(names = "--without-faults", description = "Leave out the faults of the file")
   private boolean isWithoutFaults;
 
+  @Parameter(
+      names = "--embedded",
+      description = "Run the nodes and stand-ins in this process, laid out for the experiment")
+  private boolean isEmbedded;
+
+  @Parameter(
+      names = "--base-port",
+      description = "First port of embedded nodes, which decides on home nodes; 0 for free ports")
+  private int basePort;
+
   @Parameter(
       names = {"--help", "-h"},
       help = true,
@@ -85,7 +96,10 @@
         return EXIT_VIOLATIONS;
       }
       Experiment experiment = withOptions(((ExperimentParser.Valid) parsed).experiment());
-      LoadResult result = new LoadGenerator(experiment, actions, this::printProgress).run();
+      LoadResult result =
+          isEmbedded
+              ? runEmbedded(experiment)
+              : new LoadGenerator(experiment, actions, this::printProgress).run();
       ExperimentReport.write(result, outDirectory);
       out.print(LoadSummary.of(result));
       out.println("report: " + outDirectory.resolve(ExperimentReport.HTML_FILE));
@@ -103,6 +117,18 @@
     }
   }
 
+  private LoadResult runEmbedded(Experiment experiment) throws IOException, InterruptedException {
+    EmbeddedCluster cluster = new EmbeddedCluster(experiment, basePort);
+    try {
+      cluster.start();
+      Map<String, FaultAction> all = new HashMap<>(cluster.getActions());
+      all.putAll(actions);
+      return new LoadGenerator(cluster.pointHere(experiment), all, this::printProgress).run();
+    } finally {
+      cluster.stop();
+    }
+  }
+
   private Experiment withOptions(Experiment experiment) {
     Experiment changed = seed == null ? experiment : experiment.withSeed(seed);
     if (isWithoutFaults) {
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/LocalCluster.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.gooseberryhook.coordination.HomeNodes;
 import org.gooseberryhook.protocol.VmEntry;
 import org.gooseberryhook.protocol.VmTarget;
 import org.gooseberryhook.standin.EngineFleet;
@@ -18,6 +20,7 @@
 import org.gooseberryhook.state.Contract;
 import org.gooseberryhook.state.LayerRange;
 import org.gooseberryhook.state.ModelSpec;
+import org.gooseberryhook.state.NodeId;
 import org.gooseberryhook.state.ServiceSpec;
 import org.gooseberryhook.transport.CallerKeys;
 import org.gooseberryhook.transport.NodeService;
@@ -48,6 +51,7 @@
   private final StandinPlatform platform = StandinPlatform.ofFreePorts();
   private final List<NodeService> nodes = new CopyOnWriteArrayList<>();
   private final int enginePort = freePort();
+  private final AtomicInteger nextPort;
   private final EngineStandin engineServer;
 
   /**
@@ -56,7 +60,19 @@
    * @param layout what it consists of
    */
   public LocalCluster(LocalLayout layout) {
+    this(layout, 0);
+  }
+
+  /**
+   * Creates a cluster whose nodes have given ports. Home nodes follow from the addresses of the
+   * nodes, so runs with the same ports have the same home nodes.
+   *
+   * @param layout what it consists of
+   * @param basePort first of three ports for each node; 0 for free ones
+   */
+  public LocalCluster(LocalLayout layout, int basePort) {
     this.layout = layout;
+    this.nextPort = new AtomicInteger(basePort);
     this.fleet = new EngineFleet(layout.stepMicros(), layout.prefillMicrosPerToken());
     this.engineServer = new EngineStandin(fleet, enginePort);
   }
@@ -168,6 +184,21 @@
     return nodes.stream().map(node -> node.getSettings().node().callerAddress()).toList();
   }
 
+  /**
+   * Returns the running node that callers of a workspace are told first.
+   *
+   * @param workspaceId the workspace
+   * @return the node, never null
+   */
+  public NodeService getHomeNode(String workspaceId) {
+    List<HomeNodes.PlacedNode> placed =
+        nodes.stream()
+            .map(node -> new HomeNodes.PlacedNode(node.getId(), node.getSettings().node().place()))
+            .toList();
+    NodeId home = HomeNodes.of(workspaceId, placed, 1).get(0);
+    return nodes.stream().filter(node -> node.getId().equals(home)).findFirst().orElseThrow();
+  }
+
   /**
    * Returns the base URL of the engine stand-in; a target is below {@code /targets/{targetId}}.
    *
@@ -269,9 +300,9 @@
   private NodeSettings newSettings(int number, List<String> seeds) {
     return new NodeSettings(
         new NodeSettings.Node(
-            "127.0.0.1:" + freePort(),
-            "127.0.0.1:" + freePort(),
-            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + nextPort(),
+            "127.0.0.1:" + nextPort(),
+            "127.0.0.1:" + nextPort(),
             placeOf(number),
             layout.region(),
             layout.places(),
@@ -310,6 +341,10 @@
     return layout.places().get(number % layout.places().size());
   }
 
+  private int nextPort() {
+    return nextPort.get() == 0 ? freePort() : nextPort.getAndIncrement();
+  }
+
   private static int freePort() {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return socket.getLocalPort();
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ProblemAnswer.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ProblemAnswer.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import okhttp3.Response;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.Outcome;
@@ -13,10 +15,18 @@
  * @param kind the kind, or {@code http-<status>} if the body states none
  * @param outcome what became of the request; unknown if the body does not say
  * @param retryAfterMs when to come back, in milliseconds; 0 if coming back does not help
+ * @param detail what happened; empty if not stated
  */
-record ProblemAnswer(String kind, Outcome outcome, long retryAfterMs) {
+record ProblemAnswer(String kind, Outcome outcome, long retryAfterMs, String detail) {
 
   private static final long MAX_RETRY_AFTER_MS = 600_000;
+  private static final Pattern BOUND = Pattern.compile("the bound ([A-Z_]{1,20}) ");
+
+  /** Returns the name under which reports count it; a limit is counted by the bound met. */
+  String label() {
+    Matcher bound = BOUND.matcher(detail);
+    return kind.equals("limited") && bound.find() ? kind + " " + bound.group(1) : kind;
+  }
 
   static ProblemAnswer of(Response response) throws IOException {
     long headerMs = 0;
@@ -34,12 +44,13 @@
     try {
       json = Json.MAPPER.readTree(body);
     } catch (IOException e) {
-      return new ProblemAnswer(defaultKind, Outcome.UNKNOWN, bound(defaultRetryAfterMs));
+      return new ProblemAnswer(defaultKind, Outcome.UNKNOWN, bound(defaultRetryAfterMs), "");
     }
     return new ProblemAnswer(
         json.path("title").asText(defaultKind),
         outcomeOf(json.path("outcome").asText()),
-        bound(json.path("retry_after_ms").asLong(defaultRetryAfterMs)));
+        bound(json.path("retry_after_ms").asLong(defaultRetryAfterMs)),
+        json.path("detail").asText());
   }
 
   static Outcome outcomeOf(String text) {
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RequestRun.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RequestRun.java
@@ -92,7 +92,7 @@
 
   /** Counts a problem by kind and outcome. */
   final void countProblem(ProblemAnswer problem) {
-    measurements.countProblem(problem.kind());
+    measurements.countProblem(problem.label());
     if (problem.outcome() == Outcome.NOT_RUN) {
       measurements.count(Count.NOT_RUN);
     } else if (problem.outcome() == Outcome.UNKNOWN) {
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ServiceRun.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ServiceRun.java
@@ -17,6 +17,7 @@
 
   private static final int MAX_OUTCOME_QUESTIONS = 10;
   private static final long OUTCOME_WAIT_MS = 500;
+  private static final int HTTP_ACCEPTED = 202;
 
   private final ServiceShape shape;
   private final String key;
@@ -51,7 +52,10 @@
       request.header("Idempotency-Key", key);
     }
     try (Response response = context.getClient(false).newCall(request.build()).execute()) {
-      if (response.isSuccessful()) {
+      if (response.code() == HTTP_ACCEPTED) {
+        response.body().bytes();
+        askLater();
+      } else if (response.isSuccessful()) {
         response.body().bytes();
         completeAs(CallState.RAN);
       } else {
@@ -73,16 +77,24 @@
     } else if (problem.outcome() == Outcome.RAN && shape.isOnce()) {
       completeAs(CallState.RAN);
     } else if (problem.outcome() != Outcome.NOT_RUN && shape.isOnce()) {
-      isAmbiguous = true;
-      isAskingOutcome = true;
-      context.submitAfter(this, OUTCOME_WAIT_MS);
+      askLater();
     } else if (!repeat(problem)) {
       endNotRun();
     }
   }
 
+  /** Settles a call that may have run by asking for its outcome. */
+  private void askLater() {
+    isAmbiguous = true;
+    isAskingOutcome = true;
+    context.submitAfter(this, OUTCOME_WAIT_MS);
+  }
+
   private void askOutcome(String address) throws IOException {
-    Request request = request(address, "/v1/outcomes/" + key, new byte[0]).get().build();
+    Request request =
+        request(address, "/v1/outcomes/" + key + "?service=" + shape.service(), new byte[0])
+            .get()
+            .build();
     Outcome outcome = Outcome.UNKNOWN;
     try (Response response = context.getClient(false).newCall(request).execute()) {
       byte[] body = response.body().bytes();
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
@@ -31,6 +31,9 @@
   private static final int SCHEDULER_THREADS = 4;
   private static final int CHARS_PER_TOKEN = 4;
 
+  /** A hung chain looks this often whether its stages go on. */
+  private static final long HANG_CHECK_MICROS = 50_000;
+
   private final Map<String, StandinEngine> engines = new ConcurrentHashMap<>();
   private final Map<String, ChainRun> runs = new ConcurrentHashMap<>();
   private final Map<String, Deque<ChainRun>> waitingByHead = new ConcurrentHashMap<>();
@@ -136,6 +139,20 @@
     }
   }
 
+  /**
+   * Returns the targets that run a request.
+   *
+   * @param requestId the request
+   * @return the stages of its running attempt in order; empty if there is none
+   */
+  public List<String> getTargetsOf(String requestId) {
+    return runs.values().stream()
+        .filter(run -> run.start.requestId().equals(requestId))
+        .findFirst()
+        .map(run -> run.start.stages().stream().map(EngineStart.Stage::targetId).toList())
+        .orElse(List.of());
+  }
+
   /**
    * Kills a target and fails the attempts that run on it.
    *
@@ -258,6 +275,10 @@
       if (isOver) {
         return;
       }
+      if (isHung()) {
+        schedule(HANG_CHECK_MICROS);
+        return;
+      }
       if (step >= start.maxTokens()) {
         sink.test(
             TokenEvent.ofEnd(start.requestId(), start.attempt(), step, promptTokens, cachedTokens));
@@ -277,6 +298,12 @@
       schedule(step >= start.maxTokens() ? 0 : stepDelayMicros());
     }
 
+    private boolean isHung() {
+      return start.stages().stream()
+          .map(stage -> engines.get(stage.targetId()))
+          .anyMatch(engine -> engine != null && engine.isHung());
+    }
+
     private TokenEvent runStages() {
       long hidden = context;
       List<StageReceipt> receipts = new ArrayList<>(stageCount);
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
@@ -10,7 +10,7 @@
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.Json;
@@ -190,9 +190,11 @@
         return false;
       }
       try {
-        String line = Json.MAPPER.writeValueAsString(event) + "\n";
+        byte[] json = Json.MAPPER.writeValueAsBytes(event);
+        byte[] line = Arrays.copyOf(json, json.length + 1);
+        line[json.length] = '\n';
         sender.write(
-            line.getBytes(StandardCharsets.UTF_8),
+            line,
             (context, failure) -> {
               if (failure != null) {
                 isBroken.set(true);
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinEngine.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/StandinEngine.java
@@ -34,6 +34,7 @@
   private LayerRange layers;
   private boolean isDead;
   private boolean isLeaving;
+  private boolean isHung;
   private double slowFactor = 1;
 
   /**
@@ -144,6 +145,24 @@
     return isDead;
   }
 
+  /**
+   * Makes the engine hang: it takes orders and reports its state, but no chain on it goes on.
+   *
+   * @param hung whether it hangs
+   */
+  public synchronized void setHung(boolean hung) {
+    isHung = hung;
+  }
+
+  /**
+   * Tells whether the engine hangs.
+   *
+   * @return true if no chain on it goes on
+   */
+  public synchronized boolean isHung() {
+    return isHung;
+  }
+
   /**
    * Marks the engine as leaving.
    *
