--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -69,6 +69,9 @@
     duties.forEach(
         (key, deputies) -> {
           LeaseEntry entry = entries.computeIfAbsent(key, id -> new LeaseEntry(id, self));
+          if (entry.deputies == null) {
+            calls.readSoon();
+          }
           entry.deputies = List.copyOf(deputies);
         });
     for (LeaseEntry entry : entries.values()) {
@@ -147,6 +150,7 @@
       // Forgetting one only delays the takeover of leases that still name it.
       goneNodes.remove(goneNodes.iterator().next());
     }
+    calls.readSoon();
     book.removeHolder(node);
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
@@ -45,6 +45,7 @@
   private long nextRenewNanos;
   private long nextReadNanos;
   private String lastReadKey = "";
+  private boolean isReadDue;
   private boolean isStarted;
 
   LeaseCalls(NodeId self, LeaseTiming timing) {
@@ -74,6 +75,11 @@
     }
   }
 
+  /** Makes the next tick read the wanted records without waiting for the period. */
+  void readSoon() {
+    isReadDue = true;
+  }
+
   List<TableCall> collect(
       Collection<LeaseEntry> entries, Predicate<LeaseEntry> canAcquire, long nowNanos) {
     if (!isStarted) {
@@ -91,7 +97,9 @@
         addClaims(due, Kind.RENEW, held.subList(from, end), nowNanos);
       }
     }
-    if (nowNanos - nextReadNanos >= 0 && !isCalling(Kind.READ, nowNanos)) {
+    boolean isDue = isReadDue || nowNanos - nextReadNanos >= 0;
+    if (isDue && !isCalling(Kind.READ, nowNanos)) {
+      isReadDue = false;
       addReads(due, entries, nowNanos);
     }
     if (!isCalling(Kind.ACQUIRE, nowNanos)) {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -148,7 +148,7 @@
   public void onRunEnded(NodeId id) {
     if (endedRuns.add(id)) {
       LOG.infof("the run %d of node %s has ended", id.incarnation(), id.address());
-      membership.onRunEnded(id, System.nanoTime());
+      send(membership.onRunEnded(id, System.nanoTime()));
       link.disconnect(id.address());
       endListeners.forEach(listener -> listener.accept(id));
     }
@@ -239,6 +239,23 @@
         .findFirst();
   }
 
+  /**
+   * Returns the runs of nodes that may still act: all that were seen and are not proved to have
+   * ended, this node included.
+   *
+   * @return the runs, whatever their status
+   */
+  public Set<NodeId> getUnendedRuns() {
+    Set<NodeId> runs = new HashSet<>();
+    runs.add(membership.getSelf().id());
+    for (Member member : membership.getMembers()) {
+      if (!endedRuns.contains(member.id())) {
+        runs.add(member.id());
+      }
+    }
+    return runs;
+  }
+
   /**
    * Returns the latest log entries.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeService.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -51,6 +50,13 @@
   private static final int MAX_STREAMS = 8_192;
   private static final int MAX_LOAD_REPORTS = 64;
   private static final long CRASH_SPREAD_MS = 5_000;
+
+  /** As often as load reports come in. */
+  private static final long FREE_SLOTS_MS = 250;
+
+  /** Each node takes half of its part, so that nodes that rise together do not overshoot. */
+  private static final int FREE_SLOTS_DIVISOR = 2;
+
   private static final long DRAIN_CHECK_MS = 50;
   private static final long DRAIN_LOG_MS = 1_000;
   private static final long RELEASE_TIMEOUT_MS = 2_000;
@@ -76,14 +82,14 @@
       NodeThreads.newPool("caller-worker", MAX_WORKER_THREADS);
   private final ThreadPoolExecutor adminPool =
       NodeThreads.newPool("admin-worker", MAX_WORKER_THREADS / 8);
-  private final ScheduledExecutorService timer =
-      Executors.newScheduledThreadPool(TIMER_THREADS, NodeThreads.newFactory("node-timer"));
+  private final ScheduledExecutorService timer = NodeThreads.newTimer("node-timer", TIMER_THREADS);
   private final HttpClients clients = new HttpClients();
   private final NodeMetrics metrics = new NodeMetrics();
   private final CrashMarkRegistry crashMarks = new CrashMarkRegistry();
   private final ConfigurationStore store = new ConfigurationStore();
   private final ClusterService cluster;
   private final PeerTransport peers;
+  private final PipelineRouter router;
   private final FleetService fleet;
   private final LeaseService leases;
   private final ControlServices control;
@@ -116,7 +122,7 @@
     this.peers = new PeerTransport(self, toSocketAddress(node.peerAddress()), cluster);
     PipelineTable pipelines = new PipelineTable();
     PipelineHealth health = new PipelineHealth();
-    PipelineRouter router = new PipelineRouter(pipelines, health, new PrefixIndex());
+    this.router = new PipelineRouter(pipelines, health, new PrefixIndex());
     this.fleet =
         new FleetService(
             HttpVmList.of(clients, settings.platform().vmList()),
@@ -219,6 +225,8 @@
     modelCalls.start();
     timer.scheduleWithFixedDelay(
         this::spreadCrashMarks, CRASH_SPREAD_MS, CRASH_SPREAD_MS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(
+        this::shareFreeSlots, FREE_SLOTS_MS, FREE_SLOTS_MS, TimeUnit.MILLISECONDS);
     adminApi.start();
     callerApi.start();
     LOG.infof(
@@ -284,6 +292,15 @@
     metrics.stop();
   }
 
+  /**
+   * Returns the identity of this run of the node.
+   *
+   * @return address and incarnation, never null
+   */
+  public NodeId getId() {
+    return self;
+  }
+
   /**
    * Returns the settings.
    *
@@ -369,6 +386,14 @@
     }
   }
 
+  private void shareFreeSlots() {
+    if (isLeaving) {
+      return;
+    }
+    int share = router.countFreeSlots() / (FREE_SLOTS_DIVISOR * cluster.getLiveMembers().size());
+    modelCalls.getControls().gate().onFreeSlots(share);
+  }
+
   /** Repeats the marks to one other node, so that a node that missed them learns them. */
   private void spreadCrashMarks() {
     long nowNanos = System.nanoTime();
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeThreads.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/NodeThreads.java
@@ -1,5 +1,7 @@
 package org.gooseberryhook.transport;
 
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -24,6 +26,13 @@
         newFactory(name));
   }
 
+  /** Returns a timer that forgets cancelled tasks, such as the deadlines of finished requests. */
+  static ScheduledExecutorService newTimer(String name, int threads) {
+    ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(threads, newFactory(name));
+    timer.setRemoveOnCancelPolicy(true);
+    return timer;
+  }
+
   static ThreadFactory newFactory(String name) {
     AtomicInteger number = new AtomicInteger();
     return task -> {
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.gooseberryhook.coordination.HeldLease;
 import org.gooseberryhook.coordination.HomeNodes;
 import org.gooseberryhook.coordination.OutgoingMessage;
 import org.gooseberryhook.coordination.QuotaGrantor;
@@ -36,6 +37,12 @@
   private static final long TICK_MS = 50;
   private static final String SHARD_LEASES = "duty/quota/";
 
+  /**
+   * Stands for a node that this one has never heard of and that may hold units. It never reports,
+   * so a new grantor waits until all grants of earlier ones have expired.
+   */
+  private static final NodeId UNHEARD_NODE = NodeId.of("unheard", 0);
+
   private final ClusterService cluster;
   private final ScheduledExecutorService timer;
   private final LeaseService leases;
@@ -136,7 +143,17 @@
     long nowNanos = System.nanoTime();
     Set<NodeId> earlierHolders =
         cluster.getLiveMembers().stream().map(Member::id).collect(Collectors.toSet());
-    grantor.setHeldLeases(leases.getHeld(SHARD_LEASES), earlierHolders, nowNanos);
+    Map<String, HeldLease> held = leases.getHeld(SHARD_LEASES);
+    held.forEach(
+        (key, lease) -> {
+          QuotaShard shard = QuotaShard.ofLeaseKey(key);
+          if (shard != null) {
+            holder.giveUpBefore(shard.index(), lease.fencingNumber());
+          }
+        });
+    Set<NodeId> unendedNodes = cluster.getUnendedRuns();
+    unendedNodes.add(UNHEARD_NODE);
+    grantor.setHeldLeases(held, earlierHolders, unendedNodes, nowNanos);
     send(grantor.tick(nowNanos));
     send(holder.tick(nowNanos));
   }
@@ -157,8 +174,8 @@
    *
    * @param node the run
    */
-  public void onNodeEnded(NodeId node) {
-    grantor.removeHolder(node);
+  public synchronized void onNodeEnded(NodeId node) {
+    grantor.removeHolder(node, System.nanoTime());
   }
 
   private void send(List<OutgoingMessage> messages) {
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzNode.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzNode.java
@@ -43,6 +43,9 @@
  */
 final class FuzzNode {
 
+  /** As in the node's assembly, so that no grantor starts before earlier grants have expired. */
+  private static final List<NodeId> UNHEARD = List.of(NodeId.of("unheard", 0));
+
   private static final long MS = FuzzWorld.MS;
   private static final long TICK_NANOS = 50 * MS;
   private static final long QUIET_NANOS = 2_000 * MS;
@@ -172,7 +175,7 @@
     }
     LeaseActions actions = leases.tick(now);
     Set<NodeId> earlier = liveMembers().stream().map(Member::id).collect(Collectors.toSet());
-    grantor.setHeldLeases(leases.getHeld(now), earlier, now);
+    grantor.setHeldLeases(leases.getHeld(now), earlier, UNHEARD, now);
     for (TableCall call : actions.calls()) {
       (call instanceof TableCall.Transact transact
               ? table.transact(transact.operations())
@@ -405,7 +408,7 @@
         endedRuns.add(member.id());
         membership.onRunEnded(member.id(), clock());
         leases.onVmGone(member.id());
-        grantor.removeHolder(member.id());
+        grantor.removeHolder(member.id(), clock());
       }
     }
   }
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaGrantorTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaGrantorTest.java
@@ -25,10 +25,10 @@
     QuotaGrantor grantor = new QuotaGrantor(SELF, new RunningRequests());
     grantor.setContract(contract(), 0);
     int shard = QuotaShard.of(WORKSPACE).index();
-    grantor.beginTerm(shard, 1, 100 * SECOND, List.of(OTHER), 0);
+    grantor.beginTerm(shard, 1, 100 * SECOND, List.of(OTHER), List.of(OTHER), 0);
     assertThat(grantor.tryTake(WORKSPACE, 1, 1, SECOND)).isInstanceOf(QuotaDecision.Admitted.class);
     grantor.endTerm(shard);
-    grantor.beginTerm(shard, 1, 100 * SECOND, List.of(OTHER), 2 * SECOND);
+    grantor.beginTerm(shard, 1, 100 * SECOND, List.of(OTHER), List.of(OTHER), 2 * SECOND);
     assertThat(grantor.tryTake(WORKSPACE, 1, 1, 3 * SECOND))
         .isInstanceOf(QuotaDecision.Limited.class);
     assertThat(grantor.tryTake(WORKSPACE, 1, 1, 10 * SECOND))
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/CapacityProbe.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/CapacityProbe.java
@@ -114,7 +114,7 @@
     QuotaHolder holder = new QuotaHolder(self, grantor, running, shard -> self);
     long startNanos = System.nanoTime();
     for (int shard = 0; shard < QuotaShard.SHARD_COUNT; shard++) {
-      grantor.beginTerm(shard, 1, Long.MAX_VALUE / 2, List.of(), startNanos);
+      grantor.beginTerm(shard, 1, Long.MAX_VALUE / 2, List.of(), List.of(), startNanos);
     }
     Measured<QuotaHolder> filled =
         heapOf(
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/QuotaScenario.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/QuotaScenario.java
@@ -36,6 +36,9 @@
 /** One run of {@link QuotaUtilization}. Leases are not simulated: takeovers last a fixed time. */
 final class QuotaScenario {
 
+  /** As in the node's assembly, so that no grantor starts before earlier grants have expired. */
+  private static final List<NodeId> UNHEARD = List.of(NodeId.of("unheard", 0));
+
   /** How demand and nodes behave. */
   enum Pattern {
     SKEWED,
@@ -214,7 +217,7 @@
     Node node = byId.get(homeOf(shard));
     grantorOf.put(shard, node);
     node.leases.put(new QuotaShard(shard).toLeaseKey(), new HeldLease(++terms, Long.MAX_VALUE));
-    node.grantor.setHeldLeases(node.leases, earlierHolders, now);
+    node.grantor.setHeldLeases(node.leases, earlierHolders, UNHEARD, now);
   }
 
   Report run(int seconds) {
@@ -256,7 +259,7 @@
         () -> {
           nodes.set(index, start(dead.id.address()));
           List<NodeId> all = nodes.stream().map(node -> node.id).toList();
-          nodes.forEach(node -> node.grantor.removeHolder(dead.id));
+          nodes.forEach(node -> node.grantor.removeHolder(dead.id, now));
           shards.stream()
               .filter(shard -> grantorOf.get(shard) == dead)
               .toList()
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
@@ -11,7 +11,7 @@
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gooseberryhook.protocol.EngineStart;
@@ -188,9 +188,11 @@
         return false;
       }
       try {
-        String line = Json.MAPPER.writeValueAsString(event) + "\n";
+        byte[] json = Json.MAPPER.writeValueAsBytes(event);
+        byte[] line = Arrays.copyOf(json, json.length + 1);
+        line[json.length] = '\n';
         sender.write(
-            line.getBytes(StandardCharsets.UTF_8),
+            line,
             (context, failure) -> {
               if (failure != null) {
                 isBroken.set(true);
