Let the first holder of a load slot order without waiting

Cause: the first holder waited for orders of an earlier one that cannot exist. Change: only a holder with a fencing number above 1 waits.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/EngineOrderService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/EngineOrderService.java
@@ -100,7 +100,13 @@
       long fencingNumber, String modelId, String modelVersion, int firstLayer, int endLayer) {}
 
   /** A load slot in one term of its lease. */
-  private record Slot(long fencingNumber, long sinceNanos, LoadQueue queue) {}
+  private record Slot(long fencingNumber, long sinceNanos, LoadQueue queue) {
+
+    /** Fencing numbers start at 1, so a higher one had an earlier holder. */
+    private boolean isInherited() {
+      return fencingNumber > 1;
+    }
+  }
 
   /** A target that is brought to its wanted state in one term of its order lease. */
   private static final class Job {
@@ -290,7 +296,7 @@
   private boolean isTurn(Job job, long nowNanos) {
     Slot slot = slots.get(job.slotKey);
     // An order of the slot's earlier holder may still be on its way.
-    if (slot == null || nowNanos - slot.sinceNanos() < DELIVERY_NANOS) {
+    if (slot == null || (slot.isInherited() && nowNanos - slot.sinceNanos() < DELIVERY_NANOS)) {
       return false;
     }
     if (slot.queue().isLoading(job.target.targetId())) {
