Count the slots of leaving nodes when a grantor changes

Cause: a new grantor waited only for reports of members that are alive or suspect, so the requests of a leaving node, often the previous grantor itself, were not counted and more requests ran at the same time than the contract allows. Change: all members that are neither dead nor proved to have ended are waited for.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -222,6 +223,22 @@
     return live;
   }
 
+  /**
+   * Returns the runs of other nodes that may still serve callers: all members that are not dead and
+   * not proved to have ended, also those that are leaving.
+   *
+   * @return a new set
+   */
+  public Set<NodeId> getServingRuns() {
+    Set<NodeId> serving = new HashSet<>();
+    for (Member member : membership.getMembers()) {
+      if (member.isPresent() && !endedRuns.contains(member.id())) {
+        serving.add(member.id());
+      }
+    }
+    return serving;
+  }
+
   /**
    * Returns the latest log entries.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -30,7 +30,6 @@
 import org.gooseberryhook.protocol.TableService;
 import org.gooseberryhook.state.Configuration;
 import org.gooseberryhook.state.Contract;
-import org.gooseberryhook.state.Member;
 import org.gooseberryhook.state.NodeId;
 import org.gooseberryhook.state.Versioned;
 import org.jboss.logging.Logger;
@@ -178,9 +177,8 @@
       leases.setDuties(getDuties());
     }
     LeaseActions actions = leases.tick(nowNanos);
-    Set<NodeId> earlierHolders =
-        cluster.getLiveMembers().stream().map(Member::id).collect(Collectors.toSet());
-    grantor.setHeldLeases(leases.getHeld(nowNanos), earlierHolders, nowNanos);
+    // A leaving node still runs requests on slots of earlier grantors.
+    grantor.setHeldLeases(leases.getHeld(nowNanos), cluster.getServingRuns(), nowNanos);
     actions.calls().forEach(this::call);
     send(actions.messages());
     send(grantor.tick(nowNanos));
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ClusterServiceTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/ClusterServiceTest.java
@@ -14,6 +14,7 @@
 import org.gooseberryhook.protocol.ConfigurationMessage.SnapshotAsk;
 import org.gooseberryhook.protocol.ConfigurationMessage.SnapshotPart;
 import org.gooseberryhook.protocol.FakeTableService;
+import org.gooseberryhook.protocol.MembershipMessage;
 import org.gooseberryhook.protocol.PeerMessage;
 import org.gooseberryhook.state.ConfigurationStore;
 import org.gooseberryhook.state.Member;
@@ -50,4 +51,24 @@
     cluster.stop();
     timer.shutdownNow();
   }
+
+  /** Guards against a new grantor that forgets the slots in use at a node that is leaving. */
+  @Test
+  void aLeavingNodeCountsAsServingUntilItsRunHasEnded() {
+    Member self = new Member(NodeId.of("10.0.0.1:1", 1), "p", "r", "c", MemberStatus.ALIVE, 0);
+    Member other = new Member(NodeId.of("10.0.0.2:1", 1), "p", "r", "c", MemberStatus.LEAVING, 0);
+    ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    ConfigurationLog log = new ConfigurationLog(new FakeTableService());
+    ClusterService cluster =
+        new ClusterService(
+            new Membership(self, List.of()), new ConfigurationStore(), log, timer, new Random(1));
+    cluster.start((address, message) -> {});
+    cluster.onMessage(other.id(), new MembershipMessage.MemberList(List.of(other)));
+    assertThat(cluster.getLiveMembers()).hasSize(1);
+    assertThat(cluster.getServingRuns()).containsExactly(other.id());
+    cluster.onRunEnded(other.id());
+    assertThat(cluster.getServingRuns()).isEmpty();
+    cluster.stop();
+    timer.shutdownNow();
+  }
 }
