--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ClusterService.java
@@ -256,6 +256,22 @@
     return runs;
   }
 
+  /**
+   * Returns the runs of other nodes that may still serve callers: all members that are not dead and
+   * not proved to have ended, also those that are leaving.
+   *
+   * @return a new set
+   */
+  public Set<NodeId> getServingRuns() {
+    Set<NodeId> serving = new HashSet<>();
+    for (Member member : membership.getMembers()) {
+      if (member.isPresent() && !endedRuns.contains(member.id())) {
+        serving.add(member.id());
+      }
+    }
+    return serving;
+  }
+
   /**
    * Returns the latest log entries.
    *
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.gooseberryhook.coordination.HeldLease;
 import org.gooseberryhook.coordination.HomeNodes;
 import org.gooseberryhook.coordination.OutgoingMessage;
@@ -21,7 +20,6 @@
 import org.gooseberryhook.protocol.QuotaMessage;
 import org.gooseberryhook.state.Configuration;
 import org.gooseberryhook.state.Contract;
-import org.gooseberryhook.state.Member;
 import org.gooseberryhook.state.NodeId;
 import org.gooseberryhook.state.Versioned;
 import org.jboss.logging.Logger;
@@ -141,8 +139,6 @@
 
   private synchronized void tick() {
     long nowNanos = System.nanoTime();
-    Set<NodeId> earlierHolders =
-        cluster.getLiveMembers().stream().map(Member::id).collect(Collectors.toSet());
     Map<String, HeldLease> held = leases.getHeld(SHARD_LEASES);
     held.forEach(
         (key, lease) -> {
@@ -153,7 +149,8 @@
         });
     Set<NodeId> unendedNodes = cluster.getUnendedRuns();
     unendedNodes.add(UNHEARD_NODE);
-    grantor.setHeldLeases(held, earlierHolders, unendedNodes, nowNanos);
+    // A leaving node still runs requests on slots of earlier grantors.
+    grantor.setHeldLeases(held, cluster.getServingRuns(), unendedNodes, nowNanos);
     send(grantor.tick(nowNanos));
     send(holder.tick(nowNanos));
   }
