--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzModelCall.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzModelCall.java
@@ -266,6 +266,10 @@
     return admission != null && request.workspace.equals(workspace) && isBeforeDeadline;
   }
 
+  long ageMs() {
+    return (world.now - startNanos) / MS;
+  }
+
   boolean isUsing(String targetId) {
     return !isOver && isInFlight && pipeline.isUsing(targetId);
   }
