Tick the limits each 20 ms and adapt a test to growing asks

Cause: a holder doubles its asks from one unit on, so with 50 ms ticks a node that a workspace starts to use took 200 ms to get ten units; the early-start test expected more than one unit from the first ask. Change: ticks of 20 ms; the test lets the asks grow over four rounds before it goes on, with the same checks.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -32,7 +32,7 @@
 public final class QuotaService {
 
   private static final Logger LOG = Logger.getLogger(QuotaService.class);
-  private static final long TICK_MS = 50;
+  private static final long TICK_MS = 20;
   private static final String SHARD_LEASES = "duty/quota/";
 
   /**
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/QuotaHolderTest.java
@@ -128,10 +128,12 @@
   @Test
   void aNewGrantorWaitsUntilEveryNodeHasGivenUpItsUnits() {
     final Contract contract = start(10_000);
-    for (int request = 0; request < 10; request++) {
-      admitRemotely();
+    for (int round = 0; round < 4; round++) {
+      for (int request = 0; request < 10; request++) {
+        admitRemotely();
+      }
+      exchange();
     }
-    exchange();
     NodeId next = NodeId.of("10.0.0.9:7000", 1);
     NodeId silent = NodeId.of("10.0.0.8:7000", 1);
     QuotaGrantor successor = new QuotaGrantor(next, new RunningRequests());
