Ask other runs for their targets without taking their locks

Cause: a run that reports a dead target holds its monitor while it asks all other runs whether they use the target; two runs that lose targets at the same moment blocked forever, and their callers got neither tokens nor an error. Change: the pipeline in flight is a volatile field that is read without a lock.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -92,6 +92,10 @@
   private double meanGapNanos;
   private boolean mayHaveRun;
   private boolean isInFlight;
+
+  /** The pipeline of the attempt in flight; null without one. */
+  private volatile Pipeline runningOn;
+
   private boolean isOver;
 
   ModelCallRun(
@@ -135,8 +139,13 @@
     return fingerprint;
   }
 
-  synchronized boolean isUsing(String targetId) {
-    return !isOver && isInFlight && pipeline != null && pipeline.isUsing(targetId);
+  /**
+   * Tells whether the running attempt uses a target. Takes no lock: a run that reports a dead
+   * target holds its own monitor while it asks the others, and two such runs would block forever.
+   */
+  boolean isUsing(String targetId) {
+    Pipeline present = runningOn;
+    return present != null && present.isUsing(targetId);
   }
 
   synchronized void start() {
@@ -268,6 +277,7 @@
     gapSamples = 0;
     lastEventNanos = nowNanos;
     isInFlight = true;
+    runningOn = pipeline;
     attempt = null;
     service.getControls().router().onDispatched(dispatch, nowNanos);
     attempt =
@@ -341,6 +351,7 @@
 
   private void onComplete(StreamSession.Decision.Complete complete) {
     isInFlight = false;
+    runningOn = null;
     service
         .getControls()
         .router()
@@ -378,6 +389,7 @@
       attempt.cancel();
     }
     isInFlight = false;
+    runningOn = null;
     endDispatch(isUntouched ? AttemptFailure.NOT_SENT : AttemptFailure.ENGINE, lostTarget);
     exclude(lostTarget);
     boolean isAllowed = hasProgress || service.getControls().retries().trySpend(call.workspaceId());
@@ -521,6 +533,7 @@
       attempt.cancel();
     }
     isInFlight = false;
+    runningOn = null;
     endDispatch(AttemptFailure.CANCELLED, null);
   }
 
