--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -91,8 +91,12 @@
   private int gapSamples;
   private double meanGapNanos;
   private boolean mayHaveRun;
-  private volatile boolean isInFlight;
-  private volatile boolean isOver;
+  private boolean isInFlight;
+
+  /** The pipeline of the attempt in flight; null without one. */
+  private volatile Pipeline runningOn;
+
+  private boolean isOver;
 
   ModelCallRun(
       ModelCallService service,
@@ -135,10 +139,13 @@
     return fingerprint;
   }
 
-  /** Takes no lock, since a run asks all others while it holds its own. */
+  /**
+   * Tells whether the running attempt uses a target. Takes no lock: a run that reports a dead
+   * target holds its own monitor while it asks the others, and two such runs would block forever.
+   */
   boolean isUsing(String targetId) {
-    Pipeline present = pipeline;
-    return !isOver && isInFlight && present != null && present.isUsing(targetId);
+    Pipeline present = runningOn;
+    return present != null && present.isUsing(targetId);
   }
 
   synchronized void start() {
@@ -174,7 +181,11 @@
     }
     QuotaDecision.Limited limited = (QuotaDecision.Limited) decision;
     long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
-    if (waitedMs < Math.min(QuotaWait.maxWaitMs(limited), call.timeoutMs() / 2)) {
+    long maxWaitMs =
+        call.resumedTokenIds().isEmpty()
+            ? QuotaWait.maxWaitMs(limited)
+            : QuotaWait.maxResumeWaitMs(limited);
+    if (waitedMs < Math.min(maxWaitMs, call.timeoutMs() / 2)) {
       service.getTimer().schedule(this::admit, QuotaWait.RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
@@ -266,6 +277,7 @@
     gapSamples = 0;
     lastEventNanos = nowNanos;
     isInFlight = true;
+    runningOn = pipeline;
     attempt = null;
     service.getControls().router().onDispatched(dispatch, nowNanos);
     attempt =
@@ -339,6 +351,7 @@
 
   private void onComplete(StreamSession.Decision.Complete complete) {
     isInFlight = false;
+    runningOn = null;
     service
         .getControls()
         .router()
@@ -375,6 +388,7 @@
       attempt.cancel();
     }
     isInFlight = false;
+    runningOn = null;
     endDispatch(isUntouched ? AttemptFailure.NOT_SENT : AttemptFailure.ENGINE, lostTarget);
     exclude(lostTarget);
     // An attempt that never ran costs the fleet nothing, and a stream that advanced is worth more
@@ -521,6 +535,7 @@
       attempt.cancel();
     }
     isInFlight = false;
+    runningOn = null;
     endDispatch(AttemptFailure.CANCELLED, null);
   }
 
