Keep streams open when the drain begins at a signal

Cause: Jooby's shutdown hook stopped the HTTP servers at SIGTERM, beside the drain, so a running stream ended after 40 of 300 tokens. Conclusion: A planned stop of a node process lets its streams finish.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpExchanges.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpExchanges.java
@@ -35,6 +35,11 @@
 
   private static final int HEADER_SEPARATOR_BYTES = 4;
 
+  static {
+    // Jooby's own shutdown hook would close all streams at the signal that begins the drain.
+    System.setProperty("jooby.useShutdownHook", "false");
+  }
+
   private HttpExchanges() {}
 
   /**
