--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -181,11 +181,7 @@
     }
     QuotaDecision.Limited limited = (QuotaDecision.Limited) decision;
     long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
-    long maxWaitMs =
-        call.resumedTokenIds().isEmpty()
-            ? QuotaWait.maxWaitMs(limited)
-            : QuotaWait.maxResumeWaitMs(limited);
-    if (waitedMs < Math.min(maxWaitMs, call.timeoutMs() / 2)) {
+    if (waitedMs < Math.min(QuotaWait.maxWaitMs(limited), call.timeoutMs() / 2)) {
       service.getTimer().schedule(this::admit, QuotaWait.RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaWait.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaWait.java
@@ -17,18 +17,8 @@
    */
   private static final long MAX_REFILL_WAIT_MS = 250;
 
-  /**
-   * A stream that lost its node has a caller in the middle of an answer. Its resume waits longer
-   * than new requests, so that it gets the units for which they compete.
-   */
-  private static final long MAX_RESUME_WAIT_MS = 5_000;
-
   private QuotaWait() {}
 
-  static long maxResumeWaitMs(QuotaDecision.Limited limited) {
-    return limited.bound() == QuotaDecision.Bound.BURST ? 0 : MAX_RESUME_WAIT_MS;
-  }
-
   static long maxWaitMs(QuotaDecision.Limited limited) {
     return switch (limited.bound()) {
       case AWAITING_GRANT -> MAX_GRANT_WAIT_MS;
