--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -42,7 +42,7 @@
   private final Map<String, LeaseEntry> entries = new TreeMap<>();
   private final LeaseCalls calls;
   private final Set<NodeId> goneNodes = new LinkedHashSet<>();
-  private final PledgeBook book = new PledgeBook();
+  private final PledgeRegistry pledges = new PledgeRegistry();
   private final List<OutgoingMessage> outbox = new ArrayList<>();
   private long lastPledgeSequence;
   private long nextPledgeNanos;
@@ -151,7 +151,7 @@
       goneNodes.remove(goneNodes.iterator().next());
     }
     calls.readSoon();
-    book.removeHolder(node);
+    pledges.removeHolder(node);
   }
 
   /**
@@ -215,7 +215,7 @@
           entry != null
               && entry.lease != null
               && entry.lease.fencingNumber() > lease.fencingNumber();
-      if (!isOwnClaim && !isOutdated && book.give(from, ask.sequence(), lease)) {
+      if (!isOwnClaim && !isOutdated && pledges.give(from, ask.sequence(), lease)) {
         given.add(lease);
       }
     }
@@ -260,7 +260,7 @@
    * @param release the message
    */
   public synchronized void onPledgeRelease(NodeId from, PledgeRelease release) {
-    book.release(from, release.sequence(), release.leaseKeys());
+    pledges.release(from, release.sequence(), release.leaseKeys());
   }
 
   private void onCommitted(Call call, TableResult.Committed committed, long nowNanos) {
@@ -313,7 +313,7 @@
     entry.closeAcquisitions(callId, version);
     entry.setRecord(version, lease, nowNanos);
     if (lease != null) {
-      book.onRead(entry.key, lease);
+      pledges.onRead(entry.key, lease);
     }
     boolean isOwn =
         lease != null
@@ -362,7 +362,7 @@
         || entry.isHeld
         || !entry.isFresh
         || entry.isReleaseDue
-        || book.isBound(entry.key, goneNodes)) {
+        || pledges.isBound(entry.key, goneNodes)) {
       return false;
     }
     return entry.isAcquirable(goneNodes, timing.acquireWaitNanos(), nowNanos);
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PledgeBook.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/PledgeRegistry.java
@@ -11,7 +11,7 @@
  * Promises that a deputy has given, at most one per lease. They live in memory only: a restarted
  * node has another incarnation and is no elector. Not safe for use by several threads.
  */
-final class PledgeBook {
+final class PledgeRegistry {
 
   private record Pledge(NodeId holder, long fencingNumber, long renewal, long sequence) {}
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaAdmission.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaAdmission.java
@@ -5,7 +5,7 @@
  *
  * @param workspaceId the workspace
  * @param term fencing number of the grantor that gave the units
- * @param stamp position in the grantor's books that is not later than the admission
+ * @param stamp position in the grantor's account that is not later than the admission
  * @param requestUnits request units charged
  * @param tokenUnits token units charged, an estimate
  * @param isLocal whether the units came straight from this node's own grantor
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaPocket.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaAllocation.java
@@ -14,7 +14,7 @@
  * What one holder has of one workspace: unspent units, their expiry, and predicted demand. Not safe
  * for use by several threads.
  */
-final class QuotaPocket {
+final class QuotaAllocation {
 
   /** Longest time between asks while there is demand; a quarter of a grant's life. */
   static final long LONGEST_INTERVAL_NANOS = 500_000_000L;
@@ -93,7 +93,7 @@
   private long creditTokens;
   private long debtTokens;
 
-  QuotaPocket(String workspaceId, long grantTtlNanos, long nowNanos) {
+  QuotaAllocation(String workspaceId, long grantTtlNanos, long nowNanos) {
     this.workspaceId = workspaceId;
     this.grantTtlNanos = grantTtlNanos;
     this.askSentNanos = nowNanos - LONGEST_INTERVAL_NANOS;
@@ -204,7 +204,7 @@
         || !corrections.isEmpty();
   }
 
-  /** Tells whether the pocket can be forgotten. */
+  /** Tells whether the allocation can be forgotten. */
   boolean isIdle(long nowNanos, long running, long idleNanos) {
     return running == 0 && !hasNews(running) && nowNanos - lastUsedNanos >= idleNanos;
   }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaGrantor.java
@@ -151,10 +151,10 @@
   }
 
   /**
-   * Starts granting for a shard after its lease was acquired. The books start empty, and nothing is
-   * granted until all grants of earlier holders of the lease have expired, or every node that may
-   * have some has given them up in its report. The first term of a lease has no earlier holders and
-   * grants at once.
+   * Starts granting for a shard after its lease was acquired. The buckets start empty, and nothing
+   * is granted until all grants of earlier holders of the lease have expired, or every node that
+   * may have some has given them up in its report. The first term of a lease has no earlier holders
+   * and grants at once.
    *
    * @param shardIndex the shard
    * @param term fencing number of the lease
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaHolder.java
@@ -46,7 +46,7 @@
   private final Function<QuotaShard, NodeId> homeNode;
   private final long grantTtlNanos;
   private final Map<String, Contract> contracts = new ConcurrentHashMap<>();
-  private final Map<String, QuotaPocket> pockets = new ConcurrentHashMap<>();
+  private final Map<String, QuotaAllocation> allocations = new ConcurrentHashMap<>();
   private final Map<Integer, KnownGrantor> grantors = new ConcurrentHashMap<>();
   private final Map<Integer, Long> reportsDue = new ConcurrentHashMap<>();
   private final Map<String, Long> promisedNanos = new ConcurrentHashMap<>();
@@ -100,7 +100,7 @@
   public void removeContract(String workspaceId) {
     contracts.remove(workspaceId);
     promisedNanos.remove(workspaceId);
-    pockets.remove(workspaceId);
+    allocations.remove(workspaceId);
   }
 
   /**
@@ -137,16 +137,17 @@
       return new QuotaDecision.Limited(0, Bound.BURST);
     }
     boolean isOwn = ownGrantor.isGrantorOf(workspaceId, nowNanos);
-    QuotaPocket pocket =
+    QuotaAllocation allocation =
         isOwn
-            ? pockets.get(workspaceId)
-            : pockets.computeIfAbsent(
-                workspaceId, id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
-    if (pocket != null) {
-      synchronized (pocket) {
-        boolean isUsable = !pocket.isExpired(nowNanos) && pocket.canTake(requestUnits, tokenUnits);
+            ? allocations.get(workspaceId)
+            : allocations.computeIfAbsent(
+                workspaceId, id -> new QuotaAllocation(id, grantTtlNanos, nowNanos));
+    if (allocation != null) {
+      synchronized (allocation) {
+        boolean isUsable =
+            !allocation.isExpired(nowNanos) && allocation.canTake(requestUnits, tokenUnits);
         if (isUsable || !isOwn) {
-          QuotaDecision decision = pocket.tryTake(requestUnits, tokenUnits, nowNanos);
+          QuotaDecision decision = allocation.tryTake(requestUnits, tokenUnits, nowNanos);
           if (decision instanceof QuotaDecision.Admitted) {
             running.add(workspaceId, 1);
           }
@@ -205,12 +206,12 @@
       ownGrantor.settle(admission, isRun, tokensBack, nowNanos);
       return;
     }
-    QuotaPocket pocket =
-        pockets.computeIfAbsent(
-            admission.workspaceId(), id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
-    synchronized (pocket) {
+    QuotaAllocation allocation =
+        allocations.computeIfAbsent(
+            admission.workspaceId(), id -> new QuotaAllocation(id, grantTtlNanos, nowNanos));
+    synchronized (allocation) {
       running.add(admission.workspaceId(), -1);
-      pocket.settle(admission, isRun, tokensBack, nowNanos);
+      allocation.settle(admission, isRun, tokensBack, nowNanos);
     }
   }
 
@@ -224,7 +225,7 @@
     Map<NodeId, Set<String>> due = new LinkedHashMap<>();
     Map<NodeId, List<ShardTerm>> complete = new HashMap<>();
     addReports(due, complete, nowNanos);
-    for (Map.Entry<String, QuotaPocket> entry : pockets.entrySet()) {
+    for (Map.Entry<String, QuotaAllocation> entry : allocations.entrySet()) {
       NodeId grantor = dueGrantorOf(entry.getKey(), entry.getValue(), nowNanos);
       if (grantor != null) {
         due.computeIfAbsent(grantor, id -> new LinkedHashSet<>()).add(entry.getKey());
@@ -247,11 +248,11 @@
    */
   public void giveUpBefore(int shardIndex, long term) {
     setGrantor(new QuotaShard(shardIndex), self, term);
-    pockets.forEach(
-        (workspaceId, pocket) -> {
+    allocations.forEach(
+        (workspaceId, allocation) -> {
           if (QuotaShard.of(workspaceId).index() == shardIndex) {
-            synchronized (pocket) {
-              pocket.giveUpBefore(term);
+            synchronized (allocation) {
+              allocation.giveUpBefore(term);
             }
           }
         });
@@ -266,15 +267,15 @@
    */
   public void onGiven(NodeId from, QuotaGiven given, long nowNanos) {
     for (Grant grant : given.grants()) {
-      QuotaPocket pocket = pockets.get(grant.workspaceId());
-      if (pocket == null) {
+      QuotaAllocation allocation = allocations.get(grant.workspaceId());
+      if (allocation == null) {
         continue;
       }
       QuotaShard shard = QuotaShard.of(grant.workspaceId());
       KnownGrantor known = grantors.get(shard.index());
       long knownTerm = known == null ? 0 : known.term();
-      synchronized (pocket) {
-        if (pocket.accept(from, given.sequence(), grant, knownTerm, nowNanos)) {
+      synchronized (allocation) {
+        if (allocation.accept(from, given.sequence(), grant, knownTerm, nowNanos)) {
           setGrantor(shard, from, grant.term());
         }
       }
@@ -318,36 +319,36 @@
               .add(new ShardTerm(shard, term));
         });
     Set<String> workspaces = new LinkedHashSet<>(running.getWorkspaces());
-    workspaces.addAll(pockets.keySet());
+    workspaces.addAll(allocations.keySet());
     for (String workspaceId : workspaces) {
       int shard = QuotaShard.of(workspaceId).index();
       NodeId grantor = reported.containsKey(shard) ? grantors.get(shard).node() : null;
       if (grantor != null && due.containsKey(grantor)) {
-        QuotaPocket pocket =
-            pockets.computeIfAbsent(
-                workspaceId, id -> new QuotaPocket(id, grantTtlNanos, nowNanos));
-        synchronized (pocket) {
-          pocket.giveUpBefore(grantors.get(shard).term());
+        QuotaAllocation allocation =
+            allocations.computeIfAbsent(
+                workspaceId, id -> new QuotaAllocation(id, grantTtlNanos, nowNanos));
+        synchronized (allocation) {
+          allocation.giveUpBefore(grantors.get(shard).term());
         }
         due.get(grantor).add(workspaceId);
       }
     }
   }
 
-  private NodeId dueGrantorOf(String workspaceId, QuotaPocket pocket, long nowNanos) {
+  private NodeId dueGrantorOf(String workspaceId, QuotaAllocation allocation, long nowNanos) {
     Contract contract = contracts.get(workspaceId);
     long slotsInUse = running.get(workspaceId);
     QuotaShard shard = QuotaShard.of(workspaceId);
-    synchronized (pocket) {
-      if (pocket.isIdle(nowNanos, slotsInUse, IDLE_NANOS)) {
-        pockets.remove(workspaceId, pocket);
+    synchronized (allocation) {
+      if (allocation.isIdle(nowNanos, slotsInUse, IDLE_NANOS)) {
+        allocations.remove(workspaceId, allocation);
         return null;
       }
-      boolean isDue = contract != null && pocket.isAskDue(nowNanos, contract, slotsInUse);
+      boolean isDue = contract != null && allocation.isAskDue(nowNanos, contract, slotsInUse);
       if (!isDue || ownGrantor.isGrantorOf(workspaceId, nowNanos)) {
         return null;
       }
-      if (pocket.isGrantorLost()) {
+      if (allocation.isGrantorLost()) {
         grantors.computeIfPresent(
             shard.index(), (index, known) -> new KnownGrantor(null, known.term()));
       }
@@ -363,15 +364,15 @@
     List<Need> needs = new ArrayList<>();
     for (String workspaceId : workspaces) {
       Contract contract = contracts.get(workspaceId);
-      QuotaPocket pocket = pockets.get(workspaceId);
+      QuotaAllocation allocation = allocations.get(workspaceId);
       long slotsInUse = running.get(workspaceId);
-      if (contract == null || pocket == null) {
+      if (contract == null || allocation == null) {
         QuotaUnits inUse = QuotaUnits.of(0, 0, slotsInUse);
         needs.add(new Need(workspaceId, 0, QuotaUnits.NONE, inUse, QuotaUnits.NONE, 0, List.of()));
         continue;
       }
-      synchronized (pocket) {
-        needs.add(pocket.toNeed(grantor, sequence, contract, slotsInUse, nowNanos));
+      synchronized (allocation) {
+        needs.add(allocation.toNeed(grantor, sequence, contract, slotsInUse, nowNanos));
       }
     }
     return new OutgoingMessage(grantor, new QuotaAsk(sequence, needs, complete));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/QuotaLedger.java
@@ -12,8 +12,8 @@
 import org.gooseberryhook.state.NodeId;
 
 /**
- * The grantor's books for one workspace in one term: the buckets and what each holder has. Not safe
- * for use by several threads.
+ * The grantor's account for one workspace in one term: the buckets and what each holder has. Not
+ * safe for use by several threads.
  */
 final class QuotaLedger {
 
@@ -28,13 +28,13 @@
   /** Time to come back while holders have yet to report; one announcement takes that long. */
   private static final long REPORT_WAIT_MS = 500;
 
-  /** Idle time after which the books of a holder that holds nothing are closed. */
+  /** Idle time after which the account of a holder that holds nothing are closed. */
   private static final long ACCOUNT_IDLE_NANOS = 60_000_000_000L;
 
   /** An ask gets at most this share of what is free, so that other holders find some. */
   private static final double GRANT_SHARE = 0.5;
 
-  /** Books of one holder. */
+  /** Account of one holder. */
   private static final class Account {
     private long firstStamp;
     private long lastSequence;
@@ -61,7 +61,7 @@
   private boolean isResolved;
 
   /**
-   * Opens the books, empty.
+   * Opens an empty account.
    *
    * @param contract the contract
    * @param term fencing number of the lease
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerMessage.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/PeerMessage.java
@@ -11,7 +11,6 @@
     permits ConfigurationMessage,
         CrashMessage,
         MembershipMessage,
-        OnceMessage,
         PledgeMessage,
         QuotaMessage,
         TargetMessage {}
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/QuotaMessage.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/QuotaMessage.java
@@ -94,7 +94,7 @@
    *
    * @param workspaceId the workspace
    * @param term fencing number of the grantor
-   * @param stamp position in the grantor's books, which corrections repeat
+   * @param stamp position in the grantor's account, which corrections repeat
    * @param keepsHeld whether the units reported as held stay usable
    * @param granted additional units; a negative number of slots withdraws idle ones after a
    *     contract was lowered
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpEngineClient.java
@@ -15,6 +15,7 @@
 import okhttp3.Response;
 import okio.BufferedSource;
 import org.gooseberryhook.protocol.EngineClient;
+import org.gooseberryhook.protocol.EngineErrors;
 import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.TokenEvent;
@@ -27,15 +28,6 @@
  */
 public final class HttpEngineClient implements EngineClient {
 
-  /** Error text of an attempt that was never sent, so that it did not run. */
-  public static final String NOT_SENT = "not-sent";
-
-  /** Error text of an attempt that the engine refused before running anything. */
-  public static final String REFUSED = "refused";
-
-  /** Error text of an attempt whose engine answered with an error instead of a stream. */
-  public static final String UNREACHABLE = "engine answered with an error";
-
   private static final MediaType JSON = MediaType.get("application/json");
   private static final int HTTP_OVERLOADED = 503;
 
@@ -58,17 +50,6 @@
     this.streamExecutor = Objects.requireNonNull(streamExecutor, "streamExecutor");
   }
 
-  /**
-   * Tells whether an attempt that failed is proved not to have run. By the engine protocol, a start
-   * order that is not answered with 200 has not run.
-   *
-   * @param reason error text of the attempt
-   * @return true if nothing of it ran
-   */
-  static boolean isProvedNotRun(String reason) {
-    return NOT_SENT.equals(reason) || REFUSED.equals(reason) || UNREACHABLE.equals(reason);
-  }
-
   @Override
   public Attempt start(String headAddress, EngineStart start, Consumer<TokenEvent> listener) {
     byte[] body;
@@ -86,7 +67,8 @@
     try {
       streamExecutor.execute(() -> read(call, start, listener));
     } catch (RejectedExecutionException e) {
-      listener.accept(TokenEvent.ofError(start.requestId(), start.attempt(), NOT_SENT, null));
+      listener.accept(
+          TokenEvent.ofError(start.requestId(), start.attempt(), EngineErrors.NOT_SENT, null));
     }
     return call::cancel;
   }
@@ -95,14 +77,14 @@
     String headTargetId = start.stages().get(0).targetId();
     try (Response response = call.execute()) {
       if (response.code() == HTTP_OVERLOADED || response.code() == HTTP_TOO_MANY) {
-        listener.accept(error(start, REFUSED, headTargetId));
+        listener.accept(error(start, EngineErrors.REFUSED, headTargetId));
       } else if (!response.isSuccessful()) {
-        listener.accept(error(start, UNREACHABLE, headTargetId));
+        listener.accept(error(start, EngineErrors.UNREACHABLE, headTargetId));
       } else {
         readLines(response.body().source(), start, listener);
       }
     } catch (ConnectException e) {
-      listener.accept(error(start, NOT_SENT, headTargetId));
+      listener.accept(error(start, EngineErrors.NOT_SENT, headTargetId));
     } catch (IOException e) {
       listener.accept(error(start, "connection lost: " + e.getMessage(), headTargetId));
     }
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/ModelCallRun.java
@@ -24,6 +24,7 @@
 import org.gooseberryhook.coordination.StreamSession;
 import org.gooseberryhook.protocol.AnswerSink;
 import org.gooseberryhook.protocol.EngineClient;
+import org.gooseberryhook.protocol.EngineErrors;
 import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.ModelCall;
 import org.gooseberryhook.protocol.Outcome;
@@ -368,7 +369,7 @@
   }
 
   private void repair(String reason, String lostTarget) {
-    boolean isUntouched = HttpEngineClient.isProvedNotRun(reason);
+    boolean isUntouched = EngineErrors.isProvedNotRun(reason);
     boolean hasProgress = session.getDeliveredCount() > firstStepOfAttempt;
     mayHaveRun |= !isUntouched;
     LOG.infof(
@@ -405,12 +406,10 @@
 
   /** Only a stream that broke can be the fault of the request; a target found dead is not. */
   private void reportTarget(String reason, String lostTarget) {
-    if (lostTarget == null || HttpEngineClient.REFUSED.equals(reason)) {
+    if (lostTarget == null || EngineErrors.isTargetAlive(reason)) {
       return;
     }
-    boolean isFoundDead =
-        HttpEngineClient.NOT_SENT.equals(reason) || HttpEngineClient.UNREACHABLE.equals(reason);
-    if (isFoundDead) {
+    if (EngineErrors.isProvedNotRun(reason)) {
       service.onTargetFoundDead(lostTarget);
     } else {
       service.onTargetDied(lostTarget);
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/QuotaService.java
@@ -39,7 +39,7 @@
    * Stands for a node that this one has never heard of and that may hold units. It never reports,
    * so a new grantor waits until all grants of earlier ones have expired.
    */
-  private static final NodeId UNHEARD_NODE = NodeId.of("unheard", 0);
+  private static final NodeId UNKNOWN_NODE = NodeId.of("unknown", 0);
 
   private final ClusterService cluster;
   private final ScheduledExecutorService timer;
@@ -148,7 +148,7 @@
           }
         });
     Set<NodeId> unendedNodes = cluster.getUnendedRuns();
-    unendedNodes.add(UNHEARD_NODE);
+    unendedNodes.add(UNKNOWN_NODE);
     // A leaving node still runs requests on slots of earlier grantors.
     grantor.setHeldLeases(held, cluster.getServingRuns(), unendedNodes, nowNanos);
     send(grantor.tick(nowNanos));
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/SettingsReader.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/SettingsReader.java
@@ -30,8 +30,10 @@
   /** Time for streams to finish in a planned stop, if the file does not set it. */
   public static final int DEFAULT_DRAIN_TIMEOUT_MS = 25_000;
 
-  /** A stopping process must exit within 30 s; a second is left for the remaining steps. */
-  public static final int MAX_DRAIN_TIMEOUT_MS = 29_000;
+  /**
+   * A stopping process must exit within 30 s; flushing answers, leases and calls takes up to 4.2 s.
+   */
+  public static final int MAX_DRAIN_TIMEOUT_MS = 25_000;
 
   /** Requests that run at the same time, if the file does not set it. */
   public static final int DEFAULT_CONCURRENT_REQUESTS = 2_000;
--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzNode.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/coordination/FuzzNode.java
@@ -44,7 +44,7 @@
 final class FuzzNode {
 
   /** As in the node's assembly, so that no grantor starts before earlier grants have expired. */
-  private static final List<NodeId> UNHEARD = List.of(NodeId.of("unheard", 0));
+  private static final List<NodeId> UNKNOWN_NODES = List.of(NodeId.of("unknown", 0));
 
   private static final long MS = FuzzWorld.MS;
   private static final long TICK_NANOS = 50 * MS;
@@ -181,7 +181,7 @@
             .map(Member::id)
             .collect(Collectors.toSet());
     earlier.removeAll(endedRuns);
-    grantor.setHeldLeases(leases.getHeld(now), earlier, UNHEARD, now);
+    grantor.setHeldLeases(leases.getHeld(now), earlier, UNKNOWN_NODES, now);
     for (TableCall call : actions.calls()) {
       (call instanceof TableCall.Transact transact
               ? table.transact(transact.operations())
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ModelRun.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/ModelRun.java
@@ -17,6 +17,8 @@
 /** One model call; a broken stream is resumed with the tokens received so far. */
 final class ModelRun extends RequestRun {
 
+  private static final String VERSION_HEADER = "X-Model-Version";
+
   private static final String DATA = "data: ";
   private static final String DONE = "data: [DONE]";
   private static final String ERROR = "event: error";
@@ -24,6 +26,7 @@
   private final ModelShape shape;
   private final String prompt;
   private final AnswerCheck check;
+  private String modelVersion;
   private long firstTokenNanos;
   private long lastTokenNanos;
 
@@ -41,7 +44,10 @@
         context.getClient(shape.isStream()).newCall(requestTo(address)).execute()) {
       if (!response.isSuccessful()) {
         onProblem(address, ProblemAnswer.of(response), false);
-      } else if (shape.isStream()) {
+        return;
+      }
+      modelVersion = response.header(VERSION_HEADER, modelVersion);
+      if (shape.isStream()) {
         readStream(address, response.body().source(), receivedBefore);
       } else {
         readWhole(response.body().bytes(), receivedBefore);
@@ -64,6 +70,9 @@
         request(address, "/v1/completions", Json.MAPPER.writeValueAsBytes(body));
     if (received > 0) {
       request.header("X-Resume-From", Integer.toString(received));
+      if (modelVersion != null) {
+        request.header(VERSION_HEADER, modelVersion);
+      }
     }
     return request.build();
   }
--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/QuotaScenario.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/QuotaScenario.java
@@ -37,7 +37,7 @@
 final class QuotaScenario {
 
   /** As in the node's assembly, so that no grantor starts before earlier grants have expired. */
-  private static final List<NodeId> UNHEARD = List.of(NodeId.of("unheard", 0));
+  private static final List<NodeId> UNKNOWN_NODES = List.of(NodeId.of("unknown", 0));
 
   /** How demand and nodes behave. */
   enum Pattern {
@@ -217,7 +217,7 @@
     Node node = byId.get(homeOf(shard));
     grantorOf.put(shard, node);
     node.leases.put(new QuotaShard(shard).toLeaseKey(), new HeldLease(++terms, Long.MAX_VALUE));
-    node.grantor.setHeldLeases(node.leases, earlierHolders, UNHEARD, now);
+    node.grantor.setHeldLeases(node.leases, earlierHolders, UNKNOWN_NODES, now);
   }
 
   Report run(int seconds) {
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineFleet.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
+import org.gooseberryhook.protocol.EngineErrors;
 import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.StageReceipt;
 import org.gooseberryhook.protocol.TokenEvent;
@@ -247,11 +248,14 @@
     void begin() {
       for (EngineStart.Stage stage : start.stages()) {
         StandinEngine engine = engines.get(stage.targetId());
-        if (engine == null
-            || !engine.isHolding(start.modelVersion(), stage.firstLayer(), stage.endLayer())) {
+        if (engine == null || engine.isDead()) {
           fail(stage.targetId());
           return;
         }
+        if (!engine.isHolding(start.modelVersion(), stage.firstLayer(), stage.endLayer())) {
+          stop(EngineErrors.REFUSED, stage.targetId());
+          return;
+        }
       }
       StandinEngine head = engines.get(headOf(start));
       cachedTokens = head.touchPrefix(start.prompt());
@@ -320,9 +324,10 @@
         StandinEngine engine = engines.get(stage.targetId());
         if (engine == null
             || !engine.isHolding(start.modelVersion(), stage.firstLayer(), stage.endLayer())) {
+          boolean isLost = engine == null || engine.isDead();
+          String reason = isLost ? EngineErrors.STAGE_LOST : EngineErrors.STAGE_CHANGED;
           sink.test(
-              TokenEvent.ofError(
-                  start.requestId(), start.attempt(), "stage lost", stage.targetId()));
+              TokenEvent.ofError(start.requestId(), start.attempt(), reason, stage.targetId()));
           return null;
         }
         hidden = TokenFunction.runLayers(hidden, stage.firstLayer(), stage.endLayer());
@@ -353,11 +358,18 @@
         return;
       }
       if (!targetId.equals(headOf(start))) {
-        sink.test(TokenEvent.ofError(start.requestId(), start.attempt(), "stage lost", targetId));
+        sink.test(
+            TokenEvent.ofError(
+                start.requestId(), start.attempt(), EngineErrors.STAGE_LOST, targetId));
       }
       finish();
     }
 
+    private void stop(String reason, String targetId) {
+      sink.test(TokenEvent.ofError(start.requestId(), start.attempt(), reason, targetId));
+      finish();
+    }
+
     void finish() {
       synchronized (this) {
         if (isOver) {
--- a/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
+++ b/gooseberryhook-standin/src/main/java/org/gooseberryhook/standin/EngineStandin.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.gooseberryhook.protocol.EngineErrors;
 import org.gooseberryhook.protocol.EngineStart;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.TokenEvent;
@@ -108,7 +109,8 @@
     context.setResponseType(MediaType.valueOf("application/x-ndjson"));
     EventWriter writer = new EventWriter(context.responseSender());
     if (!fleet.start(start, writer::write, writer::close)) {
-      writer.write(TokenEvent.ofError(start.requestId(), start.attempt(), "refused", null));
+      writer.write(
+          TokenEvent.ofError(start.requestId(), start.attempt(), EngineErrors.REFUSED, null));
       writer.close();
     }
     return context;
