--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/LoadBook.java
@@ -0,0 +1,89 @@
+package org.gooseberryhook.router.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Requests in flight at each target, over all nodes: this node's own count, which is exact, and
+ * what the other nodes last said.
+ */
+public final class LoadBook {
+
+  private final Map<String, Load> own = new HashMap<>();
+  private final Map<String, Map<String, Load>> byPeer = new HashMap<>();
+  private final Map<String, Load> peersTotal = new HashMap<>();
+
+  /**
+   * Adds a request of this node.
+   *
+   * @param targetId the target
+   * @param tokens tokens that it reserves
+   */
+  public void add(String targetId, long tokens) {
+    own.merge(targetId, new Load(1, tokens), Load::plus);
+  }
+
+  /**
+   * Removes a request of this node.
+   *
+   * @param targetId the target
+   * @param tokens tokens that it reserved
+   */
+  public void remove(String targetId, long tokens) {
+    Load left = own.merge(targetId, new Load(-1, -tokens), Load::plus);
+    if (left.requests() <= 0) {
+      own.remove(targetId);
+    }
+  }
+
+  /**
+   * Replaces what another node said.
+   *
+   * @param peer name of the node
+   * @param loads its requests by target; empty when the node is gone
+   */
+  public void replacePeer(String peer, Map<String, Load> loads) {
+    Map<String, Load> before =
+        loads.isEmpty() ? byPeer.remove(peer) : byPeer.put(peer, Map.copyOf(loads));
+    if (before != null) {
+      before.forEach((id, load) -> addToPeers(id, new Load(-load.requests(), -load.tokens())));
+    }
+    loads.forEach(this::addToPeers);
+  }
+
+  /**
+   * Returns the load of a target over all nodes.
+   *
+   * @param targetId the target
+   * @return the load, never null
+   */
+  public Load total(String targetId) {
+    return own(targetId).plus(peersTotal.getOrDefault(targetId, Load.NONE));
+  }
+
+  /**
+   * Returns this node's load of a target.
+   *
+   * @param targetId the target
+   * @return the load, never null
+   */
+  public Load own(String targetId) {
+    return own.getOrDefault(targetId, Load.NONE);
+  }
+
+  /**
+   * Returns this node's loads.
+   *
+   * @return a copy by target
+   */
+  public Map<String, Load> ownLoads() {
+    return Map.copyOf(own);
+  }
+
+  private void addToPeers(String targetId, Load load) {
+    Load sum = peersTotal.merge(targetId, load, Load::plus);
+    if (sum.requests() == 0 && sum.tokens() == 0) {
+      peersTotal.remove(targetId);
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
@@ -0,0 +1,77 @@
+package org.gooseberryhook.router.admission;
+
+import org.gooseberryhook.router.configuration.AcceleratorKind;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.PipelineStage;
+
+/**
+ * Estimates the times of a pipeline from the figures of its engines and its load.
+ *
+ * <p>A token step visits all stages in turn; each stage runs the requests that wait there together.
+ * Prompts are read in chunks between the token steps, so each event of a stream is held up by the
+ * chunks that are read while it is made.
+ */
+public final class PipelineEstimate {
+
+  private static final double MS_PER_SECOND = 1_000;
+  private static final double TOKENS_PER_CONTEXT_UNIT = 1_000;
+
+  private PipelineEstimate() {}
+
+  /**
+   * Returns the time of one token step without prompts that are read meanwhile.
+   *
+   * @param pipeline the pipeline
+   * @param profile figures of the engines
+   * @param loads requests in flight
+   * @return milliseconds
+   */
+  public static double stepMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads) {
+    double sumMs = 0;
+    for (PipelineStage stage : pipeline.stages()) {
+      AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
+      double share = (double) stage.layers().layerCount() / profile.layers();
+      Load load = loads.total(stage.target().id());
+      double contextMs =
+          profile.contextMsPer1000Tokens() * load.tokens() / TOKENS_PER_CONTEXT_UNIT;
+      sumMs +=
+          share
+              * kind.paceFactor()
+              * (profile.stepMs() + profile.perSequenceMs() * load.requests() + contextMs);
+    }
+    return sumMs;
+  }
+
+  /**
+   * Returns the time to read prompt tokens through all stages.
+   *
+   * @param pipeline the pipeline
+   * @param profile figures of the engines
+   * @param tokens prompt tokens
+   * @return milliseconds
+   */
+  public static double readMs(ModelPipeline pipeline, EngineProfile profile, double tokens) {
+    double sumMs = 0;
+    for (PipelineStage stage : pipeline.stages()) {
+      AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
+      double share = (double) stage.layers().layerCount() / profile.layers();
+      sumMs += share * kind.readFactor() * tokens * MS_PER_SECOND / profile.readTokensPerSecond();
+    }
+    return sumMs;
+  }
+
+  /**
+   * Returns the pause between two events of a stream while one prompt is read.
+   *
+   * @param pipeline the pipeline
+   * @param profile figures of the engines
+   * @param loads requests in flight
+   * @return milliseconds
+   */
+  public static double pauseMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads) {
+    double chunkMs =
+        readMs(pipeline, profile, Math.min(profile.chunkTokens(), profile.usualPromptTokens()));
+    return profile.strideSteps() * stepMs(pipeline, profile, loads) + chunkMs;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -0,0 +1,34 @@
+package org.gooseberryhook.router.cluster;
+
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.router.admission.Load;
+
+/**
+ * What a node tells the others of itself. Each report replaces the earlier ones of its sender, so a
+ * lost datagram does no harm.
+ *
+ * @param node name of the sender
+ * @param incarnation start of the sender's process; a higher one replaces a lower one
+ * @param sequence number of the report within the incarnation
+ * @param callerAddress address at which the sender takes callers
+ * @param reportAddress address at which the sender takes reports
+ * @param isReady whether the sender takes new callers
+ * @param isPlanner whether the sender holds the placement lease
+ * @param isStopping whether this is the sender's last report
+ * @param loads the sender's requests in flight by target
+ * @param suspects addresses of targets that failed at the sender lately
+ * @param crashMarks fingerprints of requests that crashed targets
+ */
+public record PeerReport(
+    String node,
+    long incarnation,
+    long sequence,
+    String callerAddress,
+    String reportAddress,
+    boolean isReady,
+    boolean isPlanner,
+    boolean isStopping,
+    Map<String, Load> loads,
+    List<String> suspects,
+    List<Long> crashMarks) {}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
@@ -0,0 +1,119 @@
+package org.gooseberryhook.router.cluster;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.router.admission.Load;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes and decodes {@link PeerReport} as MessagePack. */
+public final class PeerReports {
+
+  private static final int FORMAT = 1;
+  private static final int FIELDS = 12;
+
+  /** Elements of a list or map that a decoder accepts at most. */
+  private static final int MAX_ELEMENTS = 4_096;
+
+  private PeerReports() {}
+
+  /**
+   * Encodes a report.
+   *
+   * @param report the report
+   * @return the bytes
+   */
+  public static byte[] encode(PeerReport report) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packArrayHeader(FIELDS).packInt(FORMAT);
+      packer.packString(report.node()).packLong(report.incarnation());
+      packer.packLong(report.sequence()).packString(report.callerAddress());
+      packer.packString(report.reportAddress()).packBoolean(report.isReady());
+      packer.packBoolean(report.isPlanner()).packBoolean(report.isStopping());
+      packer.packMapHeader(report.loads().size());
+      for (Map.Entry<String, Load> entry : report.loads().entrySet()) {
+        packer.packString(entry.getKey()).packInt(entry.getValue().requests());
+        packer.packLong(entry.getValue().tokens());
+      }
+      packer.packArrayHeader(report.suspects().size());
+      for (String suspect : report.suspects()) {
+        packer.packString(suspect);
+      }
+      packer.packArrayHeader(report.crashMarks().size());
+      for (long mark : report.crashMarks()) {
+        packer.packLong(mark);
+      }
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer in memory failed", e);
+    }
+  }
+
+  /**
+   * Decodes a report.
+   *
+   * @param bytes the bytes of a datagram
+   * @return the report, never null
+   * @throws IOException if the bytes are no report of this format
+   */
+  public static PeerReport decode(byte[] bytes) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      if (unpacker.unpackArrayHeader() != FIELDS || unpacker.unpackInt() != FORMAT) {
+        throw new IOException("unknown format of a peer report");
+      }
+      return new PeerReport(
+          unpacker.unpackString(),
+          unpacker.unpackLong(),
+          unpacker.unpackLong(),
+          unpacker.unpackString(),
+          unpacker.unpackString(),
+          unpacker.unpackBoolean(),
+          unpacker.unpackBoolean(),
+          unpacker.unpackBoolean(),
+          readLoads(unpacker),
+          readTexts(unpacker),
+          readNumbers(unpacker));
+    } catch (RuntimeException e) {
+      throw new IOException("a peer report cannot be decoded", e);
+    }
+  }
+
+  private static Map<String, Load> readLoads(MessageUnpacker unpacker) throws IOException {
+    int size = checkSize(unpacker.unpackMapHeader());
+    Map<String, Load> loads = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      String target = unpacker.unpackString();
+      loads.put(target, new Load(unpacker.unpackInt(), unpacker.unpackLong()));
+    }
+    return loads;
+  }
+
+  private static List<String> readTexts(MessageUnpacker unpacker) throws IOException {
+    int size = checkSize(unpacker.unpackArrayHeader());
+    List<String> texts = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      texts.add(unpacker.unpackString());
+    }
+    return texts;
+  }
+
+  private static List<Long> readNumbers(MessageUnpacker unpacker) throws IOException {
+    int size = checkSize(unpacker.unpackArrayHeader());
+    List<Long> numbers = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      numbers.add(unpacker.unpackLong());
+    }
+    return numbers;
+  }
+
+  private static int checkSize(int size) throws IOException {
+    if (size > MAX_ELEMENTS) {
+      throw new IOException("a peer report has too many elements");
+    }
+    return size;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -0,0 +1,155 @@
+package org.gooseberryhook.router.cluster;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The other nodes as their reports show them.
+ *
+ * <p>A node is live while it reports. Addresses from the store are only contacts: a report goes to
+ * them, and a node that is there answers with reports of its own.
+ */
+public final class PeerTable {
+
+  /** Silence after which a node is taken as gone; several report intervals, as datagrams get lost. */
+  public static final long SILENCE_MS = 1_000;
+
+  /** Contacts and nodes kept at most; above the design size of 390 nodes with restarts. */
+  static final int MAX_NODES = 2_048;
+
+  private final String self;
+  private final Map<String, Peer> peers = new TreeMap<>();
+  private final Map<String, String> contacts = new HashMap<>();
+
+  /**
+   * A node and when it was last heard.
+   *
+   * @param report its newest report
+   * @param heardMs monotonic time of that report
+   */
+  public record Peer(PeerReport report, long heardMs) {}
+
+  /**
+   * Creates an empty table.
+   *
+   * @param self name of this node, whose own reports are ignored
+   */
+  public PeerTable(String self) {
+    this.self = self;
+  }
+
+  /**
+   * Sets the addresses under which nodes registered in the store.
+   *
+   * @param reportAddresses addresses for reports by node
+   */
+  public void setContacts(Map<String, String> reportAddresses) {
+    contacts.clear();
+    reportAddresses.forEach(
+        (node, address) -> {
+          if (!node.equals(self) && contacts.size() < MAX_NODES) {
+            contacts.put(node, address);
+          }
+        });
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @param report the report
+   * @param nowMs monotonic time
+   * @return false if a newer report is known or the sender is this node
+   */
+  public boolean accept(PeerReport report, long nowMs) {
+    Peer known = peers.get(report.node());
+    if (report.node().equals(self) || (known != null && !isNewer(report, known.report()))) {
+      return false;
+    }
+    if (known == null && peers.size() >= MAX_NODES) {
+      return false;
+    }
+    peers.put(report.node(), new Peer(report, nowMs));
+    return true;
+  }
+
+  private static boolean isNewer(PeerReport report, PeerReport known) {
+    return report.incarnation() != known.incarnation()
+        ? report.incarnation() > known.incarnation()
+        : report.sequence() > known.sequence();
+  }
+
+  /**
+   * Removes the nodes that are silent or have stopped.
+   *
+   * @param nowMs monotonic time
+   * @return names of the removed nodes
+   */
+  public List<String> expire(long nowMs) {
+    List<String> gone = new ArrayList<>();
+    for (Iterator<Peer> all = peers.values().iterator(); all.hasNext(); ) {
+      Peer peer = all.next();
+      if (nowMs - peer.heardMs() > SILENCE_MS) {
+        all.remove();
+        gone.add(peer.report().node());
+      }
+    }
+    return gone;
+  }
+
+  /**
+   * Returns the live nodes.
+   *
+   * @return their newest reports in order of the names
+   */
+  public List<PeerReport> live() {
+    List<PeerReport> reports = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      if (!peer.report().isStopping()) {
+        reports.add(peer.report());
+      }
+    }
+    return reports;
+  }
+
+  /**
+   * Returns the addresses that reports go to: live nodes and contacts that were not heard yet.
+   *
+   * @return distinct addresses
+   */
+  public Set<String> reportAddresses() {
+    Map<String, String> addresses = new HashMap<>(contacts);
+    peers.forEach((node, peer) -> addresses.put(node, peer.report().reportAddress()));
+    return new HashSet<>(addresses.values());
+  }
+
+  /**
+   * Tells whether a node is live.
+   *
+   * @param node name of the node
+   * @return true if it reported lately
+   */
+  public boolean isLive(String node) {
+    Peer peer = peers.get(node);
+    return peer != null && !peer.report().isStopping();
+  }
+
+  /**
+   * Tells whether another node says that it plans the placement.
+   *
+   * @return true if a live node holds the lease
+   */
+  public boolean hasPlanner() {
+    for (PeerReport report : live()) {
+      if (report.isPlanner()) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
@@ -0,0 +1,164 @@
+package org.gooseberryhook.router.cluster;
+
+/**
+ * The lease under which one node plans the placement and orders targets.
+ *
+ * <p>The lease is a record in the store. A holder renews it by a conditional write and uses it only
+ * for {@link #USABLE_MS} from before it sent the renewal. Another node takes it over after it has
+ * seen the record unchanged for {@link #TAKEOVER_MS}, which is longer, so that two holders never
+ * act at the same time unless one is suspended. Each takeover raises the fencing number, which
+ * targets check with each order.
+ *
+ * <p>The clock has to count the time for which the machine was suspended.
+ */
+public final class PlacementLease {
+
+  /** Time for which a renewal counts, from before it was sent; three renewals fit. */
+  public static final long USABLE_MS = 3_000;
+
+  /** Time for which a record must be unchanged before a takeover; a third above the usable time. */
+  public static final long TAKEOVER_MS = 4_000;
+
+  /** Time between renewals. */
+  public static final long RENEW_MS = 1_000;
+
+  /**
+   * The record in the store.
+   *
+   * @param holder name of the holding node
+   * @param incarnation start of the holder's process
+   * @param fencingNumber rises with each takeover
+   * @param revision revision of the record in the store; 0 if there is none
+   */
+  public record LeaseRecord(String holder, long incarnation, long fencingNumber, long revision) {
+
+    /** No node has held the lease. */
+    public static final LeaseRecord NONE = new LeaseRecord("", 0, 0, 0);
+  }
+
+  private final String self;
+  private final long incarnation;
+  private LeaseRecord seen;
+  private long seenSinceMs;
+  private long usableUntilMs = Long.MIN_VALUE;
+
+  /**
+   * Creates a lease that this node does not hold.
+   *
+   * @param self name of this node
+   * @param incarnation start of this process
+   */
+  public PlacementLease(String self, long incarnation) {
+    this.self = self;
+    this.incarnation = incarnation;
+  }
+
+  /**
+   * Notes the record as it was read.
+   *
+   * @param record the record
+   * @param nowMs monotonic time of the answer
+   */
+  public void onRead(LeaseRecord record, long nowMs) {
+    if (seen == null || seen.revision() != record.revision()) {
+      seen = record;
+      seenSinceMs = nowMs;
+    }
+  }
+
+  /**
+   * Tells whether this node should write the record now: to renew it, to take it over, or because
+   * nobody holds it.
+   *
+   * @param nowMs monotonic time
+   * @return true if {@link #next} should be written under the condition that the record is still
+   *     the one seen
+   */
+  public boolean isDue(long nowMs) {
+    if (seen == null) {
+      return false;
+    }
+    boolean isOwn = isSelf(seen);
+    boolean isFree = seen.holder().isEmpty();
+    // An earlier process on this machine has ended and cannot act any more.
+    boolean isOwnPast = seen.holder().equals(self) && seen.incarnation() != incarnation;
+    boolean isStale = nowMs - seenSinceMs >= TAKEOVER_MS;
+    return isOwn || isFree || isOwnPast || isStale;
+  }
+
+  /**
+   * Returns the record to write.
+   *
+   * @return the next record; its revision is the one that the write expects
+   */
+  public LeaseRecord next() {
+    long fencing = isSelf(seen) ? seen.fencingNumber() : seen.fencingNumber() + 1;
+    return new LeaseRecord(self, incarnation, fencing, seen.revision());
+  }
+
+  /**
+   * Notes that a write succeeded.
+   *
+   * @param written the record with its new revision
+   * @param sentMs monotonic time before the write was sent
+   */
+  public void onWritten(LeaseRecord written, long sentMs) {
+    seen = written;
+    seenSinceMs = sentMs;
+    usableUntilMs = sentMs + USABLE_MS;
+  }
+
+  /**
+   * Notes that targets refused the fencing number: another node has taken over.
+   *
+   * @param fencingNumber the refused number
+   */
+  public void onFenced(long fencingNumber) {
+    if (seen != null && isSelf(seen) && seen.fencingNumber() == fencingNumber) {
+      usableUntilMs = Long.MIN_VALUE;
+      seen = null;
+    }
+  }
+
+  /** Notes that it is not known whether a write took effect; the record has to be read again. */
+  public void onWriteUnknown() {
+    seen = null;
+  }
+
+  /** Gives the lease up; the record should be written with {@link LeaseRecord#holder} empty. */
+  public void giveUp() {
+    usableUntilMs = Long.MIN_VALUE;
+  }
+
+  /**
+   * Tells whether this node may act as the holder.
+   *
+   * @param nowMs monotonic time
+   * @return true if it may
+   */
+  public boolean isHeld(long nowMs) {
+    return nowMs < usableUntilMs;
+  }
+
+  /**
+   * Returns the fencing number to send with orders.
+   *
+   * @return the number of the record seen last
+   */
+  public long fencingNumber() {
+    return seen == null ? 0 : seen.fencingNumber();
+  }
+
+  /**
+   * Returns the record seen last.
+   *
+   * @return the record, or null before the first reading
+   */
+  public LeaseRecord seen() {
+    return seen;
+  }
+
+  private boolean isSelf(LeaseRecord record) {
+    return record.holder().equals(self) && record.incarnation() == incarnation;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/AcceleratorKind.java
@@ -0,0 +1,11 @@
+package org.gooseberryhook.router.configuration;
+
+/**
+ * A kind of accelerator.
+ *
+ * @param name name of the kind
+ * @param memoryMb memory for layers and requests
+ * @param paceFactor factor on the time of token steps and of context
+ * @param readFactor factor on the time of reading prompts
+ */
+public record AcceleratorKind(String name, double memoryMb, double paceFactor, double readFactor) {}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
@@ -0,0 +1,119 @@
+package org.gooseberryhook.router.configuration;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the configuration with indexes for lookups. */
+public final class RoutingConfiguration {
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceSettings> services;
+  private final RequestLimits limits;
+  private final boolean isKeyRequired;
+  private final Map<String, Workspace> workspacesByKey = new HashMap<>();
+
+  /**
+   * Creates a configuration.
+   *
+   * @param version version number
+   * @param routes the routes
+   * @param services the services by name
+   * @param limits bounds on requests
+   * @param workspaces the workspaces, empty optional if requests need no key
+   */
+  public RoutingConfiguration(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceSettings> services,
+      RequestLimits limits,
+      Optional<List<Workspace>> workspaces) {
+    this.version = version;
+    this.services = Map.copyOf(services);
+    this.limits = limits;
+    this.isKeyRequired = workspaces.isPresent();
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.prefix().length());
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+    for (Workspace workspace : workspaces.orElse(List.of())) {
+      workspace.apiKeys().forEach(key -> workspacesByKey.put(key, workspace));
+    }
+  }
+
+  /**
+   * Finds the route with the longest prefix that begins a path.
+   *
+   * @param host value of the host header, with or without a port
+   * @param path path of the request without its query
+   * @return the route, or empty if none matches
+   */
+  public Optional<Route> findRoute(String host, String path) {
+    String name = host.toLowerCase(Locale.ROOT);
+    List<Route> candidates = routesByHost.get(name);
+    if (candidates == null && name.indexOf(':') > 0) {
+      candidates = routesByHost.get(name.substring(0, name.lastIndexOf(':')));
+    }
+    if (candidates == null) {
+      return Optional.empty();
+    }
+    for (Route route : candidates) {
+      if (path.startsWith(route.prefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Finds the workspace of a key.
+   *
+   * @param apiKey the key
+   * @return the workspace, or empty if no workspace has the key
+   */
+  public Optional<Workspace> findWorkspace(String apiKey) {
+    return Optional.ofNullable(workspacesByKey.get(apiKey));
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name name of the service
+   * @return the service, or empty if it is not declared
+   */
+  public Optional<ServiceSettings> findService(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Returns the services.
+   *
+   * @return the services by name
+   */
+  public Map<String, ServiceSettings> services() {
+    return services;
+  }
+
+  public long version() {
+    return version;
+  }
+
+  public RequestLimits limits() {
+    return limits;
+  }
+
+  /**
+   * Tells whether requests need a key.
+   *
+   * @return true if the configuration lists workspaces
+   */
+  public boolean isKeyRequired() {
+    return isKeyRequired;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
@@ -0,0 +1,70 @@
+package org.gooseberryhook.router.fleet;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Targets that together run every layer of a model once and in order.
+ *
+ * @param service service of the targets
+ * @param stages the stages in layer order
+ */
+public record ModelPipeline(String service, List<PipelineStage> stages) {
+
+  /**
+   * Creates a pipeline.
+   *
+   * @throws IllegalArgumentException if the stages leave a gap, overlap or do not begin at layer 0
+   */
+  public ModelPipeline {
+    stages = List.copyOf(stages);
+    int nextLayer = 0;
+    for (PipelineStage stage : stages) {
+      if (stage.layers().firstLayer() != nextLayer) {
+        throw new IllegalArgumentException("stages do not continue at layer " + nextLayer);
+      }
+      nextLayer = stage.layers().endLayer();
+    }
+  }
+
+  /**
+   * Returns the target that takes requests.
+   *
+   * @return the first stage's target
+   */
+  public TargetEntry head() {
+    return stages.get(0).target();
+  }
+
+  /**
+   * Tells whether a target is part of the pipeline.
+   *
+   * @param address address of the target
+   * @return true if a stage runs there
+   */
+  public boolean uses(String address) {
+    for (PipelineStage stage : stages) {
+      if (stage.target().address().equals(address)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Returns a text that names the stages.
+   *
+   * @return addresses with layer ranges, joined by commas
+   */
+  public String describe() {
+    return stages.stream()
+        .map(
+            s ->
+                s.target().address()
+                    + "="
+                    + s.layers().firstLayer()
+                    + "-"
+                    + s.layers().endLayer())
+        .collect(Collectors.joining(","));
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetHealth.java
@@ -0,0 +1,73 @@
+package org.gooseberryhook.router.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Recent failures of targets, forgotten gradually. A failing target keeps receiving a few requests,
+ * so that its recovery is seen without probes.
+ */
+public final class TargetHealth {
+
+  /** Time in which half of a failure is forgotten; a restarted target is back in a few seconds. */
+  static final long HALF_LIFE_MS = 1_500;
+
+  /** Targets remembered at most; forgotten ones count as healthy. */
+  static final int MAX_TARGETS = 8_192;
+
+  private static final double FORGOTTEN = 0.01;
+
+  private final Map<String, Score> scores = new HashMap<>();
+
+  private record Score(double failures, long atMs) {
+    double at(long nowMs) {
+      return failures * Math.pow(0.5, (double) (nowMs - atMs) / HALF_LIFE_MS);
+    }
+  }
+
+  /**
+   * Notes a failure.
+   *
+   * @param targetId the target
+   * @param weight how strongly it counts
+   * @param nowMs monotonic time
+   */
+  public void noteFailure(String targetId, double weight, long nowMs) {
+    if (scores.size() >= MAX_TARGETS) {
+      scores.values().removeIf(score -> score.at(nowMs) < FORGOTTEN);
+    }
+    if (scores.size() < MAX_TARGETS || scores.containsKey(targetId)) {
+      scores.put(targetId, new Score(failures(targetId, nowMs) + weight, nowMs));
+    }
+  }
+
+  /**
+   * Notes a success.
+   *
+   * @param targetId the target
+   * @param nowMs monotonic time
+   */
+  public void noteSuccess(String targetId, long nowMs) {
+    Score score = scores.get(targetId);
+    if (score != null) {
+      double left = score.at(nowMs) / 2;
+      if (left < FORGOTTEN) {
+        scores.remove(targetId);
+      } else {
+        scores.put(targetId, new Score(left, nowMs));
+      }
+    }
+  }
+
+  /**
+   * Returns the failures that still count.
+   *
+   * @param targetId the target
+   * @param nowMs monotonic time
+   * @return 0 for a healthy target
+   */
+  public double failures(String targetId, long nowMs) {
+    Score score = scores.get(targetId);
+    return score == null ? 0 : score.at(nowMs);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -0,0 +1,137 @@
+package org.gooseberryhook.router.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The targets as the platform's list shows them.
+ *
+ * <p>Entries that disappear are removed at once, with one exception: entries lapse while the
+ * platform's store is unreachable, although their targets live. After an outage, a missing entry is
+ * therefore kept until {@link #RETURN_HOLD_MS} after the first answer.
+ */
+public final class TargetRegistry {
+
+  /** Time that a live target needs to restore its entry after an outage of the store. */
+  public static final long RETURN_HOLD_MS = 2_000;
+
+  private final Map<String, TargetEntry> entries = new TreeMap<>();
+  private final Set<String> missing = new HashSet<>();
+  private boolean isLoaded;
+  private boolean isStoreAway;
+  private long holdUntilMs = Long.MIN_VALUE;
+  private long revision;
+
+  /**
+   * Takes over a full list.
+   *
+   * @param listed all entries that name a usable target
+   * @param nowMs monotonic time
+   */
+  public void replaceAll(Collection<TargetEntry> listed, long nowMs) {
+    noteStoreAnswered(nowMs);
+    Map<String, TargetEntry> fresh = new HashMap<>();
+    listed.forEach(entry -> fresh.put(entry.id(), entry));
+    for (String id : new ArrayList<>(entries.keySet())) {
+      if (!fresh.containsKey(id)) {
+        remove(id, nowMs);
+      }
+    }
+    fresh.values().forEach(this::put);
+    isLoaded = true;
+  }
+
+  /**
+   * Adds or replaces one entry.
+   *
+   * @param entry the entry
+   */
+  public void put(TargetEntry entry) {
+    missing.remove(entry.id());
+    if (!entry.equals(entries.put(entry.id(), entry))) {
+      revision++;
+    }
+  }
+
+  /**
+   * Notes that an entry is gone from the list.
+   *
+   * @param id id of the target
+   * @param nowMs monotonic time
+   */
+  public void remove(String id, long nowMs) {
+    if (!entries.containsKey(id)) {
+      return;
+    }
+    if (nowMs < holdUntilMs && !entries.get(id).isDraining()) {
+      missing.add(id);
+      return;
+    }
+    entries.remove(id);
+    missing.remove(id);
+    revision++;
+  }
+
+  /** Notes that the store does not answer. */
+  public void noteStoreAway() {
+    isStoreAway = true;
+  }
+
+  /**
+   * Notes that the store answers; to be called before the changes of that answer are applied.
+   *
+   * @param nowMs monotonic time
+   */
+  public void noteStoreAnswered(long nowMs) {
+    if (isStoreAway) {
+      isStoreAway = false;
+      holdUntilMs = nowMs + RETURN_HOLD_MS;
+    }
+  }
+
+  /**
+   * Removes the entries that did not come back in time.
+   *
+   * @param nowMs monotonic time
+   */
+  public void expire(long nowMs) {
+    if (!missing.isEmpty() && !isStoreAway && nowMs >= holdUntilMs) {
+      missing.forEach(entries::remove);
+      missing.clear();
+      revision++;
+    }
+  }
+
+  /**
+   * Returns the entries.
+   *
+   * @return a copy in order of the ids
+   */
+  public List<TargetEntry> entries() {
+    return List.copyOf(entries.values());
+  }
+
+  /**
+   * Tells whether a full list was read.
+   *
+   * @return true after the first full list
+   */
+  public boolean isLoaded() {
+    return isLoaded;
+  }
+
+  /**
+   * Returns a number that rises with each change.
+   *
+   * @return the number
+   */
+  public long revision() {
+    return revision;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -0,0 +1,299 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.function.Consumer;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.configuration.RequestKind;
+import org.gooseberryhook.router.configuration.RequestLimits;
+import org.gooseberryhook.router.configuration.ServiceSettings;
+
+/** A caller's connection: reads requests one after the other and starts their exchanges. */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+  /** Messages of further requests that are kept while one is served; then reading pauses. */
+  private static final int MAX_PENDING = 64;
+
+  private final ForwardContext context;
+  private final StreamDispatcher dispatcher;
+  private final RequestLimits limits;
+  private final Consumer<CallerConnection> onClosed;
+  private final Queue<Object> pending = new ArrayDeque<>();
+  private ChannelHandlerContext channel;
+  private HttpRequest head;
+  private ByteBuf body;
+  private long headMs;
+  private Exchange exchange;
+  private CallerReply reply;
+  private long lastByteMs;
+  private long partialSinceMs;
+  private boolean isStopping;
+  private boolean isRefusing;
+
+  CallerConnection(
+      ForwardContext context,
+      StreamDispatcher dispatcher,
+      RequestLimits limits,
+      Consumer<CallerConnection> onClosed) {
+    this.context = context;
+    this.dispatcher = dispatcher;
+    this.limits = limits;
+    this.onClosed = onClosed;
+    this.lastByteMs = context.clock().nowMs();
+    this.partialSinceMs = lastByteMs;
+  }
+
+  /** Returns the handler that sees the bytes before they are decoded. */
+  ChannelHandler byteWatch() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object message) {
+        lastByteMs = context.clock().nowMs();
+        if (!isServing() && head == null && partialSinceMs == 0) {
+          partialSinceMs = lastByteMs;
+        }
+        ctx.fireChannelRead(message);
+      }
+    };
+  }
+
+  boolean isServing() {
+    return reply != null;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (isRefusing) {
+      ReferenceCountUtil.release(message);
+    } else if (isServing()) {
+      pending.add(message);
+      if (pending.size() >= MAX_PENDING) {
+        ctx.channel().config().setAutoRead(false);
+      }
+    } else {
+      take(message);
+    }
+  }
+
+  private void take(Object message) {
+    try {
+      if (((HttpObject) message).decoderResult().isFailure()) {
+        refuseMalformed(((HttpObject) message).decoderResult().cause());
+        return;
+      }
+      if (message instanceof HttpRequest) {
+        onHead((HttpRequest) message);
+      }
+      if (message instanceof HttpContent && head != null) {
+        onContent((HttpContent) message);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onHead(HttpRequest request) {
+    head = request;
+    headMs = context.clock().nowMs();
+    partialSinceMs = 0;
+    body = Unpooled.buffer();
+    if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+    } else if (HttpUtil.is100ContinueExpected(request)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      return;
+    }
+    body.writeBytes(content.content());
+    if (content instanceof LastHttpContent) {
+      serve();
+    }
+  }
+
+  private void serve() {
+    CallerRequest request =
+        new CallerRequest(
+            head.protocolVersion(),
+            head.method(),
+            head.uri(),
+            head.headers(),
+            body,
+            context.dialect().readRequest(head.headers()),
+            headMs);
+    reply =
+        new CallerReply(
+            channel.channel(),
+            head.protocolVersion(),
+            HttpUtil.isKeepAlive(head) && !isStopping,
+            this::onAnswered);
+    head = null;
+    body = null;
+    String host = request.headers().get("host", "");
+    RoutingResult result =
+        RequestRouter.route(
+            context.configuration().get(), host, request.path(), request.facts().apiKey());
+    if (result instanceof RoutingResult.Rejected rejected) {
+      request.body().release();
+      context
+          .log()
+          .note(
+              "rejected",
+              request.facts().attemptId(),
+              "kind",
+              rejected.problem().kind(),
+              "path",
+              request.path());
+      reply.sendProblem(rejected.problem(), request.facts().attemptId());
+    } else if (result instanceof RoutingResult.Routed routed) {
+      exchange = exchangeFor(request, routed);
+      exchange.start();
+    }
+  }
+
+  private Exchange exchangeFor(CallerRequest request, RoutingResult.Routed routed) {
+    String service = routed.route().pickService(context.random().nextDouble());
+    Optional<EngineProfile> engine =
+        context
+            .configuration()
+            .get()
+            .flatMap(c -> c.findService(service))
+            .flatMap(ServiceSettings::engine);
+    if (routed.route().kind() == RequestKind.STREAM && engine.isPresent()) {
+      return new StreamExchange(
+          context, dispatcher, request, reply, routed, service, engine.get());
+    }
+    return new PlainExchange(context, request, reply, routed, service);
+  }
+
+  /** The answer is written: the next request may begin. */
+  private void onAnswered() {
+    boolean isClosing = reply.isClosing() || isStopping;
+    exchange = null;
+    reply = null;
+    lastByteMs = context.clock().nowMs();
+    if (isClosing) {
+      closeAfterWrites();
+      return;
+    }
+    context.loop().execute(this::takePending);
+  }
+
+  private void takePending() {
+    while (!isServing() && !isRefusing && !pending.isEmpty()) {
+      take(pending.poll());
+    }
+    if (pending.isEmpty()) {
+      channel.channel().config().setAutoRead(true);
+    }
+  }
+
+  private void refuseMalformed(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException) {
+      refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers are too large");
+    } else if (cause instanceof TooLongHttpLineException) {
+      refuse(HttpResponseStatus.REQUEST_URI_TOO_LONG, "request line is too long");
+    } else {
+      refuse(HttpResponseStatus.BAD_REQUEST, "request is not valid HTTP");
+    }
+  }
+
+  /** Answers a request that is not passed on and closes the connection. */
+  private void refuse(HttpResponseStatus status, String detail) {
+    isRefusing = true;
+    releaseBody();
+    head = null;
+    context.log().note("refused-input", "", "status", status.code(), "detail", detail);
+    CallerReply refusal =
+        new CallerReply(channel.channel(), HttpVersion.HTTP_1_1, false, this::closeAfterWrites);
+    refusal.sendProblem(new ProblemReply(status.code(), "bad-request", detail, 0), "");
+  }
+
+  private void closeAfterWrites() {
+    isRefusing = true;
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> channel.close());
+  }
+
+  private void releaseBody() {
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  void closeIfTimedOut(long nowMs) {
+    if (isServing() || isRefusing) {
+      return;
+    }
+    boolean isHeaderLate =
+        partialSinceMs != 0 && head == null && nowMs - partialSinceMs > limits.headerTimeoutMs();
+    boolean isIdle = nowMs - lastByteMs > limits.idleTimeoutMs();
+    if (isHeaderLate && nowMs - lastByteMs < limits.headerTimeoutMs()) {
+      refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
+    } else if (isHeaderLate || isIdle) {
+      channel.close();
+    }
+  }
+
+  void stopAfterRequest() {
+    isStopping = true;
+    if (reply != null) {
+      reply.closeAfter();
+    } else if (head == null && channel != null && partialSinceMs == 0) {
+      channel.close();
+    }
+  }
+
+  void cut() {
+    if (exchange != null) {
+      exchange.onNodeStopping();
+    }
+    channel.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    onClosed.accept(this);
+    releaseBody();
+    pending.forEach(ReferenceCountUtil::release);
+    pending.clear();
+    if (exchange != null) {
+      Exchange gone = exchange;
+      exchange = null;
+      gone.onCallerGone();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    context.log().note("caller-connection", "", "error", String.valueOf(cause.getMessage()));
+    ctx.close();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerReply.java
@@ -0,0 +1,157 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Writes the one answer of a request to its caller. */
+final class CallerReply {
+
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  private final Channel channel;
+  private final HttpVersion version;
+  private final Runnable onSent;
+  private boolean isClosing;
+  private boolean isBegun;
+  private boolean isDone;
+  private boolean isChunked;
+
+  /**
+   * Creates an answer.
+   *
+   * @param channel the caller's connection
+   * @param version HTTP version of the request
+   * @param isKeptAlive whether the caller wants to keep the connection
+   * @param onSent called once when the answer is written
+   */
+  CallerReply(Channel channel, HttpVersion version, boolean isKeptAlive, Runnable onSent) {
+    this.channel = channel;
+    this.version = version;
+    this.isClosing = !isKeptAlive;
+    this.onSent = onSent;
+  }
+
+  boolean isBegun() {
+    return isBegun;
+  }
+
+  boolean isDone() {
+    return isDone;
+  }
+
+  boolean isClosing() {
+    return isClosing;
+  }
+
+  /** Closes the connection after this answer. */
+  void closeAfter() {
+    isClosing = true;
+  }
+
+  /** Sends a target's whole answer. */
+  void sendWhole(int status, HttpHeaders headers, ByteBuf body) {
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
+    response.headers().add(HopHeaders.copyEndToEnd(headers));
+    HttpUtil.setContentLength(response, body.readableBytes());
+    finish(response);
+  }
+
+  /** Sends a failure of the system's own. */
+  void sendProblem(ProblemReply problem, String attemptId) {
+    String json =
+        String.format(
+            Locale.ROOT,
+            "{\"type\":\"about:blank\",\"title\":\"%s\",\"status\":%d,\"detail\":\"%s\","
+                + "\"outcome\":\"%s\"}",
+            problem.kind(),
+            problem.status(),
+            problem.detail(),
+            problem.isNotRun() || problem.status() < 500 ? "not-run" : "unknown");
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(problem.status()),
+            Unpooled.copiedBuffer(json, StandardCharsets.UTF_8));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
+    if (problem.retryAfterMs() > 0) {
+      response
+          .headers()
+          .set(
+              HttpHeaderNames.RETRY_AFTER,
+              String.format(Locale.ROOT, "%.3f", problem.retryAfterMs() / MS_PER_SECOND));
+    }
+    HttpUtil.setContentLength(response, response.content().readableBytes());
+    finish(response);
+  }
+
+  private void finish(DefaultFullHttpResponse response) {
+    isBegun = true;
+    setConnection(response.headers());
+    channel.writeAndFlush(response);
+    settle();
+  }
+
+  /** Begins a stream; its length is not known. */
+  void beginStream(int status, HttpHeaders headers) {
+    isBegun = true;
+    DefaultHttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    response.headers().add(HopHeaders.copyEndToEnd(headers));
+    response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+    isChunked = !version.equals(HttpVersion.HTTP_1_0);
+    if (isChunked) {
+      HttpUtil.setTransferEncodingChunked(response, true);
+    } else {
+      isClosing = true;
+    }
+    setConnection(response.headers());
+    channel.write(response);
+  }
+
+  /** Sends a part of a stream. */
+  void sendPart(ByteBuf part) {
+    channel.writeAndFlush(new DefaultHttpContent(part));
+  }
+
+  /** Ends a stream as complete. */
+  void endStream() {
+    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    settle();
+  }
+
+  /** Breaks an answer off, so that the caller sees that it is not complete. */
+  void abort() {
+    if (!isDone) {
+      isDone = true;
+      channel.close();
+    }
+  }
+
+  private void setConnection(HttpHeaders headers) {
+    if (isClosing) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else if (version.equals(HttpVersion.HTTP_1_0)) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+    }
+  }
+
+  private void settle() {
+    isDone = true;
+    onSent.run();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
@@ -0,0 +1,25 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Decodes callers' requests and refuses those whose length is ambiguous. */
+final class CallerRequestDecoder extends HttpRequestDecoder {
+
+  private static final int MAX_CHUNK_BYTES = 16_384;
+
+  CallerRequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES));
+  }
+
+  /** A request with both lengths can hide a second request from one of two readers. */
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are present");
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -0,0 +1,141 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhook.router.configuration.RequestLimits;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+
+/** Accepts callers. All methods are to be called on the event loop, except the constructor. */
+final class CallerServer {
+
+  /** Time between looks at connections whose time is up. */
+  private static final long SWEEP_MS = 250;
+
+  /** Connections that may wait to be accepted. */
+  private static final int ACCEPT_BACKLOG = 1_024;
+
+  private final ForwardContext context;
+  private final StreamDispatcher dispatcher;
+  private final String address;
+  private final int maxConnections;
+  private final Set<CallerConnection> connections = new LinkedHashSet<>();
+  private Channel listener;
+  private ScheduledFuture<?> sweep;
+  private boolean isStopping;
+
+  CallerServer(
+      ForwardContext context, StreamDispatcher dispatcher, String address, int maxConnections) {
+    this.context = context;
+    this.dispatcher = dispatcher;
+    this.address = address;
+    this.maxConnections = maxConnections;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  void start() throws InterruptedException {
+    EventLoop loop = context.loop();
+    listener =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    initConnection(channel);
+                  }
+                })
+            .bind(TargetChannels.socketAddress(address))
+            .sync()
+            .channel();
+    sweep =
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void initConnection(SocketChannel channel) {
+    if (connections.size() >= maxConnections) {
+      context.log().note("connection-limit", "", "connections", connections.size());
+      channel.close();
+      return;
+    }
+    CallerConnection connection =
+        new CallerConnection(context, dispatcher, limits(), connections::remove);
+    if (isStopping) {
+      connection.stopAfterRequest();
+    }
+    connections.add(connection);
+    channel
+        .pipeline()
+        .addLast(connection.byteWatch())
+        .addLast(new CallerRequestDecoder(limits().maxHeaderBytes()))
+        .addLast(new HttpResponseEncoder())
+        .addLast(connection);
+  }
+
+  private RequestLimits limits() {
+    return context
+        .configuration()
+        .get()
+        .map(RoutingConfiguration::limits)
+        .orElse(RequestLimits.DEFAULT);
+  }
+
+  private void sweep() {
+    long nowMs = context.clock().nowMs();
+    for (CallerConnection connection : List.copyOf(connections)) {
+      connection.closeIfTimedOut(nowMs);
+    }
+    context.channels().closeIdle();
+  }
+
+  int connectionCount() {
+    return connections.size();
+  }
+
+  int requestCount() {
+    int count = 0;
+    for (CallerConnection connection : connections) {
+      count += connection.isServing() ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Closes each connection after the request that it serves; idle ones at once. */
+  void stopConnections() {
+    isStopping = true;
+    for (CallerConnection connection : List.copyOf(connections)) {
+      connection.stopAfterRequest();
+    }
+  }
+
+  /** Takes no further connections. */
+  void stopListening() {
+    listener.close();
+  }
+
+  /** Breaks off what is still being served. */
+  void cut() {
+    sweep.cancel(false);
+    for (CallerConnection connection : List.copyOf(connections)) {
+      connection.cut();
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -0,0 +1,171 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Calls to the platform's store and to targets that are no callers' requests. */
+public final class ControlCalls {
+
+  private static final long MAX_IDLE_MS = 4_000;
+  private static final int MAX_ANSWER_BYTES = 16_777_216;
+
+  private final EventLoop loop;
+  private final TargetChannels channels;
+
+  /**
+   * Creates the calls.
+   *
+   * @param loop the event loop on which answers are delivered
+   * @param clock the clock
+   * @param dialect the deployment's headers
+   */
+  public ControlCalls(EventLoop loop, MonotonicClock clock, RequestDialect dialect) {
+    this.loop = loop;
+    this.channels = new TargetChannels(loop, clock, dialect);
+  }
+
+  /** What became of a call. */
+  public sealed interface Result {
+
+    /**
+     * An answer came.
+     *
+     * @param status HTTP status
+     * @param body the body
+     */
+    record Answered(int status, byte[] body) implements Result {}
+
+    /**
+     * The call was not sent.
+     *
+     * @param reason why
+     */
+    record NotSent(String reason) implements Result {}
+
+    /**
+     * The call was sent and not answered; it may have taken effect, or may later.
+     *
+     * @param reason why
+     */
+    record Unanswered(String reason) implements Result {}
+  }
+
+  /**
+   * Calls.
+   *
+   * @param address IP address and port
+   * @param method HTTP method
+   * @param uri path and query
+   * @param body body in JSON, empty if there is none
+   * @param timeoutMs time for the answer
+   * @param onResult receives the result on the event loop, exactly once
+   */
+  public void call(
+      String address,
+      HttpMethod method,
+      String uri,
+      byte[] body,
+      long timeoutMs,
+      Consumer<Result> onResult) {
+    new Call(address, onResult).begin(method, uri, body, timeoutMs);
+  }
+
+  private final class Call implements ReplyListener {
+    private final String address;
+    private final Consumer<Result> onResult;
+    private final ByteBuf answer = Unpooled.buffer();
+    private TargetChannel channel;
+    private ScheduledFuture<?> timer;
+    private int status;
+    private boolean isDone;
+
+    Call(String address, Consumer<Result> onResult) {
+      this.address = address;
+      this.onResult = onResult;
+    }
+
+    void begin(HttpMethod method, String uri, byte[] body, long timeoutMs) {
+      timer =
+          loop.schedule(
+              () -> {
+                if (channel != null) {
+                  channel.abort();
+                }
+                finish(
+                    channel == null
+                        ? new Result.NotSent("connect timed out")
+                        : new Result.Unanswered("no answer in " + timeoutMs + " ms"));
+              },
+              timeoutMs,
+              TimeUnit.MILLISECONDS);
+      channels.acquire(
+          address,
+          MAX_IDLE_MS,
+          ready -> send(ready, method, uri, body),
+          reason -> finish(new Result.NotSent(reason)));
+    }
+
+    private void send(TargetChannel ready, HttpMethod method, String uri, byte[] body) {
+      if (isDone) {
+        ready.abort();
+        return;
+      }
+      channel = ready;
+      FullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body));
+      request.headers().set(HttpHeaderNames.HOST, address);
+      if (body.length > 0 || method.equals(HttpMethod.POST)) {
+        request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        HttpUtil.setContentLength(request, body.length);
+      }
+      ready.send(request, null, this);
+    }
+
+    @Override
+    public void onHead(int newStatus, HttpHeaders headers, ReplyFacts facts) {
+      status = newStatus;
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      if (answer.readableBytes() + content.readableBytes() > MAX_ANSWER_BYTES) {
+        channel.abort();
+        finish(new Result.Unanswered("answer is too large"));
+      } else {
+        answer.writeBytes(content);
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      byte[] bytes = new byte[answer.readableBytes()];
+      answer.readBytes(bytes);
+      finish(new Result.Answered(status, bytes));
+    }
+
+    @Override
+    public void onBroken(String reason) {
+      finish(new Result.Unanswered(reason));
+    }
+
+    private void finish(Result result) {
+      if (!isDone) {
+        isDone = true;
+        timer.cancel(false);
+        onResult.accept(result);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardFacts.java
@@ -0,0 +1,20 @@
+package org.gooseberryhook.router.forward;
+
+import java.util.Optional;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+
+/**
+ * What the system tells a target with a request.
+ *
+ * @param targetId id of the target that may run it
+ * @param deadlineMs time that is left
+ * @param workspace name of the caller's workspace, if its key is known
+ * @param pipeline the targets that the request passes through, for models in layers
+ * @param lastEventId id of the last event that the caller has, if a stream goes on
+ */
+public record ForwardFacts(
+    String targetId,
+    long deadlineMs,
+    Optional<String> workspace,
+    Optional<ModelPipeline> pipeline,
+    Optional<String> lastEventId) {}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -0,0 +1,123 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.gooseberryhook.router.admission.LoadBook;
+import org.gooseberryhook.router.admission.RetryAllowance;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.fleet.TargetHealth;
+
+/**
+ * Serves callers: the whole path of a request. Methods other than {@link #start} are to be called
+ * on the event loop.
+ */
+public final class Forwarder {
+
+  private final ForwardContext context;
+  private final StreamDispatcher dispatcher;
+  private final CallerServer server;
+
+  /**
+   * Creates a forwarder that does not listen yet.
+   *
+   * @param loop the event loop
+   * @param clock the clock
+   * @param random random numbers for ties and for spreading retries
+   * @param dialect the deployment's headers
+   * @param loads requests in flight
+   * @param configuration the configuration in force
+   * @param fleet the targets and pipelines in use
+   * @param allowance the budget of repeats
+   * @param health targets that failed lately
+   * @param log notes of decisions
+   * @param address IP address and port for callers
+   * @param maxConnections callers' connections at most
+   */
+  public Forwarder(
+      EventLoop loop,
+      MonotonicClock clock,
+      RandomGenerator random,
+      RequestDialect dialect,
+      LoadBook loads,
+      Supplier<Optional<RoutingConfiguration>> configuration,
+      FleetView fleet,
+      RetryAllowance allowance,
+      TargetHealth health,
+      DecisionLog log,
+      String address,
+      int maxConnections) {
+    context =
+        new ForwardContext(
+            loop,
+            clock,
+            random,
+            dialect,
+            new TargetChannels(loop, clock, dialect),
+            loads,
+            configuration,
+            fleet,
+            allowance,
+            health,
+            log);
+    dispatcher = new StreamDispatcher(context);
+    server = new CallerServer(context, dispatcher, address, maxConnections);
+  }
+
+  /**
+   * Starts to listen for callers.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void start() throws InterruptedException {
+    server.start();
+  }
+
+  /** Looks at waiting streams because pipelines or loads have changed. */
+  public void onRoomChanged() {
+    dispatcher.onRoomFreed();
+  }
+
+  /** Ends each connection after the request that it serves. */
+  public void stopConnections() {
+    server.stopConnections();
+  }
+
+  /** Takes no further connections. */
+  public void stopListening() {
+    server.stopListening();
+  }
+
+  /** Breaks off what is still being served. */
+  public void cut() {
+    server.cut();
+  }
+
+  /**
+   * Returns the number of requests that are being served.
+   *
+   * @return requests, waiting ones included
+   */
+  public int requestCount() {
+    return server.requestCount();
+  }
+
+  /**
+   * Returns the number of streams that wait for room.
+   *
+   * @return waiting streams
+   */
+  public int waitingCount() {
+    return dispatcher.waiting();
+  }
+
+  /**
+   * Returns the number of callers' connections.
+   *
+   * @return open connections
+   */
+  public int connectionCount() {
+    return server.connectionCount();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -0,0 +1,343 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.gooseberryhook.router.admission.TargetChooser;
+import org.gooseberryhook.router.configuration.RequestKind;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.fleet.TargetEntry;
+
+/**
+ * A request to a plain service. The answer is read whole before it is passed on, so that a spoiled
+ * one never reaches the caller and an idempotent request can go to another target.
+ */
+final class PlainExchange implements Exchange {
+
+  /** Idle time after which a kept connection is not trusted with a request that runs only once. */
+  private static final long ONCE_ONLY_MAX_IDLE_MS = 500;
+
+  /** Bytes of an answer kept at most. */
+  private static final int MAX_ANSWER_BYTES = 8_388_608;
+
+  /** Share of the time left after which a silent target is given up for another one. */
+  private static final double SILENCE_SHARE = 0.3;
+
+  /** Time between looks for a free target. */
+  private static final long WAIT_STEP_MS = 5;
+
+  /** Share of the latency target that a request may wait for a free target. */
+  private static final double WAIT_SHARE = 0.5;
+
+  private static final long RETRY_AFTER_MS = 300;
+  private static final int STATUS_SERVER_ERROR = 500;
+
+  private final ForwardContext context;
+  private final CallerRequest request;
+  private final CallerReply reply;
+  private final RoutingResult.Routed routed;
+  private final String service;
+  private final Set<String> tried = new HashSet<>();
+  private final long endMs;
+  private ScheduledFuture<?> endTimer;
+  private ScheduledFuture<?> stepTimer;
+  private Attempt attempt;
+  private Answer lastAnswer;
+  /** Sends that no target has stated as not run. */
+  private int unprovenSends;
+  private int sends;
+  private boolean isSettled;
+
+  private record Answer(int status, HttpHeaders headers, ByteBuf body) {}
+
+  PlainExchange(
+      ForwardContext context,
+      CallerRequest request,
+      CallerReply reply,
+      RoutingResult.Routed routed,
+      String service) {
+    this.context = context;
+    this.request = request;
+    this.reply = reply;
+    this.routed = routed;
+    this.service = service;
+    this.endMs = TargetRequests.endMs(request, routed.route());
+  }
+
+  @Override
+  public void start() {
+    endTimer = context.schedule(this::onTimeUp, endMs - context.clock().nowMs());
+    next();
+  }
+
+  /** Sends to the best free target, or waits a little for one. */
+  private void next() {
+    long nowMs = context.clock().nowMs();
+    Optional<TargetEntry> target =
+        new TargetChooser(context.loads())
+            .choose(
+                context.fleet().targets(service),
+                tried,
+                entry -> context.health().failures(entry.id(), nowMs),
+                entry -> context.random().nextDouble());
+    if (target.isPresent()) {
+      send(target.get());
+      return;
+    }
+    double maxWaitMs = route().targetLatencyMs() * WAIT_SHARE;
+    boolean isFleetFull = tried.size() < context.fleet().targets(service).size();
+    if (isFleetFull && nowMs - request.arrivedMs() < maxWaitMs) {
+      stepTimer = context.schedule(this::next, WAIT_STEP_MS);
+    } else {
+      giveUp("no-target", "no target of the service has room");
+    }
+  }
+
+  private void send(TargetEntry target) {
+    tried.add(target.id());
+    attempt = new Attempt(target);
+    attempt.begin();
+  }
+
+  private boolean mayHaveRun() {
+    return unprovenSends > 0;
+  }
+
+  private Route route() {
+    return routed.route();
+  }
+
+  /** Sends once more if the request may run again, another target is allowed and budgeted. */
+  private void repeatOrGiveUp(String kind, String detail) {
+    boolean mayRepeat = !mayHaveRun() || route().kind() == RequestKind.IDEMPOTENT;
+    boolean isAllowed = sends < Math.max(1, route().maxAttempts()) || !mayHaveRun();
+    long nowMs = context.clock().nowMs();
+    if (mayRepeat
+        && isAllowed
+        && tried.size() < context.fleet().targets(service).size()
+        && (sends == 0 || context.allowance().trySpend(service, nowMs))) {
+      context.log().note("repeat", request.facts().attemptId(), "reason", kind);
+      next();
+    } else {
+      giveUp(kind, detail);
+    }
+  }
+
+  private void giveUp(String kind, String detail) {
+    if (lastAnswer != null) {
+      Answer answer = lastAnswer;
+      settle(kind);
+      reply.sendWhole(answer.status(), answer.headers(), answer.body());
+    } else if (mayHaveRun()) {
+      settle(kind);
+      reply.sendProblem(ProblemReply.mayHaveRun(kind, detail), request.facts().attemptId());
+    } else {
+      settle(kind);
+      long spreadMs = context.random().nextLong(RETRY_AFTER_MS);
+      reply.sendProblem(
+          ProblemReply.notRun(kind, detail, RETRY_AFTER_MS + spreadMs),
+          request.facts().attemptId());
+    }
+  }
+
+  private void onTimeUp() {
+    if (!isSettled) {
+      boolean isNotRun = !mayHaveRun();
+      settle("timeout");
+      reply.sendProblem(
+          isNotRun
+              ? ProblemReply.notRun("timeout", "no target had room in time", RETRY_AFTER_MS)
+              : ProblemReply.timedOut("the target did not answer in time"),
+          request.facts().attemptId());
+    }
+  }
+
+  private void settle(String outcome) {
+    isSettled = true;
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    cancel(endTimer);
+    cancel(stepTimer);
+    request.body().release();
+    context
+        .log()
+        .note(
+            "plain",
+            request.facts().attemptId(),
+            "route",
+            route().name(),
+            "outcome",
+            outcome,
+            "sends",
+            sends,
+            "ms",
+            context.clock().nowMs() - request.arrivedMs());
+  }
+
+  private static void cancel(ScheduledFuture<?> timer) {
+    if (timer != null) {
+      timer.cancel(false);
+    }
+  }
+
+  @Override
+  public void onCallerGone() {
+    if (!isSettled) {
+      settle("caller-gone");
+    }
+  }
+
+  @Override
+  public void onNodeStopping() {
+    if (!isSettled) {
+      settle("node-stopping");
+      reply.abort();
+    }
+  }
+
+  /** One send to one target. */
+  private final class Attempt implements ReplyListener {
+    private final TargetEntry target;
+    private final ByteBuf body = Unpooled.buffer();
+    private TargetChannel channel;
+    private ScheduledFuture<?> silenceTimer;
+    private int status;
+    private HttpHeaders headers;
+    private ReplyFacts facts;
+    private boolean isOver;
+
+    Attempt(TargetEntry target) {
+      this.target = target;
+    }
+
+    void begin() {
+      context.loads().add(target.id(), 0);
+      boolean isOnceOnly = route().kind() != RequestKind.IDEMPOTENT;
+      context
+          .channels()
+          .acquire(
+              target.address(),
+              isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannels.DEFAULT_IDLE_MS,
+              this::onConnected,
+              this::onNotConnected);
+    }
+
+    private void onConnected(TargetChannel connected) {
+      if (isOver) {
+        connected.abort();
+        return;
+      }
+      channel = connected;
+      unprovenSends++;
+      long nowMs = context.clock().nowMs();
+      if (sends++ == 0) {
+        context.allowance().noteFirst(service, nowMs);
+      }
+      long leftMs = endMs - nowMs;
+      if (route().kind() == RequestKind.IDEMPOTENT && route().maxAttempts() > sends) {
+        silenceTimer = context.schedule(this::onSilent, (long) (leftMs * SILENCE_SHARE));
+      }
+      ForwardFacts forward =
+          new ForwardFacts(
+              target.id(),
+              leftMs,
+              routed.workspace().map(w -> w.name()),
+              Optional.empty(),
+              request.facts().lastEventId());
+      channel.send(
+          TargetRequests.targetRequest(context, request, forward, target.address()),
+          request.facts().attemptId(),
+          this);
+    }
+
+    private void onNotConnected(String reason) {
+      if (!isOver) {
+        end();
+        context.health().noteFailure(target.id(), 4, context.clock().nowMs());
+        context.log().note("connect-failed", request.facts().attemptId(), "reason", reason);
+        repeatOrGiveUp("connect-failed", "a target cannot be reached");
+      }
+    }
+
+    private void onSilent() {
+      if (!isOver) {
+        channel.abort();
+        onBroken("no answer for a long time");
+      }
+    }
+
+    @Override
+    public void onHead(int newStatus, HttpHeaders newHeaders, ReplyFacts newFacts) {
+      status = newStatus;
+      headers = newHeaders;
+      facts = newFacts;
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      if (body.readableBytes() + content.readableBytes() > MAX_ANSWER_BYTES) {
+        channel.abort();
+        onBroken("answer is too large");
+      } else {
+        body.writeBytes(content);
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      if (isOver) {
+        return;
+      }
+      end();
+      long nowMs = context.clock().nowMs();
+      if (facts.isNotRun()) {
+        unprovenSends--;
+        context.health().noteFailure(target.id(), 1, nowMs);
+        repeatOrGiveUp("target-refused", "the targets of the service are full");
+      } else if (!facts.isSigned() && status < STATUS_SERVER_ERROR) {
+        context.health().noteFailure(target.id(), 2, nowMs);
+        repeatOrGiveUp("unsigned", "a target sent an answer that is not valid");
+      } else if (status >= STATUS_SERVER_ERROR) {
+        context.health().noteFailure(target.id(), 1, nowMs);
+        lastAnswer = new Answer(status, headers, body);
+        repeatOrGiveUp("target-error", "the target failed");
+      } else {
+        context.health().noteSuccess(target.id(), nowMs);
+        settle("served");
+        reply.sendWhole(status, headers, body);
+      }
+    }
+
+    @Override
+    public void onBroken(String reason) {
+      if (!isOver) {
+        end();
+        context.health().noteFailure(target.id(), 2, context.clock().nowMs());
+        context
+            .log()
+            .note("broken", request.facts().attemptId(), "at", target.address(), "why", reason);
+        repeatOrGiveUp("target-broken", "the connection to the target was lost");
+      }
+    }
+
+    private void end() {
+      isOver = true;
+      PlainExchange.cancel(silenceTimer);
+      context.loads().remove(target.id(), 0);
+    }
+
+    void cancel() {
+      if (!isOver) {
+        end();
+        if (channel != null) {
+          channel.abort();
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemReply.java
@@ -0,0 +1,59 @@
+package org.gooseberryhook.router.forward;
+
+/**
+ * A failure that the system itself answers.
+ *
+ * @param status HTTP status; 408, 421, 429 and 503 state that the request has not run and never
+ *     will
+ * @param kind kind of the failure, for logs and callers
+ * @param detail what happened and what to do
+ * @param retryAfterMs time after which to come back, 0 if not stated
+ */
+public record ProblemReply(int status, String kind, String detail, long retryAfterMs) {
+
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final int STATUS_BAD_GATEWAY = 502;
+  private static final int STATUS_GATEWAY_TIMEOUT = 504;
+
+  /**
+   * Returns a failure of a request that has not run and never will.
+   *
+   * @param kind kind of the failure
+   * @param detail what happened
+   * @param retryAfterMs time after which to come back
+   * @return the failure
+   */
+  public static ProblemReply notRun(String kind, String detail, long retryAfterMs) {
+    return new ProblemReply(STATUS_UNAVAILABLE, kind, detail, retryAfterMs);
+  }
+
+  /**
+   * Returns a failure of a request that may have run.
+   *
+   * @param kind kind of the failure
+   * @param detail what happened
+   * @return the failure
+   */
+  public static ProblemReply mayHaveRun(String kind, String detail) {
+    return new ProblemReply(STATUS_BAD_GATEWAY, kind, detail, 0);
+  }
+
+  /**
+   * Returns a failure of a request that may have run and whose time is up.
+   *
+   * @param detail what happened
+   * @return the failure
+   */
+  public static ProblemReply timedOut(String detail) {
+    return new ProblemReply(STATUS_GATEWAY_TIMEOUT, "timeout", detail, 0);
+  }
+
+  /**
+   * Tells whether the failure promises that the request has not run.
+   *
+   * @return true for 503
+   */
+  public boolean isNotRun() {
+    return status == STATUS_UNAVAILABLE;
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestRouter.java
@@ -0,0 +1,57 @@
+package org.gooseberryhook.router.forward;
+
+import java.util.Optional;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.Workspace;
+
+/** Finds the route of a request and checks its key. */
+public final class RequestRouter {
+
+  private static final int STATUS_UNAUTHORIZED = 401;
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final long RETRY_UNCONFIGURED_MS = 1_000;
+
+  private RequestRouter() {}
+
+  /**
+   * Routes a request.
+   *
+   * @param configuration the configuration in force, empty before one is known
+   * @param host value of the host header
+   * @param path path without the query
+   * @param apiKey the caller's key, if any
+   * @return the route, or why there is none
+   */
+  public static RoutingResult route(
+      Optional<RoutingConfiguration> configuration,
+      String host,
+      String path,
+      Optional<String> apiKey) {
+    if (configuration.isEmpty()) {
+      return reject(
+          ProblemReply.notRun(
+              "not-configured", "this node has no configuration yet", RETRY_UNCONFIGURED_MS));
+    }
+    Optional<Route> route = configuration.get().findRoute(host, path);
+    if (route.isEmpty()) {
+      return reject(
+          new ProblemReply(STATUS_NOT_FOUND, "no-route", "no route matches host and path", 0));
+    }
+    Optional<Workspace> workspace = apiKey.flatMap(configuration.get()::findWorkspace);
+    boolean needsKey = configuration.get().isKeyRequired() && !route.get().isPublic();
+    if (needsKey && workspace.isEmpty()) {
+      return reject(
+          new ProblemReply(STATUS_UNAUTHORIZED, "unknown-key", "send a valid API key", 0));
+    }
+    int rank =
+        workspace.isPresent() && workspace.get().priority().isPresent()
+            ? workspace.get().priority().getAsInt()
+            : route.get().priority();
+    return new RoutingResult.Routed(route.get(), workspace, rank);
+  }
+
+  private static RoutingResult reject(ProblemReply problem) {
+    return new RoutingResult.Rejected(problem);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StatusServer.java
@@ -0,0 +1,132 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Answers short questions about the node: whether it is ready, where to connect, its metrics. */
+public final class StatusServer {
+
+  private static final int MAX_REQUEST_BYTES = 8_192;
+  private static final int IDLE_SECONDS = 20;
+
+  private final EventLoop loop;
+  private final String address;
+  private final Map<String, Function<Map<String, List<String>>, StatusReply>> pages;
+  private Channel listener;
+
+  /**
+   * An answer.
+   *
+   * @param status HTTP status
+   * @param contentType type of the body
+   * @param body the body
+   */
+  public record StatusReply(int status, String contentType, String body) {}
+
+  /**
+   * Creates a server.
+   *
+   * @param loop the event loop on which pages are computed
+   * @param address IP address and port to listen on
+   * @param pages answers by path; each takes the parameters of the query
+   */
+  public StatusServer(
+      EventLoop loop,
+      String address,
+      Map<String, Function<Map<String, List<String>>, StatusReply>> pages) {
+    this.loop = loop;
+    this.address = address;
+    this.pages = Map.copyOf(pages);
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void start() throws InterruptedException {
+    listener =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new ReadTimeoutHandler(IDLE_SECONDS))
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                        .addLast(new PageHandler());
+                  }
+                })
+            .bind(TargetChannels.socketAddress(address))
+            .sync()
+            .channel();
+  }
+
+  /** Stops to listen. */
+  public void stop() {
+    if (listener != null) {
+      listener.close();
+    }
+  }
+
+  private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      QueryStringDecoder query = new QueryStringDecoder(request.uri());
+      Function<Map<String, List<String>>, StatusReply> page = pages.get(query.path());
+      StatusReply reply =
+          page == null
+              ? new StatusReply(404, "text/plain", "no such page")
+              : page.apply(query.parameters());
+      DefaultFullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              HttpResponseStatus.valueOf(reply.status()),
+              Unpooled.copiedBuffer(reply.body(), StandardCharsets.UTF_8));
+      response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+      HttpUtil.setContentLength(response, response.content().readableBytes());
+      boolean isKept = HttpUtil.isKeepAlive(request);
+      if (!isKept) {
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      ctx.writeAndFlush(response)
+          .addListener(
+              done -> {
+                if (!isKept) {
+                  ctx.close();
+                }
+              });
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -0,0 +1,458 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhook.router.admission.LoadBook;
+import org.gooseberryhook.router.admission.StreamAdmission;
+import org.gooseberryhook.router.admission.StreamRequest;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.PipelineStage;
+
+/**
+ * A stream of a model in layers: waits for a pipeline, relays whole events as they come, and goes
+ * on at another pipeline when its own breaks.
+ *
+ * <p>The head of the answer is held back until the first event, so that a run that fails before it
+ * can be repeated with a head of its own.
+ */
+final class StreamExchange implements Exchange {
+
+  /** Share of the latency target that a new stream may wait; later its first event is late. */
+  static final double WAIT_SHARE = 0.5;
+
+  /** Pause after which a caller leaves a stream at the earliest. */
+  static final long CALLER_PATIENCE_MS = 2_000;
+
+  /** Pause between events after which the pipeline is examined. */
+  static final long SILENCE_MS = 700;
+
+  /** Time for the first event after which the pipeline is examined. */
+  static final long FIRST_SILENCE_MS = 1_000;
+
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final long RETRY_SPREAD_MS = 2_000;
+  private static final double HINT_MARGIN = 1.2;
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_SERVER_ERROR = 500;
+  private static final int MAX_BODY_BYTES = 1_048_576;
+
+  private final ForwardContext context;
+  private final StreamDispatcher dispatcher;
+  private final CallerRequest request;
+  private final CallerReply reply;
+  private final RoutingResult.Routed routed;
+  private final String service;
+  private final EngineProfile profile;
+  private final long endMs;
+  private Runnable leaveQueue = () -> {};
+  private ScheduledFuture<?> endTimer;
+  private Run run;
+  private Optional<String> lastEventId;
+  private long lastEventMs;
+  private long firstEventMs;
+  private long longestGapMs;
+  private int answerTokens;
+  private int runs;
+  private int unprovenSends;
+  private int lostRuns;
+  private boolean isSettled;
+
+  StreamExchange(
+      ForwardContext context,
+      StreamDispatcher dispatcher,
+      CallerRequest request,
+      CallerReply reply,
+      RoutingResult.Routed routed,
+      String service,
+      EngineProfile profile) {
+    this.context = context;
+    this.dispatcher = dispatcher;
+    this.request = request;
+    this.reply = reply;
+    this.routed = routed;
+    this.service = service;
+    this.profile = profile;
+    this.endMs = TargetRequests.endMs(request, routed.route());
+    this.lastEventId = request.facts().lastEventId();
+  }
+
+  String service() {
+    return service;
+  }
+
+  private Route route() {
+    return routed.route();
+  }
+
+  @Override
+  public void start() {
+    endTimer = context.schedule(this::onTimeUp, endMs - context.clock().nowMs());
+    long waitMs = (long) (route().targetLatencyMs() * WAIT_SHARE);
+    dispatcher.submit(this, routed.rank(), Math.min(endMs, request.arrivedMs() + waitMs));
+  }
+
+  void onWaiting(Runnable newLeaveQueue) {
+    leaveQueue = newLeaveQueue;
+  }
+
+  /** Starts on a pipeline with room; returns false if there is none. */
+  boolean tryStart() {
+    long nowMs = context.clock().nowMs();
+    StreamRequest wanted = describe(nowMs);
+    List<ModelPipeline> pipelines = context.fleet().pipelines(service);
+    Optional<ModelPipeline> chosen =
+        new StreamAdmission(context.loads())
+            .choose(
+                wanted,
+                pipelines,
+                profile,
+                context.fleet().nodeCount(),
+                pipeline -> 1 + context.health().failures(pipeline.head().id(), nowMs),
+                nowMs);
+    chosen.ifPresent(
+        pipeline -> {
+          leaveQueue = () -> {};
+          run = new Run(pipeline, wanted.reservedTokens());
+          run.begin();
+        });
+    return chosen.isPresent();
+  }
+
+  private StreamRequest describe(long nowMs) {
+    int prompt = request.facts().promptTokens().orElse(profile.usualPromptTokens());
+    int most = request.facts().maxAnswerTokens().orElse(profile.usualAnswerTokens());
+    int hint = request.facts().answerHintTokens().orElse(profile.usualAnswerTokens());
+    int likely = (int) Math.max(hint * HINT_MARGIN, profile.usualAnswerTokens());
+    int expected = Math.max(1, Math.min(most, likely) - answerTokens);
+    return new StreamRequest(
+        prompt + answerTokens,
+        expected,
+        routed.rank(),
+        nowMs,
+        endMs,
+        route().targetLatencyMs(),
+        route().gapTargetMs());
+  }
+
+  /** The wait for room is over. */
+  void onWaitOver() {
+    leaveQueue = () -> {};
+    if (!isSettled) {
+      if (unprovenSends > 0) {
+        fail(ProblemReply.mayHaveRun("pipeline-lost", "the stream broke and no other has room"));
+      } else {
+        long afterMs = RETRY_AFTER_MS + context.random().nextLong(RETRY_SPREAD_MS);
+        fail(ProblemReply.notRun("no-room", "all pipelines are full", afterMs));
+      }
+    }
+  }
+
+  private void fail(ProblemReply problem) {
+    settle(problem.kind());
+    if (reply.isBegun()) {
+      reply.abort();
+    } else {
+      reply.sendProblem(problem, request.facts().attemptId());
+    }
+  }
+
+  private void onTimeUp() {
+    if (!isSettled) {
+      fail(
+          unprovenSends > 0
+              ? ProblemReply.timedOut("the stream did not end in time")
+              : ProblemReply.notRun("timeout", "all pipelines are full", RETRY_AFTER_MS));
+    }
+  }
+
+  @Override
+  public void onCallerGone() {
+    if (!isSettled) {
+      settle("caller-gone");
+    }
+  }
+
+  @Override
+  public void onNodeStopping() {
+    if (!isSettled) {
+      settle("node-stopping");
+      reply.abort();
+    }
+  }
+
+  private void settle(String outcome) {
+    isSettled = true;
+    leaveQueue.run();
+    if (run != null) {
+      run.cancel();
+    }
+    if (endTimer != null) {
+      endTimer.cancel(false);
+    }
+    request.body().release();
+    long firstMs = firstEventMs == 0 ? -1 : firstEventMs - request.arrivedMs();
+    context
+        .log()
+        .note(
+            "stream",
+            request.facts().attemptId(),
+            "route",
+            route().name(),
+            "outcome",
+            outcome,
+            "runs",
+            runs,
+            "firstMs",
+            firstMs,
+            "gapMs",
+            longestGapMs,
+            "at",
+            run == null ? "" : run.pipeline.head().address(),
+            "ms",
+            context.clock().nowMs() - request.arrivedMs());
+  }
+
+  /** A run ended early: goes on elsewhere if that is allowed, else tells the caller. */
+  private void onRunLost(String kind, String detail) {
+    boolean isAllowed = unprovenSends == 0 || route().isResumable();
+    long nowMs = context.clock().nowMs();
+    boolean isInBudget =
+        runs < Math.max(1, route().maxAttempts()) + lostRuns
+            && (runs == 0 || context.allowance().trySpend(service, nowMs));
+    if (!isAllowed || !isInBudget) {
+      fail(
+          unprovenSends > 0
+              ? ProblemReply.mayHaveRun(kind, detail)
+              : ProblemReply.notRun(kind, detail, RETRY_AFTER_MS));
+      return;
+    }
+    context.log().note("resume", request.facts().attemptId(), "reason", kind, "detail", detail);
+    long sinceMs = lastEventMs == 0 ? nowMs : lastEventMs;
+    dispatcher.submit(
+        this, StreamDispatcher.RESUME_RANK, Math.min(endMs, sinceMs + CALLER_PATIENCE_MS));
+  }
+
+  /** One run on one pipeline. */
+  private final class Run implements ReplyListener {
+    private final ModelPipeline pipeline;
+    private final long tokens;
+    private final EventFramer framer = new EventFramer();
+    private final long startedMs = context.clock().nowMs();
+    private TargetChannel channel;
+    private ScheduledFuture<?> silenceTimer;
+    private int status;
+    private HttpHeaders headers;
+    private ReplyFacts facts;
+    private ByteBuf failureBody;
+    private boolean hasEvents;
+    private boolean isOver;
+
+    Run(ModelPipeline pipeline, long tokens) {
+      this.pipeline = pipeline;
+      this.tokens = tokens;
+    }
+
+    void begin() {
+      LoadBook loads = context.loads();
+      for (PipelineStage stage : pipeline.stages()) {
+        loads.add(stage.target().id(), tokens);
+      }
+      context
+          .channels()
+          .acquire(
+              pipeline.head().address(),
+              TargetChannels.DEFAULT_IDLE_MS,
+              this::onConnected,
+              this::onNotConnected);
+    }
+
+    private void onConnected(TargetChannel connected) {
+      if (isOver) {
+        connected.abort();
+        return;
+      }
+      channel = connected;
+      unprovenSends++;
+      long nowMs = context.clock().nowMs();
+      if (runs++ == 0) {
+        context.allowance().noteFirst(service, nowMs);
+      }
+      ForwardFacts forward =
+          new ForwardFacts(
+              pipeline.head().id(),
+              endMs - nowMs,
+              routed.workspace().map(w -> w.name()),
+              Optional.of(pipeline),
+              lastEventId);
+      channel.send(
+          TargetRequests.targetRequest(context, request, forward, pipeline.head().address()),
+          request.facts().attemptId(),
+          this);
+      watch(FIRST_SILENCE_MS);
+    }
+
+    private void onNotConnected(String reason) {
+      if (!isOver) {
+        end();
+        context.fleet().suspect(pipeline.head().address(), reason);
+        onRunLost("connect-failed", reason);
+      }
+    }
+
+    private void watch(long afterMs) {
+      silenceTimer =
+          context.schedule(
+              () -> {
+                if (!isOver) {
+                  context.fleet().examine(pipeline);
+                  silenceTimer =
+                      context.schedule(this::onSilent, CALLER_PATIENCE_MS - SILENCE_MS - 500);
+                }
+              },
+              afterMs);
+    }
+
+    private void onSilent() {
+      if (!isOver) {
+        channel.abort();
+        onBroken("no event for a long time");
+      }
+    }
+
+    @Override
+    public void onHead(int newStatus, HttpHeaders newHeaders, ReplyFacts newFacts) {
+      status = newStatus;
+      headers = newHeaders;
+      facts = newFacts;
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      if (status != STATUS_OK) {
+        if (failureBody == null) {
+          failureBody = Unpooled.buffer();
+        }
+        if (failureBody.readableBytes() < MAX_BODY_BYTES) {
+          failureBody.writeBytes(content);
+        }
+      } else if (!framer.accept(content, this::onEvent)) {
+        channel.abort();
+        onBroken("event is too large");
+      }
+    }
+
+    private void onEvent(ByteBuf event, String id) {
+      if (isOver || isSettled) {
+        event.release();
+        return;
+      }
+      if (!facts.isSigned()) {
+        event.release();
+        channel.abort();
+        onBroken("stream is not signed");
+        return;
+      }
+      long nowMs = context.clock().nowMs();
+      if (!reply.isBegun()) {
+        reply.beginStream(status, headers);
+        firstEventMs = nowMs;
+      } else {
+        longestGapMs = Math.max(longestGapMs, nowMs - lastEventMs);
+      }
+      hasEvents = true;
+      lastEventMs = nowMs;
+      answerTokens += profile.strideSteps();
+      if (!id.isEmpty()) {
+        lastEventId = Optional.of(id);
+      }
+      reply.sendPart(event);
+      silenceTimer.cancel(false);
+      watch(SILENCE_MS);
+    }
+
+    @Override
+    public void onEnd() {
+      if (isOver) {
+        return;
+      }
+      if (status == STATUS_OK && !framer.hasPartialEvent() && hasEvents) {
+        end();
+        context.health().noteSuccess(pipeline.head().id(), context.clock().nowMs());
+        settle("served");
+        reply.endStream();
+      } else if (status == STATUS_OK) {
+        onBroken("stream ended within an event");
+      } else {
+        end();
+        onRefused();
+      }
+    }
+
+    private void onRefused() {
+      long nowMs = context.clock().nowMs();
+      if (facts.isNotRun()) {
+        unprovenSends--;
+        String at = facts.faultAddress().orElse("");
+        context
+            .log()
+            .note("refused", request.facts().attemptId(), "status", status, "fault", at);
+        facts.faultAddress().ifPresent(a -> context.fleet().suspect(a, "named at fault"));
+        context.health().noteFailure(pipeline.head().id(), 0.5, nowMs);
+        lostRuns++;
+        onRunLost("target-refused", "the pipeline refused the request");
+      } else if (status >= STATUS_SERVER_ERROR || !facts.isSigned()) {
+        context.health().noteFailure(pipeline.head().id(), 1, nowMs);
+        onRunLost("target-error", "the pipeline failed");
+      } else {
+        settle("answered-" + status);
+        reply.sendWhole(
+            status, headers, failureBody == null ? Unpooled.EMPTY_BUFFER : failureBody);
+      }
+    }
+
+    @Override
+    public void onBroken(String reason) {
+      if (!isOver) {
+        end();
+        lostRuns++;
+        context.fleet().examine(pipeline);
+        context
+            .log()
+            .note(
+                "broken",
+                request.facts().attemptId(),
+                "at",
+                pipeline.head().address(),
+                "why",
+                reason);
+        onRunLost("pipeline-lost", reason);
+      }
+    }
+
+    private void end() {
+      isOver = true;
+      if (silenceTimer != null) {
+        silenceTimer.cancel(false);
+      }
+      for (PipelineStage stage : pipeline.stages()) {
+        context.loads().remove(stage.target().id(), tokens);
+      }
+      context.loop().execute(dispatcher::onRoomFreed);
+    }
+
+    void cancel() {
+      if (!isOver) {
+        end();
+        if (channel != null) {
+          channel.abort();
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -0,0 +1,182 @@
+package org.gooseberryhook.router.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.ServiceSettings;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ModelPipelines;
+import org.gooseberryhook.router.fleet.PipelineStage;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.fleet.TargetRegistry;
+import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.FleetView;
+import org.gooseberryhook.router.forward.MonotonicClock;
+
+/** The targets and pipelines in use; composes pipelines anew when targets change. */
+final class FleetState implements FleetView {
+
+  /** Time in which a live target answers; they are a few milliseconds away. */
+  private static final long EXAMINE_TIMEOUT_MS = 300;
+
+  /** Time between examinations of targets that did not answer. */
+  private static final long RECHECK_MS = 500;
+
+  private final TargetRegistry registry;
+  private final EngineOrders orders;
+  private final PeerTable peers;
+  private final MonotonicClock clock;
+  private final DecisionLog log;
+  private final SuspectBoard suspects = new SuspectBoard();
+  private final Map<String, List<TargetEntry>> targets = new HashMap<>();
+  private final Map<String, List<ModelPipeline>> pipelines = new HashMap<>();
+  private long seenRegistry = -1;
+  private long seenSuspects = -1;
+  private long nextRecheckMs;
+  private Optional<RoutingConfiguration> composed = Optional.empty();
+
+  FleetState(
+      TargetRegistry registry,
+      EngineOrders orders,
+      PeerTable peers,
+      MonotonicClock clock,
+      DecisionLog log) {
+    this.registry = registry;
+    this.orders = orders;
+    this.peers = peers;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  SuspectBoard suspects() {
+    return suspects;
+  }
+
+  /** Forces a new composition, because the configuration has changed. */
+  void onChanged() {
+    seenRegistry = -1;
+  }
+
+  boolean hasPipelines() {
+    return pipelines.values().stream().anyMatch(list -> !list.isEmpty());
+  }
+
+  /** Composes if something has changed and examines suspects again. */
+  void tick(Optional<RoutingConfiguration> configuration) {
+    if (registry.revision() != seenRegistry) {
+      suspects.retain(registry.entries());
+    }
+    boolean isChanged =
+        registry.revision() != seenRegistry || suspects.revision() != seenSuspects;
+    if (isChanged && configuration.isPresent()) {
+      seenRegistry = registry.revision();
+      compose(configuration.get());
+    }
+    if (clock.nowMs() >= nextRecheckMs) {
+      nextRecheckMs = clock.nowMs() + RECHECK_MS;
+      for (TargetEntry entry : registry.entries()) {
+        if (suspects.contains(entry.address())) {
+          examine(entry);
+        }
+      }
+    }
+  }
+
+  private void compose(RoutingConfiguration configuration) {
+    composed = Optional.of(configuration);
+    seenSuspects = suspects.revision();
+    targets.clear();
+    for (TargetEntry entry : registry.entries()) {
+      if (!entry.isDraining()) {
+        targets.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
+      }
+    }
+    Map<String, List<ModelPipeline>> before = new HashMap<>(pipelines);
+    pipelines.clear();
+    for (ServiceSettings service : configuration.services().values()) {
+      service
+          .engine()
+          .ifPresent(
+              engine ->
+                  pipelines.put(
+                      service.name(),
+                      ModelPipelines.compose(
+                          targets.getOrDefault(service.name(), List.of()),
+                          engine.layers(),
+                          entry -> !suspects.contains(entry.address()))));
+    }
+    if (!before.equals(pipelines)) {
+      pipelines.forEach(
+          (service, list) ->
+              list.forEach(
+                  p -> log.note("pipeline", "", "service", service, "path", p.describe())));
+    }
+  }
+
+  @Override
+  public List<TargetEntry> targets(String service) {
+    return targets.getOrDefault(service, List.of());
+  }
+
+  @Override
+  public List<ModelPipeline> pipelines(String service) {
+    return pipelines.getOrDefault(service, List.of());
+  }
+
+  @Override
+  public int nodeCount() {
+    return 1 + peers.live().size();
+  }
+
+  @Override
+  public void suspect(String address, String reason) {
+    if (suspects.add(address)) {
+      log.note("suspect", "", "target", address, "reason", reason);
+      composed.ifPresent(this::compose);
+    }
+  }
+
+  @Override
+  public void examine(ModelPipeline pipeline) {
+    for (PipelineStage stage : pipeline.stages()) {
+      if (!suspects.contains(stage.target().address())) {
+        examine(stage.target());
+      }
+    }
+  }
+
+  /** Another node suspects targets: looks at them too. */
+  void onPeerSuspects(List<String> addresses) {
+    if (addresses.isEmpty()) {
+      return;
+    }
+    for (TargetEntry entry : registry.entries()) {
+      if (addresses.contains(entry.address()) && !suspects.contains(entry.address())) {
+        examine(entry);
+      }
+    }
+  }
+
+  private void examine(TargetEntry target) {
+    if (!suspects.startExamination(target.address(), clock.nowMs())) {
+      return;
+    }
+    orders.readState(
+        target,
+        EXAMINE_TIMEOUT_MS,
+        result -> {
+          if (result instanceof EngineResult.State state) {
+            if (suspects.clear(target.address())) {
+              log.note("target-answers", "", "target", target.address());
+            }
+            state.stalledAddresses().forEach(a -> suspect(a, "stalls " + target.address()));
+          } else {
+            suspect(target.address(), String.valueOf(result));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
@@ -0,0 +1,154 @@
+package org.gooseberryhook.router.node;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.router.cluster.PlacementLease;
+import org.gooseberryhook.router.cluster.PlacementLease.LeaseRecord;
+import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.MonotonicClock;
+
+/** Reads and writes the record of the placement lease. Used on the event loop only. */
+final class LeaseKeeper {
+
+  static final String KEY = "lease/placement";
+
+  /** Time between readings while another node says that it holds the lease. */
+  private static final long WATCH_MS = 5_000;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final TableService table;
+  private final PlacementLease lease;
+  private final MonotonicClock clock;
+  private final DecisionLog log;
+  private final BooleanSupplier hasOtherPlanner;
+  private long nextMs;
+  private boolean isCalling;
+  private boolean isStopped;
+  private boolean wasHeld;
+
+  LeaseKeeper(
+      TableService table,
+      PlacementLease lease,
+      MonotonicClock clock,
+      BooleanSupplier hasOtherPlanner,
+      DecisionLog log) {
+    this.table = table;
+    this.lease = lease;
+    this.clock = clock;
+    this.hasOtherPlanner = hasOtherPlanner;
+    this.log = log;
+  }
+
+  /** Does what is due; to be called often. */
+  void tick() {
+    long nowMs = clock.nowMs();
+    boolean isHeld = lease.isHeld(nowMs);
+    if (isHeld != wasHeld) {
+      wasHeld = isHeld;
+      log.note(isHeld ? "lease-gained" : "lease-lost", "", "fencing", lease.fencingNumber());
+    }
+    if (isStopped || isCalling || nowMs < nextMs) {
+      return;
+    }
+    if (!isHeld && hasOtherPlanner.getAsBoolean()) {
+      nextMs = nowMs + WATCH_MS;
+    } else if (lease.isDue(nowMs)) {
+      write();
+    } else {
+      read();
+    }
+  }
+
+  private void read() {
+    isCalling = true;
+    table
+        .get(KEY)
+        .thenAccept(
+            result -> {
+              isCalling = false;
+              long nowMs = clock.nowMs();
+              if (result instanceof TableResult.Read read) {
+                lease.onRead(decode(read.records()), nowMs);
+                nextMs = lease.isDue(nowMs) ? nowMs : nowMs + PlacementLease.RENEW_MS;
+              } else {
+                nextMs = nowMs + PlacementLease.RENEW_MS / 2;
+              }
+            });
+  }
+
+  private void write() {
+    isCalling = true;
+    LeaseRecord next = lease.next();
+    long sentMs = clock.nowMs();
+    table
+        .transact(List.of(TableOperation.ofPut(KEY, next.revision(), encode(next))))
+        .thenAccept(
+            result -> {
+              isCalling = false;
+              long nowMs = clock.nowMs();
+              nextMs = nowMs + PlacementLease.RENEW_MS;
+              if (result instanceof TableResult.Committed committed) {
+                long revision = committed.versions().get(0);
+                lease.onWritten(
+                    new LeaseRecord(
+                        next.holder(), next.incarnation(), next.fencingNumber(), revision),
+                    sentMs);
+              } else if (result instanceof TableResult.Conflict conflict) {
+                lease.onRead(decode(conflict.current()), nowMs);
+              } else {
+                // The write may have taken effect: only a reading tells.
+                lease.onWriteUnknown();
+                nextMs = nowMs + PlacementLease.RENEW_MS / 4;
+              }
+            });
+  }
+
+  /** Gives the lease up, so that another node need not wait for it to lapse. */
+  void stop() {
+    boolean wasHolder = lease.isHeld(clock.nowMs());
+    isStopped = true;
+    lease.giveUp();
+    if (wasHolder) {
+      LeaseRecord next = lease.next();
+      LeaseRecord free = new LeaseRecord("", 0, next.fencingNumber(), next.revision());
+      table
+          .transact(List.of(TableOperation.ofPut(KEY, next.revision(), encode(free))))
+          .thenAccept(
+              result -> log.note("lease-released", "", "result", result.getClass().getSimpleName()));
+    }
+  }
+
+  private static String encode(LeaseRecord record) {
+    return JSON.createObjectNode()
+        .put("holder", record.holder())
+        .put("incarnation", record.incarnation())
+        .put("fencing", record.fencingNumber())
+        .toString();
+  }
+
+  private LeaseRecord decode(List<TableRecord> records) {
+    if (records.isEmpty()) {
+      return LeaseRecord.NONE;
+    }
+    TableRecord record = records.get(0);
+    try {
+      JsonNode node = JSON.readTree(record.value());
+      return new LeaseRecord(
+          node.path("holder").asText(),
+          node.path("incarnation").asLong(),
+          node.path("fencing").asLong(),
+          record.version());
+    } catch (JsonProcessingException e) {
+      log.note("lease-record-invalid", "", "error", e.getOriginalMessage());
+      return new LeaseRecord("", 0, 0, record.version());
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LineHandler.java
@@ -0,0 +1,71 @@
+package org.gooseberryhook.router.node;
+
+import java.io.PrintStream;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines to standard output from a thread of its own, so that a slow reader of the output
+ * never holds up the event loop. Lines beyond the bound are dropped and counted.
+ */
+public final class LineHandler extends Handler {
+
+  /** Lines that may wait to be written. */
+  static final int MAX_WAITING = 2_048;
+
+  private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_WAITING);
+  private final AtomicLong dropped = new AtomicLong();
+  private final PrintStream out;
+  private final Thread writer;
+
+  /**
+   * Creates a handler and starts its thread.
+   *
+   * @param out where to write
+   */
+  public LineHandler(PrintStream out) {
+    this.out = out;
+    this.writer = new Thread(this::write, "log-writer");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  @Override
+  public void publish(LogRecord logRecord) {
+    String line = logRecord.getMessage();
+    if (logRecord.getThrown() != null) {
+      line = line + " " + logRecord.getThrown();
+    }
+    if (line != null && !lines.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private void write() {
+    try {
+      while (true) {
+        String line = lines.take();
+        out.println(line);
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+          out.println("{\"kind\":\"log-lines-dropped\",\"count\":" + lost + "}");
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void flush() {
+    out.flush();
+  }
+
+  @Override
+  public void close() {
+    writer.interrupt();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/NodeRegistration.java
@@ -0,0 +1,124 @@
+package org.gooseberryhook.router.node;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.MonotonicClock;
+
+/**
+ * Registers this node's address for reports in the store and reads those of the others. A node
+ * writes before it reads, so of two nodes at least one finds the other. Used on the event loop only.
+ */
+final class NodeRegistration {
+
+  private static final String PREFIX = "nodes/";
+
+  /** Time between readings; nodes that joined meanwhile are heard of by their reports. */
+  private static final long READ_MS = 10_000;
+
+  private static final long RETRY_MS = 500;
+  private static final int MAX_NODES = 500;
+
+  private final TableService table;
+  private final String node;
+  private final String reportAddress;
+  private final PeerTable peers;
+  private final MonotonicClock clock;
+  private final DecisionLog log;
+  private long revision;
+  private boolean isRegistered;
+  private boolean isCalling;
+  private boolean isStopped;
+  private long nextMs;
+
+  NodeRegistration(
+      TableService table,
+      String node,
+      String reportAddress,
+      PeerTable peers,
+      MonotonicClock clock,
+      DecisionLog log) {
+    this.table = table;
+    this.node = node;
+    this.reportAddress = reportAddress;
+    this.peers = peers;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Does what is due; to be called often. */
+  void tick() {
+    if (!isStopped && !isCalling && clock.nowMs() >= nextMs) {
+      isCalling = true;
+      if (isRegistered) {
+        read();
+      } else {
+        write();
+      }
+    }
+  }
+
+  private void write() {
+    table
+        .transact(List.of(TableOperation.ofPut(PREFIX + node, revision, reportAddress)))
+        .thenAccept(
+            result -> {
+              isCalling = false;
+              nextMs = clock.nowMs();
+              if (result instanceof TableResult.Committed committed) {
+                revision = committed.versions().get(0);
+                isRegistered = true;
+              } else if (result instanceof TableResult.Conflict conflict) {
+                onConflict(conflict.current());
+              } else {
+                nextMs += RETRY_MS;
+              }
+            });
+  }
+
+  /** An earlier process of this machine registered, or an earlier write took effect. */
+  private void onConflict(List<TableRecord> current) {
+    if (current.isEmpty()) {
+      revision = 0;
+    } else {
+      revision = current.get(0).version();
+      isRegistered = reportAddress.equals(current.get(0).value());
+    }
+  }
+
+  private void read() {
+    table
+        .scan(PREFIX, "", MAX_NODES)
+        .thenAccept(
+            result -> {
+              isCalling = false;
+              if (result instanceof TableResult.Read read) {
+                Map<String, String> contacts = new HashMap<>();
+                for (TableRecord record : read.records()) {
+                  contacts.put(record.key().substring(PREFIX.length()), record.value());
+                }
+                peers.setContacts(contacts);
+                nextMs = clock.nowMs() + READ_MS;
+              } else {
+                nextMs = clock.nowMs() + RETRY_MS;
+              }
+            });
+  }
+
+  /** Removes the registration, so that others stop to report here. */
+  void stop() {
+    isStopped = true;
+    if (isRegistered) {
+      table
+          .transact(List.of(TableOperation.ofDelete(PREFIX + node, revision)))
+          .thenAccept(
+              result -> log.note("unregistered", "", "result", result.getClass().getSimpleName()));
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerLinks.java
@@ -0,0 +1,89 @@
+package org.gooseberryhook.router.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.gooseberryhook.router.cluster.PeerReport;
+import org.gooseberryhook.router.cluster.PeerReports;
+import org.gooseberryhook.router.forward.DecisionLog;
+
+/**
+ * Sends and receives reports as datagrams. A report replaces the one before it, so nothing is sent
+ * again; a stream would deliver stale reports after a loss.
+ */
+final class PeerLinks {
+
+  private final EventLoop loop;
+  private final String address;
+  private final Consumer<PeerReport> onReport;
+  private final DecisionLog log;
+  private Channel channel;
+
+  PeerLinks(
+      EventLoop loop, String address, Consumer<PeerReport> onReport, DecisionLog log) {
+    this.loop = loop;
+    this.address = address;
+    this.onReport = onReport;
+    this.log = log;
+  }
+
+  void start() throws InterruptedException {
+    channel =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .handler(new ReportHandler())
+            .bind(toSocketAddress(address))
+            .sync()
+            .channel();
+  }
+
+  void stop() {
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  void send(PeerReport report, Set<String> addresses) {
+    ByteBuf bytes = Unpooled.wrappedBuffer(PeerReports.encode(report));
+    for (String peer : addresses) {
+      channel.write(new DatagramPacket(bytes.retainedDuplicate(), toSocketAddress(peer)));
+    }
+    bytes.release();
+    channel.flush();
+  }
+
+  static InetSocketAddress toSocketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      byte[] bytes = new byte[packet.content().readableBytes()];
+      packet.content().readBytes(bytes);
+      try {
+        onReport.accept(PeerReports.decode(bytes));
+      } catch (IOException e) {
+        log.note("peer-report-invalid", "", "from", packet.sender(), "error", e.getMessage());
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      log.note("peer-link", "", "error", String.valueOf(cause.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -0,0 +1,150 @@
+package org.gooseberryhook.router.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhook.router.cluster.PlacementLease;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.ServiceSettings;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.fleet.TargetRegistry;
+import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.MonotonicClock;
+import org.gooseberryhook.router.placement.LayerPlan;
+import org.gooseberryhook.router.placement.LayerPlanner;
+import org.gooseberryhook.router.placement.OrderTracker;
+import org.gooseberryhook.state.LayerRange;
+
+/** Orders targets to hold the planned layers while this node holds the lease. */
+final class PlacementDriver {
+
+  /** Time between looks at the plan. */
+  static final long STEP_MS = 250;
+
+  /** Time without new targets before the first plan; they register within some seconds. */
+  static final long SETTLE_MS = 1_500;
+
+  private static final long STATE_TIMEOUT_MS = 600;
+
+  private final TargetRegistry registry;
+  private final SuspectBoard suspects;
+  private final EngineOrders orders;
+  private final PlacementLease lease;
+  private final MonotonicClock clock;
+  private final DecisionLog log;
+  private final OrderTracker tracker = new OrderTracker();
+  private long nextMs;
+  private int lastCount;
+  private long countSinceMs;
+
+  PlacementDriver(
+      TargetRegistry registry,
+      SuspectBoard suspects,
+      EngineOrders orders,
+      PlacementLease lease,
+      MonotonicClock clock,
+      DecisionLog log) {
+    this.registry = registry;
+    this.suspects = suspects;
+    this.orders = orders;
+    this.lease = lease;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Does what is due; to be called often. */
+  void tick(Optional<RoutingConfiguration> configuration) {
+    long nowMs = clock.nowMs();
+    if (nowMs < nextMs || configuration.isEmpty()) {
+      return;
+    }
+    nextMs = nowMs + STEP_MS;
+    List<TargetEntry> all = registry.entries();
+    if (all.size() != lastCount) {
+      lastCount = all.size();
+      countSinceMs = nowMs;
+    }
+    if (!lease.isHeld(nowMs)) {
+      tracker.clear();
+      return;
+    }
+    Map<String, List<TargetEntry>> byService = new HashMap<>();
+    for (TargetEntry entry : all) {
+      byService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
+    }
+    for (ServiceSettings service : configuration.get().services().values()) {
+      service
+          .engine()
+          .ifPresent(
+              engine -> place(byService.getOrDefault(service.name(), List.of()), engine, nowMs));
+    }
+  }
+
+  private void place(List<TargetEntry> entries, EngineProfile profile, long nowMs) {
+    boolean isFirstPlan = entries.stream().noneMatch(e -> e.layers().isPresent());
+    if (entries.isEmpty() || (isFirstPlan && nowMs - countSinceMs < SETTLE_MS)) {
+      return;
+    }
+    List<TargetEntry> usable =
+        entries.stream().filter(e -> !suspects.contains(e.address())).toList();
+    LayerPlan plan = LayerPlanner.plan(usable, profile);
+    int maxOrders = isFirstPlan ? Integer.MAX_VALUE : Math.max(1, profile.loadsAtOnce());
+    for (OrderTracker.Order order : tracker.due(plan, usable, maxOrders, nowMs)) {
+      send(order, nowMs);
+    }
+  }
+
+  private void send(OrderTracker.Order order, long nowMs) {
+    tracker.onSent(order, nowMs);
+    TargetEntry target = order.target();
+    orders.readState(
+        target,
+        STATE_TIMEOUT_MS,
+        result -> {
+          if (result instanceof EngineResult.State state) {
+            if (state.layers().equals(Optional.of(order.layers()))) {
+              return;
+            }
+            if (state.isBusy() || !lease.isHeld(clock.nowMs())) {
+              return;
+            }
+            place(target, order.layers(), state.acceptedOrders());
+          } else {
+            log.note("order-target-silent", "", "target", target.address(), "result", result);
+            tracker.onFailed(target.id(), clock.nowMs());
+          }
+        });
+  }
+
+  private void place(TargetEntry target, LayerRange layers, long acceptedOrders) {
+    long fencing = lease.fencingNumber();
+    orders.place(
+        target,
+        layers,
+        fencing,
+        acceptedOrders,
+        result -> {
+          log.note(
+              "order",
+              "",
+              "target",
+              target.address(),
+              "layers",
+              layers.firstLayer() + "-" + layers.endLayer(),
+              "fencing",
+              fencing,
+              "expectedOrders",
+              acceptedOrders,
+              "result",
+              result);
+          if (result instanceof EngineResult.Fenced) {
+            lease.onFenced(fencing);
+          } else if (!(result instanceof EngineResult.Accepted)) {
+            tracker.onFailed(target.id(), clock.nowMs());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/StructuredLog.java
@@ -0,0 +1,92 @@
+package org.gooseberryhook.router.node;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.HashMap;
+import java.util.Map;
+import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.MonotonicClock;
+import org.jboss.logging.Logger;
+
+/**
+ * Writes decisions as JSON lines. Each kind of line has a rate; what exceeds it is counted and the
+ * count stands in the next line of the kind. Used on the event loop only.
+ */
+public final class StructuredLog implements DecisionLog {
+
+  /** Lines of one kind in a second at most; failures are rare, requests are not. */
+  public static final int LINES_PER_SECOND = 25;
+
+  private static final long WINDOW_MS = 1_000;
+  private static final Logger LOGGER = Logger.getLogger("gooseberryhook");
+
+  private final JsonFactory json = new JsonFactory();
+  private final Map<String, Window> windows = new HashMap<>();
+  private final String node;
+  private final MonotonicClock clock;
+
+  private static final class Window {
+    long startMs;
+    int lines;
+    long leftOut;
+  }
+
+  /**
+   * Creates a log.
+   *
+   * @param node name of the node, in each line
+   * @param clock the clock for rates
+   */
+  public StructuredLog(String node, MonotonicClock clock) {
+    this.node = node;
+    this.clock = clock;
+  }
+
+  @Override
+  public void note(String kind, String requestId, Object... fields) {
+    long nowMs = clock.nowMs();
+    Window window = windows.computeIfAbsent(kind, k -> new Window());
+    if (nowMs - window.startMs >= WINDOW_MS) {
+      window.startMs = nowMs;
+      window.lines = 0;
+    }
+    if (++window.lines > LINES_PER_SECOND) {
+      window.leftOut++;
+      return;
+    }
+    StringWriter text = new StringWriter();
+    try (JsonGenerator line = json.createGenerator(text)) {
+      line.writeStartObject();
+      line.writeNumberField("ms", nowMs);
+      line.writeStringField("node", node);
+      line.writeStringField("kind", kind);
+      if (!requestId.isEmpty()) {
+        line.writeStringField("request", requestId);
+      }
+      for (int i = 0; i + 1 < fields.length; i += 2) {
+        writeField(line, String.valueOf(fields[i]), fields[i + 1]);
+      }
+      if (window.leftOut > 0) {
+        line.writeNumberField("leftOut", window.leftOut);
+        window.leftOut = 0;
+      }
+      line.writeEndObject();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer in memory failed", e);
+    }
+    LOGGER.info(text);
+  }
+
+  private static void writeField(JsonGenerator line, String name, Object value)
+      throws IOException {
+    if (value instanceof Integer || value instanceof Long) {
+      line.writeNumberField(name, ((Number) value).longValue());
+    } else if (value instanceof Boolean) {
+      line.writeBooleanField(name, (Boolean) value);
+    } else {
+      line.writeStringField(name, String.valueOf(value));
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -0,0 +1,99 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.state.LayerRange;
+
+/**
+ * Decides which orders to send next, so that a target has one order at a time and few targets load
+ * at once.
+ */
+public final class OrderTracker {
+
+  /**
+   * Time for which an order counts as under way. A target reports its new layers within its loading
+   * time and one heartbeat; an order that is not seen to take effect by then is sent again.
+   */
+  static final long UNDER_WAY_MS = 6_000;
+
+  /** Time before a failed order is sent again. */
+  static final long RETRY_MS = 500;
+
+  private final Map<String, Sent> sent = new HashMap<>();
+
+  private record Sent(LayerRange layers, long bornMs, long untilMs) {}
+
+  /**
+   * An order.
+   *
+   * @param target the target
+   * @param layers the layers that it should hold
+   */
+  public record Order(TargetEntry target, LayerRange layers) {}
+
+  /**
+   * Returns the orders that should be sent now.
+   *
+   * @param plan the plan
+   * @param entries the targets
+   * @param maxUnderWay orders that may be under way at once
+   * @param nowMs monotonic time
+   * @return the orders
+   */
+  public List<Order> due(
+      LayerPlan plan, List<TargetEntry> entries, int maxUnderWay, long nowMs) {
+    Map<String, TargetEntry> byId = new HashMap<>();
+    entries.forEach(entry -> byId.put(entry.id(), entry));
+    sent.entrySet().removeIf(e -> isOver(byId.get(e.getKey()), e.getValue(), nowMs));
+    List<Order> orders = new ArrayList<>();
+    for (TargetEntry entry : entries) {
+      LayerRange wanted = plan.ranges().get(entry.id());
+      boolean holdsIt = entry.layers().isPresent() && entry.layers().get().equals(wanted);
+      if (wanted != null
+          && !holdsIt
+          && !sent.containsKey(entry.id())
+          && sent.size() + orders.size() < maxUnderWay) {
+        orders.add(new Order(entry, wanted));
+      }
+    }
+    return orders;
+  }
+
+  private static boolean isOver(TargetEntry entry, Sent order, long nowMs) {
+    return entry == null
+        || nowMs >= order.untilMs()
+        || entry.bornMs() != order.bornMs()
+        || (entry.layers().isPresent() && entry.layers().get().equals(order.layers()));
+  }
+
+  /**
+   * Notes that an order is sent.
+   *
+   * @param order the order
+   * @param nowMs monotonic time
+   */
+  public void onSent(Order order, long nowMs) {
+    sent.put(
+        order.target().id(),
+        new Sent(order.layers(), order.target().bornMs(), nowMs + UNDER_WAY_MS));
+  }
+
+  /**
+   * Notes that a target did not take its order.
+   *
+   * @param targetId the target
+   * @param nowMs monotonic time
+   */
+  public void onFailed(String targetId, long nowMs) {
+    sent.computeIfPresent(
+        targetId, (id, order) -> new Sent(order.layers(), order.bornMs(), nowMs + RETRY_MS));
+  }
+
+  /** Forgets all orders, because this node no longer gives them. */
+  public void clear() {
+    sent.clear();
+  }
+}
