Plan pipelines inside data centres and repair running streams

Change: layers in proportion to memory inside a data centre, gaps filled by neighbours or borrowed targets, running streams repathed around lost targets, slow targets weighed by their reported pace.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/Load.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/Load.java
@@ -4,9 +4,9 @@
  * Requests in flight at a target.
  *
  * @param requests number of requests
- * @param tokens tokens of memory that they reserve
+ * @param layerTokens memory that they reserve, in tokens times the layers that the target runs
  */
-public record Load(int requests, long tokens) {
+public record Load(int requests, long layerTokens) {
 
   /** No requests. */
   public static final Load NONE = new Load(0, 0);
@@ -18,6 +18,6 @@
    * @return the sum, never null
    */
   public Load plus(Load other) {
-    return new Load(requests + other.requests, tokens + other.tokens);
+    return new Load(requests + other.requests, layerTokens + other.layerTokens);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/LoadBook.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/LoadBook.java
@@ -17,20 +17,20 @@
    * Adds a request of this node.
    *
    * @param targetId the target
-   * @param tokens tokens that it reserves
+   * @param layerTokens memory that it reserves, in tokens times layers
    */
-  public void add(String targetId, long tokens) {
-    own.merge(targetId, new Load(1, tokens), Load::plus);
+  public void add(String targetId, long layerTokens) {
+    own.merge(targetId, new Load(1, layerTokens), Load::plus);
   }
 
   /**
    * Removes a request of this node.
    *
    * @param targetId the target
-   * @param tokens tokens that it reserved
+   * @param layerTokens memory that it reserved
    */
-  public void remove(String targetId, long tokens) {
-    Load left = own.merge(targetId, new Load(-1, -tokens), Load::plus);
+  public void remove(String targetId, long layerTokens) {
+    Load left = own.merge(targetId, new Load(-1, -layerTokens), Load::plus);
     if (left.requests() <= 0) {
       own.remove(targetId);
     }
@@ -46,7 +46,7 @@
     Map<String, Load> before =
         loads.isEmpty() ? byPeer.remove(peer) : byPeer.put(peer, Map.copyOf(loads));
     if (before != null) {
-      before.forEach((id, load) -> addToPeers(id, new Load(-load.requests(), -load.tokens())));
+      before.forEach((id, load) -> addToPeers(id, new Load(-load.requests(), -load.layerTokens())));
     }
     loads.forEach(this::addToPeers);
   }
@@ -82,7 +82,7 @@
 
   private void addToPeers(String targetId, Load load) {
     Load sum = peersTotal.merge(targetId, load, Load::plus);
-    if (sum.requests() == 0 && sum.tokens() == 0) {
+    if (sum.requests() == 0 && sum.layerTokens() == 0) {
       peersTotal.remove(targetId);
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
@@ -1,9 +1,11 @@
 package org.gooseberryhook.router.admission;
 
+import java.util.function.ToDoubleFunction;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.PipelineStage;
+import org.gooseberryhook.router.fleet.TargetEntry;
 
 /**
  * Estimates the times of a pipeline from the figures of its engines and its load.
@@ -19,25 +21,32 @@
 
   private PipelineEstimate() {}
 
+  /** Factors by which targets are slower than their kinds; 1 is usual. */
+  @FunctionalInterface
+  public interface Paces extends ToDoubleFunction<TargetEntry> {}
+
   /**
    * Returns the time of one token step without prompts that are read meanwhile.
    *
    * @param pipeline the pipeline
    * @param profile figures of the engines
    * @param loads requests in flight
+   * @param paces how slow targets are
    * @return milliseconds
    */
-  public static double stepMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads) {
+  public static double stepMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads, Paces paces) {
     double sumMs = 0;
     for (PipelineStage stage : pipeline.stages()) {
       AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
       double share = (double) stage.layers().layerCount() / profile.layers();
       Load load = loads.total(stage.target().id());
+      double contextTokens = (double) load.layerTokens() / stage.layers().layerCount();
       double contextMs =
-          profile.contextMsPer1000Tokens() * load.tokens() / TOKENS_PER_CONTEXT_UNIT;
+          profile.contextMsPer1000Tokens() * contextTokens / TOKENS_PER_CONTEXT_UNIT;
       sumMs +=
           share
               * kind.paceFactor()
+              * paces.applyAsDouble(stage.target())
               * (profile.stepMs() + profile.perSequenceMs() * load.requests() + contextMs);
     }
     return sumMs;
@@ -49,14 +58,22 @@
    * @param pipeline the pipeline
    * @param profile figures of the engines
    * @param tokens prompt tokens
+   * @param paces how slow targets are
    * @return milliseconds
    */
-  public static double readMs(ModelPipeline pipeline, EngineProfile profile, double tokens) {
+  public static double readMs(
+      ModelPipeline pipeline, EngineProfile profile, double tokens, Paces paces) {
     double sumMs = 0;
     for (PipelineStage stage : pipeline.stages()) {
       AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
       double share = (double) stage.layers().layerCount() / profile.layers();
-      sumMs += share * kind.readFactor() * tokens * MS_PER_SECOND / profile.readTokensPerSecond();
+      sumMs +=
+          share
+              * kind.readFactor()
+              * paces.applyAsDouble(stage.target())
+              * tokens
+              * MS_PER_SECOND
+              / profile.readTokensPerSecond();
     }
     return sumMs;
   }
@@ -67,11 +84,12 @@
    * @param pipeline the pipeline
    * @param profile figures of the engines
    * @param loads requests in flight
+   * @param paces how slow targets are
    * @return milliseconds
    */
-  public static double pauseMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads) {
+  public static double pauseMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads, Paces paces) {
     double chunkMs =
-        readMs(pipeline, profile, Math.min(profile.chunkTokens(), profile.usualPromptTokens()));
-    return profile.strideSteps() * stepMs(pipeline, profile, loads) + chunkMs;
+        readMs(pipeline, profile, Math.min(profile.chunkTokens(), profile.usualPromptTokens()), paces);
+    return profile.strideSteps() * stepMs(pipeline, profile, loads, paces) + chunkMs;
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.ToDoubleFunction;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
@@ -15,6 +14,9 @@
  * stretch the pauses of the running streams beyond the target, or when this node has used up its
  * share. Answers the load pattern of many callers at once: engines never reject or preempt for want
  * of memory, and a full fleet turns away new requests rather than making all streams late.
+ *
+ * <p>When even an empty pipeline cannot keep the pauses, because its targets are slow, it still
+ * takes requests up to half of its memory: a late answer serves a caller better than none.
  */
 public final class StreamAdmission {
 
@@ -30,25 +32,34 @@
   /** Share of the time to the deadline within which the whole answer must be expected. */
   static final double DEADLINE_SHARE = 0.85;
 
+  /** Pause at which callers leave a stream; a pipeline near it is of no use. */
+  static final double MAX_PAUSE_MS = 1_000;
+
+  /** Share of its memory up to which a slow pipeline is filled. */
+  static final double SLOW_FILL = 0.5;
+
   private final LoadBook loads;
+  private final PipelineEstimate.Paces paces;
 
   /**
    * Creates the decision.
    *
    * @param loads requests in flight
+   * @param paces how slow targets are
    */
-  public StreamAdmission(LoadBook loads) {
+  public StreamAdmission(LoadBook loads, PipelineEstimate.Paces paces) {
     this.loads = loads;
+    this.paces = paces;
   }
 
   /**
-   * Chooses a pipeline.
+   * Chooses a pipeline: the least filled of those that keep the pauses, else the least filled slow
+   * one.
    *
    * @param request the request
    * @param pipelines the pipelines that may take it
    * @param profile figures of the engines
    * @param nodeCount live nodes that share the pipelines, at least 1
-   * @param slowness factor by which a pipeline is slower than estimated, at least 1
    * @param nowMs monotonic time
    * @return the pipeline, or empty if the request has to wait
    */
@@ -57,18 +68,15 @@
       List<ModelPipeline> pipelines,
       EngineProfile profile,
       int nodeCount,
-      ToDoubleFunction<ModelPipeline> slowness,
       long nowMs) {
     ModelPipeline best = null;
     double bestFill = Double.POSITIVE_INFINITY;
     for (ModelPipeline pipeline : pipelines) {
-      double fill = fill(pipeline, profile, request, slowness.applyAsDouble(pipeline));
-      boolean isOverShare =
-          fill > SHARED_FILL && ownShare(pipeline) * nodeCount > 1 && nodeCount > 1;
-      if (fill <= 1
-          && !isOverShare
-          && fill < bestFill
-          && endsInTime(pipeline, profile, request, slowness.applyAsDouble(pipeline), nowMs)) {
+      double fill = fill(pipeline, profile, request);
+      if (fill < bestFill
+          && fill <= 1
+          && !isOverShare(pipeline, fill, nodeCount)
+          && endsInTime(pipeline, profile, request, nowMs)) {
         best = pipeline;
         bestFill = fill;
       }
@@ -82,39 +90,54 @@
    * @param pipeline the pipeline
    * @param profile figures of the engines
    * @param request the request
-   * @param slowness factor by which the pipeline is slower than estimated
    * @return 1 at the bound
    */
-  public double fill(
-      ModelPipeline pipeline, EngineProfile profile, StreamRequest request, double slowness) {
-    double pauseMs = PipelineEstimate.pauseMs(pipeline, profile, loads) * slowness;
-    double fill = request.gapTargetMs() > 0 ? pauseMs / (request.gapTargetMs() * PAUSE_SHARE) : 0;
+  public double fill(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+    double fill = memoryFill(pipeline, profile, request);
+    if (request.gapTargetMs() <= 0) {
+      return fill;
+    }
+    double allowedMs = request.gapTargetMs() * PAUSE_SHARE;
+    double emptyMs = PipelineEstimate.pauseMs(pipeline, profile, new LoadBook(), paces);
+    double pauseMs = PipelineEstimate.pauseMs(pipeline, profile, loads, paces);
+    if (emptyMs < allowedMs) {
+      return Math.max(fill, pauseMs / allowedMs);
+    }
+    // Slow: ranks behind every pipeline that keeps the pauses.
+    boolean isUsable = pauseMs <= MAX_PAUSE_MS && fill <= SLOW_FILL;
+    return isUsable ? SLOW_FILL + fill : Double.POSITIVE_INFINITY;
+  }
+
+  private double memoryFill(
+      ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+    double fill = 0;
     for (PipelineStage stage : pipeline.stages()) {
       AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
-      double room =
-          profile.kvTokens(kind.memoryMb(), stage.layers().layerCount()) * MEMORY_SHARE;
-      double used = loads.total(stage.target().id()).tokens() + request.reservedTokens();
+      int held = stage.target().layers().orElse(stage.layers()).layerCount();
+      double room = profile.layerTokenRoom(kind.memoryMb(), held) * MEMORY_SHARE;
+      double used =
+          loads.total(stage.target().id()).layerTokens()
+              + (double) request.reservedTokens() * stage.layers().layerCount();
       fill = Math.max(fill, room > 0 ? used / room : Double.POSITIVE_INFINITY);
     }
     Load head = loads.total(pipeline.head().id());
     return Math.max(fill, (head.requests() + 1.0) / Math.max(1, pipeline.head().slots()));
   }
 
-  /** This node's part of the requests at the pipeline's head, in [0, 1]. */
-  private double ownShare(ModelPipeline pipeline) {
+  private boolean isOverShare(ModelPipeline pipeline, double fill, int nodeCount) {
+    if (fill <= SHARED_FILL || nodeCount <= 1) {
+      return false;
+    }
     String head = pipeline.head().id();
-    return (loads.own(head).requests() + 0.0) / Math.max(1, loads.total(head).requests());
+    int total = Math.max(1, loads.total(head).requests());
+    return (double) loads.own(head).requests() / total > 1.0 / nodeCount;
   }
 
   private boolean endsInTime(
-      ModelPipeline pipeline,
-      EngineProfile profile,
-      StreamRequest request,
-      double slowness,
-      long nowMs) {
-    double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads) * slowness;
+      ModelPipeline pipeline, EngineProfile profile, StreamRequest request, long nowMs) {
+    double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads, paces);
     double neededMs =
-        PipelineEstimate.readMs(pipeline, profile, request.promptTokens())
+        PipelineEstimate.readMs(pipeline, profile, request.promptTokens(), paces)
             + stepMs * request.expectedAnswerTokens();
     return neededMs <= (request.deadlineMs() - nowMs) * DEADLINE_SHARE;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
@@ -37,7 +37,7 @@
       packer.packMapHeader(report.loads().size());
       for (Map.Entry<String, Load> entry : report.loads().entrySet()) {
         packer.packString(entry.getKey()).packInt(entry.getValue().requests());
-        packer.packLong(entry.getValue().tokens());
+        packer.packLong(entry.getValue().layerTokens());
       }
       packer.packArrayHeader(report.suspects().size());
       for (String suspect : report.suspects()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/EngineProfile.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/EngineProfile.java
@@ -63,16 +63,16 @@
   }
 
   /**
-   * Returns the tokens of requests for which a target has room.
+   * Returns the memory that a target has for requests. A request takes one unit for each of its
+   * tokens and each layer that the target runs for it.
    *
    * @param memoryMb memory of the target
-   * @param layerCount layers that the target holds, at least 1
-   * @return tokens, 0 if the layers leave no room
+   * @param heldLayers layers that the target holds
+   * @return room in tokens times layers, 0 if the layers leave none
    */
-  public double kvTokens(double memoryMb, int layerCount) {
-    double freeMb = memoryMb - layerCount * layerMb;
-    double mbPerToken = kvBytesPerToken * layerCount / layers / BYTES_PER_MB;
-    return Math.max(0, freeMb / mbPerToken);
+  public double layerTokenRoom(double memoryMb, int heldLayers) {
+    double freeMb = memoryMb - heldLayers * layerMb;
+    return Math.max(0, freeMb * BYTES_PER_MB / (kvBytesPerToken / layers));
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipelines.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipelines.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.gooseberryhook.state.LayerRange;
@@ -12,15 +13,28 @@
  * Composes pipelines from the layers that targets report. All nodes compose the same pipelines from
  * the same reports, so that no node has to tell the others.
  *
- * <p>Each target is used once as long as that is possible. A pipeline that lacks a stage borrows
- * the target of another pipeline with the same layers, and both share its room.
+ * <p>A target is used by one pipeline as long as that is possible. Where a pipeline lacks a target,
+ * it borrows one that holds the missing layers from another pipeline, and both share its room. A
+ * target that is left over gives further variants of the pipelines of its data centre, which use it
+ * in place of those that hold the same layers.
  */
 public final class ModelPipelines {
 
   /** Targets that a request may pass through at most. */
   public static final int MAX_STAGES = 32;
 
-  private ModelPipelines() {}
+  /** Steps of one search at most; a search that needs more has no good pipeline to find. */
+  private static final int MAX_STEPS = 4_000;
+
+  private final List<TargetEntry> usable;
+  private final int layerCount;
+  private final Set<String> assigned = new HashSet<>();
+  private int stepsLeft;
+
+  private ModelPipelines(List<TargetEntry> usable, int layerCount) {
+    this.usable = usable;
+    this.layerCount = layerCount;
+  }
 
   /**
    * Composes the pipelines of a service.
@@ -34,64 +48,190 @@
       List<TargetEntry> entries, int layerCount, Predicate<TargetEntry> isUsable) {
     List<TargetEntry> usable = new ArrayList<>();
     for (TargetEntry entry : entries) {
-      if (entry.layers().isPresent() && !entry.isDraining() && isUsable.test(entry)) {
+      boolean fits = entry.layers().isPresent() && entry.layers().get().endLayer() <= layerCount;
+      if (fits && !entry.isDraining() && isUsable.test(entry)) {
         usable.add(entry);
       }
     }
     usable.sort(Comparator.comparing(TargetEntry::address));
-    Set<String> assigned = new HashSet<>();
+    return new ModelPipelines(usable, layerCount).composeAll();
+  }
+
+  private List<ModelPipeline> composeAll() {
     List<ModelPipeline> pipelines = new ArrayList<>();
     for (TargetEntry head : usable) {
-      if (head.layers().get().firstLayer() == 0) {
-        List<PipelineStage> path = new ArrayList<>();
-        if (extend(path, head, usable, assigned, layerCount)) {
-          path.forEach(stage -> assigned.add(stage.target().id()));
-          pipelines.add(new ModelPipeline(head.service(), path));
+      if (firstLayer(head) == 0 && !assigned.contains(head.id())) {
+        search(head, head.layers().get().endLayer(), head.zone()).ifPresent(pipelines::add);
+      }
+    }
+    for (TargetEntry start : usable) {
+      if (!assigned.contains(start.id()) && hasFollower(start)) {
+        borrowHead(start).ifPresent(pipelines::add);
+      }
+    }
+    List<ModelPipeline> variants = new ArrayList<>();
+    for (TargetEntry left : usable) {
+      if (!assigned.contains(left.id())) {
+        for (ModelPipeline pipeline : pipelines) {
+          if (pipeline.head().zone().equals(left.zone())) {
+            variant(pipeline, left).ifPresent(variants::add);
+          }
         }
       }
     }
+    pipelines.addAll(variants);
     return List.copyOf(pipelines);
   }
 
+  /** Tells whether a left-over target begins a chain of left-over ones: its head was lost. */
+  private boolean hasFollower(TargetEntry start) {
+    for (TargetEntry entry : usable) {
+      if (!assigned.contains(entry.id())
+          && entry.zone().equals(start.zone())
+          && firstLayer(entry) == start.layers().get().endLayer()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private Optional<ModelPipeline> borrowHead(TargetEntry start) {
+    for (TargetEntry head : usable) {
+      if (firstLayer(head) == 0 && firstLayer(start) > 0) {
+        int end = Math.min(head.layers().get().endLayer(), firstLayer(start));
+        Optional<ModelPipeline> found = search(head, end, start.zone());
+        if (found.isPresent()) {
+          return found;
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<ModelPipeline> search(TargetEntry head, int headEnd, String zone) {
+    List<PipelineStage> path = new ArrayList<>();
+    path.add(new PipelineStage(head, LayerRange.of(0, headEnd)));
+    stepsLeft = MAX_STEPS;
+    if (!extend(path, zone)) {
+      return Optional.empty();
+    }
+    path.forEach(stage -> assigned.add(stage.target().id()));
+    return Optional.of(new ModelPipeline(head.service(), path));
+  }
+
   /** Depth-first search for stages up to the last layer; restores the path if there is none. */
-  private static boolean extend(
-      List<PipelineStage> path,
-      TargetEntry next,
-      List<TargetEntry> usable,
-      Set<String> assigned,
-      int layerCount) {
-    LayerRange layers = next.layers().get();
-    path.add(new PipelineStage(next, layers));
-    if (layers.endLayer() == layerCount) {
+  private boolean extend(List<PipelineStage> path, String zone) {
+    PipelineStage last = path.get(path.size() - 1);
+    int from = last.layers().endLayer();
+    if (from == layerCount) {
       return true;
     }
-    if (path.size() < MAX_STAGES) {
-      for (TargetEntry candidate : candidates(next, usable, assigned)) {
-        if (extend(path, candidate, usable, assigned, layerCount)) {
-          return true;
-        }
+    if (path.size() >= MAX_STAGES) {
+      return false;
+    }
+    for (TargetEntry candidate : candidates(path, from, zone)) {
+      if (--stepsLeft < 0) {
+        return false;
       }
+      path.add(new PipelineStage(candidate, LayerRange.of(from, endOfPart(candidate, from, zone))));
+      if (extend(path, zone)) {
+        return true;
+      }
+      path.remove(path.size() - 1);
     }
-    path.remove(path.size() - 1);
     return false;
   }
 
-  /** Best first: not yet assigned, same kind, same data centre. */
-  private static List<TargetEntry> candidates(
-      TargetEntry before, List<TargetEntry> usable, Set<String> assigned) {
-    int fromLayer = before.layers().get().endLayer();
+  /** A target that begins elsewhere or is borrowed runs up to where an own target begins. */
+  private int endOfPart(TargetEntry target, int from, String zone) {
+    int end = target.layers().get().endLayer();
+    if (rank(target, from, zone) <= 1) {
+      return end;
+    }
+    for (TargetEntry other : usable) {
+      int start = firstLayer(other);
+      if (start > from && start < end && !assigned.contains(other.id()) && isIn(other, zone)) {
+        end = start;
+      }
+    }
+    return end;
+  }
+
+  private List<TargetEntry> candidates(List<PipelineStage> path, int from, String zone) {
+    long version = path.get(0).target().modelVersion();
     List<TargetEntry> found = new ArrayList<>();
     for (TargetEntry entry : usable) {
-      if (entry.layers().get().firstLayer() == fromLayer
-          && entry.modelVersion() == before.modelVersion()) {
+      LayerRange held = entry.layers().get();
+      boolean holdsNext = held.firstLayer() <= from && from < held.endLayer();
+      if (holdsNext && entry.modelVersion() == version && !isOn(path, entry)) {
         found.add(entry);
       }
     }
     found.sort(
-        Comparator.<TargetEntry>comparingInt(e -> assigned.contains(e.id()) ? 1 : 0)
-            .thenComparingInt(e -> e.acceleratorKind().equals(before.acceleratorKind()) ? 0 : 1)
-            .thenComparingInt(e -> e.zone().equals(before.zone()) ? 0 : 1)
+        Comparator.<TargetEntry>comparingInt(e -> rank(e, from, zone))
             .thenComparing(TargetEntry::address));
     return found;
   }
+
+  private static boolean isOn(List<PipelineStage> path, TargetEntry entry) {
+    for (PipelineStage stage : path) {
+      if (stage.target().id().equals(entry.id())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Order in which targets are tried: unused before borrowed, own data centre before others. */
+  private int rank(TargetEntry entry, int from, String zone) {
+    boolean isFree = !assigned.contains(entry.id());
+    boolean beginsHere = firstLayer(entry) == from;
+    if (isFree && beginsHere) {
+      return isIn(entry, zone) ? 0 : 1;
+    }
+    if (isIn(entry, zone)) {
+      return isFree ? 2 : 3;
+    }
+    return isFree ? 4 : 5;
+  }
+
+  /** The pipeline with a left-over target in place of what holds the same layers. */
+  private static Optional<ModelPipeline> variant(ModelPipeline pipeline, TargetEntry left) {
+    LayerRange held = left.layers().get();
+    List<PipelineStage> stages = new ArrayList<>();
+    boolean isPlaced = false;
+    for (PipelineStage stage : pipeline.stages()) {
+      int from = stage.layers().firstLayer();
+      int to = stage.layers().endLayer();
+      if (from < held.firstLayer()) {
+        int end = Math.min(to, held.firstLayer());
+        stages.add(new PipelineStage(stage.target(), LayerRange.of(from, end)));
+      }
+      if (!isPlaced && to > held.firstLayer()) {
+        stages.add(new PipelineStage(left, held));
+        isPlaced = true;
+      }
+      if (to > held.endLayer()) {
+        int start = Math.max(from, held.endLayer());
+        if (start == from || stages.get(stages.size() - 1).target() == left) {
+          stages.add(new PipelineStage(stage.target(), LayerRange.of(start, to)));
+        }
+      }
+    }
+    Set<String> distinct = new HashSet<>();
+    stages.forEach(stage -> distinct.add(stage.target().address()));
+    boolean isAllowed = distinct.size() == stages.size() && stages.size() <= MAX_STAGES;
+    boolean isSameVersion = pipeline.head().modelVersion() == left.modelVersion();
+    return isAllowed && isSameVersion
+        ? Optional.of(new ModelPipeline(pipeline.service(), stages))
+        : Optional.empty();
+  }
+
+  private static boolean isIn(TargetEntry entry, String zone) {
+    return entry.zone().equals(zone);
+  }
+
+  private static int firstLayer(TargetEntry entry) {
+    return entry.layers().get().firstLayer();
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
@@ -1,6 +1,8 @@
 package org.gooseberryhook.router.forward;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
 
@@ -44,4 +46,37 @@
    * @param pipeline the pipeline
    */
   void examine(ModelPipeline pipeline);
+
+  /**
+   * Returns how slow a target is.
+   *
+   * @param target the target
+   * @return factor on its times, 1 if it is as fast as its kind
+   */
+  double pace(TargetEntry target);
+
+  /**
+   * Finds the pipeline with which a running request can go on whose pipeline lost targets.
+   *
+   * @param broken the pipeline of the request
+   * @return a pipeline with the same head; empty if there is none, or if the pipeline is whole
+   */
+  Optional<ModelPipeline> replacement(ModelPipeline broken);
+
+  /**
+   * Tells whether a target is taken as not working.
+   *
+   * @param address address of the target
+   * @return true if it is left out of pipelines
+   */
+  boolean isSuspect(String address);
+
+  /**
+   * Has the head of a running request use other targets.
+   *
+   * @param attemptId id of the request
+   * @param pipeline the pipeline to use, with the same head
+   * @param onResult told whether the head agreed
+   */
+  void repath(String attemptId, ModelPipeline pipeline, Consumer<Boolean> onResult);
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -6,7 +6,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
-import org.gooseberryhook.router.admission.LoadBook;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -29,11 +28,17 @@
   /** Pause after which a caller leaves a stream at the earliest. */
   static final long CALLER_PATIENCE_MS = 2_000;
 
-  /** Pause between events after which the pipeline is examined. */
-  static final long SILENCE_MS = 700;
+  /** Pause between events after which the pipeline is examined; twice the usual target. */
+  static final long SILENCE_MS = 400;
 
   /** Time for the first event after which the pipeline is examined. */
-  static final long FIRST_SILENCE_MS = 1_000;
+  static final long FIRST_SILENCE_MS = 700;
+
+  /** Time between looks at a silent pipeline. */
+  static final long REPAIR_STEP_MS = 100;
+
+  /** Time before the caller leaves that a new run gets for its first event. */
+  static final long RESUME_MARGIN_MS = 700;
 
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_SPREAD_MS = 2_000;
@@ -107,14 +112,8 @@
     StreamRequest wanted = describe(nowMs);
     List<ModelPipeline> pipelines = context.fleet().pipelines(service);
     Optional<ModelPipeline> chosen =
-        new StreamAdmission(context.loads())
-            .choose(
-                wanted,
-                pipelines,
-                profile,
-                context.fleet().nodeCount(),
-                pipeline -> 1 + context.health().failures(pipeline.head().id(), nowMs),
-                nowMs);
+        new StreamAdmission(context.loads(), context.fleet()::pace)
+            .choose(wanted, pipelines, profile, context.fleet().nodeCount(), nowMs);
     chosen.ifPresent(
         pipeline -> {
           leaveQueue = () -> {};
@@ -240,8 +239,8 @@
 
   /** One run on one pipeline. */
   private final class Run implements ReplyListener {
-    private final ModelPipeline pipeline;
     private final long tokens;
+    private ModelPipeline pipeline;
     private final EventFramer framer = new EventFramer();
     private final long startedMs = context.clock().nowMs();
     private TargetChannel channel;
@@ -251,6 +250,7 @@
     private ReplyFacts facts;
     private ByteBuf failureBody;
     private boolean hasEvents;
+    private boolean isRepathing;
     private boolean isOver;
 
     Run(ModelPipeline pipeline, long tokens) {
@@ -259,10 +259,7 @@
     }
 
     void begin() {
-      LoadBook loads = context.loads();
-      for (PipelineStage stage : pipeline.stages()) {
-        loads.add(stage.target().id(), tokens);
-      }
+      reserve();
       context
           .channels()
           .acquire(
@@ -272,6 +269,18 @@
               this::onNotConnected);
     }
 
+    private void reserve() {
+      for (PipelineStage stage : pipeline.stages()) {
+        context.loads().add(stage.target().id(), tokens * stage.layers().layerCount());
+      }
+    }
+
+    private void release() {
+      for (PipelineStage stage : pipeline.stages()) {
+        context.loads().remove(stage.target().id(), tokens * stage.layers().layerCount());
+      }
+    }
+
     private void onConnected(TargetChannel connected) {
       if (isOver) {
         connected.abort();
@@ -306,16 +315,51 @@
     }
 
     private void watch(long afterMs) {
-      silenceTimer =
-          context.schedule(
-              () -> {
-                if (!isOver) {
-                  context.fleet().examine(pipeline);
-                  silenceTimer =
-                      context.schedule(this::onSilent, CALLER_PATIENCE_MS - SILENCE_MS - 500);
+      silenceTimer = context.schedule(this::onSuspiciousSilence, afterMs);
+    }
+
+    /** Has the pipeline examined and goes on without its broken targets, if there are any. */
+    private void onSuspiciousSilence() {
+      if (isOver) {
+        return;
+      }
+      long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
+      if (silentMs >= CALLER_PATIENCE_MS - RESUME_MARGIN_MS) {
+        onSilent();
+        return;
+      }
+      context.fleet().examine(pipeline);
+      repair();
+      silenceTimer = context.schedule(this::onSuspiciousSilence, REPAIR_STEP_MS);
+    }
+
+    /** Leaves a lost head for another pipeline, or has the head leave lost targets. */
+    private void repair() {
+      if (context.fleet().isSuspect(pipeline.head().address())) {
+        if (channel != null) {
+          channel.abort();
+        }
+        onBroken("head of the pipeline does not answer");
+        return;
+      }
+      Optional<ModelPipeline> replacement = context.fleet().replacement(pipeline);
+      if (replacement.isEmpty() || isRepathing || channel == null) {
+        return;
+      }
+      isRepathing = true;
+      context
+          .fleet()
+          .repath(
+              request.facts().attemptId(),
+              replacement.get(),
+              isAccepted -> {
+                isRepathing = false;
+                if (isAccepted && !isOver) {
+                  release();
+                  pipeline = replacement.get();
+                  reserve();
                 }
-              },
-              afterMs);
+              });
     }
 
     private void onSilent() {
@@ -440,9 +484,7 @@
       if (silenceTimer != null) {
         silenceTimer.cancel(false);
       }
-      for (PipelineStage stage : pipeline.stages()) {
-        context.loads().remove(stage.target().id(), tokens);
-      }
+      release();
       context.loop().execute(dispatcher::onRoomFreed);
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.configuration.ServiceSettings;
@@ -26,12 +29,16 @@
   /** Time between examinations of targets that did not answer. */
   private static final long RECHECK_MS = 500;
 
+  /** Pace above which a target counts as slow; reports vary a little around 1. */
+  private static final double SLOW_PACE = 1.3;
+
   private final TargetRegistry registry;
   private final EngineOrders orders;
   private final PeerTable peers;
   private final MonotonicClock clock;
   private final DecisionLog log;
   private final SuspectBoard suspects = new SuspectBoard();
+  private final Map<String, Double> paces = new HashMap<>();
   private final Map<String, List<TargetEntry>> targets = new HashMap<>();
   private final Map<String, List<ModelPipeline>> pipelines = new HashMap<>();
   private long seenRegistry = -1;
@@ -69,6 +76,7 @@
   void tick(Optional<RoutingConfiguration> configuration) {
     if (registry.revision() != seenRegistry) {
       suspects.retain(registry.entries());
+      retainPaces();
     }
     boolean isChanged =
         registry.revision() != seenRegistry || suspects.revision() != seenSuspects;
@@ -79,13 +87,19 @@
     if (clock.nowMs() >= nextRecheckMs) {
       nextRecheckMs = clock.nowMs() + RECHECK_MS;
       for (TargetEntry entry : registry.entries()) {
-        if (suspects.contains(entry.address())) {
+        if (suspects.contains(entry.address()) || paces.containsKey(entry.address())) {
           examine(entry);
         }
       }
     }
   }
 
+  private void retainPaces() {
+    Set<String> listed = new HashSet<>();
+    registry.entries().forEach(entry -> listed.add(entry.address()));
+    paces.keySet().retainAll(listed);
+  }
+
   private void compose(RoutingConfiguration configuration) {
     composed = Optional.of(configuration);
     seenSuspects = suspects.revision();
@@ -161,6 +175,59 @@
     }
   }
 
+  @Override
+  public double pace(TargetEntry target) {
+    Double pace = paces.get(target.address());
+    return pace == null ? 1 : pace;
+  }
+
+  @Override
+  public boolean isSuspect(String address) {
+    return suspects.contains(address);
+  }
+
+  @Override
+  public Optional<ModelPipeline> replacement(ModelPipeline broken) {
+    if (!hasSuspect(broken) || suspects.contains(broken.head().address())) {
+      return Optional.empty();
+    }
+    return pipelines(broken.service()).stream()
+        .filter(p -> p.stages().get(0).equals(broken.stages().get(0)))
+        .findFirst();
+  }
+
+  private boolean hasSuspect(ModelPipeline pipeline) {
+    for (PipelineStage stage : pipeline.stages()) {
+      if (suspects.contains(stage.target().address())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  @Override
+  public void repath(String attemptId, ModelPipeline pipeline, Consumer<Boolean> onResult) {
+    orders.repath(
+        attemptId,
+        pipeline,
+        result -> {
+          boolean isAccepted = result instanceof EngineResult.Accepted;
+          log.note("repath", attemptId, "path", pipeline.describe(), "result", result);
+          onResult.accept(isAccepted);
+        });
+  }
+
+  private void notePace(TargetEntry target, double pace) {
+    if (pace > SLOW_PACE) {
+      Double before = paces.put(target.address(), pace);
+      if (before == null) {
+        log.note("target-slow", "", "target", target.address(), "pace", pace);
+      }
+    } else if (paces.remove(target.address()) != null) {
+      log.note("target-at-pace", "", "target", target.address());
+    }
+  }
+
   private void examine(TargetEntry target) {
     if (!suspects.startExamination(target.address(), clock.nowMs())) {
       return;
@@ -173,6 +240,7 @@
             if (suspects.clear(target.address())) {
               log.note("target-answers", "", "target", target.address());
             }
+            notePace(target, state.pace());
             state.stalledAddresses().forEach(a -> suspect(a, "stalls " + target.address()));
           } else {
             suspect(target.address(), String.valueOf(result));
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -0,0 +1,124 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.gooseberryhook.router.configuration.AcceleratorKind;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.state.LayerRange;
+
+/**
+ * Plans pipelines for targets that hold nothing.
+ *
+ * <p>Each pipeline stays inside one data centre: the bandwidth between data centres is shared by
+ * all prompts, and a pipeline across them waits for it at each token. The targets of data centres
+ * that cannot hold the model are pooled.
+ */
+final class FirstPlan {
+
+  /** Pipelines of one data centre that are considered at most. */
+  private static final int MAX_PIPELINES = 16;
+
+  /** Targets that a request may pass through at most. */
+  private static final int MAX_STAGES = 32;
+
+  /** By how much another pipeline is worth more than the same room in fewer: a loss costs less. */
+  private static final double REDUNDANCY_GAIN = 1.05;
+
+  private FirstPlan() {}
+
+  /** A pipeline: targets in layer order and the layers of each. */
+  record Group(List<TargetEntry> targets, GroupSplit split) {
+
+    void addRanges(Map<String, LayerRange> ranges) {
+      int next = 0;
+      for (int i = 0; i < targets.size(); i++) {
+        int count = split.counts()[i];
+        if (count > 0) {
+          ranges.put(targets.get(i).id(), LayerRange.of(next, next + count));
+          next += count;
+        }
+      }
+    }
+  }
+
+  /** Plans all data centres. */
+  static List<Group> plan(List<TargetEntry> entries, EngineProfile profile) {
+    Map<String, List<TargetEntry>> byZone = new TreeMap<>();
+    for (TargetEntry entry : entries) {
+      byZone.computeIfAbsent(entry.zone(), z -> new ArrayList<>()).add(entry);
+    }
+    List<Group> groups = new ArrayList<>();
+    List<TargetEntry> pooled = new ArrayList<>();
+    for (List<TargetEntry> members : byZone.values()) {
+      List<Group> own = planPool(members, profile);
+      if (own.isEmpty()) {
+        pooled.addAll(members);
+      }
+      groups.addAll(own);
+    }
+    groups.addAll(planPool(pooled, profile));
+    return groups;
+  }
+
+  /** Plans targets that may work together, with the number of pipelines that takes the most. */
+  private static List<Group> planPool(List<TargetEntry> members, EngineProfile profile) {
+    List<Group> best = List.of();
+    double bestValue = 0;
+    for (int pipelines = 1; pipelines <= Math.min(MAX_PIPELINES, members.size()); pipelines++) {
+      Optional<List<Group>> groups = divide(members, pipelines, profile);
+      if (groups.isEmpty()) {
+        continue;
+      }
+      double value = Math.pow(REDUNDANCY_GAIN, pipelines - 1);
+      value *= groups.get().stream().mapToDouble(g -> g.split().requests()).sum();
+      if (value > bestValue) {
+        bestValue = value;
+        best = groups.get();
+      }
+    }
+    return best;
+  }
+
+  /** Deals the targets out, largest first, to the pipeline with the least memory. */
+  private static Optional<List<Group>> divide(
+      List<TargetEntry> members, int pipelines, EngineProfile profile) {
+    List<TargetEntry> sorted = new ArrayList<>(members);
+    sorted.sort(
+        Comparator.<TargetEntry>comparingDouble(e -> -kind(e, profile).memoryMb())
+            .thenComparing(TargetEntry::address));
+    List<List<TargetEntry>> dealt = new ArrayList<>();
+    double[] memoryMb = new double[pipelines];
+    for (int i = 0; i < pipelines; i++) {
+      dealt.add(new ArrayList<>());
+    }
+    for (TargetEntry entry : sorted) {
+      int least = 0;
+      for (int i = 1; i < pipelines; i++) {
+        least = memoryMb[i] < memoryMb[least] ? i : least;
+      }
+      if (dealt.get(least).size() < MAX_STAGES) {
+        dealt.get(least).add(entry);
+        memoryMb[least] += kind(entry, profile).memoryMb();
+      }
+    }
+    List<Group> groups = new ArrayList<>();
+    for (List<TargetEntry> targets : dealt) {
+      List<AcceleratorKind> kinds = targets.stream().map(e -> kind(e, profile)).toList();
+      Optional<GroupSplit> split = GroupSplit.best(kinds, profile);
+      if (split.isEmpty()) {
+        return Optional.empty();
+      }
+      groups.add(new Group(targets, split.get()));
+    }
+    return Optional.of(groups);
+  }
+
+  private static AcceleratorKind kind(TargetEntry entry, EngineProfile profile) {
+    return profile.kind(entry.acceleratorKind()).orElseThrow();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
@@ -0,0 +1,117 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhook.router.configuration.AcceleratorKind;
+import org.gooseberryhook.router.configuration.EngineProfile;
+
+/**
+ * Splits the layers of a model over the targets of one pipeline.
+ *
+ * <p>A pipeline takes as many requests as its smallest stage has memory for, as its head has slots
+ * for, and as its token step allows within the usual pause. Layers in proportion to memory give the
+ * most room; layers shifted to faster targets give shorter steps. Several proportions are tried.
+ *
+ * @param counts layers of each target, in the order of the targets
+ * @param requests requests that the pipeline takes at once
+ * @param stepMs time of a token step at that load
+ */
+public record GroupSplit(int[] counts, double requests, double stepMs) {
+
+  /** Exponents of the pace by which layers are shifted to faster targets. */
+  private static final double[] SHIFTS = {0, 0.15, 0.3, 0.5, 0.75, 1};
+
+  /**
+   * Pause between events that a plan may lead to. Routes state their own targets, which differ
+   * little; a plan serves all of them.
+   */
+  static final double PLANNED_PAUSE_MS = 120;
+
+  /**
+   * Finds the best split.
+   *
+   * @param kinds the kinds of the targets, in order
+   * @param profile figures of the engines
+   * @return the split, or empty if the layers do not fit
+   */
+  public static Optional<GroupSplit> best(List<AcceleratorKind> kinds, EngineProfile profile) {
+    GroupSplit best = null;
+    for (double shift : SHIFTS) {
+      int[] counts = proportional(kinds, profile, shift);
+      if (counts != null) {
+        GroupSplit split = rate(kinds, counts, profile);
+        if (best == null || split.requests > best.requests) {
+          best = split;
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Gives each layer in turn to the target that is then least filled; null if one has no room. */
+  private static int[] proportional(
+      List<AcceleratorKind> kinds, EngineProfile profile, double shift) {
+    int[] counts = new int[kinds.size()];
+    for (int layer = 0; layer < profile.layers(); layer++) {
+      int next = -1;
+      double leastFilled = Double.POSITIVE_INFINITY;
+      for (int i = 0; i < counts.length; i++) {
+        AcceleratorKind kind = kinds.get(i);
+        double filled =
+            (counts[i] + 1) * Math.pow(kind.paceFactor(), shift) / kind.memoryMb();
+        if (filled < leastFilled && (counts[i] + 1) * profile.layerMb() < kind.memoryMb()) {
+          leastFilled = filled;
+          next = i;
+        }
+      }
+      if (next < 0) {
+        return null;
+      }
+      counts[next]++;
+    }
+    return counts;
+  }
+
+  private static GroupSplit rate(
+      List<AcceleratorKind> kinds, int[] counts, EngineProfile profile) {
+    double usualTokens = profile.usualPromptTokens() + profile.usualAnswerTokens();
+    double requests = profile.slots();
+    double pace = 0;
+    double readFactor = 0;
+    for (int i = 0; i < counts.length; i++) {
+      if (counts[i] > 0) {
+        double room = profile.layerTokenRoom(kinds.get(i).memoryMb(), counts[i]);
+        requests = Math.min(requests, room / counts[i] / usualTokens);
+        double share = (double) counts[i] / profile.layers();
+        pace += share * kinds.get(i).paceFactor();
+        readFactor += share * kinds.get(i).readFactor();
+      }
+    }
+    double chunkMs = readFactor * profile.chunkTokens() * 1_000 / profile.readTokensPerSecond();
+    double perRequestMs =
+        pace * (profile.perSequenceMs() + profile.contextMsPer1000Tokens() * usualTokens / 1_000);
+    double baseMs = pace * profile.stepMs();
+    double allowedStepMs = (PLANNED_PAUSE_MS - chunkMs) / profile.strideSteps();
+    requests = Math.min(requests, Math.max(0, (allowedStepMs - baseMs) / perRequestMs));
+    return new GroupSplit(counts, requests, baseMs + requests * perRequestMs);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof GroupSplit that
+        && Arrays.equals(counts, that.counts)
+        && requests == that.requests
+        && stepMs == that.stepMs;
+  }
+
+  @Override
+  public int hashCode() {
+    return Arrays.hashCode(counts) * 31 + Double.hashCode(requests);
+  }
+
+  @Override
+  public String toString() {
+    return "GroupSplit[" + Arrays.toString(counts) + ", " + requests + ", " + stepMs + "]";
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -0,0 +1,179 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.state.LayerRange;
+
+/**
+ * Closes the gaps that lost targets leave, with few loads: an empty target takes the missing layers,
+ * else the targets that hold the layers before and after them take them in addition. The layers that
+ * a target holds already keep serving meanwhile.
+ */
+final class PlanRepair {
+
+  /** Share of a target's memory that stays free for requests when it takes further layers. */
+  static final double MIN_REQUEST_SHARE = 0.12;
+
+  private PlanRepair() {}
+
+  /** Adds the ranges that targets should change to; the others keep what they hold. */
+  static void repair(
+      List<TargetEntry> members, EngineProfile profile, Map<String, LayerRange> ranges) {
+    Map<String, List<TargetEntry>> byZone = new TreeMap<>();
+    for (TargetEntry entry : members) {
+      byZone.computeIfAbsent(entry.zone(), z -> new ArrayList<>()).add(entry);
+    }
+    for (List<TargetEntry> zone : byZone.values()) {
+      repairZone(zone, profile, ranges);
+    }
+  }
+
+  private static void repairZone(
+      List<TargetEntry> zone, EngineProfile profile, Map<String, LayerRange> ranges) {
+    List<TargetEntry> holders = new ArrayList<>();
+    List<TargetEntry> empty = new ArrayList<>();
+    for (TargetEntry entry : zone) {
+      (entry.layers().isPresent() ? holders : empty).add(entry);
+    }
+    empty.sort(Comparator.comparing(TargetEntry::address));
+    if (holders.isEmpty()) {
+      FirstPlan.plan(zone, profile).forEach(group -> group.addRanges(ranges));
+      return;
+    }
+    int[] copies = copies(holders, profile.layers());
+    int wanted = usualCopies(copies);
+    int from = 0;
+    while (from < profile.layers()) {
+      int to = from;
+      while (to < profile.layers() && copies[to] < wanted) {
+        to++;
+      }
+      if (to > from) {
+        fill(LayerRange.of(from, to), holders, empty, profile, ranges);
+      }
+      from = to + 1;
+    }
+    spread(holders, empty, profile, ranges);
+  }
+
+  private static int[] copies(List<TargetEntry> holders, int layers) {
+    int[] copies = new int[layers];
+    for (TargetEntry holder : holders) {
+      LayerRange held = holder.layers().get();
+      for (int i = held.firstLayer(); i < Math.min(layers, held.endLayer()); i++) {
+        copies[i]++;
+      }
+    }
+    return copies;
+  }
+
+  /** The number of copies that most layers have; a lost target lowers it for a few layers only. */
+  private static int usualCopies(int[] copies) {
+    int[] sorted = copies.clone();
+    Arrays.sort(sorted);
+    return Math.max(1, sorted[sorted.length / 2]);
+  }
+
+  private static void fill(
+      LayerRange gap,
+      List<TargetEntry> holders,
+      List<TargetEntry> empty,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    for (TargetEntry target : empty) {
+      if (capacity(target, profile) >= gap.layerCount()) {
+        ranges.put(target.id(), gap);
+        empty.remove(target);
+        return;
+      }
+    }
+    extendNeighbours(gap, holders, profile, ranges);
+  }
+
+  /** Splits the gap between the target before it and the one after it, by their free memory. */
+  private static void extendNeighbours(
+      LayerRange gap,
+      List<TargetEntry> holders,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    Optional<TargetEntry> before =
+        best(holders, e -> e.layers().get().endLayer() == gap.firstLayer(), profile, ranges);
+    Optional<TargetEntry> after =
+        best(holders, e -> e.layers().get().firstLayer() == gap.endLayer(), profile, ranges);
+    int spareBefore = before.map(e -> spare(e, profile)).orElse(0);
+    int spareAfter = after.map(e -> spare(e, profile)).orElse(0);
+    if (spareBefore + spareAfter < gap.layerCount()) {
+      return;
+    }
+    int share = Math.round((float) gap.layerCount() * spareBefore / (spareBefore + spareAfter));
+    int toBefore = Math.max(gap.layerCount() - spareAfter, Math.min(spareBefore, share));
+    int middle = gap.firstLayer() + toBefore;
+    if (toBefore > 0) {
+      TargetEntry target = before.get();
+      ranges.put(target.id(), LayerRange.of(target.layers().get().firstLayer(), middle));
+    }
+    if (middle < gap.endLayer()) {
+      TargetEntry target = after.get();
+      ranges.put(target.id(), LayerRange.of(middle, target.layers().get().endLayer()));
+    }
+  }
+
+  private static Optional<TargetEntry> best(
+      List<TargetEntry> holders,
+      Predicate<TargetEntry> isNeighbour,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    return holders.stream()
+        .filter(isNeighbour)
+        .filter(e -> !ranges.containsKey(e.id()))
+        .max(
+            Comparator.<TargetEntry>comparingInt(e -> spare(e, profile))
+                .thenComparing(TargetEntry::address));
+  }
+
+  /** An empty target that no gap needs takes over layers of the target with the least room. */
+  private static void spread(
+      List<TargetEntry> holders,
+      List<TargetEntry> empty,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    Map<String, TargetEntry> relieved = new HashMap<>();
+    for (TargetEntry target : empty) {
+      Optional<TargetEntry> tightest =
+          holders.stream()
+              .filter(e -> !relieved.containsKey(e.id()) && !ranges.containsKey(e.id()))
+              .filter(e -> capacity(target, profile) >= e.layers().get().layerCount())
+              .min(
+                  Comparator.<TargetEntry>comparingDouble(e -> tokensPerLayer(e, profile))
+                      .thenComparing(TargetEntry::address));
+      if (tightest.isPresent()) {
+        relieved.put(tightest.get().id(), target);
+        ranges.put(target.id(), tightest.get().layers().get());
+      }
+    }
+  }
+
+  private static double tokensPerLayer(TargetEntry entry, EngineProfile profile) {
+    int held = entry.layers().get().layerCount();
+    double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
+    return profile.layerTokenRoom(memoryMb, held) / held;
+  }
+
+  private static int capacity(TargetEntry entry, EngineProfile profile) {
+    double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
+    return profile.layerCapacity(memoryMb, MIN_REQUEST_SHARE);
+  }
+
+  private static int spare(TargetEntry entry, EngineProfile profile) {
+    return Math.max(0, capacity(entry, profile) - entry.layers().get().layerCount());
+  }
+}
