Repair all streams of a lost target at once

Cause: streams left a lost stage only after 400 ms of silence each, though the first refused request names it; a takeover of the lease took up to 9 s. Change: suspicion and departures repair all running streams; suspicion lasts 1 s at least, as a leaving target answers reports; holders report the revision of their lease record; repeats are spent per known node.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/RetryAllowance.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/RetryAllowance.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /**
  * Bounds the repeats that this node sends to a service. All nodes share one budget; each node
@@ -11,14 +12,12 @@
  */
 public final class RetryAllowance {
 
-  /** Nodes among which the constant share is split at least, so that joining nodes have a part. */
-  static final int MIN_PARTS = 12;
-
-  /** Part of the ratio that is spent; the rest covers requests that other windows count. */
-  static final double RATIO_SHARE = 0.5;
+  /** Part of the budget that is spent; the rest covers nodes that come, go, or are not seen. */
+  static final double SPENT_SHARE = 0.75;
 
   private final double ratio;
-  private final double constantShare;
+  private final double slack;
+  private final IntSupplier nodeCount;
   private final long windowMs;
   private final Map<String, ServiceWindow> windows = new HashMap<>();
 
@@ -28,11 +27,12 @@
    * @param ratio repeats for each request
    * @param slack repeats in a window for all nodes together, beside the ratio
    * @param windowMs length of the window
-   * @param nodeCount nodes that share the budget
+   * @param nodeCount tells how many nodes share the budget
    */
-  public RetryAllowance(double ratio, double slack, long windowMs, int nodeCount) {
-    this.ratio = ratio * RATIO_SHARE;
-    this.constantShare = slack / 2 / Math.max(MIN_PARTS, nodeCount);
+  public RetryAllowance(double ratio, double slack, long windowMs, IntSupplier nodeCount) {
+    this.ratio = ratio * SPENT_SHARE;
+    this.slack = slack * SPENT_SHARE;
+    this.nodeCount = nodeCount;
     this.windowMs = windowMs;
   }
 
@@ -55,6 +55,7 @@
    */
   public boolean trySpend(String service, long nowMs) {
     ServiceWindow window = window(service, nowMs);
+    double constantShare = slack / Math.max(1, nodeCount.getAsInt());
     if (window.repeatMs.size() + 1 > ratio * window.firstMs.size() + constantShare) {
       return false;
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -14,7 +14,7 @@
  * @param callerAddress address at which the sender takes callers
  * @param reportAddress address at which the sender takes reports
  * @param isReady whether the sender takes new callers
- * @param isPlanner whether the sender holds the placement lease
+ * @param leaseRevision revision of the lease record while the sender holds the lease, else 0
  * @param isStopping whether this is the sender's last report
  * @param loads the sender's requests in flight by target
  * @param suspects addresses of targets that failed at the sender lately
@@ -27,8 +27,18 @@
     String callerAddress,
     String reportAddress,
     boolean isReady,
-    boolean isPlanner,
+    long leaseRevision,
     boolean isStopping,
     Map<String, Load> loads,
     List<String> suspects,
-    List<Long> crashMarks) {}
+    List<Long> crashMarks) {
+
+  /**
+   * Tells whether the sender holds the placement lease.
+   *
+   * @return true if it plans the placement
+   */
+  public boolean isPlanner() {
+    return leaseRevision != 0;
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
@@ -33,7 +33,7 @@
       packer.packString(report.node()).packLong(report.incarnation());
       packer.packLong(report.sequence()).packString(report.callerAddress());
       packer.packString(report.reportAddress()).packBoolean(report.isReady());
-      packer.packBoolean(report.isPlanner()).packBoolean(report.isStopping());
+      packer.packLong(report.leaseRevision()).packBoolean(report.isStopping());
       packer.packMapHeader(report.loads().size());
       for (Map.Entry<String, Load> entry : report.loads().entrySet()) {
         packer.packString(entry.getKey()).packInt(entry.getValue().requests());
@@ -72,7 +72,7 @@
           unpacker.unpackString(),
           unpacker.unpackString(),
           unpacker.unpackBoolean(),
-          unpacker.unpackBoolean(),
+          unpacker.unpackLong(),
           unpacker.unpackBoolean(),
           readLoads(unpacker),
           readTexts(unpacker),
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -128,6 +128,17 @@
     return new HashSet<>(addresses.values());
   }
 
+  /**
+   * Returns the number of nodes that are live or registered, this one included.
+   *
+   * @return at least 1
+   */
+  public int knownCount() {
+    Set<String> names = new HashSet<>(contacts.keySet());
+    names.addAll(peers.keySet());
+    return 1 + names.size();
+  }
+
   /**
    * Tells whether a node is live.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
@@ -14,13 +14,13 @@
 public final class PlacementLease {
 
   /** Time for which a renewal counts, from before it was sent; three renewals fit. */
-  public static final long USABLE_MS = 3_000;
+  public static final long USABLE_MS = 2_000;
 
   /** Time for which a record must be unchanged before a takeover; a third above the usable time. */
-  public static final long TAKEOVER_MS = 4_000;
+  public static final long TAKEOVER_MS = 2_600;
 
   /** Time between renewals. */
-  public static final long RENEW_MS = 1_000;
+  public static final long RENEW_MS = 600;
 
   /**
    * The record in the store.
@@ -40,6 +40,8 @@
   private final long incarnation;
   private LeaseRecord seen;
   private long seenSinceMs;
+  private long heardRevision;
+  private long heardMs;
   private long usableUntilMs = Long.MIN_VALUE;
 
   /**
@@ -62,10 +64,31 @@
   public void onRead(LeaseRecord record, long nowMs) {
     if (seen == null || seen.revision() != record.revision()) {
       seen = record;
-      seenSinceMs = nowMs;
+      seenSinceMs = record.revision() == heardRevision ? heardMs : nowMs;
     }
   }
 
+  /**
+   * Notes that the holder said with which revision it holds the lease. If the record is then read
+   * with the same revision, it has not changed since.
+   *
+   * @param revision revision of its last renewal
+   * @param nowMs monotonic time
+   */
+  public void onHolderHeard(long revision, long nowMs) {
+    heardRevision = revision;
+    heardMs = nowMs;
+  }
+
+  /**
+   * Returns when a takeover may be due at the earliest.
+   *
+   * @return monotonic time
+   */
+  public long takeoverMs() {
+    return seenSinceMs + TAKEOVER_MS;
+  }
+
   /**
    * Tells whether this node should write the record now: to renew it, to take it over, or because
    * nobody holds it.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
@@ -63,6 +63,13 @@
    */
   Optional<ModelPipeline> replacement(ModelPipeline broken);
 
+  /**
+   * Returns a number that rises when pipelines change.
+   *
+   * @return the number
+   */
+  long revision();
+
   /**
    * Tells whether a target is taken as not working.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -79,6 +79,11 @@
     dispatcher.onRoomFreed();
   }
 
+  /** Has running streams leave targets that are lost or about to leave. */
+  public void repairStreams() {
+    dispatcher.repairAll();
+  }
+
   /** Ends each connection after the request that it serves. */
   public void stopConnections() {
     server.stopConnections();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
@@ -2,7 +2,10 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.gooseberryhook.router.admission.WaitQueue;
 
 /** Lets streams wait for room in pipelines and starts them in order. */
@@ -16,6 +19,8 @@
 
   private final ForwardContext context;
   private final Map<String, WaitQueue<StreamExchange>> queues = new HashMap<>();
+  private final Set<StreamExchange> running = new LinkedHashSet<>();
+  private long repairedRevision;
   private ScheduledFuture<?> timer;
 
   StreamDispatcher(ForwardContext context) {
@@ -44,6 +49,25 @@
     arm();
   }
 
+  /** Counts a stream as running on a pipeline. */
+  void onRunning(StreamExchange exchange) {
+    running.add(exchange);
+  }
+
+  /** Counts a stream as no longer running on a pipeline. */
+  void onRunEnded(StreamExchange exchange) {
+    running.remove(exchange);
+  }
+
+  /** Has the running streams leave lost targets, if the pipelines have changed. */
+  void repairAll() {
+    long revision = context.fleet().revision();
+    if (revision != repairedRevision) {
+      repairedRevision = revision;
+      List.copyOf(running).forEach(StreamExchange::repair);
+    }
+  }
+
   /** Looks at the waiting streams because room may have become free. */
   void onRoomFreed() {
     for (WaitQueue<StreamExchange> queue : queues.values()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -152,6 +152,13 @@
     }
   }
 
+  /** Leaves lost targets of the pipeline, if the stream runs on one. */
+  void repair() {
+    if (run != null && !run.isOver) {
+      run.repair();
+    }
+  }
+
   private void fail(ProblemReply problem) {
     settle(problem.kind());
     if (reply.isBegun()) {
@@ -260,6 +267,7 @@
 
     void begin() {
       reserve();
+      dispatcher.onRunning(StreamExchange.this);
       context
           .channels()
           .acquire(
@@ -485,6 +493,7 @@
         silenceTimer.cancel(false);
       }
       release();
+      dispatcher.onRunEnded(StreamExchange.this);
       context.loop().execute(dispatcher::onRoomFreed);
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -40,11 +40,13 @@
   private final SuspectBoard suspects = new SuspectBoard();
   private final Map<String, Double> paces = new HashMap<>();
   private final Map<String, List<TargetEntry>> targets = new HashMap<>();
+  private final Map<String, TargetEntry> usable = new HashMap<>();
   private final Map<String, List<ModelPipeline>> pipelines = new HashMap<>();
   private long seenRegistry = -1;
   private long seenSuspects = -1;
   private long nextRecheckMs;
   private Optional<RoutingConfiguration> composed = Optional.empty();
+  private long composedRevision;
 
   FleetState(
       TargetRegistry registry,
@@ -63,6 +65,11 @@
     return suspects;
   }
 
+  @Override
+  public long revision() {
+    return composedRevision;
+  }
+
   /** Forces a new composition, because the configuration has changed. */
   void onChanged() {
     seenRegistry = -1;
@@ -104,9 +111,11 @@
     composed = Optional.of(configuration);
     seenSuspects = suspects.revision();
     targets.clear();
+    usable.clear();
     for (TargetEntry entry : registry.entries()) {
       if (!entry.isDraining()) {
         targets.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
+        usable.put(entry.address(), entry);
       }
     }
     Map<String, List<ModelPipeline>> before = new HashMap<>(pipelines);
@@ -124,6 +133,7 @@
                           entry -> !suspects.contains(entry.address()))));
     }
     if (!before.equals(pipelines)) {
+      composedRevision++;
       pipelines.forEach(
           (service, list) ->
               list.forEach(
@@ -148,7 +158,7 @@
 
   @Override
   public void suspect(String address, String reason) {
-    if (suspects.add(address)) {
+    if (suspects.add(address, clock.nowMs())) {
       log.note("suspect", "", "target", address, "reason", reason);
       composed.ifPresent(this::compose);
     }
@@ -188,21 +198,34 @@
 
   @Override
   public Optional<ModelPipeline> replacement(ModelPipeline broken) {
-    if (!hasSuspect(broken) || suspects.contains(broken.head().address())) {
+    if (isWhole(broken)) {
       return Optional.empty();
     }
-    return pipelines(broken.service()).stream()
-        .filter(p -> p.stages().get(0).equals(broken.stages().get(0)))
-        .findFirst();
+    for (ModelPipeline pipeline : pipelines(broken.service())) {
+      PipelineStage head = pipeline.stages().get(0);
+      PipelineStage brokenHead = broken.stages().get(0);
+      if (head.target().address().equals(brokenHead.target().address())
+          && head.layers().equals(brokenHead.layers())) {
+        return Optional.of(pipeline);
+      }
+    }
+    return Optional.empty();
   }
 
-  private boolean hasSuspect(ModelPipeline pipeline) {
+  /** Tells whether all targets of a pipeline still hold their parts and stay. */
+  private boolean isWhole(ModelPipeline pipeline) {
     for (PipelineStage stage : pipeline.stages()) {
-      if (suspects.contains(stage.target().address())) {
-        return true;
+      TargetEntry now = usable.get(stage.target().address());
+      if (now == null
+          || suspects.contains(now.address())
+          || now.bornMs() != stage.target().bornMs()
+          || now.layers().isEmpty()
+          || now.layers().get().firstLayer() > stage.layers().firstLayer()
+          || now.layers().get().endLayer() < stage.layers().endLayer()) {
+        return false;
       }
     }
-    return false;
+    return true;
   }
 
   @Override
@@ -237,7 +260,7 @@
         EXAMINE_TIMEOUT_MS,
         result -> {
           if (result instanceof EngineResult.State state) {
-            if (suspects.clear(target.address())) {
+            if (suspects.clear(target.address(), clock.nowMs())) {
               log.note("target-answers", "", "target", target.address());
             }
             notePace(target, state.pace());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
@@ -19,9 +19,6 @@
 
   static final String KEY = "lease/placement";
 
-  /** Time between readings while another node says that it holds the lease. */
-  private static final long WATCH_MS = 5_000;
-
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final TableService table;
@@ -59,8 +56,9 @@
       return;
     }
     if (!isHeld && hasOtherPlanner.getAsBoolean()) {
-      nextMs = nowMs + WATCH_MS;
-    } else if (lease.isDue(nowMs)) {
+      return;
+    }
+    if (lease.isDue(nowMs)) {
       write();
     } else {
       read();
@@ -77,7 +75,9 @@
               long nowMs = clock.nowMs();
               if (result instanceof TableResult.Read read) {
                 lease.onRead(decode(read.records()), nowMs);
-                nextMs = lease.isDue(nowMs) ? nowMs : nowMs + PlacementLease.RENEW_MS;
+                nextMs =
+                    Math.max(
+                        nowMs, Math.min(nowMs + PlacementLease.RENEW_MS, lease.takeoverMs()));
               } else {
                 nextMs = nowMs + PlacementLease.RENEW_MS / 2;
               }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -141,7 +141,10 @@
             () -> configuration,
             fleet,
             new RetryAllowance(
-                settings.retryRatio(), settings.retrySlack(), settings.retryWindowMs(), 1),
+                settings.retryRatio(),
+                settings.retrySlack(),
+                settings.retryWindowMs(),
+                peers::knownCount),
             new TargetHealth(),
             log,
             settings.addresses().callers(),
@@ -201,6 +204,7 @@
       registration.tick();
       leaseKeeper.tick();
       fleet.tick(configuration);
+      forwarder.repairStreams();
       placement.tick(configuration);
       int factor = peers.live().size() > SMALL_FLEET ? 4 : 1;
       if (nowMs - lastReportMs >= REPORT_MS * factor) {
@@ -235,7 +239,7 @@
             settings.addresses().callers(),
             settings.addresses().reports(),
             isReady(),
-            lease.isHeld(lastReportMs),
+            lease.isHeld(lastReportMs) ? lease.seen().revision() : 0,
             isLast,
             loads.ownLoads(),
             fleet.suspects().suspects(),
@@ -250,6 +254,9 @@
         log.note("node-seen", "", "peer", report.node(), "incarnation", report.incarnation());
       }
       loads.replacePeer(report.node(), report.isStopping() ? Map.of() : report.loads());
+      if (report.isPlanner()) {
+        lease.onHolderHeard(report.leaseRevision(), clock.nowMs());
+      }
       fleet.onPeerSuspects(report.suspects());
       if (forwarder.waitingCount() > 0) {
         forwarder.onRoomChanged();
@@ -411,6 +418,7 @@
 
   private void onFleetChanged() {
     fleet.tick(configuration);
+    forwarder.repairStreams();
     if (forwarder.waitingCount() > 0) {
       forwarder.onRoomChanged();
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
@@ -17,26 +17,36 @@
   /** Time between two examinations of a target that answered the last one. */
   static final long EXAMINE_PAUSE_MS = 400;
 
-  private final Set<String> suspects = new HashSet<>();
+  /**
+   * Time for which a target stays suspected at least. A target that is leaving or gives up layers
+   * refuses requests and still answers questions about its state.
+   */
+  static final long MIN_SUSPECT_MS = 1_000;
+
+  private final Map<String, Long> suspects = new HashMap<>();
   private final Map<String, Long> examinedMs = new HashMap<>();
   private long revision;
 
   /** Marks a target as not working; returns false if it was known. */
-  boolean add(String address) {
-    boolean isNew = suspects.add(address);
+  boolean add(String address, long nowMs) {
+    boolean isNew = suspects.put(address, nowMs) == null;
     revision += isNew ? 1 : 0;
     return isNew;
   }
 
-  /** Notes that a target answered; returns false if it was not suspected. */
-  boolean clear(String address) {
-    boolean wasSuspected = suspects.remove(address);
-    revision += wasSuspected ? 1 : 0;
-    return wasSuspected;
+  /** Notes that a target answered; returns false if it was not suspected or still is. */
+  boolean clear(String address, long nowMs) {
+    Long sinceMs = suspects.get(address);
+    if (sinceMs == null || nowMs - sinceMs < MIN_SUSPECT_MS) {
+      return false;
+    }
+    suspects.remove(address);
+    revision++;
+    return true;
   }
 
   boolean contains(String address) {
-    return suspects.contains(address);
+    return suspects.containsKey(address);
   }
 
   /** Tells whether a target should be examined now, and notes that it is. */
@@ -50,14 +60,14 @@
   }
 
   List<String> suspects() {
-    return new ArrayList<>(suspects);
+    return new ArrayList<>(suspects.keySet());
   }
 
   /** Forgets targets that are no longer listed. */
   void retain(List<TargetEntry> entries) {
     Set<String> listed = new HashSet<>();
     entries.forEach(entry -> listed.add(entry.address()));
-    if (suspects.retainAll(listed)) {
+    if (suspects.keySet().retainAll(listed)) {
       revision++;
     }
     examinedMs.keySet().retainAll(listed);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -27,7 +27,7 @@
   private static final int MAX_STAGES = 32;
 
   /** By how much another pipeline is worth more than the same room in fewer: a loss costs less. */
-  private static final double REDUNDANCY_GAIN = 1.05;
+  private static final double REDUNDANCY_GAIN = 1.15;
 
   private FirstPlan() {}
 
