Keep spare targets and allow longer pauses

Cause: lost targets at the end of a pipeline were not replaced, as only one neighbour is left to take their layers; pipelines were bounded at 140 ms where 200 ms are on time. Change: the first plan leaves out targets that can stand in for most others while that costs at most 12% of the room; estimated pauses up to 0.75 of the target.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -24,7 +24,7 @@
   static final double MEMORY_SHARE = 0.92;
 
   /** Share of the pause target that the estimate may reach; the rest takes clusters of prompts. */
-  static final double PAUSE_SHARE = 0.6;
+  static final double PAUSE_SHARE = 0.75;
 
   /** Above this fill, a node takes no more than its part of a pipeline. */
   static final double SHARED_FILL = 0.85;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -23,7 +23,7 @@
 final class StreamExchange implements Exchange {
 
   /** Share of the latency target that a new stream may wait; later its first event is late. */
-  static final double WAIT_SHARE = 0.5;
+  static final double WAIT_SHARE = 0.4;
 
   /** Pause after which a caller leaves a stream at the earliest. */
   static final long CALLER_PATIENCE_MS = 2_000;
@@ -38,7 +38,7 @@
   static final long REPAIR_STEP_MS = 100;
 
   /** Time before the caller leaves that a new run gets for its first event. */
-  static final long RESUME_MARGIN_MS = 700;
+  static final long RESUME_MARGIN_MS = 400;
 
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_SPREAD_MS = 2_000;
@@ -366,10 +366,18 @@
                   release();
                   pipeline = replacement.get();
                   reserve();
+                } else if (!isOver && isSilent()) {
+                  channel.abort();
+                  onBroken("no other target has room for the lost layers");
                 }
               });
     }
 
+    private boolean isSilent() {
+      long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
+      return silentMs > SILENCE_MS;
+    }
+
     private void onSilent() {
       if (!isOver) {
         channel.abort();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -26,8 +26,11 @@
   /** Targets that a request may pass through at most. */
   private static final int MAX_STAGES = 32;
 
-  /** By how much another pipeline is worth more than the same room in fewer: a loss costs less. */
-  private static final double REDUNDANCY_GAIN = 1.15;
+  /**
+   * Share of the room for requests that a data centre gives up for spare targets. A spare takes the
+   * layers of a lost target within seconds, while the others go on unchanged.
+   */
+  private static final double SPARE_COST = 0.12;
 
   private FirstPlan() {}
 
@@ -55,16 +58,75 @@
     List<Group> groups = new ArrayList<>();
     List<TargetEntry> pooled = new ArrayList<>();
     for (List<TargetEntry> members : byZone.values()) {
-      List<Group> own = planPool(members, profile);
+      List<Group> own = planWithSpares(members, profile);
       if (own.isEmpty()) {
         pooled.addAll(members);
       }
       groups.addAll(own);
     }
-    groups.addAll(planPool(pooled, profile));
+    groups.addAll(planWithSpares(pooled, profile));
     return groups;
   }
 
+  /** Leaves out targets that can stand in for most others, as long as that costs little room. */
+  private static List<Group> planWithSpares(List<TargetEntry> members, EngineProfile profile) {
+    List<TargetEntry> used = new ArrayList<>(members);
+    List<Group> best = planPool(used, profile);
+    double leastRoom = room(best) * (1 - SPARE_COST);
+    while (!best.isEmpty()) {
+      TargetEntry spare = null;
+      List<Group> bestWithout = List.of();
+      for (TargetEntry candidate : distinctKinds(used)) {
+        List<TargetEntry> rest = new ArrayList<>(used);
+        rest.remove(candidate);
+        List<Group> without = planPool(rest, profile);
+        if (room(without) >= leastRoom
+            && isStandIn(candidate, without, profile)
+            && room(without) > room(bestWithout)) {
+          spare = candidate;
+          bestWithout = without;
+        }
+      }
+      if (spare == null) {
+        return best;
+      }
+      used.remove(spare);
+      best = bestWithout;
+    }
+    return best;
+  }
+
+  private static double room(List<Group> groups) {
+    return groups.stream().mapToDouble(g -> g.split().requests()).sum();
+  }
+
+  /** One target of each kind, the last by address. */
+  private static List<TargetEntry> distinctKinds(List<TargetEntry> members) {
+    Map<String, TargetEntry> byKind = new TreeMap<>();
+    for (TargetEntry entry : members) {
+      byKind.merge(
+          entry.acceleratorKind(),
+          entry,
+          (a, b) -> a.address().compareTo(b.address()) > 0 ? a : b);
+    }
+    return List.copyOf(byKind.values());
+  }
+
+  /** Tells whether a spare has the memory for the layers of most targets. */
+  private static boolean isStandIn(TargetEntry spare, List<Group> groups, EngineProfile profile) {
+    int capacity =
+        profile.layerCapacity(kind(spare, profile).memoryMb(), PlanRepair.MIN_REQUEST_SHARE);
+    int fitting = 0;
+    int all = 0;
+    for (Group group : groups) {
+      for (int count : group.split().counts()) {
+        fitting += count <= capacity ? 1 : 0;
+        all++;
+      }
+    }
+    return fitting * 2 > all;
+  }
+
   /** Plans targets that may work together, with the number of pipelines that takes the most. */
   private static List<Group> planPool(List<TargetEntry> members, EngineProfile profile) {
     List<Group> best = List.of();
@@ -74,8 +136,7 @@
       if (groups.isEmpty()) {
         continue;
       }
-      double value = Math.pow(REDUNDANCY_GAIN, pipelines - 1);
-      value *= groups.get().stream().mapToDouble(g -> g.split().requests()).sum();
+      double value = room(groups.get());
       if (value > bestValue) {
         bestValue = value;
         best = groups.get();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
@@ -26,7 +26,7 @@
    * Pause between events that a plan may lead to. Routes state their own targets, which differ
    * little; a plan serves all of them.
    */
-  static final double PLANNED_PAUSE_MS = 120;
+  static final double PLANNED_PAUSE_MS = 150;
 
   /**
    * Finds the best split.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -23,6 +23,9 @@
   /** Share of a target's memory that stays free for requests when it takes further layers. */
   static final double MIN_REQUEST_SHARE = 0.12;
 
+  /** Room for requests, as a share of the usual one, below which a target is relieved. */
+  private static final double TIGHT_SHARE = 0.6;
+
   private PlanRepair() {}
 
   /** Adds the ranges that targets should change to; the others keep what they hold. */
@@ -140,24 +143,36 @@
                 .thenComparing(TargetEntry::address));
   }
 
-  /** An empty target that no gap needs takes over layers of the target with the least room. */
+  /**
+   * Empty targets that no gap needs form further pipelines if they can. Else they stay spare, but
+   * for one that relieves a target with far less room than the others.
+   */
   private static void spread(
       List<TargetEntry> holders,
       List<TargetEntry> empty,
       EngineProfile profile,
       Map<String, LayerRange> ranges) {
-    Map<String, TargetEntry> relieved = new HashMap<>();
+    List<FirstPlan.Group> further = FirstPlan.plan(empty, profile);
+    if (!further.isEmpty()) {
+      further.forEach(group -> group.addRanges(ranges));
+      return;
+    }
+    double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
+    double usualRoom = room[room.length / 2];
+    Map<LayerRange, Integer> holdersOf = new HashMap<>();
+    holders.forEach(e -> holdersOf.merge(e.layers().get(), 1, Integer::sum));
     for (TargetEntry target : empty) {
       Optional<TargetEntry> tightest =
           holders.stream()
-              .filter(e -> !relieved.containsKey(e.id()) && !ranges.containsKey(e.id()))
+              .filter(e -> tokensPerLayer(e, profile) < usualRoom * TIGHT_SHARE)
+              .filter(e -> holdersOf.get(e.layers().get()) == 1 && !ranges.containsKey(e.id()))
               .filter(e -> capacity(target, profile) >= e.layers().get().layerCount())
               .min(
                   Comparator.<TargetEntry>comparingDouble(e -> tokensPerLayer(e, profile))
                       .thenComparing(TargetEntry::address));
       if (tightest.isPresent()) {
-        relieved.put(tightest.get().id(), target);
         ranges.put(target.id(), tightest.get().layers().get());
+        return;
       }
     }
   }
