Move streams to pipelines nearby instead of across data centres

Cause: repaths onto borrowed targets of another data centre wait for the shared pipe, 66 kB for each token of each stream; refusals for want of memory were taken for dead targets. Change: streams of a broken pipeline go on at a pipeline inside one data centre if one has room; streams of a leaving target wait 1.7 s for a replacement nearby; a target that refused is left out for 0.4 s and examined.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
@@ -16,6 +16,12 @@
  */
 public final class PipelineEstimate {
 
+  private static final double BITS_PER_BYTE = 8;
+  private static final double BITS_PER_MS = 1_000;
+
+  /** Transfers between data centres wait for one another; as many wait on average as one passes. */
+  private static final double PIPE_CONTENTION = 2;
+
   private static final double MS_PER_SECOND = 1_000;
   private static final double TOKENS_PER_CONTEXT_UNIT = 1_000;
 
@@ -75,7 +81,9 @@
               * MS_PER_SECOND
               / profile.readTokensPerSecond();
     }
-    return sumMs;
+    double crossingMs =
+        tokens * profile.activationBytes() * BITS_PER_BYTE / (profile.pipeMbps() * BITS_PER_MS);
+    return sumMs + pipeline.zoneCrossings() * crossingMs * PIPE_CONTENTION;
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
@@ -51,6 +51,20 @@
     return false;
   }
 
+  /**
+   * Returns how often a token passes from one data centre to another on its way.
+   *
+   * @return crossings, 0 for a pipeline inside one data centre
+   */
+  public int zoneCrossings() {
+    int crossings = 0;
+    for (int i = 1; i < stages.size(); i++) {
+      String before = stages.get(i - 1).target().zone();
+      crossings += stages.get(i).target().zone().equals(before) ? 0 : 1;
+    }
+    return crossings;
+  }
+
   /**
    * Returns a text that names the stages.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
@@ -40,6 +40,23 @@
    */
   void suspect(String address, String reason);
 
+  /**
+   * Leaves a target out of new requests for a moment and examines it, because it refused one: it
+   * may be dead, leaving, changing its layers, or short of memory.
+   *
+   * @param address address of the target
+   */
+  void avoid(String address);
+
+  /**
+   * Tells whether a pipeline lost targets only because they are about to leave, and they still
+   * serve for a while.
+   *
+   * @param pipeline the pipeline
+   * @return true if its streams can wait for a replacement nearby
+   */
+  boolean isLeaving(ModelPipeline pipeline);
+
   /**
    * Has the targets of a pipeline examined whose stream is silent or broke.
    *
@@ -63,13 +80,6 @@
    */
   Optional<ModelPipeline> replacement(ModelPipeline broken);
 
-  /**
-   * Returns a number that rises when pipelines change.
-   *
-   * @return the number
-   */
-  long revision();
-
   /**
    * Tells whether a target is taken as not working.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
@@ -20,7 +20,6 @@
   private final ForwardContext context;
   private final Map<String, WaitQueue<StreamExchange>> queues = new HashMap<>();
   private final Set<StreamExchange> running = new LinkedHashSet<>();
-  private long repairedRevision;
   private ScheduledFuture<?> timer;
 
   StreamDispatcher(ForwardContext context) {
@@ -59,13 +58,9 @@
     running.remove(exchange);
   }
 
-  /** Has the running streams leave lost targets, if the pipelines have changed. */
+  /** Has the running streams leave lost targets. */
   void repairAll() {
-    long revision = context.fleet().revision();
-    if (revision != repairedRevision) {
-      repairedRevision = revision;
-      List.copyOf(running).forEach(StreamExchange::repair);
-    }
+    List.copyOf(running).forEach(StreamExchange::repair);
   }
 
   /** Looks at the waiting streams because room may have become free. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -42,6 +42,9 @@
 
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_SPREAD_MS = 2_000;
+  /** By how much pauses may grow for a stream that goes on at another pipeline. */
+  private static final double RESUME_PAUSE_FACTOR = 1.5;
+
   private static final double HINT_MARGIN = 1.2;
   private static final int STATUS_OK = 200;
   private static final int STATUS_SERVER_ERROR = 500;
@@ -110,25 +113,31 @@
   boolean tryStart() {
     long nowMs = context.clock().nowMs();
     StreamRequest wanted = describe(nowMs);
-    List<ModelPipeline> pipelines = context.fleet().pipelines(service);
-    Optional<ModelPipeline> chosen =
-        new StreamAdmission(context.loads(), context.fleet()::pace)
-            .choose(wanted, pipelines, profile, context.fleet().nodeCount(), nowMs);
-    chosen.ifPresent(
-        pipeline -> {
-          leaveQueue = () -> {};
-          run = new Run(pipeline, wanted.reservedTokens());
-          run.begin();
-        });
+    Optional<ModelPipeline> chosen = choose(wanted, context.fleet().pipelines(service), nowMs);
+    chosen.ifPresent(pipeline -> startOn(pipeline, wanted));
     return chosen.isPresent();
   }
 
+  private Optional<ModelPipeline> choose(
+      StreamRequest wanted, List<ModelPipeline> pipelines, long nowMs) {
+    return new StreamAdmission(context.loads(), context.fleet()::pace)
+        .choose(wanted, pipelines, profile, context.fleet().nodeCount(), nowMs);
+  }
+
+  private void startOn(ModelPipeline pipeline, StreamRequest wanted) {
+    leaveQueue = () -> {};
+    run = new Run(pipeline, wanted.reservedTokens());
+    run.begin();
+  }
+
   private StreamRequest describe(long nowMs) {
     int prompt = request.facts().promptTokens().orElse(profile.usualPromptTokens());
     int most = request.facts().maxAnswerTokens().orElse(profile.usualAnswerTokens());
     int hint = request.facts().answerHintTokens().orElse(profile.usualAnswerTokens());
     int likely = (int) Math.max(hint * HINT_MARGIN, profile.usualAnswerTokens());
     int expected = Math.max(1, Math.min(most, likely) - answerTokens);
+    // A stream that has begun goes on before others begin, even if their pauses grow.
+    double patience = runs == 0 ? 1 : RESUME_PAUSE_FACTOR;
     return new StreamRequest(
         prompt + answerTokens,
         expected,
@@ -136,7 +145,7 @@
         nowMs,
         endMs,
         route().targetLatencyMs(),
-        route().gapTargetMs());
+        (long) (route().gapTargetMs() * patience));
   }
 
   /** The wait for room is over. */
@@ -354,6 +363,10 @@
       if (replacement.isEmpty() || isRepathing || channel == null) {
         return;
       }
+      boolean isRemote = replacement.get().zoneCrossings() > pipeline.zoneCrossings();
+      if (isRemote && (context.fleet().isLeaving(pipeline) || moveAway())) {
+        return;
+      }
       isRepathing = true;
       context
           .fleet()
@@ -373,6 +386,32 @@
               });
     }
 
+    /**
+     * Goes on at another pipeline inside one data centre, if one has room. The bandwidth between
+     * data centres would take seconds for the tokens of all streams of a pipeline.
+     */
+    private boolean moveAway() {
+      long nowMs = context.clock().nowMs();
+      StreamRequest wanted = describe(nowMs);
+      List<ModelPipeline> whole =
+          context.fleet().pipelines(service).stream()
+              .filter(p -> p.zoneCrossings() == 0 && !p.head().equals(pipeline.head()))
+              .toList();
+      Optional<ModelPipeline> other = choose(wanted, whole, nowMs);
+      boolean mayMove =
+          route().isResumable()
+              && other.isPresent()
+              && runs < Math.max(1, route().maxAttempts()) + lostRuns + 1
+              && context.allowance().trySpend(service, nowMs);
+      if (mayMove) {
+        context.log().note("move", request.facts().attemptId(), "from", pipeline.describe());
+        cancel();
+        lostRuns++;
+        startOn(other.get(), wanted);
+      }
+      return mayMove;
+    }
+
     private boolean isSilent() {
       long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
       return silentMs > SILENCE_MS;
@@ -462,7 +501,7 @@
         context
             .log()
             .note("refused", request.facts().attemptId(), "status", status, "fault", at);
-        facts.faultAddress().ifPresent(a -> context.fleet().suspect(a, "named at fault"));
+        facts.faultAddress().ifPresent(context.fleet()::avoid);
         context.health().noteFailure(pipeline.head().id(), 0.5, nowMs);
         lostRuns++;
         onRunLost("target-refused", "the pipeline refused the request");
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -29,6 +29,12 @@
   /** Time between examinations of targets that did not answer. */
   private static final long RECHECK_MS = 500;
 
+  /**
+   * Time for which streams stay on a leaving target while a replacement nearby loads its layers;
+   * leaving targets serve for two seconds at least.
+   */
+  private static final long LEAVING_WAIT_MS = 1_700;
+
   /** Pace above which a target counts as slow; reports vary a little around 1. */
   private static final double SLOW_PACE = 1.3;
 
@@ -40,13 +46,13 @@
   private final SuspectBoard suspects = new SuspectBoard();
   private final Map<String, Double> paces = new HashMap<>();
   private final Map<String, List<TargetEntry>> targets = new HashMap<>();
+  private final Map<String, Long> leavingSinceMs = new HashMap<>();
   private final Map<String, TargetEntry> usable = new HashMap<>();
   private final Map<String, List<ModelPipeline>> pipelines = new HashMap<>();
   private long seenRegistry = -1;
   private long seenSuspects = -1;
   private long nextRecheckMs;
   private Optional<RoutingConfiguration> composed = Optional.empty();
-  private long composedRevision;
 
   FleetState(
       TargetRegistry registry,
@@ -65,11 +71,6 @@
     return suspects;
   }
 
-  @Override
-  public long revision() {
-    return composedRevision;
-  }
-
   /** Forces a new composition, because the configuration has changed. */
   void onChanged() {
     seenRegistry = -1;
@@ -85,6 +86,7 @@
       suspects.retain(registry.entries());
       retainPaces();
     }
+    suspects.expire(clock.nowMs());
     boolean isChanged =
         registry.revision() != seenRegistry || suspects.revision() != seenSuspects;
     if (isChanged && configuration.isPresent()) {
@@ -112,12 +114,17 @@
     seenSuspects = suspects.revision();
     targets.clear();
     usable.clear();
+    Set<String> leaving = new HashSet<>();
     for (TargetEntry entry : registry.entries()) {
-      if (!entry.isDraining()) {
+      if (entry.isDraining()) {
+        leaving.add(entry.address());
+        leavingSinceMs.putIfAbsent(entry.address(), clock.nowMs());
+      } else {
         targets.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
         usable.put(entry.address(), entry);
       }
     }
+    leavingSinceMs.keySet().retainAll(leaving);
     Map<String, List<ModelPipeline>> before = new HashMap<>(pipelines);
     pipelines.clear();
     for (ServiceSettings service : configuration.services().values()) {
@@ -130,10 +137,11 @@
                       ModelPipelines.compose(
                           targets.getOrDefault(service.name(), List.of()),
                           engine.layers(),
-                          entry -> !suspects.contains(entry.address()))));
+                          entry ->
+                              !suspects.contains(entry.address())
+                                  && !suspects.isAvoided(entry.address()))));
     }
     if (!before.equals(pipelines)) {
-      composedRevision++;
       pipelines.forEach(
           (service, list) ->
               list.forEach(
@@ -164,6 +172,30 @@
     }
   }
 
+  @Override
+  public void avoid(String address) {
+    TargetEntry target = usable.get(address);
+    if (target != null && suspects.avoid(address, clock.nowMs())) {
+      log.note("avoid", "", "target", address);
+      composed.ifPresent(this::compose);
+      examine(target);
+    }
+  }
+
+  @Override
+  public boolean isLeaving(ModelPipeline pipeline) {
+    long nowMs = clock.nowMs();
+    for (PipelineStage stage : pipeline.stages()) {
+      String address = stage.target().address();
+      Long sinceMs = leavingSinceMs.get(address);
+      boolean isLeaving = sinceMs != null && nowMs - sinceMs < LEAVING_WAIT_MS;
+      if (suspects.contains(address) || (!isLeaving && !usable.containsKey(address))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   @Override
   public void examine(ModelPipeline pipeline) {
     for (PipelineStage stage : pipeline.stages()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
@@ -24,6 +24,10 @@
   static final long MIN_SUSPECT_MS = 1_000;
 
   private final Map<String, Long> suspects = new HashMap<>();
+  /** Time for which a target that refused a request gets no new ones. */
+  static final long AVOID_MS = 400;
+
+  private final Map<String, Long> avoidedUntilMs = new HashMap<>();
   private final Map<String, Long> examinedMs = new HashMap<>();
   private long revision;
 
@@ -49,6 +53,24 @@
     return suspects.containsKey(address);
   }
 
+  /** Leaves a target out of new requests for a moment; returns false if it is left out already. */
+  boolean avoid(String address, long nowMs) {
+    boolean isNew = avoidedUntilMs.put(address, nowMs + AVOID_MS) == null;
+    revision += isNew ? 1 : 0;
+    return isNew;
+  }
+
+  boolean isAvoided(String address) {
+    return avoidedUntilMs.containsKey(address);
+  }
+
+  /** Takes targets back whose time is over. */
+  void expire(long nowMs) {
+    if (avoidedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs)) {
+      revision++;
+    }
+  }
+
   /** Tells whether a target should be examined now, and notes that it is. */
   boolean startExamination(String address, long nowMs) {
     Long lastMs = examinedMs.get(address);
