Compose pipelines inside data centres first and count attempts by heads

Change: composition inside data centres comes first and borrowed targets stay with their own; orders under way count as held when planning; extended targets give their surplus to a returned one; only runs that were refused, or whose head is dead, do not count as attempts.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipelines.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipelines.java
@@ -29,6 +29,7 @@
   private final List<TargetEntry> usable;
   private final int layerCount;
   private final Set<String> assigned = new HashSet<>();
+  private boolean isLocalOnly;
   private int stepsLeft;
 
   private ModelPipelines(List<TargetEntry> usable, int layerCount) {
@@ -59,11 +60,8 @@
 
   private List<ModelPipeline> composeAll() {
     List<ModelPipeline> pipelines = new ArrayList<>();
-    for (TargetEntry head : usable) {
-      if (firstLayer(head) == 0 && !assigned.contains(head.id())) {
-        search(head, head.layers().get().endLayer(), head.zone()).ifPresent(pipelines::add);
-      }
-    }
+    composeHeads(pipelines, true);
+    composeHeads(pipelines, false);
     for (TargetEntry start : usable) {
       if (!assigned.contains(start.id()) && hasFollower(start)) {
         borrowHead(start).ifPresent(pipelines::add);
@@ -83,6 +81,19 @@
     return List.copyOf(pipelines);
   }
 
+  /**
+   * Composes pipelines from their heads, first inside data centres, so that a pipeline that lacks a
+   * target does not take those of another data centre away.
+   */
+  private void composeHeads(List<ModelPipeline> pipelines, boolean isLocal) {
+    isLocalOnly = isLocal;
+    for (TargetEntry head : usable) {
+      if (firstLayer(head) == 0 && !assigned.contains(head.id())) {
+        search(head, head.layers().get().endLayer(), head.zone()).ifPresent(pipelines::add);
+      }
+    }
+  }
+
   /** Tells whether a left-over target begins a chain of left-over ones: its head was lost. */
   private boolean hasFollower(TargetEntry start) {
     for (TargetEntry entry : usable) {
@@ -115,7 +126,11 @@
     if (!extend(path, zone)) {
       return Optional.empty();
     }
-    path.forEach(stage -> assigned.add(stage.target().id()));
+    for (PipelineStage stage : path) {
+      if (!isLocalOnly || isIn(stage.target(), zone)) {
+        assigned.add(stage.target().id());
+      }
+    }
     return Optional.of(new ModelPipeline(head.service(), path));
   }
 
@@ -145,7 +160,7 @@
   /** A target that begins elsewhere or is borrowed runs up to where an own target begins. */
   private int endOfPart(TargetEntry target, int from, String zone) {
     int end = target.layers().get().endLayer();
-    if (rank(target, from, zone) <= 1) {
+    if (!assigned.contains(target.id()) && firstLayer(target) == from) {
       return end;
     }
     for (TargetEntry other : usable) {
@@ -163,7 +178,8 @@
     for (TargetEntry entry : usable) {
       LayerRange held = entry.layers().get();
       boolean holdsNext = held.firstLayer() <= from && from < held.endLayer();
-      if (holdsNext && entry.modelVersion() == version && !isOn(path, entry)) {
+      boolean isNear = !isLocalOnly || isIn(entry, zone);
+      if (holdsNext && isNear && entry.modelVersion() == version && !isOn(path, entry)) {
         found.add(entry);
       }
     }
@@ -186,13 +202,10 @@
   private int rank(TargetEntry entry, int from, String zone) {
     boolean isFree = !assigned.contains(entry.id());
     boolean beginsHere = firstLayer(entry) == from;
-    if (isFree && beginsHere) {
-      return isIn(entry, zone) ? 0 : 1;
-    }
     if (isIn(entry, zone)) {
-      return isFree ? 2 : 3;
+      return isFree ? (beginsHere ? 0 : 1) : 2;
     }
-    return isFree ? 4 : 5;
+    return isFree ? (beginsHere ? 3 : 4) : 5;
   }
 
   /** The pipeline with a left-over target in place of what holds the same layers. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -27,4 +27,25 @@
     String acceleratorKind,
     Optional<LayerRange> layers,
     long bornMs,
-    long modelVersion) {}
+    long modelVersion) {
+
+  /**
+   * Returns this entry with other layers.
+   *
+   * @param newLayers the layers
+   * @return the entry, never null
+   */
+  public TargetEntry withLayers(LayerRange newLayers) {
+    return new TargetEntry(
+        id,
+        service,
+        address,
+        zone,
+        slots,
+        isDraining,
+        acceleratorKind,
+        Optional.of(newLayers),
+        bornMs,
+        modelVersion);
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -68,6 +68,7 @@
   private int answerTokens;
   private int runs;
   private int unprovenSends;
+  /** Runs that do not count as attempts: not begun, or on a head that is dead. */
   private int lostRuns;
   private boolean isSettled;
 
@@ -233,12 +234,16 @@
             context.clock().nowMs() - request.arrivedMs());
   }
 
+  private boolean hasAttempt() {
+    return runs < Math.max(1, route().maxAttempts()) + lostRuns;
+  }
+
   /** A run ended early: goes on elsewhere if that is allowed, else tells the caller. */
   private void onRunLost(String kind, String detail) {
     boolean isAllowed = unprovenSends == 0 || route().isResumable();
     long nowMs = context.clock().nowMs();
     boolean isInBudget =
-        runs < Math.max(1, route().maxAttempts()) + lostRuns
+        hasAttempt()
             && (runs == 0 || context.allowance().trySpend(service, nowMs));
     if (!isAllowed || !isInBudget) {
       fail(
@@ -401,12 +406,11 @@
       boolean mayMove =
           route().isResumable()
               && other.isPresent()
-              && runs < Math.max(1, route().maxAttempts()) + lostRuns + 1
+              && hasAttempt()
               && context.allowance().trySpend(service, nowMs);
       if (mayMove) {
         context.log().note("move", request.facts().attemptId(), "from", pipeline.describe());
         cancel();
-        lostRuns++;
         startOn(other.get(), wanted);
       }
       return mayMove;
@@ -519,7 +523,7 @@
     public void onBroken(String reason) {
       if (!isOver) {
         end();
-        lostRuns++;
+        lostRuns += context.fleet().isSuspect(pipeline.head().address()) ? 1 : 0;
         context.fleet().examine(pipeline);
         context
             .log()
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -90,7 +90,7 @@
     }
     List<TargetEntry> usable =
         entries.stream().filter(e -> !suspects.contains(e.address())).toList();
-    LayerPlan plan = LayerPlanner.plan(usable, profile);
+    LayerPlan plan = LayerPlanner.plan(tracker.expected(usable), profile);
     int maxOrders = isFirstPlan ? Integer.MAX_VALUE : Math.max(1, profile.loadsAtOnce());
     for (OrderTracker.Order order : tracker.due(plan, usable, maxOrders, nowMs)) {
       send(order, nowMs);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -69,6 +69,23 @@
         || (entry.layers().isPresent() && entry.layers().get().equals(order.layers()));
   }
 
+  /**
+   * Returns the targets as they will be when the orders under way have taken effect, so that a plan
+   * does not order again what is being loaded.
+   *
+   * @param entries the targets
+   * @return the targets with the layers that they are loading
+   */
+  public List<TargetEntry> expected(List<TargetEntry> entries) {
+    List<TargetEntry> expected = new ArrayList<>();
+    for (TargetEntry entry : entries) {
+      Sent order = sent.get(entry.id());
+      boolean isUnderWay = order != null && order.bornMs() == entry.bornMs();
+      expected.add(isUnderWay ? entry.withLayers(order.layers()) : entry);
+    }
+    return expected;
+  }
+
   /**
    * Notes that an order is sent.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -145,7 +144,7 @@
 
   /**
    * Empty targets that no gap needs form further pipelines if they can. Else they stay spare, but
-   * for one that relieves a target with far less room than the others.
+   * for one that relieves targets with far less room than the others.
    */
   private static void spread(
       List<TargetEntry> holders,
@@ -159,20 +158,103 @@
     }
     double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
     double usualRoom = room[room.length / 2];
-    Map<LayerRange, Integer> holdersOf = new HashMap<>();
-    holders.forEach(e -> holdersOf.merge(e.layers().get(), 1, Integer::sum));
-    for (TargetEntry target : empty) {
-      Optional<TargetEntry> tightest =
-          holders.stream()
-              .filter(e -> tokensPerLayer(e, profile) < usualRoom * TIGHT_SHARE)
-              .filter(e -> holdersOf.get(e.layers().get()) == 1 && !ranges.containsKey(e.id()))
-              .filter(e -> capacity(target, profile) >= e.layers().get().layerCount())
-              .min(
-                  Comparator.<TargetEntry>comparingDouble(e -> tokensPerLayer(e, profile))
-                      .thenComparing(TargetEntry::address));
-      if (tightest.isPresent()) {
-        ranges.put(target.id(), tightest.get().layers().get());
-        return;
+    trim(holders, usualRoom, profile, ranges);
+    if (!empty.isEmpty()) {
+      relieve(holders, empty, usualRoom, profile, ranges);
+    }
+  }
+
+  /** Gives an empty target the layers that the two tightest neighbours have too many of. */
+  private static void relieve(
+      List<TargetEntry> holders,
+      List<TargetEntry> empty,
+      double usualRoom,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    LayerRange best = null;
+    for (TargetEntry before : holders) {
+      for (TargetEntry after : holders) {
+        LayerRange left = before.layers().get();
+        LayerRange right = after.layers().get();
+        boolean isCovered = isOverlapped(before, holders) || isOverlapped(after, holders);
+        if (left.endLayer() != right.firstLayer() || isCovered) {
+          continue;
+        }
+        int from = left.endLayer() - excess(before, usualRoom, profile);
+        int to = right.firstLayer() + excess(after, usualRoom, profile);
+        if (to > from && (best == null || to - from > best.layerCount())) {
+          best = LayerRange.of(from, to);
+        }
+      }
+    }
+    if (best != null) {
+      for (TargetEntry target : empty) {
+        if (capacity(target, profile) >= best.layerCount()) {
+          ranges.put(target.id(), best);
+          return;
+        }
+      }
+    }
+  }
+
+  private static boolean isOverlapped(TargetEntry entry, List<TargetEntry> holders) {
+    LayerRange held = entry.layers().get();
+    for (TargetEntry other : holders) {
+      LayerRange its = other.layers().get();
+      boolean isOther = !other.id().equals(entry.id());
+      if (isOther
+          && its.firstLayer() < held.endLayer()
+          && held.firstLayer() < its.endLayer()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Layers that a target with far less room than usual holds beyond its part. */
+  private static int excess(TargetEntry entry, double usualRoom, EngineProfile profile) {
+    if (tokensPerLayer(entry, profile) >= usualRoom * TIGHT_SHARE) {
+      return 0;
+    }
+    int held = entry.layers().get().layerCount();
+    double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
+    int fair = held;
+    while (fair > 1 && profile.layerTokenRoom(memoryMb, fair) / fair < usualRoom) {
+      fair--;
+    }
+    return held - fair;
+  }
+
+  /** Tight targets give up layers at their ends that another target holds too. */
+  private static void trim(
+      List<TargetEntry> holders,
+      double usualRoom,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    for (TargetEntry entry : holders) {
+      if (ranges.containsKey(entry.id()) || excess(entry, usualRoom, profile) == 0) {
+        continue;
+      }
+      LayerRange held = entry.layers().get();
+      for (TargetEntry other : holders) {
+        LayerRange its = other.layers().get();
+        boolean isUsable =
+            !ranges.containsKey(other.id()) && excess(other, usualRoom, profile) == 0;
+        if (!isUsable) {
+          continue;
+        }
+        if (its.firstLayer() > held.firstLayer()
+            && its.firstLayer() < held.endLayer()
+            && its.endLayer() >= held.endLayer()) {
+          ranges.put(entry.id(), LayerRange.of(held.firstLayer(), its.firstLayer()));
+          break;
+        }
+        if (its.firstLayer() <= held.firstLayer()
+            && its.endLayer() > held.firstLayer()
+            && its.endLayer() < held.endLayer()) {
+          ranges.put(entry.id(), LayerRange.of(its.endLayer(), held.endLayer()));
+          break;
+        }
       }
     }
   }
