Split layers by throughput instead of room

Cause: splits by memory alone put 25 of 80 layers on the slowest targets, so steps were long and many streams were in flight when a target was lost. Ruled out: more pipelines for less exposure; they leave no room for spares. Change: the split and the number of pipelines maximize requests for each millisecond of a step.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -97,7 +97,7 @@
   }
 
   private static double room(List<Group> groups) {
-    return groups.stream().mapToDouble(g -> g.split().requests()).sum();
+    return groups.stream().mapToDouble(g -> g.split().throughput()).sum();
   }
 
   /** One target of each kind, the last by address. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
@@ -15,12 +15,12 @@
  *
  * @param counts layers of each target, in the order of the targets
  * @param requests requests that the pipeline takes at once
- * @param stepMs time of a token step at that load
+ * @param stepMs time of a token step at that load, with the prompts that are read meanwhile
  */
 public record GroupSplit(int[] counts, double requests, double stepMs) {
 
   /** Exponents of the pace by which layers are shifted to faster targets. */
-  private static final double[] SHIFTS = {0, 0.15, 0.3, 0.5, 0.75, 1};
+  private static final double[] SHIFTS = {0, 0.15, 0.3, 0.5, 0.75, 1, 1.5, 2};
 
   /**
    * Pause between events that a plan may lead to. Routes state their own targets, which differ
@@ -41,7 +41,7 @@
       int[] counts = proportional(kinds, profile, shift);
       if (counts != null) {
         GroupSplit split = rate(kinds, counts, profile);
-        if (best == null || split.requests > best.requests) {
+        if (best == null || split.throughput() > best.throughput()) {
           best = split;
         }
       }
@@ -94,7 +94,18 @@
     double baseMs = pace * profile.stepMs();
     double allowedStepMs = (PLANNED_PAUSE_MS - chunkMs) / profile.strideSteps();
     requests = Math.min(requests, Math.max(0, (allowedStepMs - baseMs) / perRequestMs));
-    return new GroupSplit(counts, requests, baseMs + requests * perRequestMs);
+    double readMs = chunkMs / profile.strideSteps();
+    return new GroupSplit(counts, requests, baseMs + requests * perRequestMs + readMs);
+  }
+
+  /**
+   * Returns the tokens that the pipeline makes in a millisecond at its full load. Short steps also
+   * leave fewer streams in flight when a target is lost.
+   *
+   * @return requests for each millisecond of a step
+   */
+  public double throughput() {
+    return requests / stepMs;
   }
 
   @Override
