Test the router's decisions and keep the lease record of the holder

Cause: a property test found that a holder whose renewal has no answer reported no fencing number; a returned target with little memory was given so many layers that it became the tightest.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
@@ -1,5 +1,6 @@
 package org.gooseberryhook.router.cluster;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -77,7 +78,7 @@
           readLoads(unpacker),
           readTexts(unpacker),
           readNumbers(unpacker));
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | EOFException e) {
       throw new IOException("a peer report cannot be decoded", e);
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
@@ -39,6 +39,7 @@
   private final String self;
   private final long incarnation;
   private LeaseRecord seen;
+  private LeaseRecord held = LeaseRecord.NONE;
   private long seenSinceMs;
   private long heardRevision;
   private long heardMs;
@@ -127,6 +128,7 @@
    */
   public void onWritten(LeaseRecord written, long sentMs) {
     seen = written;
+    held = written;
     seenSinceMs = sentMs;
     usableUntilMs = sentMs + USABLE_MS;
   }
@@ -137,7 +139,7 @@
    * @param fencingNumber the refused number
    */
   public void onFenced(long fencingNumber) {
-    if (seen != null && isSelf(seen) && seen.fencingNumber() == fencingNumber) {
+    if (held.fencingNumber() == fencingNumber) {
       usableUntilMs = Long.MIN_VALUE;
       seen = null;
     }
@@ -148,7 +150,7 @@
     seen = null;
   }
 
-  /** Gives the lease up; the record should be written with {@link LeaseRecord#holder} empty. */
+  /** Stops to use the lease until it is renewed. */
   public void giveUp() {
     usableUntilMs = Long.MIN_VALUE;
   }
@@ -164,21 +166,13 @@
   }
 
   /**
-   * Returns the fencing number to send with orders.
+   * Returns the record that this node wrote last.
    *
-   * @return the number of the record seen last
+   * @return the record, whose fencing number goes with orders; {@link LeaseRecord#NONE} if this
+   *     node never held the lease
    */
-  public long fencingNumber() {
-    return seen == null ? 0 : seen.fencingNumber();
-  }
-
-  /**
-   * Returns the record seen last.
-   *
-   * @return the record, or null before the first reading
-   */
-  public LeaseRecord seen() {
-    return seen;
+  public LeaseRecord held() {
+    return held;
   }
 
   private boolean isSelf(LeaseRecord record) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
@@ -50,7 +50,7 @@
     boolean isHeld = lease.isHeld(nowMs);
     if (isHeld != wasHeld) {
       wasHeld = isHeld;
-      log.note(isHeld ? "lease-gained" : "lease-lost", "", "fencing", lease.fencingNumber());
+      log.note(isHeld ? "lease-gained" : "lease-lost", "", "fencing", lease.held().fencingNumber());
     }
     if (isStopped || isCalling || nowMs < nextMs) {
       return;
@@ -117,10 +117,10 @@
     isStopped = true;
     lease.giveUp();
     if (wasHolder) {
-      LeaseRecord next = lease.next();
-      LeaseRecord free = new LeaseRecord("", 0, next.fencingNumber(), next.revision());
+      LeaseRecord held = lease.held();
+      LeaseRecord free = new LeaseRecord("", 0, held.fencingNumber(), held.revision());
       table
-          .transact(List.of(TableOperation.ofPut(KEY, next.revision(), encode(free))))
+          .transact(List.of(TableOperation.ofPut(KEY, held.revision(), encode(free))))
           .thenAccept(
               result -> log.note("lease-released", "", "result", result.getClass().getSimpleName()));
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -120,7 +120,7 @@
   }
 
   private void place(TargetEntry target, LayerRange layers, long acceptedOrders) {
-    long fencing = lease.fencingNumber();
+    long fencing = lease.held().fencingNumber();
     orders.place(
         target,
         layers,
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -239,7 +239,7 @@
             settings.addresses().callers(),
             settings.addresses().reports(),
             isReady(),
-            lease.isHeld(lastReportMs) ? lease.seen().revision() : 0,
+            lease.isHeld(lastReportMs) ? lease.held().revision() : 0,
             isLast,
             loads.ownLoads(),
             fleet.suspects().suspects(),
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -171,6 +171,8 @@
       double usualRoom,
       EngineProfile profile,
       Map<String, LayerRange> ranges) {
+    TargetEntry spare = largest(empty, profile);
+    int capacity = layersAtRoom(spare, usualRoom * TIGHT_SHARE, profile);
     LayerRange best = null;
     for (TargetEntry before : holders) {
       for (TargetEntry after : holders) {
@@ -180,23 +182,33 @@
         if (left.endLayer() != right.firstLayer() || isCovered) {
           continue;
         }
-        int from = left.endLayer() - excess(before, usualRoom, profile);
-        int to = right.firstLayer() + excess(after, usualRoom, profile);
+        int fromLeft = excess(before, usualRoom, profile);
+        int fromRight = excess(after, usualRoom, profile);
+        int total = fromLeft + fromRight;
+        if (total > capacity) {
+          fromLeft = fromLeft * capacity / total;
+          fromRight = fromRight * capacity / total;
+        }
+        int from = left.endLayer() - fromLeft;
+        int to = right.firstLayer() + fromRight;
         if (to > from && (best == null || to - from > best.layerCount())) {
           best = LayerRange.of(from, to);
         }
       }
     }
     if (best != null) {
-      for (TargetEntry target : empty) {
-        if (capacity(target, profile) >= best.layerCount()) {
-          ranges.put(target.id(), best);
-          return;
-        }
-      }
+      ranges.put(spare.id(), best);
     }
   }
 
+  private static TargetEntry largest(List<TargetEntry> empty, EngineProfile profile) {
+    return empty.stream()
+        .max(
+            Comparator.<TargetEntry>comparingInt(e -> capacity(e, profile))
+                .thenComparing(TargetEntry::address))
+        .orElseThrow();
+  }
+
   private static boolean isOverlapped(TargetEntry entry, List<TargetEntry> holders) {
     LayerRange held = entry.layers().get();
     for (TargetEntry other : holders) {
@@ -216,13 +228,18 @@
     if (tokensPerLayer(entry, profile) >= usualRoom * TIGHT_SHARE) {
       return 0;
     }
-    int held = entry.layers().get().layerCount();
+    int fair = Math.max(1, layersAtRoom(entry, usualRoom, profile));
+    return Math.max(0, entry.layers().get().layerCount() - fair);
+  }
+
+  /** The most layers with which a target has at least a given room for each of them. */
+  private static int layersAtRoom(TargetEntry entry, double roomPerLayer, EngineProfile profile) {
     double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
-    int fair = held;
-    while (fair > 1 && profile.layerTokenRoom(memoryMb, fair) / fair < usualRoom) {
-      fair--;
+    int layers = capacity(entry, profile);
+    while (layers > 0 && profile.layerTokenRoom(memoryMb, layers) / layers < roomPerLayer) {
+      layers--;
     }
-    return held - fair;
+    return layers;
   }
 
   /** Tight targets give up layers at their ends that another target holds too. */
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/StreamAdmissionTest.java
@@ -0,0 +1,107 @@
+package org.gooseberryhook.router.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ModelPipelines;
+import org.gooseberryhook.router.fleet.PipelineStage;
+import org.gooseberryhook.router.fleet.TestFleet;
+import org.junit.jupiter.api.Test;
+
+/** Guards that full pipelines turn requests away before memory or pauses are exceeded. */
+class StreamAdmissionTest {
+
+  private static final EngineProfile PROFILE = TestFleet.PROFILE;
+  private static final StreamRequest USUAL =
+      new StreamRequest(774, 204, 1, 0, 20_000, 500, 200);
+
+  private final LoadBook loads = new LoadBook();
+  private double pace = 1;
+  private final StreamAdmission admission = new StreamAdmission(loads, target -> pace);
+
+  private static List<ModelPipeline> pipelines() {
+    return ModelPipelines.compose(
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 25),
+            TestFleet.engine(2, "a", "large", 25, 50),
+            TestFleet.engine(3, "a", "middle", 50, 65),
+            TestFleet.engine(4, "a", "middle", 65, 80)),
+        PROFILE.layers(),
+        entry -> true);
+  }
+
+  private int fillUp(StreamRequest request, int nodeCount) {
+    int admitted = 0;
+    while (admitted < 1_000) {
+      Optional<ModelPipeline> chosen =
+          admission.choose(request, pipelines(), PROFILE, nodeCount, 0);
+      if (chosen.isEmpty()) {
+        return admitted;
+      }
+      for (PipelineStage stage : chosen.get().stages()) {
+        loads.add(
+            stage.target().id(), request.reservedTokens() * stage.layers().layerCount());
+      }
+      admitted++;
+    }
+    return admitted;
+  }
+
+  @Test
+  void noTargetIsFilledBeyondItsMemory() {
+    assertThat(fillUp(USUAL, 1)).isBetween(30, 134);
+    for (PipelineStage stage : pipelines().get(0).stages()) {
+      double memoryMb = PROFILE.kind(stage.target().acceleratorKind()).orElseThrow().memoryMb();
+      assertThat((double) loads.total(stage.target().id()).layerTokens())
+          .isLessThanOrEqualTo(PROFILE.layerTokenRoom(memoryMb, stage.layers().layerCount()));
+    }
+  }
+
+  @Test
+  void thePausesOfAFullPipelineStayWithinTheTarget() {
+    fillUp(USUAL, 1);
+    double pauseMs =
+        PipelineEstimate.pauseMs(pipelines().get(0), PROFILE, loads, target -> 1);
+    assertThat(pauseMs).isLessThanOrEqualTo(USUAL.gapTargetMs());
+  }
+
+  @Test
+  void oneNodeLeavesRoomToTheOthers() {
+    int alone = fillUp(USUAL, 1);
+    final StreamAdmissionTest shared = new StreamAdmissionTest();
+    assertThat(shared.fillUp(USUAL, 7)).isLessThan(alone);
+  }
+
+  @Test
+  void aSlowPipelineStillTakesSomeRequests() {
+    pace = 6;
+    assertThat(fillUp(USUAL, 1)).isPositive();
+  }
+
+  @Test
+  void aPipelineSlowerThanCallersWaitTakesNone() {
+    pace = 100;
+    assertThat(fillUp(USUAL, 1)).isZero();
+  }
+
+  @Test
+  void aRequestThatCannotEndInTimeIsNotStarted() {
+    StreamRequest hopeless = new StreamRequest(774, 2_000, 1, 0, 1_000, 500, 200);
+    assertThat(admission.choose(hopeless, pipelines(), PROFILE, 1, 0)).isEmpty();
+  }
+
+  @Test
+  void loadsOfOtherNodesCount() {
+    int alone = fillUp(USUAL, 1);
+    final StreamAdmissionTest shared = new StreamAdmissionTest();
+    shared.loads.replacePeer("other", loads.ownLoads());
+    assertThat(alone).isPositive();
+    assertThat(shared.fillUp(USUAL, 1)).isZero();
+    shared.loads.replacePeer("other", Map.of());
+    assertThat(shared.fillUp(USUAL, 1)).isEqualTo(alone);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportsTest.java
@@ -0,0 +1,58 @@
+package org.gooseberryhook.router.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.gooseberryhook.router.admission.Load;
+import org.junit.jupiter.api.Test;
+
+/** Guards the format of reports and that foreign datagrams do no harm. */
+class PeerReportsTest {
+
+  static PeerReport report(String node, long incarnation, long sequence, boolean isStopping) {
+    return new PeerReport(
+        node,
+        incarnation,
+        sequence,
+        "10.0.0.1:80",
+        "10.0.0.1:7340",
+        true,
+        9,
+        isStopping,
+        Map.of("t-1", new Load(3, 4_000)),
+        List.of("10.0.0.9:80"),
+        List.of(17L));
+  }
+
+  @Test
+  void aReportIsDecodedAsItWasEncoded() throws IOException {
+    PeerReport report = report("a", 1, 2, false);
+    assertThat(PeerReports.decode(PeerReports.encode(report))).isEqualTo(report);
+  }
+
+  @Test
+  void aCutReportIsRefused() {
+    byte[] bytes = PeerReports.encode(report("a", 1, 2, false));
+    byte[] cut = Arrays.copyOf(bytes, bytes.length / 2);
+    assertThatThrownBy(() -> PeerReports.decode(cut)).isInstanceOf(IOException.class);
+  }
+
+  @Test
+  void randomBytesAreRefusedOrDecodedButNeverFailOtherwise() {
+    Random random = new Random(5);
+    for (int i = 0; i < 2_000; i++) {
+      byte[] bytes = new byte[random.nextInt(60)];
+      random.nextBytes(bytes);
+      try {
+        PeerReports.decode(bytes);
+      } catch (IOException e) {
+        assertThat(e).isExactlyInstanceOf(IOException.class);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerTableTest.java
@@ -0,0 +1,44 @@
+package org.gooseberryhook.router.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Guards which nodes count as live. */
+class PeerTableTest {
+
+  private final PeerTable table = new PeerTable("self");
+
+  @Test
+  void aSilentNodeIsGone() {
+    table.accept(PeerReportsTest.report("a", 1, 1, false), 0);
+    assertThat(table.expire(PeerTable.SILENCE_MS)).isEmpty();
+    assertThat(table.expire(PeerTable.SILENCE_MS + 1)).containsExactly("a");
+    assertThat(table.live()).isEmpty();
+  }
+
+  @Test
+  void anOldReportDoesNotReplaceANewerOne() {
+    table.accept(PeerReportsTest.report("a", 2, 1, false), 0);
+    assertThat(table.accept(PeerReportsTest.report("a", 1, 99, false), 1)).isFalse();
+    assertThat(table.accept(PeerReportsTest.report("a", 2, 1, false), 1)).isFalse();
+    assertThat(table.accept(PeerReportsTest.report("a", 2, 2, false), 1)).isTrue();
+  }
+
+  @Test
+  void aStoppingNodeIsNotLive() {
+    table.accept(PeerReportsTest.report("a", 1, 1, true), 0);
+    assertThat(table.live()).isEmpty();
+    assertThat(table.isLive("a")).isFalse();
+  }
+
+  @Test
+  void registeredNodesAreReportedToUntilTheyAreHeard() {
+    table.setContacts(Map.of("a", "10.0.0.7:1", "self", "10.0.0.8:1"));
+    assertThat(table.reportAddresses()).containsExactly("10.0.0.7:1");
+    table.accept(PeerReportsTest.report("a", 1, 1, false), 0);
+    assertThat(table.reportAddresses()).containsExactly("10.0.0.1:7340");
+    assertThat(table.knownCount()).isEqualTo(2);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
@@ -0,0 +1,123 @@
+package org.gooseberryhook.router.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhook.router.cluster.PlacementLease.LeaseRecord;
+import org.junit.jupiter.api.Test;
+
+/** Guards that two nodes never hold the lease at the same time, whatever answers are lost. */
+class PlacementLeaseTest {
+
+  private LeaseRecord stored = LeaseRecord.NONE;
+  private long lastRevision;
+
+  private boolean write(LeaseRecord next) {
+    if (next.revision() != stored.revision()) {
+      return false;
+    }
+    stored =
+        new LeaseRecord(
+            next.holder(), next.incarnation(), next.fencingNumber(), ++lastRevision);
+    return true;
+  }
+
+  @Property(tries = 100)
+  void twoNodesNeverHoldTheLeaseAtTheSameTime(@ForAll long seed) {
+    stored = LeaseRecord.NONE;
+    lastRevision = 0;
+    Random random = new Random(seed);
+    List<PlacementLease> leases = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      leases.add(new PlacementLease("node-" + i, 1));
+    }
+    long lastFencing = 0;
+    for (long nowMs = 0; nowMs < 60_000; nowMs += 50 + random.nextInt(200)) {
+      for (PlacementLease lease : leases) {
+        step(lease, nowMs, random);
+      }
+      final long now = nowMs;
+      List<PlacementLease> holders = leases.stream().filter(l -> l.isHeld(now)).toList();
+      assertThat(holders).hasSizeLessThanOrEqualTo(1);
+      for (PlacementLease holder : holders) {
+        assertThat(holder.held().fencingNumber()).isGreaterThanOrEqualTo(lastFencing);
+        lastFencing = holder.held().fencingNumber();
+        if (random.nextBoolean()) {
+          leases.stream()
+              .filter(l -> l != holder)
+              .forEach(l -> l.onHolderHeard(holder.held().revision(), now));
+        }
+      }
+    }
+  }
+
+  /** One call to the store: not sent, refused, answered, or with its answer lost. */
+  private void step(PlacementLease lease, long nowMs, Random random) {
+    double luck = random.nextDouble();
+    if (luck < 0.3) {
+      return;
+    }
+    if (!lease.isDue(nowMs)) {
+      lease.onRead(stored, nowMs);
+      return;
+    }
+    LeaseRecord next = lease.next();
+    boolean isDone = luck >= 0.4 && write(next);
+    if (luck < 0.55) {
+      lease.onWriteUnknown();
+    } else if (isDone) {
+      lease.onWritten(stored, nowMs);
+    } else {
+      lease.onRead(stored, nowMs);
+    }
+  }
+
+  @Test
+  void aFreeLeaseIsTakenAtOnceAndRaisesTheFencingNumber() {
+    PlacementLease lease = new PlacementLease("a", 1);
+    lease.onRead(new LeaseRecord("", 0, 7, 3), 0);
+    assertThat(lease.isDue(0)).isTrue();
+    assertThat(lease.next().fencingNumber()).isEqualTo(8);
+  }
+
+  @Test
+  void aLeaseOfAnEarlierProcessOfTheSameNodeIsTakenAtOnce() {
+    PlacementLease lease = new PlacementLease("a", 2);
+    lease.onRead(new LeaseRecord("a", 1, 7, 3), 0);
+    assertThat(lease.isDue(0)).isTrue();
+    assertThat(lease.next().fencingNumber()).isEqualTo(8);
+  }
+
+  @Test
+  void aTakeoverCountsFromWhenTheHolderWasHeardLast() {
+    PlacementLease lease = new PlacementLease("a", 1);
+    lease.onHolderHeard(3, 1_000);
+    lease.onRead(new LeaseRecord("b", 1, 7, 3), 2_000);
+    assertThat(lease.isDue(1_000 + PlacementLease.TAKEOVER_MS - 1)).isFalse();
+    assertThat(lease.isDue(1_000 + PlacementLease.TAKEOVER_MS)).isTrue();
+  }
+
+  @Test
+  void aHolderThatRenewedSinceItWasHeardIsNotTakenOverEarly() {
+    PlacementLease lease = new PlacementLease("a", 1);
+    lease.onHolderHeard(3, 1_000);
+    lease.onRead(new LeaseRecord("b", 1, 7, 4), 2_000);
+    assertThat(lease.isDue(1_000 + PlacementLease.TAKEOVER_MS)).isFalse();
+    assertThat(lease.isDue(2_000 + PlacementLease.TAKEOVER_MS)).isTrue();
+  }
+
+  @Test
+  void aFencedHolderStops() {
+    PlacementLease lease = new PlacementLease("a", 1);
+    lease.onRead(LeaseRecord.NONE, 0);
+    write(lease.next());
+    lease.onWritten(stored, 0);
+    assertThat(lease.isHeld(10)).isTrue();
+    lease.onFenced(lease.held().fencingNumber());
+    assertThat(lease.isHeld(10)).isFalse();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ModelPipelinesTest.java
@@ -0,0 +1,116 @@
+package org.gooseberryhook.router.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards that each token runs every layer once and in order, and that losses stay local. */
+class ModelPipelinesTest {
+
+  private static final int LAYERS = 80;
+
+  private static List<ModelPipeline> compose(List<TargetEntry> entries) {
+    return ModelPipelines.compose(entries, LAYERS, entry -> true);
+  }
+
+  @Property(tries = 300)
+  void everyPipelineRunsEachLayerOnceInOrderOnTargetsThatHoldIt(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int size) {
+    Random random = new Random(seed);
+    List<TargetEntry> entries = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      int from = random.nextInt(8) * 10;
+      int to = Math.min(LAYERS, from + 10 * (1 + random.nextInt(4)));
+      entries.add(TestFleet.engine(i, "abc".charAt(random.nextInt(3)) + "", "small", from, to));
+    }
+    for (ModelPipeline pipeline : compose(entries)) {
+      int next = 0;
+      List<String> addresses = new ArrayList<>();
+      for (PipelineStage stage : pipeline.stages()) {
+        LayerRange held = stage.target().layers().orElseThrow();
+        assertThat(stage.layers().firstLayer()).isEqualTo(next);
+        assertThat(stage.layers().firstLayer()).isGreaterThanOrEqualTo(held.firstLayer());
+        assertThat(stage.layers().endLayer()).isLessThanOrEqualTo(held.endLayer());
+        addresses.add(stage.target().address());
+        next = stage.layers().endLayer();
+      }
+      assertThat(next).isEqualTo(LAYERS);
+      assertThat(addresses).doesNotHaveDuplicates();
+      assertThat(pipeline.stages()).hasSizeLessThanOrEqualTo(ModelPipelines.MAX_STAGES);
+    }
+  }
+
+  @Test
+  void aPipelineThatLacksATargetDoesNotTakeThoseOfAnotherDataCentreAway() {
+    // Data centre a has grown its head over a lost target; b is whole.
+    List<TargetEntry> entries =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 29),
+            TestFleet.engine(2, "a", "large", 27, 60),
+            TestFleet.engine(3, "a", "large", 60, 80),
+            TestFleet.engine(4, "b", "large", 0, 29),
+            TestFleet.engine(5, "b", "large", 29, 60),
+            TestFleet.engine(6, "b", "large", 60, 80));
+    List<ModelPipeline> pipelines = compose(entries);
+    assertThat(pipelines).hasSize(2).allMatch(p -> p.zoneCrossings() == 0);
+  }
+
+  @Test
+  void aLostTargetIsReplacedByOneThatIsBorrowed() {
+    List<TargetEntry> entries =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 40),
+            TestFleet.engine(3, "b", "large", 0, 40),
+            TestFleet.engine(4, "b", "large", 40, 80));
+    List<ModelPipeline> pipelines = compose(entries);
+    assertThat(pipelines).hasSize(2);
+    assertThat(pipelines)
+        .extracting(ModelPipeline::describe)
+        .containsExactlyInAnyOrder(
+            "10.0.0.001:80=0-40,10.0.0.004:80=40-80", "10.0.0.003:80=0-40,10.0.0.004:80=40-80");
+  }
+
+  @Test
+  void aTargetThatIsLeftOverGivesAVariant() {
+    List<TargetEntry> entries =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 40),
+            TestFleet.engine(2, "a", "large", 40, 80),
+            TestFleet.engine(3, "a", "large", 30, 50));
+    List<ModelPipeline> pipelines = compose(entries);
+    assertThat(pipelines).hasSize(2);
+    assertThat(pipelines.get(1).describe())
+        .isEqualTo("10.0.0.001:80=0-30,10.0.0.003:80=30-50,10.0.0.002:80=50-80");
+  }
+
+  @Test
+  void aLostHeadIsReplacedByTheHeadOfAnotherPipeline() {
+    List<TargetEntry> entries =
+        List.of(
+            TestFleet.engine(2, "a", "large", 20, 50),
+            TestFleet.engine(3, "a", "large", 50, 80),
+            TestFleet.engine(4, "b", "large", 0, 40),
+            TestFleet.engine(5, "b", "large", 40, 80));
+    assertThat(compose(entries))
+        .extracting(ModelPipeline::describe)
+        .contains("10.0.0.004:80=0-20,10.0.0.002:80=20-50,10.0.0.003:80=50-80");
+  }
+
+  @Test
+  void targetsWithOtherWeightsAreNotMixed() {
+    TargetEntry old = TestFleet.engine(1, "a", "large", 0, 40);
+    TargetEntry fresh =
+        new TargetEntry(
+            "t-2", "model", "10.0.0.002:80", "a", 1, false, "large", old.layers(), 1, 2);
+    TargetEntry tail = TestFleet.engine(3, "a", "large", 40, 80);
+    assertThat(compose(List.of(fresh, tail))).isEmpty();
+    assertThat(compose(List.of(old, tail))).hasSize(1);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -0,0 +1,64 @@
+package org.gooseberryhook.router.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards that an outage of the store is not taken for a departure, and a departure not missed. */
+class TargetRegistryTest {
+
+  private final TargetRegistry registry = new TargetRegistry();
+  private final TargetEntry first = TestFleet.engine(1, "a", "large");
+  private final TargetEntry second = TestFleet.engine(2, "a", "large");
+
+  @Test
+  void aTargetThatLeavesTheListIsRemovedAtOnce() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.remove(first.id(), 10);
+    assertThat(registry.entries()).containsExactly(second);
+  }
+
+  @Test
+  void entriesThatLapsedDuringAnOutageAreKeptForTwoSeconds() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.noteStoreAway();
+    registry.replaceAll(List.of(second), 5_000);
+    assertThat(registry.entries()).containsExactly(first, second);
+    registry.expire(6_999);
+    assertThat(registry.entries()).containsExactly(first, second);
+    registry.expire(7_000);
+    assertThat(registry.entries()).containsExactly(second);
+  }
+
+  @Test
+  void anEntryThatComesBackAfterAnOutageStays() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.noteStoreAway();
+    registry.replaceAll(List.of(second), 5_000);
+    registry.put(first);
+    registry.expire(9_000);
+    assertThat(registry.entries()).containsExactly(first, second);
+  }
+
+  @Test
+  void aTargetThatSaidItLeavesIsRemovedAlsoAfterAnOutage() {
+    TargetEntry leaving =
+        new TargetEntry(
+            "t-1", "model", "10.0.0.1:80", "a", 1, true, "large", first.layers(), 1, 1);
+    registry.replaceAll(List.of(leaving, second), 0);
+    registry.noteStoreAway();
+    registry.replaceAll(List.of(second), 5_000);
+    assertThat(registry.entries()).containsExactly(second);
+  }
+
+  @Test
+  void aSecondOutageWithinTheHoldDoesNotRemoveEntries() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.noteStoreAway();
+    registry.replaceAll(List.of(second), 5_000);
+    registry.noteStoreAway();
+    registry.expire(9_000);
+    assertThat(registry.entries()).containsExactly(first, second);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TestFleet.java
@@ -0,0 +1,90 @@
+package org.gooseberryhook.router.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhook.router.configuration.AcceleratorKind;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.state.LayerRange;
+
+/** Targets and engine figures for tests. */
+public final class TestFleet {
+
+  /** An 80-layer model on three kinds of accelerators. */
+  public static final EngineProfile PROFILE =
+      new EngineProfile(
+          134,
+          1_315_343,
+          1.02,
+          0.01023,
+          0.0137,
+          105_000,
+          0.309,
+          512,
+          3,
+          80,
+          1_750,
+          14_000,
+          5,
+          774,
+          204,
+          65_767,
+          22_000,
+          Map.of(
+              "large", new AcceleratorKind("large", 72_000, 2.4, 3.2),
+              "middle", new AcceleratorKind("middle", 43_200, 5.6, 2.7),
+              "small", new AcceleratorKind("small", 21_600, 16, 8.2)));
+
+  private TestFleet() {}
+
+  /**
+   * Returns an engine.
+   *
+   * @param number number that its id and address are made of, below 250
+   * @param zone data centre
+   * @param kind kind of accelerator
+   * @param layers first layer and end, or null if it is empty
+   * @return the entry
+   */
+  public static TargetEntry engine(int number, String zone, String kind, int... layers) {
+    return new TargetEntry(
+        "t-" + number,
+        "model",
+        String.format("10.0.0.%03d:80", number),
+        zone,
+        134,
+        false,
+        kind,
+        layers == null || layers.length == 0
+            ? Optional.empty()
+            : Optional.of(LayerRange.of(layers[0], layers[1])),
+        1,
+        1);
+  }
+
+  /**
+   * Returns empty engines of three data centres: 4 large, 11 middle and 18 small ones.
+   *
+   * @return the entries
+   */
+  public static List<TargetEntry> emptyFleet() {
+    List<TargetEntry> fleet = new ArrayList<>();
+    add(fleet, "a", 2, 2, 5);
+    add(fleet, "b", 1, 3, 8);
+    add(fleet, "c", 1, 6, 5);
+    return fleet;
+  }
+
+  private static void add(List<TargetEntry> fleet, String zone, int large, int middle, int small) {
+    for (int i = 0; i < large; i++) {
+      fleet.add(engine(fleet.size(), zone, "large"));
+    }
+    for (int i = 0; i < middle; i++) {
+      fleet.add(engine(fleet.size(), zone, "middle"));
+    }
+    for (int i = 0; i < small; i++) {
+      fleet.add(engine(fleet.size(), zone, "small"));
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventFramerTest.java
@@ -0,0 +1,55 @@
+package org.gooseberryhook.router.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards that only whole events are passed on. */
+class EventFramerTest {
+
+  private final List<String> events = new ArrayList<>();
+  private final List<String> ids = new ArrayList<>();
+
+  private boolean feed(EventFramer framer, String text) {
+    return framer.accept(
+        Unpooled.copiedBuffer(text, StandardCharsets.UTF_8),
+        (event, id) -> {
+          events.add(event.toString(StandardCharsets.UTF_8));
+          ids.add(id);
+          event.release();
+        });
+  }
+
+  @Property
+  void eventsAreTheSameHoweverTheBytesArrive(@ForAll @IntRange(min = 1, max = 20) int size) {
+    events.clear();
+    ids.clear();
+    String stream = "id: 1\ndata: a\n\nversion:3\nid:2\r\ndata: b\r\n\r\nid: 3\ndata";
+    EventFramer framer = new EventFramer();
+    for (int i = 0; i < stream.length(); i += size) {
+      feed(framer, stream.substring(i, Math.min(stream.length(), i + size)));
+    }
+    assertThat(ids).containsExactly("1", "2");
+    assertThat(String.join("", events) + "id: 3\ndata").isEqualTo(stream);
+    assertThat(framer.hasPartialEvent()).isTrue();
+  }
+
+  @Test
+  void anEventWithoutEndIsBounded() {
+    EventFramer framer = new EventFramer();
+    assertThat(feed(framer, "x".repeat(EventFramer.MAX_EVENT_BYTES + 1))).isFalse();
+  }
+
+  @Test
+  void anEventWithoutIdHasAnEmptyOne() {
+    feed(new EventFramer(), "data: id:7\n\n");
+    assertThat(ids).containsExactly("");
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
@@ -0,0 +1,148 @@
+package org.gooseberryhook.router.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ModelPipelines;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.fleet.TestFleet;
+import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards that plans fit the memory of the targets and that losses are repaired with few loads. */
+class LayerPlannerTest {
+
+  private static final EngineProfile PROFILE = TestFleet.PROFILE;
+
+  private static List<TargetEntry> apply(List<TargetEntry> entries) {
+    LayerPlan plan = LayerPlanner.plan(entries, PROFILE);
+    List<TargetEntry> after = new ArrayList<>();
+    for (TargetEntry entry : entries) {
+      LayerRange range = plan.ranges().get(entry.id());
+      after.add(range == null ? entry : entry.withLayers(range));
+    }
+    return after;
+  }
+
+  private static List<ModelPipeline> compose(List<TargetEntry> entries) {
+    return ModelPipelines.compose(entries, PROFILE.layers(), entry -> true);
+  }
+
+  private static void assertFits(List<TargetEntry> entries) {
+    for (TargetEntry entry : entries) {
+      double memoryMb = PROFILE.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
+      int held = entry.layers().map(LayerRange::layerCount).orElse(0);
+      assertThat(held * PROFILE.layerMb()).isLessThan(memoryMb);
+    }
+  }
+
+  @Test
+  void theFirstPlanHasAPipelineInEachDataCentreAndSpares() {
+    List<TargetEntry> planned = apply(TestFleet.emptyFleet());
+    assertFits(planned);
+    List<ModelPipeline> pipelines = compose(planned);
+    assertThat(pipelines).hasSizeGreaterThanOrEqualTo(3);
+    assertThat(pipelines).allMatch(p -> p.zoneCrossings() == 0);
+  }
+
+  @Test
+  void aPlanThatIsInForceIsKept() {
+    List<TargetEntry> planned = apply(TestFleet.emptyFleet());
+    assertThat(apply(planned)).isEqualTo(planned);
+  }
+
+  @Property(tries = 60)
+  void aLostTargetNeverLeadsToAnOversizedTargetOrALostPipeline(@ForAll long seed) {
+    List<TargetEntry> fleet = new ArrayList<>(apply(TestFleet.emptyFleet()));
+    Random random = new Random(seed);
+    fleet.remove(random.nextInt(fleet.size()));
+    List<TargetEntry> repaired = apply(fleet);
+    assertFits(repaired);
+    assertThat(compose(repaired)).hasSizeGreaterThanOrEqualTo(3);
+  }
+
+  @Property(tries = 60)
+  void anyFleetGetsAPlanThatFits(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<TargetEntry> fleet = new ArrayList<>();
+    int size = 1 + random.nextInt(40);
+    for (int i = 0; i < size; i++) {
+      String kind = List.of("large", "middle", "small").get(random.nextInt(3));
+      fleet.add(TestFleet.engine(i, "abc".charAt(random.nextInt(3)) + "", kind));
+    }
+    List<TargetEntry> planned = apply(fleet);
+    assertFits(planned);
+    double memoryMb =
+        fleet.stream()
+            .mapToDouble(e -> PROFILE.kind(e.acceleratorKind()).orElseThrow().memoryMb())
+            .sum();
+    if (memoryMb > 2 * PROFILE.layers() * PROFILE.layerMb() && size <= 32) {
+      assertThat(compose(planned)).isNotEmpty();
+    }
+  }
+
+  @Test
+  void aSpareTakesTheLayersOfALostTarget() {
+    List<TargetEntry> fleet =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 30),
+            TestFleet.engine(3, "a", "large", 55, 80),
+            TestFleet.engine(4, "a", "large"));
+    assertThat(LayerPlanner.plan(fleet, PROFILE).ranges())
+        .containsExactlyEntriesOf(Map.of("t-4", LayerRange.of(30, 55)));
+  }
+
+  @Test
+  void neighboursTakeTheLayersOfALostTargetIfThereIsNoSpare() {
+    List<TargetEntry> fleet =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 25),
+            TestFleet.engine(3, "a", "large", 33, 56),
+            TestFleet.engine(4, "a", "large", 56, 80));
+    List<TargetEntry> repaired = apply(fleet);
+    assertFits(repaired);
+    assertThat(compose(repaired)).hasSize(1);
+  }
+
+  @Test
+  void extendedNeighboursGiveTheirSurplusBackWhenATargetReturns() {
+    List<TargetEntry> fleet =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 15),
+            TestFleet.engine(2, "a", "large", 15, 38),
+            TestFleet.engine(3, "a", "large", 38, 62),
+            TestFleet.engine(4, "a", "large", 62, 70),
+            TestFleet.engine(5, "a", "large", 70, 80),
+            TestFleet.engine(6, "a", "small"));
+    List<TargetEntry> relieved = apply(fleet);
+    List<TargetEntry> trimmed = apply(relieved);
+    assertThat(relieved.get(5).layers()).isPresent();
+    assertThat(trimmed.get(1).layers().get().layerCount()).isLessThan(23);
+    assertThat(compose(trimmed)).isNotEmpty();
+  }
+
+  @Test
+  void leavingTargetsAreNotPlanned() {
+    TargetEntry leaving =
+        new TargetEntry(
+            "t-9",
+            "model",
+            "10.0.0.9:80",
+            "a",
+            1,
+            true,
+            "large",
+            Optional.empty(),
+            1,
+            1);
+    assertThat(LayerPlanner.plan(List.of(leaving), PROFILE).ranges()).isEmpty();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/OrderTrackerTest.java
@@ -0,0 +1,60 @@
+package org.gooseberryhook.router.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.fleet.TestFleet;
+import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards that a target never has two orders under way. */
+class OrderTrackerTest {
+
+  private final OrderTracker tracker = new OrderTracker();
+  private final TargetEntry empty = TestFleet.engine(1, "a", "large");
+  private final TargetEntry other = TestFleet.engine(2, "a", "large");
+  private final LayerPlan plan =
+      new LayerPlan(Map.of("t-1", LayerRange.of(0, 20), "t-2", LayerRange.of(20, 40)));
+
+  @Test
+  void anOrderIsNotSentAgainWhileItIsUnderWay() {
+    OrderTracker.Order order = tracker.due(plan, List.of(empty), 5, 0).get(0);
+    tracker.onSent(order, 0);
+    assertThat(tracker.due(plan, List.of(empty), 5, 1_000)).isEmpty();
+    assertThat(tracker.due(plan, List.of(empty), 5, 10_000)).hasSize(1);
+  }
+
+  @Test
+  void aRestartedTargetIsOrderedAgainAtOnce() {
+    tracker.onSent(tracker.due(plan, List.of(empty), 5, 0).get(0), 0);
+    TargetEntry restarted =
+        new TargetEntry(
+            "t-1", "model", empty.address(), "a", 134, false, "large", empty.layers(), 2, 1);
+    assertThat(tracker.due(plan, List.of(restarted), 5, 100)).hasSize(1);
+  }
+
+  @Test
+  void fewTargetsLoadAtOnce() {
+    List<OrderTracker.Order> orders = tracker.due(plan, List.of(empty, other), 1, 0);
+    assertThat(orders).hasSize(1);
+    tracker.onSent(orders.get(0), 0);
+    assertThat(tracker.due(plan, List.of(empty, other), 1, 10)).isEmpty();
+  }
+
+  @Test
+  void aTargetThatIsLoadingCountsAsHoldingItsLayers() {
+    tracker.onSent(tracker.due(plan, List.of(empty), 5, 0).get(0), 0);
+    assertThat(tracker.expected(List.of(empty, other)).get(0).layers())
+        .contains(LayerRange.of(0, 20));
+  }
+
+  @Test
+  void aFailedOrderIsSentAgainSoon() {
+    tracker.onSent(tracker.due(plan, List.of(empty), 5, 0).get(0), 0);
+    tracker.onFailed("t-1", 100);
+    assertThat(tracker.due(plan, List.of(empty), 5, 300)).isEmpty();
+    assertThat(tracker.due(plan, List.of(empty), 5, 700)).hasSize(1);
+  }
+}
