--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashWatch.java
@@ -0,0 +1,51 @@
+package org.gooseberryhook.router.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+import org.gooseberryhook.router.fleet.CrashMarks;
+
+/**
+ * Notes requests whose target died while it ran them: the connection broke without an answer and a
+ * new one cannot be made.
+ */
+final class CrashWatch {
+
+  private final ForwardContext context;
+
+  CrashWatch(ForwardContext context) {
+    this.context = context;
+  }
+
+  /** Returns the fingerprint of a request: the same for each time that its caller sends it. */
+  static long fingerprint(CallerRequest request, RoutingResult.Routed routed) {
+    CRC32C low = new CRC32C();
+    low.update(request.path().getBytes(StandardCharsets.UTF_8));
+    routed.workspace().ifPresent(w -> low.update(w.name().getBytes(StandardCharsets.UTF_8)));
+    CRC32C high = new CRC32C();
+    byte[] body = new byte[request.body().readableBytes()];
+    request.body().getBytes(request.body().readerIndex(), body);
+    high.update(body);
+    return (high.getValue() << 32) | low.getValue();
+  }
+
+  boolean isBlocked(CallerRequest request, RoutingResult.Routed routed) {
+    return context
+        .crashMarks()
+        .isBlocked(fingerprint(request, routed), context.clock().nowMs());
+  }
+
+  /** Looks whether a target that broke a connection is dead, and marks the request if it is. */
+  void onBroken(CallerRequest request, RoutingResult.Routed routed, String address) {
+    long fingerprint = fingerprint(request, routed);
+    String attemptId = request.facts().attemptId();
+    CrashMarks marks = context.crashMarks();
+    context
+        .channels()
+        .connectOnly(
+            address,
+            reason -> {
+              marks.note(fingerprint, context.clock().nowMs());
+              context.log().note("crash-mark", attemptId, "target", address, "reason", reason);
+            });
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -8,6 +9,7 @@
 import org.gooseberryhook.router.admission.LoadBook;
 import org.gooseberryhook.router.admission.RetryAllowance;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.fleet.CrashMarks;
 import org.gooseberryhook.router.fleet.TargetHealth;
 
 /**
@@ -23,6 +25,8 @@
  * @param fleet the targets and pipelines in use
  * @param allowance the budget of repeats
  * @param health targets that failed lately
+ * @param crashMarks requests that crash targets
+ * @param meter counts and times of requests
  * @param log notes of decisions
  */
 record ForwardContext(
@@ -36,9 +40,21 @@
     FleetView fleet,
     RetryAllowance allowance,
     TargetHealth health,
+    CrashMarks crashMarks,
+    RequestMeter meter,
     DecisionLog log) {
 
-  io.netty.util.concurrent.ScheduledFuture<?> schedule(Runnable task, long delayMs) {
-    return loop.schedule(task, Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+  /** Runs a task later; a failure is logged, as nobody waits for the task. */
+  ScheduledFuture<?> schedule(Runnable task, long delayMs) {
+    return loop.schedule(
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            log.note("task-failed", "", "error", e, "at", e.getStackTrace()[0]);
+          }
+        },
+        Math.max(0, delayMs),
+        TimeUnit.MILLISECONDS);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -7,6 +7,7 @@
 import org.gooseberryhook.router.admission.LoadBook;
 import org.gooseberryhook.router.admission.RetryAllowance;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.fleet.CrashMarks;
 import org.gooseberryhook.router.fleet.TargetHealth;
 
 /**
@@ -31,6 +32,8 @@
    * @param fleet the targets and pipelines in use
    * @param allowance the budget of repeats
    * @param health targets that failed lately
+   * @param crashMarks requests that crash targets
+   * @param meter counts and times of requests
    * @param log notes of decisions
    * @param address IP address and port for callers
    * @param maxConnections callers' connections at most
@@ -45,6 +48,8 @@
       FleetView fleet,
       RetryAllowance allowance,
       TargetHealth health,
+      CrashMarks crashMarks,
+      RequestMeter meter,
       DecisionLog log,
       String address,
       int maxConnections) {
@@ -60,6 +65,8 @@
             fleet,
             allowance,
             health,
+            crashMarks,
+            meter,
             log);
     dispatcher = new StreamDispatcher(context);
     server = new CallerServer(context, dispatcher, address, maxConnections);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -71,6 +71,10 @@
   @Override
   public void start() {
     endTimer = context.schedule(this::onTimeUp, endMs - context.clock().nowMs());
+    if (new CrashWatch(context).isBlocked(request, routed)) {
+      giveUp("crashes-targets", "this request crashed targets before");
+      return;
+    }
     next();
   }
 
@@ -114,6 +118,7 @@
   /** Sends once more if the request may run again, another target is allowed and budgeted. */
   private void repeatOrGiveUp(String kind, String detail) {
     boolean mayRepeat = !mayHaveRun() || route().kind() == RequestKind.IDEMPOTENT;
+    mayRepeat &= !new CrashWatch(context).isBlocked(request, routed);
     boolean isAllowed = sends < Math.max(1, route().maxAttempts()) || !mayHaveRun();
     long nowMs = context.clock().nowMs();
     if (mayRepeat
@@ -164,6 +169,10 @@
     cancel(endTimer);
     cancel(stepTimer);
     request.body().release();
+    long tookMs = context.clock().nowMs() - request.arrivedMs();
+    context
+        .meter()
+        .note("plain", routed.workspace().map(w -> w.name()).orElse(""), outcome, tookMs);
     context
         .log()
         .note(
@@ -176,7 +185,7 @@
             "sends",
             sends,
             "ms",
-            context.clock().nowMs() - request.arrivedMs());
+            tookMs);
   }
 
   private static void cancel(ScheduledFuture<?> timer) {
@@ -302,6 +311,10 @@
       } else if (!facts.isSigned() && status < STATUS_SERVER_ERROR) {
         context.health().noteFailure(target.id(), 2, nowMs);
         repeatOrGiveUp("unsigned", "a target sent an answer that is not valid");
+      } else if (ProblemReply.isPromise(status)) {
+        // Only the header states that a request has not run; the status alone must not say so.
+        context.health().noteFailure(target.id(), 1, nowMs);
+        repeatOrGiveUp("target-error", "the target failed");
       } else if (status >= STATUS_SERVER_ERROR) {
         context.health().noteFailure(target.id(), 1, nowMs);
         lastAnswer = new Answer(status, headers, body);
@@ -321,6 +334,7 @@
         context
             .log()
             .note("broken", request.facts().attemptId(), "at", target.address(), "why", reason);
+        new CrashWatch(context).onBroken(request, routed, target.address());
         repeatOrGiveUp("target-broken", "the connection to the target was lost");
       }
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemReply.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemReply.java
@@ -12,6 +12,9 @@
 public record ProblemReply(int status, String kind, String detail, long retryAfterMs) {
 
   private static final int STATUS_UNAVAILABLE = 503;
+  private static final int STATUS_TIMEOUT = 408;
+  private static final int STATUS_MISDIRECTED = 421;
+  private static final int STATUS_TOO_MANY = 429;
   private static final int STATUS_BAD_GATEWAY = 502;
   private static final int STATUS_GATEWAY_TIMEOUT = 504;
 
@@ -48,6 +51,19 @@
     return new ProblemReply(STATUS_GATEWAY_TIMEOUT, "timeout", detail, 0);
   }
 
+  /**
+   * Tells whether a status promises that the request has not run and never will.
+   *
+   * @param status an HTTP status
+   * @return true for 408, 421, 429 and 503
+   */
+  public static boolean isPromise(int status) {
+    return status == STATUS_UNAVAILABLE
+        || status == STATUS_TIMEOUT
+        || status == STATUS_MISDIRECTED
+        || status == STATUS_TOO_MANY;
+  }
+
   /**
    * Tells whether the failure promises that the request has not run.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -40,8 +40,8 @@
   /** Time before the caller leaves that a new run gets for its first event. */
   static final long RESUME_MARGIN_MS = 400;
 
-  private static final long RETRY_AFTER_MS = 1_000;
-  private static final long RETRY_SPREAD_MS = 2_000;
+  private static final long RETRY_AFTER_MS = 1_500;
+  private static final long RETRY_SPREAD_MS = 4_500;
   /** By how much pauses may grow for a stream that goes on at another pipeline. */
   private static final double RESUME_PAUSE_FACTOR = 1.5;
 
@@ -102,6 +102,10 @@
   @Override
   public void start() {
     endTimer = context.schedule(this::onTimeUp, endMs - context.clock().nowMs());
+    if (new CrashWatch(context).isBlocked(request, routed)) {
+      fail(ProblemReply.notRun("crashes-targets", "this request crashed targets before", 0));
+      return;
+    }
     long waitMs = (long) (route().targetLatencyMs() * WAIT_SHARE);
     dispatcher.submit(this, routed.rank(), Math.min(endMs, request.arrivedMs() + waitMs));
   }
@@ -213,6 +217,9 @@
     }
     request.body().release();
     long firstMs = firstEventMs == 0 ? -1 : firstEventMs - request.arrivedMs();
+    context
+        .meter()
+        .note("stream", routed.workspace().map(w -> w.name()).orElse(""), outcome, firstMs);
     context
         .log()
         .note(
@@ -241,6 +248,7 @@
   /** A run ended early: goes on elsewhere if that is allowed, else tells the caller. */
   private void onRunLost(String kind, String detail) {
     boolean isAllowed = unprovenSends == 0 || route().isResumable();
+    isAllowed &= !new CrashWatch(context).isBlocked(request, routed);
     long nowMs = context.clock().nowMs();
     boolean isInBudget =
         hasAttempt()
@@ -509,7 +517,9 @@
         context.health().noteFailure(pipeline.head().id(), 0.5, nowMs);
         lostRuns++;
         onRunLost("target-refused", "the pipeline refused the request");
-      } else if (status >= STATUS_SERVER_ERROR || !facts.isSigned()) {
+      } else if (status >= STATUS_SERVER_ERROR
+          || ProblemReply.isPromise(status)
+          || !facts.isSigned()) {
         context.health().noteFailure(pipeline.head().id(), 1, nowMs);
         onRunLost("target-error", "the pipeline failed");
       } else {
@@ -523,6 +533,9 @@
     public void onBroken(String reason) {
       if (!isOver) {
         end();
+        if (!hasEvents) {
+          new CrashWatch(context).onBroken(request, routed, pipeline.head().address());
+        }
         lostRuns += context.fleet().isSuspect(pipeline.head().address()) ? 1 : 0;
         context.fleet().examine(pipeline);
         context
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannels.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannels.java
@@ -78,6 +78,16 @@
     connect(address, onReady, onFailed);
   }
 
+  /**
+   * Tries to connect, without keeping the connection.
+   *
+   * @param address IP address and port
+   * @param onFailed receives the reason if the target cannot be reached
+   */
+  void connectOnly(String address, Consumer<String> onFailed) {
+    connect(address, TargetChannel::abort, onFailed);
+  }
+
   private void connect(
       String address, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
     TargetChannel handler = new TargetChannel(this, address);
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
@@ -0,0 +1,85 @@
+package org.gooseberryhook.router.node;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gooseberryhook.router.forward.RequestMeter;
+
+/** Counters and latency histograms of a node. Used on the event loop only, once it is started. */
+final class RouterMetrics implements RequestMeter {
+
+  /** Workspaces with figures of their own at most; further ones are counted together. */
+  static final int MAX_WORKSPACES = 256;
+
+  private static final String OTHER_WORKSPACES = "other";
+
+  /** Bounds of the latency histograms, around the usual targets of 200 and 500 ms. */
+  private static final double[] BOUNDS_MS = {
+    25, 50, 100, 150, 200, 300, 500, 750, 1_000, 2_000, 5_000, 10_000, 20_000
+  };
+
+  private final Map<String, AtomicLong> gauges = new HashMap<>();
+  private final Map<String, Counter> counters = new HashMap<>();
+  private final Map<String, DistributionSummary> histograms = new HashMap<>();
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+  /** Loads the classes behind a figure, so that the first request does not wait for them. */
+  RouterMetrics() {
+    note("none", "", "none", 0);
+    page();
+  }
+
+  @Override
+  public void note(String kind, String workspace, String outcome, long answerMs) {
+    counters
+        .computeIfAbsent(kind + '/' + outcome, key -> counter(kind, outcome))
+        .increment();
+    if (answerMs >= 0) {
+      boolean isKnown = histograms.containsKey(kind + '/' + workspace);
+      String label = isKnown || histograms.size() < MAX_WORKSPACES ? workspace : OTHER_WORKSPACES;
+      histograms
+          .computeIfAbsent(kind + '/' + label, key -> histogram(kind, label))
+          .record(answerMs);
+    }
+  }
+
+  private Counter counter(String kind, String outcome) {
+    return Counter.builder("gooseberryhook_requests")
+        .description("requests that ended, by how they ended")
+        .tag("kind", kind)
+        .tag("outcome", outcome)
+        .register(registry);
+  }
+
+  private DistributionSummary histogram(String kind, String workspace) {
+    return DistributionSummary.builder("gooseberryhook_answer_ms")
+        .description("time to the answer, of streams to the first event")
+        .tag("kind", kind)
+        .tag("workspace", workspace)
+        .serviceLevelObjectives(BOUNDS_MS)
+        .register(registry);
+  }
+
+  void setGauge(String name, long value) {
+    gauges
+        .computeIfAbsent(
+            name,
+            key -> {
+              AtomicLong holder = new AtomicLong();
+              Gauge.builder("gooseberryhook_" + name, holder, AtomicLong::doubleValue)
+                  .register(registry);
+              return holder;
+            })
+        .set(value);
+  }
+
+  String page() {
+    return registry.scrape();
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +18,7 @@
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.PlacementLease;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.fleet.CrashMarks;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TargetHealth;
 import org.gooseberryhook.router.fleet.TargetRegistry;
@@ -68,6 +68,8 @@
   private final PeerTable peers;
   private final TargetRegistry registry = new TargetRegistry();
   private final LoadBook loads = new LoadBook();
+  private final CrashMarks crashMarks = new CrashMarks();
+  private final RouterMetrics metrics = new RouterMetrics();
   private final PlacementLease lease;
   private final FleetState fleet;
   private final Forwarder forwarder;
@@ -146,6 +148,8 @@
                 settings.retryWindowMs(),
                 peers::knownCount),
             new TargetHealth(),
+            crashMarks,
+            metrics,
             log,
             settings.addresses().callers(),
             Math.max(1, settings.maxSockets() - RESERVED_SOCKETS));
@@ -243,7 +247,7 @@
             isLast,
             loads.ownLoads(),
             fleet.suspects().suspects(),
-            List.of());
+            crashMarks.ownMarks(lastReportMs));
     links.send(report, peers.reportAddresses());
   }
 
@@ -257,6 +261,7 @@
       if (report.isPlanner()) {
         lease.onHolderHeard(report.leaseRevision(), clock.nowMs());
       }
+      crashMarks.replacePeer(report.node(), report.crashMarks(), clock.nowMs());
       fleet.onPeerSuspects(report.suspects());
       if (forwarder.waitingCount() > 0) {
         forwarder.onRoomChanged();
@@ -295,15 +300,23 @@
     return addresses.subList(0, Math.min(maxAddresses, addresses.size()));
   }
 
-  /** Returns a few figures of the node for its metrics page; on the event loop. */
-  public Map<String, Number> figures() {
-    Map<String, Number> figures = new HashMap<>();
-    figures.put("requests_in_flight", forwarder.requestCount());
-    figures.put("streams_waiting", forwarder.waitingCount());
-    figures.put("caller_connections", forwarder.connectionCount());
-    figures.put("live_peers", peers.live().size());
-    figures.put("configuration_version", configuration.map(RoutingConfiguration::version).orElse(0L));
-    return figures;
+  /**
+   * Returns the metrics page. To be called on the event loop.
+   *
+   * @return the page in the Prometheus text format
+   */
+  public String metricsPage() {
+    metrics.setGauge("requests_in_flight", forwarder.requestCount());
+    metrics.setGauge("streams_waiting", forwarder.waitingCount());
+    metrics.setGauge("caller_connections", forwarder.connectionCount());
+    metrics.setGauge("live_peers", peers.live().size());
+    metrics.setGauge("targets", registry.entries().size());
+    metrics.setGauge("suspected_targets", fleet.suspects().suspects().size());
+    metrics.setGauge("placement_lease_held", lease.isHeld(clock.nowMs()) ? 1 : 0);
+    metrics.setGauge(
+        "configuration_version",
+        configuration.map(RoutingConfiguration::version).orElse(0L));
+    return metrics.page();
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
@@ -25,6 +27,9 @@
   /** Room for requests, as a share of the usual one, below which a target is relieved. */
   private static final double TIGHT_SHARE = 0.6;
 
+  /** Room for requests, as a share of the usual one, that a target keeps when it is extended. */
+  private static final double EXTENDED_SHARE = 0.35;
+
   private PlanRepair() {}
 
   /** Adds the ranges that targets should change to; the others keep what they hold. */
@@ -98,11 +103,56 @@
         return;
       }
     }
-    extendNeighbours(gap, holders, profile, ranges);
+    if (!extendNeighbours(gap, holders, profile, ranges)) {
+      splitAnew(gap, holders, profile, ranges);
+    }
+  }
+
+  /**
+   * Splits the layers anew over the targets that are left of a pipeline. All of them load some
+   * layers, so this is the last choice; the pipeline takes no requests anyway.
+   */
+  private static void splitAnew(
+      LayerRange gap,
+      List<TargetEntry> holders,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    List<TargetEntry> chain = new ArrayList<>();
+    int first = gap.firstLayer();
+    for (Optional<TargetEntry> next = at(holders, ranges, LayerRange::endLayer, first);
+        next.isPresent();
+        next = at(holders, ranges, LayerRange::endLayer, first)) {
+      chain.add(0, next.get());
+      first = next.get().layers().get().firstLayer();
+    }
+    int end = gap.endLayer();
+    for (Optional<TargetEntry> next = at(holders, ranges, LayerRange::firstLayer, end);
+        next.isPresent();
+        next = at(holders, ranges, LayerRange::firstLayer, end)) {
+      chain.add(next.get());
+      end = next.get().layers().get().endLayer();
+    }
+    if (first != 0 || end != profile.layers()) {
+      return;
+    }
+    List<AcceleratorKind> kinds =
+        chain.stream().map(e -> profile.kind(e.acceleratorKind()).orElseThrow()).toList();
+    GroupSplit.best(kinds, profile)
+        .ifPresent(split -> new FirstPlan.Group(chain, split).addRanges(ranges));
+  }
+
+  private static Optional<TargetEntry> at(
+      List<TargetEntry> holders,
+      Map<String, LayerRange> ranges,
+      ToIntFunction<LayerRange> edge,
+      int layer) {
+    return holders.stream()
+        .filter(e -> edge.applyAsInt(e.layers().get()) == layer && !ranges.containsKey(e.id()))
+        .min(Comparator.comparing(TargetEntry::address));
   }
 
   /** Splits the gap between the target before it and the one after it, by their free memory. */
-  private static void extendNeighbours(
+  private static boolean extendNeighbours(
       LayerRange gap,
       List<TargetEntry> holders,
       EngineProfile profile,
@@ -111,10 +161,11 @@
         best(holders, e -> e.layers().get().endLayer() == gap.firstLayer(), profile, ranges);
     Optional<TargetEntry> after =
         best(holders, e -> e.layers().get().firstLayer() == gap.endLayer(), profile, ranges);
-    int spareBefore = before.map(e -> spare(e, profile)).orElse(0);
-    int spareAfter = after.map(e -> spare(e, profile)).orElse(0);
+    double leastRoom = medianRoom(holders, profile) * EXTENDED_SHARE;
+    int spareBefore = before.map(e -> spare(e, leastRoom, profile)).orElse(0);
+    int spareAfter = after.map(e -> spare(e, leastRoom, profile)).orElse(0);
     if (spareBefore + spareAfter < gap.layerCount()) {
-      return;
+      return false;
     }
     int share = Math.round((float) gap.layerCount() * spareBefore / (spareBefore + spareAfter));
     int toBefore = Math.max(gap.layerCount() - spareAfter, Math.min(spareBefore, share));
@@ -127,6 +178,7 @@
       TargetEntry target = after.get();
       ranges.put(target.id(), LayerRange.of(middle, target.layers().get().endLayer()));
     }
+    return true;
   }
 
   private static Optional<TargetEntry> best(
@@ -138,7 +190,7 @@
         .filter(isNeighbour)
         .filter(e -> !ranges.containsKey(e.id()))
         .max(
-            Comparator.<TargetEntry>comparingInt(e -> spare(e, profile))
+            Comparator.<TargetEntry>comparingDouble(e -> tokensPerLayer(e, profile))
                 .thenComparing(TargetEntry::address));
   }
 
@@ -156,8 +208,7 @@
       further.forEach(group -> group.addRanges(ranges));
       return;
     }
-    double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
-    double usualRoom = room[room.length / 2];
+    double usualRoom = medianRoom(holders, profile);
     trim(holders, usualRoom, profile, ranges);
     if (!empty.isEmpty()) {
       relieve(holders, empty, usualRoom, profile, ranges);
@@ -287,7 +338,14 @@
     return profile.layerCapacity(memoryMb, MIN_REQUEST_SHARE);
   }
 
-  private static int spare(TargetEntry entry, EngineProfile profile) {
-    return Math.max(0, capacity(entry, profile) - entry.layers().get().layerCount());
+  private static double medianRoom(List<TargetEntry> holders, EngineProfile profile) {
+    double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
+    return room[room.length / 2];
+  }
+
+  /** Layers that a target can take in addition and still have a given room for each. */
+  private static int spare(TargetEntry entry, double leastRoom, EngineProfile profile) {
+    int most = layersAtRoom(entry, leastRoom, profile);
+    return Math.max(0, most - entry.layers().get().layerCount());
   }
 }
