--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
@@ -1,8 +1,6 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,15 +14,11 @@
   /** Time between looks at waiting streams; other nodes' releases are heard of at this pace. */
   static final long STEP_MS = 15;
 
-  /** Time over which the rate of starts is taken; a few hundred starts at the most. */
-  private static final long RATE_WINDOW_MS = 1_000;
-
   /** Rank of streams that were broken and go on; they hold a caller that has waited before. */
   static final int RESUME_RANK = -1;
 
   private final ForwardContext context;
   private final Map<String, WaitQueue<StreamExchange>> queues = new HashMap<>();
-  private final Deque<Long> startsMs = new ArrayDeque<>();
   private final Set<StreamExchange> running = new LinkedHashSet<>();
   private ScheduledFuture<?> timer;
 
@@ -45,10 +39,6 @@
     if (queue.size() == 0 && exchange.tryStart()) {
       return;
     }
-    if (rank > RESUME_RANK && isTooLong(queue.size(), giveUpMs)) {
-      exchange.onWaitOver();
-      return;
-    }
     WaitQueue.Waiter<StreamExchange> waiter = queue.add(rank, giveUpMs, exchange);
     if (waiter == null) {
       exchange.onWaitOver();
@@ -58,20 +48,9 @@
     arm();
   }
 
-  /** Tells whether those that wait already use up all room that becomes free in time. */
-  private boolean isTooLong(int waiting, long giveUpMs) {
-    long nowMs = context.clock().nowMs();
-    while (!startsMs.isEmpty() && startsMs.peekFirst() < nowMs - RATE_WINDOW_MS) {
-      startsMs.pollFirst();
-    }
-    double startsPerMs = (startsMs.size() + 1.0) / RATE_WINDOW_MS;
-    return waiting / startsPerMs > giveUpMs - nowMs;
-  }
-
   /** Counts a stream as running on a pipeline. */
   void onRunning(StreamExchange exchange) {
     running.add(exchange);
-    startsMs.addLast(context.clock().nowMs());
   }
 
   /** Counts a stream as no longer running on a pipeline. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -40,8 +40,8 @@
   /** Time before the caller leaves that a new run gets for its first event. */
   static final long RESUME_MARGIN_MS = 400;
 
-  private static final long RETRY_AFTER_MS = 1_500;
-  private static final long RETRY_SPREAD_MS = 4_500;
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final long RETRY_SPREAD_MS = 2_000;
   /** By how much pauses may grow for a stream that goes on at another pipeline. */
   private static final double RESUME_PAUSE_FACTOR = 1.5;
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
@@ -27,12 +27,7 @@
   /** Time for which a target that refused a request gets no new ones. */
   static final long AVOID_MS = 400;
 
-  /** Longest such time; it doubles with each refusal right after the target was taken back. */
-  static final long MAX_AVOID_MS = 3_200;
-
   private final Map<String, Long> avoidedUntilMs = new HashMap<>();
-  private final Map<String, Long> lastAvoidMs = new HashMap<>();
-  private final Map<String, Long> takenBackMs = new HashMap<>();
   private final Map<String, Long> examinedMs = new HashMap<>();
   private long revision;
 
@@ -60,17 +55,9 @@
 
   /** Leaves a target out of new requests for a moment; returns false if it is left out already. */
   boolean avoid(String address, long nowMs) {
-    if (avoidedUntilMs.containsKey(address)) {
-      return false;
-    }
-    Long backMs = takenBackMs.remove(address);
-    boolean isRepeated = backMs != null && nowMs - backMs < MAX_AVOID_MS;
-    long lastMs = lastAvoidMs.getOrDefault(address, AVOID_MS);
-    long lengthMs = isRepeated ? Math.min(MAX_AVOID_MS, 2 * lastMs) : AVOID_MS;
-    lastAvoidMs.put(address, lengthMs);
-    avoidedUntilMs.put(address, nowMs + lengthMs);
-    revision++;
-    return true;
+    boolean isNew = avoidedUntilMs.put(address, nowMs + AVOID_MS) == null;
+    revision += isNew ? 1 : 0;
+    return isNew;
   }
 
   boolean isAvoided(String address) {
@@ -79,12 +66,8 @@
 
   /** Takes targets back whose time is over. */
   void expire(long nowMs) {
-    for (String address : List.copyOf(avoidedUntilMs.keySet())) {
-      if (avoidedUntilMs.get(address) <= nowMs) {
-        avoidedUntilMs.remove(address);
-        takenBackMs.put(address, nowMs);
-        revision++;
-      }
+    if (avoidedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs)) {
+      revision++;
     }
   }
 
@@ -110,8 +93,6 @@
       revision++;
     }
     examinedMs.keySet().retainAll(listed);
-    lastAvoidMs.keySet().retainAll(listed);
-    takenBackMs.keySet().retainAll(listed);
   }
 
   long revision() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -8,8 +8,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.function.ToIntFunction;
-import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
@@ -27,9 +25,6 @@
   /** Room for requests, as a share of the usual one, below which a target is relieved. */
   private static final double TIGHT_SHARE = 0.6;
 
-  /** Room for requests, as a share of the usual one, that a target keeps when it is extended. */
-  private static final double EXTENDED_SHARE = 0.35;
-
   private PlanRepair() {}
 
   /** Adds the ranges that targets should change to; the others keep what they hold. */
@@ -69,7 +64,7 @@
       }
       from = to + 1;
     }
-    spread(holders, empty, profile, ranges);
+    spread(holders, empty, copies, profile, ranges);
   }
 
   private static int[] copies(List<TargetEntry> holders, int layers) {
@@ -103,56 +98,11 @@
         return;
       }
     }
-    if (!extendNeighbours(gap, holders, profile, ranges)) {
-      splitAnew(gap, holders, profile, ranges);
-    }
-  }
-
-  /**
-   * Splits the layers anew over the targets that are left of a pipeline. All of them load some
-   * layers, so this is the last choice; the pipeline takes no requests anyway.
-   */
-  private static void splitAnew(
-      LayerRange gap,
-      List<TargetEntry> holders,
-      EngineProfile profile,
-      Map<String, LayerRange> ranges) {
-    List<TargetEntry> chain = new ArrayList<>();
-    int first = gap.firstLayer();
-    for (Optional<TargetEntry> next = at(holders, ranges, LayerRange::endLayer, first);
-        next.isPresent();
-        next = at(holders, ranges, LayerRange::endLayer, first)) {
-      chain.add(0, next.get());
-      first = next.get().layers().get().firstLayer();
-    }
-    int end = gap.endLayer();
-    for (Optional<TargetEntry> next = at(holders, ranges, LayerRange::firstLayer, end);
-        next.isPresent();
-        next = at(holders, ranges, LayerRange::firstLayer, end)) {
-      chain.add(next.get());
-      end = next.get().layers().get().endLayer();
-    }
-    if (first != 0 || end != profile.layers()) {
-      return;
-    }
-    List<AcceleratorKind> kinds =
-        chain.stream().map(e -> profile.kind(e.acceleratorKind()).orElseThrow()).toList();
-    GroupSplit.best(kinds, profile)
-        .ifPresent(split -> new FirstPlan.Group(chain, split).addRanges(ranges));
-  }
-
-  private static Optional<TargetEntry> at(
-      List<TargetEntry> holders,
-      Map<String, LayerRange> ranges,
-      ToIntFunction<LayerRange> edge,
-      int layer) {
-    return holders.stream()
-        .filter(e -> edge.applyAsInt(e.layers().get()) == layer && !ranges.containsKey(e.id()))
-        .min(Comparator.comparing(TargetEntry::address));
+    extendNeighbours(gap, holders, profile, ranges);
   }
 
   /** Splits the gap between the target before it and the one after it, by their free memory. */
-  private static boolean extendNeighbours(
+  private static void extendNeighbours(
       LayerRange gap,
       List<TargetEntry> holders,
       EngineProfile profile,
@@ -161,11 +111,10 @@
         best(holders, e -> e.layers().get().endLayer() == gap.firstLayer(), profile, ranges);
     Optional<TargetEntry> after =
         best(holders, e -> e.layers().get().firstLayer() == gap.endLayer(), profile, ranges);
-    double leastRoom = medianRoom(holders, profile) * EXTENDED_SHARE;
-    int spareBefore = before.map(e -> spare(e, leastRoom, profile)).orElse(0);
-    int spareAfter = after.map(e -> spare(e, leastRoom, profile)).orElse(0);
+    int spareBefore = before.map(e -> spare(e, profile)).orElse(0);
+    int spareAfter = after.map(e -> spare(e, profile)).orElse(0);
     if (spareBefore + spareAfter < gap.layerCount()) {
-      return false;
+      return;
     }
     int share = Math.round((float) gap.layerCount() * spareBefore / (spareBefore + spareAfter));
     int toBefore = Math.max(gap.layerCount() - spareAfter, Math.min(spareBefore, share));
@@ -178,7 +127,6 @@
       TargetEntry target = after.get();
       ranges.put(target.id(), LayerRange.of(middle, target.layers().get().endLayer()));
     }
-    return true;
   }
 
   private static Optional<TargetEntry> best(
@@ -190,7 +138,7 @@
         .filter(isNeighbour)
         .filter(e -> !ranges.containsKey(e.id()))
         .max(
-            Comparator.<TargetEntry>comparingDouble(e -> tokensPerLayer(e, profile))
+            Comparator.<TargetEntry>comparingInt(e -> spare(e, profile))
                 .thenComparing(TargetEntry::address));
   }
 
@@ -201,6 +149,7 @@
   private static void spread(
       List<TargetEntry> holders,
       List<TargetEntry> empty,
+      int[] copies,
       EngineProfile profile,
       Map<String, LayerRange> ranges) {
     List<FirstPlan.Group> further = FirstPlan.plan(empty, profile);
@@ -208,8 +157,9 @@
       further.forEach(group -> group.addRanges(ranges));
       return;
     }
-    double usualRoom = medianRoom(holders, profile);
-    trim(holders, usualRoom, profile, ranges);
+    double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
+    double usualRoom = room[room.length / 2];
+    trim(holders, copies, usualRoom, profile, ranges);
     if (!empty.isEmpty()) {
       relieve(holders, empty, usualRoom, profile, ranges);
     }
@@ -296,6 +246,7 @@
   /** Tight targets give up layers at their ends that another target holds too. */
   private static void trim(
       List<TargetEntry> holders,
+      int[] copies,
       double usualRoom,
       EngineProfile profile,
       Map<String, LayerRange> ranges) {
@@ -314,19 +265,39 @@
         if (its.firstLayer() > held.firstLayer()
             && its.firstLayer() < held.endLayer()
             && its.endLayer() >= held.endLayer()) {
-          ranges.put(entry.id(), LayerRange.of(held.firstLayer(), its.firstLayer()));
+          giveUp(entry, its.firstLayer(), held.endLayer(), copies, ranges);
           break;
         }
         if (its.firstLayer() <= held.firstLayer()
             && its.endLayer() > held.firstLayer()
             && its.endLayer() < held.endLayer()) {
-          ranges.put(entry.id(), LayerRange.of(its.endLayer(), held.endLayer()));
+          giveUp(entry, held.firstLayer(), its.endLayer(), copies, ranges);
           break;
         }
       }
     }
   }
 
+  /** Has a target give up layers at one end, unless that would leave a gap to be filled again. */
+  private static void giveUp(
+      TargetEntry entry, int from, int to, int[] copies, Map<String, LayerRange> ranges) {
+    int wanted = usualCopies(copies);
+    for (int layer = from; layer < to; layer++) {
+      if (copies[layer] <= wanted) {
+        return;
+      }
+    }
+    for (int layer = from; layer < to; layer++) {
+      copies[layer]--;
+    }
+    LayerRange held = entry.layers().get();
+    ranges.put(
+        entry.id(),
+        from == held.firstLayer()
+            ? LayerRange.of(to, held.endLayer())
+            : LayerRange.of(held.firstLayer(), from));
+  }
+
   private static double tokensPerLayer(TargetEntry entry, EngineProfile profile) {
     int held = entry.layers().get().layerCount();
     double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
@@ -338,14 +309,7 @@
     return profile.layerCapacity(memoryMb, MIN_REQUEST_SHARE);
   }
 
-  private static double medianRoom(List<TargetEntry> holders, EngineProfile profile) {
-    double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
-    return room[room.length / 2];
-  }
-
-  /** Layers that a target can take in addition and still have a given room for each. */
-  private static int spare(TargetEntry entry, double leastRoom, EngineProfile profile) {
-    int most = layersAtRoom(entry, leastRoom, profile);
-    return Math.max(0, most - entry.layers().get().layerCount());
+  private static int spare(TargetEntry entry, EngineProfile profile) {
+    return Math.max(0, capacity(entry, profile) - entry.layers().get().layerCount());
   }
 }
