--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
@@ -40,15 +40,15 @@
    * @param paces how slow targets are
    * @return milliseconds
    */
-  public static double stepMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads, Paces paces) {
+  public static double stepMs(
+      ModelPipeline pipeline, EngineProfile profile, LoadBook loads, Paces paces) {
     double sumMs = 0;
     for (PipelineStage stage : pipeline.stages()) {
       AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
       double share = (double) stage.layers().layerCount() / profile.layers();
       Load load = loads.total(stage.target().id());
       double contextTokens = (double) load.layerTokens() / stage.layers().layerCount();
-      double contextMs =
-          profile.contextMsPer1000Tokens() * contextTokens / TOKENS_PER_CONTEXT_UNIT;
+      double contextMs = profile.contextMsPer1000Tokens() * contextTokens / TOKENS_PER_CONTEXT_UNIT;
       sumMs +=
           share
               * kind.paceFactor()
@@ -95,9 +95,11 @@
    * @param paces how slow targets are
    * @return milliseconds
    */
-  public static double pauseMs(ModelPipeline pipeline, EngineProfile profile, LoadBook loads, Paces paces) {
+  public static double pauseMs(
+      ModelPipeline pipeline, EngineProfile profile, LoadBook loads, Paces paces) {
     double chunkMs =
-        readMs(pipeline, profile, Math.min(profile.chunkTokens(), profile.usualPromptTokens()), paces);
+        readMs(
+            pipeline, profile, Math.min(profile.chunkTokens(), profile.usualPromptTokens()), paces);
     return profile.strideSteps() * stepMs(pipeline, profile, loads, paces) + chunkMs;
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -108,8 +108,7 @@
     return isUsable ? SLOW_FILL + fill : Double.POSITIVE_INFINITY;
   }
 
-  private double memoryFill(
-      ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+  private double memoryFill(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
     double fill = 0;
     for (PipelineStage stage : pipeline.stages()) {
       AcceleratorKind kind = profile.kind(stage.target().acceleratorKind()).orElseThrow();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -17,7 +17,9 @@
  */
 public final class PeerTable {
 
-  /** Silence after which a node is taken as gone; several report intervals, as datagrams get lost. */
+  /**
+   * Silence after which a node is taken as gone; several report intervals, as datagrams get lost.
+   */
   public static final long SILENCE_MS = 1_000;
 
   /** Contacts and nodes kept at most; above the design size of 390 nodes with restarts. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
@@ -73,12 +73,7 @@
   public String describe() {
     return stages.stream()
         .map(
-            s ->
-                s.target().address()
-                    + "="
-                    + s.layers().firstLayer()
-                    + "-"
-                    + s.layers().endLayer())
+            s -> s.target().address() + "=" + s.layers().firstLayer() + "-" + s.layers().endLayer())
         .collect(Collectors.joining(","));
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -171,7 +171,7 @@
               rejected.problem().kind(),
               "path",
               request.path());
-      reply.sendProblem(rejected.problem(), request.facts().attemptId());
+      reply.sendProblem(rejected.problem());
     } else if (result instanceof RoutingResult.Routed routed) {
       exchange = exchangeFor(request, routed);
       exchange.start();
@@ -187,8 +187,7 @@
             .flatMap(c -> c.findService(service))
             .flatMap(ServiceSettings::engine);
     if (routed.route().kind() == RequestKind.STREAM && engine.isPresent()) {
-      return new StreamExchange(
-          context, dispatcher, request, reply, routed, service, engine.get());
+      return new StreamExchange(context, dispatcher, request, reply, routed, service, engine.get());
     }
     return new PlainExchange(context, request, reply, routed, service);
   }
@@ -233,7 +232,7 @@
     context.log().note("refused-input", "", "status", status.code(), "detail", detail);
     CallerReply refusal =
         new CallerReply(channel.channel(), HttpVersion.HTTP_1_1, false, this::closeAfterWrites);
-    refusal.sendProblem(new ProblemReply(status.code(), "bad-request", detail, 0), "");
+    refusal.sendProblem(new ProblemReply(status.code(), "bad-request", detail, 0));
   }
 
   private void closeAfterWrites() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerReply.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerReply.java
@@ -64,15 +64,14 @@
   /** Sends a target's whole answer. */
   void sendWhole(int status, HttpHeaders headers, ByteBuf body) {
     DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
     response.headers().add(HopHeaders.copyEndToEnd(headers));
     HttpUtil.setContentLength(response, body.readableBytes());
     finish(response);
   }
 
   /** Sends a failure of the system's own. */
-  void sendProblem(ProblemReply problem, String attemptId) {
+  void sendProblem(ProblemReply problem) {
     String json =
         String.format(
             Locale.ROOT,
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -66,8 +66,7 @@
             .bind(TargetChannels.socketAddress(address))
             .sync()
             .channel();
-    sweep =
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    sweep = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
   private void initConnection(SocketChannel channel) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashWatch.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashWatch.java
@@ -29,9 +29,7 @@
   }
 
   boolean isBlocked(CallerRequest request, RoutingResult.Routed routed) {
-    return context
-        .crashMarks()
-        .isBlocked(fingerprint(request, routed), context.clock().nowMs());
+    return context.crashMarks().isBlocked(fingerprint(request, routed), context.clock().nowMs());
   }
 
   /** Looks whether a target that broke a connection is dead, and marks the request if it is. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -47,8 +47,10 @@
   private ScheduledFuture<?> stepTimer;
   private Attempt attempt;
   private Answer lastAnswer;
+
   /** Sends that no target has stated as not run. */
   private int unprovenSends;
+
   private int sends;
   private boolean isSettled;
 
@@ -139,13 +141,11 @@
       reply.sendWhole(answer.status(), answer.headers(), answer.body());
     } else if (mayHaveRun()) {
       settle(kind);
-      reply.sendProblem(ProblemReply.mayHaveRun(kind, detail), request.facts().attemptId());
+      reply.sendProblem(ProblemReply.mayHaveRun(kind, detail));
     } else {
       settle(kind);
       long spreadMs = context.random().nextLong(RETRY_AFTER_MS);
-      reply.sendProblem(
-          ProblemReply.notRun(kind, detail, RETRY_AFTER_MS + spreadMs),
-          request.facts().attemptId());
+      reply.sendProblem(ProblemReply.notRun(kind, detail, RETRY_AFTER_MS + spreadMs));
     }
   }
 
@@ -156,8 +156,7 @@
       reply.sendProblem(
           isNotRun
               ? ProblemReply.notRun("timeout", "no target had room in time", RETRY_AFTER_MS)
-              : ProblemReply.timedOut("the target did not answer in time"),
-          request.facts().attemptId());
+              : ProblemReply.timedOut("the target did not answer in time"));
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ReplyFacts.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ReplyFacts.java
@@ -11,4 +11,7 @@
  * @param faultAddress address of the pipeline's target that is at fault, if stated
  */
 public record ReplyFacts(
-    Optional<String> attemptId, boolean isSigned, boolean isNotRun, Optional<String> faultAddress) {}
+    Optional<String> attemptId,
+    boolean isSigned,
+    boolean isNotRun,
+    Optional<String> faultAddress) {}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -42,6 +42,7 @@
 
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_SPREAD_MS = 2_000;
+
   /** By how much pauses may grow for a stream that goes on at another pipeline. */
   private static final double RESUME_PAUSE_FACTOR = 1.5;
 
@@ -68,8 +69,10 @@
   private int answerTokens;
   private int runs;
   private int unprovenSends;
+
   /** Runs that do not count as attempts: not begun, or on a head that is dead. */
   private int lostRuns;
+
   private boolean isSettled;
 
   StreamExchange(
@@ -178,7 +181,7 @@
     if (reply.isBegun()) {
       reply.abort();
     } else {
-      reply.sendProblem(problem, request.facts().attemptId());
+      reply.sendProblem(problem);
     }
   }
 
@@ -251,8 +254,7 @@
     isAllowed &= !new CrashWatch(context).isBlocked(request, routed);
     long nowMs = context.clock().nowMs();
     boolean isInBudget =
-        hasAttempt()
-            && (runs == 0 || context.allowance().trySpend(service, nowMs));
+        hasAttempt() && (runs == 0 || context.allowance().trySpend(service, nowMs));
     if (!isAllowed || !isInBudget) {
       fail(
           unprovenSends > 0
@@ -510,9 +512,7 @@
       if (facts.isNotRun()) {
         unprovenSends--;
         String at = facts.faultAddress().orElse("");
-        context
-            .log()
-            .note("refused", request.facts().attemptId(), "status", status, "fault", at);
+        context.log().note("refused", request.facts().attemptId(), "status", status, "fault", at);
         facts.faultAddress().ifPresent(context.fleet()::avoid);
         context.health().noteFailure(pipeline.head().id(), 0.5, nowMs);
         lostRuns++;
@@ -524,8 +524,7 @@
         onRunLost("target-error", "the pipeline failed");
       } else {
         settle("answered-" + status);
-        reply.sendWhole(
-            status, headers, failureBody == null ? Unpooled.EMPTY_BUFFER : failureBody);
+        reply.sendWhole(status, headers, failureBody == null ? Unpooled.EMPTY_BUFFER : failureBody);
       }
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannels.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannels.java
@@ -61,10 +61,7 @@
    * @param onFailed receives the reason when there is none; nothing was sent
    */
   void acquire(
-      String address,
-      long maxIdleMs,
-      Consumer<TargetChannel> onReady,
-      Consumer<String> onFailed) {
+      String address, long maxIdleMs, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
     Deque<TargetChannel> kept = idle.get(address);
     while (kept != null && !kept.isEmpty()) {
       TargetChannel channel = kept.pollLast();
@@ -88,8 +85,7 @@
     connect(address, TargetChannel::abort, onFailed);
   }
 
-  private void connect(
-      String address, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
+  private void connect(String address, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
     TargetChannel handler = new TargetChannel(this, address);
     Bootstrap bootstrap =
         new Bootstrap()
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -87,8 +87,7 @@
       retainPaces();
     }
     suspects.expire(clock.nowMs());
-    boolean isChanged =
-        registry.revision() != seenRegistry || suspects.revision() != seenSuspects;
+    boolean isChanged = registry.revision() != seenRegistry || suspects.revision() != seenSuspects;
     if (isChanged && configuration.isPresent()) {
       seenRegistry = registry.revision();
       compose(configuration.get());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
@@ -76,8 +76,7 @@
               if (result instanceof TableResult.Read read) {
                 lease.onRead(decode(read.records()), nowMs);
                 nextMs =
-                    Math.max(
-                        nowMs, Math.min(nowMs + PlacementLease.RENEW_MS, lease.takeoverMs()));
+                    Math.max(nowMs, Math.min(nowMs + PlacementLease.RENEW_MS, lease.takeoverMs()));
               } else {
                 nextMs = nowMs + PlacementLease.RENEW_MS / 2;
               }
@@ -122,7 +121,8 @@
       table
           .transact(List.of(TableOperation.ofPut(KEY, held.revision(), encode(free))))
           .thenAccept(
-              result -> log.note("lease-released", "", "result", result.getClass().getSimpleName()));
+              result ->
+                  log.note("lease-released", "", "result", result.getClass().getSimpleName()));
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/NodeRegistration.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/NodeRegistration.java
@@ -13,7 +13,8 @@
 
 /**
  * Registers this node's address for reports in the store and reads those of the others. A node
- * writes before it reads, so of two nodes at least one finds the other. Used on the event loop only.
+ * writes before it reads, so of two nodes at least one finds the other. Used on the event loop
+ * only.
  */
 final class NodeRegistration {
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerLinks.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerLinks.java
@@ -29,8 +29,7 @@
   private final DecisionLog log;
   private Channel channel;
 
-  PeerLinks(
-      EventLoop loop, String address, Consumer<PeerReport> onReport, DecisionLog log) {
+  PeerLinks(EventLoop loop, String address, Consumer<PeerReport> onReport, DecisionLog log) {
     this.loop = loop;
     this.address = address;
     this.onReport = onReport;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
@@ -37,9 +37,7 @@
 
   @Override
   public void note(String kind, String workspace, String outcome, long answerMs) {
-    counters
-        .computeIfAbsent(kind + '/' + outcome, key -> counter(kind, outcome))
-        .increment();
+    counters.computeIfAbsent(kind + '/' + outcome, key -> counter(kind, outcome)).increment();
     if (answerMs >= 0) {
       boolean isKnown = histograms.containsKey(kind + '/' + workspace);
       String label = isKnown || histograms.size() < MAX_WORKSPACES ? workspace : OTHER_WORKSPACES;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -314,8 +314,7 @@
     metrics.setGauge("suspected_targets", fleet.suspects().suspects().size());
     metrics.setGauge("placement_lease_held", lease.isHeld(clock.nowMs()) ? 1 : 0);
     metrics.setGauge(
-        "configuration_version",
-        configuration.map(RoutingConfiguration::version).orElse(0L));
+        "configuration_version", configuration.map(RoutingConfiguration::version).orElse(0L));
     return metrics.page();
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/StructuredLog.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/StructuredLog.java
@@ -79,8 +79,7 @@
     LOGGER.info(text);
   }
 
-  private static void writeField(JsonGenerator line, String name, Object value)
-      throws IOException {
+  private static void writeField(JsonGenerator line, String name, Object value) throws IOException {
     if (value instanceof Integer || value instanceof Long) {
       line.writeNumberField(name, ((Number) value).longValue());
     } else if (value instanceof Boolean) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
@@ -24,6 +24,7 @@
   static final long MIN_SUSPECT_MS = 1_000;
 
   private final Map<String, Long> suspects = new HashMap<>();
+
   /** Time for which a target that refused a request gets no new ones. */
   static final long AVOID_MS = 400;
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -105,9 +105,7 @@
     Map<String, TargetEntry> byKind = new TreeMap<>();
     for (TargetEntry entry : members) {
       byKind.merge(
-          entry.acceleratorKind(),
-          entry,
-          (a, b) -> a.address().compareTo(b.address()) > 0 ? a : b);
+          entry.acceleratorKind(), entry, (a, b) -> a.address().compareTo(b.address()) > 0 ? a : b);
     }
     return List.copyOf(byKind.values());
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
@@ -58,8 +58,7 @@
       double leastFilled = Double.POSITIVE_INFINITY;
       for (int i = 0; i < counts.length; i++) {
         AcceleratorKind kind = kinds.get(i);
-        double filled =
-            (counts[i] + 1) * Math.pow(kind.paceFactor(), shift) / kind.memoryMb();
+        double filled = (counts[i] + 1) * Math.pow(kind.paceFactor(), shift) / kind.memoryMb();
         if (filled < leastFilled && (counts[i] + 1) * profile.layerMb() < kind.memoryMb()) {
           leastFilled = filled;
           next = i;
@@ -73,8 +72,7 @@
     return counts;
   }
 
-  private static GroupSplit rate(
-      List<AcceleratorKind> kinds, int[] counts, EngineProfile profile) {
+  private static GroupSplit rate(List<AcceleratorKind> kinds, int[] counts, EngineProfile profile) {
     double usualTokens = profile.usualPromptTokens() + profile.usualAnswerTokens();
     double requests = profile.slots();
     double pace = 0;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -43,8 +43,7 @@
    * @param nowMs monotonic time
    * @return the orders
    */
-  public List<Order> due(
-      LayerPlan plan, List<TargetEntry> entries, int maxUnderWay, long nowMs) {
+  public List<Order> due(LayerPlan plan, List<TargetEntry> entries, int maxUnderWay, long nowMs) {
     Map<String, TargetEntry> byId = new HashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
     sent.entrySet().removeIf(e -> isOver(byId.get(e.getKey()), e.getValue(), nowMs));
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -13,9 +13,9 @@
 import org.gooseberryhook.state.LayerRange;
 
 /**
- * Closes the gaps that lost targets leave, with few loads: an empty target takes the missing layers,
- * else the targets that hold the layers before and after them take them in addition. The layers that
- * a target holds already keep serving meanwhile.
+ * Closes the gaps that lost targets leave, with few loads: an empty target takes the missing
+ * layers, else the targets that hold the layers before and after them take them in addition. The
+ * layers that a target holds already keep serving meanwhile.
  */
 final class PlanRepair {
 
@@ -157,7 +157,8 @@
       further.forEach(group -> group.addRanges(ranges));
       return;
     }
-    double[] room = holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
+    double[] room =
+        holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
     double usualRoom = room[room.length / 2];
     trim(holders, copies, usualRoom, profile, ranges);
     if (!empty.isEmpty()) {
@@ -215,9 +216,7 @@
     for (TargetEntry other : holders) {
       LayerRange its = other.layers().get();
       boolean isOther = !other.id().equals(entry.id());
-      if (isOther
-          && its.firstLayer() < held.endLayer()
-          && held.firstLayer() < its.endLayer()) {
+      if (isOther && its.firstLayer() < held.endLayer() && held.firstLayer() < its.endLayer()) {
         return true;
       }
     }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/OverloadReplayTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/OverloadReplayTest.java
@@ -52,8 +52,7 @@
     LoadBook loads = new LoadBook();
     StreamAdmission admission = new StreamAdmission(loads, target -> 1);
     WaitQueue<StreamRequest> queue = new WaitQueue<>();
-    PriorityQueue<Running> running =
-        new PriorityQueue<>(Comparator.comparingLong(Running::endMs));
+    PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparingLong(Running::endMs));
     int[] served = new int[(int) (RUN_MS / 1_000) + 60];
     for (long nowMs = 0; nowMs < RUN_MS; nowMs++) {
       boolean isFreed = false;
@@ -66,9 +65,7 @@
       if (random.nextDouble() < rate.perSecond(nowMs) / 1_000) {
         int answer = 60 + random.nextInt(290);
         queue.add(
-            1,
-            nowMs + WAIT_MS,
-            new StreamRequest(774, answer, 1, nowMs, nowMs + 20_000, 500, 200));
+            1, nowMs + WAIT_MS, new StreamRequest(774, answer, 1, nowMs, nowMs + 20_000, 500, 200));
         isFreed = true;
       }
       queue.expire(nowMs);
@@ -87,14 +84,12 @@
       long nowMs) {
     queue.drain(
         request -> {
-          Optional<ModelPipeline> chosen =
-              admission.choose(request, pipelines, PROFILE, 1, nowMs);
+          Optional<ModelPipeline> chosen = admission.choose(request, pipelines, PROFILE, 1, nowMs);
           chosen.ifPresent(
               pipeline -> {
                 for (PipelineStage stage : pipeline.stages()) {
                   loads.add(
-                      stage.target().id(),
-                      request.reservedTokens() * stage.layers().layerCount());
+                      stage.target().id(), request.reservedTokens() * stage.layers().layerCount());
                 }
                 double stepMs =
                     PipelineEstimate.stepMs(pipeline, PROFILE, loads, target -> 1)
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/StreamAdmissionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/StreamAdmissionTest.java
@@ -16,8 +16,7 @@
 class StreamAdmissionTest {
 
   private static final EngineProfile PROFILE = TestFleet.PROFILE;
-  private static final StreamRequest USUAL =
-      new StreamRequest(774, 204, 1, 0, 20_000, 500, 200);
+  private static final StreamRequest USUAL = new StreamRequest(774, 204, 1, 0, 20_000, 500, 200);
 
   private final LoadBook loads = new LoadBook();
   private double pace = 1;
@@ -43,8 +42,7 @@
         return admitted;
       }
       for (PipelineStage stage : chosen.get().stages()) {
-        loads.add(
-            stage.target().id(), request.reservedTokens() * stage.layers().layerCount());
+        loads.add(stage.target().id(), request.reservedTokens() * stage.layers().layerCount());
       }
       admitted++;
     }
@@ -64,8 +62,7 @@
   @Test
   void thePausesOfAFullPipelineStayWithinTheTarget() {
     fillUp(USUAL, 1);
-    double pauseMs =
-        PipelineEstimate.pauseMs(pipelines().get(0), PROFILE, loads, target -> 1);
+    double pauseMs = PipelineEstimate.pauseMs(pipelines().get(0), PROFILE, loads, target -> 1);
     assertThat(pauseMs).isLessThanOrEqualTo(USUAL.gapTargetMs());
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/TargetChooserTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/TargetChooserTest.java
@@ -30,9 +30,7 @@
   @Test
   void aFailingTargetIsTheLastChoice() {
     loads.add(second.id(), 0);
-    assertThat(
-            chooser.choose(
-                List.of(first, second), Set.of(), t -> t == first ? 3 : 0, t -> 0))
+    assertThat(chooser.choose(List.of(first, second), Set.of(), t -> t == first ? 3 : 0, t -> 0))
         .contains(second);
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
@@ -21,8 +21,7 @@
       return false;
     }
     stored =
-        new LeaseRecord(
-            next.holder(), next.incarnation(), next.fencingNumber(), ++lastRevision);
+        new LeaseRecord(next.holder(), next.incarnation(), next.fencingNumber(), ++lastRevision);
     return true;
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -44,8 +44,7 @@
   @Test
   void aTargetThatSaidItLeavesIsRemovedAlsoAfterAnOutage() {
     TargetEntry leaving =
-        new TargetEntry(
-            "t-1", "model", "10.0.0.1:80", "a", 1, true, "large", first.layers(), 1, 1);
+        new TargetEntry("t-1", "model", "10.0.0.1:80", "a", 1, true, "large", first.layers(), 1, 1);
     registry.replaceAll(List.of(leaving, second), 0);
     registry.noteStoreAway();
     registry.replaceAll(List.of(second), 5_000);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
@@ -133,16 +133,7 @@
   void leavingTargetsAreNotPlanned() {
     TargetEntry leaving =
         new TargetEntry(
-            "t-9",
-            "model",
-            "10.0.0.9:80",
-            "a",
-            1,
-            true,
-            "large",
-            Optional.empty(),
-            1,
-            1);
+            "t-9", "model", "10.0.0.9:80", "a", 1, true, "large", Optional.empty(), 1, 1);
     assertThat(LayerPlanner.plan(List.of(leaving), PROFILE).ranges()).isEmpty();
   }
 }
