Test the path of a request over real sockets

Change: RouterNodeTest with scripted targets: unchanged bytes, once-only sends, refusals, spoiled and foreign answers, resumed and broken streams, ambiguous lengths, slow and large input.

--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -0,0 +1,443 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.router.configuration.RequestKind;
+import org.gooseberryhook.router.configuration.RequestLimits;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.ServiceSettings;
+import org.gooseberryhook.router.configuration.WeightedService;
+import org.gooseberryhook.router.configuration.Workspace;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.fleet.TestFleet;
+import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the path of a request over real sockets: what callers and targets see. */
+class RouterNodeTest {
+
+  private static final String EVENTS = "text/event-stream";
+
+  private final List<TargetStandin> targets = new ArrayList<>();
+  private final List<TargetEntry> entries = new ArrayList<>();
+  private RouterNode node;
+  private int callerPort;
+
+  private TargetStandin target(String service, LayerRange layers, TargetStandin.Script script)
+      throws IOException {
+    TargetStandin target = new TargetStandin(script);
+    targets.add(target);
+    entries.add(
+        new TargetEntry(
+            "t-" + targets.size(),
+            service,
+            target.address(),
+            "a",
+            6,
+            false,
+            layers == null ? "" : "large",
+            Optional.ofNullable(layers),
+            1,
+            1));
+    return target;
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private void startNode() throws Exception {
+    callerPort = freePort();
+    String reports = "127.0.0.1:" + freePort();
+    NodeAddresses addresses =
+        new NodeAddresses("127.0.0.1:" + callerPort, "unused", Optional.empty(), reports, "unused");
+    RouterSettings settings =
+        new RouterSettings("n", "a", addresses, 4_000, 0.2, 100, 10_000, 3_000, 2);
+    node =
+        new RouterNode(
+            settings,
+            (loop, clock, log) ->
+                new RouterNode.Ports(
+                    new TestDialect(),
+                    new FixedFeed<>(List.of(configuration()), c -> "config"),
+                    new FixedFeed<>(entries, TargetEntry::id),
+                    new AbsentTable(),
+                    new HealthyEngines()));
+    node.start();
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    String targetsLoaded = "gooseberryhook_targets " + (double) entries.size();
+    String page = "";
+    while (!(page.contains(targetsLoaded)
+            && page.contains("gooseberryhook_configuration_version 1.0"))
+        && System.nanoTime() < endNanos) {
+      Thread.sleep(10);
+      page = node.loop().submit(node::metricsPage).get();
+    }
+  }
+
+  private static RoutingConfiguration configuration() {
+    return new RoutingConfiguration(
+        1,
+        List.of(
+            route("/read/", RequestKind.IDEMPOTENT, "plain", 1_000),
+            route("/book/", RequestKind.ONCE_ONLY, "plain", 1_000),
+            route("/draft/", RequestKind.STREAM, "model", 10_000)),
+        Map.of(
+            "plain",
+            new ServiceSettings("plain", "/health", 10, Optional.empty()),
+            "model",
+            new ServiceSettings("model", "/health", 10, Optional.of(TestFleet.PROFILE))),
+        new RequestLimits(2_000, 10_000, 500, 2_000),
+        Optional.of(List.of(new Workspace("w", Set.of("k"), OptionalInt.empty()))));
+  }
+
+  private static Route route(String prefix, RequestKind kind, String service, long timeoutMs) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        timeoutMs,
+        500,
+        2,
+        1,
+        false,
+        false,
+        true,
+        200,
+        List.of(new WeightedService(service, 1)));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    if (node != null) {
+      node.stop();
+    }
+    for (TargetStandin target : targets) {
+      target.close();
+    }
+  }
+
+  /** Sends raw bytes and returns all that comes back until the node closes the connection. */
+  private String exchange(String request) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
+      socket.setSoTimeout(8_000);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      InputStream in = socket.getInputStream();
+      return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  private static String get(String path) {
+    return "GET "
+        + path
+        + " HTTP/1.1\r\nHost: h\r\nattempt: a1\r\nkey: k\r\nConnection: close\r\n\r\n";
+  }
+
+  private static String post(String path, String body) {
+    return "POST "
+        + path
+        + " HTTP/1.1\r\nHost: h\r\nattempt: a1\r\nkey: k\r\nConnection: close\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Test
+  void aPlainRequestReachesTheTargetUnchangedAndItsAnswerTheCaller() throws Exception {
+    TargetStandin target =
+        target(
+            "plain",
+            null,
+            (request, out) ->
+                TargetStandin.writeAnswer(out, request, 200, "signed: s\r\n", "answer"));
+    startNode();
+    String answer = exchange(post("/book/x?y=%20z", "body"));
+    assertThat(answer).startsWith("HTTP/1.1 200").contains("signed: s").endsWith("answer");
+    String sent = target.requests().get(0);
+    assertThat(sent).startsWith("POST /book/x?y=%20z HTTP/1.1\r\n").endsWith("\r\n\r\nbody");
+    assertThat(TargetStandin.header(sent, "workspace")).isEqualTo("w");
+    assertThat(TargetStandin.header(sent, "key")).isEmpty();
+    assertThat(TargetStandin.header(sent, "target")).isEqualTo("t-1");
+  }
+
+  @Test
+  void aRequestThatRunsOnceIsNotSentAgainAfterABrokenConnection() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    TargetStandin.Script broken =
+        (request, out) -> {
+          runs.incrementAndGet();
+          throw new IOException("broken");
+        };
+    target("plain", null, broken);
+    target("plain", null, broken);
+    startNode();
+    assertThat(exchange(post("/book/x", "b"))).startsWith("HTTP/1.1 502").contains("unknown");
+    assertThat(runs).hasValue(1);
+  }
+
+  @Test
+  void anIdempotentRequestGoesToAnotherTargetAfterABrokenConnection() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    TargetStandin.Script script =
+        (request, out) -> {
+          if (runs.incrementAndGet() == 1) {
+            throw new IOException("broken");
+          }
+          TargetStandin.writeAnswer(out, request, 200, "signed: s\r\n", "ok");
+        };
+    target("plain", null, script);
+    target("plain", null, script);
+    startNode();
+    assertThat(exchange(get("/read/x"))).startsWith("HTTP/1.1 200").endsWith("ok");
+  }
+
+  @Test
+  void aRefusalOfAllTargetsIsToldAsNotRunWithATimeToComeBack() throws Exception {
+    TargetStandin.Script full =
+        (request, out) -> TargetStandin.writeAnswer(out, request, 503, "not-run: 1\r\n", "");
+    target("plain", null, full);
+    startNode();
+    assertThat(exchange(post("/book/x", "b")))
+        .startsWith("HTTP/1.1 503")
+        .containsIgnoringCase("retry-after")
+        .contains("not-run");
+  }
+
+  @Test
+  void aStatusThatPromisesNothingRanIsNotPassedOnWithoutProof() throws Exception {
+    target(
+        "plain",
+        null,
+        (request, out) -> TargetStandin.writeAnswer(out, request, 503, "signed: s\r\n", "busy"));
+    startNode();
+    assertThat(exchange(post("/book/x", "b"))).startsWith("HTTP/1.1 502");
+  }
+
+  @Test
+  void anUnsignedOrSpoiledSuccessNeverReachesTheCaller() throws Exception {
+    target(
+        "plain",
+        null,
+        (request, out) -> TargetStandin.writeAnswer(out, request, 200, "", "forged"));
+    startNode();
+    assertThat(exchange(post("/book/x", "b"))).startsWith("HTTP/1.1 502").doesNotContain("forged");
+  }
+
+  @Test
+  void anAnswerToAnotherRequestIsSkipped() throws Exception {
+    target(
+        "plain",
+        null,
+        (request, out) -> {
+          TargetStandin.write(
+              out, "HTTP/1.1 200 X\r\nattempt: other\r\nsigned: s\r\nContent-Length: 3\r\n\r\nold");
+          TargetStandin.writeAnswer(out, request, 200, "signed: s\r\n", "own");
+        });
+    startNode();
+    assertThat(exchange(get("/read/x"))).endsWith("own");
+  }
+
+  @Test
+  void aSilentTargetIsTimedOutByTheRoute() throws Exception {
+    target("plain", null, (request, out) -> Thread.sleep(5_000));
+    startNode();
+    long startNanos = System.nanoTime();
+    assertThat(exchange(post("/book/x", "b"))).startsWith("HTTP/1.1 504");
+    assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(4));
+  }
+
+  private static void stream(String request, OutputStream out, int from, int to)
+      throws IOException {
+    TargetStandin.write(
+        out,
+        "HTTP/1.1 200 X\r\nattempt: "
+            + TargetStandin.header(request, "attempt")
+            + "\r\nsigned: s\r\nContent-Type: "
+            + EVENTS
+            + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = from; i <= to; i++) {
+      TargetStandin.writeChunk(out, "id: " + i + "\ndata: " + i + "\n\n");
+    }
+  }
+
+  @Test
+  void aStreamRunsOverAPipelineThatHoldsAllLayers() throws Exception {
+    TargetStandin head =
+        target(
+            "model",
+            LayerRange.of(0, 40),
+            (request, out) -> {
+              stream(request, out, 1, 3);
+              TargetStandin.write(out, "0\r\n\r\n");
+            });
+    TargetStandin tail = target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    String answer = exchange(post("/draft/x", "p"));
+    assertThat(answer).contains("id: 1").contains("id: 3").endsWith("0\r\n\r\n");
+    assertThat(TargetStandin.header(head.requests().get(0), "path"))
+        .isEqualTo(head.address() + "=0-40," + tail.address() + "=40-80");
+  }
+
+  @Test
+  void aStreamThatBreaksWithinAnEventGoesOnAfterTheLastWholeOne() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    TargetStandin head =
+        target(
+            "model",
+            LayerRange.of(0, 40),
+            (request, out) -> {
+              if (runs.incrementAndGet() == 1) {
+                stream(request, out, 1, 2);
+                TargetStandin.writeChunk(out, "id: 3\nda");
+                throw new IOException("broken");
+              }
+              stream(request, out, 3, 4);
+              TargetStandin.write(out, "0\r\n\r\n");
+            });
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    String answer = exchange(post("/draft/x", "p"));
+    for (int i = 1; i <= 4; i++) {
+      assertThat(answer).containsOnlyOnce("id: " + i + "\ndata: " + i + "\n\n");
+    }
+    assertThat(answer).endsWith("0\r\n\r\n");
+    assertThat(TargetStandin.header(head.requests().get(1), "last-event-id")).isEqualTo("2");
+  }
+
+  @Test
+  void aStreamThatCannotGoOnDoesNotLookComplete() throws Exception {
+    target(
+        "model",
+        LayerRange.of(0, 40),
+        (request, out) -> {
+          stream(request, out, 1, 1);
+          throw new IOException("broken");
+        });
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).contains("id: 1\n").doesNotContain("0\r\n\r\n");
+  }
+
+  @Test
+  void twoContentLengthsAreRefusedAndTheConnectionIsClosed() throws Exception {
+    startNode();
+    assertThat(
+            exchange(
+                "POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    + "Content-Length: 5\r\n\r\nabcde"))
+        .startsWith("HTTP/1.1 400");
+  }
+
+  @Test
+  void aLengthBesideATransferEncodingIsRefused() throws Exception {
+    startNode();
+    assertThat(
+            exchange(
+                "POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+        .startsWith("HTTP/1.1 400");
+  }
+
+  @Test
+  void halfAHeaderIsTimedOut() throws Exception {
+    startNode();
+    long startNanos = System.nanoTime();
+    exchange("GET /read/x HTTP/1.1\r\nHos");
+    assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(4));
+  }
+
+  @Test
+  void aLargeHeaderAnswers431AndALargeBody413() throws Exception {
+    startNode();
+    assertThat(exchange("GET /read/x HTTP/1.1\r\nHost: h\r\nx: " + "y".repeat(5_000) + "\r\n\r\n"))
+        .startsWith("HTTP/1.1 431");
+    assertThat(exchange("POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\nabc"))
+        .startsWith("HTTP/1.1 413");
+  }
+
+  /** A list that never changes. */
+  private record FixedFeed<T>(List<T> values, Function<T, String> key) implements ChangeFeed<T> {
+    @Override
+    public void readAll(Consumer<FeedResult<T>> onResult) {
+      List<FeedResult.Change<T>> changes = new ArrayList<>();
+      values.forEach(v -> changes.add(new FeedResult.Change<>(key.apply(v), Optional.of(v))));
+      onResult.accept(new FeedResult.Entries<>(changes, 1));
+    }
+
+    @Override
+    public void readChanges(long afterRevision, long waitMs, Consumer<FeedResult<T>> onResult) {
+      CompletableFuture.delayedExecutor(waitMs, TimeUnit.MILLISECONDS)
+          .execute(() -> onResult.accept(new FeedResult.Entries<>(List.of(), afterRevision)));
+    }
+  }
+
+  /** A store that refuses all calls. */
+  private static final class AbsentTable implements TableService {
+    private static final TableResult AWAY = new TableResult.NotApplied("away");
+
+    @Override
+    public CompletableFuture<TableResult> transact(List<TableOperation> operations) {
+      return CompletableFuture.completedFuture(AWAY);
+    }
+
+    @Override
+    public CompletableFuture<TableResult> get(String key) {
+      return CompletableFuture.completedFuture(AWAY);
+    }
+
+    @Override
+    public CompletableFuture<TableResult> scan(String prefix, String afterKey, int limit) {
+      return CompletableFuture.completedFuture(AWAY);
+    }
+  }
+
+  /** Engines that answer at once and need no orders. */
+  private static final class HealthyEngines implements EngineOrders {
+    @Override
+    public void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
+      onResult.accept(new EngineResult.State(target.layers(), false, 0, 1, List.of(), 1));
+    }
+
+    @Override
+    public void place(
+        TargetEntry target,
+        LayerRange layers,
+        long fencingNumber,
+        long expectedOrders,
+        Consumer<EngineResult> onResult) {
+      onResult.accept(new EngineResult.Accepted());
+    }
+
+    @Override
+    public void repath(String attemptId, ModelPipeline pipeline, Consumer<EngineResult> onResult) {
+      onResult.accept(new EngineResult.Accepted());
+    }
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetStandin.java
@@ -0,0 +1,146 @@
+package org.gooseberryhook.router.node;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+
+/** A target on loopback that answers as its script says. */
+final class TargetStandin implements AutoCloseable {
+
+  /** Answers one request. */
+  @FunctionalInterface
+  interface Script {
+    /**
+     * Answers.
+     *
+     * @param request head and body of the request
+     * @param out where to write
+     * @throws IOException if the connection is gone
+     * @throws InterruptedException if the thread is interrupted
+     */
+    void answer(String request, OutputStream out) throws IOException, InterruptedException;
+  }
+
+  private final ServerSocket listener;
+  private final Script script;
+  private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+
+  TargetStandin(Script script) throws IOException {
+    this.script = script;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread acceptor = new Thread(this::accept, "target");
+    acceptor.setDaemon(true);
+    acceptor.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  List<String> requests() {
+    return List.copyOf(requests);
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        Thread worker = new Thread(() -> serve(socket), "target-connection");
+        worker.setDaemon(true);
+        worker.start();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      while (true) {
+        String request = read(in);
+        if (request.isEmpty()) {
+          return;
+        }
+        requests.add(request);
+        script.answer(request, socket.getOutputStream());
+      }
+    } catch (IOException | InterruptedException e) {
+      // The router has closed the connection, which is part of the tests.
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String read(InputStream in) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    String head = "";
+    while (!head.endsWith("\r\n\r\n")) {
+      int next = in.read();
+      if (next < 0) {
+        return "";
+      }
+      bytes.write(next);
+      head = bytes.toString(StandardCharsets.ISO_8859_1);
+    }
+    int length = 0;
+    for (String line : head.split("\r\n")) {
+      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+        length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+      }
+    }
+    bytes.write(in.readNBytes(length));
+    return bytes.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Returns the value of a request's header, or an empty text. */
+  static String header(String request, String name) {
+    for (String line : request.split("\r\n")) {
+      if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
+        return line.substring(name.length() + 1).trim();
+      }
+    }
+    return "";
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+  }
+
+  /** Writes a whole signed answer. */
+  static void writeAnswer(OutputStream out, String request, int status, String extra, String body)
+      throws IOException {
+    write(
+        out,
+        "HTTP/1.1 "
+            + status
+            + " X\r\nattempt: "
+            + header(request, "attempt")
+            + "\r\n"
+            + extra
+            + "Content-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+  }
+
+  /** Writes one chunk of a chunked answer. */
+  static void writeChunk(OutputStream out, String text) throws IOException {
+    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+}
