--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashMarksTest.java
@@ -0,0 +1,53 @@
+package org.gooseberryhook.router.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards that a request that crashes targets is stopped at all nodes, and others are not. */
+class CrashMarksTest {
+
+  private final CrashMarks marks = new CrashMarks();
+
+  @Test
+  void aRequestIsBlockedAfterTwoCrashes() {
+    marks.note(7, 0);
+    assertThat(marks.isBlocked(7, 1)).isFalse();
+    marks.note(7, 1);
+    assertThat(marks.isBlocked(7, 2)).isTrue();
+    assertThat(marks.isBlocked(8, 2)).isFalse();
+  }
+
+  @Test
+  void crashesThatOtherNodesSawCount() {
+    marks.note(7, 0);
+    marks.replacePeer("a", List.of(7L), 0);
+    assertThat(marks.isBlocked(7, 1)).isTrue();
+    marks.replacePeer("a", List.of(), 1);
+    assertThat(marks.isBlocked(7, 2)).isTrue();
+  }
+
+  @Test
+  void crashesAreForgottenAfterAWhile() {
+    marks.note(7, 0);
+    marks.note(7, 0);
+    assertThat(marks.isBlocked(7, CrashMarks.REMEMBER_MS)).isFalse();
+    assertThat(marks.ownMarks(CrashMarks.REMEMBER_MS)).isEmpty();
+  }
+
+  @Test
+  void theOldestMarkIsForgottenAtTheBound() {
+    for (long i = 0; i <= CrashMarks.MAX_MARKS; i++) {
+      marks.note(i, i);
+    }
+    assertThat(marks.ownMarks(100)).hasSize(CrashMarks.MAX_MARKS).doesNotContain(0L);
+  }
+
+  @Test
+  void aMarkIsReportedOnceForEachCrash() {
+    marks.note(7, 0);
+    marks.note(7, 0);
+    assertThat(marks.ownMarks(1)).containsExactly(7L, 7L);
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -45,6 +45,7 @@
   private final List<TargetStandin> targets = new ArrayList<>();
   private final List<TargetEntry> entries = new ArrayList<>();
   private RouterNode node;
+  private RoutingConfiguration older;
   private int callerPort;
 
   private TargetStandin target(String service, LayerRange layers, TargetStandin.Script script)
@@ -85,8 +86,9 @@
             (loop, clock, log) ->
                 new RouterNode.Ports(
                     new TestDialect(),
-                    new FixedFeed<>(List.of(configuration()), c -> "config"),
-                    new FixedFeed<>(entries, TargetEntry::id),
+                    new FixedFeed<>(
+                        List.of(configuration()), Optional.ofNullable(older), c -> "config"),
+                    new FixedFeed<>(entries, Optional.empty(), TargetEntry::id),
                     new AbsentTable(),
                     new HealthyEngines()));
     node.start();
@@ -345,6 +347,106 @@
     assertThat(exchange(post("/draft/x", "p"))).contains("id: 1\n").doesNotContain("0\r\n\r\n");
   }
 
+  @Test
+  void aStreamWhoseHeadLivesRunsOnNoMoreTargetsThanItsRouteAllows() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    TargetStandin.Script breaksAfterAnEvent =
+        (request, out) -> {
+          int run = runs.incrementAndGet();
+          stream(request, out, run, run);
+          throw new IOException("broken");
+        };
+    for (int i = 0; i < 3; i++) {
+      target("model", LayerRange.of(0, 40), breaksAfterAnEvent);
+      target("model", LayerRange.of(40, 80), (request, out) -> {});
+    }
+    startNode();
+    exchange(post("/draft/x", "p"));
+    assertThat(runs).hasValue(2);
+  }
+
+  @Test
+  void aRequestThatCrashedTwoTargetsReachesNoFurtherOne() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    List<TargetStandin> crashing = new ArrayList<>();
+    TargetStandin.Script crash =
+        (request, out) -> {
+          runs.incrementAndGet();
+          for (TargetStandin target : crashing) {
+            if (TargetStandin.header(request, "target").equals(idOf(target))) {
+              target.close();
+            }
+          }
+          throw new IOException("crash");
+        };
+    for (int i = 0; i < 4; i++) {
+      crashing.add(target("plain", null, crash));
+    }
+    startNode();
+    exchange(get("/read/poison"));
+    String last = "";
+    for (int i = 0; i < 5; i++) {
+      Thread.sleep(200);
+      last = exchange(get("/read/poison"));
+    }
+    assertThat(last).startsWith("HTTP/1.1 503").contains("crashed targets");
+    assertThat(runs.get()).isLessThanOrEqualTo(3);
+  }
+
+  private String idOf(TargetStandin target) {
+    for (TargetEntry entry : entries) {
+      if (entry.address().equals(target.address())) {
+        return entry.id();
+      }
+    }
+    return "";
+  }
+
+  @Test
+  void aTargetStopsSoonAfterTheCallerHasLeft() throws Exception {
+    CompletableFuture<Long> stoppedNanos = new CompletableFuture<>();
+    target(
+        "model",
+        LayerRange.of(0, 40),
+        (request, out) -> {
+          try {
+            stream(request, out, 1, 1);
+            for (int i = 2; i < 500; i++) {
+              Thread.sleep(10);
+              TargetStandin.writeChunk(out, "id: " + i + "\ndata: x\n\n");
+            }
+          } catch (IOException e) {
+            stoppedNanos.complete(System.nanoTime());
+            throw e;
+          }
+        });
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    long leftNanos;
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
+      socket.setSoTimeout(8_000);
+      byte[] request = post("/draft/x", "p").getBytes(StandardCharsets.ISO_8859_1);
+      socket.getOutputStream().write(request);
+      assertThat(socket.getInputStream().read()).isPositive();
+      leftNanos = System.nanoTime();
+    }
+    assertThat(stoppedNanos.get(5, TimeUnit.SECONDS) - leftNanos)
+        .isLessThan(TimeUnit.MILLISECONDS.toNanos(500));
+  }
+
+  @Test
+  void anOlderConfigurationDoesNotReplaceANewerOne() throws Exception {
+    target(
+        "plain",
+        null,
+        (request, out) -> TargetStandin.writeAnswer(out, request, 200, "signed: s\r\n", "ok"));
+    older =
+        new RoutingConfiguration(0, List.of(), Map.of(), RequestLimits.DEFAULT, Optional.empty());
+    startNode();
+    Thread.sleep(1_500);
+    assertThat(exchange(get("/read/x"))).startsWith("HTTP/1.1 200");
+  }
+
   @Test
   void twoContentLengthsAreRefusedAndTheConnectionIsClosed() throws Exception {
     startNode();
@@ -382,19 +484,25 @@
         .startsWith("HTTP/1.1 413");
   }
 
-  /** A list that never changes. */
-  private record FixedFeed<T>(List<T> values, Function<T, String> key) implements ChangeFeed<T> {
+  /** A list whose changes are always the same value, if there is one. */
+  private record FixedFeed<T>(List<T> values, Optional<T> change, Function<T, String> key)
+      implements ChangeFeed<T> {
     @Override
     public void readAll(Consumer<FeedResult<T>> onResult) {
-      List<FeedResult.Change<T>> changes = new ArrayList<>();
-      values.forEach(v -> changes.add(new FeedResult.Change<>(key.apply(v), Optional.of(v))));
-      onResult.accept(new FeedResult.Entries<>(changes, 1));
+      onResult.accept(new FeedResult.Entries<>(toChanges(values), 1));
     }
 
     @Override
     public void readChanges(long afterRevision, long waitMs, Consumer<FeedResult<T>> onResult) {
+      List<FeedResult.Change<T>> changes = toChanges(change.stream().toList());
       CompletableFuture.delayedExecutor(waitMs, TimeUnit.MILLISECONDS)
-          .execute(() -> onResult.accept(new FeedResult.Entries<>(List.of(), afterRevision)));
+          .execute(() -> onResult.accept(new FeedResult.Entries<>(changes, afterRevision)));
+    }
+
+    private List<FeedResult.Change<T>> toChanges(List<T> some) {
+      List<FeedResult.Change<T>> changes = new ArrayList<>();
+      some.forEach(v -> changes.add(new FeedResult.Change<>(key.apply(v), Optional.of(v))));
+      return changes;
     }
   }
 
