Do not break off silent streams that cannot go on elsewhere

Ruled out: the reload itself; the log shows 'no event for a long time' after an accepted repath. Change: a silent stream moves if another pipeline has room, else it stays; a head that is suspected is left only if the stream may go on.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/RetryAllowance.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/RetryAllowance.java
@@ -54,15 +54,26 @@
    * @return false if the budget is used up
    */
   public boolean trySpend(String service, long nowMs) {
-    ServiceWindow window = window(service, nowMs);
-    double constantShare = slack / Math.max(1, nodeCount.getAsInt());
-    if (window.repeatMs.size() + 1 > ratio * window.firstMs.size() + constantShare) {
+    if (!canSpend(service, nowMs)) {
       return false;
     }
-    window.repeatMs.addLast(nowMs);
+    window(service, nowMs).repeatMs.addLast(nowMs);
     return true;
   }
 
+  /**
+   * Tells whether a repeat could be spent.
+   *
+   * @param service name of the service
+   * @param nowMs monotonic time
+   * @return false if the budget is used up
+   */
+  public boolean canSpend(String service, long nowMs) {
+    ServiceWindow window = window(service, nowMs);
+    double constantShare = slack / Math.max(1, nodeCount.getAsInt());
+    return window.repeatMs.size() + 1 <= ratio * window.firstMs.size() + constantShare;
+  }
+
   private ServiceWindow window(String service, long nowMs) {
     ServiceWindow window = windows.computeIfAbsent(service, s -> new ServiceWindow());
     trim(window.firstMs, nowMs);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -40,6 +40,9 @@
   /** Time before the caller leaves that a new run gets for its first event. */
   static final long RESUME_MARGIN_MS = 400;
 
+  /** Crossings between data centres of any pipeline at most. */
+  private static final int MAX_CROSSINGS = Integer.MAX_VALUE;
+
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_SPREAD_MS = 2_000;
 
@@ -356,8 +359,8 @@
         return;
       }
       long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
-      if (silentMs >= CALLER_PATIENCE_MS - RESUME_MARGIN_MS) {
-        onSilent();
+      // Without another pipeline the stream stays: silence alone is no reason to break it off.
+      if (silentMs >= CALLER_PATIENCE_MS - RESUME_MARGIN_MS && moveAway(MAX_CROSSINGS)) {
         return;
       }
       context.fleet().examine(pipeline);
@@ -368,10 +371,16 @@
     /** Leaves a lost head for another pipeline, or has the head leave lost targets. */
     private void repair() {
       if (context.fleet().isSuspect(pipeline.head().address())) {
-        if (channel != null) {
-          channel.abort();
+        // The run on a dead head does not count as an attempt.
+        boolean hasAnother = runs < Math.max(1, route().maxAttempts()) + lostRuns + 1;
+        long nowMs = context.clock().nowMs();
+        boolean isAllowed = route().isResumable() || unprovenSends == 0;
+        if (isAllowed && hasAnother && context.allowance().canSpend(service, nowMs)) {
+          if (channel != null) {
+            channel.abort();
+          }
+          onBroken("head of the pipeline does not answer");
         }
-        onBroken("head of the pipeline does not answer");
         return;
       }
       Optional<ModelPipeline> replacement = context.fleet().replacement(pipeline);
@@ -379,7 +388,7 @@
         return;
       }
       boolean isRemote = replacement.get().zoneCrossings() > pipeline.zoneCrossings();
-      if (isRemote && (context.fleet().isLeaving(pipeline) || moveAway())) {
+      if (isRemote && (context.fleet().isLeaving(pipeline) || moveAway(0))) {
         return;
       }
       isRepathing = true;
@@ -395,22 +404,26 @@
                   pipeline = replacement.get();
                   reserve();
                 } else if (!isOver && isSilent()) {
-                  channel.abort();
-                  onBroken("no other target has room for the lost layers");
+                  // No other target has room for the lost layers.
+                  moveAway(MAX_CROSSINGS);
                 }
               });
     }
 
     /**
-     * Goes on at another pipeline inside one data centre, if one has room. The bandwidth between
-     * data centres would take seconds for the tokens of all streams of a pipeline.
+     * Goes on at another pipeline, if one has room. The bandwidth between data centres would take
+     * seconds for the tokens of all streams of a pipeline, so those inside one are preferred.
+     *
+     * @param maxCrossings crossings between data centres that the other pipeline may have
+     * @return false if the stream stays where it is
      */
-    private boolean moveAway() {
+    private boolean moveAway(int maxCrossings) {
       long nowMs = context.clock().nowMs();
       StreamRequest wanted = describe(nowMs);
       List<ModelPipeline> whole =
           context.fleet().pipelines(service).stream()
-              .filter(p -> p.zoneCrossings() == 0 && !p.head().equals(pipeline.head()))
+              .filter(p -> p.zoneCrossings() <= maxCrossings)
+              .filter(p -> !p.head().address().equals(pipeline.head().address()))
               .toList();
       Optional<ModelPipeline> other = choose(wanted, whole, nowMs);
       boolean mayMove =
@@ -431,13 +444,6 @@
       return silentMs > SILENCE_MS;
     }
 
-    private void onSilent() {
-      if (!isOver) {
-        channel.abort();
-        onBroken("no event for a long time");
-      }
-    }
-
     @Override
     public void onHead(int newStatus, HttpHeaders newHeaders, ReplyFacts newFacts) {
       status = newStatus;
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -365,6 +365,22 @@
     assertThat(runs).hasValue(2);
   }
 
+  @Test
+  void aSilentStreamWithoutAnotherPipelineIsNotBrokenOff() throws Exception {
+    target(
+        "model",
+        LayerRange.of(0, 40),
+        (request, out) -> {
+          stream(request, out, 1, 1);
+          Thread.sleep(2_500);
+          TargetStandin.writeChunk(out, "id: 2\ndata: 2\n\n");
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).contains("id: 2\n").endsWith("0\r\n\r\n");
+  }
+
   @Test
   void aRequestThatCrashedTwoTargetsReachesNoFurtherOne() throws Exception {
     AtomicInteger runs = new AtomicInteger();
