--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/DutyLeaseKeeper.java
@@ -97,6 +97,7 @@
 
   /** Releases all leases; later ticks repeat the release until it is known to be done. */
   public synchronized void stop() {
+    calls.stop();
     setDuties(Map.of());
   }
 
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/coordination/LeaseCalls.java
@@ -47,6 +47,7 @@
   private String lastReadKey = "";
   private boolean isReadDue;
   private boolean isStarted;
+  private boolean isStopping;
 
   LeaseCalls(NodeId self, LeaseTiming timing) {
     this.self = self;
@@ -75,6 +76,11 @@
     }
   }
 
+  /** Has open acquisitions on the records of other holders fenced too. */
+  void stop() {
+    isStopping = true;
+  }
+
   /** Makes the next tick read the wanted records without waiting for the period. */
   void readSoon() {
     isReadDue = true;
@@ -169,9 +175,10 @@
     List<TableOperation> operations = new ArrayList<>();
     for (LeaseEntry entry : entries) {
       boolean isOwn = entry.lease != null && self.equals(entry.lease.holder());
-      // Writing a record anew makes an acquisition fail that may still be on its way.
+      // Writing a record anew makes an acquisition fail that may still be on its way. Only a node
+      // that stops does so to the record of another holder, whose renewal fails once by it.
       boolean isVacant = entry.lease == null || entry.lease.holder() == null;
-      boolean mayAppear = !entry.openAcquisitions.isEmpty();
+      boolean mayAppear = (isVacant || isStopping) && !entry.openAcquisitions.isEmpty();
       boolean hasRoom = keys.size() < MAX_OPERATIONS;
       if (entry.isReleaseDue && hasRoom && (isOwn || mayAppear)) {
         keys.add(entry.key);
