Refuse malformed, oversized and slow requests on the own interface

Cause: the caller and administration interfaces passed requests that the codec could not read on to the routes (two lengths: no answer within 8 s), accepted a length beside Transfer-Encoding, waited for headers without a limit, and read a chunked body of any length before 413. Jooby's server has no place for a handler of its own.

Ruled out: options of Jooby (none bounds these), a second listener in front (one more copy of each byte).

Change: BoundedServer builds Jooby's pipeline with a strict decoder and with RequestBounds between codec and routes. 400, 408, 413, 414 and 431 are answered as soon as they are known; the connection is closed after the client could read the answer. BoundedServerTest sends each case over real sockets.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/ProblemKind.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/protocol/ProblemKind.java
@@ -26,6 +26,10 @@
   TOO_LARGE("too-large", 413, "Send a smaller body."),
   /** The headers are too large. */
   HEADERS_TOO_LARGE("headers-too-large", 431, "Send fewer or shorter headers."),
+  /** The request line is too long. */
+  URI_TOO_LONG("uri-too-long", 414, "Send a shorter path and query."),
+  /** The request did not arrive in time. */
+  TOO_SLOW("too-slow", 408, "Send the request again without pauses."),
   /** The body has a content type that is not understood. */
   UNSUPPORTED_TYPE(
       "unsupported-content-type", 415, "Send JSON with 'Content-Type: application/json'."),
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/AdminApi.java
@@ -10,8 +10,8 @@
 import io.jooby.Jooby;
 import io.jooby.MediaType;
 import io.jooby.Route;
+import io.jooby.Server;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -64,7 +64,7 @@
   private final NodeMetrics metrics;
   private final PlacementApi placement;
   private final Executor worker;
-  private NettyServer server;
+  private Server server;
 
   /**
    * Creates an API.
@@ -145,7 +145,8 @@
             "the administration API",
             address,
             MAX_BODY_BYTES,
-            SettingsReader.MAX_HEADER_BYTES);
+            SettingsReader.MAX_HEADER_BYTES,
+            worker);
   }
 
   /** Stops listening. */
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/CallerApi.java
@@ -5,7 +5,7 @@
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.Route;
-import io.jooby.netty.NettyServer;
+import io.jooby.Server;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +43,7 @@
   private final ServiceCallApi serviceCalls;
   private final Function<String, List<String>> addresses;
   private final Executor worker;
-  private NettyServer server;
+  private Server server;
 
   /**
    * Creates an interface.
@@ -102,7 +102,8 @@
             "the caller API",
             settings.node().callerAddress(),
             settings.limits().maxBodyBytes(),
-            settings.limits().maxHeaderBytes());
+            settings.limits().maxHeaderBytes(),
+            worker);
   }
 
   /** Stops listening. */
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpExchanges.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/HttpExchanges.java
@@ -5,16 +5,17 @@
 import io.jooby.Jooby;
 import io.jooby.MediaType;
 import io.jooby.Route;
+import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StartupSummary;
 import io.jooby.exception.BadRequestException;
-import io.jooby.netty.NettyServer;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.Problem;
 import org.gooseberryhook.protocol.ProblemKind;
@@ -28,13 +29,15 @@
 final class HttpExchanges {
 
   /**
-   * Headers that the server reads beyond the limit, so that the answer can say what is wrong. Above
-   * this the server drops the rest of the request.
+   * Headers that the server reads beyond the limit, so that the answer can say how long they are.
    */
   private static final int HEADER_READ_FACTOR = 4;
 
   private static final int HEADER_SEPARATOR_BYTES = 4;
 
+  /** Time in which the headers of a request have to arrive; they fit a few packets. */
+  private static final long HEAD_TIMEOUT_MS = 10_000;
+
   static {
     // Jooby's own shutdown hook would close all streams at the signal that begins the drain.
     System.setProperty("jooby.useShutdownHook", "false");
@@ -50,11 +53,17 @@
    * @param address {@code ip:port}
    * @param maxBodyBytes length of a request body
    * @param maxHeaderBytes length of all headers of a request
+   * @param worker bounded pool for the handlers
    * @return the running server
    * @throws IllegalStateException if the port is in use
    */
-  static NettyServer start(
-      Jooby app, String purpose, String address, int maxBodyBytes, int maxHeaderBytes) {
+  static Server start(
+      Jooby app,
+      String purpose,
+      String address,
+      int maxBodyBytes,
+      int maxHeaderBytes,
+      Executor worker) {
     ListenAddress listen = ListenAddress.of(address);
     listen.requireFree(purpose);
     ServerOptions options = new ServerOptions();
@@ -65,10 +74,7 @@
     options.setBufferSize(maxBodyBytes + 1);
     options.setMaxHeaderSize(HEADER_READ_FACTOR * maxHeaderBytes);
     app.setStartupSummary(List.of(StartupSummary.NONE));
-    NettyServer server = new NettyServer();
-    server.setOptions(options);
-    server.start(app);
-    return server;
+    return new BoundedServer(options, worker, HEAD_TIMEOUT_MS).start(app);
   }
 
   /**
--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/Problems.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/Problems.java
@@ -17,6 +17,9 @@
  */
 final class Problems {
 
+  /** Content type of a problem. */
+  static final String CONTENT_TYPE = "application/problem+json";
+
   private static final Logger LOG = Logger.getLogger(Problems.class);
   private static final long MS_PER_SECOND = 1_000;
 
@@ -35,7 +38,7 @@
       return context;
     }
     context.setResponseCode(problem.kind().getHttpStatus());
-    context.setResponseType(MediaType.valueOf("application/problem+json"));
+    context.setResponseType(MediaType.valueOf(CONTENT_TYPE));
     if (problem.retryAfterMs() > 0) {
       long seconds = Math.max(1, (problem.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND);
       context.setResponseHeader("Retry-After", Long.toString(seconds));
--- /dev/null
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/RequestBounds.java
@@ -0,0 +1,243 @@
+package org.gooseberryhook.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhook.protocol.Json;
+import org.gooseberryhook.protocol.Problem;
+import org.gooseberryhook.protocol.ProblemKind;
+import org.jboss.logging.Logger;
+
+/**
+ * Refuses requests that are malformed, too large or too slow as soon as that is known, and closes
+ * their connections. Stands between the codec and the routes of a server.
+ */
+final class RequestBounds extends ChannelDuplexHandler {
+
+  private static final Logger LOG = Logger.getLogger(RequestBounds.class);
+
+  /** What the connection waits for, and for how long at most. */
+  private enum Phase {
+    /** The next request. A minute, as usual for kept connections. */
+    IDLE(60_000),
+    /** The rest of the headers, which fit a few packets. */
+    HEAD(10_000),
+    /** The rest of the body: 4 MB over a link of 300 kbit/s. */
+    BODY(120_000),
+    /** The answer, which has time limits of its own. */
+    ANSWER(Long.MAX_VALUE);
+
+    private final long limitMs;
+
+    Phase(long limitMs) {
+      this.limitMs = limitMs;
+    }
+  }
+
+  /** Time between looks at a connection that has no limit of its own. */
+  private static final long CHECK_MS = 1_000;
+
+  private final long maxBodyBytes;
+  private final long headTimeoutMs;
+  private ChannelHandlerContext context;
+  private Phase phase = Phase.IDLE;
+  private long sinceNanos = System.nanoTime();
+  private long bodyBytes;
+  private boolean isHandedOver;
+
+  /** The client asked for the connection to be closed after this request. */
+  private boolean isLast;
+
+  private boolean isRefusing;
+
+  RequestBounds(long maxBodyBytes) {
+    this(maxBodyBytes, Phase.HEAD.limitMs);
+  }
+
+  /** For tests that do not wait for the usual limit. */
+  RequestBounds(long maxBodyBytes, long headTimeoutMs) {
+    this.maxBodyBytes = maxBodyBytes;
+    this.headTimeoutMs = headTimeoutMs;
+  }
+
+  /** Returns the handler that sees the bytes before they are decoded. */
+  ChannelHandler byteWatch() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (isRefusing) {
+          ReferenceCountUtil.release(message);
+          return;
+        }
+        if (phase == Phase.IDLE) {
+          enter(Phase.HEAD);
+        }
+        ctx.fireChannelRead(message);
+      }
+    };
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+    checkAfter(limitMs());
+  }
+
+  private void enter(Phase next) {
+    phase = next;
+    sinceNanos = System.nanoTime();
+    if (next == Phase.HEAD) {
+      checkAfter(headTimeoutMs);
+    }
+  }
+
+  private long limitMs() {
+    return phase == Phase.HEAD ? headTimeoutMs : phase.limitMs;
+  }
+
+  private void checkAfter(long delayMs) {
+    context.channel().eventLoop().schedule(this::check, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void check() {
+    if (isRefusing || !context.channel().isActive()) {
+      return;
+    }
+    long leftMs = limitMs() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+    if (leftMs > 0) {
+      if (phase != Phase.HEAD) {
+        checkAfter(Math.max(CHECK_MS, Math.min(leftMs, Phase.IDLE.limitMs)));
+      }
+    } else if (phase == Phase.IDLE) {
+      context.close();
+    } else {
+      refuse(Problem.of(ProblemKind.TOO_SLOW, "the request was not complete in time"));
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (isRefusing || isRefused(message)) {
+      ReferenceCountUtil.release(message);
+    } else {
+      ctx.fireChannelRead(message);
+    }
+  }
+
+  private boolean isRefused(Object message) {
+    if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+      refuseMalformed(part.decoderResult().cause());
+      return true;
+    }
+    if (message instanceof HttpRequest request) {
+      onHead(request);
+    }
+    if (!isRefusing && message instanceof HttpContent content) {
+      bodyBytes += content.content().readableBytes();
+      if (bodyBytes > maxBodyBytes) {
+        refuseLong();
+      } else if (content instanceof LastHttpContent) {
+        isHandedOver = true;
+        if (phase == Phase.BODY) {
+          enter(Phase.ANSWER);
+        }
+      }
+    }
+    return isRefusing;
+  }
+
+  private void onHead(HttpRequest request) {
+    bodyBytes = 0;
+    isLast = !HttpUtil.isKeepAlive(request);
+    // Requests without a body are answered from the head on.
+    isHandedOver =
+        request.method().equals(HttpMethod.GET)
+            || (HttpUtil.getContentLength(request, 0L) == 0
+                && !HttpUtil.isTransferEncodingChunked(request));
+    enter(isHandedOver ? Phase.ANSWER : Phase.BODY);
+    if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
+      refuseLong();
+    }
+  }
+
+  private void refuseLong() {
+    refuse(Problem.of(ProblemKind.TOO_LARGE, "the body has more than " + maxBodyBytes + " bytes"));
+  }
+
+  private void refuseMalformed(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException) {
+      refuse(Problem.of(ProblemKind.HEADERS_TOO_LARGE, "the headers are too large"));
+    } else if (cause instanceof TooLongHttpLineException) {
+      refuse(Problem.of(ProblemKind.URI_TOO_LONG, "the request line is too long"));
+    } else {
+      refuse(Problem.of(ProblemKind.BAD_REQUEST, "not valid HTTP: " + cause.getMessage()));
+    }
+  }
+
+  private void refuse(Problem problem) {
+    isRefusing = true;
+    boolean isAnswerDue = phase != Phase.ANSWER || !isHandedOver;
+    LOG.infof("refused a request: %s", problem.detail());
+    if (isAnswerDue) {
+      context.write(toResponse(problem));
+      LingeringClose.close(context.channel());
+    }
+    // Otherwise the answer to the request before is still to come, and write() closes after it.
+  }
+
+  private static FullHttpResponse toResponse(Problem problem) {
+    byte[] body;
+    try {
+      body = Json.MAPPER.writeValueAsBytes(problem.toBody());
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the problem can't be written as JSON", e);
+    }
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(problem.kind().getHttpStatus()),
+            Unpooled.wrappedBuffer(body));
+    response
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, Problems.CONTENT_TYPE + ";charset=UTF-8")
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return response;
+  }
+
+  @Override
+  public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+    boolean isInterim =
+        message instanceof HttpResponse response
+            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    boolean isEnd = message instanceof LastHttpContent && !isInterim;
+    ctx.write(message, promise);
+    if (isEnd && (isRefusing || isLast)) {
+      LingeringClose.close(ctx.channel());
+    } else if (isEnd) {
+      enter(Phase.IDLE);
+    }
+  }
+}
