Put changed settings in force without a restart; plan by event interval

Cause: SIGHUP was only logged, and a file that changes without a signal was never read.

Cause: plans were rated by a step in which all requests sit at each stage at once. Orders of a plan wait in the tracker, so that a plan does not change while they go out. Admission counts 0.6 of the expected answer as held, and nodes keep to their part from 0.95 of a bound on instead of 0.85.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/RetryAllowance.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/RetryAllowance.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /**
  * Bounds the repeats that this node sends to a service. All nodes share one budget; each node
@@ -15,25 +16,19 @@
   /** Part of the budget that is spent; the rest covers nodes that come, go, or are not seen. */
   static final double SPENT_SHARE = 0.75;
 
-  private final double ratio;
-  private final double slack;
+  private final Supplier<RetryBounds> bounds;
   private final IntSupplier nodeCount;
-  private final long windowMs;
   private final Map<String, ServiceWindow> windows = new HashMap<>();
 
   /**
    * Creates an allowance.
    *
-   * @param ratio repeats for each request
-   * @param slack repeats in a window for all nodes together, beside the ratio
-   * @param windowMs length of the window
+   * @param bounds the bounds in force, for all nodes together
    * @param nodeCount tells how many nodes share the budget
    */
-  public RetryAllowance(double ratio, double slack, long windowMs, IntSupplier nodeCount) {
-    this.ratio = ratio * SPENT_SHARE;
-    this.slack = slack * SPENT_SHARE;
+  public RetryAllowance(Supplier<RetryBounds> bounds, IntSupplier nodeCount) {
+    this.bounds = bounds;
     this.nodeCount = nodeCount;
-    this.windowMs = windowMs;
   }
 
   /**
@@ -70,8 +65,9 @@
    */
   public boolean canSpend(String service, long nowMs) {
     ServiceWindow window = window(service, nowMs);
-    double constantShare = slack / Math.max(1, nodeCount.getAsInt());
-    return window.repeatMs.size() + 1 <= ratio * window.firstMs.size() + constantShare;
+    double constantShare = bounds.get().slack() / Math.max(1, nodeCount.getAsInt());
+    double allowed = bounds.get().ratio() * window.firstMs.size() + constantShare;
+    return window.repeatMs.size() + 1 <= SPENT_SHARE * allowed;
   }
 
   private ServiceWindow window(String service, long nowMs) {
@@ -82,7 +78,7 @@
   }
 
   private void trim(ArrayDeque<Long> times, long nowMs) {
-    while (!times.isEmpty() && times.peekFirst() <= nowMs - windowMs) {
+    while (!times.isEmpty() && times.peekFirst() <= nowMs - bounds.get().windowMs()) {
       times.pollFirst();
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -23,11 +23,14 @@
   /** Share of the memory that is handed out; the rest takes answers longer than expected. */
   static final double MEMORY_SHARE = 0.92;
 
+  /** Share of the head's slots that is handed out; nodes hear of each other's requests late. */
+  static final double SLOT_SHARE = 0.95;
+
   /** Share of the pause target that the estimate may reach; the rest takes clusters of prompts. */
   static final double PAUSE_SHARE = 0.75;
 
   /** Above this fill, a node takes no more than its part of a pipeline. */
-  static final double SHARED_FILL = 0.85;
+  static final double SHARED_FILL = 0.95;
 
   /** Share of the time to the deadline within which the whole answer must be expected. */
   static final double DEADLINE_SHARE = 0.85;
@@ -120,7 +123,8 @@
       fill = Math.max(fill, room > 0 ? used / room : Double.POSITIVE_INFINITY);
     }
     Load head = loads.total(pipeline.head().id());
-    return Math.max(fill, (head.requests() + 1.0) / Math.max(1, pipeline.head().slots()));
+    return Math.max(
+        fill, (head.requests() + 1) / (SLOT_SHARE * Math.max(1, pipeline.head().slots())));
   }
 
   private boolean isOverShare(ModelPipeline pipeline, double fill, int nodeCount) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamRequest.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamRequest.java
@@ -21,11 +21,17 @@
     long gapTargetMs) {
 
   /**
-   * Returns the memory that the request needs.
+   * Share of the expected answer that counts as held. Streams are at all stages of their answers at
+   * any time, so that half of the answers is held on average.
+   */
+  static final double HELD_ANSWER_SHARE = 0.6;
+
+  /**
+   * Returns the memory that the request holds over its time.
    *
    * @return tokens
    */
   public long reservedTokens() {
-    return (long) promptTokens + expectedAnswerTokens;
+    return promptTokens + Math.round(HELD_ANSWER_SHARE * expectedAnswerTokens);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -70,6 +70,7 @@
   private long firstEventMs;
   private long longestGapMs;
   private int answerTokens;
+  private int events;
   private int runs;
   private int unprovenSends;
 
@@ -237,6 +238,8 @@
             outcome,
             "runs",
             runs,
+            "events",
+            events,
             "firstMs",
             firstMs,
             "gapMs",
@@ -486,6 +489,7 @@
       }
       hasEvents = true;
       lastEventMs = nowMs;
+      events++;
       answerTokens += profile.strideSteps();
       if (!id.isEmpty()) {
         lastEventId = Optional.of(id);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -35,7 +35,7 @@
   private final PlacementLease lease;
   private final MonotonicClock clock;
   private final DecisionLog log;
-  private final OrderTracker tracker = new OrderTracker();
+  private final Map<String, OrderTracker> trackers = new HashMap<>();
   private long nextMs;
   private int lastCount;
   private long countSinceMs;
@@ -68,7 +68,7 @@
       countSinceMs = nowMs;
     }
     if (!lease.isHeld(nowMs)) {
-      tracker.clear();
+      trackers.clear();
       return;
     }
     Map<String, List<TargetEntry>> byService = new HashMap<>();
@@ -79,11 +79,17 @@
       service
           .engine()
           .ifPresent(
-              engine -> place(byService.getOrDefault(service.name(), List.of()), engine, nowMs));
+              engine ->
+                  place(
+                      byService.getOrDefault(service.name(), List.of()),
+                      engine,
+                      trackers.computeIfAbsent(service.name(), s -> new OrderTracker()),
+                      nowMs));
     }
   }
 
-  private void place(List<TargetEntry> entries, EngineProfile profile, long nowMs) {
+  private void place(
+      List<TargetEntry> entries, EngineProfile profile, OrderTracker tracker, long nowMs) {
     boolean isFirstPlan = entries.stream().noneMatch(e -> e.layers().isPresent());
     if (entries.isEmpty() || (isFirstPlan && nowMs - countSinceMs < SETTLE_MS)) {
       return;
@@ -93,11 +99,11 @@
     LayerPlan plan = LayerPlanner.plan(tracker.expected(usable), profile);
     int maxOrders = isFirstPlan ? Integer.MAX_VALUE : Math.max(1, profile.loadsAtOnce());
     for (OrderTracker.Order order : tracker.due(plan, usable, maxOrders, nowMs)) {
-      send(order, nowMs);
+      send(order, tracker, nowMs);
     }
   }
 
-  private void send(OrderTracker.Order order, long nowMs) {
+  private void send(OrderTracker.Order order, OrderTracker tracker, long nowMs) {
     tracker.onSent(order, nowMs);
     TargetEntry target = order.target();
     orders.readState(
@@ -111,7 +117,7 @@
             if (state.isBusy() || !lease.isHeld(clock.nowMs())) {
               return;
             }
-            place(target, order.layers(), state.acceptedOrders());
+            place(order, tracker, state.acceptedOrders());
           } else {
             log.note("order-target-silent", "", "target", target.address(), "result", result);
             tracker.onFailed(target.id(), clock.nowMs());
@@ -119,7 +125,9 @@
         });
   }
 
-  private void place(TargetEntry target, LayerRange layers, long acceptedOrders) {
+  private void place(OrderTracker.Order order, OrderTracker tracker, long acceptedOrders) {
+    TargetEntry target = order.target();
+    LayerRange layers = order.layers();
     long fencing = lease.held().fencingNumber();
     orders.place(
         target,
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -59,7 +59,9 @@
   /** A machine was suspended if the time of day ran ahead of the monotonic clock by this much. */
   private static final long SUSPENSION_MS = 500;
 
-  private final RouterSettings settings;
+  /** Read by the thread that stops the node. */
+  private volatile RouterSettings settings;
+
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
   private final MonotonicClock clock;
@@ -142,11 +144,7 @@
             loads,
             () -> configuration,
             fleet,
-            new RetryAllowance(
-                settings.retryRatio(),
-                settings.retrySlack(),
-                settings.retryWindowMs(),
-                peers::knownCount),
+            new RetryAllowance(() -> this.settings.retries(), peers::knownCount),
             new TargetHealth(),
             crashMarks,
             metrics,
@@ -196,6 +194,40 @@
     return loop;
   }
 
+  /**
+   * Returns where decisions are noted.
+   *
+   * @return the log
+   */
+  public DecisionLog log() {
+    return log;
+  }
+
+  /**
+   * Puts changed settings in force, except those that need new sockets or a new identity. To be
+   * called on the event loop.
+   *
+   * @param fresh the settings
+   */
+  public void reload(RouterSettings fresh) {
+    boolean needsRestart =
+        !fresh.name().equals(settings.name())
+            || !fresh.zone().equals(settings.zone())
+            || !fresh.addresses().equals(settings.addresses())
+            || fresh.maxSockets() != settings.maxSockets();
+    RouterSettings before = settings;
+    settings =
+        new RouterSettings(
+            before.name(),
+            before.zone(),
+            before.addresses(),
+            before.maxSockets(),
+            fresh.retries(),
+            fresh.stopGraceMs(),
+            fresh.directoryTtlSeconds());
+    log.note("reload", "", "before", before, "now", settings, "needsRestart", needsRestart);
+  }
+
   private void tick() {
     try {
       long nowMs = clock.nowMs();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
@@ -1,5 +1,7 @@
 package org.gooseberryhook.router.node;
 
+import org.gooseberryhook.router.admission.RetryBounds;
+
 /**
  * Settings of a node.
  *
@@ -7,9 +9,7 @@
  * @param zone data centre
  * @param addresses where it listens
  * @param maxSockets sockets that the process may open
- * @param retryRatio repeats for each request that all nodes may send to a service
- * @param retrySlack repeats beside the ratio in a window
- * @param retryWindowMs length of that window
+ * @param retries bounds of the repeats that all nodes may send to a service
  * @param stopGraceMs time from the signal to stop until the process is killed
  * @param directoryTtlSeconds longest time for which callers use an answer of the directory
  */
@@ -18,8 +18,6 @@
     String zone,
     NodeAddresses addresses,
     int maxSockets,
-    double retryRatio,
-    double retrySlack,
-    long retryWindowMs,
+    RetryBounds retries,
     long stopGraceMs,
     int directoryTtlSeconds) {}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -72,15 +72,16 @@
   private static List<Group> planWithSpares(List<TargetEntry> members, EngineProfile profile) {
     List<TargetEntry> used = new ArrayList<>(members);
     List<Group> best = planPool(used, profile);
-    double leastRoom = room(best) * (1 - SPARE_COST);
+    double mostRoom = room(best);
     while (!best.isEmpty()) {
+      mostRoom = Math.max(mostRoom, room(best));
       TargetEntry spare = null;
       List<Group> bestWithout = List.of();
       for (TargetEntry candidate : distinctKinds(used)) {
         List<TargetEntry> rest = new ArrayList<>(used);
         rest.remove(candidate);
         List<Group> without = planPool(rest, profile);
-        if (room(without) >= leastRoom
+        if (room(without) >= mostRoom * (1 - SPARE_COST)
             && isStandIn(candidate, without, profile)
             && room(without) > room(bestWithout)) {
           spare = candidate;
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GapFill.java
@@ -0,0 +1,177 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.state.LayerRange;
+
+/**
+ * Closes a gap in the layers of a data centre with few loads: empty targets share the missing
+ * layers, else the targets that hold the layers before and after them take them in addition.
+ */
+final class GapFill {
+
+  /** Share of the usual room for requests that targets which fill a gap should have. */
+  private static final double GOOD_ROOM_SHARE = 0.8;
+
+  /** Targets that share one gap at most, so that pipelines do not grow too long. */
+  private static final int MAX_SHARING = 8;
+
+  private final List<TargetEntry> holders;
+  private final List<TargetEntry> empty;
+  private final EngineProfile profile;
+  private final Map<String, LayerRange> ranges;
+
+  /**
+   * Creates a repair of one data centre.
+   *
+   * @param holders targets that hold layers
+   * @param empty targets that hold none; those that are used are removed
+   * @param profile figures of the engines
+   * @param ranges receives the layers of the targets that change
+   */
+  GapFill(
+      List<TargetEntry> holders,
+      List<TargetEntry> empty,
+      EngineProfile profile,
+      Map<String, LayerRange> ranges) {
+    this.holders = holders;
+    this.empty = empty;
+    this.profile = profile;
+    this.ranges = ranges;
+  }
+
+  /** Closes a gap, or leaves it if there is no memory for its layers. */
+  void close(LayerRange gap) {
+    if (!shareAmongEmpty(gap)) {
+      extendNeighbours(gap);
+    }
+  }
+
+  /** Uses as few empty targets as give the usual room for requests, else those with the most. */
+  private boolean shareAmongEmpty(LayerRange gap) {
+    List<TargetEntry> largestFirst = new ArrayList<>(empty);
+    largestFirst.sort(
+        Comparator.<TargetEntry>comparingDouble(e -> -memoryMb(e, profile))
+            .thenComparing(TargetEntry::address));
+    double goodRoom = usualRoom(holders, profile) * GOOD_ROOM_SHARE;
+    List<TargetEntry> best = List.of();
+    double bestRoom = 0;
+    for (int i = 1; i <= Math.min(MAX_SHARING, largestFirst.size()); i++) {
+      List<TargetEntry> sharing = largestFirst.subList(0, i);
+      double room = leastRoom(sharing, gap.layerCount());
+      if (room > bestRoom) {
+        best = List.copyOf(sharing);
+        bestRoom = room;
+      }
+      if (room >= goodRoom) {
+        break;
+      }
+    }
+    int next = gap.firstLayer();
+    int[] counts = counts(best, gap.layerCount());
+    for (int i = 0; i < counts.length; i++) {
+      if (counts[i] > 0) {
+        ranges.put(best.get(i).id(), LayerRange.of(next, next + counts[i]));
+        empty.remove(best.get(i));
+        next += counts[i];
+      }
+    }
+    return !best.isEmpty();
+  }
+
+  /** Deals layers out one by one to the target that is then least filled. */
+  private int[] counts(List<TargetEntry> sharing, int layers) {
+    int[] counts = new int[sharing.size()];
+    for (int layer = 0; layer < layers && counts.length > 0; layer++) {
+      int next = 0;
+      for (int i = 1; i < counts.length; i++) {
+        double filled = (counts[i] + 1) / memoryMb(sharing.get(i), profile);
+        if (filled < (counts[next] + 1) / memoryMb(sharing.get(next), profile)) {
+          next = i;
+        }
+      }
+      counts[next]++;
+    }
+    return counts;
+  }
+
+  /** Returns the room for each layer of the tightest target; 0 if the layers do not fit. */
+  private double leastRoom(List<TargetEntry> sharing, int layers) {
+    int[] counts = counts(sharing, layers);
+    double least = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < counts.length; i++) {
+      if (counts[i] > capacity(sharing.get(i), profile)) {
+        return 0;
+      }
+      if (counts[i] > 0) {
+        double room = profile.layerTokenRoom(memoryMb(sharing.get(i), profile), counts[i]);
+        least = Math.min(least, room / counts[i]);
+      }
+    }
+    return least;
+  }
+
+  /** Splits the gap between the target before it and the one after it, by their free memory. */
+  private void extendNeighbours(LayerRange gap) {
+    Optional<TargetEntry> before = best(e -> e.layers().get().endLayer() == gap.firstLayer());
+    Optional<TargetEntry> after = best(e -> e.layers().get().firstLayer() == gap.endLayer());
+    int spareBefore = before.map(e -> spare(e, profile)).orElse(0);
+    int spareAfter = after.map(e -> spare(e, profile)).orElse(0);
+    if (spareBefore + spareAfter < gap.layerCount()) {
+      return;
+    }
+    int share = Math.round((float) gap.layerCount() * spareBefore / (spareBefore + spareAfter));
+    int toBefore = Math.max(gap.layerCount() - spareAfter, Math.min(spareBefore, share));
+    int middle = gap.firstLayer() + toBefore;
+    if (toBefore > 0) {
+      TargetEntry target = before.get();
+      ranges.put(target.id(), LayerRange.of(target.layers().get().firstLayer(), middle));
+    }
+    if (middle < gap.endLayer()) {
+      TargetEntry target = after.get();
+      ranges.put(target.id(), LayerRange.of(middle, target.layers().get().endLayer()));
+    }
+  }
+
+  private Optional<TargetEntry> best(Predicate<TargetEntry> isNeighbour) {
+    return holders.stream()
+        .filter(isNeighbour)
+        .filter(e -> !ranges.containsKey(e.id()))
+        .max(
+            Comparator.<TargetEntry>comparingInt(e -> spare(e, profile))
+                .thenComparing(TargetEntry::address));
+  }
+
+  /** Returns the memory of a target. */
+  static double memoryMb(TargetEntry entry, EngineProfile profile) {
+    return profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
+  }
+
+  /** Returns the layers that a target can hold and still take requests. */
+  static int capacity(TargetEntry entry, EngineProfile profile) {
+    return profile.layerCapacity(memoryMb(entry, profile), PlanRepair.MIN_REQUEST_SHARE);
+  }
+
+  /** Returns the room for requests that a holder has for each of its layers. */
+  static double tokensPerLayer(TargetEntry entry, EngineProfile profile) {
+    int held = entry.layers().get().layerCount();
+    return profile.layerTokenRoom(memoryMb(entry, profile), held) / held;
+  }
+
+  /** Returns the median room of holders; 0 if there are none. */
+  static double usualRoom(List<TargetEntry> holders, EngineProfile profile) {
+    double[] room =
+        holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
+    return room.length == 0 ? 0 : room[room.length / 2];
+  }
+
+  private static int spare(TargetEntry entry, EngineProfile profile) {
+    return Math.max(0, capacity(entry, profile) - entry.layers().get().layerCount());
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/GroupSplit.java
@@ -1,23 +1,26 @@
 package org.gooseberryhook.router.placement;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.engine.EnginePart;
+import org.gooseberryhook.router.engine.EventInterval;
 
 /**
  * Splits the layers of a model over the targets of one pipeline.
  *
  * <p>A pipeline takes as many requests as its smallest stage has memory for, as its head has slots
- * for, and as its token step allows within the usual pause. Layers in proportion to memory give the
- * most room; layers shifted to faster targets give shorter steps. Several proportions are tried.
+ * for, and as its passes allow within the usual pause. Layers in proportion to memory give the most
+ * room; layers shifted to faster targets give shorter passes. Several proportions are tried.
  *
  * @param counts layers of each target, in the order of the targets
  * @param requests requests that the pipeline takes at once
- * @param stepMs time of a token step at that load, with the prompts that are read meanwhile
+ * @param intervalMs mean time between two events of a stream at that load
  */
-public record GroupSplit(int[] counts, double requests, double stepMs) {
+public record GroupSplit(int[] counts, double requests, double intervalMs) {
 
   /** Exponents of the pace by which layers are shifted to faster targets. */
   private static final double[] SHIFTS = {0, 0.15, 0.3, 0.5, 0.75, 1, 1.5, 2};
@@ -28,6 +31,9 @@
    */
   static final double PLANNED_PAUSE_MS = 150;
 
+  /** Share of the room that a pipeline runs at; the rest takes longer answers and bursts. */
+  private static final double FILL = 0.88;
+
   /**
    * Finds the best split.
    *
@@ -73,37 +79,46 @@
   }
 
   private static GroupSplit rate(List<AcceleratorKind> kinds, int[] counts, EngineProfile profile) {
-    double usualTokens = profile.usualPromptTokens() + profile.usualAnswerTokens();
-    double requests = profile.slots();
-    double pace = 0;
-    double readFactor = 0;
+    double roomTokens = Double.POSITIVE_INFINITY;
+    List<EnginePart> parts = new ArrayList<>();
     for (int i = 0; i < counts.length; i++) {
       if (counts[i] > 0) {
         double room = profile.layerTokenRoom(kinds.get(i).memoryMb(), counts[i]);
-        requests = Math.min(requests, room / counts[i] / usualTokens);
-        double share = (double) counts[i] / profile.layers();
-        pace += share * kinds.get(i).paceFactor();
-        readFactor += share * kinds.get(i).readFactor();
+        roomTokens = Math.min(roomTokens, room / counts[i]);
+        parts.add(new EnginePart(kinds.get(i), counts[i], 1));
       }
     }
-    double chunkMs = readFactor * profile.chunkTokens() * 1_000 / profile.readTokensPerSecond();
-    double perRequestMs =
-        pace * (profile.perSequenceMs() + profile.contextMsPer1000Tokens() * usualTokens / 1_000);
-    double baseMs = pace * profile.stepMs();
-    double allowedStepMs = (PLANNED_PAUSE_MS - chunkMs) / profile.strideSteps();
-    requests = Math.min(requests, Math.max(0, (allowedStepMs - baseMs) / perRequestMs));
-    double readMs = chunkMs / profile.strideSteps();
-    return new GroupSplit(counts, requests, baseMs + requests * perRequestMs + readMs);
+    double requests = requests(parts, roomTokens, profile);
+    return new GroupSplit(counts, requests, EventInterval.meanMs(parts, profile, requests));
+  }
+
+  private static double requests(List<EnginePart> parts, double roomTokens, EngineProfile profile) {
+    double usualTokens = profile.usualPromptTokens() + profile.usualAnswerTokens();
+    double fitting = FILL * Math.min(profile.slots(), roomTokens / usualTokens);
+    return EventInterval.requestsWithin(parts, profile, PLANNED_PAUSE_MS, fitting);
+  }
+
+  /**
+   * Returns the events that a pipeline makes in a millisecond at its full load.
+   *
+   * @param parts its stages
+   * @param roomTokens tokens that its tightest stage has memory for
+   * @param profile figures of the engines
+   * @return events for each millisecond
+   */
+  static double throughput(List<EnginePart> parts, double roomTokens, EngineProfile profile) {
+    double requests = requests(parts, roomTokens, profile);
+    return requests / EventInterval.meanMs(parts, profile, requests);
   }
 
   /**
-   * Returns the tokens that the pipeline makes in a millisecond at its full load. Short steps also
-   * leave fewer streams in flight when a target is lost.
+   * Returns the events that the pipeline makes in a millisecond at its full load. Short intervals
+   * also leave fewer streams in flight when a target is lost.
    *
-   * @return requests for each millisecond of a step
+   * @return events for each millisecond
    */
   public double throughput() {
-    return requests / stepMs;
+    return requests / intervalMs;
   }
 
   @Override
@@ -111,7 +126,7 @@
     return other instanceof GroupSplit that
         && Arrays.equals(counts, that.counts)
         && requests == that.requests
-        && stepMs == that.stepMs;
+        && intervalMs == that.intervalMs;
   }
 
   @Override
@@ -121,6 +136,6 @@
 
   @Override
   public String toString() {
-    return "GroupSplit[" + Arrays.toString(counts) + ", " + requests + ", " + stepMs + "]";
+    return "GroupSplit[" + Arrays.toString(counts) + ", " + requests + ", " + intervalMs + "]";
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
 
@@ -23,6 +25,7 @@
   static final long RETRY_MS = 500;
 
   private final Map<String, Sent> sent = new HashMap<>();
+  private final Map<String, Order> queued = new TreeMap<>();
 
   private record Sent(LayerRange layers, long bornMs, long untilMs) {}
 
@@ -35,7 +38,7 @@
   public record Order(TargetEntry target, LayerRange layers) {}
 
   /**
-   * Returns the orders that should be sent now.
+   * Takes over a plan and returns the orders that should be sent now; the others wait.
    *
    * @param plan the plan
    * @param entries the targets
@@ -47,20 +50,37 @@
     Map<String, TargetEntry> byId = new HashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
     sent.entrySet().removeIf(e -> isOver(byId.get(e.getKey()), e.getValue(), nowMs));
-    List<Order> orders = new ArrayList<>();
+    queued.entrySet().removeIf(e -> isOver(byId.get(e.getKey()), e.getValue()));
     for (TargetEntry entry : entries) {
       LayerRange wanted = plan.ranges().get(entry.id());
       boolean holdsIt = entry.layers().isPresent() && entry.layers().get().equals(wanted);
-      if (wanted != null
-          && !holdsIt
-          && !sent.containsKey(entry.id())
-          && sent.size() + orders.size() < maxUnderWay) {
-        orders.add(new Order(entry, wanted));
+      if (wanted != null && holdsIt) {
+        queued.remove(entry.id());
+      } else if (wanted != null && !isUnderWay(entry.id(), wanted)) {
+        queued.put(entry.id(), new Order(entry, wanted));
+      }
+    }
+    List<Order> orders = new ArrayList<>();
+    for (Order order : queued.values()) {
+      boolean isFree = !sent.containsKey(order.target().id());
+      if (isFree && sent.size() + orders.size() < maxUnderWay) {
+        orders.add(new Order(byId.get(order.target().id()), order.layers()));
       }
     }
     return orders;
   }
 
+  private boolean isUnderWay(String targetId, LayerRange layers) {
+    Sent order = sent.get(targetId);
+    return order != null && order.layers().equals(layers);
+  }
+
+  private static boolean isOver(TargetEntry entry, Order order) {
+    return entry == null
+        || entry.bornMs() != order.target().bornMs()
+        || entry.layers().equals(Optional.of(order.layers()));
+  }
+
   private static boolean isOver(TargetEntry entry, Sent order, long nowMs) {
     return entry == null
         || nowMs >= order.untilMs()
@@ -69,18 +89,24 @@
   }
 
   /**
-   * Returns the targets as they will be when the orders under way have taken effect, so that a plan
-   * does not order again what is being loaded.
+   * Returns the targets as they will be when all orders have taken effect, those that wait for
+   * others included. A plan made from this does not change while its orders go out one by one.
    *
    * @param entries the targets
-   * @return the targets with the layers that they are loading
+   * @return the targets with the layers that they are to load
    */
   public List<TargetEntry> expected(List<TargetEntry> entries) {
     List<TargetEntry> expected = new ArrayList<>();
     for (TargetEntry entry : entries) {
       Sent order = sent.get(entry.id());
-      boolean isUnderWay = order != null && order.bornMs() == entry.bornMs();
-      expected.add(isUnderWay ? entry.withLayers(order.layers()) : entry);
+      Order next = queued.get(entry.id());
+      if (next != null && next.target().bornMs() == entry.bornMs()) {
+        expected.add(entry.withLayers(next.layers()));
+      } else if (order != null && order.bornMs() == entry.bornMs()) {
+        expected.add(entry.withLayers(order.layers()));
+      } else {
+        expected.add(entry);
+      }
     }
     return expected;
   }
@@ -92,6 +118,7 @@
    * @param nowMs monotonic time
    */
   public void onSent(Order order, long nowMs) {
+    queued.remove(order.target().id());
     sent.put(
         order.target().id(),
         new Sent(order.layers(), order.target().bornMs(), nowMs + UNDER_WAY_MS));
@@ -111,5 +138,6 @@
   /** Forgets all orders, because this node no longer gives them. */
   public void clear() {
     sent.clear();
+    queued.clear();
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -3,19 +3,18 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
 
 /**
- * Closes the gaps that lost targets leave, with few loads: an empty target takes the missing
- * layers, else the targets that hold the layers before and after them take them in addition. The
- * layers that a target holds already keep serving meanwhile.
+ * Keeps the layers of each data centre whole with few loads: closes the gaps that lost targets
+ * leave, and gives new targets work where that brings more room. The layers that a target holds
+ * already keep serving meanwhile.
  */
 final class PlanRepair {
 
@@ -53,6 +52,9 @@
     }
     int[] copies = copies(holders, profile.layers());
     int wanted = usualCopies(copies);
+    Map<String, LayerRange> changes = new HashMap<>();
+    GapFill gapFill = new GapFill(holders, empty, profile, changes);
+    boolean hasGaps = false;
     int from = 0;
     while (from < profile.layers()) {
       int to = from;
@@ -60,11 +62,18 @@
         to++;
       }
       if (to > from) {
-        fill(LayerRange.of(from, to), holders, empty, profile, ranges);
+        hasGaps = true;
+        gapFill.close(LayerRange.of(from, to));
       }
       from = to + 1;
     }
-    spread(holders, empty, copies, profile, ranges);
+    if (!hasGaps) {
+      spread(holders, empty, copies, profile, changes);
+    }
+    if (wanted == 1 && (hasGaps || changes.isEmpty())) {
+      ZoneRebuild.improve(zone, profile, changes);
+    }
+    ranges.putAll(changes);
   }
 
   private static int[] copies(List<TargetEntry> holders, int layers) {
@@ -85,63 +94,6 @@
     return Math.max(1, sorted[sorted.length / 2]);
   }
 
-  private static void fill(
-      LayerRange gap,
-      List<TargetEntry> holders,
-      List<TargetEntry> empty,
-      EngineProfile profile,
-      Map<String, LayerRange> ranges) {
-    for (TargetEntry target : empty) {
-      if (capacity(target, profile) >= gap.layerCount()) {
-        ranges.put(target.id(), gap);
-        empty.remove(target);
-        return;
-      }
-    }
-    extendNeighbours(gap, holders, profile, ranges);
-  }
-
-  /** Splits the gap between the target before it and the one after it, by their free memory. */
-  private static void extendNeighbours(
-      LayerRange gap,
-      List<TargetEntry> holders,
-      EngineProfile profile,
-      Map<String, LayerRange> ranges) {
-    Optional<TargetEntry> before =
-        best(holders, e -> e.layers().get().endLayer() == gap.firstLayer(), profile, ranges);
-    Optional<TargetEntry> after =
-        best(holders, e -> e.layers().get().firstLayer() == gap.endLayer(), profile, ranges);
-    int spareBefore = before.map(e -> spare(e, profile)).orElse(0);
-    int spareAfter = after.map(e -> spare(e, profile)).orElse(0);
-    if (spareBefore + spareAfter < gap.layerCount()) {
-      return;
-    }
-    int share = Math.round((float) gap.layerCount() * spareBefore / (spareBefore + spareAfter));
-    int toBefore = Math.max(gap.layerCount() - spareAfter, Math.min(spareBefore, share));
-    int middle = gap.firstLayer() + toBefore;
-    if (toBefore > 0) {
-      TargetEntry target = before.get();
-      ranges.put(target.id(), LayerRange.of(target.layers().get().firstLayer(), middle));
-    }
-    if (middle < gap.endLayer()) {
-      TargetEntry target = after.get();
-      ranges.put(target.id(), LayerRange.of(middle, target.layers().get().endLayer()));
-    }
-  }
-
-  private static Optional<TargetEntry> best(
-      List<TargetEntry> holders,
-      Predicate<TargetEntry> isNeighbour,
-      EngineProfile profile,
-      Map<String, LayerRange> ranges) {
-    return holders.stream()
-        .filter(isNeighbour)
-        .filter(e -> !ranges.containsKey(e.id()))
-        .max(
-            Comparator.<TargetEntry>comparingInt(e -> spare(e, profile))
-                .thenComparing(TargetEntry::address));
-  }
-
   /**
    * Empty targets that no gap needs form further pipelines if they can. Else they stay spare, but
    * for one that relieves targets with far less room than the others.
@@ -157,9 +109,7 @@
       further.forEach(group -> group.addRanges(ranges));
       return;
     }
-    double[] room =
-        holders.stream().mapToDouble(e -> tokensPerLayer(e, profile)).sorted().toArray();
-    double usualRoom = room[room.length / 2];
+    double usualRoom = GapFill.usualRoom(holders, profile);
     trim(holders, copies, usualRoom, profile, ranges);
     if (!empty.isEmpty()) {
       relieve(holders, empty, usualRoom, profile, ranges);
@@ -206,7 +156,7 @@
   private static TargetEntry largest(List<TargetEntry> empty, EngineProfile profile) {
     return empty.stream()
         .max(
-            Comparator.<TargetEntry>comparingInt(e -> capacity(e, profile))
+            Comparator.<TargetEntry>comparingInt(e -> GapFill.capacity(e, profile))
                 .thenComparing(TargetEntry::address))
         .orElseThrow();
   }
@@ -225,7 +175,7 @@
 
   /** Layers that a target with far less room than usual holds beyond its part. */
   private static int excess(TargetEntry entry, double usualRoom, EngineProfile profile) {
-    if (tokensPerLayer(entry, profile) >= usualRoom * TIGHT_SHARE) {
+    if (GapFill.tokensPerLayer(entry, profile) >= usualRoom * TIGHT_SHARE) {
       return 0;
     }
     int fair = Math.max(1, layersAtRoom(entry, usualRoom, profile));
@@ -235,7 +185,7 @@
   /** The most layers with which a target has at least a given room for each of them. */
   private static int layersAtRoom(TargetEntry entry, double roomPerLayer, EngineProfile profile) {
     double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
-    int layers = capacity(entry, profile);
+    int layers = GapFill.capacity(entry, profile);
     while (layers > 0 && profile.layerTokenRoom(memoryMb, layers) / layers < roomPerLayer) {
       layers--;
     }
@@ -296,19 +246,4 @@
             ? LayerRange.of(to, held.endLayer())
             : LayerRange.of(held.firstLayer(), from));
   }
-
-  private static double tokensPerLayer(TargetEntry entry, EngineProfile profile) {
-    int held = entry.layers().get().layerCount();
-    double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
-    return profile.layerTokenRoom(memoryMb, held) / held;
-  }
-
-  private static int capacity(TargetEntry entry, EngineProfile profile) {
-    double memoryMb = profile.kind(entry.acceleratorKind()).orElseThrow().memoryMb();
-    return profile.layerCapacity(memoryMb, MIN_REQUEST_SHARE);
-  }
-
-  private static int spare(TargetEntry entry, EngineProfile profile) {
-    return Math.max(0, capacity(entry, profile) - entry.layers().get().layerCount());
-  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/RetryAllowanceTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/RetryAllowanceTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,7 @@
   private static final long WINDOW_MS = 10_000;
   private static final double RATIO = 0.2;
   private static final double SLACK = 198;
+  private static final RetryBounds BOUNDS = new RetryBounds(RATIO, SLACK, WINDOW_MS);
 
   @Property(tries = 40)
   void allNodesTogetherStayWithinTheBudgetInEveryWindow(@ForAll long seed) {
@@ -22,7 +24,7 @@
     int nodes = 1 + random.nextInt(10);
     List<RetryAllowance> allowances = new ArrayList<>();
     for (int i = 0; i < nodes; i++) {
-      allowances.add(new RetryAllowance(RATIO, SLACK, WINDOW_MS, () -> nodes));
+      allowances.add(new RetryAllowance(() -> BOUNDS, () -> nodes));
     }
     List<Long> firstMs = new ArrayList<>();
     List<Long> repeatMs = new ArrayList<>();
@@ -44,7 +46,7 @@
 
   @Test
   void servicesHaveBudgetsOfTheirOwn() {
-    RetryAllowance allowance = new RetryAllowance(0, 2, WINDOW_MS, () -> 1);
+    RetryAllowance allowance = new RetryAllowance(() -> new RetryBounds(0, 2, WINDOW_MS), () -> 1);
     assertThat(allowance.trySpend("a", 0)).isTrue();
     assertThat(allowance.trySpend("a", 0)).isFalse();
     assertThat(allowance.trySpend("b", 0)).isTrue();
@@ -52,8 +54,21 @@
 
   @Test
   void theBudgetComesBackWithTime() {
-    RetryAllowance allowance = new RetryAllowance(0, 2, WINDOW_MS, () -> 1);
+    RetryAllowance allowance = new RetryAllowance(() -> new RetryBounds(0, 2, WINDOW_MS), () -> 1);
     assertThat(allowance.trySpend("a", 0)).isTrue();
     assertThat(allowance.trySpend("a", WINDOW_MS + 1)).isTrue();
   }
+
+  /** Guards against bounds that stay as they were at the start of the process. */
+  @Test
+  void changedBoundsAreInForceAtOnce() {
+    AtomicReference<RetryBounds> bounds = new AtomicReference<>(new RetryBounds(0, 2, WINDOW_MS));
+    RetryAllowance allowance = new RetryAllowance(bounds::get, () -> 1);
+    assertThat(allowance.trySpend("s", 0)).isTrue();
+    assertThat(allowance.trySpend("s", 0)).isFalse();
+    bounds.set(new RetryBounds(0, 4, WINDOW_MS));
+    assertThat(allowance.trySpend("s", 0)).isTrue();
+    assertThat(allowance.trySpend("s", 0)).isTrue();
+    assertThat(allowance.trySpend("s", 0)).isFalse();
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -23,6 +23,7 @@
 import org.gooseberryhook.protocol.TableOperation;
 import org.gooseberryhook.protocol.TableResult;
 import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.router.admission.RetryBounds;
 import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.configuration.Route;
@@ -79,7 +80,7 @@
     NodeAddresses addresses =
         new NodeAddresses("127.0.0.1:" + callerPort, "unused", Optional.empty(), reports, "unused");
     RouterSettings settings =
-        new RouterSettings("n", "a", addresses, 4_000, 0.2, 100, 10_000, 3_000, 2);
+        new RouterSettings("n", "a", addresses, 4_000, new RetryBounds(0.2, 100, 10_000), 3_000, 2);
     node =
         new RouterNode(
             settings,
