Keep working pipelines whole when targets return

Cause: a data centre was split anew when its lost target came back.

Ruled out: the bound on orders alone; the outage came with orders that had already been sent.

Change: only a broken pipeline is split anew. While a pipeline works, a free target is given the layers of some of its stages if that speeds it up by 8%; targets whose layers others hold too are spares for the next gap. Among pipelines with equal room the faster one is preferred. Twice as many orders may be under way.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -23,6 +23,9 @@
   /** Share of the memory that is handed out; the rest takes answers longer than expected. */
   static final double MEMORY_SHARE = 0.92;
 
+  /** Weight of the pause beside the fill, so that the faster of two pipelines is preferred. */
+  static final double PAUSE_WEIGHT = 0.2;
+
   /** Share of the head's slots that is handed out; nodes hear of each other's requests late. */
   static final double SLOT_SHARE = 0.95;
 
@@ -73,20 +76,27 @@
       int nodeCount,
       long nowMs) {
     ModelPipeline best = null;
-    double bestFill = Double.POSITIVE_INFINITY;
+    double leastCost = Double.POSITIVE_INFINITY;
     for (ModelPipeline pipeline : pipelines) {
       double fill = fill(pipeline, profile, request);
-      if (fill < bestFill
+      double cost = fill + PAUSE_WEIGHT * pauseShare(pipeline, profile, request);
+      if (cost < leastCost
           && fill <= 1
           && !isOverShare(pipeline, fill, nodeCount)
           && endsInTime(pipeline, profile, request, nowMs)) {
         best = pipeline;
-        bestFill = fill;
+        leastCost = cost;
       }
     }
     return Optional.ofNullable(best);
   }
 
+  private double pauseShare(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+    return request.gapTargetMs() <= 0
+        ? 0
+        : PipelineEstimate.pauseMs(pipeline, profile, loads, paces) / request.gapTargetMs();
+  }
+
   /**
    * Returns how full a pipeline would be with a request, as the fullest of its bounds.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -27,6 +27,12 @@
   /** Time without new targets before the first plan; they register within some seconds. */
   static final long SETTLE_MS = 1_500;
 
+  /**
+   * Orders under way for each load that the engines do without slowing one another: some orders
+   * wait for streams to pass, and more loads take longer but are not slower in sum.
+   */
+  private static final int LOADS_FACTOR = 2;
+
   private static final long STATE_TIMEOUT_MS = 600;
 
   private final TargetRegistry registry;
@@ -96,8 +102,9 @@
     }
     List<TargetEntry> usable =
         entries.stream().filter(e -> !suspects.contains(e.address())).toList();
-    LayerPlan plan = LayerPlanner.plan(tracker.expected(usable), profile);
-    int maxOrders = isFirstPlan ? Integer.MAX_VALUE : Math.max(1, profile.loadsAtOnce());
+    LayerPlan plan = LayerPlanner.plan(tracker.expected(usable), profile, tracker.isSettled());
+    int maxOrders =
+        isFirstPlan ? Integer.MAX_VALUE : LOADS_FACTOR * Math.max(1, profile.loadsAtOnce());
     for (OrderTracker.Order order : tracker.due(plan, usable, maxOrders, nowMs)) {
       send(order, tracker, nowMs);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
@@ -18,9 +18,12 @@
    *
    * @param entries the targets of the service; leaving ones are ignored
    * @param profile figures of the engines
+   * @param isSettled whether no order is under way, so that the entries are as they are; only then
+   *     are working pipelines changed
    * @return the plan, never null
    */
-  public static LayerPlan plan(List<TargetEntry> entries, EngineProfile profile) {
+  public static LayerPlan plan(
+      List<TargetEntry> entries, EngineProfile profile, boolean isSettled) {
     List<TargetEntry> members = new ArrayList<>();
     boolean holdsNothing = true;
     for (TargetEntry entry : entries) {
@@ -33,7 +36,7 @@
     if (holdsNothing) {
       FirstPlan.plan(members, profile).forEach(group -> group.addRanges(ranges));
     } else {
-      PlanRepair.repair(members, profile, ranges);
+      PlanRepair.repair(members, profile, isSettled, ranges);
     }
     return new LayerPlan(ranges);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -135,6 +135,15 @@
         targetId, (id, order) -> new Sent(order.layers(), order.bornMs(), nowMs + RETRY_MS));
   }
 
+  /**
+   * Tells whether no order is under way or waiting.
+   *
+   * @return true if the targets hold what they were ordered to
+   */
+  public boolean isSettled() {
+    return sent.isEmpty() && queued.isEmpty();
+  }
+
   /** Forgets all orders, because this node no longer gives them. */
   public void clear() {
     sent.clear();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -28,18 +28,24 @@
 
   /** Adds the ranges that targets should change to; the others keep what they hold. */
   static void repair(
-      List<TargetEntry> members, EngineProfile profile, Map<String, LayerRange> ranges) {
+      List<TargetEntry> members,
+      EngineProfile profile,
+      boolean isSettled,
+      Map<String, LayerRange> ranges) {
     Map<String, List<TargetEntry>> byZone = new TreeMap<>();
     for (TargetEntry entry : members) {
       byZone.computeIfAbsent(entry.zone(), z -> new ArrayList<>()).add(entry);
     }
     for (List<TargetEntry> zone : byZone.values()) {
-      repairZone(zone, profile, ranges);
+      repairZone(zone, profile, isSettled, ranges);
     }
   }
 
   private static void repairZone(
-      List<TargetEntry> zone, EngineProfile profile, Map<String, LayerRange> ranges) {
+      List<TargetEntry> zone,
+      EngineProfile profile,
+      boolean isSettled,
+      Map<String, LayerRange> ranges) {
     List<TargetEntry> holders = new ArrayList<>();
     List<TargetEntry> empty = new ArrayList<>();
     for (TargetEntry entry : zone) {
@@ -52,6 +58,9 @@
     }
     int[] copies = copies(holders, profile.layers());
     int wanted = usualCopies(copies);
+    if (Arrays.stream(copies).anyMatch(count -> count < wanted)) {
+      freeRedundant(holders, empty, copies);
+    }
     Map<String, LayerRange> changes = new HashMap<>();
     GapFill gapFill = new GapFill(holders, empty, profile, changes);
     boolean hasGaps = false;
@@ -67,15 +76,37 @@
       }
       from = to + 1;
     }
-    if (!hasGaps) {
+    if (hasGaps && wanted == 1) {
+      ZoneRebuild.splitAnew(zone, profile, changes);
+    } else if (!hasGaps) {
       spread(holders, empty, copies, profile, changes);
-    }
-    if (wanted == 1 && (hasGaps || changes.isEmpty())) {
-      ZoneRebuild.improve(zone, profile, changes);
+      if (wanted == 1 && isSettled && changes.isEmpty()) {
+        ZoneRebuild.upgrade(zone, profile, changes);
+      }
     }
     ranges.putAll(changes);
   }
 
+  /** Counts holders as empty whose layers all are held by others too. */
+  private static void freeRedundant(
+      List<TargetEntry> holders, List<TargetEntry> empty, int[] copies) {
+    for (TargetEntry holder : List.copyOf(holders)) {
+      LayerRange held = holder.layers().get();
+      int end = Math.min(copies.length, held.endLayer());
+      boolean isRedundant = true;
+      for (int layer = held.firstLayer(); layer < end; layer++) {
+        isRedundant &= copies[layer] > 1;
+      }
+      if (isRedundant) {
+        for (int layer = held.firstLayer(); layer < end; layer++) {
+          copies[layer]--;
+        }
+        holders.remove(holder);
+        empty.add(holder);
+      }
+    }
+  }
+
   private static int[] copies(List<TargetEntry> holders, int layers) {
     int[] copies = new int[layers];
     for (TargetEntry holder : holders) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/ZoneRebuild.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/ZoneRebuild.java
@@ -1,12 +1,14 @@
 package org.gooseberryhook.router.placement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.engine.EnginePart;
 import org.gooseberryhook.router.fleet.ModelPipeline;
@@ -16,9 +18,11 @@
 import org.gooseberryhook.state.LayerRange;
 
 /**
- * Splits the layers of a whole data centre anew when that serves clearly more than a repair of what
- * is there. Answers the loss of a target whose layers no other has room for, and the return of a
- * large target after its layers were shared among small ones.
+ * Larger changes of a data centre with one pipeline.
+ *
+ * <p>A broken pipeline is split anew when that serves clearly more than a repair of what is there.
+ * A whole one is never split anew, because targets give layers up only after the streams that pass
+ * through them; free targets are given layers instead that speed it up beside those in use.
  */
 final class ZoneRebuild {
 
@@ -27,7 +31,10 @@
    * the streams that pass through the layers which it gives up, so small gains cost more than they
    * bring.
    */
-  private static final double MIN_GAIN = 1.4;
+  private static final double MIN_REBUILD_GAIN = 1.4;
+
+  /** Factor by which a free target has to speed the pipeline up to be worth its load. */
+  private static final double MIN_UPGRADE_GAIN = 1.08;
 
   private ZoneRebuild() {}
 
@@ -38,14 +45,14 @@
    * @param profile figures of the engines
    * @param ranges layers of the targets that the repair changes; replaced
    */
-  static void improve(
+  static void splitAnew(
       List<TargetEntry> zone, EngineProfile profile, Map<String, LayerRange> ranges) {
     double repaired = throughput(apply(zone, ranges), profile);
     Map<String, LayerRange> fresh = new HashMap<>();
     List<FirstPlan.Group> groups = FirstPlan.plan(zone, profile);
     groups.forEach(group -> group.addRanges(fresh));
     double rebuilt = groups.stream().mapToDouble(g -> g.split().throughput()).sum();
-    if (rebuilt > repaired * MIN_GAIN) {
+    if (rebuilt > repaired * MIN_REBUILD_GAIN) {
       ranges.clear();
       for (TargetEntry entry : zone) {
         LayerRange wanted = fresh.get(entry.id());
@@ -71,26 +78,85 @@
     double sum = 0;
     for (ModelPipeline pipeline : ModelPipelines.compose(zone, profile.layers(), e -> true)) {
       Set<String> own = new HashSet<>();
-      List<EnginePart> parts = new ArrayList<>();
-      double roomTokens = Double.POSITIVE_INFINITY;
-      for (PipelineStage stage : pipeline.stages()) {
-        TargetEntry target = stage.target();
-        own.add(target.id());
-        parts.add(
-            new EnginePart(
-                profile.kind(target.acceleratorKind()).orElseThrow(),
-                stage.layers().layerCount(),
-                1));
-        double room =
-            profile.layerTokenRoom(
-                GapFill.memoryMb(target, profile), target.layers().get().layerCount());
-        roomTokens = Math.min(roomTokens, room / stage.layers().layerCount());
-      }
+      pipeline.stages().forEach(stage -> own.add(stage.target().id()));
       if (own.stream().noneMatch(used::contains)) {
         used.addAll(own);
-        sum += GroupSplit.throughput(parts, roomTokens, profile);
+        sum += throughputOf(pipeline.stages(), profile);
       }
     }
     return sum;
   }
+
+  private static double throughputOf(List<PipelineStage> stages, EngineProfile profile) {
+    List<EnginePart> parts = new ArrayList<>();
+    double roomTokens = Double.POSITIVE_INFINITY;
+    for (PipelineStage stage : stages) {
+      TargetEntry target = stage.target();
+      int count = stage.layers().layerCount();
+      parts.add(new EnginePart(profile.kind(target.acceleratorKind()).orElseThrow(), count, 1));
+      int held = target.layers().orElse(stage.layers()).layerCount();
+      double room = profile.layerTokenRoom(GapFill.memoryMb(target, profile), held);
+      roomTokens = Math.min(roomTokens, room / count);
+    }
+    return GroupSplit.throughput(parts, roomTokens, profile);
+  }
+
+  /**
+   * Gives one free target the layers of some stages of the best pipeline, if that speeds it up.
+   *
+   * @param zone targets of one data centre as they are, with no order under way
+   * @param profile figures of the engines
+   * @param ranges receives the layers of the target
+   */
+  static void upgrade(
+      List<TargetEntry> zone, EngineProfile profile, Map<String, LayerRange> ranges) {
+    Optional<ModelPipeline> best =
+        ModelPipelines.compose(zone, profile.layers(), e -> true).stream()
+            .max(Comparator.comparingDouble(p -> throughputOf(p.stages(), profile)));
+    if (best.isEmpty()) {
+      return;
+    }
+    List<PipelineStage> stages = best.get().stages();
+    double mostThroughput = throughputOf(stages, profile) * MIN_UPGRADE_GAIN;
+    Optional<PipelineStage> chosen = Optional.empty();
+    for (TargetEntry free : freeTargets(zone, best.get())) {
+      for (int first = 0; first < stages.size(); first++) {
+        for (int last = first; last < stages.size(); last++) {
+          LayerRange range =
+              LayerRange.of(
+                  stages.get(first).layers().firstLayer(), stages.get(last).layers().endLayer());
+          if (range.layerCount() > GapFill.capacity(free, profile)) {
+            break;
+          }
+          PipelineStage stage = new PipelineStage(free.withLayers(range), range);
+          List<PipelineStage> changed = new ArrayList<>(stages.subList(0, first));
+          changed.add(stage);
+          changed.addAll(stages.subList(last + 1, stages.size()));
+          double throughput = throughputOf(changed, profile);
+          if (throughput > mostThroughput) {
+            mostThroughput = throughput;
+            chosen = Optional.of(stage);
+          }
+        }
+      }
+    }
+    chosen.ifPresent(stage -> ranges.put(stage.target().id(), stage.layers()));
+  }
+
+  /**
+   * One free target of each kind, empty ones first, because those that hold layers may be in use.
+   */
+  private static List<TargetEntry> freeTargets(List<TargetEntry> zone, ModelPipeline pipeline) {
+    Map<String, TargetEntry> byKind = new TreeMap<>();
+    List<TargetEntry> emptyFirst = new ArrayList<>(zone);
+    emptyFirst.sort(
+        Comparator.<TargetEntry, Boolean>comparing(e -> e.layers().isPresent())
+            .thenComparing(TargetEntry::address));
+    for (TargetEntry entry : emptyFirst) {
+      if (!pipeline.uses(entry.address())) {
+        byKind.putIfAbsent(entry.acceleratorKind(), entry);
+      }
+    }
+    return List.copyOf(byKind.values());
+  }
 }
