Plan while the store is away, and improve pipelines step by step

Change: the last holder of the lease goes on while each live node reports that the store is away; targets still check its fencing number. A target is asked twice before it is suspected. A pipeline is split anew only when the loss has been certain for 1.2 s and no target is merely slow. Targets with a pace of 4 or more are left out of pipelines and plans while others can do their work; other nodes hear of them. Boundaries between stages shift one at a time, the growing stage first. Large targets stand in the middle of a pipeline, where two neighbours can take their layers. Further pipelines need 0.3 of the throughput of the data centre.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -17,6 +17,7 @@
  * @param leaseRevision revision of the lease record while the sender holds the lease, else 0
  * @param isStopping whether this is the sender's last report
  * @param loads the sender's requests in flight by target
+ * @param isStoreAway whether the store does not answer the sender
  * @param suspects addresses of targets that failed at the sender lately
  * @param crashMarks fingerprints of requests that crashed targets
  */
@@ -30,6 +31,7 @@
     long leaseRevision,
     boolean isStopping,
     Map<String, Load> loads,
+    boolean isStoreAway,
     List<String> suspects,
     List<Long> crashMarks) {
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
@@ -14,8 +14,8 @@
 /** Encodes and decodes {@link PeerReport} as MessagePack. */
 public final class PeerReports {
 
-  private static final int FORMAT = 1;
-  private static final int FIELDS = 12;
+  private static final int FORMAT = 2;
+  private static final int FIELDS = 13;
 
   /** Elements of a list or map that a decoder accepts at most. */
   private static final int MAX_ELEMENTS = 4_096;
@@ -40,6 +40,7 @@
         packer.packString(entry.getKey()).packInt(entry.getValue().requests());
         packer.packLong(entry.getValue().layerTokens());
       }
+      packer.packBoolean(report.isStoreAway());
       packer.packArrayHeader(report.suspects().size());
       for (String suspect : report.suspects()) {
         packer.packString(suspect);
@@ -76,6 +77,7 @@
           unpacker.unpackLong(),
           unpacker.unpackBoolean(),
           readLoads(unpacker),
+          unpacker.unpackBoolean(),
           readTexts(unpacker),
           readNumbers(unpacker));
     } catch (RuntimeException | EOFException e) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -152,6 +152,17 @@
     return peer != null && !peer.report().isStopping();
   }
 
+  /**
+   * Tells whether no live node reaches the store.
+   *
+   * @return false also if nodes are registered and none is heard, because they may reach it
+   */
+  public boolean isStoreAwayForAll() {
+    List<PeerReport> live = live();
+    return (!live.isEmpty() || contacts.isEmpty())
+        && live.stream().allMatch(PeerReport::isStoreAway);
+  }
+
   /**
    * Tells whether another node says that it plans the placement.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
@@ -45,6 +45,9 @@
   private long heardMs;
   private long usableUntilMs = Long.MIN_VALUE;
 
+  /** Whether this node was the last holder, as far as it knows. */
+  private boolean isLastHolder;
+
   /**
    * Creates a lease that this node does not hold.
    *
@@ -63,6 +66,9 @@
    * @param nowMs monotonic time of the answer
    */
   public void onRead(LeaseRecord record, long nowMs) {
+    if (!isSelf(record)) {
+      giveUp();
+    }
     if (seen == null || seen.revision() != record.revision()) {
       seen = record;
       seenSinceMs = record.revision() == heardRevision ? heardMs : nowMs;
@@ -131,6 +137,7 @@
     held = written;
     seenSinceMs = sentMs;
     usableUntilMs = sentMs + USABLE_MS;
+    isLastHolder = true;
   }
 
   /**
@@ -140,7 +147,7 @@
    */
   public void onFenced(long fencingNumber) {
     if (held.fencingNumber() == fencingNumber) {
-      usableUntilMs = Long.MIN_VALUE;
+      giveUp();
       seen = null;
     }
   }
@@ -153,6 +160,20 @@
   /** Stops to use the lease until it is renewed. */
   public void giveUp() {
     usableUntilMs = Long.MIN_VALUE;
+    isLastHolder = false;
+  }
+
+  /**
+   * Goes on for a while without a renewal; to be called only while the store is away for all nodes.
+   * Nobody can take the lease over then. If a node that is not heard has done so before, targets
+   * refuse the fencing number of this one.
+   *
+   * @param nowMs monotonic time
+   */
+  public void extend(long nowMs) {
+    if (isLastHolder) {
+      usableUntilMs = Math.max(usableUntilMs, nowMs + USABLE_MS);
+    }
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/engine/EventInterval.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/engine/EventInterval.java
@@ -31,6 +31,10 @@
   private static final double TOKENS_PER_CONTEXT_UNIT = 1_000;
   private static final double FIRST_GUESS_MS = 50;
   private static final int ITERATIONS = 30;
+
+  /** Relative change at which the fixed point counts as found; far below the error of the model. */
+  private static final double PRECISION = 0.002;
+
   private static final int SEARCH_STEPS = 12;
 
   private EventInterval() {}
@@ -66,7 +70,12 @@
             eventsPerMs * (passFactor * perRequestMs + share * part.kind().readFactor() * readMs);
         passesMs += passFactor * profile.stepMs() / Math.max(MIN_FREE_SHARE, 1 - busyShare);
       }
-      intervalMs = (intervalMs + WAIT_FACTOR * passesMs) / 2;
+      double nextMs = (intervalMs + WAIT_FACTOR * passesMs) / 2;
+      boolean isSettled = Math.abs(nextMs - intervalMs) < PRECISION * intervalMs;
+      intervalMs = nextMs;
+      if (isSettled) {
+        break;
+      }
     }
     return intervalMs;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -442,6 +442,14 @@
       return mayMove;
     }
 
+    /** A long pause may come from a slow target, which the pipeline's reports tell. */
+    private void noteGap(long gapMs) {
+      longestGapMs = Math.max(longestGapMs, gapMs);
+      if (route().gapTargetMs() > 0 && gapMs > route().gapTargetMs()) {
+        context.fleet().examine(pipeline);
+      }
+    }
+
     private boolean isSilent() {
       long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
       return silentMs > SILENCE_MS;
@@ -485,7 +493,7 @@
         reply.beginStream(status, headers);
         firstEventMs = nowMs;
       } else {
-        longestGapMs = Math.max(longestGapMs, nowMs - lastEventMs);
+        noteGap(nowMs - lastEventMs);
       }
       hasEvents = true;
       lastEventMs = nowMs;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.configuration.ServiceSettings;
@@ -23,8 +24,11 @@
 /** The targets and pipelines in use; composes pipelines anew when targets change. */
 final class FleetState implements FleetView {
 
-  /** Time in which a live target answers; they are a few milliseconds away. */
-  private static final long EXAMINE_TIMEOUT_MS = 300;
+  /** Time in which a live target usually answers; they are a few milliseconds away. */
+  private static final long FIRST_EXAMINE_MS = 150;
+
+  /** Time for the second question; with the first one 350 ms, in which streams stay on time. */
+  private static final long SECOND_EXAMINE_MS = 200;
 
   /** Time between examinations of targets that did not answer. */
   private static final long RECHECK_MS = 500;
@@ -38,6 +42,13 @@
   /** Pace above which a target counts as slow; reports vary a little around 1. */
   private static final double SLOW_PACE = 1.3;
 
+  /**
+   * Pace from which a target is left out while others can do its work: such a stage alone stretches
+   * the pauses of a pipeline of ten beyond the usual target. Below it, a spare of a slower kind
+   * would bring little.
+   */
+  private static final double EXCLUDED_PACE = 4;
+
   private final TargetRegistry registry;
   private final EngineOrders orders;
   private final PeerTable peers;
@@ -133,12 +144,7 @@
               engine ->
                   pipelines.put(
                       service.name(),
-                      ModelPipelines.compose(
-                          targets.getOrDefault(service.name(), List.of()),
-                          engine.layers(),
-                          entry ->
-                              !suspects.contains(entry.address())
-                                  && !suspects.isAvoided(entry.address()))));
+                      compose(targets.getOrDefault(service.name(), List.of()), engine.layers())));
     }
     if (!before.equals(pipelines)) {
       pipelines.forEach(
@@ -148,6 +154,43 @@
     }
   }
 
+  /** Leaves slow targets out unless there is no pipeline without them. */
+  private List<ModelPipeline> compose(List<TargetEntry> entries, int layers) {
+    Predicate<TargetEntry> isUsable =
+        entry -> !suspects.contains(entry.address()) && !suspects.isAvoided(entry.address());
+    List<ModelPipeline> fast =
+        ModelPipelines.compose(entries, layers, isUsable.and(entry -> !isTooSlow(entry)));
+    return fast.isEmpty() ? ModelPipelines.compose(entries, layers, isUsable) : fast;
+  }
+
+  /**
+   * Tells whether other targets should do a target's work.
+   *
+   * @param target the target
+   * @return true if it reported a pace far from the usual one
+   */
+  boolean isTooSlow(TargetEntry target) {
+    return pace(target) >= EXCLUDED_PACE;
+  }
+
+  /** Tells whether a target can be planned with: it answers and is not far too slow. */
+  boolean isReliable(TargetEntry target) {
+    return !suspects.contains(target.address()) && !isTooSlow(target);
+  }
+
+  /** Tells whether targets that are left out are gone and not only slow. */
+  boolean isLossCertain() {
+    boolean hasTooSlow = paces.values().stream().anyMatch(pace -> pace >= EXCLUDED_PACE);
+    return !hasTooSlow && suspects.isCertain(clock.nowMs());
+  }
+
+  /** Returns the addresses that other nodes should look at: suspects and slow targets. */
+  List<String> conspicuous() {
+    List<String> addresses = new ArrayList<>(suspects.suspects());
+    addresses.addAll(paces.keySet());
+    return addresses;
+  }
+
   @Override
   public List<TargetEntry> targets(String service) {
     return targets.getOrDefault(service, List.of());
@@ -277,8 +320,12 @@
       if (before == null) {
         log.note("target-slow", "", "target", target.address(), "pace", pace);
       }
+      if (pace >= EXCLUDED_PACE && (before == null || before < EXCLUDED_PACE)) {
+        composed.ifPresent(this::compose);
+      }
     } else if (paces.remove(target.address()) != null) {
       log.note("target-at-pace", "", "target", target.address());
+      composed.ifPresent(this::compose);
     }
   }
 
@@ -286,19 +333,32 @@
     if (!suspects.startExamination(target.address(), clock.nowMs())) {
       return;
     }
-    orders.readState(
-        target,
-        EXAMINE_TIMEOUT_MS,
-        result -> {
-          if (result instanceof EngineResult.State state) {
-            if (suspects.clear(target.address(), clock.nowMs())) {
-              log.note("target-answers", "", "target", target.address());
+    orders.readState(target, FIRST_EXAMINE_MS, result -> onFirstAnswer(target, result));
+  }
+
+  /** One lost packet delays an answer by some 200 ms, so a target is asked twice. */
+  private void onFirstAnswer(TargetEntry target, EngineResult result) {
+    if (result instanceof EngineResult.State state) {
+      onState(target, state);
+    } else {
+      orders.readState(
+          target,
+          SECOND_EXAMINE_MS,
+          second -> {
+            if (second instanceof EngineResult.State state) {
+              onState(target, state);
+            } else {
+              suspect(target.address(), String.valueOf(second));
             }
-            notePace(target, state.pace());
-            state.stalledAddresses().forEach(a -> suspect(a, "stalls " + target.address()));
-          } else {
-            suspect(target.address(), String.valueOf(result));
-          }
-        });
+          });
+    }
+  }
+
+  private void onState(TargetEntry target, EngineResult.State state) {
+    if (suspects.clear(target.address(), clock.nowMs())) {
+      log.note("target-answers", "", "target", target.address());
+    }
+    notePace(target, state.pace());
+    state.stalledAddresses().forEach(a -> suspect(a, "stalls " + target.address()));
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
@@ -26,6 +26,7 @@
   private final MonotonicClock clock;
   private final DecisionLog log;
   private final BooleanSupplier hasOtherPlanner;
+  private final BooleanSupplier isStoreAwayForAll;
   private long nextMs;
   private boolean isCalling;
   private boolean isStopped;
@@ -36,17 +37,22 @@
       PlacementLease lease,
       MonotonicClock clock,
       BooleanSupplier hasOtherPlanner,
+      BooleanSupplier isStoreAwayForAll,
       DecisionLog log) {
     this.table = table;
     this.lease = lease;
     this.clock = clock;
     this.hasOtherPlanner = hasOtherPlanner;
+    this.isStoreAwayForAll = isStoreAwayForAll;
     this.log = log;
   }
 
   /** Does what is due; to be called often. */
   void tick() {
     long nowMs = clock.nowMs();
+    if (!isStopped && isStoreAwayForAll.getAsBoolean()) {
+      lease.extend(nowMs);
+    }
     boolean isHeld = lease.isHeld(nowMs);
     if (isHeld != wasHeld) {
       wasHeld = isHeld;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.gooseberryhook.router.cluster.PlacementLease;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
@@ -14,8 +16,9 @@
 import org.gooseberryhook.router.forward.DecisionLog;
 import org.gooseberryhook.router.forward.MonotonicClock;
 import org.gooseberryhook.router.placement.LayerPlan;
-import org.gooseberryhook.router.placement.LayerPlanner;
 import org.gooseberryhook.router.placement.OrderTracker;
+import org.gooseberryhook.router.placement.PlanMemo;
+import org.gooseberryhook.router.placement.PlanScope;
 import org.gooseberryhook.state.LayerRange;
 
 /** Orders targets to hold the planned layers while this node holds the lease. */
@@ -36,25 +39,35 @@
   private static final long STATE_TIMEOUT_MS = 600;
 
   private final TargetRegistry registry;
-  private final SuspectBoard suspects;
+  private final Predicate<TargetEntry> isUsable;
+  private final BooleanSupplier isLossCertain;
   private final EngineOrders orders;
   private final PlacementLease lease;
   private final MonotonicClock clock;
   private final DecisionLog log;
-  private final Map<String, OrderTracker> trackers = new HashMap<>();
+  private final Map<String, ServicePlan> plans = new HashMap<>();
   private long nextMs;
   private int lastCount;
   private long countSinceMs;
 
+  /** What is known of one service's plan while this node holds the lease. */
+  private record ServicePlan(PlanMemo memo, OrderTracker tracker) {
+    ServicePlan() {
+      this(new PlanMemo(), new OrderTracker());
+    }
+  }
+
   PlacementDriver(
       TargetRegistry registry,
-      SuspectBoard suspects,
+      Predicate<TargetEntry> isUsable,
+      BooleanSupplier isLossCertain,
       EngineOrders orders,
       PlacementLease lease,
       MonotonicClock clock,
       DecisionLog log) {
     this.registry = registry;
-    this.suspects = suspects;
+    this.isUsable = isUsable;
+    this.isLossCertain = isLossCertain;
     this.orders = orders;
     this.lease = lease;
     this.clock = clock;
@@ -74,7 +87,7 @@
       countSinceMs = nowMs;
     }
     if (!lease.isHeld(nowMs)) {
-      trackers.clear();
+      plans.clear();
       return;
     }
     Map<String, List<TargetEntry>> byService = new HashMap<>();
@@ -89,20 +102,26 @@
                   place(
                       byService.getOrDefault(service.name(), List.of()),
                       engine,
-                      trackers.computeIfAbsent(service.name(), s -> new OrderTracker()),
+                      plans.computeIfAbsent(service.name(), s -> new ServicePlan()),
                       nowMs));
     }
   }
 
   private void place(
-      List<TargetEntry> entries, EngineProfile profile, OrderTracker tracker, long nowMs) {
+      List<TargetEntry> entries, EngineProfile profile, ServicePlan service, long nowMs) {
+    OrderTracker tracker = service.tracker();
     boolean isFirstPlan = entries.stream().noneMatch(e -> e.layers().isPresent());
     if (entries.isEmpty() || (isFirstPlan && nowMs - countSinceMs < SETTLE_MS)) {
       return;
     }
-    List<TargetEntry> usable =
-        entries.stream().filter(e -> !suspects.contains(e.address())).toList();
-    LayerPlan plan = LayerPlanner.plan(tracker.expected(usable), profile, tracker.isSettled());
+    List<TargetEntry> usable = entries.stream().filter(isUsable).toList();
+    LayerPlan plan =
+        service
+            .memo()
+            .plan(
+                tracker.expected(usable),
+                profile,
+                new PlanScope(tracker.isSettled(), isLossCertain.getAsBoolean()));
     int maxOrders =
         isFirstPlan ? Integer.MAX_VALUE : LOADS_FACTOR * Math.max(1, profile.loadsAtOnce());
     for (OrderTracker.Order order : tracker.due(plan, usable, maxOrders, nowMs)) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -82,6 +82,7 @@
   private final NodeRegistration registration;
   private final PlacementDriver placement;
   private Optional<RoutingConfiguration> configuration = Optional.empty();
+  private boolean isStoreAway;
   private long startedMs;
   private long reportSequence;
   private long lastReportMs;
@@ -157,12 +158,20 @@
             "configuration", loop, ports.configurations(), new ConfigurationListener(), log);
     this.targetFeed =
         new FeedFollower<>("targets", loop, ports.targets(), new TargetListener(), log);
-    this.leaseKeeper = new LeaseKeeper(ports.table(), lease, clock, peers::hasPlanner, log);
+    this.leaseKeeper =
+        new LeaseKeeper(
+            ports.table(),
+            lease,
+            clock,
+            peers::hasPlanner,
+            () -> isStoreAway && peers.isStoreAwayForAll() && !peers.hasPlanner(),
+            log);
     this.registration =
         new NodeRegistration(
             ports.table(), settings.name(), settings.addresses().reports(), peers, clock, log);
     this.placement =
-        new PlacementDriver(registry, fleet.suspects(), ports.orders(), lease, clock, log);
+        new PlacementDriver(
+            registry, fleet::isReliable, fleet::isLossCertain, ports.orders(), lease, clock, log);
   }
 
   /**
@@ -278,7 +287,8 @@
             lease.isHeld(lastReportMs) ? lease.held().revision() : 0,
             isLast,
             loads.ownLoads(),
-            fleet.suspects().suspects(),
+            isStoreAway,
+            fleet.conspicuous(),
             crashMarks.ownMarks(lastReportMs));
     links.send(report, peers.reportAddresses());
   }
@@ -433,6 +443,7 @@
   private final class TargetListener implements FeedFollower.Listener<TargetEntry> {
     @Override
     public void onAll(List<FeedResult.Change<TargetEntry>> entries) {
+      isStoreAway = false;
       List<TargetEntry> usable = new ArrayList<>();
       entries.forEach(entry -> entry.value().ifPresent(usable::add));
       registry.replaceAll(usable, clock.nowMs());
@@ -442,6 +453,7 @@
 
     @Override
     public void onChanges(List<FeedResult.Change<TargetEntry>> changes) {
+      isStoreAway = false;
       long nowMs = clock.nowMs();
       registry.noteStoreAnswered(nowMs);
       for (FeedResult.Change<TargetEntry> change : changes) {
@@ -456,6 +468,7 @@
 
     @Override
     public void onAway() {
+      isStoreAway = true;
       registry.noteStoreAway();
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
@@ -14,6 +14,9 @@
  */
 final class SuspectBoard {
 
+  /** Time of failing examinations after which a target is taken as gone; three in a row. */
+  static final long CERTAIN_MS = 1_200;
+
   /** Time between two examinations of a target that answered the last one. */
   static final long EXAMINE_PAUSE_MS = 400;
 
@@ -24,6 +27,7 @@
   static final long MIN_SUSPECT_MS = 1_000;
 
   private final Map<String, Long> suspects = new HashMap<>();
+  private final Map<String, Long> firstSuspectedMs = new HashMap<>();
 
   /** Time for which a target that refused a request gets no new ones. */
   static final long AVOID_MS = 400;
@@ -35,6 +39,7 @@
   /** Marks a target as not working; returns false if it was known. */
   boolean add(String address, long nowMs) {
     boolean isNew = suspects.put(address, nowMs) == null;
+    firstSuspectedMs.putIfAbsent(address, nowMs);
     revision += isNew ? 1 : 0;
     return isNew;
   }
@@ -46,6 +51,7 @@
       return false;
     }
     suspects.remove(address);
+    firstSuspectedMs.remove(address);
     revision++;
     return true;
   }
@@ -82,6 +88,11 @@
     return true;
   }
 
+  /** Tells whether all suspects have failed for some time; one lost packet is no sign of an end. */
+  boolean isCertain(long nowMs) {
+    return firstSuspectedMs.values().stream().allMatch(ms -> nowMs - ms >= CERTAIN_MS);
+  }
+
   List<String> suspects() {
     return new ArrayList<>(suspects.keySet());
   }
@@ -90,6 +101,7 @@
   void retain(List<TargetEntry> entries) {
     Set<String> listed = new HashSet<>();
     entries.forEach(entry -> listed.add(entry.address()));
+    firstSuspectedMs.keySet().retainAll(listed);
     if (suspects.keySet().retainAll(listed)) {
       revision++;
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,7 +40,7 @@
 
     void addRanges(Map<String, LayerRange> ranges) {
       int next = 0;
-      for (int i = 0; i < targets.size(); i++) {
+      for (int i : largestInTheMiddle()) {
         int count = split.counts()[i];
         if (count > 0) {
           ranges.put(targets.get(i).id(), LayerRange.of(next, next + count));
@@ -47,6 +48,27 @@
         }
       }
     }
+
+    /**
+     * Orders the targets so that a large one has two neighbours, which can take its layers when it
+     * is lost; the first and the last have only one.
+     */
+    private List<Integer> largestInTheMiddle() {
+      List<Integer> smallestFirst = new ArrayList<>();
+      for (int i = 0; i < targets.size(); i++) {
+        smallestFirst.add(i);
+      }
+      smallestFirst.sort(Comparator.comparingInt(i -> split.counts()[i]));
+      LinkedList<Integer> order = new LinkedList<>();
+      for (int i = smallestFirst.size() - 1; i >= 0; i--) {
+        if (order.size() % 2 == 0) {
+          order.addFirst(smallestFirst.get(i));
+        } else {
+          order.addLast(smallestFirst.get(i));
+        }
+      }
+      return order;
+    }
   }
 
   /** Plans all data centres. */
@@ -72,18 +94,18 @@
   private static List<Group> planWithSpares(List<TargetEntry> members, EngineProfile profile) {
     List<TargetEntry> used = new ArrayList<>(members);
     List<Group> best = planPool(used, profile);
-    double mostRoom = room(best);
+    double most = throughput(best);
     while (!best.isEmpty()) {
-      mostRoom = Math.max(mostRoom, room(best));
+      most = Math.max(most, throughput(best));
       TargetEntry spare = null;
       List<Group> bestWithout = List.of();
       for (TargetEntry candidate : distinctKinds(used)) {
         List<TargetEntry> rest = new ArrayList<>(used);
         rest.remove(candidate);
         List<Group> without = planPool(rest, profile);
-        if (room(without) >= mostRoom * (1 - SPARE_COST)
+        if (throughput(without) >= most * (1 - SPARE_COST)
             && isStandIn(candidate, without, profile)
-            && room(without) > room(bestWithout)) {
+            && throughput(without) > throughput(bestWithout)) {
           spare = candidate;
           bestWithout = without;
         }
@@ -97,7 +119,7 @@
     return best;
   }
 
-  private static double room(List<Group> groups) {
+  static double throughput(List<Group> groups) {
     return groups.stream().mapToDouble(g -> g.split().throughput()).sum();
   }
 
@@ -135,7 +157,7 @@
       if (groups.isEmpty()) {
         continue;
       }
-      double value = room(groups.get());
+      double value = throughput(groups.get());
       if (value > bestValue) {
         bestValue = value;
         best = groups.get();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
@@ -18,12 +18,10 @@
    *
    * @param entries the targets of the service; leaving ones are ignored
    * @param profile figures of the engines
-   * @param isSettled whether no order is under way, so that the entries are as they are; only then
-   *     are working pipelines changed
+   * @param scope what may be changed
    * @return the plan, never null
    */
-  public static LayerPlan plan(
-      List<TargetEntry> entries, EngineProfile profile, boolean isSettled) {
+  public static LayerPlan plan(List<TargetEntry> entries, EngineProfile profile, PlanScope scope) {
     List<TargetEntry> members = new ArrayList<>();
     boolean holdsNothing = true;
     for (TargetEntry entry : entries) {
@@ -36,7 +34,7 @@
     if (holdsNothing) {
       FirstPlan.plan(members, profile).forEach(group -> group.addRanges(ranges));
     } else {
-      PlanRepair.repair(members, profile, isSettled, ranges);
+      PlanRepair.repair(members, profile, scope, ranges);
     }
     return new LayerPlan(ranges);
   }
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanMemo.java
@@ -0,0 +1,37 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.List;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.TargetEntry;
+
+/**
+ * Plans the layers of a service's targets and remembers the last plan, because targets change far
+ * more seldom than a planner looks at them.
+ */
+public final class PlanMemo {
+
+  private List<TargetEntry> lastEntries = List.of();
+  private EngineProfile lastProfile;
+  private PlanScope lastScope;
+  private LayerPlan lastPlan;
+
+  /**
+   * Plans the layers as {@link LayerPlanner} does.
+   *
+   * @param entries the targets of the service
+   * @param profile figures of the engines
+   * @param scope what may be changed
+   * @return the plan, never null
+   */
+  public LayerPlan plan(List<TargetEntry> entries, EngineProfile profile, PlanScope scope) {
+    boolean isKnown =
+        entries.equals(lastEntries) && profile.equals(lastProfile) && scope.equals(lastScope);
+    if (!isKnown) {
+      lastEntries = List.copyOf(entries);
+      lastProfile = profile;
+      lastScope = scope;
+      lastPlan = LayerPlanner.plan(entries, profile, scope);
+    }
+    return lastPlan;
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -21,6 +21,12 @@
   /** Share of a target's memory that stays free for requests when it takes further layers. */
   static final double MIN_REQUEST_SHARE = 0.12;
 
+  /**
+   * Throughput that empty targets must add to be used as a further pipeline, as a share of that of
+   * the data centre. Below it they are worth more as spares.
+   */
+  private static final double FURTHER_SHARE = 0.3;
+
   /** Room for requests, as a share of the usual one, below which a target is relieved. */
   private static final double TIGHT_SHARE = 0.6;
 
@@ -30,21 +36,21 @@
   static void repair(
       List<TargetEntry> members,
       EngineProfile profile,
-      boolean isSettled,
+      PlanScope scope,
       Map<String, LayerRange> ranges) {
     Map<String, List<TargetEntry>> byZone = new TreeMap<>();
     for (TargetEntry entry : members) {
       byZone.computeIfAbsent(entry.zone(), z -> new ArrayList<>()).add(entry);
     }
     for (List<TargetEntry> zone : byZone.values()) {
-      repairZone(zone, profile, isSettled, ranges);
+      repairZone(zone, profile, scope, ranges);
     }
   }
 
   private static void repairZone(
       List<TargetEntry> zone,
       EngineProfile profile,
-      boolean isSettled,
+      PlanScope scope,
       Map<String, LayerRange> ranges) {
     List<TargetEntry> holders = new ArrayList<>();
     List<TargetEntry> empty = new ArrayList<>();
@@ -76,11 +82,11 @@
       }
       from = to + 1;
     }
-    if (hasGaps && wanted == 1) {
+    if (hasGaps && wanted == 1 && scope.isLossCertain()) {
       ZoneRebuild.splitAnew(zone, profile, changes);
     } else if (!hasGaps) {
       spread(holders, empty, copies, profile, changes);
-      if (wanted == 1 && isSettled && changes.isEmpty()) {
+      if (wanted == 1 && scope.isSettled() && changes.isEmpty()) {
         ZoneRebuild.upgrade(zone, profile, changes);
       }
     }
@@ -136,7 +142,8 @@
       EngineProfile profile,
       Map<String, LayerRange> ranges) {
     List<FirstPlan.Group> further = FirstPlan.plan(empty, profile);
-    if (!further.isEmpty()) {
+    double added = FirstPlan.throughput(further);
+    if (added > FURTHER_SHARE * ZoneRebuild.throughput(holders, profile)) {
       further.forEach(group -> group.addRanges(ranges));
       return;
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/ZoneRebuild.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/ZoneRebuild.java
@@ -27,13 +27,13 @@
 final class ZoneRebuild {
 
   /**
-   * Factor by which the new split has to serve more. Each target loads layers for it and waits for
-   * the streams that pass through the layers which it gives up, so small gains cost more than they
-   * bring.
+   * Factor by which the new split has to serve more than a repair. Each target loads layers for it
+   * and waits for the streams that pass through the layers which it gives up, while a repair works
+   * after one load and is then improved step by step.
    */
-  private static final double MIN_REBUILD_GAIN = 1.4;
+  private static final double MIN_REBUILD_GAIN = 3;
 
-  /** Factor by which a free target has to speed the pipeline up to be worth its load. */
+  /** Factor by which a change has to speed the pipeline up to be worth its load. */
   private static final double MIN_UPGRADE_GAIN = 1.08;
 
   private ZoneRebuild() {}
@@ -51,7 +51,7 @@
     Map<String, LayerRange> fresh = new HashMap<>();
     List<FirstPlan.Group> groups = FirstPlan.plan(zone, profile);
     groups.forEach(group -> group.addRanges(fresh));
-    double rebuilt = groups.stream().mapToDouble(g -> g.split().throughput()).sum();
+    double rebuilt = FirstPlan.throughput(groups);
     if (rebuilt > repaired * MIN_REBUILD_GAIN) {
       ranges.clear();
       for (TargetEntry entry : zone) {
@@ -73,7 +73,7 @@
   }
 
   /** Returns the throughput of pipelines that share no target. */
-  private static double throughput(List<TargetEntry> zone, EngineProfile profile) {
+  static double throughput(List<TargetEntry> zone, EngineProfile profile) {
     Set<String> used = new HashSet<>();
     double sum = 0;
     for (ModelPipeline pipeline : ModelPipelines.compose(zone, profile.layers(), e -> true)) {
@@ -102,11 +102,13 @@
   }
 
   /**
-   * Gives one free target the layers of some stages of the best pipeline, if that speeds it up.
+   * Makes the one change that speeds the best pipeline up most, if it is worth its load: a free
+   * target takes the layers of some stages, a stage takes layers of its neighbour, or a stage gives
+   * up layers that its neighbour has taken.
    *
    * @param zone targets of one data centre as they are, with no order under way
    * @param profile figures of the engines
-   * @param ranges receives the layers of the target
+   * @param ranges receives the layers of the target that changes
    */
   static void upgrade(
       List<TargetEntry> zone, EngineProfile profile, Map<String, LayerRange> ranges) {
@@ -117,30 +119,89 @@
       return;
     }
     List<PipelineStage> stages = best.get().stages();
-    double mostThroughput = throughputOf(stages, profile) * MIN_UPGRADE_GAIN;
-    Optional<PipelineStage> chosen = Optional.empty();
+    Search search = new Search(profile, throughputOf(stages, profile) * MIN_UPGRADE_GAIN);
     for (TargetEntry free : freeTargets(zone, best.get())) {
       for (int first = 0; first < stages.size(); first++) {
         for (int last = first; last < stages.size(); last++) {
-          LayerRange range =
-              LayerRange.of(
-                  stages.get(first).layers().firstLayer(), stages.get(last).layers().endLayer());
-          if (range.layerCount() > GapFill.capacity(free, profile)) {
-            break;
-          }
-          PipelineStage stage = new PipelineStage(free.withLayers(range), range);
-          List<PipelineStage> changed = new ArrayList<>(stages.subList(0, first));
-          changed.add(stage);
-          changed.addAll(stages.subList(last + 1, stages.size()));
-          double throughput = throughputOf(changed, profile);
-          if (throughput > mostThroughput) {
-            mostThroughput = throughput;
-            chosen = Optional.of(stage);
-          }
+          search.tryFree(stages, free, first, last);
         }
       }
     }
-    chosen.ifPresent(stage -> ranges.put(stage.target().id(), stage.layers()));
+    for (int i = 0; i + 1 < stages.size(); i++) {
+      search.tryShifts(stages, i);
+    }
+    for (int i = 0; i < stages.size(); i++) {
+      search.tryTrim(stages, i);
+    }
+    search.chosen.ifPresent(stage -> ranges.put(stage.target().id(), stage.layers()));
+  }
+
+  /** Keeps the best change of those that were tried. */
+  private static final class Search {
+    private final EngineProfile profile;
+    private double mostThroughput;
+    private Optional<PipelineStage> chosen = Optional.empty();
+
+    Search(EngineProfile profile, double leastThroughput) {
+      this.profile = profile;
+      this.mostThroughput = leastThroughput;
+    }
+
+    private void consider(List<PipelineStage> changed, PipelineStage order) {
+      double throughput = throughputOf(changed, profile);
+      if (throughput > mostThroughput) {
+        mostThroughput = throughput;
+        chosen = Optional.of(order);
+      }
+    }
+
+    /** A free target in place of the stages from {@code first} to {@code last}. */
+    void tryFree(List<PipelineStage> stages, TargetEntry free, int first, int last) {
+      LayerRange range =
+          LayerRange.of(
+              stages.get(first).layers().firstLayer(), stages.get(last).layers().endLayer());
+      if (range.layerCount() > GapFill.capacity(free, profile)) {
+        return;
+      }
+      PipelineStage stage = new PipelineStage(free.withLayers(range), range);
+      List<PipelineStage> changed = new ArrayList<>(stages.subList(0, first));
+      changed.add(stage);
+      changed.addAll(stages.subList(last + 1, stages.size()));
+      consider(changed, stage);
+    }
+
+    /** Other boundaries between a stage and the next; the one that grows is ordered first. */
+    void tryShifts(List<PipelineStage> stages, int index) {
+      LayerRange left = stages.get(index).layers();
+      LayerRange right = stages.get(index + 1).layers();
+      for (int border = left.firstLayer() + 1; border < right.endLayer(); border++) {
+        PipelineStage before = part(stages.get(index), left.firstLayer(), border);
+        PipelineStage after = part(stages.get(index + 1), border, right.endLayer());
+        PipelineStage growing = border > left.endLayer() ? before : after;
+        boolean fits = growing.layers().layerCount() <= GapFill.capacity(growing.target(), profile);
+        if (border != left.endLayer() && fits) {
+          List<PipelineStage> changed = new ArrayList<>(stages);
+          changed.set(index, before);
+          changed.set(index + 1, after);
+          consider(changed, growing);
+        }
+      }
+    }
+
+    /** A stage that holds only what it runs. */
+    void tryTrim(List<PipelineStage> stages, int index) {
+      LayerRange run = stages.get(index).layers();
+      if (!stages.get(index).target().layers().equals(Optional.of(run))) {
+        List<PipelineStage> changed = new ArrayList<>(stages);
+        changed.set(index, part(stages.get(index), run.firstLayer(), run.endLayer()));
+        consider(changed, changed.get(index));
+      }
+    }
+
+    private static PipelineStage part(PipelineStage stage, int from, int to) {
+      LayerRange range = LayerRange.of(from, to);
+      return new PipelineStage(stage.target().withLayers(range), range);
+    }
   }
 
   /**
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportsTest.java
@@ -15,6 +15,11 @@
 class PeerReportsTest {
 
   static PeerReport report(String node, long incarnation, long sequence, boolean isStopping) {
+    return report(node, incarnation, sequence, isStopping, false);
+  }
+
+  static PeerReport report(
+      String node, long incarnation, long sequence, boolean isStopping, boolean isStoreAway) {
     return new PeerReport(
         node,
         incarnation,
@@ -25,6 +30,7 @@
         9,
         isStopping,
         Map.of("t-1", new Load(3, 4_000)),
+        isStoreAway,
         List.of("10.0.0.9:80"),
         List.of(17L));
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerTableTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerTableTest.java
@@ -41,4 +41,18 @@
     assertThat(table.reportAddresses()).containsExactly("10.0.0.1:7340");
     assertThat(table.knownCount()).isEqualTo(2);
   }
+
+  /** Guards against a holder that goes on while another node can take its lease over. */
+  @Test
+  void theStoreIsAwayForAllOnlyIfEachLiveNodeSaysSo() {
+    assertThat(table.isStoreAwayForAll()).isTrue();
+    table.setContacts(Map.of("a", "10.0.0.7:1", "b", "10.0.0.8:1"));
+    assertThat(table.isStoreAwayForAll()).isFalse();
+    table.accept(PeerReportsTest.report("a", 1, 1, false, true), 0);
+    assertThat(table.isStoreAwayForAll()).isTrue();
+    table.accept(PeerReportsTest.report("b", 1, 1, false, false), 0);
+    assertThat(table.isStoreAwayForAll()).isFalse();
+    table.accept(PeerReportsTest.report("b", 1, 2, false, true), 0);
+    assertThat(table.isStoreAwayForAll()).isTrue();
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
@@ -119,4 +119,36 @@
     lease.onFenced(lease.held().fencingNumber());
     assertThat(lease.isHeld(10)).isFalse();
   }
+
+  /** Guards against a fleet that nobody repairs while the store is away. */
+  @Test
+  void theLastHolderGoesOnWhileTheStoreIsAwayForAll() {
+    PlacementLease lease = new PlacementLease("a", 1);
+    lease.extend(0);
+    assertThat(lease.isHeld(1)).isFalse();
+    lease.onRead(LeaseRecord.NONE, 0);
+    lease.onWritten(new LeaseRecord("a", 1, 1, 7), 0);
+    assertThat(lease.isHeld(PlacementLease.USABLE_MS)).isFalse();
+    lease.extend(PlacementLease.USABLE_MS);
+    assertThat(lease.isHeld(2 * PlacementLease.USABLE_MS - 1)).isTrue();
+  }
+
+  @Test
+  void aHolderThatWasReplacedRefusedOrSuspendedDoesNotGoOn() {
+    PlacementLease replaced = new PlacementLease("a", 1);
+    replaced.onWritten(new LeaseRecord("a", 1, 1, 7), 0);
+    replaced.onRead(new LeaseRecord("b", 4, 2, 8), 10);
+    replaced.extend(20);
+    assertThat(replaced.isHeld(21)).isFalse();
+    PlacementLease refused = new PlacementLease("a", 1);
+    refused.onWritten(new LeaseRecord("a", 1, 1, 7), 0);
+    refused.onFenced(1);
+    refused.extend(20);
+    assertThat(refused.isHeld(21)).isFalse();
+    PlacementLease suspended = new PlacementLease("a", 1);
+    suspended.onWritten(new LeaseRecord("a", 1, 1, 7), 0);
+    suspended.giveUp();
+    suspended.extend(20);
+    assertThat(suspended.isHeld(21)).isFalse();
+  }
 }
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/engine/EventIntervalTest.java
@@ -0,0 +1,93 @@
+package org.gooseberryhook.router.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.TestFleet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against plans and bounds that rest on a wrong idea of how engines share their time. */
+class EventIntervalTest {
+
+  private static final EngineProfile PROFILE = TestFleet.PROFILE;
+  private static final double EVENTS = 68;
+
+  static List<EnginePart> parts(String text) {
+    List<EnginePart> parts = new ArrayList<>();
+    for (String part : text.split(" ")) {
+      String kind =
+          switch (part.charAt(0)) {
+            case 'l' -> "large";
+            case 'm' -> "middle";
+            default -> "small";
+          };
+      int layers = Integer.parseInt(part.substring(1));
+      parts.add(new EnginePart(PROFILE.kind(kind).orElseThrow(), layers, 1));
+    }
+    return parts;
+  }
+
+  private static List<PipelineSimulation.Run> simulate(List<EnginePart> parts, double perSecond) {
+    Random random = new Random(5);
+    List<PipelineSimulation.Stream> streams = new ArrayList<>();
+    for (double atMs = 0; atMs < 12_000; ) {
+      atMs += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+      int prompt = (int) Math.max(60, 774 + 250 * random.nextGaussian());
+      int events = (int) Math.max(2, Math.exp(4.05 + 0.55 * random.nextGaussian()));
+      streams.add(new PipelineSimulation.Stream(atMs, prompt, events));
+    }
+    return PipelineSimulation.run(PROFILE, parts, streams).stream()
+        .filter(run -> run.stream().startMs() > 4_000 && run.stream().startMs() < 8_000)
+        .filter(run -> run.stream().events() > 4)
+        .toList();
+  }
+
+  /**
+   * The estimate serves to compare plans; a quarter is well below the gain that plans differ by.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "l20 l20 m10 m10 s4 s4 s4 s4 s4, 20",
+    "l20 m12 m12 m11 s5 s5 s5 s5 s5, 20",
+    "l18 m11 m11 m10 m10 m10 m10, 30",
+    "m16 m16 m16 m16 s8 s8, 20",
+    "l20 l20 l20 l20, 30",
+    "m16 m16 m16 m16 m16, 20"
+  })
+  void theEstimateIsWithinAQuarterOfTheSimulationUnderLoad(String text, double perSecond) {
+    List<EnginePart> parts = parts(text);
+    double simulatedMs =
+        simulate(parts, perSecond).stream()
+            .mapToDouble(PipelineSimulation.Run::meanMs)
+            .average()
+            .orElseThrow();
+    double inFlight = perSecond / 1_000 * EVENTS * simulatedMs;
+    assertThat(EventInterval.meanMs(parts, PROFILE, inFlight))
+        .isBetween(0.75 * simulatedMs, 1.25 * simulatedMs);
+  }
+
+  @Test
+  void moreRequestsMakeLongerIntervals() {
+    List<EnginePart> parts = parts("l18 m11 m11 m10 m10 m10 m10");
+    double before = 0;
+    for (int requests = 1; requests < 400; requests += 20) {
+      double now = EventInterval.meanMs(parts, PROFILE, requests);
+      assertThat(now).isGreaterThan(before);
+      before = now;
+    }
+  }
+
+  @Test
+  void theBoundOfRequestsKeepsThePauses() {
+    List<EnginePart> parts = parts("s8 s8 s8 s8 s8 s8 s8 s8 s8 s8");
+    double bound = EventInterval.requestsWithin(parts, PROFILE, 250, 400);
+    assertThat(bound).isBetween(1.0, 399.0);
+    assertThat(EventInterval.longestMs(parts, PROFILE, bound)).isLessThanOrEqualTo(250);
+    assertThat(EventInterval.longestMs(parts, PROFILE, bound + 5)).isGreaterThan(250);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetReplay.java
@@ -0,0 +1,231 @@
+package org.gooseberryhook.router.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.gooseberryhook.router.admission.LoadBook;
+import org.gooseberryhook.router.admission.StreamAdmission;
+import org.gooseberryhook.router.admission.StreamRequest;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.engine.EnginePart;
+import org.gooseberryhook.router.engine.EventInterval;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ModelPipelines;
+import org.gooseberryhook.router.fleet.PipelineStage;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.state.LayerRange;
+
+/**
+ * Targets that come, go and load layers as ordered, with the decisions of one planner. A target
+ * that gives layers up waits for the streams that pass through them before it loads others.
+ */
+final class FleetReplay {
+
+  static final long STEP_MS = 250;
+
+  /** Time that streams take to pass, as on recorded days of high load. */
+  private static final long PASS_MS = 6_000;
+
+  /** Time after which engines break off what waits for a lost target. */
+  private static final long STALL_MS = 2_500;
+
+  private final EngineProfile profile;
+  private final OrderTracker tracker = new OrderTracker();
+  private final PlanMemo memo = new PlanMemo();
+  private final Map<String, Target> targets = new TreeMap<>();
+  private long nowMs;
+  private int orders;
+
+  private static final class Target {
+    private TargetEntry entry;
+    private Optional<LayerRange> ordered = Optional.empty();
+    private long readyMs;
+
+    Target(TargetEntry entry) {
+      this.entry = entry;
+    }
+  }
+
+  FleetReplay(EngineProfile profile, List<TargetEntry> entries) {
+    this.profile = profile;
+    entries.forEach(entry -> targets.put(entry.id(), new Target(entry)));
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  int orders() {
+    return orders;
+  }
+
+  List<String> ids() {
+    return List.copyOf(targets.keySet());
+  }
+
+  void remove(String id) {
+    targets.remove(id);
+  }
+
+  /** Adds an empty target; one that was there before starts again. */
+  void add(TargetEntry entry) {
+    targets.put(
+        entry.id(),
+        new Target(
+            new TargetEntry(
+                entry.id(),
+                entry.service(),
+                entry.address(),
+                entry.zone(),
+                entry.slots(),
+                false,
+                entry.acceleratorKind(),
+                Optional.empty(),
+                nowMs + 1,
+                entry.modelVersion())));
+  }
+
+  TargetEntry entry(String id) {
+    return targets.get(id).entry;
+  }
+
+  List<TargetEntry> entries() {
+    return targets.values().stream().map(target -> target.entry).toList();
+  }
+
+  /** Names the targets with their layers. */
+  String describe() {
+    return entries().stream()
+        .map(e -> e.zone() + " " + e.id() + " " + e.acceleratorKind() + " " + e.layers())
+        .collect(Collectors.joining("\n"));
+  }
+
+  /** Lets time pass and the planner do its work. */
+  void run(long durationMs, Runnable afterStep) {
+    long endMs = nowMs + durationMs;
+    while (nowMs < endMs) {
+      nowMs += STEP_MS;
+      for (Target target : targets.values()) {
+        if (target.ordered.isPresent() && nowMs >= target.readyMs) {
+          target.entry = target.entry.withLayers(target.ordered.get());
+          target.ordered = Optional.empty();
+        }
+      }
+      plan();
+      afterStep.run();
+    }
+  }
+
+  private void plan() {
+    List<TargetEntry> entries = entries();
+    boolean isFirst = entries.stream().noneMatch(e -> e.layers().isPresent());
+    LayerPlan plan =
+        memo.plan(tracker.expected(entries), profile, new PlanScope(tracker.isSettled(), true));
+    int bound = isFirst ? Integer.MAX_VALUE : 2 * profile.loadsAtOnce();
+    for (OrderTracker.Order order : tracker.due(plan, entries, bound, nowMs)) {
+      tracker.onSent(order, nowMs);
+      Target target = targets.get(order.target().id());
+      if (target.ordered.isEmpty()) {
+        orders++;
+        start(target, order.layers(), isFirst);
+      }
+    }
+  }
+
+  private void start(Target target, LayerRange wanted, boolean isFirst) {
+    Optional<LayerRange> held = target.entry.layers();
+    int kept = held.map(range -> overlap(range, wanted)).orElse(0);
+    boolean givesUp = held.isPresent() && kept < held.get().layerCount();
+    long loading = targets.values().stream().filter(t -> t.ordered.isPresent()).count() + 1;
+    double slowdown = Math.max(1.0, (double) loading / profile.loadsAtOnce());
+    double loadMs =
+        isFirst ? 0 : profile.loadMs() * (wanted.layerCount() - kept) / profile.layers() * slowdown;
+    target.ordered = Optional.of(wanted);
+    target.readyMs = nowMs + (long) loadMs + (givesUp ? passMs(target.entry.zone()) : 0);
+    if (givesUp) {
+      target.entry = kept == 0 ? withoutLayers(target.entry) : keep(target.entry, wanted);
+    }
+  }
+
+  private long passMs(String zone) {
+    boolean isWhole =
+        ModelPipelines.compose(entries(), profile.layers(), entry -> entry.zone().equals(zone))
+            .stream()
+            .anyMatch(pipeline -> pipeline.zoneCrossings() == 0);
+    return isWhole ? PASS_MS : STALL_MS;
+  }
+
+  private static TargetEntry keep(TargetEntry entry, LayerRange wanted) {
+    LayerRange held = entry.layers().get();
+    return entry.withLayers(
+        LayerRange.of(
+            Math.max(held.firstLayer(), wanted.firstLayer()),
+            Math.min(held.endLayer(), wanted.endLayer())));
+  }
+
+  private static TargetEntry withoutLayers(TargetEntry entry) {
+    return new TargetEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.zone(),
+        entry.slots(),
+        entry.isDraining(),
+        entry.acceleratorKind(),
+        Optional.empty(),
+        entry.bornMs(),
+        entry.modelVersion());
+  }
+
+  private static int overlap(LayerRange one, LayerRange other) {
+    int from = Math.max(one.firstLayer(), other.firstLayer());
+    int to = Math.min(one.endLayer(), other.endLayer());
+    return Math.max(0, to - from);
+  }
+
+  /**
+   * Returns how many usual requests a second the pipelines inside data centres serve when they are
+   * filled as the admission allows.
+   */
+  double requestsPerSecond() {
+    List<ModelPipeline> pipelines =
+        ModelPipelines.compose(entries(), profile.layers(), entry -> true).stream()
+            .filter(pipeline -> pipeline.zoneCrossings() == 0)
+            .toList();
+    LoadBook loads = new LoadBook();
+    StreamAdmission admission = new StreamAdmission(loads, target -> 1);
+    StreamRequest request =
+        new StreamRequest(
+            profile.usualPromptTokens(), profile.usualAnswerTokens(), 1, 0, 60_000, 500, 200);
+    Map<ModelPipeline, Integer> admitted = new HashMap<>();
+    while (true) {
+      Optional<ModelPipeline> next = admission.choose(request, pipelines, profile, 1, 0);
+      if (next.isEmpty()) {
+        break;
+      }
+      for (PipelineStage stage : next.get().stages()) {
+        loads.add(stage.target().id(), request.reservedTokens() * stage.layers().layerCount());
+      }
+      admitted.merge(next.get(), 1, Integer::sum);
+    }
+    double eventsPerRequest = (double) profile.usualAnswerTokens() / profile.strideSteps();
+    double sum = 0;
+    for (Map.Entry<ModelPipeline, Integer> entry : admitted.entrySet()) {
+      List<EnginePart> parts = new ArrayList<>();
+      for (PipelineStage stage : entry.getKey().stages()) {
+        parts.add(
+            new EnginePart(
+                profile.kind(stage.target().acceleratorKind()).orElseThrow(),
+                stage.layers().layerCount(),
+                1));
+      }
+      double intervalMs = EventInterval.meanMs(parts, profile, entry.getValue());
+      sum += entry.getValue() * 1_000 / (intervalMs * eventsPerRequest);
+    }
+    return sum;
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
@@ -23,7 +23,7 @@
   private static final EngineProfile PROFILE = TestFleet.PROFILE;
 
   private static List<TargetEntry> apply(List<TargetEntry> entries) {
-    LayerPlan plan = LayerPlanner.plan(entries, PROFILE, true);
+    LayerPlan plan = LayerPlanner.plan(entries, PROFILE, PlanScope.ALL);
     List<TargetEntry> after = new ArrayList<>();
     for (TargetEntry entry : entries) {
       LayerRange range = plan.ranges().get(entry.id());
@@ -96,7 +96,7 @@
             TestFleet.engine(1, "a", "large", 0, 30),
             TestFleet.engine(3, "a", "large", 55, 80),
             TestFleet.engine(4, "a", "large"));
-    assertThat(LayerPlanner.plan(fleet, PROFILE, true).ranges())
+    assertThat(LayerPlanner.plan(fleet, PROFILE, PlanScope.ALL).ranges())
         .containsExactlyEntriesOf(Map.of("t-4", LayerRange.of(30, 55)));
   }
 
@@ -134,6 +134,6 @@
     TargetEntry leaving =
         new TargetEntry(
             "t-9", "model", "10.0.0.9:80", "a", 1, true, "large", Optional.empty(), 1, 1);
-    assertThat(LayerPlanner.plan(List.of(leaving), PROFILE, true).ranges()).isEmpty();
+    assertThat(LayerPlanner.plan(List.of(leaving), PROFILE, PlanScope.ALL).ranges()).isEmpty();
   }
 }
