Plan large data centres in parts; remove registrations of dead nodes

Change: a data centre is planned in parts of at most 32 targets; parts with the same kinds share a plan. The planner removes registrations that were silent for 60 s; a node whose row is gone registers again.

--- /dev/null
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
@@ -0,0 +1,139 @@
+package org.gooseberryhook.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhook.router.admission.LoadBook;
+import org.gooseberryhook.router.admission.StreamAdmission;
+import org.gooseberryhook.router.admission.StreamRequest;
+import org.gooseberryhook.router.configuration.AcceleratorKind;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ModelPipelines;
+import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.placement.LayerPlan;
+import org.gooseberryhook.router.placement.LayerPlanner;
+import org.gooseberryhook.router.placement.PlanScope;
+import org.gooseberryhook.state.LayerRange;
+
+/**
+ * Measures how long the decisions of the router take as the fleet grows: the first plan, the repair
+ * after a loss, the composition of pipelines, and the choice of a pipeline.
+ *
+ * @since 0.2
+ */
+public final class RouterDecisions {
+
+  private static final int[][] FLEETS = {{36, 3}, {90, 4}, {3_700, 8}};
+  private static final int[] KINDS_OF_TEN = {0, 1, 1, 1, 2, 2, 2, 2, 2, 2};
+  private static final String[] KIND_NAMES = {"large", "middle", "small"};
+  private static final int CHOICES = 2_000;
+  private static final int REPEATS = 5;
+
+  private static final EngineProfile PROFILE =
+      new EngineProfile(
+          134,
+          1_315_343,
+          1.02,
+          0.0102,
+          0.0137,
+          105_000,
+          0.309,
+          512,
+          3,
+          80,
+          1_750,
+          14_000,
+          5,
+          774,
+          204,
+          65_767,
+          22_000,
+          Map.of(
+              "large", new AcceleratorKind("large", 72_000, 2.4, 3.2),
+              "middle", new AcceleratorKind("middle", 43_200, 5.6, 2.7),
+              "small", new AcceleratorKind("small", 21_600, 16, 8.2)));
+
+  private RouterDecisions() {}
+
+  /**
+   * Prints the table.
+   *
+   * @param args not used
+   */
+  public static void main(String[] args) {
+    System.out.println(
+        "replicas  zones  pipelines  first plan ms  repair ms  compose ms  choose us");
+    for (int[] fleet : FLEETS) {
+      measure(fleet[0], fleet[1]);
+    }
+  }
+
+  private static void measure(int replicas, int zones) {
+    List<TargetEntry> empty = new ArrayList<>();
+    for (int i = 0; i < replicas; i++) {
+      empty.add(entry(i, "zone-" + i % zones, KIND_NAMES[KINDS_OF_TEN[i / zones % 10]]));
+    }
+    LayerPlan plan = LayerPlanner.plan(empty, PROFILE, PlanScope.ALL);
+    List<TargetEntry> planned = new ArrayList<>();
+    for (TargetEntry entry : empty) {
+      LayerRange range = plan.ranges().get(entry.id());
+      planned.add(range == null ? entry : entry.withLayers(range));
+    }
+    List<TargetEntry> broken = new ArrayList<>(planned);
+    broken.removeIf(entry -> entry.id().equals(plan.ranges().keySet().iterator().next()));
+    List<ModelPipeline> pipelines =
+        ModelPipelines.compose(planned, PROFILE.layers(), entry -> true);
+    StreamAdmission admission = new StreamAdmission(new LoadBook(), target -> 1);
+    StreamRequest request = new StreamRequest(774, 204, 1, 0, 20_000, 500, 200);
+    double firstMs = bestMs(() -> LayerPlanner.plan(empty, PROFILE, PlanScope.ALL));
+    double repairMs = bestMs(() -> LayerPlanner.plan(broken, PROFILE, PlanScope.ALL));
+    double composeMs =
+        bestMs(() -> ModelPipelines.compose(planned, PROFILE.layers(), entry -> true));
+    double chooseMs =
+        bestMs(
+            () -> {
+              for (int i = 0; i < CHOICES; i++) {
+                Optional<ModelPipeline> chosen =
+                    admission.choose(request, pipelines, PROFILE, 9, 0);
+                if (chosen.isEmpty()) {
+                  throw new IllegalStateException("an empty fleet has no room");
+                }
+              }
+            });
+    System.out.printf(
+        "%8d  %5d  %9d  %13.1f  %9.1f  %10.2f  %9.1f%n",
+        replicas,
+        zones,
+        pipelines.size(),
+        firstMs,
+        repairMs,
+        composeMs,
+        chooseMs * 1_000 / CHOICES);
+  }
+
+  private static double bestMs(Runnable decision) {
+    double best = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < REPEATS; i++) {
+      long startNanos = System.nanoTime();
+      decision.run();
+      best = Math.min(best, (System.nanoTime() - startNanos) / 1e6);
+    }
+    return best;
+  }
+
+  private static TargetEntry entry(int number, String zone, String kind) {
+    return new TargetEntry(
+        "t-" + number,
+        "model",
+        String.format("10.%d.%d.1:80", number / 250, number % 250),
+        zone,
+        134,
+        false,
+        kind,
+        Optional.empty(),
+        1,
+        1);
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipeline.java
@@ -36,6 +36,15 @@
     return stages.get(0).target();
   }
 
+  /**
+   * Returns the addresses of its targets.
+   *
+   * @return addresses in layer order
+   */
+  public List<String> addresses() {
+    return stages.stream().map(stage -> stage.target().address()).toList();
+  }
+
   /**
    * Tells whether a target is part of the pipeline.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashWatch.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashWatch.java
@@ -1,6 +1,8 @@
 package org.gooseberryhook.router.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.zip.CRC32C;
 import org.gooseberryhook.router.fleet.CrashMarks;
 
@@ -32,18 +34,26 @@
     return context.crashMarks().isBlocked(fingerprint(request, routed), context.clock().nowMs());
   }
 
-  /** Looks whether a target that broke a connection is dead, and marks the request if it is. */
-  void onBroken(CallerRequest request, RoutingResult.Routed routed, String address) {
+  /**
+   * Looks whether a target is dead that a request was sent to when it broke, and marks the request
+   * once if one is. A request of a pipeline may crash any of its targets.
+   */
+  void onBroken(CallerRequest request, RoutingResult.Routed routed, List<String> addresses) {
     long fingerprint = fingerprint(request, routed);
     String attemptId = request.facts().attemptId();
     CrashMarks marks = context.crashMarks();
-    context
-        .channels()
-        .connectOnly(
-            address,
-            reason -> {
-              marks.note(fingerprint, context.clock().nowMs());
-              context.log().note("crash-mark", attemptId, "target", address, "reason", reason);
-            });
+    AtomicBoolean isMarked = new AtomicBoolean();
+    for (String address : addresses) {
+      context
+          .channels()
+          .connectOnly(
+              address,
+              reason -> {
+                if (!isMarked.getAndSet(true)) {
+                  marks.note(fingerprint, context.clock().nowMs());
+                  context.log().note("crash-mark", attemptId, "target", address, "reason", reason);
+                }
+              });
+    }
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.gooseberryhook.router.admission.TargetChooser;
@@ -333,7 +334,7 @@
         context
             .log()
             .note("broken", request.facts().attemptId(), "at", target.address(), "why", reason);
-        new CrashWatch(context).onBroken(request, routed, target.address());
+        new CrashWatch(context).onBroken(request, routed, List.of(target.address()));
         repeatOrGiveUp("target-broken", "the connection to the target was lost");
       }
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -551,7 +551,7 @@
       if (!isOver) {
         end();
         if (!hasEvents) {
-          new CrashWatch(context).onBroken(request, routed, pipeline.head().address());
+          new CrashWatch(context).onBroken(request, routed, pipeline.addresses());
         }
         lostRuns += context.fleet().isSuspect(pipeline.head().address()) ? 1 : 0;
         context.fleet().examine(pipeline);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/NodeRegistration.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/NodeRegistration.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.gooseberryhook.protocol.TableOperation;
 import org.gooseberryhook.protocol.TableRecord;
 import org.gooseberryhook.protocol.TableResult;
@@ -24,6 +25,14 @@
   private static final long READ_MS = 10_000;
 
   private static final long RETRY_MS = 500;
+
+  /**
+   * Time without a report after which a registration is removed. A killed node cannot remove its
+   * own, and each one takes a part of the budget of repeats. A node that was cut off for longer
+   * registers again.
+   */
+  static final long STALE_MS = 60_000;
+
   private static final int MAX_NODES = 500;
 
   private final TableService table;
@@ -32,19 +41,26 @@
   private final PeerTable peers;
   private final MonotonicClock clock;
   private final DecisionLog log;
+  private final BooleanSupplier mayRemove;
+  private final Map<String, Silent> silent = new HashMap<>();
   private long revision;
   private boolean isRegistered;
   private boolean isCalling;
   private boolean isStopped;
   private long nextMs;
 
+  /** A registration whose node is not heard. */
+  private record Silent(long revision, long sinceMs) {}
+
   NodeRegistration(
       TableService table,
       String node,
       String reportAddress,
       PeerTable peers,
       MonotonicClock clock,
+      BooleanSupplier mayRemove,
       DecisionLog log) {
+    this.mayRemove = mayRemove;
     this.table = table;
     this.node = node;
     this.reportAddress = reportAddress;
@@ -106,12 +122,47 @@
                 }
                 peers.setContacts(contacts);
                 nextMs = clock.nowMs() + READ_MS;
+                if (!contacts.containsKey(node)) {
+                  isRegistered = false;
+                  revision = 0;
+                }
+                removeStale(read.records());
               } else {
                 nextMs = clock.nowMs() + RETRY_MS;
               }
             });
   }
 
+  /** Removes registrations of nodes that have been silent for long; one node does so. */
+  private void removeStale(List<TableRecord> records) {
+    long nowMs = clock.nowMs();
+    Map<String, Silent> known = new HashMap<>(silent);
+    silent.clear();
+    for (TableRecord record : records) {
+      String other = record.key().substring(PREFIX.length());
+      if (other.equals(node) || peers.isLive(other)) {
+        continue;
+      }
+      Silent before = known.get(other);
+      boolean isSame = before != null && before.revision() == record.version();
+      Silent now = new Silent(record.version(), isSame ? before.sinceMs() : nowMs);
+      silent.put(other, now);
+      if (nowMs - now.sinceMs() >= STALE_MS && mayRemove.getAsBoolean()) {
+        table
+            .transact(List.of(TableOperation.ofDelete(record.key(), record.version())))
+            .thenAccept(
+                result ->
+                    log.note(
+                        "registration-removed",
+                        "",
+                        "peer",
+                        other,
+                        "result",
+                        result.getClass().getSimpleName()));
+      }
+    }
+  }
+
   /** Removes the registration, so that others stop to report here. */
   void stop() {
     isStopped = true;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -168,7 +168,13 @@
             log);
     this.registration =
         new NodeRegistration(
-            ports.table(), settings.name(), settings.addresses().reports(), peers, clock, log);
+            ports.table(),
+            settings.name(),
+            settings.addresses().reports(),
+            peers,
+            clock,
+            () -> lease.isHeld(clock.nowMs()),
+            log);
     this.placement =
         new PlacementDriver(
             registry, fleet::isReliable, fleet::isLossCertain, ports.orders(), lease, clock, log);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/FirstPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,9 @@
   /** Pipelines of one data centre that are considered at most. */
   private static final int MAX_PIPELINES = 16;
 
+  /** Targets of a data centre that are planned together at most; enough for several pipelines. */
+  private static final int MAX_PART = 32;
+
   /** Targets that a request may pass through at most. */
   private static final int MAX_STAGES = 32;
 
@@ -79,17 +83,54 @@
     }
     List<Group> groups = new ArrayList<>();
     List<TargetEntry> pooled = new ArrayList<>();
+    Map<List<String>, List<Shape>> known = new HashMap<>();
     for (List<TargetEntry> members : byZone.values()) {
-      List<Group> own = planWithSpares(members, profile);
+      List<Group> own = planParts(members, profile, known);
       if (own.isEmpty()) {
         pooled.addAll(members);
       }
       groups.addAll(own);
     }
-    groups.addAll(planWithSpares(pooled, profile));
+    groups.addAll(planParts(pooled, profile, known));
+    return groups;
+  }
+
+  /** A pipeline by the places of its targets in a list of members. */
+  private record Shape(List<Integer> places, GroupSplit split) {}
+
+  /**
+   * Plans a data centre in parts of bounded size with about the same kinds each. Parts with the
+   * same kinds have the same plan, so that the time grows little with the size.
+   */
+  private static List<Group> planParts(
+      List<TargetEntry> members, EngineProfile profile, Map<List<String>, List<Shape>> known) {
+    List<TargetEntry> sorted = new ArrayList<>(members);
+    sorted.sort(
+        Comparator.comparing(TargetEntry::acceleratorKind).thenComparing(TargetEntry::address));
+    int parts = Math.max(1, (members.size() + MAX_PART - 1) / MAX_PART);
+    List<Group> groups = new ArrayList<>();
+    for (int part = 0; part < parts; part++) {
+      List<TargetEntry> own = new ArrayList<>();
+      for (int i = part; i < sorted.size(); i += parts) {
+        own.add(sorted.get(i));
+      }
+      List<String> kinds = own.stream().map(TargetEntry::acceleratorKind).toList();
+      List<Shape> shapes = known.computeIfAbsent(kinds, k -> shapes(own, profile));
+      for (Shape shape : shapes) {
+        groups.add(new Group(shape.places().stream().map(own::get).toList(), shape.split()));
+      }
+    }
     return groups;
   }
 
+  private static List<Shape> shapes(List<TargetEntry> members, EngineProfile profile) {
+    List<Shape> shapes = new ArrayList<>();
+    for (Group group : planWithSpares(members, profile)) {
+      shapes.add(new Shape(group.targets().stream().map(members::indexOf).toList(), group.split()));
+    }
+    return shapes;
+  }
+
   /** Leaves out targets that can stand in for most others, as long as that costs little room. */
   private static List<Group> planWithSpares(List<TargetEntry> members, EngineProfile profile) {
     List<TargetEntry> used = new ArrayList<>(members);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanRepair.java
@@ -27,6 +27,9 @@
    */
   private static final double FURTHER_SHARE = 0.3;
 
+  /** Targets of a data centre up to which tight ones are looked for; the search is cubic. */
+  private static final int MAX_RELIEVED_ZONE = 64;
+
   /** Room for requests, as a share of the usual one, below which a target is relieved. */
   private static final double TIGHT_SHARE = 0.6;
 
@@ -149,7 +152,7 @@
     }
     double usualRoom = GapFill.usualRoom(holders, profile);
     trim(holders, copies, usualRoom, profile, ranges);
-    if (!empty.isEmpty()) {
+    if (!empty.isEmpty() && holders.size() <= MAX_RELIEVED_ZONE) {
       relieve(holders, empty, usualRoom, profile, ranges);
     }
   }
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/NodeRegistrationTest.java
@@ -0,0 +1,118 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.router.cluster.PeerTable;
+import org.junit.jupiter.api.Test;
+
+/** Guards against registrations of killed nodes that are counted as nodes for ever. */
+class NodeRegistrationTest {
+
+  private static final long READ_MS = 10_000;
+
+  private final MemoryTable table = new MemoryTable();
+  private final PeerTable peers = new PeerTable("self");
+  private long nowMs;
+  private boolean isPlanner = true;
+
+  private NodeRegistration registration() {
+    return new NodeRegistration(
+        table, "self", "10.0.0.1:7340", peers, () -> nowMs, () -> isPlanner, (k, r, f) -> {});
+  }
+
+  private void run(NodeRegistration registration, long durationMs) {
+    long endMs = nowMs + durationMs;
+    for (; nowMs <= endMs; nowMs += 500) {
+      registration.tick();
+    }
+  }
+
+  @Test
+  void aRegistrationThatIsSilentForLongIsRemoved() {
+    table.put("nodes/dead", "10.0.0.9:7340");
+    NodeRegistration registration = registration();
+    run(registration, NodeRegistration.STALE_MS - READ_MS);
+    assertThat(table.rows).containsKeys("nodes/self", "nodes/dead");
+    run(registration, 3 * READ_MS);
+    assertThat(table.rows).containsOnlyKeys("nodes/self");
+  }
+
+  @Test
+  void onlyThePlannerRemovesRegistrations() {
+    isPlanner = false;
+    table.put("nodes/dead", "10.0.0.9:7340");
+    run(registration(), 2 * NodeRegistration.STALE_MS);
+    assertThat(table.rows).containsKey("nodes/dead");
+  }
+
+  @Test
+  void aRegistrationThatIsWrittenAnewIsKept() {
+    table.put("nodes/back", "10.0.0.9:7340");
+    NodeRegistration registration = registration();
+    run(registration, NodeRegistration.STALE_MS - READ_MS);
+    table.put("nodes/back", "10.0.0.9:7340");
+    run(registration, NodeRegistration.STALE_MS - READ_MS);
+    assertThat(table.rows).containsKey("nodes/back");
+  }
+
+  /** A node that was cut off for long finds its row removed when it is back. */
+  @Test
+  void aNodeWhoseRegistrationWasRemovedRegistersAgain() {
+    NodeRegistration registration = registration();
+    run(registration, READ_MS);
+    table.rows.remove("nodes/self");
+    run(registration, 2 * READ_MS);
+    assertThat(table.rows).containsKey("nodes/self");
+  }
+
+  private static final class MemoryTable implements TableService {
+    private final Map<String, TableRecord> rows = new TreeMap<>();
+    private long version;
+
+    void put(String key, String value) {
+      rows.put(key, new TableRecord(key, ++version, value));
+    }
+
+    @Override
+    public CompletableFuture<TableResult> transact(List<TableOperation> operations) {
+      List<Long> versions = new ArrayList<>();
+      for (TableOperation operation : operations) {
+        TableRecord now = rows.get(operation.key());
+        if ((now == null ? 0 : now.version()) != operation.expectedVersion()) {
+          return CompletableFuture.completedFuture(
+              new TableResult.Conflict(now == null ? List.of() : List.of(now)));
+        }
+        if (operation.value() == null) {
+          rows.remove(operation.key());
+        } else {
+          put(operation.key(), operation.value());
+        }
+        versions.add(version);
+      }
+      return CompletableFuture.completedFuture(new TableResult.Committed(versions));
+    }
+
+    @Override
+    public CompletableFuture<TableResult> get(String key) {
+      TableRecord row = rows.get(key);
+      return CompletableFuture.completedFuture(
+          new TableResult.Read(row == null ? List.of() : List.of(row)));
+    }
+
+    @Override
+    public CompletableFuture<TableResult> scan(String prefix, String afterKey, int limit) {
+      List<TableRecord> found =
+          rows.values().stream().filter(row -> row.key().startsWith(prefix)).toList();
+      return CompletableFuture.completedFuture(new TableResult.Read(found));
+    }
+  }
+}
