Leave out targets that restarted while the store is away

Ruled out: lack of memory (status 421, not 503); the planner's orders.

Change: a refusal without a target at fault counts against the head. A target that reports another start than the list is left out until the list knows it. Layers that a target reports replace those of the list while the store is away. After two refusals a stream pauses 40 ms before each run, and waits no longer than its caller does.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -36,6 +36,16 @@
    * @return the entry, never null
    */
   public TargetEntry withLayers(LayerRange newLayers) {
+    return withLayers(Optional.of(newLayers));
+  }
+
+  /**
+   * Returns this entry with other layers or none.
+   *
+   * @param newLayers the layers
+   * @return the entry, never null
+   */
+  public TargetEntry withLayers(Optional<LayerRange> newLayers) {
     return new TargetEntry(
         id,
         service,
@@ -44,7 +54,7 @@
         slots,
         isDraining,
         acceleratorKind,
-        Optional.of(newLayers),
+        newLayers,
         bornMs,
         modelVersion);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -6,8 +6,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.gooseberryhook.state.LayerRange;
 
 /**
  * The targets as the platform's list shows them.
@@ -78,6 +80,19 @@
     revision++;
   }
 
+  /**
+   * Takes over the layers that a target itself reports, if the store does not answer; else the list
+   * is as new.
+   *
+   * @param entry the target's entry
+   * @param layers the layers that it reports
+   */
+  public void correct(TargetEntry entry, Optional<LayerRange> layers) {
+    if (isStoreAway && entry.equals(entries.get(entry.id())) && !entry.layers().equals(layers)) {
+      put(entry.withLayers(layers));
+    }
+  }
+
   /** Notes that the store does not answer. */
   public void noteStoreAway() {
     isStoreAway = true;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -40,6 +40,14 @@
   /** Time before the caller leaves that a new run gets for its first event. */
   static final long RESUME_MARGIN_MS = 400;
 
+  /**
+   * Refusals after which further runs wait, so that a fleet that refuses is not sent to in a loop.
+   */
+  private static final int MAX_QUICK_REFUSALS = 2;
+
+  /** Pause before a further run; examinations of targets take some milliseconds. */
+  private static final long REFUSED_PAUSE_MS = 40;
+
   /** Crossings between data centres of any pipeline at most. */
   private static final int MAX_CROSSINGS = Integer.MAX_VALUE;
 
@@ -73,6 +81,7 @@
   private int events;
   private int runs;
   private int unprovenSends;
+  private int refusals;
 
   /** Runs that do not count as attempts: not begun, or on a head that is dead. */
   private int lostRuns;
@@ -269,7 +278,7 @@
       return;
     }
     context.log().note("resume", request.facts().attemptId(), "reason", kind, "detail", detail);
-    long sinceMs = lastEventMs == 0 ? nowMs : lastEventMs;
+    long sinceMs = lastEventMs == 0 ? request.arrivedMs() : lastEventMs;
     dispatcher.submit(
         this, StreamDispatcher.RESUME_RANK, Math.min(endMs, sinceMs + CALLER_PATIENCE_MS));
   }
@@ -529,12 +538,18 @@
       long nowMs = context.clock().nowMs();
       if (facts.isNotRun()) {
         unprovenSends--;
-        String at = facts.faultAddress().orElse("");
+        // Without a target that is at fault, it is the head: it restarted or holds other layers.
+        String at = facts.faultAddress().orElse(pipeline.head().address());
         context.log().note("refused", request.facts().attemptId(), "status", status, "fault", at);
-        facts.faultAddress().ifPresent(context.fleet()::avoid);
+        context.fleet().avoid(at);
         context.health().noteFailure(pipeline.head().id(), 0.5, nowMs);
         lostRuns++;
-        onRunLost("target-refused", "the pipeline refused the request");
+        refusals++;
+        if (refusals <= MAX_QUICK_REFUSALS) {
+          onRunLost("target-refused", "the pipeline refused the request");
+        } else {
+          context.schedule(this::onRefusedOften, REFUSED_PAUSE_MS);
+        }
       } else if (status >= STATUS_SERVER_ERROR
           || ProblemReply.isPromise(status)
           || !facts.isSigned()) {
@@ -546,6 +561,12 @@
       }
     }
 
+    private void onRefusedOften() {
+      if (!isSettled) {
+        onRunLost("target-refused", "the pipelines refused the request several times");
+      }
+    }
+
     @Override
     public void onBroken(String reason) {
       if (!isOver) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -355,6 +355,14 @@
   }
 
   private void onState(TargetEntry target, EngineResult.State state) {
+    boolean isReborn =
+        target.bornMs() != 0 && state.bornMs() != 0 && state.bornMs() != target.bornMs();
+    if (isReborn) {
+      // The list is older than the target's present life, for instance while the store is away.
+      suspect(target.address(), "restarted");
+      return;
+    }
+    registry.correct(target, state.layers());
     if (suspects.clear(target.address(), clock.nowMs())) {
       log.note("target-answers", "", "target", target.address());
     }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
+import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
 
 /** Guards that an outage of the store is not taken for a departure, and a departure not missed. */
@@ -60,4 +62,17 @@
     registry.expire(9_000);
     assertThat(registry.entries()).containsExactly(first, second);
   }
+
+  /** Guards against a node that goes on with old layers while the store turns it away. */
+  @Test
+  void layersThatATargetReportsCountOnlyWhileTheStoreIsAway() {
+    registry.replaceAll(List.of(first), 0);
+    registry.correct(first, Optional.of(LayerRange.of(0, 20)));
+    assertThat(registry.entries()).containsExactly(first);
+    registry.noteStoreAway();
+    registry.correct(first, Optional.of(LayerRange.of(0, 20)));
+    assertThat(registry.entries()).containsExactly(first.withLayers(LayerRange.of(0, 20)));
+    registry.replaceAll(List.of(first), 5_000);
+    assertThat(registry.entries()).containsExactly(first);
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -68,6 +68,9 @@
     return target;
   }
 
+  /** Start of the engines' present life as they say it; the list says 1. */
+  private long engineBornMs = 1;
+
   private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return socket.getLocalPort();
@@ -91,7 +94,7 @@
                         List.of(configuration()), Optional.ofNullable(older), c -> "config"),
                     new FixedFeed<>(entries, Optional.empty(), TargetEntry::id),
                     new AbsentTable(),
-                    new HealthyEngines()));
+                    new HealthyEngines(engineBornMs)));
     node.start();
     long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
     String targetsLoaded = "gooseberryhook_targets " + (double) entries.size();
@@ -366,6 +369,35 @@
     assertThat(runs).hasValue(2);
   }
 
+  private static void refuse(String request, OutputStream out) throws IOException {
+    TargetStandin.writeAnswer(out, request, 421, "not-run: 1\r\n", "");
+  }
+
+  /** Guards against a loop of sends to a target whose entry is older than its layers. */
+  @Test
+  void aHeadThatRefusesIsSentToAFewTimesOnly() throws Exception {
+    TargetStandin head = target("model", LayerRange.of(0, 40), RouterNodeTest::refuse);
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).startsWith("HTTP/1.1 503");
+    // It is left out for 400 ms after each refusal, and the caller waits for 2 s.
+    assertThat(head.requests()).hasSizeLessThanOrEqualTo(6);
+  }
+
+  /** Guards against streams to a target that lost its layers while the store is away. */
+  @Test
+  void aTargetThatSaysItHasRestartedGetsNoRequestsUntilTheListSaysSo() throws Exception {
+    engineBornMs = 2;
+    TargetStandin head = target("model", LayerRange.of(0, 40), RouterNodeTest::refuse);
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    exchange(post("/draft/x", "p"));
+    final int sent = head.requests().size();
+    Thread.sleep(1_500);
+    assertThat(exchange(post("/draft/y", "p"))).startsWith("HTTP/1.1 503");
+    assertThat(head.requests()).hasSize(sent);
+  }
+
   @Test
   void aSilentStreamWithoutAnotherPipelineIsNotBrokenOff() throws Exception {
     target(
@@ -544,10 +576,10 @@
   }
 
   /** Engines that answer at once and need no orders. */
-  private static final class HealthyEngines implements EngineOrders {
+  private record HealthyEngines(long bornMs) implements EngineOrders {
     @Override
     public void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
-      onResult.accept(new EngineResult.State(target.layers(), false, 0, 1, List.of(), 1));
+      onResult.accept(new EngineResult.State(target.layers(), false, 0, 1, List.of(), bornMs));
     }
 
     @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetReplay.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetReplay.java
@@ -147,7 +147,8 @@
     target.ordered = Optional.of(wanted);
     target.readyMs = nowMs + (long) loadMs + (givesUp ? passMs(target.entry.zone()) : 0);
     if (givesUp) {
-      target.entry = kept == 0 ? withoutLayers(target.entry) : keep(target.entry, wanted);
+      target.entry =
+          kept == 0 ? target.entry.withLayers(Optional.empty()) : keep(target.entry, wanted);
     }
   }
 
@@ -167,20 +168,6 @@
             Math.min(held.endLayer(), wanted.endLayer())));
   }
 
-  private static TargetEntry withoutLayers(TargetEntry entry) {
-    return new TargetEntry(
-        entry.id(),
-        entry.service(),
-        entry.address(),
-        entry.zone(),
-        entry.slots(),
-        entry.isDraining(),
-        entry.acceleratorKind(),
-        Optional.empty(),
-        entry.bornMs(),
-        entry.modelVersion());
-  }
-
   private static int overlap(LayerRange one, LayerRange other) {
     int from = Math.max(one.firstLayer(), other.firstLayer());
     int to = Math.min(one.endLayer(), other.endLayer());
