Split the demand and the reservation of a stream from its exchange

What a stream asks of a pipeline and the memory that it takes there are classes of their own now; nothing else changes.

--- a/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/BoundedServerTest.java
+++ b/gooseberryhook-core/src/test/java/org/gooseberryhook/transport/BoundedServerTest.java
@@ -123,7 +123,8 @@
   void twoDifferentLengthsAreRefusedAtOnce() throws IOException {
     String answer =
         exchange(
-            "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde");
+            "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                + "Content-Length: 5\r\n\r\nabcde");
     assertThat(answer).startsWith("HTTP/1.1 400").contains("\"outcome\":\"not-run\"");
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -11,7 +11,6 @@
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.configuration.Route;
 import org.gooseberryhook.router.fleet.ModelPipeline;
-import org.gooseberryhook.router.fleet.PipelineStage;
 
 /**
  * A stream of a model in layers: waits for a pipeline, relays whole events as they come, and goes
@@ -54,10 +53,6 @@
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_SPREAD_MS = 2_000;
 
-  /** By how much pauses may grow for a stream that goes on at another pipeline. */
-  private static final double RESUME_PAUSE_FACTOR = 1.5;
-
-  private static final double HINT_MARGIN = 1.2;
   private static final int STATUS_OK = 200;
   private static final int STATUS_SERVER_ERROR = 500;
   private static final int MAX_BODY_BYTES = 1_048_576;
@@ -152,21 +147,7 @@
   }
 
   private StreamRequest describe(long nowMs) {
-    int prompt = request.facts().promptTokens().orElse(profile.usualPromptTokens());
-    int most = request.facts().maxAnswerTokens().orElse(profile.usualAnswerTokens());
-    int hint = request.facts().answerHintTokens().orElse(profile.usualAnswerTokens());
-    int likely = (int) Math.max(hint * HINT_MARGIN, profile.usualAnswerTokens());
-    int expected = Math.max(1, Math.min(most, likely) - answerTokens);
-    // A stream that has begun goes on before others begin, even if their pauses grow.
-    double patience = runs == 0 ? 1 : RESUME_PAUSE_FACTOR;
-    return new StreamRequest(
-        prompt + answerTokens,
-        expected,
-        routed.rank(),
-        nowMs,
-        endMs,
-        route().targetLatencyMs(),
-        (long) (route().gapTargetMs() * patience));
+    return StreamDemand.of(request, routed, profile, answerTokens, runs > 0, endMs, nowMs);
   }
 
   /** The wait for room is over. */
@@ -287,6 +268,7 @@
   private final class Run implements ReplyListener {
     private final long tokens;
     private ModelPipeline pipeline;
+    private PipelineReservation reservation;
     private final EventFramer framer = new EventFramer();
     private final long startedMs = context.clock().nowMs();
     private TargetChannel channel;
@@ -305,7 +287,7 @@
     }
 
     void begin() {
-      reserve();
+      reservation = new PipelineReservation(context.loads(), pipeline, tokens);
       dispatcher.onRunning(StreamExchange.this);
       context
           .channels()
@@ -316,18 +298,6 @@
               this::onNotConnected);
     }
 
-    private void reserve() {
-      for (PipelineStage stage : pipeline.stages()) {
-        context.loads().add(stage.target().id(), tokens * stage.layers().layerCount());
-      }
-    }
-
-    private void release() {
-      for (PipelineStage stage : pipeline.stages()) {
-        context.loads().remove(stage.target().id(), tokens * stage.layers().layerCount());
-      }
-    }
-
     private void onConnected(TargetChannel connected) {
       if (isOver) {
         connected.abort();
@@ -412,9 +382,8 @@
               isAccepted -> {
                 isRepathing = false;
                 if (isAccepted && !isOver) {
-                  release();
                   pipeline = replacement.get();
-                  reserve();
+                  reservation.move(pipeline);
                 } else if (!isOver && isSilent()) {
                   // No other target has room for the lost layers.
                   moveAway(MAX_CROSSINGS);
@@ -594,7 +563,7 @@
       if (silenceTimer != null) {
         silenceTimer.cancel(false);
       }
-      release();
+      reservation.release();
       dispatcher.onRunEnded(StreamExchange.this);
       context.loop().execute(dispatcher::onRoomFreed);
     }
