Receive reports of other nodes that are larger than 2,048 bytes

Cause: the datagram channel used Netty's default receive buffer of 2,048 bytes, and a longer datagram is cut. A report has one entry for each target that the node uses, so a node with streams on some 70 targets was no longer heard by the others.

Ruled out: the decoder, which reads reports of 1,000 targets.

Change: a buffer of the largest datagram.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerLinks.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerLinks.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -23,6 +25,9 @@
  */
 final class PeerLinks {
 
+  /** Bytes of a report at most: those of a datagram. The default buffer would cut it at 2,048. */
+  private static final int MAX_DATAGRAM_BYTES = 65_535;
+
   private final EventLoop loop;
   private final String address;
   private final Consumer<PeerReport> onReport;
@@ -41,6 +46,8 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(new ReportHandler())
             .bind(toSocketAddress(address))
             .sync()
