--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.gooseberryhook.router.admission.LoadBook;
+import org.gooseberryhook.router.admission.Sharing;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
@@ -85,7 +87,8 @@
     broken.removeIf(entry -> entry.id().equals(plan.ranges().keySet().iterator().next()));
     List<ModelPipeline> pipelines =
         ModelPipelines.compose(planned, PROFILE.layers(), entry -> true);
-    StreamAdmission admission = new StreamAdmission(new LoadBook(), target -> 1);
+    StreamAdmission admission =
+        new StreamAdmission(new LoadBook(), target -> 1, new SplittableRandom(1));
     StreamRequest request = new StreamRequest(774, 204, 1, 0, 20_000, 500, 200);
     double firstMs = bestMs(() -> LayerPlanner.plan(empty, PROFILE, PlanScope.ALL));
     double repairMs = bestMs(() -> LayerPlanner.plan(broken, PROFILE, PlanScope.ALL));
@@ -96,7 +99,7 @@
             () -> {
               for (int i = 0; i < CHOICES; i++) {
                 Optional<ModelPipeline> chosen =
-                    admission.choose(request, pipelines, PROFILE, 9, 0);
+                    admission.choose(request, pipelines, PROFILE, new Sharing(9, 100), 0);
                 if (chosen.isEmpty()) {
                   throw new IllegalStateException("an empty fleet has no room");
                 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -1,7 +1,10 @@
 package org.gooseberryhook.router.admission;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
@@ -32,7 +35,16 @@
   /** Share of the pause target that the estimate may reach; the rest takes clusters of prompts. */
   static final double PAUSE_SHARE = 0.75;
 
-  /** Above this fill, a node takes no more than its part of a pipeline. */
+  /** Above this fill, a node of a large fleet starts only its part of the free room in a turn. */
+  static final double TURN_FILL = 0.7;
+
+  /**
+   * Share of the requests expected to end within a turn that makes room for others. The rest covers
+   * that ends come unevenly.
+   */
+  static final double ENDING_WEIGHT = 0.5;
+
+  /** Above this fill, a node of a small fleet takes no more than its part of a pipeline. */
   static final double SHARED_FILL = 0.95;
 
   /** Share of the time to the deadline within which the whole answer must be expected. */
@@ -44,28 +56,43 @@
   /** Share of its memory up to which a slow pipeline is filled. */
   static final double SLOW_FILL = 0.5;
 
+  /**
+   * Nodes up to which each one compares all pipelines. In a larger fleet, reports are further apart
+   * and many requests start between them: if all nodes took the one that looked emptiest, its
+   * engines would refuse most of these requests.
+   */
+  static final int MAX_COMPARING_NODES = 12;
+
   private final LoadBook loads;
   private final PipelineEstimate.Paces paces;
+  private final RandomGenerator random;
+  private final StartTurns turns;
+
+  /** A pipeline that may take the request; the one with the least cost is preferred. */
+  private record Candidate(ModelPipeline pipeline, double cost) {}
 
   /**
    * Creates the decision.
    *
    * @param loads requests in flight
    * @param paces how slow targets are
+   * @param random random numbers for samples of pipelines
    */
-  public StreamAdmission(LoadBook loads, PipelineEstimate.Paces paces) {
+  public StreamAdmission(LoadBook loads, PipelineEstimate.Paces paces, RandomGenerator random) {
     this.loads = loads;
     this.paces = paces;
+    this.random = random;
+    this.turns = new StartTurns(random);
   }
 
   /**
    * Chooses a pipeline: the least filled of those that keep the pauses, else the least filled slow
-   * one.
+   * one. In a large fleet, the better of two random ones of these.
    *
    * @param request the request
    * @param pipelines the pipelines that may take it
    * @param profile figures of the engines
-   * @param nodeCount live nodes that share the pipelines, at least 1
+   * @param sharing the nodes that share the pipelines
    * @param nowMs monotonic time
    * @return the pipeline, or empty if the request has to wait
    */
@@ -73,22 +100,30 @@
       StreamRequest request,
       List<ModelPipeline> pipelines,
       EngineProfile profile,
-      int nodeCount,
+      Sharing sharing,
       long nowMs) {
-    ModelPipeline best = null;
-    double leastCost = Double.POSITIVE_INFINITY;
+    List<Candidate> candidates = new ArrayList<>();
     for (ModelPipeline pipeline : pipelines) {
       double fill = fill(pipeline, profile, request);
       double cost = fill + PAUSE_WEIGHT * pauseShare(pipeline, profile, request);
-      if (cost < leastCost
-          && fill <= 1
-          && !isOverShare(pipeline, fill, nodeCount)
+      if (fill <= 1
+          && !isOverShare(pipeline, profile, request, fill, sharing, nowMs)
           && endsInTime(pipeline, profile, request, nowMs)) {
-        best = pipeline;
-        leastCost = cost;
+        candidates.add(new Candidate(pipeline, cost));
       }
     }
-    return Optional.ofNullable(best);
+    return (isLarge(sharing) ? sample(candidates) : candidates)
+        .stream().min(Comparator.comparingDouble(Candidate::cost)).map(Candidate::pipeline);
+  }
+
+  /** Two different candidates, or all if there are fewer. */
+  private List<Candidate> sample(List<Candidate> candidates) {
+    if (candidates.size() <= 2) {
+      return candidates;
+    }
+    int first = random.nextInt(candidates.size());
+    int second = (first + 1 + random.nextInt(candidates.size() - 1)) % candidates.size();
+    return List.of(candidates.get(first), candidates.get(second));
   }
 
   private double pauseShare(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
@@ -121,6 +156,18 @@
     return isUsable ? SLOW_FILL + fill : Double.POSITIVE_INFINITY;
   }
 
+  /**
+   * Tells whether the engines of a pipeline have memory for a request.
+   *
+   * @param pipeline the pipeline
+   * @param profile figures of the engines
+   * @param request the request
+   * @return false if it would be refused or preempt another one
+   */
+  boolean isMemoryFree(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+    return memoryFill(pipeline, profile, request) * MEMORY_SHARE <= 1;
+  }
+
   private double memoryFill(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
     double fill = 0;
     for (PipelineStage stage : pipeline.stages()) {
@@ -137,13 +184,40 @@
         fill, (head.requests() + 1) / (SLOT_SHARE * Math.max(1, pipeline.head().slots())));
   }
 
-  private boolean isOverShare(ModelPipeline pipeline, double fill, int nodeCount) {
-    if (fill <= SHARED_FILL || nodeCount <= 1) {
-      return false;
-    }
+  private static boolean isLarge(Sharing sharing) {
+    return sharing.nodeCount() > MAX_COMPARING_NODES;
+  }
+
+  private boolean isOverShare(
+      ModelPipeline pipeline,
+      EngineProfile profile,
+      StreamRequest request,
+      double fill,
+      Sharing sharing,
+      long nowMs) {
     String head = pipeline.head().id();
     int total = Math.max(1, loads.total(head).requests());
-    return (double) loads.own(head).requests() / total > 1.0 / nodeCount;
+    if (isLarge(sharing)) {
+      long turnMs = sharing.reportIntervalMs();
+      double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads, paces);
+      double endingShare = Math.min(1, turnMs / (stepMs * request.expectedAnswerTokens()));
+      double freeRequests = total * ((1 - fill) / fill + ENDING_WEIGHT * endingShare) + 1;
+      return fill > TURN_FILL
+          && !turns.mayStart(head, freeRequests, sharing.nodeCount(), nowMs / turnMs);
+    }
+    boolean isNearlyFull = fill > SHARED_FILL && sharing.nodeCount() > 1;
+    return isNearlyFull && (double) loads.own(head).requests() / total > 1.0 / sharing.nodeCount();
+  }
+
+  /**
+   * Notes that a request starts on a pipeline.
+   *
+   * @param pipeline the pipeline
+   * @param sharing the nodes that share the pipelines
+   * @param nowMs monotonic time
+   */
+  public void onStarted(ModelPipeline pipeline, Sharing sharing, long nowMs) {
+    turns.onStarted(pipeline.head().id(), nowMs / sharing.reportIntervalMs());
   }
 
   private boolean endsInTime(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/WaitQueue.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/WaitQueue.java
@@ -1,66 +1,120 @@
 package org.gooseberryhook.router.admission;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
 /**
- * Requests that wait for room, in order of rank and arrival, each for a bounded time.
+ * Requests that wait for room, each for a bounded time.
+ *
+ * <p>More urgent requests go first. Among equally urgent ones, workspaces take turns by the cost of
+ * what they ask for (start-time fair queueing), so that one that sends many requests at once does
+ * not keep the others out. The requests of one workspace go in order of arrival. Without waiting
+ * requests, nothing is remembered, so that a workspace is not limited while there is room.
  *
  * @param <T> type of the request
  */
 public final class WaitQueue<T> {
 
-  /** Requests that wait at once at most; beyond it, requests are refused at once. */
+  /** Requests that wait at once at most; beyond it, the last one is refused at once. */
   public static final int MAX_WAITING = 512;
 
+  /** Requests that may find no room before the rest is left waiting; sizes differ by request. */
+  private static final int MAX_REFUSED = 4;
+
   private final TreeSet<Waiter<T>> waiters = new TreeSet<>();
+
+  /** End of the last turn by workspace, in units of cost. */
+  private final Map<String, Double> turnEnds = new HashMap<>();
+
+  /** Turn of the request that started last. */
+  private double currentTurn;
+
   private long lastSequence;
 
   /**
-   * A waiting request.
+   * What decides on the order of a request.
    *
    * @param rank rank, 0 first
+   * @param workspace the caller's workspace, empty if it is unknown
+   * @param cost what the request takes, above 0, in a unit that all requests of a queue share
+   */
+  public record Claim(int rank, String workspace, double cost) {}
+
+  /**
+   * A waiting request.
+   *
+   * @param claim what decides on its order
+   * @param turn turn of its workspace
    * @param sequence order of arrival
    * @param giveUpMs monotonic time at which it is refused
    * @param value the request
    * @param <T> type of the request
    */
-  public record Waiter<T>(int rank, long sequence, long giveUpMs, T value)
+  public record Waiter<T>(Claim claim, double turn, long sequence, long giveUpMs, T value)
       implements Comparable<Waiter<T>> {
     @Override
     public int compareTo(Waiter<T> other) {
-      int byRank = Integer.compare(rank, other.rank);
-      return byRank != 0 ? byRank : Long.compare(sequence, other.sequence);
+      int byRank = Integer.compare(claim.rank(), other.claim.rank());
+      int byTurn = byRank != 0 ? byRank : Double.compare(turn, other.turn);
+      return byTurn != 0 ? byTurn : Long.compare(sequence, other.sequence);
     }
   }
 
   /**
-   * Adds a request.
+   * Adds a request. The queue may hold one too many then, see {@link #overflow}.
    *
-   * @param rank rank, 0 first
+   * @param claim what decides on its order
    * @param giveUpMs monotonic time at which it is refused
    * @param value the request
-   * @return the waiter, or null if the queue is full
+   * @return the waiter
    */
-  public Waiter<T> add(int rank, long giveUpMs, T value) {
-    if (waiters.size() >= MAX_WAITING) {
-      return null;
-    }
-    Waiter<T> waiter = new Waiter<>(rank, ++lastSequence, giveUpMs, value);
+  public Waiter<T> add(Claim claim, long giveUpMs, T value) {
+    double turn = Math.max(currentTurn, turnEnds.getOrDefault(claim.workspace(), 0.0));
+    turnEnds.put(claim.workspace(), turn + claim.cost());
+    Waiter<T> waiter = new Waiter<>(claim, turn, ++lastSequence, giveUpMs, value);
     waiters.add(waiter);
     return waiter;
   }
 
   /**
-   * Removes a request whose caller has left.
+   * Removes the last request if too many wait.
+   *
+   * @return the removed request
+   */
+  public Optional<T> overflow() {
+    if (waiters.size() <= MAX_WAITING) {
+      return Optional.empty();
+    }
+    Waiter<T> last = waiters.last();
+    remove(last);
+    return Optional.of(last.value());
+  }
+
+  /**
+   * Removes a request that does not wait any more and has not started, for instance because its
+   * caller has left. Its workspace gets the turn back.
    *
    * @param waiter the waiter
    */
   public void remove(Waiter<T> waiter) {
-    waiters.remove(waiter);
+    if (waiters.remove(waiter)) {
+      turnEnds.computeIfPresent(
+          waiter.claim().workspace(), (name, end) -> end - waiter.claim().cost());
+      forgetTurns();
+    }
+  }
+
+  private void forgetTurns() {
+    if (waiters.isEmpty()) {
+      turnEnds.clear();
+      currentTurn = 0;
+    }
   }
 
   /**
@@ -71,10 +125,9 @@
    */
   public List<T> expire(long nowMs) {
     List<T> expired = new ArrayList<>();
-    for (Iterator<Waiter<T>> all = waiters.iterator(); all.hasNext(); ) {
-      Waiter<T> waiter = all.next();
+    for (Waiter<T> waiter : List.copyOf(waiters)) {
       if (waiter.giveUpMs() <= nowMs) {
-        all.remove();
+        remove(waiter);
         expired.add(waiter.value());
       }
     }
@@ -88,18 +141,22 @@
    */
   public void drain(Predicate<T> tryStart) {
     int refused = 0;
-    for (Waiter<T> waiter : List.copyOf(waiters)) {
+    for (Iterator<Waiter<T>> all = List.copyOf(waiters).iterator();
+        all.hasNext() && refused < MAX_REFUSED; ) {
+      Waiter<T> waiter = all.next();
+      if (!waiters.contains(waiter)) {
+        continue;
+      }
       if (tryStart.test(waiter.value())) {
         waiters.remove(waiter);
-      } else if (++refused >= MAX_REFUSED) {
-        return;
+        currentTurn = Math.max(currentTurn, waiter.turn());
+        forgetTurns();
+      } else {
+        refused++;
       }
     }
   }
 
-  /** Requests that may find no room before the rest is left waiting; sizes differ by request. */
-  private static final int MAX_REFUSED = 4;
-
   /**
    * Returns the number of waiting requests.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.gooseberryhook.router.admission.Load;
+import org.gooseberryhook.router.fleet.LayerSighting;
 
 /**
  * What a node tells the others of itself. Each report replaces the earlier ones of its sender, so a
@@ -20,6 +21,9 @@
  * @param isStoreAway whether the store does not answer the sender
  * @param suspects addresses of targets that failed at the sender lately
  * @param crashMarks fingerprints of requests that crashed targets
+ * @param intervalMs time after which the next report follows at the latest
+ * @param sightings layers that targets reported by id, as far as the store, which is away, does not
+ *     list them
  */
 public record PeerReport(
     String node,
@@ -33,7 +37,9 @@
     Map<String, Load> loads,
     boolean isStoreAway,
     List<String> suspects,
-    List<Long> crashMarks) {
+    List<Long> crashMarks,
+    long intervalMs,
+    Map<String, LayerSighting> sightings) {
 
   /**
    * Tells whether the sender holds the placement lease.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReports.java
@@ -6,7 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.gooseberryhook.router.admission.Load;
+import org.gooseberryhook.router.fleet.LayerSighting;
+import org.gooseberryhook.state.LayerRange;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -14,8 +17,8 @@
 /** Encodes and decodes {@link PeerReport} as MessagePack. */
 public final class PeerReports {
 
-  private static final int FORMAT = 2;
-  private static final int FIELDS = 13;
+  private static final int FORMAT = 4;
+  private static final int FIELDS = 15;
 
   /** Elements of a list or map that a decoder accepts at most. */
   private static final int MAX_ELEMENTS = 4_096;
@@ -49,12 +52,26 @@
       for (long mark : report.crashMarks()) {
         packer.packLong(mark);
       }
+      packer.packLong(report.intervalMs());
+      packSightings(packer, report.sightings());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("a buffer in memory failed", e);
     }
   }
 
+  private static void packSightings(
+      MessageBufferPacker packer, Map<String, LayerSighting> sightings) throws IOException {
+    packer.packMapHeader(sightings.size());
+    for (Map.Entry<String, LayerSighting> entry : sightings.entrySet()) {
+      LayerSighting sighting = entry.getValue();
+      packer.packString(entry.getKey()).packLong(sighting.bornMs());
+      packer.packLong(sighting.acceptedOrders()).packBoolean(sighting.isLoading());
+      packer.packInt(sighting.layers().map(LayerRange::firstLayer).orElse(0));
+      packer.packInt(sighting.layers().map(LayerRange::endLayer).orElse(0));
+    }
+  }
+
   /**
    * Decodes a report.
    *
@@ -79,7 +96,9 @@
           readLoads(unpacker),
           unpacker.unpackBoolean(),
           readTexts(unpacker),
-          readNumbers(unpacker));
+          readNumbers(unpacker),
+          unpacker.unpackLong(),
+          readSightings(unpacker));
     } catch (RuntimeException | EOFException e) {
       throw new IOException("a peer report cannot be decoded", e);
     }
@@ -113,6 +132,24 @@
     return numbers;
   }
 
+  private static Map<String, LayerSighting> readSightings(MessageUnpacker unpacker)
+      throws IOException {
+    int size = checkSize(unpacker.unpackMapHeader());
+    Map<String, LayerSighting> sightings = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      String target = unpacker.unpackString();
+      long bornMs = unpacker.unpackLong();
+      long acceptedOrders = unpacker.unpackLong();
+      boolean isLoading = unpacker.unpackBoolean();
+      int first = unpacker.unpackInt();
+      int end = unpacker.unpackInt();
+      Optional<LayerRange> layers =
+          end > first ? Optional.of(LayerRange.of(first, end)) : Optional.empty();
+      sightings.put(target, new LayerSighting(bornMs, acceptedOrders, isLoading, layers));
+    }
+    return sightings;
+  }
+
   private static int checkSize(int size) throws IOException {
     if (size > MAX_ELEMENTS) {
       throw new IOException("a peer report has too many elements");
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -17,11 +17,18 @@
  */
 public final class PeerTable {
 
-  /**
-   * Silence after which a node is taken as gone; several report intervals, as datagrams get lost.
-   */
+  /** Silence after which a node is taken as gone at the earliest. */
   public static final long SILENCE_MS = 1_000;
 
+  /** Intervals of the holder of the lease without a report after which the record is looked at. */
+  static final long PLANNER_INTERVALS = 2;
+
+  /** Intervals of a node after which it is taken as gone; datagrams get lost. */
+  static final long SILENT_INTERVALS = 3;
+
+  /** Longest silence that a report can ask for; a wrong one must not keep its sender for ever. */
+  static final long MAX_SILENCE_MS = SILENT_INTERVALS * ReportPace.MAX_INTERVAL_MS;
+
   /** Contacts and nodes kept at most; above the design size of 390 nodes with restarts. */
   static final int MAX_NODES = 2_048;
 
@@ -35,7 +42,12 @@
    * @param report its newest report
    * @param heardMs monotonic time of that report
    */
-  public record Peer(PeerReport report, long heardMs) {}
+  public record Peer(PeerReport report, long heardMs) {
+    private boolean isSilent(long nowMs) {
+      long patienceMs = Math.min(MAX_SILENCE_MS, SILENT_INTERVALS * report.intervalMs());
+      return nowMs - heardMs > Math.max(SILENCE_MS, patienceMs);
+    }
+  }
 
   /**
    * Creates an empty table.
@@ -96,7 +108,7 @@
     List<String> gone = new ArrayList<>();
     for (Iterator<Peer> all = peers.values().iterator(); all.hasNext(); ) {
       Peer peer = all.next();
-      if (nowMs - peer.heardMs() > SILENCE_MS) {
+      if (peer.isSilent(nowMs)) {
         all.remove();
         gone.add(peer.report().node());
       }
@@ -163,6 +175,26 @@
         && live.stream().allMatch(PeerReport::isStoreAway);
   }
 
+  /**
+   * Tells whether a node that plans the placement was heard just now. A report or two may be lost
+   * without any meaning; the record of the lease then shows whether its holder lives.
+   *
+   * @param nowMs monotonic time
+   * @return false if there is no such node or it has missed its reports
+   */
+  public boolean isPlannerHeard(long nowMs) {
+    for (Peer peer : peers.values()) {
+      PeerReport report = peer.report();
+      long silentMs = nowMs - peer.heardMs();
+      if (report.isPlanner()
+          && !report.isStopping()
+          && silentMs <= PLANNER_INTERVALS * report.intervalMs()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Tells whether another node says that it plans the placement.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PlacementLease.java
@@ -83,8 +83,9 @@
   }
 
   /**
-   * Notes that the holder said with which revision it holds the lease. If the record is then read
-   * with the same revision, it has not changed since.
+   * Notes that another node said with which revision it holds the lease. If the record is then read
+   * with the same revision, it has not changed since. A node that held the lease before is no
+   * longer the last holder.
    *
    * @param revision revision of its last renewal
    * @param nowMs monotonic time
@@ -92,6 +93,9 @@
   public void onHolderHeard(long revision, long nowMs) {
     heardRevision = revision;
     heardMs = nowMs;
+    if (revision > held.revision()) {
+      giveUp();
+    }
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -6,10 +6,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.gooseberryhook.state.LayerRange;
 
 /**
  * The targets as the platform's list shows them.
@@ -25,6 +23,10 @@
 
   private final Map<String, TargetEntry> entries = new TreeMap<>();
   private final Set<String> missing = new HashSet<>();
+
+  /** What targets reported by id since the store is away. */
+  private final Map<String, LayerSighting> sightings = new TreeMap<>();
+
   private boolean isLoaded;
   private boolean isStoreAway;
   private long holdUntilMs = Long.MIN_VALUE;
@@ -81,16 +83,48 @@
   }
 
   /**
-   * Takes over the layers that a target itself reports, if the store does not answer; else the list
-   * is as new.
+   * Takes over the layers that a target itself reported, if the store does not answer; else the
+   * list is as new. A report that is older than the known one, or of another life of the target, is
+   * ignored.
    *
-   * @param entry the target's entry
-   * @param layers the layers that it reports
+   * @param id id of the target
+   * @param sighting what it reported, to this node or another one
+   * @return true if the target's entry has changed
    */
-  public void correct(TargetEntry entry, Optional<LayerRange> layers) {
-    if (isStoreAway && entry.equals(entries.get(entry.id())) && !entry.layers().equals(layers)) {
-      put(entry.withLayers(layers));
+  public boolean correct(String id, LayerSighting sighting) {
+    TargetEntry entry = entries.get(id);
+    LayerSighting known = sightings.get(id);
+    boolean isOld = known != null && sighting.isOlderThan(known);
+    if (!isStoreAway || entry == null || entry.bornMs() != sighting.bornMs() || isOld) {
+      return false;
+    }
+    boolean isChange = !entry.layers().equals(sighting.layers());
+    if (isChange) {
+      put(entry.withLayers(sighting.layers()));
     }
+    if (isChange || known != null) {
+      sightings.put(id, sighting);
+    }
+    return isChange;
+  }
+
+  /**
+   * Returns the layers that differ from the list because targets reported them since the store is
+   * away.
+   *
+   * @return reports by id of the target
+   */
+  public Map<String, LayerSighting> sightings() {
+    return Map.copyOf(sightings);
+  }
+
+  /**
+   * Tells whether the store does not answer.
+   *
+   * @return true from a failed call to the next answer
+   */
+  public boolean isStoreAway() {
+    return isStoreAway;
   }
 
   /** Notes that the store does not answer. */
@@ -106,6 +140,7 @@
   public void noteStoreAnswered(long nowMs) {
     if (isStoreAway) {
       isStoreAway = false;
+      sightings.clear();
       holdUntilMs = nowMs + RETURN_HOLD_MS;
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -32,7 +32,7 @@
   private static final int MAX_PENDING = 64;
 
   private final ForwardContext context;
-  private final StreamDispatcher dispatcher;
+  private final RequestDispatcher dispatcher;
   private final RequestLimits limits;
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
@@ -49,7 +49,7 @@
 
   CallerConnection(
       ForwardContext context,
-      StreamDispatcher dispatcher,
+      RequestDispatcher dispatcher,
       RequestLimits limits,
       Consumer<CallerConnection> onClosed) {
     this.context = context;
@@ -189,7 +189,7 @@
     if (routed.route().kind() == RequestKind.STREAM && engine.isPresent()) {
       return new StreamExchange(context, dispatcher, request, reply, routed, service, engine.get());
     }
-    return new PlainExchange(context, request, reply, routed, service);
+    return new PlainExchange(context, dispatcher, request, reply, routed, service);
   }
 
   /** The answer is written: the next request may begin. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -26,7 +26,7 @@
   private static final int ACCEPT_BACKLOG = 1_024;
 
   private final ForwardContext context;
-  private final StreamDispatcher dispatcher;
+  private final RequestDispatcher dispatcher;
   private final String address;
   private final int maxConnections;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
@@ -35,7 +35,7 @@
   private boolean isStopping;
 
   CallerServer(
-      ForwardContext context, StreamDispatcher dispatcher, String address, int maxConnections) {
+      ForwardContext context, RequestDispatcher dispatcher, String address, int maxConnections) {
     this.context = context;
     this.dispatcher = dispatcher;
     this.address = address;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.gooseberryhook.router.admission.Sharing;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
 
@@ -26,11 +27,11 @@
   List<ModelPipeline> pipelines(String service);
 
   /**
-   * Returns the number of live nodes that share the targets.
+   * Returns how many live nodes share the targets.
    *
-   * @return at least 1
+   * @return the sharing, never null
    */
-  int nodeCount();
+  Sharing sharing();
 
   /**
    * Notes that a target does not work, as seen by a request.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -9,6 +11,7 @@
 import org.gooseberryhook.router.admission.LoadBook;
 import org.gooseberryhook.router.admission.RetryAllowance;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.Workspace;
 import org.gooseberryhook.router.fleet.CrashMarks;
 import org.gooseberryhook.router.fleet.TargetHealth;
 
@@ -44,6 +47,31 @@
     RequestMeter meter,
     DecisionLog log) {
 
+  /**
+   * Counts and logs how a request ended.
+   *
+   * @param kind kind of the request
+   * @param request the request
+   * @param routed its route
+   * @param outcome how it ended
+   * @param meteredMs time that is counted, negative if there is none
+   * @param details further names and values for the log in turn
+   */
+  void noteOutcome(
+      String kind,
+      CallerRequest request,
+      RoutingResult.Routed routed,
+      String outcome,
+      long meteredMs,
+      Object... details) {
+    meter.note(kind, routed.workspace().map(Workspace::name).orElse(""), outcome, meteredMs);
+    List<Object> fields = new ArrayList<>(List.of("route", routed.route().name()));
+    fields.addAll(List.of("outcome", outcome));
+    fields.addAll(List.of(details));
+    fields.addAll(List.of("ms", clock.nowMs() - request.arrivedMs()));
+    log.note(kind, request.facts().attemptId(), fields.toArray());
+  }
+
   /** Runs a task later; a failure is logged, as nobody waits for the task. */
   ScheduledFuture<?> schedule(Runnable task, long delayMs) {
     return loop.schedule(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardFacts.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardFacts.java
@@ -9,6 +9,7 @@
  * @param targetId id of the target that may run it
  * @param deadlineMs time that is left
  * @param workspace name of the caller's workspace, if its key is known
+ * @param rank rank of the request, 0 first
  * @param pipeline the targets that the request passes through, for models in layers
  * @param lastEventId id of the last event that the caller has, if a stream goes on
  */
@@ -16,5 +17,6 @@
     String targetId,
     long deadlineMs,
     Optional<String> workspace,
+    int rank,
     Optional<ModelPipeline> pipeline,
     Optional<String> lastEventId) {}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -17,7 +17,7 @@
 public final class Forwarder {
 
   private final ForwardContext context;
-  private final StreamDispatcher dispatcher;
+  private final RequestDispatcher dispatcher;
   private final CallerServer server;
 
   /**
@@ -68,7 +68,7 @@
             crashMarks,
             meter,
             log);
-    dispatcher = new StreamDispatcher(context);
+    dispatcher = new RequestDispatcher(context);
     server = new CallerServer(context, dispatcher, address, maxConnections);
   }
 
@@ -81,7 +81,7 @@
     server.start();
   }
 
-  /** Looks at waiting streams because pipelines or loads have changed. */
+  /** Looks at waiting requests because pipelines or loads have changed. */
   public void onRoomChanged() {
     dispatcher.onRoomFreed();
   }
@@ -116,9 +116,9 @@
   }
 
   /**
-   * Returns the number of streams that wait for room.
+   * Returns the number of requests that wait for room.
    *
-   * @return waiting streams
+   * @return waiting requests
    */
   public int waitingCount() {
     return dispatcher.waiting();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -9,15 +9,17 @@
 import java.util.Optional;
 import java.util.Set;
 import org.gooseberryhook.router.admission.TargetChooser;
+import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.configuration.Workspace;
 import org.gooseberryhook.router.fleet.TargetEntry;
 
 /**
  * A request to a plain service. The answer is read whole before it is passed on, so that a spoiled
  * one never reaches the caller and an idempotent request can go to another target.
  */
-final class PlainExchange implements Exchange {
+final class PlainExchange implements QueuedExchange {
 
   /** Idle time after which a kept connection is not trusted with a request that runs only once. */
   private static final long ONCE_ONLY_MAX_IDLE_MS = 500;
@@ -28,9 +30,6 @@
   /** Share of the time left after which a silent target is given up for another one. */
   private static final double SILENCE_SHARE = 0.3;
 
-  /** Time between looks for a free target. */
-  private static final long WAIT_STEP_MS = 5;
-
   /** Share of the latency target that a request may wait for a free target. */
   private static final double WAIT_SHARE = 0.5;
 
@@ -38,6 +37,7 @@
   private static final int STATUS_SERVER_ERROR = 500;
 
   private final ForwardContext context;
+  private final RequestDispatcher dispatcher;
   private final CallerRequest request;
   private final CallerReply reply;
   private final RoutingResult.Routed routed;
@@ -45,7 +45,7 @@
   private final Set<String> tried = new HashSet<>();
   private final long endMs;
   private ScheduledFuture<?> endTimer;
-  private ScheduledFuture<?> stepTimer;
+  private Runnable leaveQueue = () -> {};
   private Attempt attempt;
   private Answer lastAnswer;
 
@@ -59,11 +59,13 @@
 
   PlainExchange(
       ForwardContext context,
+      RequestDispatcher dispatcher,
       CallerRequest request,
       CallerReply reply,
       RoutingResult.Routed routed,
       String service) {
     this.context = context;
+    this.dispatcher = dispatcher;
     this.request = request;
     this.reply = reply;
     this.routed = routed;
@@ -81,8 +83,31 @@
     next();
   }
 
+  @Override
+  public String service() {
+    return service;
+  }
+
+  @Override
+  public WaitQueue.Claim claim() {
+    String workspace = routed.workspace().map(Workspace::name).orElse("");
+    return new WaitQueue.Claim(routed.rank(), workspace, 1);
+  }
+
   /** Sends to the best free target, or waits a little for one. */
   private void next() {
+    long waitMs = (long) (route().targetLatencyMs() * WAIT_SHARE);
+    boolean isAnyUntried = tried.size() < context.fleet().targets(service).size();
+    dispatcher.submit(this, isAnyUntried ? request.arrivedMs() + waitMs : Long.MIN_VALUE);
+  }
+
+  @Override
+  public void onWaiting(Runnable newLeaveQueue) {
+    leaveQueue = newLeaveQueue;
+  }
+
+  @Override
+  public boolean tryStart() {
     long nowMs = context.clock().nowMs();
     Optional<TargetEntry> target =
         new TargetChooser(context.loads())
@@ -91,20 +116,19 @@
                 tried,
                 entry -> context.health().failures(entry.id(), nowMs),
                 entry -> context.random().nextDouble());
-    if (target.isPresent()) {
-      send(target.get());
-      return;
-    }
-    double maxWaitMs = route().targetLatencyMs() * WAIT_SHARE;
-    boolean isFleetFull = tried.size() < context.fleet().targets(service).size();
-    if (isFleetFull && nowMs - request.arrivedMs() < maxWaitMs) {
-      stepTimer = context.schedule(this::next, WAIT_STEP_MS);
-    } else {
+    target.ifPresent(this::send);
+    return target.isPresent();
+  }
+
+  @Override
+  public void onWaitOver() {
+    if (!isSettled) {
       giveUp("no-target", "no target of the service has room");
     }
   }
 
   private void send(TargetEntry target) {
+    leaveQueue = () -> {};
     tried.add(target.id());
     attempt = new Attempt(target);
     attempt.begin();
@@ -167,25 +191,10 @@
       attempt.cancel();
     }
     cancel(endTimer);
-    cancel(stepTimer);
+    leaveQueue.run();
     request.body().release();
     long tookMs = context.clock().nowMs() - request.arrivedMs();
-    context
-        .meter()
-        .note("plain", routed.workspace().map(w -> w.name()).orElse(""), outcome, tookMs);
-    context
-        .log()
-        .note(
-            "plain",
-            request.facts().attemptId(),
-            "route",
-            route().name(),
-            "outcome",
-            outcome,
-            "sends",
-            sends,
-            "ms",
-            tookMs);
+    context.noteOutcome("plain", request, routed, outcome, tookMs, "sends", sends);
   }
 
   private static void cancel(ScheduledFuture<?> timer) {
@@ -255,7 +264,8 @@
           new ForwardFacts(
               target.id(),
               leftMs,
-              routed.workspace().map(w -> w.name()),
+              routed.workspace().map(Workspace::name),
+              routed.rank(),
               Optional.empty(),
               request.facts().lastEventId());
       channel.send(
@@ -343,6 +353,7 @@
       isOver = true;
       PlainExchange.cancel(silenceTimer);
       context.loads().remove(target.id(), 0);
+      context.loop().execute(dispatcher::onRoomFreed);
     }
 
     void cancel() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -6,45 +6,52 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.WaitQueue;
 
-/** Lets streams wait for room in pipelines and starts them in order. */
-final class StreamDispatcher {
+/** Lets requests wait for room at their service and starts them in order. */
+final class RequestDispatcher {
 
-  /** Time between looks at waiting streams; other nodes' releases are heard of at this pace. */
+  /** Time between looks at waiting requests; other nodes' releases are heard of at this pace. */
   static final long STEP_MS = 15;
 
-  /** Rank of streams that were broken and go on; they hold a caller that has waited before. */
-  static final int RESUME_RANK = -1;
-
   private final ForwardContext context;
-  private final Map<String, WaitQueue<StreamExchange>> queues = new HashMap<>();
+  private final StreamAdmission admission;
+  private final Map<String, WaitQueue<QueuedExchange>> queues = new HashMap<>();
   private final Set<StreamExchange> running = new LinkedHashSet<>();
   private ScheduledFuture<?> timer;
 
-  StreamDispatcher(ForwardContext context) {
+  RequestDispatcher(ForwardContext context) {
     this.context = context;
+    this.admission = new StreamAdmission(context.loads(), context.fleet()::pace, context.random());
+  }
+
+  /** Chooses the pipelines of streams. */
+  StreamAdmission admission() {
+    return admission;
   }
 
   /**
-   * Starts a stream, or lets it wait behind those of its service that have waited longer.
+   * Starts a request, or lets it wait with those of its service. One that may not wait any more is
+   * tried once.
    *
-   * @param exchange the stream
-   * @param rank rank, 0 first
+   * @param exchange the request
    * @param giveUpMs monotonic time at which it is refused
    */
-  void submit(StreamExchange exchange, int rank, long giveUpMs) {
-    WaitQueue<StreamExchange> queue =
+  void submit(QueuedExchange exchange, long giveUpMs) {
+    WaitQueue<QueuedExchange> queue =
         queues.computeIfAbsent(exchange.service(), s -> new WaitQueue<>());
-    if (queue.size() == 0 && exchange.tryStart()) {
+    boolean mayWait = giveUpMs > context.clock().nowMs();
+    if ((queue.size() == 0 || !mayWait) && exchange.tryStart()) {
       return;
     }
-    WaitQueue.Waiter<StreamExchange> waiter = queue.add(rank, giveUpMs, exchange);
-    if (waiter == null) {
+    if (!mayWait) {
       exchange.onWaitOver();
       return;
     }
+    WaitQueue.Waiter<QueuedExchange> waiter = queue.add(exchange.claim(), giveUpMs, exchange);
     exchange.onWaiting(() -> queue.remove(waiter));
+    queue.overflow().ifPresent(QueuedExchange::onWaitOver);
     arm();
   }
 
@@ -63,12 +70,12 @@
     List.copyOf(running).forEach(StreamExchange::repair);
   }
 
-  /** Looks at the waiting streams because room may have become free. */
+  /** Looks at the waiting requests because room may have become free. */
   void onRoomFreed() {
-    for (WaitQueue<StreamExchange> queue : queues.values()) {
+    for (WaitQueue<QueuedExchange> queue : queues.values()) {
       if (queue.size() > 0) {
-        queue.drain(StreamExchange::tryStart);
-        queue.expire(context.clock().nowMs()).forEach(StreamExchange::onWaitOver);
+        queue.drain(QueuedExchange::tryStart);
+        queue.expire(context.clock().nowMs()).forEach(QueuedExchange::onWaitOver);
       }
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -6,10 +6,11 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
-import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
+import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.configuration.Workspace;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 
 /**
@@ -19,7 +20,7 @@
  * <p>The head of the answer is held back until the first event, so that a run that fails before it
  * can be repeated with a head of its own.
  */
-final class StreamExchange implements Exchange {
+final class StreamExchange implements QueuedExchange {
 
   /** Share of the latency target that a new stream may wait; later its first event is late. */
   static final double WAIT_SHARE = 0.4;
@@ -47,6 +48,15 @@
   /** Pause before a further run; examinations of targets take some milliseconds. */
   private static final long REFUSED_PAUSE_MS = 40;
 
+  /**
+   * Time after a refused change of the path before the next one. The head refuses because a new
+   * target does not hold its layers or has no room, which takes loads or ending streams to change.
+   */
+  private static final long REPATH_PAUSE_MS = 400;
+
+  /** Rank of streams that were broken and go on; their callers have waited before. */
+  private static final int RESUME_RANK = -1;
+
   /** Crossings between data centres of any pipeline at most. */
   private static final int MAX_CROSSINGS = Integer.MAX_VALUE;
 
@@ -58,7 +68,7 @@
   private static final int MAX_BODY_BYTES = 1_048_576;
 
   private final ForwardContext context;
-  private final StreamDispatcher dispatcher;
+  private final RequestDispatcher dispatcher;
   private final CallerRequest request;
   private final CallerReply reply;
   private final RoutingResult.Routed routed;
@@ -81,11 +91,14 @@
   /** Runs that do not count as attempts: not begun, or on a head that is dead. */
   private int lostRuns;
 
+  /** Whether a run was lost, so that the stream waits to go on and not to begin. */
+  private boolean isResuming;
+
   private boolean isSettled;
 
   StreamExchange(
       ForwardContext context,
-      StreamDispatcher dispatcher,
+      RequestDispatcher dispatcher,
       CallerRequest request,
       CallerReply reply,
       RoutingResult.Routed routed,
@@ -102,10 +115,18 @@
     this.lastEventId = request.facts().lastEventId();
   }
 
-  String service() {
+  @Override
+  public String service() {
     return service;
   }
 
+  @Override
+  public WaitQueue.Claim claim() {
+    String workspace = routed.workspace().map(Workspace::name).orElse("");
+    long tokens = Math.max(1, describe(context.clock().nowMs()).reservedTokens());
+    return new WaitQueue.Claim(isResuming ? RESUME_RANK : routed.rank(), workspace, tokens);
+  }
+
   private Route route() {
     return routed.route();
   }
@@ -118,15 +139,16 @@
       return;
     }
     long waitMs = (long) (route().targetLatencyMs() * WAIT_SHARE);
-    dispatcher.submit(this, routed.rank(), Math.min(endMs, request.arrivedMs() + waitMs));
+    dispatcher.submit(this, Math.min(endMs, request.arrivedMs() + waitMs));
   }
 
-  void onWaiting(Runnable newLeaveQueue) {
+  @Override
+  public void onWaiting(Runnable newLeaveQueue) {
     leaveQueue = newLeaveQueue;
   }
 
-  /** Starts on a pipeline with room; returns false if there is none. */
-  boolean tryStart() {
+  @Override
+  public boolean tryStart() {
     long nowMs = context.clock().nowMs();
     StreamRequest wanted = describe(nowMs);
     Optional<ModelPipeline> chosen = choose(wanted, context.fleet().pipelines(service), nowMs);
@@ -136,12 +158,14 @@
 
   private Optional<ModelPipeline> choose(
       StreamRequest wanted, List<ModelPipeline> pipelines, long nowMs) {
-    return new StreamAdmission(context.loads(), context.fleet()::pace)
-        .choose(wanted, pipelines, profile, context.fleet().nodeCount(), nowMs);
+    return dispatcher
+        .admission()
+        .choose(wanted, pipelines, profile, context.fleet().sharing(), nowMs);
   }
 
   private void startOn(ModelPipeline pipeline, StreamRequest wanted) {
     leaveQueue = () -> {};
+    dispatcher.admission().onStarted(pipeline, context.fleet().sharing(), context.clock().nowMs());
     run = new Run(pipeline, wanted.reservedTokens());
     run.begin();
   }
@@ -150,8 +174,8 @@
     return StreamDemand.of(request, routed, profile, answerTokens, runs > 0, endMs, nowMs);
   }
 
-  /** The wait for room is over. */
-  void onWaitOver() {
+  @Override
+  public void onWaitOver() {
     leaveQueue = () -> {};
     if (!isSettled) {
       if (unprovenSends > 0) {
@@ -214,30 +238,11 @@
     }
     request.body().release();
     long firstMs = firstEventMs == 0 ? -1 : firstEventMs - request.arrivedMs();
-    context
-        .meter()
-        .note("stream", routed.workspace().map(w -> w.name()).orElse(""), outcome, firstMs);
-    context
-        .log()
-        .note(
-            "stream",
-            request.facts().attemptId(),
-            "route",
-            route().name(),
-            "outcome",
-            outcome,
-            "runs",
-            runs,
-            "events",
-            events,
-            "firstMs",
-            firstMs,
-            "gapMs",
-            longestGapMs,
-            "at",
-            run == null ? "" : run.pipeline.head().address(),
-            "ms",
-            context.clock().nowMs() - request.arrivedMs());
+    String head = run == null ? "" : run.pipeline.head().address();
+    Object[] details = {
+      "runs", runs, "events", events, "firstMs", firstMs, "gapMs", longestGapMs, "at", head
+    };
+    context.noteOutcome("stream", request, routed, outcome, firstMs, details);
   }
 
   private boolean hasAttempt() {
@@ -260,8 +265,8 @@
     }
     context.log().note("resume", request.facts().attemptId(), "reason", kind, "detail", detail);
     long sinceMs = lastEventMs == 0 ? request.arrivedMs() : lastEventMs;
-    dispatcher.submit(
-        this, StreamDispatcher.RESUME_RANK, Math.min(endMs, sinceMs + CALLER_PATIENCE_MS));
+    isResuming = true;
+    dispatcher.submit(this, Math.min(endMs, sinceMs + CALLER_PATIENCE_MS));
   }
 
   /** One run on one pipeline. */
@@ -279,6 +284,7 @@
     private ByteBuf failureBody;
     private boolean hasEvents;
     private boolean isRepathing;
+    private long nextRepathMs = Long.MIN_VALUE;
     private boolean isOver;
 
     Run(ModelPipeline pipeline, long tokens) {
@@ -313,7 +319,8 @@
           new ForwardFacts(
               pipeline.head().id(),
               endMs - nowMs,
-              routed.workspace().map(w -> w.name()),
+              routed.workspace().map(Workspace::name),
+              routed.rank(),
               Optional.of(pipeline),
               lastEventId);
       channel.send(
@@ -366,7 +373,8 @@
         return;
       }
       Optional<ModelPipeline> replacement = context.fleet().replacement(pipeline);
-      if (replacement.isEmpty() || isRepathing || channel == null) {
+      boolean isPausing = context.clock().nowMs() < nextRepathMs;
+      if (replacement.isEmpty() || isRepathing || isPausing || channel == null) {
         return;
       }
       boolean isRemote = replacement.get().zoneCrossings() > pipeline.zoneCrossings();
@@ -381,16 +389,25 @@
               replacement.get(),
               isAccepted -> {
                 isRepathing = false;
-                if (isAccepted && !isOver) {
-                  pipeline = replacement.get();
-                  reservation.move(pipeline);
-                } else if (!isOver && isSilent()) {
-                  // No other target has room for the lost layers.
-                  moveAway(MAX_CROSSINGS);
+                if (!isOver) {
+                  onRepathed(replacement.get(), isAccepted);
                 }
               });
     }
 
+    private void onRepathed(ModelPipeline newPipeline, boolean isAccepted) {
+      if (isAccepted) {
+        pipeline = newPipeline;
+        reservation.move(pipeline);
+        return;
+      }
+      nextRepathMs = context.clock().nowMs() + REPATH_PAUSE_MS;
+      if (isSilent()) {
+        // No other target has room for the lost layers.
+        moveAway(MAX_CROSSINGS);
+      }
+    }
+
     /**
      * Goes on at another pipeline, if one has room. The bandwidth between data centres would take
      * seconds for the tokens of all streams of a pipeline, so those inside one are preferred.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
@@ -1,8 +1,10 @@
 package org.gooseberryhook.router.node;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.gooseberryhook.router.forward.DecisionLog;
 
 /**
@@ -19,9 +21,23 @@
    */
   static final long WAIT_MS = 1_200;
 
-  /** Time before the next call after changes, so that a series of changes takes few calls. */
+  /**
+   * Time before the next call after changes, so that a series of changes takes few calls. Targets
+   * change their entries with each heartbeat, so that each call has changes.
+   */
   static final long PACE_MS = 150;
 
+  /**
+   * Time before the next call at most; with the answer it stays well below the 2 s within which a
+   * leaving target must get no more requests.
+   */
+  static final long MAX_PACE_MS = 1_000;
+
+  /** Calls of all nodes a second for one list; the store takes some thousands of any kind. */
+  private static final long FLEET_CALLS_PER_SECOND = 60;
+
+  private static final long MS_PER_SECOND = 1_000;
+
   /** Time before a failed call is repeated. */
   static final long RETRY_MS = 300;
 
@@ -30,6 +46,9 @@
   private final ChangeFeed<T> feed;
   private final Listener<T> listener;
   private final DecisionLog log;
+  private final IntSupplier nodeCount;
+  private ScheduledFuture<?> nextRead;
+  private long answeredMs;
   private long revision = -1;
   private boolean isFailing;
   private boolean isStopped;
@@ -47,7 +66,13 @@
   }
 
   FeedFollower(
-      String name, EventLoop loop, ChangeFeed<T> feed, Listener<T> listener, DecisionLog log) {
+      String name,
+      EventLoop loop,
+      ChangeFeed<T> feed,
+      Listener<T> listener,
+      IntSupplier nodeCount,
+      DecisionLog log) {
+    this.nodeCount = nodeCount;
     this.name = name;
     this.loop = loop;
     this.feed = feed;
@@ -63,13 +88,35 @@
     isStopped = true;
   }
 
+  /** Reads at once, if the next call only waits for its turn: the list has proved to be old. */
+  void hurry() {
+    boolean isWaiting = nextRead != null && !isFailing;
+    if (isWaiting && nextRead.cancel(false)) {
+      long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - answeredMs;
+      next(Math.max(0, PACE_MS - sinceMs));
+    }
+  }
+
+  /**
+   * Returns the time before the next call after changes. It grows with the fleet, whose calls add
+   * up at the store.
+   *
+   * @param nodeCount nodes that follow the list
+   * @return milliseconds
+   */
+  static long paceMs(int nodeCount) {
+    long fleetMs = nodeCount * MS_PER_SECOND / FLEET_CALLS_PER_SECOND;
+    return Math.max(PACE_MS, Math.min(MAX_PACE_MS, fleetMs));
+  }
+
   private void next(long delayMs) {
     if (!isStopped) {
-      loop.schedule(this::read, delayMs, TimeUnit.MILLISECONDS);
+      nextRead = loop.schedule(this::read, delayMs, TimeUnit.MILLISECONDS);
     }
   }
 
   private void read() {
+    nextRead = null;
     if (isStopped) {
       return;
     }
@@ -92,7 +139,7 @@
       } else {
         listener.onChanges(entries.changes());
       }
-      next(entries.changes().isEmpty() ? 0 : PACE_MS);
+      next(entries.changes().isEmpty() ? 0 : paceMs(nodeCount.getAsInt()));
     } else if (result instanceof FeedResult.HistoryGone<T>) {
       noteAnswered();
       log.note("feed-history-gone", "", "list", name, "revision", revision);
@@ -109,6 +156,7 @@
   }
 
   private void noteAnswered() {
+    answeredMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     if (isFailing) {
       isFailing = false;
       log.note("feed-regained", "", "list", name);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -9,9 +9,12 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.gooseberryhook.router.admission.Sharing;
 import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.cluster.ReportPace;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.configuration.ServiceSettings;
+import org.gooseberryhook.router.fleet.LayerSighting;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.ModelPipelines;
 import org.gooseberryhook.router.fleet.PipelineStage;
@@ -57,6 +60,11 @@
   private final SuspectBoard suspects = new SuspectBoard();
   private final Map<String, Double> paces = new HashMap<>();
   private final Map<String, List<TargetEntry>> targets = new HashMap<>();
+  private final Runnable onStaleList;
+
+  /** Suspects that another node has reported since they were listed last. */
+  private final Set<String> heardSuspects = new HashSet<>();
+
   private final Map<String, Long> leavingSinceMs = new HashMap<>();
   private final Map<String, TargetEntry> usable = new HashMap<>();
   private final Map<String, List<ModelPipeline>> pipelines = new HashMap<>();
@@ -70,7 +78,9 @@
       EngineOrders orders,
       PeerTable peers,
       MonotonicClock clock,
+      Runnable onStaleList,
       DecisionLog log) {
+    this.onStaleList = onStaleList;
     this.registry = registry;
     this.orders = orders;
     this.peers = peers;
@@ -191,6 +201,14 @@
     return addresses;
   }
 
+  /** Returns the suspects that no other node has reported, which others must hear of at once. */
+  Set<String> newsOfTargets() {
+    Set<String> news = new HashSet<>(suspects.suspects());
+    heardSuspects.retainAll(news);
+    news.removeAll(heardSuspects);
+    return news;
+  }
+
   @Override
   public List<TargetEntry> targets(String service) {
     return targets.getOrDefault(service, List.of());
@@ -202,8 +220,9 @@
   }
 
   @Override
-  public int nodeCount() {
-    return 1 + peers.live().size();
+  public Sharing sharing() {
+    int others = peers.live().size();
+    return new Sharing(1 + others, ReportPace.intervalMs(others));
   }
 
   @Override
@@ -221,6 +240,44 @@
       log.note("avoid", "", "target", address);
       composed.ifPresent(this::compose);
       examine(target);
+      if (registry.isStoreAway()) {
+        examineNeighbours(target);
+      } else {
+        onStaleList.run();
+      }
+    }
+  }
+
+  /**
+   * While the store is away, a target that refuses for want of layers is seldom the only one whose
+   * layers have changed: orders go to all targets of a data centre together.
+   */
+  private void examineNeighbours(TargetEntry target) {
+    for (TargetEntry entry : registry.entries()) {
+      if (entry.service().equals(target.service()) && entry.zone().equals(target.zone())) {
+        examine(entry);
+      }
+    }
+  }
+
+  /**
+   * Reads the layers of a target to which an order went, if the list does not show them because the
+   * store is away.
+   */
+  void examineAgain(TargetEntry target) {
+    if (registry.isStoreAway()) {
+      examine(target);
+    }
+  }
+
+  /** Another node has read layers from targets while the store is away. */
+  void onSightings(String node, Map<String, LayerSighting> sightings) {
+    sightings.forEach((id, sighting) -> correct(id, sighting, node));
+  }
+
+  private void correct(String id, LayerSighting sighting, String source) {
+    if (registry.correct(id, sighting)) {
+      log.note("layers-read", "", "target", id, "layers", sighting.layers(), "from", source);
     }
   }
 
@@ -252,6 +309,7 @@
     if (addresses.isEmpty()) {
       return;
     }
+    heardSuspects.addAll(addresses);
     for (TargetEntry entry : registry.entries()) {
       if (addresses.contains(entry.address()) && !suspects.contains(entry.address())) {
         examine(entry);
@@ -362,7 +420,10 @@
       suspect(target.address(), "restarted");
       return;
     }
-    registry.correct(target, state.layers());
+    correct(
+        target.id(),
+        new LayerSighting(target.bornMs(), state.acceptedOrders(), state.isBusy(), state.layers()),
+        "target");
     if (suspects.clear(target.address(), clock.nowMs())) {
       log.note("target-answers", "", "target", target.address());
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.cluster.PlacementLease;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -41,6 +42,7 @@
   private final TargetRegistry registry;
   private final Predicate<TargetEntry> isUsable;
   private final BooleanSupplier isLossCertain;
+  private final Consumer<TargetEntry> onUnderWay;
   private final EngineOrders orders;
   private final PlacementLease lease;
   private final MonotonicClock clock;
@@ -61,6 +63,7 @@
       TargetRegistry registry,
       Predicate<TargetEntry> isUsable,
       BooleanSupplier isLossCertain,
+      Consumer<TargetEntry> onUnderWay,
       EngineOrders orders,
       PlacementLease lease,
       MonotonicClock clock,
@@ -68,6 +71,7 @@
     this.registry = registry;
     this.isUsable = isUsable;
     this.isLossCertain = isLossCertain;
+    this.onUnderWay = onUnderWay;
     this.orders = orders;
     this.lease = lease;
     this.clock = clock;
@@ -127,6 +131,7 @@
     for (OrderTracker.Order order : tracker.due(plan, usable, maxOrders, nowMs)) {
       send(order, tracker, nowMs);
     }
+    tracker.underWay(usable).forEach(onUnderWay);
   }
 
   private void send(OrderTracker.Order order, OrderTracker tracker, long nowMs) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -38,12 +37,6 @@
   /** Time between looks at what is due. */
   private static final long TICK_MS = 50;
 
-  /** Time between reports to other nodes; doubled when many nodes share the cost. */
-  private static final long REPORT_MS = 100;
-
-  /** Nodes up to which reports go out at the shorter interval. */
-  private static final int SMALL_FLEET = 16;
-
   /** Time after the start from which a node without pipelines is ready for other services. */
   private static final long READY_WITHOUT_PIPELINES_MS = 10_000;
 
@@ -75,17 +68,14 @@
   private final PlacementLease lease;
   private final FleetState fleet;
   private final Forwarder forwarder;
-  private final PeerLinks links;
+  private final PeerReporter reporter;
   private final FeedFollower<RoutingConfiguration> configurationFeed;
   private final FeedFollower<TargetEntry> targetFeed;
   private final LeaseKeeper leaseKeeper;
   private final NodeRegistration registration;
   private final PlacementDriver placement;
   private Optional<RoutingConfiguration> configuration = Optional.empty();
-  private boolean isStoreAway;
   private long startedMs;
-  private long reportSequence;
-  private long lastReportMs;
   private long lastWallAheadMs;
   private volatile boolean isStopping;
 
@@ -135,37 +125,33 @@
     Ports ports = portFactory.make(loop, clock, log);
     this.peers = new PeerTable(settings.name());
     this.lease = new PlacementLease(settings.name(), incarnation);
-    this.fleet = new FleetState(registry, ports.orders(), peers, clock, log);
-    this.forwarder =
-        new Forwarder(
+    this.fleet =
+        new FleetState(registry, ports.orders(), peers, clock, this::readTargetsAgain, log);
+    this.forwarder = newForwarder(ports.dialect());
+    this.reporter =
+        new PeerReporter(
+            settings,
+            incarnation,
+            new PeerReporter.KnownState(peers, loads, crashMarks, registry, fleet, lease),
             loop,
             clock,
-            new SplittableRandom(),
-            ports.dialect(),
-            loads,
-            () -> configuration,
-            fleet,
-            new RetryAllowance(() -> this.settings.retries(), peers::knownCount),
-            new TargetHealth(),
-            crashMarks,
-            metrics,
-            log,
-            settings.addresses().callers(),
-            Math.max(1, settings.maxSockets() - RESERVED_SOCKETS));
-    this.links = new PeerLinks(loop, settings.addresses().reports(), this::onReport, log);
+            this::isReady,
+            this::onLoadsChanged,
+            log);
     this.configurationFeed =
         new FeedFollower<>(
-            "configuration", loop, ports.configurations(), new ConfigurationListener(), log);
+            "configuration",
+            loop,
+            ports.configurations(),
+            new ConfigurationListener(),
+            peers::knownCount,
+            log);
     this.targetFeed =
-        new FeedFollower<>("targets", loop, ports.targets(), new TargetListener(), log);
+        new FeedFollower<>(
+            "targets", loop, ports.targets(), new TargetListener(), peers::knownCount, log);
     this.leaseKeeper =
         new LeaseKeeper(
-            ports.table(),
-            lease,
-            clock,
-            peers::hasPlanner,
-            () -> isStoreAway && peers.isStoreAwayForAll() && !peers.hasPlanner(),
-            log);
+            ports.table(), lease, clock, this::isPlannerHeard, this::isWholeFleetWithoutStore, log);
     this.registration =
         new NodeRegistration(
             ports.table(),
@@ -177,7 +163,41 @@
             log);
     this.placement =
         new PlacementDriver(
-            registry, fleet::isReliable, fleet::isLossCertain, ports.orders(), lease, clock, log);
+            registry,
+            fleet::isReliable,
+            fleet::isLossCertain,
+            fleet::examineAgain,
+            ports.orders(),
+            lease,
+            clock,
+            log);
+  }
+
+  private boolean isPlannerHeard() {
+    return peers.isPlannerHeard(clock.nowMs());
+  }
+
+  /** Tells whether no node can renew the lease or take it over. */
+  private boolean isWholeFleetWithoutStore() {
+    return registry.isStoreAway() && peers.isStoreAwayForAll() && !peers.hasPlanner();
+  }
+
+  private Forwarder newForwarder(RequestDialect dialect) {
+    return new Forwarder(
+        loop,
+        clock,
+        new SplittableRandom(),
+        dialect,
+        loads,
+        () -> configuration,
+        fleet,
+        new RetryAllowance(() -> settings.retries(), peers::knownCount),
+        new TargetHealth(),
+        crashMarks,
+        metrics,
+        log,
+        settings.addresses().callers(),
+        Math.max(1, settings.maxSockets() - RESERVED_SOCKETS));
   }
 
   /**
@@ -188,7 +208,7 @@
   public void start() throws InterruptedException {
     startedMs = clock.nowMs();
     lastWallAheadMs = wallAheadMs();
-    links.start();
+    reporter.start();
     forwarder.start();
     loop.execute(
         () -> {
@@ -248,19 +268,12 @@
       long nowMs = clock.nowMs();
       checkSuspension();
       registry.expire(nowMs);
-      for (String gone : peers.expire(nowMs)) {
-        log.note("node-gone", "", "peer", gone);
-        loads.replacePeer(gone, Map.of());
-      }
       registration.tick();
       leaseKeeper.tick();
       fleet.tick(configuration);
       forwarder.repairStreams();
       placement.tick(configuration);
-      int factor = peers.live().size() > SMALL_FLEET ? 4 : 1;
-      if (nowMs - lastReportMs >= REPORT_MS * factor) {
-        report(isStopping);
-      }
+      reporter.tick();
     } catch (RuntimeException e) {
       log.note("tick-failed", "", "error", e);
     }
@@ -280,43 +293,6 @@
     return System.currentTimeMillis() - clock.nowMs();
   }
 
-  private void report(boolean isLast) {
-    lastReportMs = clock.nowMs();
-    PeerReport report =
-        new PeerReport(
-            settings.name(),
-            incarnation,
-            ++reportSequence,
-            settings.addresses().callers(),
-            settings.addresses().reports(),
-            isReady(),
-            lease.isHeld(lastReportMs) ? lease.held().revision() : 0,
-            isLast,
-            loads.ownLoads(),
-            isStoreAway,
-            fleet.conspicuous(),
-            crashMarks.ownMarks(lastReportMs));
-    links.send(report, peers.reportAddresses());
-  }
-
-  private void onReport(PeerReport report) {
-    boolean isNew = !peers.isLive(report.node());
-    if (peers.accept(report, clock.nowMs())) {
-      if (isNew && !report.isStopping()) {
-        log.note("node-seen", "", "peer", report.node(), "incarnation", report.incarnation());
-      }
-      loads.replacePeer(report.node(), report.isStopping() ? Map.of() : report.loads());
-      if (report.isPlanner()) {
-        lease.onHolderHeard(report.leaseRevision(), clock.nowMs());
-      }
-      crashMarks.replacePeer(report.node(), report.crashMarks(), clock.nowMs());
-      fleet.onPeerSuspects(report.suspects());
-      if (forwarder.waitingCount() > 0) {
-        forwarder.onRoomChanged();
-      }
-    }
-  }
-
   /**
    * Tells whether the node takes new callers. To be called on the event loop.
    *
@@ -377,7 +353,7 @@
         () -> {
           isStopping = true;
           log.note("stopping", "", "requests", forwarder.requestCount());
-          report(false);
+          reporter.report(false);
           leaseKeeper.stop();
           registration.stop();
           forwarder.stopConnections();
@@ -396,7 +372,7 @@
           () -> {
             configurationFeed.stop();
             targetFeed.stop();
-            report(true);
+            reporter.report(true);
             log.note("stopped", "", "brokenOff", forwarder.requestCount());
             forwarder.cut();
             cut.countDown();
@@ -405,7 +381,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    links.stop();
+    reporter.stop();
     group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(200);
   }
 
@@ -449,7 +425,6 @@
   private final class TargetListener implements FeedFollower.Listener<TargetEntry> {
     @Override
     public void onAll(List<FeedResult.Change<TargetEntry>> entries) {
-      isStoreAway = false;
       List<TargetEntry> usable = new ArrayList<>();
       entries.forEach(entry -> entry.value().ifPresent(usable::add));
       registry.replaceAll(usable, clock.nowMs());
@@ -459,7 +434,6 @@
 
     @Override
     public void onChanges(List<FeedResult.Change<TargetEntry>> changes) {
-      isStoreAway = false;
       long nowMs = clock.nowMs();
       registry.noteStoreAnswered(nowMs);
       for (FeedResult.Change<TargetEntry> change : changes) {
@@ -474,16 +448,24 @@
 
     @Override
     public void onAway() {
-      isStoreAway = true;
       registry.noteStoreAway();
     }
   }
 
-  private void onFleetChanged() {
-    fleet.tick(configuration);
-    forwarder.repairStreams();
+  /** The list of targets has proved to be older than what a target says. */
+  private void readTargetsAgain() {
+    targetFeed.hurry();
+  }
+
+  private void onLoadsChanged() {
     if (forwarder.waitingCount() > 0) {
       forwarder.onRoomChanged();
     }
   }
+
+  private void onFleetChanged() {
+    fleet.tick(configuration);
+    forwarder.repairStreams();
+    onLoadsChanged();
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectBoard.java
@@ -32,7 +32,18 @@
   /** Time for which a target that refused a request gets no new ones. */
   static final long AVOID_MS = 400;
 
+  /**
+   * Time at most for a target that goes on to refuse. Some refusals last, for instance those of a
+   * target that leaves while the store, which would list it as leaving, is away.
+   */
+  static final long MAX_AVOID_MS = 3_200;
+
   private final Map<String, Long> avoidedUntilMs = new HashMap<>();
+  private final Map<String, Avoidance> avoidances = new HashMap<>();
+
+  /** The last time for which a target was left out. */
+  private record Avoidance(long lengthMs, long endMs) {}
+
   private final Map<String, Long> examinedMs = new HashMap<>();
   private long revision;
 
@@ -60,11 +71,21 @@
     return suspects.containsKey(address);
   }
 
-  /** Leaves a target out of new requests for a moment; returns false if it is left out already. */
+  /**
+   * Leaves a target out of new requests for a while, which doubles if it refuses again soon after.
+   * Returns false if it is left out already.
+   */
   boolean avoid(String address, long nowMs) {
-    boolean isNew = avoidedUntilMs.put(address, nowMs + AVOID_MS) == null;
-    revision += isNew ? 1 : 0;
-    return isNew;
+    if (avoidedUntilMs.containsKey(address)) {
+      return false;
+    }
+    Avoidance last = avoidances.get(address);
+    boolean goesOn = last != null && nowMs - last.endMs() < last.lengthMs();
+    long lengthMs = goesOn ? Math.min(MAX_AVOID_MS, 2 * last.lengthMs()) : AVOID_MS;
+    avoidances.put(address, new Avoidance(lengthMs, nowMs + lengthMs));
+    avoidedUntilMs.put(address, nowMs + lengthMs);
+    revision++;
+    return true;
   }
 
   boolean isAvoided(String address) {
@@ -106,6 +127,7 @@
       revision++;
     }
     examinedMs.keySet().retainAll(listed);
+    avoidances.keySet().retainAll(listed);
   }
 
   long revision() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -111,6 +111,16 @@
     return expected;
   }
 
+  /**
+   * Returns the targets whose orders are not yet seen to have taken effect.
+   *
+   * @param entries the targets
+   * @return those with an order under way
+   */
+  public List<TargetEntry> underWay(List<TargetEntry> entries) {
+    return entries.stream().filter(entry -> sent.containsKey(entry.id())).toList();
+  }
+
   /**
    * Notes that an order is sent.
    *
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/OverloadReplayTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/OverloadReplayTest.java
@@ -50,7 +50,7 @@
   private int[] replay(ArrivalRate rate, long seed) {
     Random random = new Random(seed);
     LoadBook loads = new LoadBook();
-    StreamAdmission admission = new StreamAdmission(loads, target -> 1);
+    StreamAdmission admission = new StreamAdmission(loads, target -> 1, random);
     WaitQueue<StreamRequest> queue = new WaitQueue<>();
     PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparingLong(Running::endMs));
     int[] served = new int[(int) (RUN_MS / 1_000) + 60];
@@ -65,7 +65,10 @@
       if (random.nextDouble() < rate.perSecond(nowMs) / 1_000) {
         int answer = 60 + random.nextInt(290);
         queue.add(
-            1, nowMs + WAIT_MS, new StreamRequest(774, answer, 1, nowMs, nowMs + 20_000, 500, 200));
+            new WaitQueue.Claim(1, "w", 1),
+            nowMs + WAIT_MS,
+            new StreamRequest(774, answer, 1, nowMs, nowMs + 20_000, 500, 200));
+        queue.overflow();
         isFreed = true;
       }
       queue.expire(nowMs);
@@ -84,7 +87,8 @@
       long nowMs) {
     queue.drain(
         request -> {
-          Optional<ModelPipeline> chosen = admission.choose(request, pipelines, PROFILE, 1, nowMs);
+          Optional<ModelPipeline> chosen =
+              admission.choose(request, pipelines, PROFILE, Sharing.ALONE, nowMs);
           chosen.ifPresent(
               pipeline -> {
                 for (PipelineStage stage : pipeline.stages()) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/StreamAdmissionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/StreamAdmissionTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.ModelPipelines;
@@ -20,7 +21,8 @@
 
   private final LoadBook loads = new LoadBook();
   private double pace = 1;
-  private final StreamAdmission admission = new StreamAdmission(loads, target -> pace);
+  private final StreamAdmission admission =
+      new StreamAdmission(loads, target -> pace, new SplittableRandom(1));
 
   private static List<ModelPipeline> pipelines() {
     return ModelPipelines.compose(
@@ -37,7 +39,7 @@
     int admitted = 0;
     while (admitted < 1_000) {
       Optional<ModelPipeline> chosen =
-          admission.choose(request, pipelines(), PROFILE, nodeCount, 0);
+          admission.choose(request, pipelines(), PROFILE, new Sharing(nodeCount, 100), 0);
       if (chosen.isEmpty()) {
         return admitted;
       }
@@ -88,7 +90,7 @@
   @Test
   void aRequestThatCannotEndInTimeIsNotStarted() {
     StreamRequest hopeless = new StreamRequest(774, 2_000, 1, 0, 1_000, 500, 200);
-    assertThat(admission.choose(hopeless, pipelines(), PROFILE, 1, 0)).isEmpty();
+    assertThat(admission.choose(hopeless, pipelines(), PROFILE, Sharing.ALONE, 0)).isEmpty();
   }
 
   @Test
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/WaitQueueTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/WaitQueueTest.java
@@ -11,37 +11,100 @@
 
   private final WaitQueue<String> queue = new WaitQueue<>();
 
+  private WaitQueue.Waiter<String> add(int rank, long giveUpMs, String value) {
+    return queue.add(new WaitQueue.Claim(rank, "w", 1), giveUpMs, value);
+  }
+
+  private WaitQueue.Waiter<String> addOf(String workspace, double cost, String value) {
+    return queue.add(new WaitQueue.Claim(1, workspace, cost), 100, value);
+  }
+
+  /** Starts all that may start while there is room for some. */
+  private List<String> start(int room) {
+    List<String> started = new ArrayList<>();
+    queue.drain(value -> started.size() < room && started.add(value));
+    return started;
+  }
+
   @Test
   void moreUrgentRequestsGoFirstAndEqualOnesInOrderOfArrival() {
-    queue.add(1, 100, "late");
-    queue.add(1, 100, "later");
-    queue.add(0, 100, "urgent");
-    List<String> started = new ArrayList<>();
-    queue.drain(started::add);
-    assertThat(started).containsExactly("urgent", "late", "later");
+    add(1, 100, "late");
+    add(1, 100, "later");
+    add(0, 100, "urgent");
+    assertThat(start(3)).containsExactly("urgent", "late", "later");
   }
 
   @Test
   void requestsThatWaitedTooLongAreGivenBack() {
-    queue.add(1, 100, "short");
-    queue.add(1, 200, "long");
+    add(1, 100, "short");
+    add(1, 200, "long");
     assertThat(queue.expire(150)).containsExactly("short");
     assertThat(queue.size()).isEqualTo(1);
   }
 
   @Test
-  void aFullQueueTakesNoMore() {
+  void aFullQueueGivesTheLastRequestBack() {
     for (int i = 0; i < WaitQueue.MAX_WAITING; i++) {
-      assertThat(queue.add(1, 100, "r")).isNotNull();
+      add(1, 100, "r" + i);
+      assertThat(queue.overflow()).isEmpty();
     }
-    assertThat(queue.add(0, 100, "one more")).isNull();
+    add(1, 100, "one more");
+    assertThat(queue.overflow()).contains("one more");
+    add(0, 100, "urgent");
+    assertThat(queue.overflow()).contains("r" + (WaitQueue.MAX_WAITING - 1));
+    assertThat(queue.size()).isEqualTo(WaitQueue.MAX_WAITING);
   }
 
   @Test
   void aSmallRequestPassesALargeOneThatFindsNoRoom() {
-    queue.add(1, 100, "large");
-    queue.add(1, 100, "small");
+    add(1, 100, "large");
+    add(1, 100, "small");
     queue.drain("small"::equals);
     assertThat(queue.expire(1_000)).containsExactly("large");
   }
+
+  /** Guards against one workspace whose burst keeps the others waiting until they give up. */
+  @Test
+  void workspacesTakeTurnsWhenOneSendsManyRequests() {
+    for (int i = 0; i < 50; i++) {
+      addOf("many", 1, "many" + i);
+    }
+    addOf("few", 1, "few0");
+    addOf("few", 1, "few1");
+    assertThat(start(5)).containsExactly("many0", "few0", "many1", "few1", "many2");
+  }
+
+  @Test
+  void largeRequestsTakeMoreOfTheirWorkspacesShare() {
+    for (int i = 0; i < 4; i++) {
+      addOf("large", 3, "large" + i);
+      addOf("small", 1, "small" + i);
+    }
+    assertThat(start(5)).containsExactly("large0", "small0", "small1", "small2", "large1");
+  }
+
+  /** Guards against a workspace that is kept out later for requests that were never served. */
+  @Test
+  void requestsThatGaveUpDoNotCountAgainstTheirWorkspace() {
+    addOf("other", 1, "other0");
+    List<WaitQueue.Waiter<String>> gone = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      gone.add(addOf("many", 1, "many" + i));
+    }
+    gone.forEach(queue::remove);
+    addOf("other", 1, "other1");
+    addOf("many", 1, "back");
+    assertThat(start(3)).containsExactly("other0", "back", "other1");
+  }
+
+  @Test
+  void nothingIsRememberedOnceNobodyWaits() {
+    for (int i = 0; i < 20; i++) {
+      addOf("many", 1, "many" + i);
+    }
+    assertThat(start(20)).hasSize(20);
+    addOf("many", 1, "next");
+    addOf("few", 1, "first");
+    assertThat(start(2)).containsExactly("next", "first");
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportsTest.java
@@ -7,8 +7,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.gooseberryhook.router.admission.Load;
+import org.gooseberryhook.router.fleet.LayerSighting;
+import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
 
 /** Guards the format of reports and that foreign datagrams do no harm. */
@@ -20,6 +23,20 @@
 
   static PeerReport report(
       String node, long incarnation, long sequence, boolean isStopping, boolean isStoreAway) {
+    return report(node, incarnation, sequence, isStopping, isStoreAway, 100);
+  }
+
+  static PeerReport reportEvery(String node, long intervalMs) {
+    return report(node, 1, 1, false, false, intervalMs);
+  }
+
+  private static PeerReport report(
+      String node,
+      long incarnation,
+      long sequence,
+      boolean isStopping,
+      boolean isStoreAway,
+      long intervalMs) {
     return new PeerReport(
         node,
         incarnation,
@@ -32,7 +49,13 @@
         Map.of("t-1", new Load(3, 4_000)),
         isStoreAway,
         List.of("10.0.0.9:80"),
-        List.of(17L));
+        List.of(17L),
+        intervalMs,
+        Map.of(
+            "t-2",
+            new LayerSighting(5, 2, true, Optional.of(LayerRange.of(3, 9))),
+            "t-3",
+            new LayerSighting(5, 0, false, Optional.empty())));
   }
 
   @Test
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerTableTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerTableTest.java
@@ -18,6 +18,16 @@
     assertThat(table.live()).isEmpty();
   }
 
+  /** Guards against a large fleet whose nodes report seldom and lose sight of one another. */
+  @Test
+  void aNodeThatReportsSeldomIsGoneOnlyAfterThreeOfItsIntervals() {
+    table.accept(PeerReportsTest.reportEvery("a", 800), 0);
+    assertThat(table.expire(2_400)).isEmpty();
+    assertThat(table.expire(2_401)).containsExactly("a");
+    table.accept(PeerReportsTest.reportEvery("b", Long.MAX_VALUE / 8), 10_000);
+    assertThat(table.expire(10_001 + PeerTable.MAX_SILENCE_MS)).containsExactly("b");
+  }
+
   @Test
   void anOldReportDoesNotReplaceANewerOne() {
     table.accept(PeerReportsTest.report("a", 2, 1, false), 0);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PlacementLeaseTest.java
@@ -133,6 +133,24 @@
     assertThat(lease.isHeld(2 * PlacementLease.USABLE_MS - 1)).isTrue();
   }
 
+  /** Guards against two planners: an earlier holder reads the record no more while it hears one. */
+  @Test
+  void anEarlierHolderThatHearsALaterOneDoesNotGoOnWhileTheStoreIsAway() {
+    PlacementLease earlier = new PlacementLease("a", 1);
+    earlier.onWritten(new LeaseRecord("a", 1, 1, 7), 0);
+    earlier.onHolderHeard(9, 2_000);
+    earlier.extend(10_000);
+    assertThat(earlier.isHeld(10_001)).isFalse();
+  }
+
+  @Test
+  void aHolderThatHearsALateReportOfAnEarlierOneGoesOn() {
+    PlacementLease later = new PlacementLease("b", 1);
+    later.onWritten(new LeaseRecord("b", 1, 2, 9), 0);
+    later.onHolderHeard(7, 100);
+    assertThat(later.isHeld(200)).isTrue();
+  }
+
   @Test
   void aHolderThatWasReplacedRefusedOrSuspendedDoesNotGoOn() {
     PlacementLease replaced = new PlacementLease("a", 1);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -67,12 +67,41 @@
   @Test
   void layersThatATargetReportsCountOnlyWhileTheStoreIsAway() {
     registry.replaceAll(List.of(first), 0);
-    registry.correct(first, Optional.of(LayerRange.of(0, 20)));
+    assertThat(registry.correct(first.id(), sighting(1, false, 20))).isFalse();
     assertThat(registry.entries()).containsExactly(first);
     registry.noteStoreAway();
-    registry.correct(first, Optional.of(LayerRange.of(0, 20)));
+    assertThat(registry.correct(first.id(), sighting(1, false, 20))).isTrue();
     assertThat(registry.entries()).containsExactly(first.withLayers(LayerRange.of(0, 20)));
+    assertThat(registry.sightings()).containsOnlyKeys(first.id());
     registry.replaceAll(List.of(first), 5_000);
     assertThat(registry.entries()).containsExactly(first);
+    assertThat(registry.sightings()).isEmpty();
+  }
+
+  private LayerSighting sighting(long orders, boolean isLoading, int endLayer) {
+    return new LayerSighting(
+        first.bornMs(), orders, isLoading, Optional.of(LayerRange.of(0, endLayer)));
+  }
+
+  /** Guards against two nodes whose reports of different age undo each other without end. */
+  @Test
+  void anOlderReportOfLayersDoesNotReplaceANewerOne() {
+    registry.replaceAll(List.of(first), 0);
+    registry.noteStoreAway();
+    registry.correct(first.id(), sighting(2, false, 20));
+    assertThat(registry.correct(first.id(), sighting(1, false, 30))).isFalse();
+    assertThat(registry.correct(first.id(), sighting(2, true, 30))).isFalse();
+    assertThat(registry.correct(first.id(), sighting(3, true, 30))).isTrue();
+    assertThat(registry.correct(first.id(), sighting(3, false, 40))).isTrue();
+  }
+
+  @Test
+  void aReportOfAnotherLifeIsIgnored() {
+    registry.replaceAll(List.of(first), 0);
+    registry.noteStoreAway();
+    Optional<LayerRange> layers = Optional.of(LayerRange.of(0, 20));
+    LayerSighting other = new LayerSighting(first.bornMs() + 1, 5, false, layers);
+    assertThat(registry.correct(first.id(), other)).isFalse();
+    assertThat(registry.entries()).containsExactly(first);
   }
 }
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PeerLinksTest.java
@@ -0,0 +1,64 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.SocketException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhook.router.admission.Load;
+import org.gooseberryhook.router.cluster.PeerReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards that reports arrive whole, over real sockets. */
+class PeerLinksTest {
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<PeerReport> received = new LinkedBlockingQueue<>();
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
+  private static String freeAddress() throws SocketException {
+    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  /** Guards against reports of a fleet of many targets that are cut at the size of a buffer. */
+  @Test
+  void aReportOfAThousandTargetsArrivesWhole() throws Exception {
+    Map<String, Load> loads = new HashMap<>();
+    for (int i = 0; i < 1_000; i++) {
+      loads.put("i-0123456789abcdef-" + i, new Load(i, 60_000L * i));
+    }
+    String address = freeAddress();
+    EventLoop loop = (EventLoop) group.next();
+    PeerLinks receiver = new PeerLinks(loop, address, received::add, (kind, attempt, fields) -> {});
+    PeerLinks sender = new PeerLinks(loop, freeAddress(), r -> {}, (kind, attempt, fields) -> {});
+    receiver.start();
+    sender.start();
+    PeerReport report =
+        new PeerReport(
+            "n", 1, 2, "c", address, true, 0, false, loads, false, List.of(), List.of(), 100,
+            Map.of());
+    loop.submit(() -> sender.send(report, Set.of(address))).get();
+    PeerReport arrived = received.poll(5, TimeUnit.SECONDS);
+    assertThat(report.equals(arrived)).isTrue();
+    sender.stop();
+    receiver.stop();
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestDialect.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestDialect.java
@@ -34,6 +34,7 @@
   public void writeForward(HttpHeaders headers, ForwardFacts facts) {
     headers.set("target", facts.targetId());
     headers.set("deadline", Long.toString(facts.deadlineMs()));
+    headers.set("rank", facts.rank());
     facts.workspace().ifPresent(w -> headers.set("workspace", w));
     facts.pipeline().ifPresent(p -> headers.set("path", p.describe()));
     facts.lastEventId().ifPresent(id -> headers.set("last-event-id", id));
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetReplay.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetReplay.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.gooseberryhook.router.admission.LoadBook;
+import org.gooseberryhook.router.admission.Sharing;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -184,13 +186,14 @@
             .filter(pipeline -> pipeline.zoneCrossings() == 0)
             .toList();
     LoadBook loads = new LoadBook();
-    StreamAdmission admission = new StreamAdmission(loads, target -> 1);
+    StreamAdmission admission = new StreamAdmission(loads, target -> 1, new SplittableRandom(1));
     StreamRequest request =
         new StreamRequest(
             profile.usualPromptTokens(), profile.usualAnswerTokens(), 1, 0, 60_000, 500, 200);
     Map<ModelPipeline, Integer> admitted = new HashMap<>();
     while (true) {
-      Optional<ModelPipeline> next = admission.choose(request, pipelines, profile, 1, 0);
+      Optional<ModelPipeline> next =
+          admission.choose(request, pipelines, profile, Sharing.ALONE, 0);
       if (next.isEmpty()) {
         break;
       }
