Read the lease record as soon as its holder misses reports

Cause: NodeProcessTest failed again: the killed planner had renewed its lease after its last report. The record was therefore newer than what the other node had heard, and was taken as unchanged only since its first reading, 1.0 s after that report, when the node counted as gone. The takeover came 2.9 s after the last report (log: node-gone 2073593, lease-gained 2075440, the stream given up 2075680).

Ruled out: the planner's other steps, which take 0.1 s.

Change: the record is read once the holder has missed two reports, not only when its node counts as gone.

Figures: LeaseKeeperTest replays the renewal that was not reported. With the former condition the takeover comes later than the 2 s of callers' patience, and the test fails; now it passes.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/LeaseKeeper.java
@@ -25,7 +25,7 @@
   private final PlacementLease lease;
   private final MonotonicClock clock;
   private final DecisionLog log;
-  private final BooleanSupplier hasOtherPlanner;
+  private final BooleanSupplier isPlannerHeard;
   private final BooleanSupplier isStoreAwayForAll;
   private long nextMs;
   private boolean isCalling;
@@ -36,13 +36,13 @@
       TableService table,
       PlacementLease lease,
       MonotonicClock clock,
-      BooleanSupplier hasOtherPlanner,
+      BooleanSupplier isPlannerHeard,
       BooleanSupplier isStoreAwayForAll,
       DecisionLog log) {
     this.table = table;
     this.lease = lease;
     this.clock = clock;
-    this.hasOtherPlanner = hasOtherPlanner;
+    this.isPlannerHeard = isPlannerHeard;
     this.isStoreAwayForAll = isStoreAwayForAll;
     this.log = log;
   }
@@ -61,7 +61,7 @@
     if (isStopped || isCalling || nowMs < nextMs) {
       return;
     }
-    if (!isHeld && hasOtherPlanner.getAsBoolean()) {
+    if (!isHeld && isPlannerHeard.getAsBoolean()) {
       return;
     }
     if (lease.isDue(nowMs)) {
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LeaseKeeperTest.java
@@ -0,0 +1,127 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableRecord;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+import org.gooseberryhook.router.cluster.PeerReport;
+import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.cluster.PlacementLease;
+import org.junit.jupiter.api.Test;
+
+/** Guards how soon the lease of a killed holder is taken over. */
+class LeaseKeeperTest {
+
+  private static final long STEP_MS = 50;
+
+  /** Time after which callers leave a stream whose target died together with the holder. */
+  private static final long CALLER_PATIENCE_MS = 2_000;
+
+  private final PeerTable peers = new PeerTable("b");
+  private final PlacementLease lease = new PlacementLease("b", 1);
+  private final LeaseTable table = new LeaseTable();
+  private long nowMs = 10_000;
+  private final LeaseKeeper keeper =
+      new LeaseKeeper(
+          table,
+          lease,
+          () -> nowMs,
+          () -> peers.isPlannerHeard(nowMs),
+          () -> false,
+          (kind, attempt, fields) -> {});
+
+  private void hearHolder(long sequence) {
+    PeerReport report =
+        new PeerReport(
+            "a",
+            1,
+            sequence,
+            "c",
+            "r",
+            true,
+            table.revision,
+            false,
+            Map.of(),
+            false,
+            List.of(),
+            List.of(),
+            100,
+            Map.of());
+    peers.accept(report, nowMs);
+    lease.onHolderHeard(table.revision, nowMs);
+  }
+
+  private long takeoverAfterMs() {
+    long startMs = nowMs;
+    while (!lease.isHeld(nowMs) && nowMs - startMs < 10_000) {
+      nowMs += STEP_MS;
+      peers.expire(nowMs);
+      keeper.tick();
+    }
+    return nowMs - startMs;
+  }
+
+  @Test
+  void theLeaseOfAKilledHolderIsTakenOverSoon() {
+    hearHolder(1);
+    assertThat(takeoverAfterMs()).isLessThanOrEqualTo(CALLER_PATIENCE_MS);
+  }
+
+  /** Guards against a wait that begins only when the node is taken as gone. */
+  @Test
+  void aRenewalThatTheHolderDidNotReportDelaysTheTakeoverLittle() {
+    hearHolder(1);
+    table.revision++;
+    assertThat(takeoverAfterMs()).isLessThanOrEqualTo(CALLER_PATIENCE_MS);
+  }
+
+  @Test
+  void aHolderThatIsHeardKeepsItsLease() {
+    for (int i = 1; i <= 100; i++) {
+      hearHolder(i);
+      nowMs += 100;
+      keeper.tick();
+    }
+    assertThat(lease.isHeld(nowMs)).isFalse();
+    assertThat(table.calls).isZero();
+  }
+
+  /** The record of the lease, held by node a. */
+  private static final class LeaseTable implements TableService {
+    private String value = "{\"holder\":\"a\",\"incarnation\":1,\"fencing\":4}";
+    private long revision = 7;
+    private int calls;
+
+    @Override
+    public CompletableFuture<TableResult> transact(List<TableOperation> operations) {
+      calls++;
+      TableOperation operation = operations.get(0);
+      if (operation.expectedVersion() != revision) {
+        return CompletableFuture.completedFuture(new TableResult.Conflict(records()));
+      }
+      value = operation.value();
+      revision++;
+      return CompletableFuture.completedFuture(new TableResult.Committed(List.of(revision)));
+    }
+
+    private List<TableRecord> records() {
+      return List.of(new TableRecord(LeaseKeeper.KEY, revision, value));
+    }
+
+    @Override
+    public CompletableFuture<TableResult> get(String key) {
+      calls++;
+      return CompletableFuture.completedFuture(new TableResult.Read(records()));
+    }
+
+    @Override
+    public CompletableFuture<TableResult> scan(String prefix, String afterKey, int limit) {
+      throw new UnsupportedOperationException("the lease is one record");
+    }
+  }
+}
