Slow targets down to what callers take, and bound the memory of bodies

Cause: events of a stream were written to the caller as they came, however slowly it read, and each request body and plain answer was bounded, but not their sum: with a bound of 4 MB a body, some forty callers fill the heap of 160 MB.

Ruled out: bodies that stream through without being kept. An idempotent request needs its body for a repetition, and a plain answer is checked whole before it is passed on, so both stay in memory and their sum is bounded.

Change: while the caller's connection is not writable, the target's answer is not read, and its silence is not taken for a loss. Bodies that are kept share a quarter of the heap; a request that finds no room is refused as not run. An answer counts until the caller has taken it. Eight messages of a further request are kept while one is served, not 64. Times of streams are in StreamLimits, fixtures of RouterNodeTest in files of their own.

Conclusion: request bodies are still read whole before they are sent on.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -29,7 +29,10 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
   /** Messages of further requests that are kept while one is served; then reading pauses. */
-  private static final int MAX_PENDING = 64;
+  private static final int MAX_PENDING = 8;
+
+  /** Time after which a caller may come back whose body found no memory. */
+  private static final long RETRY_AFTER_MS = 1_000;
 
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
@@ -44,6 +47,10 @@
   private CallerReply reply;
   private long lastByteMs;
   private long partialSinceMs;
+
+  /** Bytes of the present request's body. */
+  private long heldBytes;
+
   private boolean isStopping;
   private boolean isRefusing;
 
@@ -128,10 +135,16 @@
   }
 
   private void onContent(HttpContent content) {
-    if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+    int bytes = content.content().readableBytes();
+    if (body.readableBytes() + bytes > limits.maxBodyBytes()) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
+    if (!context.held().tryHold(bytes)) {
+      refuse(ProblemReply.notRun("out-of-memory", "too many bodies at once", RETRY_AFTER_MS));
+      return;
+    }
+    heldBytes += bytes;
     body.writeBytes(content.content());
     if (content instanceof LastHttpContent) {
       serve();
@@ -197,6 +210,7 @@
     boolean isClosing = reply.isClosing() || isStopping;
     exchange = null;
     reply = null;
+    releaseBody();
     lastByteMs = context.clock().nowMs();
     if (isClosing) {
       closeAfterWrites();
@@ -224,15 +238,19 @@
     }
   }
 
-  /** Answers a request that is not passed on and closes the connection. */
   private void refuse(HttpResponseStatus status, String detail) {
+    refuse(new ProblemReply(status.code(), "bad-request", detail, 0));
+  }
+
+  /** Answers a request that is not passed on and closes the connection. */
+  private void refuse(ProblemReply problem) {
     isRefusing = true;
     releaseBody();
     head = null;
-    context.log().note("refused-input", "", "status", status.code(), "detail", detail);
+    context.log().note("refused-input", "", "status", problem.status(), "detail", problem.detail());
     CallerReply refusal =
         new CallerReply(channel.channel(), HttpVersion.HTTP_1_1, false, this::closeAfterWrites);
-    refusal.sendProblem(new ProblemReply(status.code(), "bad-request", detail, 0));
+    refusal.sendProblem(problem);
   }
 
   private void closeAfterWrites() {
@@ -245,6 +263,8 @@
       body.release();
       body = null;
     }
+    context.held().release(heldBytes);
+    heldBytes = 0;
   }
 
   void closeIfTimedOut(long nowMs) {
@@ -277,6 +297,14 @@
     channel.close();
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (exchange != null) {
+      exchange.onWritable(ctx.channel().isWritable());
+    }
+    ctx.fireChannelWritabilityChanged();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     onClosed.accept(this);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerReply.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerReply.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -61,13 +62,13 @@
     isClosing = true;
   }
 
-  /** Sends a target's whole answer. */
-  void sendWhole(int status, HttpHeaders headers, ByteBuf body) {
+  /** Sends a target's whole answer; {@code onWritten} runs once its body is no longer kept. */
+  void sendWhole(int status, HttpHeaders headers, ByteBuf body, Runnable onWritten) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
     response.headers().add(HopHeaders.copyEndToEnd(headers));
     HttpUtil.setContentLength(response, body.readableBytes());
-    finish(response);
+    finish(response).addListener(done -> onWritten.run());
   }
 
   /** Sends a failure of the system's own. */
@@ -98,11 +99,12 @@
     finish(response);
   }
 
-  private void finish(DefaultFullHttpResponse response) {
+  private ChannelFuture finish(DefaultFullHttpResponse response) {
     isBegun = true;
     setConnection(response.headers());
-    channel.writeAndFlush(response);
+    ChannelFuture written = channel.writeAndFlush(response);
     settle();
+    return written;
   }
 
   /** Begins a stream; its length is not known. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
@@ -9,6 +9,13 @@
   /** The caller has closed its connection; nothing can be sent any more. */
   void onCallerGone();
 
+  /**
+   * The caller takes more of the answer, or does not for now.
+   *
+   * @param isWritable false while too much of the answer waits to be sent
+   */
+  default void onWritable(boolean isWritable) {}
+
   /** The connection is about to be cut because the node stops. */
   void onNodeStopping();
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
@@ -44,6 +44,7 @@
     RetryAllowance allowance,
     TargetHealth health,
     CrashMarks crashMarks,
+    HeldBytes held,
     RequestMeter meter,
     DecisionLog log) {
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -16,6 +16,9 @@
  */
 public final class Forwarder {
 
+  /** Share of the heap that bodies may fill; connections and decoded lists need the rest. */
+  private static final double BODY_SHARE = 0.25;
+
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
   private final CallerServer server;
@@ -66,6 +69,7 @@
             allowance,
             health,
             crashMarks,
+            new HeldBytes((long) (Runtime.getRuntime().maxMemory() * BODY_SHARE)),
             meter,
             log);
     dispatcher = new RequestDispatcher(context);
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/HeldBytes.java
@@ -0,0 +1,47 @@
+package org.gooseberryhook.router.forward;
+
+/**
+ * Bounds the bytes of bodies that a node keeps at once. Each body has its own bound, but many
+ * callers with large ones would fill the memory together.
+ */
+final class HeldBytes {
+
+  private final long maxBytes;
+  private long heldBytes;
+
+  /**
+   * Creates an empty bound.
+   *
+   * @param maxBytes bytes at most
+   */
+  HeldBytes(long maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  /**
+   * Takes a part of the memory.
+   *
+   * @param bytes bytes, not negative
+   * @return false if there is not that much left; nothing is taken then
+   */
+  boolean tryHold(long bytes) {
+    if (heldBytes + bytes > maxBytes) {
+      return false;
+    }
+    heldBytes += bytes;
+    return true;
+  }
+
+  /**
+   * Gives memory back.
+   *
+   * @param bytes bytes that were taken before
+   */
+  void release(long bytes) {
+    heldBytes -= bytes;
+  }
+
+  long heldBytes() {
+    return heldBytes;
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -53,6 +53,10 @@
   private int unprovenSends;
 
   private int sends;
+
+  /** Bytes of the targets' answers that are kept. */
+  private long heldBytes;
+
   private boolean isSettled;
 
   private record Answer(int status, HttpHeaders headers, ByteBuf body) {}
@@ -162,8 +166,7 @@
   private void giveUp(String kind, String detail) {
     if (lastAnswer != null) {
       Answer answer = lastAnswer;
-      settle(kind);
-      reply.sendWhole(answer.status(), answer.headers(), answer.body());
+      sendAnswer(kind, answer);
     } else if (mayHaveRun()) {
       settle(kind);
       reply.sendProblem(ProblemReply.mayHaveRun(kind, detail));
@@ -174,6 +177,15 @@
     }
   }
 
+  /** Sends a target's answer; its memory is free again when the caller has taken it. */
+  private void sendAnswer(String outcome, Answer answer) {
+    final long bytes = heldBytes;
+    heldBytes = 0;
+    settle(outcome);
+    reply.sendWhole(
+        answer.status(), answer.headers(), answer.body(), () -> context.held().release(bytes));
+  }
+
   private void onTimeUp() {
     if (!isSettled) {
       boolean isNotRun = !mayHaveRun();
@@ -193,6 +205,8 @@
     cancel(endTimer);
     leaveQueue.run();
     request.body().release();
+    context.held().release(heldBytes);
+    heldBytes = 0;
     long tookMs = context.clock().nowMs() - request.arrivedMs();
     context.noteOutcome("plain", request, routed, outcome, tookMs, "sends", sends);
   }
@@ -299,10 +313,12 @@
 
     @Override
     public void onContent(ByteBuf content) {
-      if (body.readableBytes() + content.readableBytes() > MAX_ANSWER_BYTES) {
+      int bytes = content.readableBytes();
+      if (body.readableBytes() + bytes > MAX_ANSWER_BYTES || !context.held().tryHold(bytes)) {
         channel.abort();
-        onBroken("answer is too large");
+        onBroken("no memory for the answer");
       } else {
+        heldBytes += bytes;
         body.writeBytes(content);
       }
     }
@@ -331,8 +347,7 @@
         repeatOrGiveUp("target-error", "the target failed");
       } else {
         context.health().noteSuccess(target.id(), nowMs);
-        settle("served");
-        reply.sendWhole(status, headers, body);
+        sendAnswer("served", new Answer(status, headers, body));
       }
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -22,47 +22,6 @@
  */
 final class StreamExchange implements QueuedExchange {
 
-  /** Share of the latency target that a new stream may wait; later its first event is late. */
-  static final double WAIT_SHARE = 0.4;
-
-  /** Pause after which a caller leaves a stream at the earliest. */
-  static final long CALLER_PATIENCE_MS = 2_000;
-
-  /** Pause between events after which the pipeline is examined; twice the usual target. */
-  static final long SILENCE_MS = 400;
-
-  /** Time for the first event after which the pipeline is examined. */
-  static final long FIRST_SILENCE_MS = 700;
-
-  /** Time between looks at a silent pipeline. */
-  static final long REPAIR_STEP_MS = 100;
-
-  /** Time before the caller leaves that a new run gets for its first event. */
-  static final long RESUME_MARGIN_MS = 400;
-
-  /**
-   * Refusals after which further runs wait, so that a fleet that refuses is not sent to in a loop.
-   */
-  private static final int MAX_QUICK_REFUSALS = 2;
-
-  /** Pause before a further run; examinations of targets take some milliseconds. */
-  private static final long REFUSED_PAUSE_MS = 40;
-
-  /**
-   * Time after a refused change of the path before the next one. The head refuses because a new
-   * target does not hold its layers or has no room, which takes loads or ending streams to change.
-   */
-  private static final long REPATH_PAUSE_MS = 400;
-
-  /** Rank of streams that were broken and go on; their callers have waited before. */
-  private static final int RESUME_RANK = -1;
-
-  /** Crossings between data centres of any pipeline at most. */
-  private static final int MAX_CROSSINGS = Integer.MAX_VALUE;
-
-  private static final long RETRY_AFTER_MS = 1_000;
-  private static final long RETRY_SPREAD_MS = 2_000;
-
   private static final int STATUS_OK = 200;
   private static final int STATUS_SERVER_ERROR = 500;
   private static final int MAX_BODY_BYTES = 1_048_576;
@@ -94,6 +53,9 @@
   /** Whether a run was lost, so that the stream waits to go on and not to begin. */
   private boolean isResuming;
 
+  /** Whether the caller takes no more for now, so that the target's answer is not read. */
+  private boolean isCallerSlow;
+
   private boolean isSettled;
 
   StreamExchange(
@@ -124,7 +86,8 @@
   public WaitQueue.Claim claim() {
     String workspace = routed.workspace().map(Workspace::name).orElse("");
     long tokens = Math.max(1, describe(context.clock().nowMs()).reservedTokens());
-    return new WaitQueue.Claim(isResuming ? RESUME_RANK : routed.rank(), workspace, tokens);
+    return new WaitQueue.Claim(
+        isResuming ? StreamLimits.RESUME_RANK : routed.rank(), workspace, tokens);
   }
 
   private Route route() {
@@ -138,7 +101,7 @@
       fail(ProblemReply.notRun("crashes-targets", "this request crashed targets before", 0));
       return;
     }
-    long waitMs = (long) (route().targetLatencyMs() * WAIT_SHARE);
+    long waitMs = (long) (route().targetLatencyMs() * StreamLimits.WAIT_SHARE);
     dispatcher.submit(this, Math.min(endMs, request.arrivedMs() + waitMs));
   }
 
@@ -181,7 +144,8 @@
       if (unprovenSends > 0) {
         fail(ProblemReply.mayHaveRun("pipeline-lost", "the stream broke and no other has room"));
       } else {
-        long afterMs = RETRY_AFTER_MS + context.random().nextLong(RETRY_SPREAD_MS);
+        long afterMs =
+            StreamLimits.RETRY_AFTER_MS + context.random().nextLong(StreamLimits.RETRY_SPREAD_MS);
         fail(ProblemReply.notRun("no-room", "all pipelines are full", afterMs));
       }
     }
@@ -208,7 +172,8 @@
       fail(
           unprovenSends > 0
               ? ProblemReply.timedOut("the stream did not end in time")
-              : ProblemReply.notRun("timeout", "all pipelines are full", RETRY_AFTER_MS));
+              : ProblemReply.notRun(
+                  "timeout", "all pipelines are full", StreamLimits.RETRY_AFTER_MS));
     }
   }
 
@@ -219,6 +184,14 @@
     }
   }
 
+  @Override
+  public void onWritable(boolean isWritable) {
+    isCallerSlow = !isWritable;
+    if (run != null && !run.isOver && run.channel != null) {
+      run.channel.setReading(isWritable);
+    }
+  }
+
   @Override
   public void onNodeStopping() {
     if (!isSettled) {
@@ -260,13 +233,13 @@
       fail(
           unprovenSends > 0
               ? ProblemReply.mayHaveRun(kind, detail)
-              : ProblemReply.notRun(kind, detail, RETRY_AFTER_MS));
+              : ProblemReply.notRun(kind, detail, StreamLimits.RETRY_AFTER_MS));
       return;
     }
     context.log().note("resume", request.facts().attemptId(), "reason", kind, "detail", detail);
     long sinceMs = lastEventMs == 0 ? request.arrivedMs() : lastEventMs;
     isResuming = true;
-    dispatcher.submit(this, Math.min(endMs, sinceMs + CALLER_PATIENCE_MS));
+    dispatcher.submit(this, Math.min(endMs, sinceMs + StreamLimits.CALLER_PATIENCE_MS));
   }
 
   /** One run on one pipeline. */
@@ -310,6 +283,7 @@
         return;
       }
       channel = connected;
+      channel.setReading(!isCallerSlow);
       unprovenSends++;
       long nowMs = context.clock().nowMs();
       if (runs++ == 0) {
@@ -327,7 +301,7 @@
           TargetRequests.targetRequest(context, request, forward, pipeline.head().address()),
           request.facts().attemptId(),
           this);
-      watch(FIRST_SILENCE_MS);
+      watch(StreamLimits.FIRST_SILENCE_MS);
     }
 
     private void onNotConnected(String reason) {
@@ -347,14 +321,19 @@
       if (isOver) {
         return;
       }
+      if (isCallerSlow) {
+        watch(StreamLimits.SILENCE_MS);
+        return;
+      }
       long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
       // Without another pipeline the stream stays: silence alone is no reason to break it off.
-      if (silentMs >= CALLER_PATIENCE_MS - RESUME_MARGIN_MS && moveAway(MAX_CROSSINGS)) {
+      if (silentMs >= StreamLimits.CALLER_PATIENCE_MS - StreamLimits.RESUME_MARGIN_MS
+          && moveAway(StreamLimits.MAX_CROSSINGS)) {
         return;
       }
       context.fleet().examine(pipeline);
       repair();
-      silenceTimer = context.schedule(this::onSuspiciousSilence, REPAIR_STEP_MS);
+      silenceTimer = context.schedule(this::onSuspiciousSilence, StreamLimits.REPAIR_STEP_MS);
     }
 
     /** Leaves a lost head for another pipeline, or has the head leave lost targets. */
@@ -401,10 +380,10 @@
         reservation.move(pipeline);
         return;
       }
-      nextRepathMs = context.clock().nowMs() + REPATH_PAUSE_MS;
+      nextRepathMs = context.clock().nowMs() + StreamLimits.REPATH_PAUSE_MS;
       if (isSilent()) {
         // No other target has room for the lost layers.
-        moveAway(MAX_CROSSINGS);
+        moveAway(StreamLimits.MAX_CROSSINGS);
       }
     }
 
@@ -447,7 +426,7 @@
 
     private boolean isSilent() {
       long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
-      return silentMs > SILENCE_MS;
+      return silentMs > StreamLimits.SILENCE_MS;
     }
 
     @Override
@@ -499,7 +478,7 @@
       }
       reply.sendPart(event);
       silenceTimer.cancel(false);
-      watch(SILENCE_MS);
+      watch(StreamLimits.SILENCE_MS);
     }
 
     @Override
@@ -531,10 +510,10 @@
         context.health().noteFailure(pipeline.head().id(), 0.5, nowMs);
         lostRuns++;
         refusals++;
-        if (refusals <= MAX_QUICK_REFUSALS) {
+        if (refusals <= StreamLimits.MAX_QUICK_REFUSALS) {
           onRunLost("target-refused", "the pipeline refused the request");
         } else {
-          context.schedule(this::onRefusedOften, REFUSED_PAUSE_MS);
+          context.schedule(this::onRefusedOften, StreamLimits.REFUSED_PAUSE_MS);
         }
       } else if (status >= STATUS_SERVER_ERROR
           || ProblemReply.isPromise(status)
@@ -543,7 +522,8 @@
         onRunLost("target-error", "the pipeline failed");
       } else {
         settle("answered-" + status);
-        reply.sendWhole(status, headers, failureBody == null ? Unpooled.EMPTY_BUFFER : failureBody);
+        reply.sendWhole(
+            status, headers, failureBody == null ? Unpooled.EMPTY_BUFFER : failureBody, () -> {});
       }
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -76,6 +76,16 @@
     written = channel.writeAndFlush(request);
   }
 
+  /**
+   * Goes on or stops to read the answer, so that the target is slowed down to what the caller
+   * takes.
+   *
+   * @param isReading whether to read
+   */
+  void setReading(boolean isReading) {
+    channel.config().setAutoRead(isReading);
+  }
+
   /** Ends the request, if one is running, by closing the connection; no call follows. */
   void abort() {
     listener = null;
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/HeldBytesTest.java
@@ -0,0 +1,96 @@
+package org.gooseberryhook.router.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.gooseberryhook.router.configuration.RequestLimits;
+import org.gooseberryhook.router.node.TestDialect;
+import org.junit.jupiter.api.Test;
+
+/** Guards the memory against many callers whose bodies are each within the bound. */
+class HeldBytesTest {
+
+  private final HeldBytes held = new HeldBytes(10);
+  private final ForwardContext context =
+      new ForwardContext(
+          null,
+          () -> 1_000,
+          null,
+          new TestDialect(),
+          null,
+          null,
+          Optional::empty,
+          null,
+          null,
+          null,
+          null,
+          held,
+          null,
+          (kind, attempt, fields) -> {});
+
+  private EmbeddedChannel connect() {
+    CallerConnection connection =
+        new CallerConnection(context, null, RequestLimits.DEFAULT, closed -> {});
+    return new EmbeddedChannel(new HttpServerCodec(), connection);
+  }
+
+  private static void send(EmbeddedChannel channel, String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+
+  private static String received(EmbeddedChannel channel) {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      text.append(part.toString(StandardCharsets.ISO_8859_1));
+    }
+    return text.toString();
+  }
+
+  private static String post(String body) {
+    return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n" + body;
+  }
+
+  @Test
+  void aBodyThatFindsNoMemoryIsRefusedAsNotRun() {
+    EmbeddedChannel first = connect();
+    send(first, post("1234567"));
+    EmbeddedChannel second = connect();
+    send(second, post("1234567"));
+    assertThat(received(second))
+        .startsWith("HTTP/1.1 503")
+        .contains("retry-after")
+        .contains("not-run");
+    assertThat(second.isOpen()).isFalse();
+    assertThat(held.heldBytes()).isEqualTo(7);
+  }
+
+  @Test
+  void memoryIsFreeAgainWhenTheCallerLeaves() {
+    EmbeddedChannel first = connect();
+    send(first, post("1234567"));
+    first.close();
+    assertThat(held.heldBytes()).isZero();
+  }
+
+  @Test
+  void memoryIsFreeAgainAfterTheAnswer() {
+    EmbeddedChannel first = connect();
+    send(first, post("12345678"));
+    assertThat(received(first)).contains("not-configured");
+    assertThat(held.heldBytes()).isZero();
+  }
+
+  @Test
+  void nothingIsTakenIfThereIsNotEnough() {
+    assertThat(held.tryHold(8)).isTrue();
+    assertThat(held.tryHold(3)).isFalse();
+    assertThat(held.tryHold(2)).isTrue();
+    held.release(10);
+    assertThat(held.heldBytes()).isZero();
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/AbsentTable.java
@@ -0,0 +1,27 @@
+package org.gooseberryhook.router.node;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhook.protocol.TableOperation;
+import org.gooseberryhook.protocol.TableResult;
+import org.gooseberryhook.protocol.TableService;
+
+/** A store that refuses all calls. */
+final class AbsentTable implements TableService {
+  private static final TableResult AWAY = new TableResult.NotApplied("away");
+
+  @Override
+  public CompletableFuture<TableResult> transact(List<TableOperation> operations) {
+    return CompletableFuture.completedFuture(AWAY);
+  }
+
+  @Override
+  public CompletableFuture<TableResult> get(String key) {
+    return CompletableFuture.completedFuture(AWAY);
+  }
+
+  @Override
+  public CompletableFuture<TableResult> scan(String prefix, String afterKey, int limit) {
+    return CompletableFuture.completedFuture(AWAY);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FixedFeed.java
@@ -0,0 +1,31 @@
+package org.gooseberryhook.router.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** A list whose changes are always the same value, if there is one. */
+record FixedFeed<T>(List<T> values, Optional<T> change, Function<T, String> key)
+    implements ChangeFeed<T> {
+  @Override
+  public void readAll(Consumer<FeedResult<T>> onResult) {
+    onResult.accept(new FeedResult.Entries<>(toChanges(values), 1));
+  }
+
+  @Override
+  public void readChanges(long afterRevision, long waitMs, Consumer<FeedResult<T>> onResult) {
+    List<FeedResult.Change<T>> changes = toChanges(change.stream().toList());
+    CompletableFuture.delayedExecutor(waitMs, TimeUnit.MILLISECONDS)
+        .execute(() -> onResult.accept(new FeedResult.Entries<>(changes, afterRevision)));
+  }
+
+  private List<FeedResult.Change<T>> toChanges(List<T> some) {
+    List<FeedResult.Change<T>> changes = new ArrayList<>();
+    some.forEach(v -> changes.add(new FeedResult.Change<>(key.apply(v), Optional.of(v))));
+    return changes;
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -18,11 +18,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
-import java.util.function.Function;
-import org.gooseberryhook.protocol.TableOperation;
-import org.gooseberryhook.protocol.TableResult;
-import org.gooseberryhook.protocol.TableService;
 import org.gooseberryhook.router.admission.RetryBounds;
 import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.RequestLimits;
@@ -31,7 +26,6 @@
 import org.gooseberryhook.router.configuration.ServiceSettings;
 import org.gooseberryhook.router.configuration.WeightedService;
 import org.gooseberryhook.router.configuration.Workspace;
-import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TestFleet;
 import org.gooseberryhook.state.LayerRange;
@@ -398,6 +392,37 @@
     assertThat(head.requests()).hasSize(sent);
   }
 
+  /** Guards against a slow caller whose answer fills the memory of the node. */
+  @Test
+  void aTargetIsSlowedDownToWhatTheCallerTakes() throws Exception {
+    int events = 4_000;
+    String data = "x".repeat(16_384);
+    AtomicInteger written = new AtomicInteger();
+    target(
+        "model",
+        LayerRange.of(0, 40),
+        (request, out) -> {
+          stream(request, out, 1, 0);
+          for (int i = 1; i <= events; i++) {
+            TargetStandin.writeChunk(out, "id: " + i + "\ndata: " + data + "\n\n");
+            written.set(i);
+          }
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
+      byte[] request = post("/draft/x", "p").getBytes(StandardCharsets.ISO_8859_1);
+      socket.getOutputStream().write(request);
+      Thread.sleep(1_500);
+      // What is written are the buffers of four sockets and those of the node.
+      assertThat(written.get()).isBetween(1, events / 2);
+      byte[] all = socket.getInputStream().readAllBytes();
+      String answer = new String(all, StandardCharsets.ISO_8859_1);
+      assertThat(answer).contains("id: " + events + "\n").endsWith("0\r\n\r\n");
+    }
+  }
+
   @Test
   void aSilentStreamWithoutAnotherPipelineIsNotBrokenOff() throws Exception {
     target(
@@ -532,69 +557,4 @@
     assertThat(exchange("POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\nabc"))
         .startsWith("HTTP/1.1 413");
   }
-
-  /** A list whose changes are always the same value, if there is one. */
-  private record FixedFeed<T>(List<T> values, Optional<T> change, Function<T, String> key)
-      implements ChangeFeed<T> {
-    @Override
-    public void readAll(Consumer<FeedResult<T>> onResult) {
-      onResult.accept(new FeedResult.Entries<>(toChanges(values), 1));
-    }
-
-    @Override
-    public void readChanges(long afterRevision, long waitMs, Consumer<FeedResult<T>> onResult) {
-      List<FeedResult.Change<T>> changes = toChanges(change.stream().toList());
-      CompletableFuture.delayedExecutor(waitMs, TimeUnit.MILLISECONDS)
-          .execute(() -> onResult.accept(new FeedResult.Entries<>(changes, afterRevision)));
-    }
-
-    private List<FeedResult.Change<T>> toChanges(List<T> some) {
-      List<FeedResult.Change<T>> changes = new ArrayList<>();
-      some.forEach(v -> changes.add(new FeedResult.Change<>(key.apply(v), Optional.of(v))));
-      return changes;
-    }
-  }
-
-  /** A store that refuses all calls. */
-  private static final class AbsentTable implements TableService {
-    private static final TableResult AWAY = new TableResult.NotApplied("away");
-
-    @Override
-    public CompletableFuture<TableResult> transact(List<TableOperation> operations) {
-      return CompletableFuture.completedFuture(AWAY);
-    }
-
-    @Override
-    public CompletableFuture<TableResult> get(String key) {
-      return CompletableFuture.completedFuture(AWAY);
-    }
-
-    @Override
-    public CompletableFuture<TableResult> scan(String prefix, String afterKey, int limit) {
-      return CompletableFuture.completedFuture(AWAY);
-    }
-  }
-
-  /** Engines that answer at once and need no orders. */
-  private record HealthyEngines(long bornMs) implements EngineOrders {
-    @Override
-    public void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
-      onResult.accept(new EngineResult.State(target.layers(), false, 0, 1, List.of(), bornMs));
-    }
-
-    @Override
-    public void place(
-        TargetEntry target,
-        LayerRange layers,
-        long fencingNumber,
-        long expectedOrders,
-        Consumer<EngineResult> onResult) {
-      onResult.accept(new EngineResult.Accepted());
-    }
-
-    @Override
-    public void repath(String attemptId, ModelPipeline pipeline, Consumer<EngineResult> onResult) {
-      onResult.accept(new EngineResult.Accepted());
-    }
-  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestDialect.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestDialect.java
@@ -10,7 +10,7 @@
 import org.gooseberryhook.router.forward.RequestFacts;
 
 /** Short header names for tests. */
-final class TestDialect implements RequestDialect {
+public final class TestDialect implements RequestDialect {
 
   @Override
   public RequestFacts readRequest(HttpHeaders headers) {
