--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/HealthyEngines.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/HealthyEngines.java
@@ -6,11 +6,18 @@
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
 
-/** Engines that answer at once and need no orders. */
-record HealthyEngines(long bornMs) implements EngineOrders {
+/**
+ * Engines that answer at once and need no orders.
+ *
+ * @param bornMs start of their lives
+ * @param stalled addresses for which they say that their requests wait
+ * @param repaths receives the answers to changes of paths, which are refused if something stalls
+ */
+record HealthyEngines(long bornMs, List<String> stalled, List<EngineResult> repaths)
+    implements EngineOrders {
   @Override
   public void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
-    onResult.accept(new EngineResult.State(target.layers(), false, 0, 1, List.of(), bornMs));
+    onResult.accept(new EngineResult.State(target.layers(), false, 0, 1, stalled, bornMs));
   }
 
   @Override
@@ -25,6 +32,9 @@
 
   @Override
   public void repath(String attemptId, ModelPipeline pipeline, Consumer<EngineResult> onResult) {
-    onResult.accept(new EngineResult.Accepted());
+    EngineResult result =
+        stalled.isEmpty() ? new EngineResult.Accepted() : new EngineResult.Refused(409);
+    repaths.add(result);
+    onResult.accept(result);
   }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -16,6 +16,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhook.router.admission.RetryBounds;
@@ -65,6 +66,9 @@
   /** Start of the engines' present life as they say it; the list says 1. */
   private long engineBornMs = 1;
 
+  private final List<String> stalled = new CopyOnWriteArrayList<>();
+  private final List<EngineResult> repaths = new CopyOnWriteArrayList<>();
+
   private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return socket.getLocalPort();
@@ -88,7 +92,7 @@
                         List.of(configuration()), Optional.ofNullable(older), c -> "config"),
                     new FixedFeed<>(entries, Optional.empty(), TargetEntry::id),
                     new AbsentTable(),
-                    new HealthyEngines(engineBornMs)));
+                    new HealthyEngines(engineBornMs, stalled, repaths)));
     node.start();
     long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
     String targetsLoaded = "gooseberryhook_targets " + (double) entries.size();
@@ -392,6 +396,28 @@
     assertThat(head.requests()).hasSize(sent);
   }
 
+  /** Guards against a storm of orders to a head that cannot leave a lost target. */
+  @Test
+  void aRefusedChangeOfThePathIsRepeatedAfterAPause() throws Exception {
+    target(
+        "model",
+        LayerRange.of(0, 40),
+        (request, out) -> {
+          String path = TargetStandin.header(request, "path");
+          stalled.add(path.substring(path.indexOf(',') + 1, path.lastIndexOf('=')));
+          stream(request, out, 1, 1);
+          Thread.sleep(2_000);
+          TargetStandin.writeChunk(out, "id: 2\ndata: 2\n\n");
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    target("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).contains("id: 2\n").endsWith("0\r\n\r\n");
+    // One each 0.4 s from the first look at the silent stream on.
+    assertThat(repaths).hasSizeBetween(1, 5);
+  }
+
   /** Guards against a slow caller whose answer fills the memory of the node. */
   @Test
   void aTargetIsSlowedDownToWhatTheCallerTakes() throws Exception {
