Note only pipelines that changed

Cause: each change of one pipeline noted all of them.

Change: `pipeline` for a path that is new, `pipeline-gone` for one that is no longer used.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -156,11 +156,20 @@
                       service.name(),
                       compose(targets.getOrDefault(service.name(), List.of()), engine.layers())));
     }
-    if (!before.equals(pipelines)) {
-      pipelines.forEach(
-          (service, list) ->
-              list.forEach(
-                  p -> log.note("pipeline", "", "service", service, "path", p.describe())));
+    pipelines.forEach((service, now) -> noteNew("pipeline", before.get(service), now));
+    before.forEach((service, past) -> noteNew("pipeline-gone", pipelines.get(service), past));
+  }
+
+  /** Notes the pipelines of one list that another list does not have. */
+  private void noteNew(String kind, List<ModelPipeline> known, List<ModelPipeline> pipelines) {
+    Set<String> knownPaths = new HashSet<>();
+    if (known != null) {
+      known.forEach(pipeline -> knownPaths.add(pipeline.describe()));
+    }
+    for (ModelPipeline pipeline : pipelines) {
+      if (!knownPaths.contains(pipeline.describe())) {
+        log.note(kind, "", "service", pipeline.service(), "path", pipeline.describe());
+      }
     }
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -38,6 +38,7 @@
 
   private final TargetRegistry registry = new TargetRegistry();
   private final Map<String, LayerRange> held = new HashMap<>();
+  private final List<String> notes = new ArrayList<>();
   private final List<String> examined = new ArrayList<>();
   private long nowMs = 10_000;
   private int rereads;
@@ -48,7 +49,7 @@
           new PeerTable("n"),
           () -> nowMs,
           () -> rereads++,
-          (kind, attempt, fields) -> {});
+          (kind, attempt, fields) -> notes.add(kind));
 
   /** The list shows a split at layer 40; the targets hold one at layer 60. */
   @BeforeEach
@@ -113,6 +114,15 @@
     assertThat(rereads).isEqualTo(1);
   }
 
+  /** Guards against a log in which each small change lists all pipelines of a large fleet. */
+  @Test
+  void onlyPipelinesThatChangedAreNoted() {
+    assertThat(notes).filteredOn("pipeline"::equals).hasSize(2);
+    notes.clear();
+    fleet.suspect("10.0.0.003:80", "gone");
+    assertThat(notes).containsExactly("suspect", "pipeline-gone");
+  }
+
   /** Guards against reports of the same loss by all nodes at once. */
   @Test
   void aLossThatAnotherNodeHasReportedIsNoNews() {
