Test a request that crashes a later target of its pipeline

RouterNodeTest's node and callers are in RouterNodeHarness now, and the two tests of requests that crash targets in CrashingRequestTest. The new one has the last target of each pipeline die: it fails if only the head is examined after a broken stream.

--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CrashingRequestTest.java
@@ -0,0 +1,72 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards targets against requests that crash those that run them. */
+class CrashingRequestTest extends RouterNodeHarness {
+
+  @Test
+  void aRequestThatCrashedTwoTargetsReachesNoFurtherOne() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    List<TargetStandin> crashing = new ArrayList<>();
+    TargetStandin.Script crash =
+        (request, out) -> {
+          runs.incrementAndGet();
+          for (TargetStandin target : crashing) {
+            if (TargetStandin.header(request, "target").equals(idOf(target))) {
+              target.close();
+            }
+          }
+          throw new IOException("crash");
+        };
+    for (int i = 0; i < 4; i++) {
+      crashing.add(target("plain", null, crash));
+    }
+    startNode();
+    exchange(get("/read/poison"));
+    String last = "";
+    for (int i = 0; i < 5; i++) {
+      Thread.sleep(200);
+      last = exchange(get("/read/poison"));
+    }
+    assertThat(last).startsWith("HTTP/1.1 503").contains("crashed targets");
+    assertThat(runs.get()).isLessThanOrEqualTo(3);
+  }
+
+  /** Guards against a search for the crashed target at the head only. */
+  @Test
+  void aRequestThatCrashedLaterTargetsOfTwoPipelinesReachesNoFurtherOne() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    TargetStandin.Script crashLast =
+        (request, out) -> {
+          runs.incrementAndGet();
+          String path = TargetStandin.header(request, "path");
+          String last = path.substring(path.indexOf(',') + 1, path.lastIndexOf('='));
+          for (TargetStandin target : targets) {
+            if (target.address().equals(last)) {
+              target.close();
+            }
+          }
+          throw new IOException("crash");
+        };
+    for (int i = 0; i < 4; i++) {
+      target("model", LayerRange.of(0, 40), crashLast);
+      target("model", LayerRange.of(40, 80), (request, out) -> {});
+    }
+    startNode();
+    String last = "";
+    for (int i = 0; i < 5; i++) {
+      last = exchange(post("/draft/poison", "p"));
+      Thread.sleep(200);
+    }
+    assertThat(last).startsWith("HTTP/1.1 503").contains("crashed targets");
+    assertThat(runs.get()).isLessThanOrEqualTo(3);
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -3,175 +3,23 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.gooseberryhook.router.admission.RetryBounds;
-import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.RequestLimits;
-import org.gooseberryhook.router.configuration.Route;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
-import org.gooseberryhook.router.configuration.ServiceSettings;
-import org.gooseberryhook.router.configuration.WeightedService;
-import org.gooseberryhook.router.configuration.Workspace;
-import org.gooseberryhook.router.fleet.TargetEntry;
-import org.gooseberryhook.router.fleet.TestFleet;
 import org.gooseberryhook.state.LayerRange;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Guards the path of a request over real sockets: what callers and targets see. */
-class RouterNodeTest {
-
-  private static final String EVENTS = "text/event-stream";
-
-  private final List<TargetStandin> targets = new ArrayList<>();
-  private final List<TargetEntry> entries = new ArrayList<>();
-  private RouterNode node;
-  private RoutingConfiguration older;
-  private int callerPort;
-
-  private TargetStandin target(String service, LayerRange layers, TargetStandin.Script script)
-      throws IOException {
-    TargetStandin target = new TargetStandin(script);
-    targets.add(target);
-    entries.add(
-        new TargetEntry(
-            "t-" + targets.size(),
-            service,
-            target.address(),
-            "a",
-            6,
-            false,
-            layers == null ? "" : "large",
-            Optional.ofNullable(layers),
-            1,
-            1));
-    return target;
-  }
-
-  /** Start of the engines' present life as they say it; the list says 1. */
-  private long engineBornMs = 1;
-
-  private final List<String> stalled = new CopyOnWriteArrayList<>();
-  private final List<EngineResult> repaths = new CopyOnWriteArrayList<>();
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
-  private void startNode() throws Exception {
-    callerPort = freePort();
-    String reports = "127.0.0.1:" + freePort();
-    NodeAddresses addresses =
-        new NodeAddresses("127.0.0.1:" + callerPort, "unused", Optional.empty(), reports, "unused");
-    RouterSettings settings =
-        new RouterSettings("n", "a", addresses, 4_000, new RetryBounds(0.2, 100, 10_000), 3_000, 2);
-    node =
-        new RouterNode(
-            settings,
-            (loop, clock, log) ->
-                new RouterNode.Ports(
-                    new TestDialect(),
-                    new FixedFeed<>(
-                        List.of(configuration()), Optional.ofNullable(older), c -> "config"),
-                    new FixedFeed<>(entries, Optional.empty(), TargetEntry::id),
-                    new AbsentTable(),
-                    new HealthyEngines(engineBornMs, stalled, repaths)));
-    node.start();
-    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-    String targetsLoaded = "gooseberryhook_targets " + (double) entries.size();
-    String page = "";
-    while (!(page.contains(targetsLoaded)
-            && page.contains("gooseberryhook_configuration_version 1.0"))
-        && System.nanoTime() < endNanos) {
-      Thread.sleep(10);
-      page = node.loop().submit(node::metricsPage).get();
-    }
-  }
-
-  private static RoutingConfiguration configuration() {
-    return new RoutingConfiguration(
-        1,
-        List.of(
-            route("/read/", RequestKind.IDEMPOTENT, "plain", 1_000),
-            route("/book/", RequestKind.ONCE_ONLY, "plain", 1_000),
-            route("/draft/", RequestKind.STREAM, "model", 10_000)),
-        Map.of(
-            "plain",
-            new ServiceSettings("plain", "/health", 10, Optional.empty()),
-            "model",
-            new ServiceSettings("model", "/health", 10, Optional.of(TestFleet.PROFILE))),
-        new RequestLimits(2_000, 10_000, 500, 2_000),
-        Optional.of(List.of(new Workspace("w", Set.of("k"), OptionalInt.empty()))));
-  }
-
-  private static Route route(String prefix, RequestKind kind, String service, long timeoutMs) {
-    return new Route(
-        prefix,
-        "h",
-        prefix,
-        kind,
-        timeoutMs,
-        500,
-        2,
-        1,
-        false,
-        false,
-        true,
-        200,
-        List.of(new WeightedService(service, 1)));
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    if (node != null) {
-      node.stop();
-    }
-    for (TargetStandin target : targets) {
-      target.close();
-    }
-  }
-
-  /** Sends raw bytes and returns all that comes back until the node closes the connection. */
-  private String exchange(String request) throws IOException {
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
-      socket.setSoTimeout(8_000);
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-      InputStream in = socket.getInputStream();
-      return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
-    }
-  }
-
-  private static String get(String path) {
-    return "GET "
-        + path
-        + " HTTP/1.1\r\nHost: h\r\nattempt: a1\r\nkey: k\r\nConnection: close\r\n\r\n";
-  }
-
-  private static String post(String path, String body) {
-    return "POST "
-        + path
-        + " HTTP/1.1\r\nHost: h\r\nattempt: a1\r\nkey: k\r\nConnection: close\r\nContent-Length: "
-        + body.length()
-        + "\r\n\r\n"
-        + body;
-  }
+class RouterNodeTest extends RouterNodeHarness {
 
   @Test
   void aPlainRequestReachesTheTargetUnchangedAndItsAnswerTheCaller() throws Exception {
@@ -277,20 +125,6 @@
     assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(4));
   }
 
-  private static void stream(String request, OutputStream out, int from, int to)
-      throws IOException {
-    TargetStandin.write(
-        out,
-        "HTTP/1.1 200 X\r\nattempt: "
-            + TargetStandin.header(request, "attempt")
-            + "\r\nsigned: s\r\nContent-Type: "
-            + EVENTS
-            + "\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for (int i = from; i <= to; i++) {
-      TargetStandin.writeChunk(out, "id: " + i + "\ndata: " + i + "\n\n");
-    }
-  }
-
   @Test
   void aStreamRunsOverAPipelineThatHoldsAllLayers() throws Exception {
     TargetStandin head =
@@ -465,43 +299,6 @@
     assertThat(exchange(post("/draft/x", "p"))).contains("id: 2\n").endsWith("0\r\n\r\n");
   }
 
-  @Test
-  void aRequestThatCrashedTwoTargetsReachesNoFurtherOne() throws Exception {
-    AtomicInteger runs = new AtomicInteger();
-    List<TargetStandin> crashing = new ArrayList<>();
-    TargetStandin.Script crash =
-        (request, out) -> {
-          runs.incrementAndGet();
-          for (TargetStandin target : crashing) {
-            if (TargetStandin.header(request, "target").equals(idOf(target))) {
-              target.close();
-            }
-          }
-          throw new IOException("crash");
-        };
-    for (int i = 0; i < 4; i++) {
-      crashing.add(target("plain", null, crash));
-    }
-    startNode();
-    exchange(get("/read/poison"));
-    String last = "";
-    for (int i = 0; i < 5; i++) {
-      Thread.sleep(200);
-      last = exchange(get("/read/poison"));
-    }
-    assertThat(last).startsWith("HTTP/1.1 503").contains("crashed targets");
-    assertThat(runs.get()).isLessThanOrEqualTo(3);
-  }
-
-  private String idOf(TargetStandin target) {
-    for (TargetEntry entry : entries) {
-      if (entry.address().equals(target.address())) {
-        return entry.id();
-      }
-    }
-    return "";
-  }
-
   @Test
   void aTargetStopsSoonAfterTheCallerHasLeft() throws Exception {
     CompletableFuture<Long> stoppedNanos = new CompletableFuture<>();
