--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -114,6 +114,27 @@
     assertThat(rereads).isEqualTo(1);
   }
 
+  /** Guards against new requests to a target that is about to leave. */
+  @Test
+  void aTargetThatIsListedAsLeavingGetsNoNewRequests() {
+    TargetEntry third = registry.entries().get(2);
+    registry.put(
+        new TargetEntry(
+            third.id(),
+            third.service(),
+            third.address(),
+            third.zone(),
+            third.slots(),
+            true,
+            third.acceleratorKind(),
+            third.layers(),
+            third.bornMs(),
+            third.modelVersion()));
+    fleet.tick(Optional.of(CONFIGURATION));
+    assertThat(paths()).containsExactly("10.0.0.001:80=0-40,10.0.0.002:80=40-80");
+    assertThat(fleet.targets("model")).hasSize(2);
+  }
+
   /** Guards against a log in which each small change lists all pipelines of a large fleet. */
   @Test
   void onlyPipelinesThatChangedAreNoted() {
