--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FeedFollowerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FeedFollowerTest.java
@@ -2,11 +2,30 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Guards the calls to the store: few in a large fleet, and often enough for leaving targets. */
 class FeedFollowerTest {
 
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<Long> readNanos = new LinkedBlockingQueue<>();
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
   @Test
   void aSmallFleetReadsChangesSevenTimesASecond() {
     assertThat(FeedFollower.paceMs(1)).isEqualTo(150);
@@ -25,4 +44,73 @@
   void noFleetReadsLessOftenThanOnceASecond() {
     assertThat(FeedFollower.paceMs(390)).isEqualTo(1_000);
   }
+
+  private FeedFollower<String> follow(int nodeCount) {
+    FeedFollower<String> follower =
+        new FeedFollower<>(
+            "list",
+            (EventLoop) group.next(),
+            new ChangingFeed(),
+            new IgnoringListener(),
+            () -> nodeCount,
+            (kind, attempt, fields) -> {});
+    follower.start();
+    return follower;
+  }
+
+  private long nextReadNanos() throws InterruptedException {
+    Long nanos = readNanos.poll(5, TimeUnit.SECONDS);
+    assertThat(nanos).isNotNull();
+    return nanos;
+  }
+
+  @Test
+  void aNodeOfALargeFleetWaitsBetweenReadings() throws InterruptedException {
+    FeedFollower<String> follower = follow(60);
+    long pausedNanos = -nextReadNanos() + nextReadNanos();
+    assertThat(pausedNanos).isGreaterThan(TimeUnit.MILLISECONDS.toNanos(900));
+    follower.stop();
+  }
+
+  /** Guards against requests that targets refuse until the pause is over. */
+  @Test
+  void aListThatProvedToBeOldIsReadBeforeThePauseIsOver() throws Exception {
+    FeedFollower<String> follower = follow(60);
+    final long firstNanos = nextReadNanos();
+    Thread.sleep(200);
+    group.next().submit(follower::hurry).get();
+    assertThat(nextReadNanos() - firstNanos).isLessThan(TimeUnit.MILLISECONDS.toNanos(900));
+    follower.stop();
+  }
+
+  /** A list of which each reading has a change. */
+  private final class ChangingFeed implements ChangeFeed<String> {
+    private final List<FeedResult.Change<String>> changes =
+        List.of(new FeedResult.Change<>("k", Optional.of("v")));
+
+    @Override
+    public void readAll(Consumer<FeedResult<String>> onResult) {
+      readNanos.add(System.nanoTime());
+      onResult.accept(new FeedResult.Entries<>(changes, 1));
+    }
+
+    @Override
+    public void readChanges(
+        long afterRevision, long waitMs, Consumer<FeedResult<String>> onResult) {
+      readNanos.add(System.nanoTime());
+      onResult.accept(new FeedResult.Entries<>(changes, afterRevision + 1));
+    }
+  }
+
+  /** What a list says does not matter here. */
+  private static final class IgnoringListener implements FeedFollower.Listener<String> {
+    @Override
+    public void onAll(List<FeedResult.Change<String>> entries) {}
+
+    @Override
+    public void onChanges(List<FeedResult.Change<String>> changes) {}
+
+    @Override
+    public void onAway() {}
+  }
 }
