Let full targets pause instead of taking them out of their pipelines

Cause: a target that refused a stream was left out of all pipelines of the node for 0.4 to 3.2 s, and the pipelines were composed anew. Near capacity most refusals are for want of memory (at 95 nodes a quarter of all arrivals): the pipeline of the refusing target then borrows stages of others and fills those too.

Ruled out: asking the target (a probe is priced, and its report is some hundred ms old); not reacting at all (the same full pipeline would be chosen again at once).

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -75,6 +75,7 @@
   private final PipelineEstimate.SlowdownFactors slowdownFactors;
   private final RandomGenerator random;
   private final StartLimiter startLimiter;
+  private final FullTargets fullTargets = new FullTargets();
 
   /** A pipeline that can take the request; the one with the least cost is preferred. */
   private record Candidate(ModelPipeline pipeline, double cost) {}
@@ -113,6 +114,9 @@
       long nowMs) {
     List<Candidate> candidates = new ArrayList<>();
     for (ModelPipeline pipeline : pipelines) {
+      if (hasPausedTarget(pipeline, nowMs)) {
+        continue;
+      }
       double utilization = utilization(pipeline, profile, request);
       double cost = utilization + GAP_WEIGHT * gapUtilization(pipeline, profile, request);
       if (utilization <= 1
@@ -125,6 +129,43 @@
         .stream().min(Comparator.comparingDouble(Candidate::cost)).map(Candidate::pipeline);
   }
 
+  private boolean hasPausedTarget(ModelPipeline pipeline, long nowMs) {
+    for (PipelineStage stage : pipeline.stages()) {
+      if (fullTargets.isPaused(stage.target().id(), nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Records that a target of a pipeline refused a stream.
+   *
+   * @param pipeline the pipeline
+   * @param address address of the target
+   * @param profile profile of the engines
+   * @param nowMs monotonic time in milliseconds
+   * @return what the refusal says about the target
+   */
+  public FullTargets.Verdict onRefused(
+      ModelPipeline pipeline, String address, EngineProfile profile, long nowMs) {
+    for (PipelineStage stage : pipeline.stages()) {
+      if (stage.target().address().equals(address)) {
+        double utilization =
+            loads.totalLoad(stage.target().id()).layerTokens() / memoryCapacity(stage, profile);
+        return fullTargets.onRefused(stage.target().id(), utilization, nowMs);
+      }
+    }
+    return FullTargets.Verdict.UNUSABLE;
+  }
+
+  /** Returns the memory that streams may reserve at a stage, in tokens times layers. */
+  private static double memoryCapacity(PipelineStage stage, EngineProfile profile) {
+    AcceleratorKind kind = profile.acceleratorKind(stage.target().acceleratorKind()).orElseThrow();
+    int heldLayers = stage.target().layers().orElse(stage.layers()).layerCount();
+    return profile.layerTokenCapacity(kind.memoryMb(), heldLayers) * MEMORY_SHARE;
+  }
+
   /** Returns two different random candidates, or all if there are at most two. */
   private List<Candidate> sample(List<Candidate> candidates) {
     if (candidates.size() <= 2) {
@@ -185,10 +226,7 @@
       ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
     double utilization = 0;
     for (PipelineStage stage : pipeline.stages()) {
-      AcceleratorKind kind =
-          profile.acceleratorKind(stage.target().acceleratorKind()).orElseThrow();
-      int heldLayers = stage.target().layers().orElse(stage.layers()).layerCount();
-      double capacity = profile.layerTokenCapacity(kind.memoryMb(), heldLayers) * MEMORY_SHARE;
+      double capacity = memoryCapacity(stage, profile);
       double used =
           loads.totalLoad(stage.target().id()).layerTokens()
               + (double) request.reservedTokens() * stage.layers().layerCount();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
@@ -49,6 +49,13 @@
    */
   void excludeTemporarily(String address);
 
+  /**
+   * Starts a check of a target that keeps refusing requests.
+   *
+   * @param address address of the target
+   */
+  void checkTarget(String address);
+
   /**
    * Returns whether a pipeline lost targets only because they are about to leave, so that they
    * still serve for a while.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -1,13 +1,17 @@
 package org.gooseberryhook.router.forward;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.gooseberryhook.router.admission.FullTargets;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.WaitQueue;
+import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.fleet.ModelPipeline;
 
 /** Queues requests until their service has capacity, and starts them in order. */
 final class RequestDispatcher {
@@ -60,6 +64,28 @@
     scheduleCheck();
   }
 
+  /**
+   * Handles the refusal of a stream that has not run: a full target pauses for new streams, and one
+   * that refuses for another reason is taken out of its pipeline and checked.
+   *
+   * @param pipeline pipeline that the stream was sent to
+   * @param address address of the target that refused it
+   * @param status HTTP status of the refusal
+   * @param profile profile of the engines
+   */
+  void onTargetRefused(ModelPipeline pipeline, String address, int status, EngineProfile profile) {
+    boolean isMisdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    FullTargets.Verdict verdict =
+        isMisdirected
+            ? FullTargets.Verdict.UNUSABLE
+            : admission.onRefused(pipeline, address, profile, context.clock().nowMs());
+    if (verdict == FullTargets.Verdict.UNUSABLE) {
+      context.fleet().excludeTemporarily(address);
+    } else if (verdict == FullTargets.Verdict.FULL_AGAIN) {
+      context.fleet().checkTarget(address);
+    }
+  }
+
   /** Adds a stream that now runs on a pipeline. */
   void addRunning(StreamExchange exchange) {
     running.add(exchange);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -519,7 +519,7 @@
             .log()
             .recordEvent(
                 "refused", request.metadata().attemptId(), "status", status, "fault", faultAddress);
-        context.fleet().excludeTemporarily(faultAddress);
+        dispatcher.onTargetRefused(pipeline, faultAddress, status, profile);
         context.health().recordFailure(pipeline.head().id(), 0.5, nowMs);
         uncountedSends++;
         refusals++;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -293,6 +293,14 @@
     }
   }
 
+  @Override
+  public void checkTarget(String address) {
+    TargetEntry target = targetsByAddress.get(address);
+    if (target != null) {
+      probe(target);
+    }
+  }
+
   /**
    * Probes all targets of a service in the data centre of one that refused a request. A target that
    * lacks the expected layers is seldom the only one: orders go to all targets of a data centre
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -179,4 +179,14 @@
       onResult.accept(new EngineResult.Accepted());
     }
   }
+
+  /** Guards against pipelines that borrow stages of others because one of their targets is full. */
+  @Test
+  void aCheckedTargetStaysInItsPipeline() {
+    registry.onStoreAvailable(nowMs);
+    List<String> before = paths();
+    fleet.checkTarget("10.0.0.001:80");
+    assertThat(paths()).isEqualTo(before);
+    assertThat(probedIds).containsExactly("t-1");
+  }
 }
