Sum the loads of large fleets on the way of the lists

Cause: each node reports to each other one, at most 80 datagrams a second, so that loads are 1.2 s old at 95 nodes. Nodes fill pipelines that others have filled meanwhile.

Ruled out: faster reports (80 received datagrams a second already cost a few hundredths of a core of 0.36); pipelines owned by few nodes (callers choose the nodes, so demand and ownership would not meet).

Change: beyond 12 other nodes reports carry no loads. Each node sends its source of the lists the loads of itself and its followers each 100 ms, and frames bring back the sum over all nodes. Loads are about 0.35 s old at any size.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/LoadTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/LoadTracker.java
@@ -5,13 +5,14 @@
 
 /**
  * Tracks the load of each target over all nodes: this node's own load, which is exact, and the load
- * that each other node last reported.
+ * that the other nodes last reported, directly or summed on the way.
  */
 public final class LoadTracker {
 
   private final Map<String, InFlightLoad> own = new HashMap<>();
   private final Map<String, Map<String, InFlightLoad>> byPeer = new HashMap<>();
   private final Map<String, InFlightLoad> peersTotal = new HashMap<>();
+  private Map<String, InFlightLoad> relayed = Map.of();
 
   /**
    * Adds a request of this node to a target's load.
@@ -52,6 +53,26 @@
     loads.forEach(this::addToPeers);
   }
 
+  /**
+   * Replaces the sum of the loads of the nodes that do not report theirs to this one.
+   *
+   * @param loads loads by target id
+   */
+  public void replaceRelayedLoads(Map<String, InFlightLoad> loads) {
+    relayed = Map.copyOf(loads);
+  }
+
+  /**
+   * Returns the loads from the requests of this node and those whose loads are relayed.
+   *
+   * @return an immutable copy by target id, without idle targets
+   */
+  public Map<String, InFlightLoad> totalLoads() {
+    Map<String, InFlightLoad> total = new HashMap<>(relayed);
+    own.forEach((id, load) -> total.merge(id, load, InFlightLoad::plus));
+    return Map.copyOf(total);
+  }
+
   /**
    * Returns the load of a target from the requests of all nodes.
    *
@@ -59,7 +80,9 @@
    * @return the load, never null
    */
   public InFlightLoad totalLoad(String targetId) {
-    return ownLoad(targetId).plus(peersTotal.getOrDefault(targetId, InFlightLoad.NONE));
+    return ownLoad(targetId)
+        .plus(peersTotal.getOrDefault(targetId, InFlightLoad.NONE))
+        .plus(relayed.getOrDefault(targetId, InFlightLoad.NONE));
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/ReportSchedule.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/ReportSchedule.java
@@ -27,6 +27,15 @@
 
   private static final long MS_PER_SECOND = 1_000;
 
+  /**
+   * Largest number of other nodes to which a node reports its loads itself. In a larger fleet the
+   * loads are summed on the way of the lists; see {@link LoadAggregation}.
+   */
+  static final int MAX_DIRECT_RECEIVERS = 12;
+
+  /** Age that the loads of other nodes usually have at most where they are relayed. */
+  public static final long RELAYED_LOAD_AGE_MS = 350;
+
   private long lastSentMs = Long.MIN_VALUE / 2;
   private Object lastUrgentState;
 
@@ -41,6 +50,26 @@
     return Math.max(MIN_INTERVAL_MS, Math.min(MAX_INTERVAL_MS, intervalMs));
   }
 
+  /**
+   * Returns whether the loads of nodes are relayed and not part of their reports.
+   *
+   * @param receiverCount number of other nodes
+   * @return true in a large fleet
+   */
+  public static boolean areLoadsRelayed(int receiverCount) {
+    return receiverCount > MAX_DIRECT_RECEIVERS;
+  }
+
+  /**
+   * Returns how old the loads of other nodes may be.
+   *
+   * @param receiverCount number of other nodes
+   * @return milliseconds
+   */
+  public static long loadAgeMs(int receiverCount) {
+    return areLoadsRelayed(receiverCount) ? RELAYED_LOAD_AGE_MS : intervalMs(receiverCount);
+  }
+
   /**
    * Returns whether a report should be sent now: the interval has passed, or the urgent state has
    * changed and the last report is at least {@link #MIN_INTERVAL_MS} old.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -267,7 +267,7 @@
   @Override
   public CapacitySharing sharing() {
     int others = peers.liveReports().size();
-    return new CapacitySharing(1 + others, ReportSchedule.intervalMs(others));
+    return new CapacitySharing(1 + others, ReportSchedule.loadAgeMs(others));
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ListDistribution.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ListDistribution.java
@@ -8,11 +8,16 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.gooseberryhook.router.admission.InFlightLoad;
+import org.gooseberryhook.router.admission.LoadTracker;
+import org.gooseberryhook.router.cluster.LoadAggregation;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.cluster.ReportSchedule;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.forward.DecisionLog;
 import org.gooseberryhook.router.forward.MonotonicClock;
+import org.gooseberryhook.router.relay.FollowerMessage;
 import org.gooseberryhook.router.relay.ListPosition;
 import org.gooseberryhook.router.relay.ListUpdate;
 import org.gooseberryhook.router.relay.RelayFrame;
@@ -34,6 +39,9 @@
   /** Range over which nodes that lost their source spread their first reads of the store. */
   static final long READ_SPREAD_MS = 300;
 
+  /** Time between two messages with this node's loads to its source, in a large fleet. */
+  static final long LOAD_INTERVAL_MS = 100;
+
   /** Time without a frame after which a source is given up. */
   static final long MAX_SILENCE_MS = 600;
 
@@ -44,12 +52,16 @@
   private final Supplier<Boolean> isLeaseHeld;
   private final MonotonicClock clock;
   private final DecisionLog log;
+  private final LoadTracker loads;
+  private final Runnable onLoadsChanged;
+  private final LoadAggregation aggregation = new LoadAggregation();
   private final RelayServer server;
   private final RelayClient client;
   private final Map<String, Long> avoidedUntilMs = new HashMap<>();
   private final long maxAgeMs;
   private Optional<String> chosen = Optional.empty();
   private long lastFrameMs;
+  private long lastLoadsMs;
   private boolean isStopped;
 
   ListDistribution(
@@ -58,6 +70,8 @@
       TargetRegistry registry,
       List<FeedFollower<?>> lists,
       Supplier<Boolean> isLeaseHeld,
+      LoadTracker loads,
+      Runnable onLoadsChanged,
       EventLoop loop,
       MonotonicClock clock,
       RandomGenerator random,
@@ -67,27 +81,16 @@
     this.registry = registry;
     this.lists = List.copyOf(lists);
     this.isLeaseHeld = isLeaseHeld;
+    this.loads = loads;
+    this.onLoadsChanged = onLoadsChanged;
     this.clock = clock;
     this.log = log;
     this.maxAgeMs = MAX_AGE_MS + random.nextLong(READ_SPREAD_MS);
     this.server =
         new RelayServer(
-            loop,
-            settings.addresses().reports(),
-            lists,
-            new RelayServer.Availability() {
-              @Override
-              public boolean isRecent() {
-                return canRelay();
-              }
-
-              @Override
-              public long restoreGraceMs() {
-                return registry.restoreGraceMs(clock.nowMs());
-              }
-            },
-            log);
-    this.client = new RelayClient(loop, this::positions, this::onFrame, this::onSourceLost, log);
+            loop, settings.addresses().reports(), lists, new Availability(), new Loads(), log);
+    this.client =
+        new RelayClient(loop, this::newSubscription, this::onFrame, this::onSourceLost, log);
   }
 
   void start() throws InterruptedException {
@@ -142,12 +145,26 @@
       avoid(client.source().get(), "silent");
     }
     choose();
+    sendLoads(nowMs);
     boolean follows = client.source().isPresent();
     for (FeedFollower<?> list : lists) {
       list.setReading(!follows || !isRecent(list));
     }
   }
 
+  private boolean areLoadsRelayed() {
+    return ReportSchedule.areLoadsRelayed(peers.liveReports().size());
+  }
+
+  private void sendLoads(long nowMs) {
+    if (client.source().isPresent()
+        && areLoadsRelayed()
+        && nowMs - lastLoadsMs >= LOAD_INTERVAL_MS) {
+      lastLoadsMs = nowMs;
+      client.send(new FollowerMessage(Map.of(), aggregation.nextSent(loads.ownLoads())));
+    }
+  }
+
   private void choose() {
     Map<String, String> addresses = new HashMap<>();
     List<SourceSelector.Candidate> others = new ArrayList<>();
@@ -167,6 +184,7 @@
     }
     if (next.isEmpty()) {
       client.disconnect();
+      aggregation.onSourceGone();
     } else if (!next.equals(client.source()) && hasReadAll()) {
       lastFrameMs = clock.nowMs();
       client.follow(next.get(), addresses.get(next.get()));
@@ -178,10 +196,12 @@
     return lists.stream().allMatch(list -> list.history().position().isKnown());
   }
 
-  private Map<String, ListPosition> positions() {
+  private FollowerMessage newSubscription() {
     Map<String, ListPosition> positions = new HashMap<>();
     lists.forEach(list -> positions.put(list.name(), list.history().position()));
-    return positions;
+    Map<String, InFlightLoad> sent =
+        areLoadsRelayed() ? aggregation.nextSent(loads.ownLoads()) : Map.of();
+    return new FollowerMessage(positions, sent);
   }
 
   /** Subscribes again after this node has read a whole list. */
@@ -196,6 +216,9 @@
       tick();
       return;
     }
+    aggregation.onTotal(frame.loads());
+    loads.replaceRelayedLoads(aggregation.others());
+    onLoadsChanged.run();
     registry.extendRestoreGrace(frame.restoreGraceMs(), clock.nowMs());
     for (ListUpdate update : frame.updates()) {
       for (FeedFollower<?> list : lists) {
@@ -218,4 +241,29 @@
       client.disconnect();
     }
   }
+
+  private final class Availability implements RelayServer.Availability {
+    @Override
+    public boolean isRecent() {
+      return canRelay();
+    }
+
+    @Override
+    public long restoreGraceMs() {
+      return registry.restoreGraceMs(clock.nowMs());
+    }
+  }
+
+  private final class Loads implements RelayServer.FollowerLoads {
+    @Override
+    public void replaceFollower(String follower, Map<String, InFlightLoad> followerLoads) {
+      aggregation.replaceFollower(follower, followerLoads);
+      loads.replaceRelayedLoads(aggregation.others());
+    }
+
+    @Override
+    public Map<String, InFlightLoad> total() {
+      return areLoadsRelayed() ? loads.totalLoads() : Map.of();
+    }
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -133,7 +133,7 @@
             isReady.getAsBoolean(),
             leaseRevision(),
             isLast,
-            state.loads().ownLoads(),
+            ReportSchedule.areLoadsRelayed(receiverCount()) ? Map.of() : state.loads().ownLoads(),
             state.registry().isStoreUnavailable(),
             state.fleet().suspectAndSlowAddresses(),
             state.crashMarks().ownMarks(nowMs),
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayClient.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayClient.java
@@ -13,12 +13,11 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.gooseberryhook.router.forward.DecisionLog;
-import org.gooseberryhook.router.relay.ListPosition;
+import org.gooseberryhook.router.relay.FollowerMessage;
 import org.gooseberryhook.router.relay.RelayCodec;
 import org.gooseberryhook.router.relay.RelayFrame;
 
@@ -28,7 +27,7 @@
   private static final int CONNECT_TIMEOUT_MS = 300;
 
   private final EventLoop loop;
-  private final Supplier<Map<String, ListPosition>> positions;
+  private final Supplier<FollowerMessage> subscription;
   private final Consumer<RelayFrame> onFrame;
   private final Consumer<String> onSourceLost;
   private final DecisionLog log;
@@ -38,19 +37,19 @@
    * Creates a client without a connection.
    *
    * @param loop the event loop
-   * @param positions positions of this node's lists, for the subscription
+   * @param subscription supplies the message that asks for frames from the present positions
    * @param onFrame receives the frames of the present source
    * @param onSourceLost called with the name of the source when its connection fails
    * @param log log of the node
    */
   RelayClient(
       EventLoop loop,
-      Supplier<Map<String, ListPosition>> positions,
+      Supplier<FollowerMessage> subscription,
       Consumer<RelayFrame> onFrame,
       Consumer<String> onSourceLost,
       DecisionLog log) {
     this.loop = loop;
-    this.positions = positions;
+    this.subscription = subscription;
     this.onFrame = onFrame;
     this.onSourceLost = onSourceLost;
     this.log = log;
@@ -92,7 +91,12 @@
 
   /** Subscribes again, after the positions of this node's lists have changed by a full read. */
   void resubscribe() {
-    link.ifPresent(Link::subscribe);
+    send(subscription.get());
+  }
+
+  /** Sends a message to the source, unless there is none or its connection is full. */
+  void send(FollowerMessage message) {
+    link.ifPresent(present -> present.send(message));
   }
 
   void disconnect() {
@@ -113,10 +117,9 @@
       return link.isPresent() && link.get() == this;
     }
 
-    void subscribe() {
-      if (channel.isActive()) {
-        byte[] bytes = RelayCodec.encodeSubscription(positions.get());
-        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+    void send(FollowerMessage message) {
+      if (channel.isActive() && channel.isWritable()) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(RelayCodec.encodeMessage(message)));
       }
     }
 
@@ -130,7 +133,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       channel = ctx.channel();
-      subscribe();
+      send(subscription.get());
     }
 
     @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayServer.java
@@ -20,7 +20,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.gooseberryhook.router.admission.InFlightLoad;
 import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.relay.FollowerMessage;
 import org.gooseberryhook.router.relay.ListHistory;
 import org.gooseberryhook.router.relay.ListPosition;
 import org.gooseberryhook.router.relay.ListUpdate;
@@ -44,6 +46,7 @@
   private final String address;
   private final List<FeedFollower<?>> lists;
   private final Availability availability;
+  private final FollowerLoads loads;
   private final DecisionLog log;
   private final Map<Channel, Map<String, ListPosition>> followers = new LinkedHashMap<>();
   private Channel serverChannel;
@@ -57,16 +60,27 @@
     long restoreGraceMs();
   }
 
+  /** Loads of the followers and of all nodes. */
+  interface FollowerLoads {
+    /** Replaces the loads that a follower sent; none when it is gone. */
+    void replaceFollower(String follower, Map<String, InFlightLoad> followerLoads);
+
+    /** Returns the loads of all nodes, by target id. */
+    Map<String, InFlightLoad> total();
+  }
+
   RelayServer(
       EventLoop loop,
       String address,
       List<FeedFollower<?>> lists,
       Availability availability,
+      FollowerLoads loads,
       DecisionLog log) {
     this.loop = loop;
     this.address = address;
     this.lists = List.copyOf(lists);
     this.availability = availability;
+    this.loads = loads;
     this.log = log;
   }
 
@@ -136,7 +150,8 @@
       }
     }
     RelayFrame frame =
-        new RelayFrame(availability.isRecent(), availability.restoreGraceMs(), updates);
+        new RelayFrame(
+            availability.isRecent(), availability.restoreGraceMs(), updates, loads.total());
     return Unpooled.wrappedBuffer(RelayCodec.encodeFrame(frame));
   }
 
@@ -182,18 +197,22 @@
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf message) throws IOException {
       byte[] bytes = new byte[message.readableBytes()];
       message.readBytes(bytes);
-      Map<String, ListPosition> positions = RelayCodec.decodeSubscription(bytes);
+      FollowerMessage received = RelayCodec.decodeMessage(bytes);
       if (followers.size() >= MAX_FOLLOWERS && !followers.containsKey(ctx.channel())) {
         ctx.close();
         return;
       }
-      followers.put(ctx.channel(), positions);
-      push();
+      loads.replaceFollower(ctx.channel().id().asShortText(), received.loads());
+      if (!received.positions().isEmpty()) {
+        followers.put(ctx.channel(), received.positions());
+        push();
+      }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       followers.remove(ctx.channel());
+      loads.replaceFollower(ctx.channel().id().asShortText(), Map.of());
     }
 
     @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -183,6 +183,8 @@
             registry,
             List.of(configurationFeed, targetFeed),
             () -> lease.isHeld(clock.nowMs()),
+            loads,
+            this::onLoadsChanged,
             loop,
             clock,
             new SplittableRandom(),
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayCodec.java
@@ -3,10 +3,12 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.gooseberryhook.router.admission.InFlightLoad;
 import org.gooseberryhook.router.relay.ListUpdate.ListChange;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -19,38 +21,40 @@
   private static final int FORMAT_VERSION = 1;
 
   private static final int MAX_LISTS = 16;
+  private static final int MAX_TARGETS = 16_384;
   private static final int MAX_CHANGES = 65_536;
   private static final int MAX_CONTENT_BYTES = 8_388_608;
 
   private RelayCodec() {}
 
   /**
-   * Encodes a subscription.
+   * Encodes a message of a follower.
    *
-   * @param positions position of the subscriber by name of the list
+   * @param message the message
    * @return the bytes
    */
-  public static byte[] encodeSubscription(Map<String, ListPosition> positions) {
+  public static byte[] encodeMessage(FollowerMessage message) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      packer.packInt(FORMAT_VERSION).packMapHeader(positions.size());
-      for (Map.Entry<String, ListPosition> entry : positions.entrySet()) {
+      packer.packInt(FORMAT_VERSION).packMapHeader(message.positions().size());
+      for (Map.Entry<String, ListPosition> entry : message.positions().entrySet()) {
         packer.packString(entry.getKey());
         packPosition(packer, entry.getValue());
       }
+      packLoads(packer, message.loads());
       return packer.toByteArray();
     } catch (IOException e) {
-      throw new IllegalStateException("cannot encode a subscription", e);
+      throw new IllegalStateException("cannot encode a follower's message", e);
     }
   }
 
   /**
-   * Decodes a subscription.
+   * Decodes a message of a follower.
    *
-   * @param bytes content of a message
-   * @return position of the subscriber by name of the list
-   * @throws IOException if the bytes are not a subscription of this format version
+   * @param bytes content of the message
+   * @return the message, never null
+   * @throws IOException if the bytes are not a message of this format version
    */
-  public static Map<String, ListPosition> decodeSubscription(byte[] bytes) throws IOException {
+  public static FollowerMessage decodeMessage(byte[] bytes) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       requireFormat(unpacker.unpackInt());
       int size = requireAtMost(unpacker.unpackMapHeader(), MAX_LISTS);
@@ -58,10 +62,30 @@
       for (int i = 0; i < size; i++) {
         positions.put(unpacker.unpackString(), unpackPosition(unpacker));
       }
-      return positions;
+      return new FollowerMessage(positions, unpackLoads(unpacker));
     } catch (RuntimeException | EOFException e) {
-      throw new IOException("cannot decode a subscription", e);
+      throw new IOException("cannot decode the relay message of a follower", e);
+    }
+  }
+
+  private static void packLoads(MessageBufferPacker packer, Map<String, InFlightLoad> loads)
+      throws IOException {
+    packer.packMapHeader(loads.size());
+    for (Map.Entry<String, InFlightLoad> entry : loads.entrySet()) {
+      packer.packString(entry.getKey()).packInt(entry.getValue().requests());
+      packer.packLong(entry.getValue().layerTokens());
+    }
+  }
+
+  private static Map<String, InFlightLoad> unpackLoads(MessageUnpacker unpacker)
+      throws IOException {
+    int size = requireAtMost(unpacker.unpackMapHeader(), MAX_TARGETS);
+    Map<String, InFlightLoad> loads = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      String target = unpacker.unpackString();
+      loads.put(target, new InFlightLoad(unpacker.unpackInt(), unpacker.unpackLong()));
     }
+    return loads;
   }
 
   /**
@@ -88,6 +112,7 @@
           }
         }
       }
+      packLoads(packer, frame.loads());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a relay frame", e);
@@ -116,7 +141,7 @@
             position.isKnown() ? Optional.of(position) : Optional.empty();
         updates.add(new ListUpdate(list, known, ageMs, unpackChanges(unpacker)));
       }
-      return new RelayFrame(isStoreAvailable, restoreGraceMs, updates);
+      return new RelayFrame(isStoreAvailable, restoreGraceMs, updates, unpackLoads(unpacker));
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode a relay frame", e);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayFrame.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayFrame.java
@@ -1,6 +1,8 @@
 package org.gooseberryhook.router.relay;
 
 import java.util.List;
+import java.util.Map;
+import org.gooseberryhook.router.admission.InFlightLoad;
 
 /**
  * Message to a node that follows the lists of the sender.
@@ -10,11 +12,18 @@
  * @param restoreGraceMs time for which entries that are missing from the list of targets may still
  *     be restored after an outage of the store, in milliseconds; 0 if there was none
  * @param updates one update for each list
+ * @param loads loads of all nodes by target id, as the sender knows them; empty in a small fleet,
+ *     where each node reports to each other one
  */
-public record RelayFrame(boolean isStoreAvailable, long restoreGraceMs, List<ListUpdate> updates) {
+public record RelayFrame(
+    boolean isStoreAvailable,
+    long restoreGraceMs,
+    List<ListUpdate> updates,
+    Map<String, InFlightLoad> loads) {
 
-  /** Copies the list of updates. */
+  /** Copies the collections. */
   public RelayFrame {
     updates = List.copyOf(updates);
+    loads = Map.copyOf(loads);
   }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.RetryBounds;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
@@ -184,6 +185,33 @@
     awaitValueEverywhere("2");
   }
 
+  /** Guards against targets that refuse what many nodes start between two reports. */
+  @Test
+  void inALargeFleetEachNodeSoonKnowsTheLoadsOfAllOthers() throws Exception {
+    String[] names = new String[14];
+    for (int i = 0; i < names.length; i++) {
+      names[i] = "n" + i;
+    }
+    startNodes(names);
+    onLoop(
+        () -> {
+          nodes.values().forEach(node -> node.loads.add("t", 100));
+          return null;
+        });
+    await(
+        () ->
+            nodes.values().stream()
+                .allMatch(n -> n.loads.totalLoad("t").requests() == names.length),
+        2_000);
+    onLoop(
+        () -> {
+          nodes.values().forEach(node -> node.loads.remove("t", 100));
+          return null;
+        });
+    await(
+        () -> nodes.values().stream().allMatch(n -> n.loads.totalLoad("t").requests() == 0), 2_000);
+  }
+
   /** A store with one entry; its state is confined to the event loop. */
   private static final class SharedStore {
     private long era = 1;
@@ -257,6 +285,7 @@
     private final String name;
     private final PeerTable peers;
     private final TargetRegistry registry = new TargetRegistry();
+    private final LoadTracker loads = new LoadTracker();
     private final Map<String, String> values = new HashMap<>();
     private final FeedFollower<String> follower;
     private final ListDistribution distribution;
@@ -287,6 +316,8 @@
               registry,
               List.of(follower),
               () -> false,
+              loads,
+              () -> {},
               loop,
               ListDistributionTest::nowMs,
               new SplittableRandom(1),
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/relay/RelayCodecTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/relay/RelayCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.gooseberryhook.router.admission.InFlightLoad;
 import org.gooseberryhook.router.relay.ListUpdate.ListChange;
 import org.junit.jupiter.api.Test;
 
@@ -26,17 +27,19 @@
             List.of(
                 new ListChange("t-1", 39, Optional.of(new byte[] {1, 2})),
                 new ListChange("t-2", 40, Optional.empty())));
-    RelayFrame frame = new RelayFrame(true, 700, List.of(gone, update));
+    RelayFrame frame =
+        new RelayFrame(true, 700, List.of(gone, update), Map.of("t-1", new InFlightLoad(3, 900)));
     RelayFrame decoded = RelayCodec.decodeFrame(RelayCodec.encodeFrame(frame));
     assertThat(decoded).usingRecursiveComparison().isEqualTo(frame);
   }
 
   @Test
-  void aSubscriptionArrivesAsItWasSent() throws IOException {
+  void aMessageOfAFollowerArrivesAsItWasSent() throws IOException {
     Map<String, ListPosition> positions =
         Map.of("targets", new ListPosition(2, 40), "configuration", ListPosition.NONE);
-    assertThat(RelayCodec.decodeSubscription(RelayCodec.encodeSubscription(positions)))
-        .isEqualTo(positions);
+    FollowerMessage message =
+        new FollowerMessage(positions, Map.of("t-1", new InFlightLoad(3, 900)));
+    assertThat(RelayCodec.decodeMessage(RelayCodec.encodeMessage(message))).isEqualTo(message);
   }
 
   /** Guards against a node that fails on bytes of another program at its port. */
@@ -48,9 +51,9 @@
       assertThat(e).hasMessageContaining("relay");
     }
     try {
-      RelayCodec.decodeSubscription(bytes);
+      RelayCodec.decodeMessage(bytes);
     } catch (IOException e) {
-      assertThat(e).isNotNull();
+      assertThat(e).hasMessageContaining("relay");
     }
   }
 
