Probe failed targets by few nodes

Ruled out: adopting the suspicion of others without a probe of one's own (a machine that is cut off would take targets from all).

Change: three nodes by a hash of node and target probe each 0.5 s, the others more seldom by the size of the fleet, 4 s at most. A target is probed at once when another node begins to suspect it or no longer does, not with each report.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -70,6 +70,15 @@
     this.self = self;
   }
 
+  /**
+   * Returns the name of this node.
+   *
+   * @return the name
+   */
+  public String self() {
+    return self;
+  }
+
   /**
    * Replaces the addresses that nodes registered in the store.
    *
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ProbeSchedule.java
@@ -0,0 +1,51 @@
+package org.gooseberryhook.router.fleet;
+
+import java.util.Collection;
+
+/**
+ * Decides how often a node probes a target that failed.
+ *
+ * <p>Answers the load pattern of a target that is down for long before a large fleet: a few nodes
+ * probe it often, and the others seldom. When it responds again, these few no longer report it as
+ * failed, and the others probe it then.
+ */
+public final class ProbeSchedule {
+
+  /** Time between probes by a node that probes often. */
+  public static final long INTERVAL_MS = 500;
+
+  /** Longest time between probes by any node. */
+  static final long MAX_INTERVAL_MS = 4_000;
+
+  /** Number of nodes that probe a target often. */
+  static final int FREQUENT_PROBERS = 3;
+
+  private static final long HASH_MULTIPLIER = 0x9e3779b97f4a7c15L;
+  private static final int HASH_SHIFT = 32;
+
+  private ProbeSchedule() {}
+
+  /**
+   * Returns the time between probes of a failed target. All nodes rank each other by a hash of node
+   * and target, so the targets are spread over the nodes.
+   *
+   * @param self name of this node
+   * @param others names of the other live nodes
+   * @param address address of the target
+   * @return milliseconds
+   */
+  public static long intervalMs(String self, Collection<String> others, String address) {
+    long ownRank = rank(self, address);
+    long before = others.stream().filter(other -> rank(other, address) < ownRank).count();
+    if (before < FREQUENT_PROBERS) {
+      return INTERVAL_MS;
+    }
+    long sharedMs = INTERVAL_MS * (1 + others.size()) / FREQUENT_PROBERS;
+    return Math.min(MAX_INTERVAL_MS, sharedMs);
+  }
+
+  private static long rank(String node, String address) {
+    long hash = (31L * node.hashCode() + address.hashCode()) * HASH_MULTIPLIER;
+    return (hash ^ (hash >>> HASH_SHIFT)) * HASH_MULTIPLIER;
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.admission.CapacitySharing;
+import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.ReportSchedule;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
@@ -18,6 +19,7 @@
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.ModelPipelines;
 import org.gooseberryhook.router.fleet.PipelineStage;
+import org.gooseberryhook.router.fleet.ProbeSchedule;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.forward.DecisionLog;
@@ -39,9 +41,6 @@
    */
   private static final long SECOND_PROBE_TIMEOUT_MS = 200;
 
-  /** Time between probes of suspect and slow targets. */
-  private static final long PROBE_INTERVAL_MS = 500;
-
   /**
    * Time for which streams stay on a leaving target while a nearby replacement loads its layers.
    * Leaving targets keep serving for at least two seconds.
@@ -85,6 +84,10 @@
   private final Map<String, TargetEntry> targetsByAddress = new HashMap<>();
 
   private final Map<String, List<ModelPipeline>> pipelinesByService = new HashMap<>();
+
+  /** Suspects that other nodes last reported, by name of the node. */
+  private final Map<String, Set<String>> suspectsByPeer = new HashMap<>();
+
   private long composedRegistryRevision = -1;
   private long composedSuspectRevision = -1;
   private long nextProbeMs;
@@ -136,12 +139,21 @@
       recompose(configuration.get());
     }
     if (clock.nowMs() >= nextProbeMs) {
-      nextProbeMs = clock.nowMs() + PROBE_INTERVAL_MS;
-      for (TargetEntry entry : registry.entries()) {
-        if (suspectTracker.isSuspect(entry.address())
-            || slowdownFactors.containsKey(entry.address())) {
-          probe(entry);
-        }
+      nextProbeMs = clock.nowMs() + ProbeSchedule.INTERVAL_MS;
+      probeSuspectAndSlow();
+    }
+  }
+
+  private void probeSuspectAndSlow() {
+    List<String> others = peers.liveReports().stream().map(PeerReport::node).toList();
+    for (TargetEntry entry : registry.entries()) {
+      String address = entry.address();
+      boolean isDue = suspectTracker.isSuspect(address) || slowdownFactors.containsKey(address);
+      // The runs of this method are not exactly an interval apart.
+      long intervalMs =
+          ProbeSchedule.intervalMs(peers.self(), others, address) - ProbeSchedule.INTERVAL_MS / 2;
+      if (isDue && suspectTracker.msSinceProbe(address, clock.nowMs()) >= intervalMs) {
+        probe(entry);
       }
     }
   }
@@ -361,19 +373,36 @@
     }
   }
 
-  /** Probes the targets that another node suspects, unless they are suspects here already. */
-  void onPeerSuspects(List<String> addresses) {
+  /**
+   * Probes the targets that another node newly suspects, and the suspects of this node that it no
+   * longer suspects. Reports repeat what the node suspects; only changes tell something.
+   */
+  void onPeerSuspects(String node, List<String> addresses) {
+    Set<String> before = suspectsByPeer.getOrDefault(node, Set.of());
     if (addresses.isEmpty()) {
+      suspectsByPeer.remove(node);
+    } else {
+      suspectsByPeer.put(node, Set.copyOf(addresses));
+    }
+    if (addresses.isEmpty() && before.isEmpty()) {
       return;
     }
     peerReportedSuspects.addAll(addresses);
     for (TargetEntry entry : registry.entries()) {
-      if (addresses.contains(entry.address()) && !suspectTracker.isSuspect(entry.address())) {
+      String address = entry.address();
+      boolean isSuspectThere = addresses.contains(address);
+      boolean isChanged = isSuspectThere != before.contains(address);
+      if (isChanged && isSuspectThere != suspectTracker.isSuspect(address)) {
         probe(entry);
       }
     }
   }
 
+  /** Forgets the suspects of a node that is gone. */
+  void onPeerGone(String node) {
+    suspectsByPeer.remove(node);
+  }
+
   @Override
   public double slowdownFactor(TargetEntry target) {
     Double factor = slowdownFactors.get(target.address());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -80,6 +80,7 @@
     for (String expired : state.peers().expire(nowMs)) {
       log.recordEvent("node-gone", "", "peer", expired);
       state.loads().replacePeerLoads(expired, Map.of());
+      state.fleet().onPeerGone(expired);
     }
     if (schedule.isDue(receiverCount(), urgentState(), nowMs)) {
       sendReport(false);
@@ -159,7 +160,7 @@
       state.lease().onHolderReport(report.leaseRevision(), nowMs);
     }
     state.crashMarks().mergePeerMarks(report.node(), report.crashMarks(), nowMs);
-    state.fleet().onPeerSuspects(report.suspects());
+    state.fleet().onPeerSuspects(report.node(), report.suspects());
     state.fleet().onPeerLayerReports(report.node(), report.layerReports());
     onLoadsChanged.run();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -147,24 +147,7 @@
     this.fleet =
         new FleetState(registry, deps.engines(), peers, clock, this::readTargetsEarly, log);
     this.forwarder = newForwarder(deps.headerCodec());
-    this.reporter =
-        new PeerReporter(
-            settings,
-            incarnation,
-            new PeerReporter.SharedState(
-                peers,
-                loads,
-                crashMarks,
-                registry,
-                fleet,
-                lease,
-                this::canRelay,
-                this::configurationVersion),
-            loop,
-            clock,
-            this::isReady,
-            this::onLoadsChanged,
-            log);
+    this.reporter = newReporter();
     this.configurationFeed =
         new FeedFollower<>(
             "configuration",
@@ -176,42 +159,71 @@
     this.targetFeed =
         new FeedFollower<>(
             "targets", loop, deps.targetFeed(), new TargetListener(), this::listReaderCount, log);
-    this.distribution =
-        new ListDistribution(
-            settings,
-            peers,
-            registry,
-            List.of(configurationFeed, targetFeed),
-            () -> lease.isHeld(clock.nowMs()),
-            loads,
-            this::onLoadsChanged,
-            loop,
-            clock,
-            new SplittableRandom(),
-            log);
+    this.distribution = newDistribution();
     this.leaseKeeper =
         new LeaseKeeper(
             deps.table(), lease, clock, this::isHolderReporting, this::mayExtendLease, log);
-    this.registration =
-        new NodeRegistration(
-            deps.table(),
-            settings.name(),
-            settings.addresses().reports(),
+    this.registration = newRegistration(deps.table());
+    this.placement = newPlacement(deps.engines());
+    deps.storeHistory().listen(this::onStoreHistory);
+  }
+
+  private PeerReporter newReporter() {
+    return new PeerReporter(
+        settings,
+        incarnation,
+        new PeerReporter.SharedState(
             peers,
-            clock,
-            () -> lease.isHeld(clock.nowMs()),
-            log);
-    this.placement =
-        new PlacementDriver(
+            loads,
+            crashMarks,
             registry,
-            fleet::isReliable,
-            fleet::isLossConfirmed,
-            fleet::probeIfStoreUnavailable,
-            deps.engines(),
+            fleet,
             lease,
-            clock,
-            log);
-    deps.storeHistory().listen(this::onStoreHistory);
+            this::canRelay,
+            this::configurationVersion),
+        loop,
+        clock,
+        this::isReady,
+        this::onLoadsChanged,
+        log);
+  }
+
+  private ListDistribution newDistribution() {
+    return new ListDistribution(
+        settings,
+        peers,
+        registry,
+        List.of(configurationFeed, targetFeed),
+        () -> lease.isHeld(clock.nowMs()),
+        loads,
+        this::onLoadsChanged,
+        loop,
+        clock,
+        new SplittableRandom(),
+        log);
+  }
+
+  private PlacementDriver newPlacement(EngineControl engines) {
+    return new PlacementDriver(
+        registry,
+        fleet::isReliable,
+        fleet::isLossConfirmed,
+        fleet::probeIfStoreUnavailable,
+        engines,
+        lease,
+        clock,
+        log);
+  }
+
+  private NodeRegistration newRegistration(TableService table) {
+    return new NodeRegistration(
+        table,
+        settings.name(),
+        settings.addresses().reports(),
+        peers,
+        clock,
+        () -> lease.isHeld(clock.nowMs()),
+        log);
   }
 
   /** Applies the number of the store's history: 0 while it is unknown. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectTracker.java
@@ -114,6 +114,12 @@
     return true;
   }
 
+  /** Returns the time since the last probe of a target began, in milliseconds. */
+  long msSinceProbe(String address, long nowMs) {
+    Long lastMs = lastProbeMs.get(address);
+    return lastMs == null ? Long.MAX_VALUE : nowMs - lastMs;
+  }
+
   /**
    * Returns whether all suspects have failed for {@link #CONFIRM_AFTER_MS}; one lost packet does
    * not confirm a loss.
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ProbeScheduleTest.java
@@ -0,0 +1,61 @@
+package org.gooseberryhook.router.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests how many probes a fleet sends to a failed target. Guards against probes that grow with the
+ * number of nodes: 95 nodes sent 27,791 of them on one day.
+ */
+class ProbeScheduleTest {
+
+  private static List<String> names(int nodes) {
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      names.add("front-" + i);
+    }
+    return names;
+  }
+
+  private static double probesPerSecond(int nodes, String address) {
+    double sum = 0;
+    for (String self : names(nodes)) {
+      List<String> others = new ArrayList<>(names(nodes));
+      others.remove(self);
+      sum += 1_000.0 / ProbeSchedule.intervalMs(self, others, address);
+    }
+    return sum;
+  }
+
+  @Test
+  void aFailedTargetOfALargeFleetGetsFewProbesFromMostNodes() {
+    assertThat(probesPerSecond(3, "10.0.0.1:80")).isEqualTo(6);
+    assertThat(probesPerSecond(21, "10.0.0.1:80")).isLessThan(12);
+    assertThat(probesPerSecond(95, "10.0.0.1:80")).isLessThan(31);
+  }
+
+  @Test
+  void threeNodesProbeATargetOftenAndTheTargetsAreSpreadOverTheNodes() {
+    List<String> names = names(40);
+    Set<String> probers = new HashSet<>();
+    for (int target = 0; target < 30; target++) {
+      int frequent = 0;
+      for (String self : names) {
+        List<String> others = new ArrayList<>(names);
+        others.remove(self);
+        long intervalMs = ProbeSchedule.intervalMs(self, others, "10.0.0." + target + ":80");
+        if (intervalMs == ProbeSchedule.INTERVAL_MS) {
+          frequent++;
+          probers.add(self);
+        }
+      }
+      assertThat(frequent).isEqualTo(3);
+    }
+    assertThat(probers).hasSizeGreaterThan(25);
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -151,7 +151,7 @@
   void aSuspectThatAnotherNodeReportedIsNotReportedAgain() {
     fleet.reportFailure("10.0.0.001:80", "gone");
     fleet.reportFailure("10.0.0.002:80", "gone");
-    fleet.onPeerSuspects(List.of("10.0.0.001:80"));
+    fleet.onPeerSuspects("other", List.of("10.0.0.001:80"));
     assertThat(fleet.unreportedSuspects()).containsExactly("10.0.0.002:80");
   }
 
@@ -189,4 +189,24 @@
     assertThat(paths()).isEqualTo(before);
     assertThat(probedIds).containsExactly("t-1");
   }
+
+  /** Guards against probes of each node for each report of each other one. */
+  @Test
+  void aSuspicionOfAnotherNodeIsCheckedOnceAndNotWithEachOfItsReports() {
+    fleet.onPeerSuspects("other", List.of("10.0.0.001:80"));
+    nowMs += 2_000;
+    fleet.onPeerSuspects("other", List.of("10.0.0.001:80"));
+    assertThat(probedIds).containsExactly("t-1");
+  }
+
+  /** Guards against a target that stays out of use long after it responds again. */
+  @Test
+  void aSuspectIsProbedWhenAnotherNodeNoLongerSuspectsIt() {
+    fleet.reportFailure("10.0.0.002:80", "test");
+    fleet.onPeerSuspects("other", List.of("10.0.0.002:80"));
+    assertThat(probedIds).isEmpty();
+    nowMs += 2_000;
+    fleet.onPeerSuspects("other", List.of());
+    assertThat(probedIds).containsExactly("t-2");
+  }
 }
