Send frames to followers at least each 200 ms

Cause: followers give a source up after 0.6 s without a frame, and a reader of lists that do not change sent one only when its long poll ended.

Change: a frame at least each 200 ms, whatever the lists do. aQuietListDoesNotMakeFollowersReadForThemselves guards it.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
@@ -32,7 +32,7 @@
    * The same for a node on whose reads others rely. It bounds the age of what they know while
    * nothing changes.
    */
-  static final long RELAYED_LONG_POLL_MS = 600;
+  static final long RELAYED_LONG_POLL_MS = 400;
 
   /**
    * Shortest delay after a call that returned changes. It batches changes into few calls; without
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ListDistribution.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ListDistribution.java
@@ -42,6 +42,9 @@
   /** Time between two messages with this node's loads to its source, in a large fleet. */
   static final long LOAD_INTERVAL_MS = 100;
 
+  /** Longest time between two frames to the followers. */
+  static final long PUSH_INTERVAL_MS = 200;
+
   /** Time without a frame after which a source is given up. */
   static final long MAX_SILENCE_MS = 600;
 
@@ -62,6 +65,7 @@
   private Optional<String> chosen = Optional.empty();
   private long lastFrameMs;
   private long lastLoadsMs;
+  private long lastPushMs;
   private boolean isStopped;
 
   ListDistribution(
@@ -131,6 +135,7 @@
    * Sends the present state to the followers, after this node's lists were confirmed or changed.
    */
   void onListConfirmed() {
+    lastPushMs = clock.nowMs();
     server.push();
   }
 
@@ -146,6 +151,9 @@
     }
     choose();
     sendLoads(nowMs);
+    if (nowMs - lastPushMs >= PUSH_INTERVAL_MS) {
+      onListConfirmed();
+    }
     boolean follows = client.source().isPresent();
     for (FeedFollower<?> list : lists) {
       list.setReading(!follows || !isRecent(list));
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
@@ -185,6 +185,19 @@
     awaitValueEverywhere("2");
   }
 
+  /** Guards against followers that give up their source whenever the lists do not change. */
+  @Test
+  void aQuietListDoesNotMakeFollowersReadForThemselves() throws Exception {
+    startNodes("a", "b", "c");
+    String reader = onLoop(this::readers).get(0);
+    Map<String, Integer> before = onLoop(() -> new HashMap<>(store.callsByNode));
+    Thread.sleep(2_500);
+    Map<String, Integer> after = onLoop(() -> new HashMap<>(store.callsByNode));
+    before.remove(reader);
+    after.remove(reader);
+    assertThat(after).isEqualTo(before);
+  }
+
   /** Guards against targets that refuse what many nodes start between two reports. */
   @Test
   void inALargeFleetEachNodeSoonKnowsTheLoadsOfAllOthers() throws Exception {
