Find a pipeline whenever the ranges of a data centre cover the model

Cause: the search gives a layer up if nothing continues there, also when the only target that does is in the path already.

Change: if the search fails, the target that reaches furthest at each layer is taken; that finds a path whenever there is one and uses no target twice.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipelines.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ModelPipelines.java
@@ -130,7 +130,7 @@
     List<PipelineStage> path = new ArrayList<>();
     path.add(new PipelineStage(head, LayerRange.of(0, headEnd)));
     isDeadEnd = new boolean[layerCount + 1];
-    if (!extend(path, dataCentre)) {
+    if (!extend(path, dataCentre) && !cover(path, dataCentre)) {
       return Optional.empty();
     }
     for (PipelineStage stage : path) {
@@ -168,6 +168,28 @@
     return false;
   }
 
+  /**
+   * Extends a path to the last layer by the target that reaches furthest at each layer. Finds a
+   * path whenever the ranges cover the layers: {@link #extend} may miss one, because it gives a
+   * layer up if the only target that continues there is in the path already. A target that is in
+   * the path never reaches further than the one after it, so none is used twice.
+   */
+  private boolean cover(List<PipelineStage> path, String dataCentre) {
+    int from = path.get(path.size() - 1).layers().endLayer();
+    while (from < layerCount && path.size() < MAX_STAGES) {
+      Optional<TargetEntry> furthest =
+          candidates(path, from, dataCentre).stream()
+              .max(Comparator.comparingInt(entry -> entry.layers().get().endLayer()));
+      if (furthest.isEmpty()) {
+        return false;
+      }
+      int end = furthest.get().layers().get().endLayer();
+      path.add(new PipelineStage(furthest.get(), LayerRange.of(from, end)));
+      from = end;
+    }
+    return from == layerCount;
+  }
+
   /**
    * Returns the end of the layers that a target runs from a layer on. An unassigned target that
    * begins at the layer runs all its layers; any other runs only up to where an unassigned target
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ModelPipelinesTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ModelPipelinesTest.java
@@ -11,7 +11,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import net.jqwik.api.lifecycle.AddLifecycleHook;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
 
@@ -145,12 +144,21 @@
   }
 
   /**
-   * Guards against a search that misses a pipeline, as it tries each layer only once. Listed in
-   * KNOWN-RED.txt: fails for some seeds.
+   * Guards against a search that misses a pipeline, as it tries each layer only once; it did for
+   * one sample in 1,300.
    */
-  @Property(tries = 200)
-  @AddLifecycleHook(KnownRed.class)
+  @Property(tries = 20_000)
   void aPipelineIsFoundWheneverTheRangesOfADataCentreCoverTheModel(@ForAll long seed) {
+    requirePipelineIfCovered(seed);
+  }
+
+  /** The sample of jqwik seed -6351003306454088183 that found no pipeline. */
+  @Test
+  void aPipelineIsFoundForTheSampleThatFailed() {
+    requirePipelineIfCovered(1_485_569);
+  }
+
+  private static void requirePipelineIfCovered(long seed) {
     Random random = new Random(seed);
     List<TargetEntry> fleet = new ArrayList<>();
     boolean[] isHeld = new boolean[20];
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FeedFollowerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FeedFollowerTest.java
@@ -14,7 +14,6 @@
 import org.gooseberryhook.router.relay.ListPosition;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.condition.DisabledIfEnvironmentVariable;
 
 /**
  * Tests how often nodes read a list: a large fleet must not overload the store, and changes such as
@@ -77,13 +76,8 @@
     follower.stop();
   }
 
-  /**
-   * Guards against requests that targets refuse while the node waits to read the new list. Listed
-   * in KNOWN-RED.txt: the follower is started outside its event loop, which may lose the early
-   * read.
-   */
+  /** Guards against requests that targets refuse while the node waits to read the new list. */
   @Test
-  @DisabledIfEnvironmentVariable(named = "CI", matches = "true", disabledReason = "KNOWN-RED.txt")
   void aStaleListIsReadAgainBeforeTheDelayEnds() throws Exception {
     FeedFollower<String> follower = startFollower(60);
     final long firstNanos = nextReadNanos();
