Move the streams of a broken pipeline by shares of the free room

Ruled out: a delay by chance (the room is known, so it can be shared); moving by turns of the nodes (needs agreement).

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -75,6 +76,7 @@
   private final PipelineEstimate.SlowdownFactors slowdownFactors;
   private final RandomGenerator random;
   private final StartLimiter startLimiter;
+  private final StartLimiter moveLimiter;
   private final FullTargets fullTargets = new FullTargets();
 
   /** A pipeline that can take the request; the one with the least cost is preferred. */
@@ -93,6 +95,7 @@
     this.slowdownFactors = slowdownFactors;
     this.random = random;
     this.startLimiter = new StartLimiter(random);
+    this.moveLimiter = new StartLimiter(random);
   }
 
   /**
@@ -112,9 +115,68 @@
       EngineProfile profile,
       CapacitySharing sharing,
       long nowMs) {
+    return choose(request, pipelines, profile, sharing, nowMs, pipeline -> true);
+  }
+
+  /**
+   * Chooses a pipeline for a stream that lost its own, as {@link #choose} does for a new one.
+   *
+   * <p>Answers the load pattern of a pipeline that breaks while the others are nearly full: all its
+   * streams move at the same moment, from all nodes, and the targets of the pipeline that looked
+   * best refuse most of them. A node therefore moves only its share of the streams that a pipeline
+   * still has memory for, until it knows what the others moved; the rest goes elsewhere or waits.
+   *
+   * @param request the rest of the stream
+   * @param pipelines pipelines that can serve it
+   * @param profile profile of the engines
+   * @param sharing how nodes share the pipelines
+   * @param nowMs monotonic time in milliseconds
+   * @return the pipeline, or empty if the stream has to wait
+   */
+  public Optional<ModelPipeline> chooseForMove(
+      StreamRequest request,
+      List<ModelPipeline> pipelines,
+      EngineProfile profile,
+      CapacitySharing sharing,
+      long nowMs) {
+    return choose(
+        request,
+        pipelines,
+        profile,
+        sharing,
+        nowMs,
+        pipeline ->
+            sharing.nodeCount() == 1
+                || moveLimiter.mayStart(
+                    pipeline.head().id(),
+                    freeRequests(pipeline, profile, request),
+                    sharing.nodeCount(),
+                    nowMs / sharing.reportIntervalMs()));
+  }
+
+  /** Returns how many requests of the same size a pipeline still has memory for. */
+  private double freeRequests(
+      ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+    double free = Double.POSITIVE_INFINITY;
+    for (PipelineStage stage : pipeline.stages()) {
+      double unused =
+          memoryCapacity(stage, profile) - loads.totalLoad(stage.target().id()).layerTokens();
+      double needed = (double) request.reservedTokens() * stage.layers().layerCount();
+      free = Math.min(free, Math.floor(Math.max(0, unused) / needed));
+    }
+    return free;
+  }
+
+  private Optional<ModelPipeline> choose(
+      StreamRequest request,
+      List<ModelPipeline> pipelines,
+      EngineProfile profile,
+      CapacitySharing sharing,
+      long nowMs,
+      Predicate<ModelPipeline> mayStart) {
     List<Candidate> candidates = new ArrayList<>();
     for (ModelPipeline pipeline : pipelines) {
-      if (hasPausedTarget(pipeline, nowMs)) {
+      if (hasPausedTarget(pipeline, nowMs) || !mayStart.test(pipeline)) {
         continue;
       }
       double utilization = utilization(pipeline, profile, request);
@@ -277,6 +339,18 @@
     startLimiter.onStarted(pipeline.head().id(), nowMs / sharing.reportIntervalMs());
   }
 
+  /**
+   * Records that this node moved a stream to a pipeline.
+   *
+   * @param pipeline the pipeline
+   * @param sharing how nodes share the pipelines
+   * @param nowMs monotonic time in milliseconds
+   */
+  public void onMoved(ModelPipeline pipeline, CapacitySharing sharing, long nowMs) {
+    moveLimiter.onStarted(pipeline.head().id(), nowMs / sharing.reportIntervalMs());
+    onStarted(pipeline, sharing, nowMs);
+  }
+
   private boolean endsInTime(
       ModelPipeline pipeline, EngineProfile profile, StreamRequest request, long nowMs) {
     double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads, slowdownFactors);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -6,9 +6,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.gooseberryhook.router.admission.CapacitySharing;
 import org.gooseberryhook.router.admission.FullTargets;
 import org.gooseberryhook.router.admission.StreamAdmission;
+import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
@@ -34,9 +37,33 @@
         new StreamAdmission(context.loads(), context.fleet()::slowdownFactor, context.random());
   }
 
-  /** Returns the admission, which chooses the pipelines of streams. */
-  StreamAdmission admission() {
-    return admission;
+  /**
+   * Chooses the pipeline of a stream.
+   *
+   * @param request the stream
+   * @param pipelines pipelines that can serve it
+   * @param profile profile of the engines
+   * @param isMove whether the stream was sent to a pipeline before
+   * @return the pipeline, or empty if the stream has to wait
+   */
+  Optional<ModelPipeline> choosePipeline(
+      StreamRequest request, List<ModelPipeline> pipelines, EngineProfile profile, boolean isMove) {
+    CapacitySharing sharing = context.fleet().sharing();
+    long nowMs = context.clock().nowMs();
+    return isMove
+        ? admission.chooseForMove(request, pipelines, profile, sharing, nowMs)
+        : admission.choose(request, pipelines, profile, sharing, nowMs);
+  }
+
+  /** Records that a stream starts on a pipeline, for the first time or after a move. */
+  void onStarted(ModelPipeline pipeline, boolean isMove) {
+    CapacitySharing sharing = context.fleet().sharing();
+    long nowMs = context.clock().nowMs();
+    if (isMove) {
+      admission.onMoved(pipeline, sharing, nowMs);
+    } else {
+      admission.onStarted(pipeline, sharing, nowMs);
+    }
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -118,21 +118,19 @@
     long nowMs = context.clock().nowMs();
     StreamRequest streamRequest = newStreamRequest(nowMs);
     Optional<ModelPipeline> chosen =
-        choosePipeline(streamRequest, context.fleet().pipelines(service), nowMs);
+        choosePipeline(streamRequest, context.fleet().pipelines(service));
     chosen.ifPresent(pipeline -> startOn(pipeline, streamRequest));
     return chosen.isPresent();
   }
 
   private Optional<ModelPipeline> choosePipeline(
-      StreamRequest streamRequest, List<ModelPipeline> pipelines, long nowMs) {
-    return dispatcher
-        .admission()
-        .choose(streamRequest, pipelines, profile, context.fleet().sharing(), nowMs);
+      StreamRequest streamRequest, List<ModelPipeline> pipelines) {
+    return dispatcher.choosePipeline(streamRequest, pipelines, profile, sends > 0);
   }
 
   private void startOn(ModelPipeline pipeline, StreamRequest streamRequest) {
     leaveQueue = () -> {};
-    dispatcher.admission().onStarted(pipeline, context.fleet().sharing(), context.clock().nowMs());
+    dispatcher.onStarted(pipeline, sends > 0);
     attempt = new Attempt(pipeline, streamRequest.reservedTokens());
     attempt.start();
   }
@@ -410,7 +408,7 @@
               .filter(p -> p.dataCentreCrossings() <= maxCrossings)
               .filter(p -> !p.head().address().equals(pipeline.head().address()))
               .toList();
-      Optional<ModelPipeline> other = choosePipeline(streamRequest, candidates, nowMs);
+      Optional<ModelPipeline> other = choosePipeline(streamRequest, candidates);
       boolean mayMove =
           route().isResumable()
               && other.isPresent()
