Let every poll of a list end after 0.4 s

Cause: ListDistributionTest.aQuietListDoesNotMakeFollowersReadForThemselves failed twice beside load, once with a longest gap of 94 ms between ticks, so the machine had not stood still. A reader that begins a poll before it knows that others follow it waited 1.2 s for a change; its list is then older than the 1 s that followers accept, so they give it up and read for themselves. That happens after each start and change of the reader while a list is quiet, as the configuration is.

Change: all polls end after 0.4 s. Nodes that read for themselves poll quiet lists three times as often while it lasts.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
@@ -22,17 +22,11 @@
 final class FeedFollower<T> {
 
   /**
-   * How long the store may wait for a change before it responds. Together with the margin for the
-   * response it is below the time in which changes must take effect, so that a silent connection is
-   * detected earlier.
+   * How long the store may wait for a change before it responds. It bounds the age of the list,
+   * here and at the nodes that follow this one, while nothing changes; a node cannot know at the
+   * start of a call whether others will follow it before the call ends.
    */
-  static final long LONG_POLL_MS = 1_200;
-
-  /**
-   * The same for a node on whose reads others rely. It bounds the age of what they know while
-   * nothing changes.
-   */
-  static final long RELAYED_LONG_POLL_MS = 400;
+  static final long LONG_POLL_MS = 400;
 
   /**
    * Shortest delay after a call that returned changes. It batches changes into few calls; without
@@ -213,8 +207,7 @@
     if (mustReadAll) {
       feed.readAll(result -> onResult(result, true));
     } else {
-      long waitMs = readerCount.getAsInt() == 1 ? RELAYED_LONG_POLL_MS : LONG_POLL_MS;
-      feed.readChanges(history.position(), waitMs, result -> onResult(result, false));
+      feed.readChanges(history.position(), LONG_POLL_MS, result -> onResult(result, false));
     }
   }
 
