--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -48,6 +48,7 @@
   RouterNode node;
   RoutingConfiguration olderConfiguration;
   int callerPort;
+  String reportAddress;
 
   TargetStandin addTarget(String service, LayerRange layers, TargetStandin.Script script)
       throws IOException {
@@ -93,9 +94,10 @@
 
   void startNode() throws Exception {
     callerPort = freePort();
-    String reports = "127.0.0.1:" + freePort();
+    reportAddress = "127.0.0.1:" + freePort();
     NodeAddresses addresses =
-        new NodeAddresses("127.0.0.1:" + callerPort, "unused", Optional.empty(), reports, "unused");
+        new NodeAddresses(
+            "127.0.0.1:" + callerPort, "unused", Optional.empty(), reportAddress, "unused");
     RouterSettings settings =
         new RouterSettings("n", "a", addresses, 4_000, new RetryBounds(0.2, 100, 10_000), 3_000, 2);
     node =
