--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -215,8 +215,10 @@
     request.body().release();
     long firstMs = firstEventMs == 0 ? -1 : firstEventMs - request.receivedMs();
     String headAddress = attempt == null ? "" : attempt.pipeline.head().address();
+    int crossings = attempt == null ? 0 : attempt.pipeline.dataCentreCrossings();
     Object[] details = {
-      "runs", sends, "events", events, "firstMs", firstMs, "gapMs", longestGapMs, "at", headAddress
+      "runs", sends, "events", events, "firstMs", firstMs, "gapMs", longestGapMs, "at", headAddress,
+      "crossings", crossings
     };
     context.recordOutcome("stream", request, routed, outcome, firstMs, details);
   }
