Let orders wait that would take the last copy of a layer

Callers saw a data centre without a pipeline for the time of a load. Cause: plans are made from what targets will hold once their orders have taken effect, and orders of one plan were sent together. A target that gives layers up refuses streams for them at once, while the target that takes them over still loads. Ruled out: planning from what targets hold now; plans would then change with each order that takes effect. Change: while a data centre has all layers, an order by which a target drops the last copy of one stays in the queue until another target holds it. A data centre that lacks layers is divided anew as before.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -137,7 +137,8 @@
         isFirstPlan
             ? Integer.MAX_VALUE
             : ORDERS_PER_LOAD * Math.max(1, profile.concurrentLayerLoads());
-    for (OrderTracker.Order order : tracker.nextOrders(plan, usable, maxOrders, nowMs)) {
+    for (OrderTracker.Order order :
+        tracker.nextOrders(plan, usable, profile.layerCount(), maxOrders, nowMs)) {
       sendIfNeeded(order, tracker, nowMs);
     }
     tracker.targetsInProgress(usable).forEach(onOrderInProgress);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/OrderTracker.java
@@ -41,14 +41,18 @@
    * Queues the orders that a plan requires and returns those that should be sent now. A returned
    * order stays in the queue until {@link #onSent} is called for it.
    *
+   * <p>An order by which a target drops layers waits until another target of the data centre holds
+   * them, as long as the data centre has all layers.
+   *
    * @param plan the plan
    * @param entries the targets as they are
+   * @param layerCount number of layers of the model
    * @param maxInProgress largest number of orders that may be in progress at once
    * @param nowMs monotonic time in milliseconds
    * @return the orders to send
    */
   public List<Order> nextOrders(
-      LayerPlan plan, List<TargetEntry> entries, int maxInProgress, long nowMs) {
+      LayerPlan plan, List<TargetEntry> entries, int layerCount, int maxInProgress, long nowMs) {
     Map<String, TargetEntry> byId = new HashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
     sent.entrySet().removeIf(e -> hasEnded(byId.get(e.getKey()), e.getValue(), nowMs));
@@ -62,16 +66,44 @@
         queued.put(entry.id(), new Order(entry, wanted));
       }
     }
+    Map<String, LayerCopies> copiesByDataCentre = countCopies(entries, layerCount);
     List<Order> orders = new ArrayList<>();
     for (Order order : queued.values()) {
       boolean isFree = !sent.containsKey(order.target().id());
       if (isFree && sent.size() + orders.size() < maxInProgress) {
-        orders.add(new Order(byId.get(order.target().id()), order.layers()));
+        TargetEntry target = byId.get(order.target().id());
+        LayerCopies copies = copiesByDataCentre.get(target.dataCentre());
+        if (!breaksDataCentre(target, order.layers(), copies)) {
+          orders.add(new Order(target, order.layers()));
+          target.layers().ifPresent(held -> copies.reduce(held, order.layers()));
+        }
       }
     }
     return orders;
   }
 
+  /** Counts the layers of each data centre that stay while the orders in progress take effect. */
+  private Map<String, LayerCopies> countCopies(List<TargetEntry> entries, int layerCount) {
+    Map<String, LayerCopies> byDataCentre = new HashMap<>();
+    for (TargetEntry entry : entries) {
+      LayerCopies copies =
+          byDataCentre.computeIfAbsent(entry.dataCentre(), key -> new LayerCopies(layerCount));
+      entry.layers().ifPresent(copies::add);
+      SentOrder order = sent.get(entry.id());
+      if (order != null) {
+        entry.layers().ifPresent(held -> copies.reduce(held, order.layers()));
+      }
+    }
+    return byDataCentre;
+  }
+
+  private static boolean breaksDataCentre(
+      TargetEntry target, LayerRange wanted, LayerCopies copies) {
+    return target.layers().isPresent()
+        && copies.isComplete()
+        && copies.isLastHolder(target.layers().get(), wanted);
+  }
+
   private boolean isInProgress(String targetId, LayerRange layers) {
     SentOrder order = sent.get(targetId);
     return order != null && order.layers().equals(layers);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
@@ -132,7 +132,8 @@
             profile,
             new PlanConditions(tracker.isSettled(), true));
     int maxOrders = isFirst ? Integer.MAX_VALUE : 2 * profile.concurrentLayerLoads();
-    for (OrderTracker.Order order : tracker.nextOrders(plan, entries, maxOrders, nowMs)) {
+    for (OrderTracker.Order order :
+        tracker.nextOrders(plan, entries, profile.layerCount(), maxOrders, nowMs)) {
       tracker.onSent(order, nowMs);
       Target target = targets.get(order.target().id());
       if (target.ordered.isEmpty()) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/OrderTrackerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/OrderTrackerTest.java
@@ -15,6 +15,8 @@
  */
 class OrderTrackerTest {
 
+  private static final int LAYER_COUNT = 80;
+
   private final OrderTracker tracker = new OrderTracker();
   private final TargetEntry empty = TestFleet.engine(1, "a", "large");
   private final TargetEntry other = TestFleet.engine(2, "a", "large");
@@ -23,41 +25,42 @@
 
   @Test
   void anOrderIsNotRepeatedBeforeItsTimeout() {
-    OrderTracker.Order order = tracker.nextOrders(plan, List.of(empty), 5, 0).get(0);
+    OrderTracker.Order order = tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 0).get(0);
     tracker.onSent(order, 0);
-    assertThat(tracker.nextOrders(plan, List.of(empty), 5, 1_000)).isEmpty();
-    assertThat(tracker.nextOrders(plan, List.of(empty), 5, 10_000)).hasSize(1);
+    assertThat(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 1_000)).isEmpty();
+    assertThat(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 10_000)).hasSize(1);
   }
 
   @Test
   void aRestartedTargetIsOrderedAgainImmediately() {
-    tracker.onSent(tracker.nextOrders(plan, List.of(empty), 5, 0).get(0), 0);
+    tracker.onSent(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 0).get(0), 0);
     TargetEntry restarted =
         new TargetEntry(
             "t-1", "model", empty.address(), "a", 134, false, "large", empty.layers(), 2, 1);
-    assertThat(tracker.nextOrders(plan, List.of(restarted), 5, 100)).hasSize(1);
+    assertThat(tracker.nextOrders(plan, List.of(restarted), LAYER_COUNT, 5, 100)).hasSize(1);
   }
 
   @Test
   void theNumberOfOrdersInProgressIsBounded() {
-    List<OrderTracker.Order> orders = tracker.nextOrders(plan, List.of(empty, other), 1, 0);
+    List<OrderTracker.Order> orders =
+        tracker.nextOrders(plan, List.of(empty, other), LAYER_COUNT, 1, 0);
     assertThat(orders).hasSize(1);
     tracker.onSent(orders.get(0), 0);
-    assertThat(tracker.nextOrders(plan, List.of(empty, other), 1, 10)).isEmpty();
+    assertThat(tracker.nextOrders(plan, List.of(empty, other), LAYER_COUNT, 1, 10)).isEmpty();
   }
 
   @Test
   void aLoadingTargetIsExpectedToHoldTheOrderedLayers() {
-    tracker.onSent(tracker.nextOrders(plan, List.of(empty), 5, 0).get(0), 0);
+    tracker.onSent(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 0).get(0), 0);
     assertThat(tracker.expectedTargets(List.of(empty, other)).get(0).layers())
         .contains(LayerRange.of(0, 20));
   }
 
   @Test
   void aFailedOrderIsRepeatedAfterTheRetryDelay() {
-    tracker.onSent(tracker.nextOrders(plan, List.of(empty), 5, 0).get(0), 0);
+    tracker.onSent(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 0).get(0), 0);
     tracker.onFailed("t-1", 100);
-    assertThat(tracker.nextOrders(plan, List.of(empty), 5, 300)).isEmpty();
-    assertThat(tracker.nextOrders(plan, List.of(empty), 5, 700)).hasSize(1);
+    assertThat(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 300)).isEmpty();
+    assertThat(tracker.nextOrders(plan, List.of(empty), LAYER_COUNT, 5, 700)).hasSize(1);
   }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/PlacementSimulationTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/PlacementSimulationTest.java
@@ -153,6 +153,29 @@
     assertThat(reduced).isEmpty();
   }
 
+  /**
+   * Guards against orders by which a target drops layers that the target which takes them over has
+   * not loaded yet: the data centre then had no pipeline for the time of the load.
+   */
+  @Test
+  void aTargetDropsNoLayersBeforeAnotherHoldsThem() {
+    FleetSimulation simulation =
+        new FleetSimulation(
+            TestFleet.PROFILE,
+            List.of(
+                TestFleet.engine(1, "a", "large", 0, 15),
+                TestFleet.engine(2, "a", "large", 15, 38),
+                TestFleet.engine(3, "a", "large", 38, 62),
+                TestFleet.engine(4, "a", "large", 62, 70),
+                TestFleet.engine(5, "a", "large", 70, 80),
+                TestFleet.engine(6, "a", "middle")));
+    double before = simulation.requestsPerSecond();
+    List<Double> rates = new ArrayList<>();
+    simulation.run(15_000, () -> rates.add(simulation.requestsPerSecond()));
+    assertThat(Collections.min(rates)).isGreaterThanOrEqualTo(before);
+    assertThat(simulation.requestsPerSecond()).isGreaterThan(before);
+  }
+
   /**
    * Guards against a placement that degrades over several losses, as recorded on days of high load:
    * a crash, a permanent loss with a new target in another data centre, and a second crash.
