--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -34,15 +34,10 @@
   private final String service;
   private final EngineProfile profile;
   private final long deadlineMs;
+  private final StreamProgress progress;
   private Runnable leaveQueue = () -> {};
   private ScheduledFuture<?> deadlineTimer;
   private Attempt attempt;
-  private Optional<String> lastEventId;
-  private long lastEventMs;
-  private long firstEventMs;
-  private long longestGapMs;
-  private int generatedTokens;
-  private int events;
   private int sends;
 
   /** Sends for which no target has stated that the request did not run. */
@@ -77,7 +72,7 @@
     this.service = service;
     this.profile = profile;
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
-    this.lastEventId = request.metadata().lastEventId();
+    this.progress = new StreamProgress(request.metadata().lastEventId());
   }
 
   @Override
@@ -137,7 +132,7 @@
 
   private StreamRequest newStreamRequest(long nowMs) {
     return StreamRequestFactory.create(
-        request, routed, profile, generatedTokens, sends > 0, deadlineMs, nowMs);
+        request, routed, profile, progress.generatedTokens(), sends > 0, deadlineMs, nowMs);
   }
 
   @Override
@@ -213,12 +208,22 @@
       deadlineTimer.cancel(false);
     }
     request.body().release();
-    long firstMs = firstEventMs == 0 ? -1 : firstEventMs - request.receivedMs();
+    long firstMs = progress.firstEventAfterMs(request.receivedMs());
     String headAddress = attempt == null ? "" : attempt.pipeline.head().address();
     int crossings = attempt == null ? 0 : attempt.pipeline.dataCentreCrossings();
     Object[] details = {
-      "runs", sends, "events", events, "firstMs", firstMs, "gapMs", longestGapMs, "at", headAddress,
-      "crossings", crossings
+      "runs",
+      sends,
+      "events",
+      progress.events(),
+      "firstMs",
+      firstMs,
+      "gapMs",
+      progress.longestGapMs(),
+      "at",
+      headAddress,
+      "crossings",
+      crossings
     };
     context.recordOutcome("stream", request, routed, outcome, firstMs, details);
   }
@@ -244,7 +249,7 @@
     context
         .log()
         .recordEvent("resume", request.metadata().attemptId(), "reason", kind, "detail", detail);
-    long sinceMs = lastEventMs == 0 ? request.receivedMs() : lastEventMs;
+    long sinceMs = progress.lastEventOr(request.receivedMs());
     isResuming = true;
     dispatcher.submit(this, Math.min(deadlineMs, sinceMs + StreamLimits.CALLER_GAP_TIMEOUT_MS));
   }
@@ -303,7 +308,7 @@
               routed.workspace().map(Workspace::name),
               routed.rank(),
               Optional.of(pipeline),
-              lastEventId);
+              progress.lastEventId());
       channel.send(
           TargetRequests.create(context, request, forwardMetadata, pipeline.head().address()),
           request.metadata().attemptId(),
@@ -332,7 +337,7 @@
         scheduleSilenceCheck(StreamLimits.SILENCE_MS);
         return;
       }
-      long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
+      long silentMs = context.clock().nowMs() - progress.lastEventOr(startedMs);
       // Without another pipeline the stream stays: silence alone is no reason to abort it.
       if (silentMs >= StreamLimits.CALLER_GAP_TIMEOUT_MS - StreamLimits.RESUME_MARGIN_MS
           && tryMove(StreamLimits.UNLIMITED_CROSSINGS)) {
@@ -426,16 +431,15 @@
       return mayMove;
     }
 
-    /** Records a gap; if it exceeds the target, the pipeline is checked for slow targets. */
-    private void recordGap(long gapMs) {
-      longestGapMs = Math.max(longestGapMs, gapMs);
+    /** Looks for slow targets of the pipeline if the time between two events is too long. */
+    private void checkPaceAfter(long gapMs) {
       if (route().gapTargetMs() > 0 && gapMs > route().gapTargetMs()) {
         context.fleet().checkPace(pipeline);
       }
     }
 
     private boolean isSilent() {
-      long silentMs = context.clock().nowMs() - Math.max(startedMs, lastEventMs);
+      long silentMs = context.clock().nowMs() - progress.lastEventOr(startedMs);
       return silentMs > StreamLimits.SILENCE_MS;
     }
 
@@ -472,20 +476,12 @@
         onFailure("stream response is not signed by the target");
         return;
       }
-      long nowMs = context.clock().nowMs();
       if (!response.isStarted()) {
         response.startStream(status, headers);
-        firstEventMs = nowMs;
-      } else {
-        recordGap(nowMs - lastEventMs);
       }
+      int tokens = profile.decodeStepsPerPass();
+      checkPaceAfter(progress.onEvent(id, tokens, context.clock().nowMs()));
       hasEvents = true;
-      lastEventMs = nowMs;
-      events++;
-      generatedTokens += profile.decodeStepsPerPass();
-      if (!id.isEmpty()) {
-        lastEventId = Optional.of(id);
-      }
       response.sendChunk(event);
       silenceTimer.cancel(false);
       scheduleSilenceCheck(StreamLimits.SILENCE_MS);
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
@@ -0,0 +1,77 @@
+package org.gooseberryhook.router.forward;
+
+import java.util.Optional;
+
+/** What the caller of a stream has received so far, over all attempts. */
+final class StreamProgress {
+
+  private Optional<String> lastEventId;
+  private long firstEventMs;
+  private long lastEventMs;
+  private long longestGapMs;
+  private int events;
+  private int generatedTokens;
+
+  /**
+   * Creates the progress of a stream without events.
+   *
+   * @param lastEventId id of the event after which the caller resumes a stream, if it does
+   */
+  StreamProgress(Optional<String> lastEventId) {
+    this.lastEventId = lastEventId;
+  }
+
+  /**
+   * Records an event.
+   *
+   * @param id its id, empty if it has none
+   * @param tokens number of tokens in it
+   * @param nowMs monotonic time in milliseconds
+   * @return time since the event before it in milliseconds, 0 for the first one
+   */
+  long onEvent(String id, int tokens, long nowMs) {
+    long gapMs = 0;
+    if (events == 0) {
+      firstEventMs = nowMs;
+    } else {
+      gapMs = nowMs - lastEventMs;
+      longestGapMs = Math.max(longestGapMs, gapMs);
+    }
+    lastEventMs = nowMs;
+    events++;
+    generatedTokens += tokens;
+    if (!id.isEmpty()) {
+      lastEventId = Optional.of(id);
+    }
+    return gapMs;
+  }
+
+  /** Returns the id of the last event, from which the stream can be resumed. */
+  Optional<String> lastEventId() {
+    return lastEventId;
+  }
+
+  /** Returns the number of tokens in the events. */
+  int generatedTokens() {
+    return generatedTokens;
+  }
+
+  int events() {
+    return events;
+  }
+
+  /** Returns the longest time between two events, in milliseconds. */
+  long longestGapMs() {
+    return longestGapMs;
+  }
+
+  /** Returns the time from a moment to the first event in milliseconds, -1 without one. */
+  long firstEventAfterMs(long sinceMs) {
+    return events == 0 ? -1 : firstEventMs - sinceMs;
+  }
+
+  /** Returns when the last event came, or a given time if that is later or there is none. */
+  long lastEventOr(long otherMs) {
+    return events == 0 ? otherMs : Math.max(otherMs, lastEventMs);
+  }
+}
