Respect targets that announce their leaving or ask for a pause

Callers would see requests fail at targets that are going, and full targets would be asked again and again: a target that leaves now says so in its answers, and one that refuses a request may state how long it wants none. Nothing read either header. Ruled out: waiting for the list of targets. It may be behind or away. Change: each answer, also of probes and orders, reaches FleetState with what the target states. An announced leaving counts like one of the list until the target starts anew or the list has shown it; a pause (TargetPauses) keeps requests and probes from the target, and a pipeline with a paused target is full. Both are looked at again when a connection is ready. Orders still go: they are no requests, and running streams need them. When all targets pause for longer than a request may wait, it is refused at once with the time that is left.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -58,4 +58,23 @@
         startedAtMs,
         modelVersion);
   }
+
+  /**
+   * Returns a copy of this entry whose target is about to leave.
+   *
+   * @return the entry, never null
+   */
+  public TargetEntry asLeaving() {
+    return new TargetEntry(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        true,
+        acceleratorKind,
+        layers,
+        startedAtMs,
+        modelVersion);
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -42,6 +42,9 @@
   /** Start times of targets that left, by id; the oldest is forgotten first. */
   private final Map<String, Long> departedStartMs = new LinkedHashMap<>();
 
+  /** Start times of targets that said themselves that they leave, by id, until the list says so. */
+  private final Map<String, Long> announcedStartMs = new HashMap<>();
+
   private boolean isRestoringFromCopy;
   private boolean hasFullList;
   private boolean isStoreUnavailable;
@@ -83,13 +86,47 @@
     store(entry);
   }
 
-  private void store(TargetEntry entry) {
-    departedStartMs.remove(entry.id());
+  private void store(TargetEntry listed) {
+    departedStartMs.remove(listed.id());
+    TargetEntry entry = withAnnouncement(listed);
     if (!entry.equals(entries.put(entry.id(), entry))) {
       revision++;
     }
   }
 
+  /**
+   * Returns an entry as leaving if its target said so. The list is often older than that; only an
+   * entry of another start, or one that was leaving in the list first, ends it.
+   */
+  private TargetEntry withAnnouncement(TargetEntry listed) {
+    Long startedAtMs = announcedStartMs.get(listed.id());
+    if (startedAtMs == null) {
+      return listed;
+    }
+    if (listed.isLeaving() || startedAtMs != listed.startedAtMs()) {
+      announcedStartMs.remove(listed.id());
+      return listed;
+    }
+    return listed.asLeaving();
+  }
+
+  /**
+   * Records that a target itself said that it is about to leave.
+   *
+   * @param address address of the target
+   * @return true if that was not known
+   */
+  public boolean announceLeaving(String address) {
+    for (TargetEntry entry : entries.values()) {
+      if (entry.address().equals(address) && !entry.isLeaving()) {
+        announcedStartMs.put(entry.id(), entry.startedAtMs());
+        store(entry);
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean isOlderThanKnown(TargetEntry entry) {
     TargetEntry known = entries.get(entry.id());
     if (known == null) {
@@ -123,6 +160,7 @@
     TargetEntry removed = entries.remove(id);
     missing.remove(id);
     listedEntries.remove(id);
+    announcedStartMs.remove(id);
     revision++;
     departedStartMs.put(id, removed.startedAtMs());
     if (departedStartMs.size() > MAX_DEPARTED) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -32,7 +32,7 @@
    */
   public ControlCalls(EventLoop loop, MonotonicClock clock, HeaderCodec headerCodec) {
     this.loop = loop;
-    this.channelPool = new TargetChannelPool(loop, clock, headerCodec);
+    this.channelPool = new TargetChannelPool(loop, clock, headerCodec, (address, metadata) -> {});
   }
 
   /** The outcome of a call. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/FleetView.java
@@ -56,6 +56,31 @@
    */
   void checkTarget(String address);
 
+  /**
+   * Handles what a target states about itself in the headers of an answer.
+   *
+   * @param address address of the target
+   * @param metadata values of the headers
+   */
+  void onTargetAnswer(String address, ResponseMetadata metadata);
+
+  /**
+   * Returns whether a target may get a request now: it is neither leaving nor has it asked for a
+   * pause.
+   *
+   * @param address address of the target
+   * @return false if a request must not be sent, even if the target was chosen for it before
+   */
+  boolean mayReceive(String address);
+
+  /**
+   * Returns when the pause ends that a target asked for.
+   *
+   * @param address address of the target
+   * @return monotonic time in milliseconds, the present time if it does not pause
+   */
+  long pauseEndMs(String address);
+
   /**
    * Returns whether a pipeline lost targets only because they are about to leave, so that they
    * still serve for a while.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -65,7 +65,7 @@
             clock,
             random,
             headerCodec,
-            new TargetChannelPool(loop, clock, headerCodec),
+            new TargetChannelPool(loop, clock, headerCodec, fleet::onTargetAnswer),
             loads,
             configuration,
             fleet,
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.admission.TargetChooser;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.RequestKind;
@@ -104,11 +106,24 @@
     return new WaitQueue.SchedulingInfo(routed.rank(), workspace, 1);
   }
 
-  /** Sends the request to the best free target, or queues it for a limited time. */
+  /**
+   * Sends the request to the best free target, or queues it for a limited time if a target can be
+   * free by then.
+   */
   private void submit() {
     long waitMs = (long) (route().targetLatencyMs() * MAX_WAIT_SHARE);
-    boolean isAnyUntried = triedTargetIds.size() < context.fleet().targets(service).size();
-    dispatcher.submit(this, isAnyUntried ? request.receivedMs() + waitMs : Long.MIN_VALUE);
+    long waitDeadlineMs = request.receivedMs() + waitMs;
+    boolean mayWait = untriedTargets().anyMatch(pauseEndsBy(waitDeadlineMs));
+    dispatcher.submit(this, mayWait ? waitDeadlineMs : Long.MIN_VALUE);
+  }
+
+  private Stream<TargetEntry> untriedTargets() {
+    return context.fleet().targets(service).stream()
+        .filter(target -> !triedTargetIds.contains(target.id()));
+  }
+
+  private Predicate<TargetEntry> pauseEndsBy(long timeMs) {
+    return target -> context.fleet().pauseEndMs(target.address()) <= timeMs;
   }
 
   @Override
@@ -122,7 +137,7 @@
     Optional<TargetEntry> target =
         new TargetChooser(context.loads())
             .choose(
-                context.fleet().targets(service),
+                untriedTargets().filter(pauseEndsBy(nowMs)).toList(),
                 triedTargetIds,
                 entry -> context.health().failureScore(entry.id(), nowMs),
                 entry -> context.random().nextDouble());
@@ -181,10 +196,20 @@
     } else {
       finish(kind);
       long spreadMs = context.random().nextLong(RETRY_AFTER_MS);
-      response.sendProblem(ProblemResponse.notRun(kind, detail, RETRY_AFTER_MS + spreadMs));
+      long retryAfterMs = Math.max(RETRY_AFTER_MS, msUntilAnyTargetResumes());
+      response.sendProblem(ProblemResponse.notRun(kind, detail, retryAfterMs + spreadMs));
     }
   }
 
+  /** Returns the time until the first pause of a target ends, 0 if one does not pause. */
+  private long msUntilAnyTargetResumes() {
+    long nowMs = context.clock().nowMs();
+    return context.fleet().targets(service).stream()
+        .mapToLong(target -> context.fleet().pauseEndMs(target.address()) - nowMs)
+        .min()
+        .orElse(0);
+  }
+
   /** Sends a target's response; its memory is released when it has been written to the caller. */
   private void sendResponse(String outcome, TargetResponse targetResponse) {
     final long bytes = reservedBytes;
@@ -275,6 +300,12 @@
         connected.abort();
         return;
       }
+      if (!context.fleet().mayReceive(target.address())) {
+        connected.abort();
+        end();
+        retryOrFail("target-unavailable", "the target is leaving or wants no requests now");
+        return;
+      }
       channel = connected;
       possiblyRunSends++;
       long nowMs = context.clock().nowMs();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -50,9 +50,29 @@
       StreamRequest request, List<ModelPipeline> pipelines, EngineProfile profile, boolean isMove) {
     CapacitySharing sharing = context.fleet().sharing();
     long nowMs = context.clock().nowMs();
+    List<ModelPipeline> active =
+        pipelines.stream().filter(pipeline -> pauseEndMs(pipeline) <= nowMs).toList();
     return isMove
-        ? admission.chooseForMove(request, pipelines, profile, sharing, nowMs)
-        : admission.choose(request, pipelines, profile, sharing, nowMs);
+        ? admission.chooseForMove(request, active, profile, sharing, nowMs)
+        : admission.choose(request, active, profile, sharing, nowMs);
+  }
+
+  private long pauseEndMs(ModelPipeline pipeline) {
+    return pipeline.addresses().stream()
+        .mapToLong(context.fleet()::pauseEndMs)
+        .max()
+        .orElse(context.clock().nowMs());
+  }
+
+  /**
+   * Returns when the first pipeline is usable whose targets all have ended the pauses that they
+   * asked for.
+   *
+   * @param pipelines pipelines of a service
+   * @return monotonic time in milliseconds, the present time if there is one or no pipeline at all
+   */
+  long earliestResumeMs(List<ModelPipeline> pipelines) {
+    return pipelines.stream().mapToLong(this::pauseEndMs).min().orElse(context.clock().nowMs());
   }
 
   /** Records that a stream starts on a pipeline, for the first time or after a move. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ResponseMetadata.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ResponseMetadata.java
@@ -9,9 +9,14 @@
  * @param isSigned whether the target signed the response
  * @param isNotRun whether the target states that it did not run the request
  * @param faultAddress address of the target in the pipeline that caused the failure, if stated
+ * @param isLeaving whether the target states that it is about to leave
+ * @param retryAfter time for which a target that refuses a request wants no other one, in seconds
+ *     as it states them, if it does
  */
 public record ResponseMetadata(
     Optional<String> attemptId,
     boolean isSigned,
     boolean isNotRun,
-    Optional<String> faultAddress) {}
+    Optional<String> faultAddress,
+    boolean isLeaving,
+    Optional<String> retryAfter) {}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -100,7 +100,10 @@
       return;
     }
     long waitMs = (long) (route().targetLatencyMs() * StreamLimits.MAX_WAIT_SHARE);
-    dispatcher.submit(this, Math.min(deadlineMs, request.receivedMs() + waitMs));
+    long waitDeadlineMs = Math.min(deadlineMs, request.receivedMs() + waitMs);
+    boolean mayWait =
+        dispatcher.earliestResumeMs(context.fleet().pipelines(service)) <= waitDeadlineMs;
+    dispatcher.submit(this, mayWait ? waitDeadlineMs : Long.MIN_VALUE);
   }
 
   @Override
@@ -142,8 +145,12 @@
       if (possiblyRunSends > 0) {
         fail(ProblemResponse.mayHaveRun("pipeline-lost", "the stream broke and no other has room"));
       } else {
+        long untilResumeMs =
+            dispatcher.earliestResumeMs(context.fleet().pipelines(service))
+                - context.clock().nowMs();
         long retryAfterMs =
-            StreamLimits.RETRY_AFTER_MS + context.random().nextLong(StreamLimits.RETRY_SPREAD_MS);
+            Math.max(StreamLimits.RETRY_AFTER_MS, untilResumeMs)
+                + context.random().nextLong(StreamLimits.RETRY_SPREAD_MS);
         fail(ProblemResponse.notRun("no-room", "all pipelines are full", retryAfterMs));
       }
     }
@@ -294,6 +301,12 @@
         connected.abort();
         return;
       }
+      if (!context.fleet().mayReceive(pipeline.head().address())) {
+        connected.abort();
+        end();
+        resumeOrFail("target-unavailable", "the head is leaving or wants no requests now");
+        return;
+      }
       channel = connected;
       channel.setReading(!isCallerSlow);
       possiblyRunSends++;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -129,6 +129,7 @@
       return;
     }
     ResponseMetadata metadata = pool.headerCodec().readResponse(status, response.headers());
+    pool.answerListener().onAnswer(address, metadata);
     boolean isOtherAttempt =
         attemptId != null
             && (metadata.attemptId().isPresent()
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -38,9 +38,15 @@
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final HeaderCodec headerCodec;
+  private final TargetAnswerListener answerListener;
   private final Map<String, Deque<TargetChannel>> idle = new HashMap<>();
 
-  TargetChannelPool(EventLoop loop, MonotonicClock clock, HeaderCodec headerCodec) {
+  TargetChannelPool(
+      EventLoop loop,
+      MonotonicClock clock,
+      HeaderCodec headerCodec,
+      TargetAnswerListener answerListener) {
+    this.answerListener = answerListener;
     this.loop = loop;
     this.clock = clock;
     this.headerCodec = headerCodec;
@@ -54,6 +60,10 @@
     return headerCodec;
   }
 
+  TargetAnswerListener answerListener() {
+    return answerListener;
+  }
+
   /**
    * Takes an idle connection from the pool or opens a new one.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/EngineControl.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/EngineControl.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.forward.TargetAnswerListener;
 import org.gooseberryhook.state.LayerRange;
 
 /**
@@ -11,6 +12,14 @@
  */
 public interface EngineControl {
 
+  /**
+   * Registers the receiver of what targets state about themselves in the headers of their answers.
+   * Must be called before the first call to a target.
+   *
+   * @param listener the receiver
+   */
+  void setAnswerListener(TargetAnswerListener listener);
+
   /**
    * Reads the state of a target.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.admission.CapacitySharing;
+import org.gooseberryhook.router.admission.TargetPauses;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.ReportSchedule;
@@ -25,6 +26,7 @@
 import org.gooseberryhook.router.forward.DecisionLog;
 import org.gooseberryhook.router.forward.FleetView;
 import org.gooseberryhook.router.forward.MonotonicClock;
+import org.gooseberryhook.router.forward.ResponseMetadata;
 
 /**
  * The targets and pipelines that requests may use. Composes the pipelines again whenever targets
@@ -88,6 +90,7 @@
   /** Suspects that other nodes last reported, by name of the node. */
   private final Map<String, Set<String>> suspectsByPeer = new HashMap<>();
 
+  private final TargetPauses pauses = new TargetPauses();
   private long composedRegistryRevision = -1;
   private long composedSuspectRevision = -1;
   private long nextProbeMs;
@@ -106,6 +109,7 @@
     this.peers = peers;
     this.clock = clock;
     this.log = log;
+    engines.setAnswerListener(this::onTargetAnswer);
   }
 
   SuspectTracker suspectTracker() {
@@ -349,6 +353,30 @@
     }
   }
 
+  @Override
+  public void onTargetAnswer(String address, ResponseMetadata metadata) {
+    if (metadata.isLeaving() && registry.announceLeaving(address)) {
+      log.recordEvent("leaving-announced", "", "target", address);
+      composedConfiguration.ifPresent(this::recompose);
+    }
+    if (metadata.retryAfter().isPresent() && targetsByAddress.containsKey(address)) {
+      String retryAfter = metadata.retryAfter().get();
+      TargetPauses.Verdict verdict = pauses.onAsked(address, retryAfter, clock.nowMs());
+      log.recordEvent(
+          "target-pauses", "", "target", address, "asked", retryAfter, "verdict", verdict);
+    }
+  }
+
+  @Override
+  public boolean mayReceive(String address) {
+    return targetsByAddress.containsKey(address) && !pauses.isPaused(address, clock.nowMs());
+  }
+
+  @Override
+  public long pauseEndMs(String address) {
+    return pauses.endMs(address, clock.nowMs());
+  }
+
   @Override
   public boolean isLeaving(ModelPipeline pipeline) {
     long nowMs = clock.nowMs();
@@ -489,9 +517,10 @@
     }
   }
 
-  /** Reads the state of a target, unless it was probed a moment ago. */
+  /** Reads the state of a target, unless it pauses or was probed a moment ago. */
   private void probe(TargetEntry target) {
-    if (!suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
+    if (pauses.isPaused(target.address(), clock.nowMs())
+        || !suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
       return;
     }
     engines.readState(target, FIRST_PROBE_TIMEOUT_MS, result -> onFirstProbeResult(target, result));
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -167,4 +167,59 @@
     registry.removeExpired(1_000 + TargetRegistry.RESTORE_GRACE_MS);
     assertThat(registry.entries().get(0).layers()).contains(LayerRange.of(0, 40));
   }
+
+  private boolean isFirstLeaving() {
+    return registry.entries().get(0).isLeaving();
+  }
+
+  /** Guards against a list that is older than what the target itself said. */
+  @Test
+  void anAnnouncedLeavingOutlivesOlderEntriesOfTheList() {
+    registry.replaceAll(List.of(first, second), 0);
+    assertThat(registry.announceLeaving(first.address())).isTrue();
+    assertThat(registry.announceLeaving(first.address())).isFalse();
+    registry.put(first);
+    registry.replaceAll(List.of(first, second), 60_000);
+    assertThat(isFirstLeaving()).isTrue();
+    assertThat(registry.entries().get(1)).isEqualTo(second);
+  }
+
+  @Test
+  void anAnnouncedLeavingOutlivesAnOutageAndARestoreOfTheStore() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.announceLeaving(first.address());
+    registry.onStoreUnavailable();
+    registry.onHistoryReset(1_000);
+    registry.replaceAll(List.of(first, second), 1_000);
+    registry.removeExpired(9_000);
+    assertThat(isFirstLeaving()).isTrue();
+  }
+
+  @Test
+  void anotherStartOfTheTargetEndsAnAnnouncedLeaving() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.announceLeaving(first.address());
+    TargetEntry restarted =
+        new TargetEntry(
+            "t-1", "model", first.address(), "a", 134, false, "large", first.layers(), 2, 1);
+    registry.put(restarted);
+    assertThat(isFirstLeaving()).isFalse();
+  }
+
+  @Test
+  void aTargetThatTheListShowsAsReadyAgainAfterItsLeavingIsUsed() {
+    registry.replaceAll(List.of(first, second), 0);
+    registry.announceLeaving(first.address());
+    registry.put(first.asLeaving());
+    registry.put(first);
+    assertThat(isFirstLeaving()).isFalse();
+  }
+
+  @Test
+  void anAnnouncementOfAnUnknownTargetChangesNothing() {
+    registry.replaceAll(List.of(first), 0);
+    long revision = registry.revision();
+    assertThat(registry.announceLeaving(second.address())).isFalse();
+    assertThat(registry.revision()).isEqualTo(revision);
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -17,6 +17,7 @@
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.fleet.TestFleet;
+import org.gooseberryhook.router.forward.TargetAnswerListener;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -157,6 +158,9 @@
 
   /** Engines that respond at once with the layers in {@link #heldLayers}. */
   private final class Engines implements EngineControl {
+    @Override
+    public void setAnswerListener(TargetAnswerListener listener) {}
+
     @Override
     public void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
       probedIds.add(target.id());
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StubEngineControl.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StubEngineControl.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
+import org.gooseberryhook.router.forward.TargetAnswerListener;
 import org.gooseberryhook.state.LayerRange;
 
 /**
@@ -17,6 +18,9 @@
 record StubEngineControl(
     long startedMs, List<String> stalledAddresses, List<EngineResult> repathResults)
     implements EngineControl {
+  @Override
+  public void setAnswerListener(TargetAnswerListener listener) {}
+
   @Override
   public void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
     onResult.accept(
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestHeaderCodec.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestHeaderCodec.java
@@ -46,6 +46,8 @@
         Optional.ofNullable(headers.get("attempt")),
         headers.contains("signed"),
         headers.contains("not-run"),
-        Optional.ofNullable(headers.get("fault")));
+        Optional.ofNullable(headers.get("fault")),
+        headers.contains("leaving"),
+        status == 503 ? Optional.ofNullable(headers.get("pause")) : Optional.empty());
   }
 }
