Log what a node does while it stops

What the on-call engineer saw: no line of a node after its SIGTERM.

Cause: the node stopped in a shutdown hook. The JDK removes the handlers of its log in a hook of its own, which runs at the same time; and the writer of the log lost what was queued when it ended. Ruled out: the rate limit (25 lines a second) and a stop that does not run.

The same fault of the daemon's hook in gooseberryhook-daemon is not looked at here.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/AsyncLogHandler.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/AsyncLogHandler.java
@@ -16,6 +16,9 @@
   /** Capacity of the queue of lines that are not yet written. */
   static final int MAX_QUEUED_LINES = 2_048;
 
+  /** Longest time for which {@link #close} waits for a slow reader of the output. */
+  private static final long CLOSE_TIMEOUT_MS = 200;
+
   private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
   private final AtomicLong droppedLines = new AtomicLong();
   private final PrintStream out;
@@ -47,25 +50,38 @@
   private void write() {
     try {
       while (true) {
-        String line = queue.take();
-        out.println(line);
-        long droppedCount = droppedLines.getAndSet(0);
-        if (droppedCount > 0) {
-          out.println("{\"event\":\"log-lines-dropped\",\"count\":" + droppedCount + "}");
-        }
+        print(queue.take());
       }
     } catch (InterruptedException e) {
+      for (String line = queue.poll(); line != null; line = queue.poll()) {
+        print(line);
+      }
       Thread.currentThread().interrupt();
     }
   }
 
+  private void print(String line) {
+    out.println(line);
+    long droppedCount = droppedLines.getAndSet(0);
+    if (droppedCount > 0) {
+      out.println("{\"event\":\"log-lines-dropped\",\"count\":" + droppedCount + "}");
+    }
+  }
+
   @Override
   public void flush() {
     out.flush();
   }
 
+  /** Writes the queued lines, as far as the reader takes them in time, and ends the thread. */
   @Override
   public void close() {
     writer.interrupt();
+    try {
+      writer.join(CLOSE_TIMEOUT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    flush();
   }
 }
