Log how a caller's connection ended

Change: each connection that the node closes, and each that ends while a request is read or served, has one line that tells who ended it, why, its age, the time since its last bytes, the bytes and messages that belong to no served request, and how far the last request got. Connections that callers close between requests have no line. A request head that the end of its connection cuts off is no longer counted as refused.

Result: ConnectionEndTest passes (mvn -Dtest=ConnectionEndTest test); it fails without the lines, which did not exist.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -24,6 +24,7 @@
 import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.configuration.ServiceSettings;
+import org.gooseberryhook.router.forward.ConnectionRecord.EndReason;
 
 /** A caller's connection: reads requests one after another and starts an exchange for each. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -39,6 +40,7 @@
   private final RequestLimits limits;
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
+  private final ConnectionRecord record;
   private ChannelHandlerContext handlerContext;
   private HttpRequest head;
   private ByteBuf body;
@@ -70,20 +72,19 @@
     this.onClosed = onClosed;
     this.lastReceivedMs = context.clock().nowMs();
     this.headStartedMs = lastReceivedMs;
+    this.record = new ConnectionRecord(context, this::onBytes);
   }
 
   /** Returns a handler, to be put before the decoder, that records when bytes arrive. */
   ChannelHandler receiveTimeHandler() {
-    return new ChannelInboundHandlerAdapter() {
-      @Override
-      public void channelRead(ChannelHandlerContext ctx, Object message) {
-        lastReceivedMs = context.clock().nowMs();
-        if (!isServing() && head == null && headStartedMs == 0) {
-          headStartedMs = lastReceivedMs;
-        }
-        ctx.fireChannelRead(message);
-      }
-    };
+    return record;
+  }
+
+  private void onBytes() {
+    lastReceivedMs = context.clock().nowMs();
+    if (!isServing() && head == null && headStartedMs == 0) {
+      headStartedMs = lastReceivedMs;
+    }
   }
 
   /** Returns whether a request is being processed. */
@@ -167,6 +168,7 @@
             body,
             context.headerCodec().readRequest(head.headers()),
             headReceivedMs);
+    record.onRequest(request.metadata().attemptId(), undecodedBytes());
     response =
         new CallerResponse(
             handlerContext.channel(),
@@ -197,6 +199,10 @@
     }
   }
 
+  private int undecodedBytes() {
+    return handlerContext.pipeline().get(CallerRequestDecoder.class).undecodedBytes();
+  }
+
   private Exchange newExchange(CallerRequest request, RoutingResult.Routed routed) {
     String service = routed.route().pickService(context.random().nextDouble());
     Optional<EngineProfile> engine =
@@ -217,9 +223,11 @@
     boolean isClosing = response.isClosing() || isStopping;
     exchange = null;
     response = null;
+    record.onResponse();
     releaseBody();
     lastReceivedMs = context.clock().nowMs();
     if (isClosing) {
+      record.onClosing(isStopping ? EndReason.STOPPING : EndReason.AFTER_RESPONSE);
       closeAfterWrites();
       return;
     }
@@ -236,6 +244,10 @@
   }
 
   private void refuseMalformed(Throwable cause) {
+    if (!handlerContext.channel().isActive()) {
+      // The decoder reports a request that the end of the connection has cut off.
+      return;
+    }
     if (cause instanceof TooLongHttpHeaderException) {
       refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers are too large");
     } else if (cause instanceof TooLongHttpLineException) {
@@ -252,6 +264,7 @@
   /** Responds with a problem to a request that is not forwarded, and closes the connection. */
   private void refuse(ProblemResponse problem) {
     isRefusing = true;
+    record.onClosing(EndReason.REFUSED);
     releaseBody();
     head = null;
     context
@@ -268,6 +281,11 @@
     handlerContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> handlerContext.close());
   }
 
+  private void close(EndReason reason) {
+    record.onClosing(reason);
+    handlerContext.close();
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.release();
@@ -291,7 +309,7 @@
     if (isHeaderLate && nowMs - lastReceivedMs < limits.headerTimeoutMs()) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
     } else if (isHeaderLate || isIdle) {
-      handlerContext.close();
+      close(isHeaderLate ? EndReason.HEADER_LATE : EndReason.IDLE);
     }
   }
 
@@ -301,12 +319,13 @@
     if (response != null) {
       response.closeAfterResponse();
     } else if (head == null && handlerContext != null && headStartedMs == 0) {
-      handlerContext.close();
+      close(EndReason.STOPPING);
     }
   }
 
   /** Aborts the current request, if there is one, and closes the connection. */
   void abort() {
+    record.onClosing(EndReason.STOPPING);
     if (exchange != null) {
       exchange.onNodeStopping();
     }
@@ -324,6 +343,10 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     onClosed.accept(this);
+    if (isServing() && response.isDone()) {
+      record.onClosing(EndReason.ABORTED);
+    }
+    record.onClosed(isServing(), isServing() && response.isStarted(), pending.size());
     releaseBody();
     pending.forEach(ReferenceCountUtil::release);
     pending.clear();
@@ -337,6 +360,6 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     context.log().recordEvent("caller-connection", "", "error", String.valueOf(cause.getMessage()));
-    ctx.close();
+    close(EndReason.EXCEPTION);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
@@ -17,6 +17,11 @@
             .setMaxChunkSize(MAX_CHUNK_BYTES));
   }
 
+  /** Returns the number of received bytes that are not decoded yet. */
+  int undecodedBytes() {
+    return actualReadableBytes();
+  }
+
   /**
    * Rejects the request. With both headers, two servers may disagree on where its body ends, so
    * that a second request can be hidden in it (request smuggling).
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
@@ -0,0 +1,133 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * What happened on a caller's connection, for the log line about its end. It is also the first
+ * handler of the connection, so that it sees when bytes arrive.
+ */
+final class ConnectionRecord extends ChannelInboundHandlerAdapter {
+
+  /** Why a connection ended. */
+  enum EndReason {
+    /** The caller closed it. */
+    CLOSED("closed"),
+    IDLE("idle"),
+    HEADER_LATE("header-late"),
+    STOPPING("stopping"),
+    /** The response broke off after its start. */
+    ABORTED("aborted"),
+    REFUSED("refused"),
+    AFTER_RESPONSE("after-response"),
+    EXCEPTION("exception");
+
+    private final String label;
+
+    EndReason(String label) {
+      this.label = label;
+    }
+  }
+
+  private final ForwardContext context;
+  private final Runnable onBytes;
+  private final long openedMs;
+  private EndReason reason = EndReason.CLOSED;
+  private long lastBytesMs;
+  private long unservedBytes;
+  private int servedRequests;
+  private String attemptId = "";
+
+  /**
+   * Creates the record of a connection that is opened now.
+   *
+   * @param context shared state
+   * @param onBytes called when bytes arrive, before they are decoded
+   */
+  ConnectionRecord(ForwardContext context, Runnable onBytes) {
+    this.context = context;
+    this.onBytes = onBytes;
+    this.openedMs = context.clock().nowMs();
+    this.lastBytesMs = openedMs;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    lastBytesMs = context.clock().nowMs();
+    unservedBytes += ((ByteBuf) message).readableBytes();
+    onBytes.run();
+    ctx.fireChannelRead(message);
+  }
+
+  /** Returns when bytes arrived last, or when the connection was opened. */
+  long lastBytesMs() {
+    return lastBytesMs;
+  }
+
+  /** Returns the number of bytes that arrived after the last request that was read as a whole. */
+  long unservedBytes() {
+    return unservedBytes;
+  }
+
+  /** Records that a request was read as a whole. */
+  void onRequest(String newAttemptId, int undecodedBytes) {
+    attemptId = newAttemptId;
+    unservedBytes = undecodedBytes;
+  }
+
+  /** Records that the response to a request was written as a whole. */
+  void onResponse() {
+    servedRequests++;
+    attemptId = "";
+  }
+
+  /** Records why the connection is about to be closed; the first reason counts. */
+  void onClosing(EndReason newReason) {
+    if (reason == EndReason.CLOSED) {
+      reason = newReason;
+    }
+  }
+
+  /**
+   * Logs the end of the connection, unless the caller closed it between two requests or its last
+   * response was complete.
+   *
+   * @param isServing whether a request was in progress
+   * @param isResponseStarted whether its response had started
+   * @param pendingMessages number of decoded messages that were left
+   */
+  void onClosed(boolean isServing, boolean isResponseStarted, int pendingMessages) {
+    boolean isByNode = reason != EndReason.CLOSED && reason != EndReason.EXCEPTION;
+    boolean isIncomplete = isServing || unservedBytes > 0 || pendingMessages > 0;
+    boolean isCut = isIncomplete && reason != EndReason.REFUSED;
+    if (!isCut && (!isByNode || reason == EndReason.AFTER_RESPONSE)) {
+      return;
+    }
+    String cutKind = isByNode ? "request-cut" : "request-abandoned";
+    long nowMs = context.clock().nowMs();
+    context
+        .log()
+        .recordEvent(
+            isCut ? cutKind : "connection-closed",
+            attemptId,
+            "by",
+            isByNode ? "node" : "caller",
+            "why",
+            reason.label,
+            "ageMs",
+            nowMs - openedMs,
+            "sinceBytesMs",
+            nowMs - lastBytesMs,
+            "unservedBytes",
+            unservedBytes,
+            "served",
+            servedRequests,
+            "inProgress",
+            isServing,
+            "responseStarted",
+            isResponseStarted,
+            "pending",
+            pendingMessages);
+  }
+}
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -0,0 +1,102 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests how callers' connections end. Guards against requests without an answer or a refusal. */
+class ConnectionEndTest extends RouterNodeHarness {
+
+  private final Logger logger = Logger.getLogger("gooseberryhook");
+  private final List<String> lines = new CopyOnWriteArrayList<>();
+  private final Handler handler =
+      new Handler() {
+        @Override
+        public void publish(LogRecord logRecord) {
+          lines.add(logRecord.getMessage());
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+      };
+
+  @BeforeEach
+  void listen() {
+    logger.addHandler(handler);
+  }
+
+  @AfterEach
+  void stopListening() {
+    logger.removeHandler(handler);
+  }
+
+  private String awaitLine(String kind) throws InterruptedException {
+    for (int i = 0; i < 800; i++) {
+      for (String line : lines) {
+        if (line.contains("\"event\":\"" + kind + "\"")) {
+          return line;
+        }
+      }
+      Thread.sleep(10);
+    }
+    throw new AssertionError("no line " + kind + " in " + lines);
+  }
+
+  private Socket open() throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort);
+    socket.setSoTimeout(8_000);
+    return socket;
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String readAll(Socket socket) throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+  }
+
+  private static String keptAlive(String request) {
+    return request.replace("Connection: close\r\n", "");
+  }
+
+  /** Guards against a log in which a lost request looks like a connection that was idle. */
+  @Test
+  void theLogTellsARequestThatIsCutFromAnIdleConnection() throws Exception {
+    addTarget(
+        "plain",
+        null,
+        (request, out) -> TargetStandin.writeResponse(out, request, 200, "signed: s\r\n", "ok"));
+    startNode();
+    try (Socket idle = open();
+        Socket partial = open();
+        Socket abandoned = open()) {
+      write(idle, keptAlive(post("/book/x", "b")));
+      write(partial, post("/book/x", "body").replaceFirst("dy$", ""));
+      write(abandoned, "POST /book/x HTTP/1.1\r\nHo");
+      abandoned.close();
+      assertThat(awaitLine("request-abandoned"))
+          .contains("\"by\":\"caller\",\"why\":\"closed\"", "\"unservedBytes\":25", "\"served\":0");
+      assertThat(readAll(idle)).startsWith("HTTP/1.1 200").endsWith("ok");
+      assertThat(awaitLine("connection-closed"))
+          .contains("\"by\":\"node\",\"why\":\"idle\"", "\"unservedBytes\":0", "\"served\":1");
+      assertThat(readAll(partial)).doesNotContain("200");
+      assertThat(awaitLine("request-cut"))
+          .contains("\"by\":\"node\",\"why\":\"idle\"", "\"served\":0", "\"inProgress\":false");
+    }
+  }
+}
