Answer the requests that a stopping node cannot finish

What callers saw: a request that was in progress at the end of the grace period ended with its connection, without an answer or a refusal, also if it had only waited in the queue.

Cause: onNodeStopping aborted the response whether it had started or not, for requests served here and for those relayed to another node.

Change: without a response, the caller gets 503 with Retry-After if no target may have run the request (nothing was sent, or each target stated that it did not run; the request leaves its queue, and a connection that is still being opened is dropped), else the last error of a target or 502. Streams that have begun are cut as before. abortAll closes a connection after its last write; the event loop is shut down once all are closed, or after 500 ms of the 900 ms that are reserved for it.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -323,13 +323,22 @@
     }
   }
 
-  /** Aborts the current request, if there is one, and closes the connection. */
+  /**
+   * Ends the current request, if there is one, and closes the connection once all responses are
+   * written.
+   */
   void abort() {
     record.onClosing(EndReason.STOPPING);
+    isStopping = true;
+    if (response != null) {
+      response.closeAfterResponse();
+    }
     if (exchange != null) {
       exchange.onNodeStopping();
     }
-    handlerContext.close();
+    if (!isRefusing) {
+      closeAfterWrites();
+    }
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -33,6 +33,7 @@
   private Channel listener;
   private ScheduledFuture<?> sweepTimer;
   private boolean isStopping;
+  private Runnable onAllClosed = () -> {};
 
   CallerServer(
       ForwardContext context, RequestDispatcher dispatcher, String address, int maxConnections) {
@@ -78,7 +79,7 @@
       return;
     }
     CallerConnection connection =
-        new CallerConnection(context, dispatcher, limits(), connections::remove);
+        new CallerConnection(context, dispatcher, limits(), this::onClosed);
     if (isStopping) {
       connection.closeAfterRequest();
     }
@@ -137,11 +138,28 @@
     listener.close();
   }
 
-  /** Aborts all requests in flight and closes all connections. */
-  void abortAll() {
+  /**
+   * Ends all requests in flight, and closes each connection once its responses are written.
+   *
+   * @param onClosed called when all connections are closed
+   */
+  void abortAll(Runnable onClosed) {
     sweepTimer.cancel(false);
     for (CallerConnection connection : List.copyOf(connections)) {
       connection.abort();
     }
+    onAllClosed = onClosed;
+    runIfAllClosed();
+  }
+
+  private void onClosed(CallerConnection connection) {
+    connections.remove(connection);
+    runIfAllClosed();
+  }
+
+  private void runIfAllClosed() {
+    if (connections.isEmpty()) {
+      onAllClosed.run();
+    }
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
@@ -16,6 +16,9 @@
    */
   default void onWritabilityChanged(boolean isWritable) {}
 
-  /** Called before the connection is closed because the node stops. */
+  /**
+   * Called when the node stops and waits no longer. Ends the request: with a response if none has
+   * started, else by breaking it off.
+   */
   void onNodeStopping();
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -5,6 +5,9 @@
 /** What requests to models and to other services have in common, whichever node serves them. */
 abstract class ForwardedExchange implements QueuedExchange {
 
+  /** Kind of the problem of a request that the node cannot finish before it stops. */
+  static final String NODE_STOPPING = "node-stopping";
+
   final ForwardContext context;
   final RequestDispatcher dispatcher;
   final CallerRequest request;
@@ -41,6 +44,12 @@
   /** Ends the request at this node and logs its outcome; sends nothing to the caller. */
   abstract void finish(String outcome);
 
+  /**
+   * Ends the request without success. Tells the caller whether it may have run, or breaks off a
+   * response that has started.
+   */
+  abstract void fail(String kind, String detail);
+
   @Override
   public String service() {
     return service;
@@ -67,8 +76,7 @@
   @Override
   public void onNodeStopping() {
     if (!isFinished) {
-      finish("node-stopping");
-      response.abort();
+      fail(NODE_STOPPING, "the node is stopping");
     }
     relay.onNodeStopping();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -112,9 +112,13 @@
     server.stopListening();
   }
 
-  /** Aborts all requests in flight and closes all connections. */
-  public void abortAll() {
-    server.abortAll();
+  /**
+   * Ends all requests in flight, and closes each connection once its responses are written.
+   *
+   * @param onClosed called when all connections are closed
+   */
+  public void abortAll(Runnable onClosed) {
+    server.abortAll(onClosed);
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -207,7 +207,8 @@
     response.sendProblem(problem);
   }
 
-  private void fail(String kind, String detail) {
+  @Override
+  void fail(String kind, String detail) {
     if (lastErrorResponse != null) {
       TargetResponse lastResponse = lastErrorResponse;
       sendResponse(kind, lastResponse);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -200,22 +200,28 @@
 
   private void onDeadline() {
     if (!isFinished) {
-      boolean isSent = channel != null || earlierSends > 0;
+      boolean mayHaveRun = mayHaveRun();
       finish("timeout");
       endWith(
-          isSent
+          mayHaveRun
               ? ProblemResponse.timedOut("the other node did not answer in time")
               : ProblemResponse.notRun(
                   "timeout", "no other node was reached in time", StreamLimits.RETRY_AFTER_MS));
     }
   }
 
-  /** Fails a request that no other node has got or that it refused. */
+  /** Returns whether a target may have run the request, or the other node has it. */
+  private boolean mayHaveRun() {
+    return channel != null || earlierSends > 0;
+  }
+
+  /** Fails the request. Without a channel, no other node has got it or it was refused. */
   private void fail(String kind, String detail) {
+    boolean mayHaveRun = mayHaveRun();
     finish(kind);
     long retryAfterMs = StreamLimits.retryAfterMs(0, context.random());
     endWith(
-        earlierSends > 0
+        mayHaveRun
             ? ProblemResponse.mayHaveRun(kind, detail)
             : ProblemResponse.notRun(kind, detail, retryAfterMs));
   }
@@ -246,8 +252,7 @@
   @Override
   public void onNodeStopping() {
     if (!isFinished) {
-      finish("node-stopping");
-      response.abort();
+      fail(ForwardedExchange.NODE_STOPPING, "the node is stopping");
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -158,6 +158,14 @@
     return rejection.isPresent();
   }
 
+  @Override
+  void fail(String kind, String detail) {
+    fail(
+        ledger.mayHaveRun()
+            ? ProblemResponse.mayHaveRun(kind, detail)
+            : ProblemResponse.notRun(kind, detail, StreamLimits.RETRY_AFTER_MS));
+  }
+
   private void fail(ProblemResponse problem) {
     finish(problem.kind());
     if (response.isStarted()) {
@@ -255,10 +263,7 @@
     boolean isInBudget =
         hasAttemptsLeft() && (!isSent() || context.retryBudget().trySpend(service, nowMs));
     if (!isAllowed || !isInBudget) {
-      fail(
-          ledger.mayHaveRun()
-              ? ProblemResponse.mayHaveRun(kind, detail)
-              : ProblemResponse.notRun(kind, detail, StreamLimits.RETRY_AFTER_MS));
+      fail(kind, detail);
       return;
     }
     if (shouldRelay() && tryRelay()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -50,8 +50,8 @@
   /** Part of the grace period that is reserved for aborting requests and for the exit itself. */
   private static final long ABORT_MARGIN_MS = 900;
 
-  /** Sockets that callers cannot use: they are kept for targets, the store and other nodes. */
-  private static final int RESERVED_SOCKETS = 1_200;
+  /** Time for writing the last responses to callers; a part of {@link #ABORT_MARGIN_MS}. */
+  private static final long LAST_RESPONSES_MS = 500;
 
   /**
    * Gain of the wall clock on the monotonic clock between two ticks from which the machine is taken
@@ -276,7 +276,7 @@
         metrics,
         log,
         settings.addresses().callers(),
-        Math.max(1, settings.maxSockets() - RESERVED_SOCKETS));
+        settings.maxCallerConnections());
   }
 
   /**
@@ -445,8 +445,9 @@
   }
 
   /**
-   * Stops the node: directs callers to other nodes, waits for requests in flight, and aborts those
-   * that are left shortly before the grace period ends. Blocks until that is done.
+   * Stops the node: directs callers to other nodes, waits for requests in flight, and ends those
+   * that are left shortly before the grace period does. Blocks until their callers have the
+   * responses.
    */
   public void stop() {
     long deadlineMs = clock.nowMs() + settings.stopGraceMs() - ABORT_MARGIN_MS;
@@ -472,17 +473,16 @@
         });
     try {
       idle.await(Math.max(0, deadlineMs - clock.nowMs()), TimeUnit.MILLISECONDS);
-      CountDownLatch aborted = new CountDownLatch(1);
+      CountDownLatch closed = new CountDownLatch(1);
       loop.execute(
           () -> {
             configurationFeed.stop();
             targetFeed.stop();
             reporter.sendReport(true);
             log.recordEvent("stopped", "", "brokenOff", forwarder.requestCount());
-            forwarder.abortAll();
-            aborted.countDown();
+            forwarder.abortAll(closed::countDown);
           });
-      aborted.await(1, TimeUnit.SECONDS);
+      closed.await(LAST_RESPONSES_MS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
@@ -20,4 +20,17 @@
     int maxSockets,
     RetryBounds retries,
     long stopGraceMs,
-    int directoryTtlSeconds) {}
+    int directoryTtlSeconds) {
+
+  /** Sockets that callers cannot use: they are kept for targets, the store and other nodes. */
+  private static final int RESERVED_SOCKETS = 1_200;
+
+  /**
+   * Returns the maximum number of open connections of callers.
+   *
+   * @return the number, at least 1
+   */
+  int maxCallerConnections() {
+    return Math.max(1, maxSockets - RESERVED_SOCKETS);
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -7,13 +7,17 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests how callers' connections end. Guards against requests without an answer or a refusal. */
 class ConnectionEndTest extends RouterNodeHarness {
@@ -99,4 +103,49 @@
           .contains("\"by\":\"node\",\"why\":\"idle\"", "\"served\":0", "\"inProgress\":false");
     }
   }
+
+  /** Guards against requests in progress that end without an answer when the node stops. */
+  @ParameterizedTest
+  @CsvSource({
+    "/slow/x, plain, 502, unknown",
+    "/wait/x, model, 502, unknown",
+    "/wait/x, none, 503, not-run"
+  })
+  void aRequestWithoutAResponseIsAnsweredBeforeTheNodeStops(
+      String path, String service, int status, String outcome) throws Exception {
+    if (service.equals("model")) {
+      addPipeline((request, out) -> Thread.sleep(20_000));
+    } else if (service.equals("plain")) {
+      addTarget("plain", null, (request, out) -> Thread.sleep(20_000));
+    }
+    startNode();
+    try (Socket socket = open()) {
+      write(socket, post(path, "b"));
+      awaitGauge("gooseberryhook_requests_in_flight 1.0");
+      awaitGauge("gooseberryhook_streams_waiting " + (status == 503 ? 1.0 : 0.0));
+      CompletableFuture<Void> stopped = startStopping();
+      String response = readAll(socket);
+      assertThat(response).startsWith("HTTP/1.1 " + status).contains("\"" + outcome + "\"");
+      assertThat(response.contains("retry-after")).isEqualTo(status == 503);
+      stopped.get(10, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Guards against a stream that is cut and looks complete. */
+  @Test
+  void aStreamThatHasBegunIsBrokenOffWhenTheNodeStops() throws Exception {
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 1);
+          Thread.sleep(20_000);
+        });
+    startNode();
+    try (Socket socket = open()) {
+      write(socket, post("/wait/x", "b"));
+      assertThat(socket.getInputStream().read()).isEqualTo('H');
+      startStopping().get(10, TimeUnit.SECONDS);
+      assertThat(readAll(socket)).contains("id: 1\n").doesNotContain("0\r\n\r\n", "HTTP/1.1 5");
+      assertThat(awaitLine("request-cut")).contains("\"responseStarted\":true");
+    }
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +24,6 @@
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerReportCodec;
 import org.gooseberryhook.router.fleet.CrashFindings;
-import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -50,11 +51,6 @@
     cutLinks();
   }
 
-  private void addPipeline(TargetStandin.Script script) throws IOException {
-    addTarget("model", LayerRange.of(0, 40), script);
-    addTarget("model", LayerRange.of(40, 80), (request, out) -> {});
-  }
-
   /** Closes all targets and waits until the node is known to lack links that others have. */
   private void cutLinks() throws Exception {
     for (TargetStandin target : targets) {
@@ -69,16 +65,6 @@
     awaitGauge("gooseberryhook_suspected_targets " + (double) targets.size());
   }
 
-  private void awaitGauge(String line) throws Exception {
-    for (int i = 0; i < 400; i++) {
-      if (node.loop().submit(node::metricsPage).get().contains(line)) {
-        return;
-      }
-      Thread.sleep(10);
-    }
-    throw new AssertionError("not reached: " + line);
-  }
-
   private void reportPeers() {
     for (int i = 0; i < peers.size(); i++) {
       String name = "peer-" + i;
@@ -235,6 +221,26 @@
         .endsWith("no-room");
   }
 
+  /** Guards against a relayed request that ends without an answer when its first node stops. */
+  @Test
+  void aRelayedRequestIsAnsweredWhenItsFirstNodeStops() throws Exception {
+    addPeer((request, out) -> Thread.sleep(20_000));
+    startCutOffNode();
+    CompletableFuture<String> response =
+        CompletableFuture.supplyAsync(() -> exchangeUnchecked(post("/slow/x", "b")));
+    awaitGauge("gooseberryhook_requests_relayed 1.0");
+    startStopping();
+    assertThat(response.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 502").contains("unknown");
+  }
+
+  private String exchangeUnchecked(String request) {
+    try {
+      return exchange(request);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Guards against an answer without a target's signature that looks like a target's. */
   @Test
   void aSuccessWithoutTheSignatureOfATargetIsNotPassedOn() throws Exception {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -69,6 +70,12 @@
     return target;
   }
 
+  /** Adds a pipeline of two targets; its head responds as the script defines. */
+  void addPipeline(TargetStandin.Script script) throws IOException {
+    addTarget("model", LayerRange.of(0, 40), script);
+    addTarget("model", LayerRange.of(40, 80), (request, out) -> {});
+  }
+
   /** Start time that the engines report; the list of targets always shows 1. */
   long engineStartedMs = 1;
 
@@ -139,7 +146,9 @@
         List.of(
             route("/read/", RequestKind.IDEMPOTENT, "plain", 1_000),
             route("/book/", RequestKind.ONCE_ONLY, "plain", 1_000),
-            route("/draft/", RequestKind.STREAM, "model", 10_000)),
+            route("/draft/", RequestKind.STREAM, "model", 10_000),
+            route("/slow/", RequestKind.ONCE_ONLY, "plain", 20_000, 20_000),
+            route("/wait/", RequestKind.STREAM, "model", 20_000, 20_000)),
         Map.of(
             "plain",
             new ServiceSettings("plain", "/health", 10, Optional.empty()),
@@ -150,13 +159,18 @@
   }
 
   static Route route(String prefix, RequestKind kind, String service, long timeoutMs) {
+    return route(prefix, kind, service, timeoutMs, 500);
+  }
+
+  private static Route route(
+      String prefix, RequestKind kind, String service, long timeoutMs, long targetLatencyMs) {
     return new Route(
         prefix,
         "h",
         prefix,
         kind,
         timeoutMs,
-        500,
+        targetLatencyMs,
         2,
         1,
         false,
@@ -166,6 +180,24 @@
         List.of(new WeightedService(service, 1)));
   }
 
+  /** Waits until the metrics page of the node has a line. */
+  void awaitGauge(String line) throws Exception {
+    for (int i = 0; i < 400; i++) {
+      if (node.loop().submit(node::metricsPage).get().contains(line)) {
+        return;
+      }
+      Thread.sleep(10);
+    }
+    throw new AssertionError("not reached: " + line);
+  }
+
+  /** Begins to stop the node; the returned future ends when it has stopped. */
+  CompletableFuture<Void> startStopping() {
+    RouterNode stopping = node;
+    node = null;
+    return CompletableFuture.runAsync(stopping::stop);
+  }
+
   @AfterEach
   void stop() throws IOException {
     if (node != null) {
