Close callers' connections without losing a request or response

What callers saw: requests that ended without an answer or a refusal when a node stopped, and answers that a reset took with it.

Cause: a connection was closed as idle, or after a response, as soon as nothing more had been decoded. Its socket could hold a whole request by then, and a close with unread bytes resets the connection, which may overtake what was just written. Pipelined requests that were read already were dropped, and so was a request that was still arriving.

Change: - After the last response the output is closed first; what still comes is discarded for at most 1 s, 1 MiB, or 100 ms once bytes of another request come. - An idle connection is closed only if the event loop has read its socket once more and found nothing. - A node that stops keeps idle connections until it no longer listens and closes each with its next response. Pipelined requests that were received are served; the last response announces the close. When the node waits no longer, they are closed without being run, and a request that is still arriving gets a 503. - Connections that wait to be accepted are accepted before the listener is closed. The node exits once all connections are closed, not only once no request is in progress. - Up to 64 connections above the limit get a 503 for their request instead of a close that callers cannot tell from a node that is gone.

Accepting the waiting connections has no test of its own: the event loop accepts before it runs the stop, so that a loss could not be provoked.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -32,9 +32,15 @@
   /** HTTP messages of pipelined requests that are queued before reading pauses. */
   private static final int MAX_PENDING = 8;
 
-  /** {@code Retry-After} of a request that is refused because the memory for bodies is used up. */
+  /** {@code Retry-After} of a request that is refused for lack of memory or sockets. */
   private static final long RETRY_AFTER_MS = 1_000;
 
+  /** Time in which the event loop reads what sockets have received, if it is not busy. */
+  private static final long SOCKET_READ_MS = 20;
+
+  /** Time in which the first bytes follow after a connection was opened. */
+  private static final long FIRST_BYTES_MS = 300;
+
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
   private final RequestLimits limits;
@@ -59,8 +65,13 @@
   private long reservedBytes;
 
   private boolean isStopping;
+
+  /** Whether no request is started any more, so that what is read is discarded. */
   private boolean isRefusing;
 
+  private boolean isOverLimit;
+  private Optional<LingeringClose> closing = Optional.empty();
+
   CallerConnection(
       ForwardContext context,
       RequestDispatcher dispatcher,
@@ -80,7 +91,8 @@
     return record;
   }
 
-  private void onBytes() {
+  private void onBytes(int bytes) {
+    closing.ifPresent(c -> c.onBytes(bytes));
     lastReceivedMs = context.clock().nowMs();
     if (!isServing() && head == null && headStartedMs == 0) {
       headStartedMs = lastReceivedMs;
@@ -133,7 +145,9 @@
     headReceivedMs = context.clock().nowMs();
     headStartedMs = 0;
     body = Unpooled.buffer();
-    if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+    if (isOverLimit) {
+      refuse(ProblemResponse.notRun("connection-limit", "too many connections", RETRY_AFTER_MS));
+    } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
     } else if (HttpUtil.is100ContinueExpected(request)) {
       handlerContext.writeAndFlush(
@@ -169,11 +183,12 @@
             context.headerCodec().readRequest(head.headers()),
             headReceivedMs);
     record.onRequest(request.metadata().attemptId(), undecodedBytes());
+    boolean isKeptAlive = HttpUtil.isKeepAlive(head);
     response =
         new CallerResponse(
             handlerContext.channel(),
             head.protocolVersion(),
-            HttpUtil.isKeepAlive(head) && !isStopping,
+            () -> !isKeptAlive || isLastBeforeStop(),
             this::onResponseComplete);
     head = null;
     body = null;
@@ -199,6 +214,11 @@
     }
   }
 
+  /** Returns whether the node stops and no further request was received on the connection. */
+  private boolean isLastBeforeStop() {
+    return isRefusing || (isStopping && pending.isEmpty() && record.unservedBytes() == 0);
+  }
+
   private int undecodedBytes() {
     return handlerContext.pipeline().get(CallerRequestDecoder.class).undecodedBytes();
   }
@@ -220,7 +240,7 @@
 
   /** Continues with the next request after a response was sent. */
   private void onResponseComplete() {
-    boolean isClosing = response.isClosing() || isStopping;
+    boolean isClosing = response.isClosing() || isLastBeforeStop();
     exchange = null;
     response = null;
     record.onResponse();
@@ -228,7 +248,7 @@
     lastReceivedMs = context.clock().nowMs();
     if (isClosing) {
       record.onClosing(isStopping ? EndReason.STOPPING : EndReason.AFTER_RESPONSE);
-      closeAfterWrites();
+      closeAfterWrites(false);
       return;
     }
     context.loop().execute(this::handlePending);
@@ -272,13 +292,31 @@
         .recordEvent("refused-input", "", "status", problem.status(), "detail", problem.detail());
     CallerResponse refusal =
         new CallerResponse(
-            handlerContext.channel(), HttpVersion.HTTP_1_1, false, this::closeAfterWrites);
+            handlerContext.channel(),
+            HttpVersion.HTTP_1_1,
+            () -> true,
+            () -> closeAfterWrites(true));
     refusal.sendProblem(problem);
   }
 
-  private void closeAfterWrites() {
+  private void closeAfterWrites(boolean isRequestIncomplete) {
     isRefusing = true;
-    handlerContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> handlerContext.close());
+    LingeringClose lingering =
+        new LingeringClose(context, handlerContext.channel(), isRequestIncomplete);
+    closing = Optional.of(lingering);
+    lingering.start();
+  }
+
+  /** Closes the connection unless bytes come that its socket may have received already. */
+  private void closeIfQuiet(EndReason reason, long afterMs) {
+    long receivedBytes = record.receivedBytes();
+    context.schedule(
+        () -> {
+          if (record.receivedBytes() == receivedBytes && !isServing() && !isRefusing) {
+            close(reason);
+          }
+        },
+        afterMs);
   }
 
   private void close(EndReason reason) {
@@ -309,35 +347,48 @@
     if (isHeaderLate && nowMs - lastReceivedMs < limits.headerTimeoutMs()) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
     } else if (isHeaderLate || isIdle) {
-      close(isHeaderLate ? EndReason.HEADER_LATE : EndReason.IDLE);
+      closeIfQuiet(isHeaderLate ? EndReason.HEADER_LATE : EndReason.IDLE, SOCKET_READ_MS);
     }
   }
 
-  /** Closes the connection after the current request, or at once if none has begun to arrive. */
-  void closeAfterRequest() {
+  /** Refuses the first request, because the node has too many connections. */
+  void refuseRequest() {
+    isOverLimit = true;
+  }
+
+  /**
+   * Closes the connection after the requests that were received, or after the next one if there is
+   * none.
+   */
+  void closeAfterRequests() {
     isStopping = true;
-    if (response != null) {
-      response.closeAfterResponse();
-    } else if (head == null && handlerContext != null && headStartedMs == 0) {
-      close(EndReason.STOPPING);
+  }
+
+  /** Closes the connection if nothing of a request was received. */
+  void closeIfIdle() {
+    if (!isServing() && !isRefusing && pending.isEmpty() && record.unservedBytes() == 0) {
+      closeIfQuiet(
+          EndReason.STOPPING, record.receivedBytes() == 0 ? FIRST_BYTES_MS : SOCKET_READ_MS);
     }
   }
 
   /**
-   * Ends the current request, if there is one, and closes the connection once all responses are
-   * written.
+   * Ends the current request, if there is one, refuses one that is still arriving, and closes the
+   * connection once the responses are written. Requests after the current one are not run.
    */
   void abort() {
-    record.onClosing(EndReason.STOPPING);
-    isStopping = true;
-    if (response != null) {
-      response.closeAfterResponse();
-    }
     if (exchange != null) {
+      record.onClosing(EndReason.STOPPING);
+      isRefusing = true;
       exchange.onNodeStopping();
-    }
-    if (!isRefusing) {
-      closeAfterWrites();
+    } else if (!isRefusing && !isServing()) {
+      if (!pending.isEmpty() || record.unservedBytes() > 0) {
+        refuse(
+            ProblemResponse.notRun(
+                ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS));
+      } else {
+        close(EndReason.STOPPING);
+      }
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 
 /** Writes the response to one request to its caller. */
 final class CallerResponse {
@@ -25,6 +26,7 @@
 
   private final Channel channel;
   private final HttpVersion requestVersion;
+  private final BooleanSupplier mustClose;
   private final Runnable onComplete;
   private boolean isClosing;
   private boolean isStarted;
@@ -36,14 +38,14 @@
    *
    * @param channel the caller's connection
    * @param requestVersion HTTP version of the request
-   * @param isKeptAlive whether the connection stays open after the response
+   * @param mustClose whether the connection closes after the response; asked as its head is sent
    * @param onComplete called once when the whole response has been handed to the connection
    */
   CallerResponse(
-      Channel channel, HttpVersion requestVersion, boolean isKeptAlive, Runnable onComplete) {
+      Channel channel, HttpVersion requestVersion, BooleanSupplier mustClose, Runnable onComplete) {
     this.channel = channel;
     this.requestVersion = requestVersion;
-    this.isClosing = !isKeptAlive;
+    this.mustClose = mustClose;
     this.onComplete = onComplete;
   }
 
@@ -59,11 +61,6 @@
     return isClosing;
   }
 
-  /** Makes the connection close after this response. */
-  void closeAfterResponse() {
-    isClosing = true;
-  }
-
   /**
    * Sends a target's whole response; {@code onWritten} runs once its body is written or dropped.
    */
@@ -157,6 +154,7 @@
   }
 
   private void setConnection(HttpHeaders headers) {
+    isClosing |= mustClose.getAsBoolean();
     if (isClosing) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     } else if (requestVersion.equals(HttpVersion.HTTP_1_0)) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -25,6 +25,15 @@
   /** Connections that may wait in the listen backlog. */
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /** Connections above the limit that are accepted for a refusal; others are closed at once. */
+  private static final int MAX_REFUSED_CONNECTIONS = 64;
+
+  /** Time in which the event loop accepts connections that wait, if it is not busy. */
+  private static final long ACCEPT_ROUND_MS = 20;
+
+  /** Rounds for which the node listens on because new connections still come. */
+  private static final int MAX_ACCEPT_ROUNDS = 10;
+
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
   private final String address;
@@ -32,6 +41,7 @@
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private Channel listener;
   private ScheduledFuture<?> sweepTimer;
+  private long acceptedConnections;
   private boolean isStopping;
   private Runnable onAllClosed = () -> {};
 
@@ -73,15 +83,22 @@
   }
 
   private void initConnection(SocketChannel channel) {
-    if (connections.size() >= maxConnections) {
+    acceptedConnections++;
+    boolean isOverLimit = connections.size() >= maxConnections;
+    if (isOverLimit) {
       context.log().recordEvent("connection-limit", "", "connections", connections.size());
+    }
+    if (connections.size() >= maxConnections + MAX_REFUSED_CONNECTIONS) {
       channel.close();
       return;
     }
     CallerConnection connection =
         new CallerConnection(context, dispatcher, limits(), this::onClosed);
     if (isStopping) {
-      connection.closeAfterRequest();
+      connection.closeAfterRequests();
+    }
+    if (isOverLimit) {
+      connection.refuseRequest();
     }
     connections.add(connection);
     channel
@@ -125,17 +142,37 @@
     return count;
   }
 
-  /** Closes each connection after its current request; idle connections at once. */
+  /** Closes each connection after the requests that were received or after the next one. */
   void stopConnections() {
     isStopping = true;
     for (CallerConnection connection : List.copyOf(connections)) {
-      connection.closeAfterRequest();
+      connection.closeAfterRequests();
     }
   }
 
-  /** Stops accepting connections; open ones stay. */
-  void stopListening() {
-    listener.close();
+  /**
+   * Stops listening once no connection waits to be accepted, because the system resets those that
+   * do. Then closes the idle connections.
+   *
+   * @param onStopped called when the node listens no more
+   */
+  void stopListening(Runnable onStopped) {
+    stopListening(MAX_ACCEPT_ROUNDS, onStopped);
+  }
+
+  private void stopListening(int rounds, Runnable onStopped) {
+    long accepted = acceptedConnections;
+    context.schedule(
+        () -> {
+          if (acceptedConnections != accepted && rounds > 1) {
+            stopListening(rounds - 1, onStopped);
+            return;
+          }
+          listener.close();
+          List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+          onStopped.run();
+        },
+        ACCEPT_ROUND_MS);
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.function.IntConsumer;
 
 /**
  * What happened on a caller's connection, for the log line about its end. It is also the first
@@ -31,10 +32,11 @@
   }
 
   private final ForwardContext context;
-  private final Runnable onBytes;
+  private final IntConsumer onBytes;
   private final long openedMs;
   private EndReason reason = EndReason.CLOSED;
   private long lastBytesMs;
+  private long receivedBytes;
   private long unservedBytes;
   private int servedRequests;
   private String attemptId = "";
@@ -43,9 +45,9 @@
    * Creates the record of a connection that is opened now.
    *
    * @param context shared state
-   * @param onBytes called when bytes arrive, before they are decoded
+   * @param onBytes receives the number of bytes that arrive, before they are decoded
    */
-  ConnectionRecord(ForwardContext context, Runnable onBytes) {
+  ConnectionRecord(ForwardContext context, IntConsumer onBytes) {
     this.context = context;
     this.onBytes = onBytes;
     this.openedMs = context.clock().nowMs();
@@ -55,14 +57,16 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     lastBytesMs = context.clock().nowMs();
-    unservedBytes += ((ByteBuf) message).readableBytes();
-    onBytes.run();
+    int bytes = ((ByteBuf) message).readableBytes();
+    receivedBytes += bytes;
+    unservedBytes += bytes;
+    onBytes.accept(bytes);
     ctx.fireChannelRead(message);
   }
 
-  /** Returns when bytes arrived last, or when the connection was opened. */
-  long lastBytesMs() {
-    return lastBytesMs;
+  /** Returns the number of bytes that arrived. */
+  long receivedBytes() {
+    return receivedBytes;
   }
 
   /** Returns the number of bytes that arrived after the last request that was read as a whole. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -42,8 +42,7 @@
    * @param metrics counts and latencies of requests
    * @param log log of routing decisions
    * @param address IP address and port for callers
-   * @param maxConnections maximum number of open connections of callers; further ones are closed at
-   *     once
+   * @param maxConnections maximum number of open connections of callers; further ones are refused
    */
   public Forwarder(
       EventLoop loop,
@@ -102,14 +101,18 @@
     dispatcher.replaceLostTargets();
   }
 
-  /** Closes each connection after its current request; idle connections at once. */
+  /** Closes each connection after the requests that were received or after the next one. */
   public void stopConnections() {
     server.stopConnections();
   }
 
-  /** Stops accepting connections; open ones stay. */
-  public void stopListening() {
-    server.stopListening();
+  /**
+   * Accepts the connections that wait, stops listening and closes the idle connections.
+   *
+   * @param onStopped called when the node listens no more
+   */
+  public void stopListening(Runnable onStopped) {
+    server.stopListening(onStopped);
   }
 
   /**
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
@@ -0,0 +1,72 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/**
+ * Closes a caller's connection without a loss of what was written to it. A socket that is closed
+ * while received bytes are unread is reset, and the reset may overtake a response. So the output is
+ * closed first, and what still comes is read and discarded until the caller closes, for a bounded
+ * time and a bounded number of bytes.
+ */
+final class LingeringClose {
+
+  /** Longest time for which the connection stays open after the last write. */
+  private static final long LINGER_MS = 1_000;
+
+  /** The same after the first bytes that do not belong to the last request. */
+  private static final long NEXT_REQUEST_LINGER_MS = 100;
+
+  private static final long MAX_DISCARDED_BYTES = 1_048_576;
+
+  private final ForwardContext context;
+  private final Channel channel;
+
+  /** Whether bytes that come belong to the request that was responded to. */
+  private final boolean isRequestIncomplete;
+
+  private ScheduledFuture<?> timer;
+  private long discardedBytes;
+
+  LingeringClose(ForwardContext context, Channel channel, boolean isRequestIncomplete) {
+    this.context = context;
+    this.channel = channel;
+    this.isRequestIncomplete = isRequestIncomplete;
+  }
+
+  /** Closes the connection once all that was written has been sent. */
+  void start() {
+    channel
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            written -> {
+              if (written.isSuccess()) {
+                ((SocketChannel) channel).shutdownOutput();
+                channel.config().setAutoRead(true);
+                timer = context.schedule(channel::close, LINGER_MS);
+                shortenIfNextRequest();
+              } else {
+                channel.close();
+              }
+            });
+  }
+
+  /** Must be called when bytes arrive; they are discarded. */
+  void onBytes(int bytes) {
+    discardedBytes += bytes;
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      channel.close();
+    } else {
+      shortenIfNextRequest();
+    }
+  }
+
+  /** A caller that has sent another request waits in vain and should learn that soon. */
+  private void shortenIfNextRequest() {
+    if (timer != null && discardedBytes > 0 && !isRequestIncomplete && timer.cancel(false)) {
+      timer = context.schedule(channel::close, NEXT_REQUEST_LINGER_MS);
+    }
+  }
+}
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -464,10 +464,7 @@
           registration.stop();
           forwarder.stopConnections();
           loop.schedule(
-              () -> {
-                forwarder.stopListening();
-                awaitIdle(idle);
-              },
+              () -> forwarder.stopListening(() -> awaitIdle(idle)),
               LISTEN_AFTER_STOP_MS,
               TimeUnit.MILLISECONDS);
         });
@@ -491,7 +488,7 @@
   }
 
   private void awaitIdle(CountDownLatch idle) {
-    if (forwarder.requestCount() == 0) {
+    if (forwarder.connectionCount() == 0) {
       idle.countDown();
     } else {
       loop.schedule(() -> awaitIdle(idle), TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -3,12 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -81,10 +83,7 @@
   /** Guards against a log in which a lost request looks like a connection that was idle. */
   @Test
   void theLogTellsARequestThatIsCutFromAnIdleConnection() throws Exception {
-    addTarget(
-        "plain",
-        null,
-        (request, out) -> TargetStandin.writeResponse(out, request, 200, "signed: s\r\n", "ok"));
+    addTarget("plain", null, ConnectionEndTest::respond);
     startNode();
     try (Socket idle = open();
         Socket partial = open();
@@ -148,4 +147,133 @@
       assertThat(awaitLine("request-cut")).contains("\"responseStarted\":true");
     }
   }
+
+  /** Guards against a reset that takes the refusal with it because bytes are left unread. */
+  @Test
+  void aRefusalReachesACallerThatIsStillSending() throws Exception {
+    startNode();
+    try (Socket socket = open()) {
+      write(socket, "POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n");
+      write(socket, "x".repeat(200_000));
+      awaitLine("refused-input");
+      Thread.sleep(100);
+      write(socket, "x".repeat(200_000));
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 413").endsWith("}");
+    }
+  }
+
+  /** Guards against a request that lies unread in the socket when an idle connection is closed. */
+  @Test
+  void aRequestThatIsNotReadYetIsServedWhenTheNodeStops() throws Exception {
+    addTarget("plain", null, ConnectionEndTest::respond);
+    startNode();
+    try (Socket socket = open()) {
+      write(socket, keptAlive(post("/book/x", "b")));
+      assertThat(readResponse(socket)).startsWith("HTTP/1.1 200");
+      CountDownLatch isSent = new CountDownLatch(1);
+      node.loop().execute(() -> await(isSent));
+      CompletableFuture<Void> stopped = startStopping();
+      write(socket, keptAlive(post("/book/y", "b")));
+      Thread.sleep(100);
+      isSent.countDown();
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 200").contains("connection: close");
+      stopped.get(10, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Guards against pipelined requests that were read and are lost when the node stops. */
+  @Test
+  void pipelinedRequestsAreServedBeforeAStoppingNodeClosesTheirConnection() throws Exception {
+    CountDownLatch isStopping = new CountDownLatch(1);
+    TargetStandin target =
+        addTarget(
+            "plain",
+            null,
+            (request, out) -> {
+              await(isStopping);
+              respond(request, out);
+            });
+    startNode();
+    try (Socket socket = open()) {
+      String request = keptAlive(post("/slow/x", "b"));
+      write(socket, request + request + request);
+      awaitGauge("gooseberryhook_requests_in_flight 1.0");
+      CompletableFuture<Void> stopped = startStopping();
+      awaitLine("stopping");
+      isStopping.countDown();
+      for (int i = 0; i < 2; i++) {
+        assertThat(readResponse(socket)).startsWith("HTTP/1.1 200").doesNotContain("close");
+      }
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 200").contains("connection: close");
+      assertThat(target.requests()).hasSize(3);
+      stopped.get(10, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Guards against pipelined requests that are run although their connection is about to end. */
+  @Test
+  void aPipelinedRequestIsNotSentToATargetAfterTheNodeHasStoppedWaiting() throws Exception {
+    TargetStandin target = addTarget("plain", null, (request, out) -> Thread.sleep(20_000));
+    startNode();
+    try (Socket socket = open()) {
+      String request = keptAlive(post("/slow/x", "b"));
+      write(socket, request + request);
+      awaitGauge("gooseberryhook_requests_in_flight 1.0");
+      startStopping().get(10, TimeUnit.SECONDS);
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 502").containsOnlyOnce("HTTP/1.1");
+      assertThat(target.requests()).hasSize(1);
+    }
+  }
+
+  /** Guards against a request that is still arriving and ends without an answer. */
+  @Test
+  void aRequestThatIsStillArrivingIsRefusedBeforeTheNodeStops() throws Exception {
+    startNode();
+    try (Socket socket = open()) {
+      write(socket, "POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n");
+      CompletableFuture<Void> stopped = startStopping();
+      for (int i = 0; i < 10 && !stopped.isDone(); i++) {
+        write(socket, "x");
+        Thread.sleep(100);
+      }
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 503").contains("not-run");
+      stopped.get(10, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Guards against a full node that callers can't tell from one that is gone. */
+  @Test
+  void aRequestBeyondTheLimitOfConnectionsIsRefused() throws Exception {
+    maxSockets = 1;
+    startNode();
+    try (Socket first = open()) {
+      awaitGauge("gooseberryhook_caller_connections 1.0");
+      assertThat(exchange(post("/book/x", "b"))).startsWith("HTTP/1.1 503").contains("not-run");
+      write(first, get("/none"));
+      assertThat(readAll(first)).startsWith("HTTP/1.1 404");
+    }
+  }
+
+  private static void respond(String request, OutputStream out) throws IOException {
+    TargetStandin.writeResponse(out, request, 200, "signed: s\r\n", "ok");
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Reads one response of which the body is "ok". */
+  private static String readResponse(Socket socket) throws IOException {
+    StringBuilder text = new StringBuilder();
+    int next = 0;
+    while (next >= 0 && text.indexOf("\r\n\r\nok") < 0) {
+      next = socket.getInputStream().read();
+      text.append((char) next);
+    }
+    return text.toString();
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -49,6 +49,7 @@
   RouterNode node;
   RoutingConfiguration olderConfiguration;
   int callerPort;
+  int maxSockets = 4_000;
   String reportAddress;
 
   TargetStandin addTarget(String service, LayerRange layers, TargetStandin.Script script)
@@ -108,7 +109,8 @@
         new NodeAddresses(
             "127.0.0.1:" + callerPort, "unused", Optional.empty(), reportAddress, "unused");
     RouterSettings settings =
-        new RouterSettings("n", "a", addresses, 4_000, new RetryBounds(0.2, 100, 10_000), 3_000, 2);
+        new RouterSettings(
+            "n", "a", addresses, maxSockets, new RetryBounds(0.2, 100, 10_000), 3_000, 2);
     node =
         new RouterNode(
             settings,
