Apply changed request limits to open connections

What callers saw: after a configuration raised the idle timeout, the node closed kept connections by the old one while callers reused them by the new one, so that a whole request met the close. A header or body within a raised limit was refused with 414, 431 or 413 on connections that were open already.

Cause: a connection kept the limits of the version in force when it was opened, and its decoder cannot change its own.

Ruled out: closing at the new limit alone.

Change: limits are read for each check. Callers and a node may act on different versions for 2 s: a limit applies for 2 s after a lower one replaced it, an idle connection keeps the largest limit of the time since 2 s before it became idle, and is closed 2 s after that limit, because callers may know of a higher one before the node does. The decoder is replaced between two requests. The defaults that hold before the first configuration are no earlier version.

Result: of the four cases of ConfigurationChangeTest the three with raised limits failed on the unchanged code (connection closed, 414, 413) and pass now, with CallerLimitsTest (the rule), BodyMemoryBudgetTest and nine cases of RouterNodeTest (limits, smuggling): mvn -o test -pl gooseberryhook-router -am -Dtest='ConfigurationChangeTest, CallerLimitsTest,BodyMemoryBudgetTest,RouterNodeTest'

Not covered: a pipelined request that begins in the same read as the end of another one keeps the header limit of that one.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -36,13 +36,17 @@
 
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
-  private final RequestLimits limits;
+  private final CallerLimits limits;
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
   private ChannelHandlerContext handlerContext;
   private HttpRequest head;
   private ByteBuf body;
   private long headReceivedMs;
+
+  /** Limit on the current request's body, fixed when its header was received. */
+  private long maxBodyBytes;
+
   private Exchange exchange;
   private CallerResponse response;
   private long lastReceivedMs;
@@ -62,7 +66,7 @@
   CallerConnection(
       ForwardContext context,
       RequestDispatcher dispatcher,
-      RequestLimits limits,
+      CallerLimits limits,
       Consumer<CallerConnection> onClosed) {
     this.context = context;
     this.dispatcher = dispatcher;
@@ -72,11 +76,15 @@
     this.headStartedMs = lastReceivedMs;
   }
 
-  /** Returns a handler, to be put before the decoder, that records when bytes arrive. */
+  /**
+   * Returns a handler, to be put before the decoder, that records when bytes arrive and sets the
+   * limit of a new request's header.
+   */
   ChannelHandler receiveTimeHandler() {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object message) {
+        updateHeaderLimit(ctx);
         lastReceivedMs = context.clock().nowMs();
         if (!isServing() && head == null && headStartedMs == 0) {
           headStartedMs = lastReceivedMs;
@@ -86,6 +94,25 @@
     };
   }
 
+  /**
+   * Replaces the decoder between two requests if the limit has changed; its configuration is fixed.
+   * A pipelined request that begins in the same read as the end of another one keeps the limit.
+   */
+  private void updateHeaderLimit(ChannelHandlerContext ctx) {
+    CallerRequestDecoder decoder = ctx.pipeline().get(CallerRequestDecoder.class);
+    int maxHeaderBytes = limitsNow().maxHeaderBytes();
+    if (decoder != null
+        && decoder.isBetweenRequests()
+        && decoder.maxHeaderBytes() != maxHeaderBytes) {
+      ctx.pipeline().replace(decoder, null, new CallerRequestDecoder(maxHeaderBytes));
+    }
+  }
+
+  private RequestLimits limitsNow() {
+    long nowMs = context.clock().nowMs();
+    return limits.largestSince(nowMs, nowMs);
+  }
+
   /** Returns whether a request is being processed. */
   boolean isServing() {
     return response != null;
@@ -132,7 +159,8 @@
     headReceivedMs = context.clock().nowMs();
     headStartedMs = 0;
     body = Unpooled.buffer();
-    if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+    maxBodyBytes = limitsNow().maxBodyBytes();
+    if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
     } else if (HttpUtil.is100ContinueExpected(request)) {
       handlerContext.writeAndFlush(
@@ -142,7 +170,7 @@
 
   private void onContent(HttpContent content) {
     int bytes = content.content().readableBytes();
-    if (body.readableBytes() + bytes > limits.maxBodyBytes()) {
+    if (body.readableBytes() + bytes > maxBodyBytes) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
@@ -285,10 +313,11 @@
     if (isServing() || isRefusing) {
       return;
     }
+    long headerTimeoutMs = limits.largestSince(headStartedMs, nowMs).headerTimeoutMs();
     boolean isHeaderLate =
-        headStartedMs != 0 && head == null && nowMs - headStartedMs > limits.headerTimeoutMs();
-    boolean isIdle = nowMs - lastReceivedMs > limits.idleTimeoutMs();
-    if (isHeaderLate && nowMs - lastReceivedMs < limits.headerTimeoutMs()) {
+        headStartedMs != 0 && head == null && nowMs - headStartedMs > headerTimeoutMs;
+    boolean isIdle = limits.isIdleTimeOver(lastReceivedMs, nowMs);
+    if (isHeaderLate && nowMs - lastReceivedMs < headerTimeoutMs) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
     } else if (isHeaderLate || isIdle) {
       handlerContext.close();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 
 /** Accepts callers' connections. All methods must be called on the event loop. */
@@ -29,6 +28,7 @@
   private final RequestDispatcher dispatcher;
   private final String address;
   private final int maxConnections;
+  private final CallerLimits limits;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private Channel listener;
   private ScheduledFuture<?> sweepTimer;
@@ -40,6 +40,8 @@
     this.dispatcher = dispatcher;
     this.address = address;
     this.maxConnections = maxConnections;
+    this.limits =
+        new CallerLimits(() -> context.configuration().get().map(RoutingConfiguration::limits));
   }
 
   /**
@@ -78,7 +80,7 @@
       return;
     }
     CallerConnection connection =
-        new CallerConnection(context, dispatcher, limits(), connections::remove);
+        new CallerConnection(context, dispatcher, limits, connections::remove);
     if (isStopping) {
       connection.closeAfterRequest();
     }
@@ -86,19 +88,11 @@
     channel
         .pipeline()
         .addLast(connection.receiveTimeHandler())
-        .addLast(new CallerRequestDecoder(limits().maxHeaderBytes()))
+        .addLast(new CallerRequestDecoder(limits.current(context.clock().nowMs()).maxHeaderBytes()))
         .addLast(new HttpResponseEncoder())
         .addLast(connection);
   }
 
-  private RequestLimits limits() {
-    return context
-        .configuration()
-        .get()
-        .map(RoutingConfiguration::limits)
-        .orElse(RequestLimits.DEFAULT);
-  }
-
   private PeriodicDuties newDuties() {
     return new PeriodicDuties(context.log())
         .add("caller-timeouts", this::closeTimedOut)
@@ -107,6 +101,7 @@
 
   private void closeTimedOut() {
     long nowMs = context.clock().nowMs();
+    limits.current(nowMs);
     for (CallerConnection connection : List.copyOf(connections)) {
       connection.closeIfTimedOut(nowMs);
     }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.Test;
 
@@ -39,7 +38,7 @@
 
   private EmbeddedChannel connect() {
     CallerConnection connection =
-        new CallerConnection(context, null, RequestLimits.DEFAULT, closed -> {});
+        new CallerConnection(context, null, new CallerLimits(Optional::empty), closed -> {});
     return new EmbeddedChannel(new HttpServerCodec(), connection);
   }
 
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
@@ -0,0 +1,85 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.gooseberryhook.router.configuration.RequestLimits;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests open connections and open requests while the configuration changes. */
+class ConfigurationChangeTest extends RouterNodeHarness {
+
+  private static final TargetStandin.Script OK =
+      (request, out) ->
+          TargetStandin.writeResponse(
+              out, request, 200, "signed: s\r\nKeep-Alive: timeout=77\r\n", "ok");
+
+  /** A connection of a caller that stays open between requests. */
+  private final class KeptConnection implements AutoCloseable {
+    private final Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort);
+    private final InputStream in = new BufferedInputStream(socket.getInputStream());
+
+    KeptConnection() throws IOException {
+      socket.setSoTimeout(8_000);
+    }
+
+    /** Sends a request and returns its response, without the body if there is no length. */
+    String exchange(String request) throws IOException {
+      String kept = request.replace("Connection: close\r\n", "");
+      socket.getOutputStream().write(kept.getBytes(StandardCharsets.ISO_8859_1));
+      StringBuilder response = new StringBuilder();
+      while (response.indexOf("\r\n\r\n") < 0) {
+        int next = in.read();
+        if (next < 0) {
+          throw new IOException("closed after: " + response);
+        }
+        response.append((char) next);
+      }
+      String length = TargetStandin.header(response.toString(), "content-length");
+      byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+      return response + new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  /** Guards against a close, or a refusal, by the limits in force when a connection was opened. */
+  @ParameterizedTest
+  @CsvSource({"4800, 0, 0", "0, 5000, 0", "0, 0, 20000"})
+  void anOpenConnectionFollowsRaisedLimits(int idleMs, int headerBytes, int bodyBytes)
+      throws Exception {
+    addTarget("plain", null, OK);
+    startNode();
+    try (KeptConnection connection = new KeptConnection()) {
+      assertThat(connection.exchange(get("/read/x"))).startsWith("HTTP/1.1 200");
+      changeConfiguration(configuration(2, new RequestLimits(8_000, 40_000, 500, 20_000)));
+      Thread.sleep(idleMs);
+      String request = post("/read/" + "p".repeat(headerBytes / 2), "b".repeat(bodyBytes));
+      String header = "x: " + "y".repeat(headerBytes) + "\r\n";
+      assertThat(connection.exchange(request.replace("Host:", header + "Host:")))
+          .startsWith("HTTP/1.1 200");
+    }
+  }
+
+  /** Guards against a refusal, or a close, by a limit that callers need not know yet. */
+  @Test
+  void aLoweredLimitDoesNotAffectCallersAtOnce() throws Exception {
+    addTarget("plain", null, OK);
+    startNode();
+    try (KeptConnection connection = new KeptConnection()) {
+      assertThat(connection.exchange(get("/read/x"))).startsWith("HTTP/1.1 200");
+      changeConfiguration(configuration(2, new RequestLimits(100, 10, 500, 1)));
+      assertThat(connection.exchange(post("/read/x", "b".repeat(200)))).startsWith("HTTP/1.1 200");
+    }
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FixedFeed.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FixedFeed.java
@@ -7,16 +7,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.gooseberryhook.router.relay.ListPosition;
 
 /**
  * A feed with fixed entries.
  *
  * @param values entries of the list
- * @param change entry that each call for changes returns; none if empty
+ * @param change returns the entry that the calls for changes return now; none if empty
  * @param key returns the key of an entry
  */
-record FixedFeed<T>(List<T> values, Optional<T> change, Function<T, String> key)
+record FixedFeed<T>(List<T> values, Supplier<Optional<T>> change, Function<T, String> key)
     implements ChangeFeed<T> {
   @Override
   public void readAll(Consumer<FeedResult<T>> onResult) {
@@ -25,9 +26,11 @@
 
   @Override
   public void readChanges(ListPosition after, long waitMs, Consumer<FeedResult<T>> onResult) {
-    List<FeedResult.Change<T>> changes = toChanges(change.stream().toList());
     CompletableFuture.delayedExecutor(waitMs, TimeUnit.MILLISECONDS)
-        .execute(() -> onResult.accept(new FeedResult.Entries<>(changes, after)));
+        .execute(
+            () ->
+                onResult.accept(
+                    new FeedResult.Entries<>(toChanges(change.get().stream().toList()), after)));
   }
 
   private List<FeedResult.Change<T>> toChanges(List<T> entries) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.admission.RetryBounds;
 import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.RequestLimits;
@@ -46,7 +47,10 @@
   final List<TargetStandin> targets = new ArrayList<>();
   final List<TargetEntry> entries = new ArrayList<>();
   RouterNode node;
-  RoutingConfiguration olderConfiguration;
+
+  /** Version that the configuration feed returns from now on, null if there is none. */
+  volatile RoutingConfiguration nextConfiguration;
+
   int callerPort;
   String reportAddress;
 
@@ -110,9 +114,9 @@
                     new TestHeaderCodec(),
                     new FixedFeed<>(
                         List.of(configuration()),
-                        Optional.ofNullable(olderConfiguration),
+                        () -> Optional.ofNullable(nextConfiguration),
                         c -> "config"),
-                    new FixedFeed<>(entries, Optional.empty(), TargetEntry::id),
+                    new FixedFeed<>(entries, Optional::empty, TargetEntry::id),
                     new UnavailableTable(),
                     new StubEngineControl(
                         engineStartedMs,
@@ -122,20 +126,33 @@
                         repathResults),
                     onNumber -> onNumber.accept(1)));
     node.start();
+    awaitMetrics(
+        "gooseberryhook_targets " + (double) entries.size(),
+        "gooseberryhook_configuration_version 1.0");
+  }
+
+  /** Puts a newer configuration in force. */
+  void changeConfiguration(RoutingConfiguration newer) throws Exception {
+    nextConfiguration = newer;
+    awaitMetrics("gooseberryhook_configuration_version " + (double) newer.version());
+  }
+
+  private void awaitMetrics(String... lines) throws Exception {
     long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-    String targetsLoaded = "gooseberryhook_targets " + (double) entries.size();
     String page = "";
-    while (!(page.contains(targetsLoaded)
-            && page.contains("gooseberryhook_configuration_version 1.0"))
-        && System.nanoTime() < endNanos) {
+    while (!Stream.of(lines).allMatch(page::contains) && System.nanoTime() < endNanos) {
       Thread.sleep(10);
       page = node.loop().submit(node::metricsPage).get();
     }
   }
 
   static RoutingConfiguration configuration() {
+    return configuration(1, new RequestLimits(2_000, 10_000, 500, 2_000));
+  }
+
+  static RoutingConfiguration configuration(long version, RequestLimits limits) {
     return new RoutingConfiguration(
-        1,
+        version,
         List.of(
             route("/read/", RequestKind.IDEMPOTENT, "plain", 1_000),
             route("/book/", RequestKind.ONCE_ONLY, "plain", 1_000),
@@ -145,7 +162,7 @@
             new ServiceSettings("plain", "/health", 10, Optional.empty()),
             "model",
             new ServiceSettings("model", "/health", 10, Optional.of(TestFleet.PROFILE))),
-        new RequestLimits(2_000, 10_000, 500, 2_000),
+        limits,
         Optional.of(List.of(new Workspace("w", Set.of("k"), OptionalInt.empty()))));
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -356,7 +356,7 @@
         "plain",
         null,
         (request, out) -> TargetStandin.writeResponse(out, request, 200, "signed: s\r\n", "ok"));
-    olderConfiguration =
+    nextConfiguration =
         new RoutingConfiguration(0, List.of(), Map.of(), RequestLimits.DEFAULT, Optional.empty());
     startNode();
     Thread.sleep(1_500);
