Tell callers how long an idle connection is kept

What callers saw: no response told the idle time, so that a caller could act only on the version of the configuration that it had read, which may be another one than the node's.

Change: responses on connections that stay open carry Keep-Alive with the idle timeout of the configuration in force, in whole seconds and rounded down, if it is a second or more, and Connection: keep-alive. The node closes 2 s after the timeout, so the margin is 2 s or more; an announced time holds also if the timeout is lowered before the response ends. The header of a target was never passed on (EndToEndHeaders).

Result: ConfigurationChangeTest with timeouts of 3999 and 999 ms; the first case failed on the unchanged code, both pass now: mvn -o test -pl gooseberryhook-router -am -Dtest='ConfigurationChangeTest#aResponse*'

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -34,6 +34,8 @@
   /** {@code Retry-After} of a request that is refused because the memory for bodies is used up. */
   private static final long RETRY_AFTER_MS = 1_000;
 
+  private static final long MS_PER_SECOND = 1_000;
+
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
   private final CallerLimits limits;
@@ -51,6 +53,9 @@
   private CallerResponse response;
   private long lastReceivedMs;
 
+  /** Idle time that the last response announced, 0 if none. */
+  private long announcedIdleMs;
+
   /**
    * When the first bytes of a request head arrived that is not complete, 0 if there is none. For
    * the first request, it is the time at which the connection was opened.
@@ -200,6 +205,7 @@
             handlerContext.channel(),
             head.protocolVersion(),
             HttpUtil.isKeepAlive(head) && !isStopping,
+            this::announceIdleTime,
             this::onResponseComplete);
     head = null;
     body = null;
@@ -240,6 +246,14 @@
     return new PlainExchange(context, dispatcher, request, response, routed, service);
   }
 
+  /** Returns the idle time to announce; the connection is kept for longer than that. */
+  private int announceIdleTime() {
+    long idleTimeoutMs = limits.current(context.clock().nowMs()).idleTimeoutMs();
+    int seconds = (int) Math.min(Integer.MAX_VALUE, idleTimeoutMs / MS_PER_SECOND);
+    announcedIdleMs = seconds * MS_PER_SECOND;
+    return seconds;
+  }
+
   /** Continues with the next request after a response was sent. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isStopping;
@@ -287,7 +301,7 @@
         .recordEvent("refused-input", "", "status", problem.status(), "detail", problem.detail());
     CallerResponse refusal =
         new CallerResponse(
-            handlerContext.channel(), HttpVersion.HTTP_1_1, false, this::closeAfterWrites);
+            handlerContext.channel(), HttpVersion.HTTP_1_1, false, () -> 0, this::closeAfterWrites);
     refusal.sendProblem(problem);
   }
 
@@ -316,7 +330,9 @@
     long headerTimeoutMs = limits.largestSince(headStartedMs, nowMs).headerTimeoutMs();
     boolean isHeaderLate =
         headStartedMs != 0 && head == null && nowMs - headStartedMs > headerTimeoutMs;
-    boolean isIdle = limits.isIdleTimeOver(lastReceivedMs, nowMs);
+    boolean isIdle =
+        limits.isIdleTimeOver(lastReceivedMs, nowMs)
+            && nowMs - lastReceivedMs > announcedIdleMs + CallerLimits.GRACE_MS;
     if (isHeaderLate && nowMs - lastReceivedMs < headerTimeoutMs) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
     } else if (isHeaderLate || isIdle) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.function.IntSupplier;
 
 /** Writes the response to one request to its caller. */
 final class CallerResponse {
@@ -25,6 +26,7 @@
 
   private final Channel channel;
   private final HttpVersion requestVersion;
+  private final IntSupplier keepAliveSeconds;
   private final Runnable onComplete;
   private boolean isClosing;
   private boolean isStarted;
@@ -37,13 +39,19 @@
    * @param channel the caller's connection
    * @param requestVersion HTTP version of the request
    * @param isKeptAlive whether the connection stays open after the response
+   * @param keepAliveSeconds returns the idle time to announce on a kept connection; 0 for none
    * @param onComplete called once when the whole response has been handed to the connection
    */
   CallerResponse(
-      Channel channel, HttpVersion requestVersion, boolean isKeptAlive, Runnable onComplete) {
+      Channel channel,
+      HttpVersion requestVersion,
+      boolean isKeptAlive,
+      IntSupplier keepAliveSeconds,
+      Runnable onComplete) {
     this.channel = channel;
     this.requestVersion = requestVersion;
     this.isClosing = !isKeptAlive;
+    this.keepAliveSeconds = keepAliveSeconds;
     this.onComplete = onComplete;
   }
 
@@ -159,7 +167,13 @@
   private void setConnection(HttpHeaders headers) {
     if (isClosing) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    } else if (requestVersion.equals(HttpVersion.HTTP_1_0)) {
+      return;
+    }
+    int seconds = keepAliveSeconds.getAsInt();
+    if (seconds > 0) {
+      headers.set("keep-alive", "timeout=" + seconds);
+    }
+    if (seconds > 0 || requestVersion.equals(HttpVersion.HTTP_1_0)) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import org.gooseberryhook.router.configuration.RequestLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,4 +83,20 @@
       assertThat(connection.exchange(post("/read/x", "b".repeat(200)))).startsWith("HTTP/1.1 200");
     }
   }
+
+  /** Guards against callers that reuse a connection for longer than the node keeps it. */
+  @ParameterizedTest
+  @CsvSource({"3999, keep-alive: timeout=3", "999, ''"})
+  void aResponseTellsTheIdleTimeOfTheNodeInWholeSecondsAndNotThatOfTheTarget(
+      int idleTimeoutMs, String header) throws Exception {
+    addTarget("plain", null, OK);
+    startNode();
+    changeConfiguration(configuration(2, new RequestLimits(2_000, 10_000, 500, idleTimeoutMs)));
+    try (KeptConnection connection = new KeptConnection()) {
+      String response = connection.exchange(get("/read/x")).toLowerCase(Locale.ROOT);
+      assertThat(response).contains(header).doesNotContain("timeout=77");
+      assertThat(response.contains("timeout=")).isEqualTo(!header.isEmpty());
+    }
+    assertThat(exchange(get("/read/x"))).doesNotContainIgnoringCase("keep-alive");
+  }
 }
