Answer requests of which a step throws

An unchecked exception closed the connection without an answer while a request started, left a request without an answer until its deadline in a timer or a callback of a connection, and kept the other requests of a queue from starting and expiring.

Cause: each of these places had its own way with exceptions, or none: exceptionCaught closed, timers only logged, Netty logs what a callback throws, and the loop of the dispatcher stopped.

Change: StepGuard runs the steps of an exchange (start, timers, callbacks of connections and checks); the dispatcher does the same for each request. An exception is logged as internal-error with its place, the exchange gives back what it holds, and the caller gets 503 if no target got the request, else 502; a response that has begun is broken off. Failures of input or output close the connection as before.

Result: FailingStartTest and FailingStepTest throw in the start, a queued start, a timer and a listener.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -154,11 +155,31 @@
       if (message instanceof HttpContent && head != null) {
         onContent((HttpContent) message);
       }
+    } catch (RuntimeException | Error e) {
+      onError(e);
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
+  /**
+   * Answers the current request after an unchecked exception; without one, the input is refused.
+   */
+  private void onError(Throwable error) {
+    if (exchange != null) {
+      exchange.onError(error);
+      return;
+    }
+    context.logError("internal-error", "", error);
+    if (response == null) {
+      refuse(ProblemResponse.internalError(false));
+    } else if (!response.isStarted()) {
+      response.sendProblem(ProblemResponse.internalError(false));
+    } else {
+      response.abort();
+    }
+  }
+
   private void onHead(HttpRequest request) {
     head = request;
     headReceivedMs = context.clock().nowMs();
@@ -209,28 +230,44 @@
             this::onResponseComplete);
     head = null;
     body = null;
-    String host = request.headers().get("host", "");
-    RoutingResult result =
-        RequestRouter.route(
-            context.configuration().get(), host, request.path(), request.metadata().apiKey());
-    if (result instanceof RoutingResult.Rejected rejected) {
-      request.body().release();
-      context
-          .log()
-          .recordEvent(
-              "rejected",
-              request.metadata().attemptId(),
-              "problem",
-              rejected.problem().kind(),
-              "path",
-              request.path());
-      response.sendProblem(rejected.problem());
-    } else if (result instanceof RoutingResult.Routed routed) {
-      exchange = newExchange(request, routed);
-      exchange.start();
+    route(request)
+        .ifPresent(
+            started -> {
+              exchange = started;
+              new StepGuard(started::onError).run(started::start);
+            });
+  }
+
+  /** Returns the exchange of a request, or responds and returns empty if it is rejected. */
+  private Optional<Exchange> route(CallerRequest request) {
+    boolean isRouted = false;
+    try {
+      String host = request.headers().get("host", "");
+      RoutingResult result =
+          RequestRouter.route(
+              context.configuration().get(), host, request.path(), request.metadata().apiKey());
+      if (result instanceof RoutingResult.Rejected rejected) {
+        reject(request, rejected.problem());
+        return Optional.empty();
+      }
+      Exchange routed = newExchange(request, (RoutingResult.Routed) result);
+      isRouted = true;
+      return Optional.of(routed);
+    } finally {
+      if (!isRouted) {
+        request.body().release();
+      }
     }
   }
 
+  private void reject(CallerRequest request, ProblemResponse problem) {
+    String attemptId = request.metadata().attemptId();
+    context
+        .log()
+        .recordEvent("rejected", attemptId, "problem", problem.kind(), "path", request.path());
+    response.sendProblem(problem);
+  }
+
   private Exchange newExchange(CallerRequest request, RoutingResult.Routed routed) {
     String service = routed.route().pickService(context.random().nextDouble());
     Optional<EngineProfile> engine =
@@ -381,6 +418,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (isServing() && !(cause instanceof IOException)) {
+      onError(cause);
+      return;
+    }
     context.log().recordEvent("caller-connection", "", "error", String.valueOf(cause.getMessage()));
     ctx.close();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
@@ -16,6 +16,14 @@
    */
   default void onWritabilityChanged(boolean isWritable) {}
 
+  /**
+   * Ends the request after an unchecked exception: it is answered, or its response is broken off if
+   * it has begun. Does nothing if the response is complete; throws nothing.
+   *
+   * @param error the exception
+   */
+  void onError(Throwable error);
+
   /** Called before the connection is closed because the node stops. */
   void onNodeStopping();
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
@@ -77,6 +77,38 @@
     log.recordEvent(kind, request.metadata().attemptId(), fields.toArray());
   }
 
+  /** Logs an unchecked exception. */
+  void logError(String kind, String attemptId, Throwable error) {
+    StackTraceElement[] trace = error.getStackTrace();
+    log.recordEvent(kind, attemptId, "error", error, "at", trace.length == 0 ? "" : trace[0]);
+  }
+
+  /**
+   * Ends an exchange after an unchecked exception and answers its request.
+   *
+   * @param finish releases what the exchange holds
+   * @param mayHaveRun whether a target may have run the request
+   */
+  void endAfterError(
+      CallerRequest request,
+      CallerResponse response,
+      Runnable finish,
+      boolean mayHaveRun,
+      Throwable error) {
+    String attemptId = request.metadata().attemptId();
+    logError("internal-error", attemptId, error);
+    try {
+      finish.run();
+    } catch (RuntimeException | Error e) {
+      logError("internal-error", attemptId, e);
+    }
+    if (response.isStarted()) {
+      response.abort();
+    } else if (!response.isDone()) {
+      response.sendProblem(ProblemResponse.internalError(mayHaveRun));
+    }
+  }
+
   /** Runs a task after a delay. An exception is logged because no one reads the future's result. */
   ScheduledFuture<?> schedule(Runnable task, long delayMs) {
     return loop.schedule(
@@ -84,7 +116,7 @@
           try {
             task.run();
           } catch (RuntimeException e) {
-            log.recordEvent("task-failed", "", "error", e, "at", e.getStackTrace()[0]);
+            logError("task-failed", "", e);
           }
         },
         Math.max(0, delayMs),
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -14,6 +14,7 @@
   final long deadlineMs;
   final CrashGuard crashGuard;
   final RelayHandover relay;
+  final StepGuard guard = new StepGuard(this::onError);
   ScheduledFuture<?> deadlineTimer;
   boolean isFinished;
 
@@ -41,6 +42,24 @@
   /** Ends the request at this node and logs its outcome; sends nothing to the caller. */
   abstract void finish(String outcome);
 
+  /** Runs a step after a delay; an exception in it ends the request. */
+  final ScheduledFuture<?> schedule(Runnable step, long delayMs) {
+    return context.schedule(guard.wrap(step), delayMs);
+  }
+
+  /** Returns whether a target may have run the request. */
+  abstract boolean mayHaveRun();
+
+  @Override
+  public void onError(Throwable error) {
+    if (relay.isActive()) {
+      context.logError("internal-error", request.metadata().attemptId(), error);
+      return;
+    }
+    Runnable finishOnce = isFinished ? () -> {} : () -> finish("internal-error");
+    context.endAfterError(request, response, finishOnce, mayHaveRun(), error);
+  }
+
   @Override
   public String service() {
     return service;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -78,7 +78,7 @@
 
   @Override
   public void start() {
-    deadlineTimer = context.schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
+    deadlineTimer = schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
     Optional<ProblemResponse> rejection = crashGuard.rejection(false);
     if (rejection.isPresent()) {
       reject(rejection.get());
@@ -166,7 +166,8 @@
     attempt.start();
   }
 
-  private boolean mayHaveRun() {
+  @Override
+  boolean mayHaveRun() {
     return possiblyRunSends > 0;
   }
 
@@ -299,8 +300,8 @@
           .acquire(
               target.address(),
               isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannelPool.DEFAULT_IDLE_MS,
-              this::onConnected,
-              this::onNotConnected);
+              guard.wrap(this::onConnected),
+              guard.wrap(this::onNotConnected));
     }
 
     private void onConnected(TargetChannel connected) {
@@ -340,7 +341,7 @@
       channel.send(
           TargetRequests.create(context, request, forwardMetadata, target.address()),
           request.metadata().attemptId(),
-          this);
+          guard.wrap(this));
     }
 
     private void onNotConnected(String reason) {
@@ -358,7 +359,7 @@
     private void scheduleSilenceCheck() {
       long leftMs = deadlineMs - context.clock().nowMs();
       long afterMs = Math.max(MIN_SILENCE_CHECK_MS, (long) (leftMs * SILENCE_SHARE));
-      silenceTimer = context.schedule(this::onSilent, afterMs);
+      silenceTimer = schedule(this::onSilent, afterMs);
     }
 
     /** Leaves the target, which may be alive, only if another one can be sent the request now. */
@@ -440,7 +441,7 @@
             .recordEvent(
                 "broken", request.metadata().attemptId(), "at", target.address(), "why", reason);
         context.fleet().checkTarget(target.address());
-        crashGuard.onInterrupted(List.of(target.address()), this::retryUnlessFinished);
+        crashGuard.onInterrupted(List.of(target.address()), guard.wrap(this::retryUnlessFinished));
       }
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemResponse.java
@@ -20,6 +20,7 @@
   private static final int STATUS_TOO_MANY = 429;
   private static final int STATUS_BAD_GATEWAY = 502;
   private static final int STATUS_GATEWAY_TIMEOUT = 504;
+  private static final long INTERNAL_ERROR_RETRY_AFTER_MS = 1_000;
 
   /**
    * Returns a response for a request that was not sent to a target because of its own fault.
@@ -68,6 +69,19 @@
     return new ProblemResponse(STATUS_BAD_GATEWAY, kind, detail, 0, true);
   }
 
+  /**
+   * Returns a response for a request that ends because of a fault of the router.
+   *
+   * @param mayHaveRun whether a target may have run the request
+   * @return a 502 response, or a 503 response if the request has not run
+   */
+  public static ProblemResponse internalError(boolean mayHaveRun) {
+    String detail = "the router failed to process the request";
+    return mayHaveRun
+        ? mayHaveRun("internal-error", detail)
+        : notRun("internal-error", detail, INTERNAL_ERROR_RETRY_AFTER_MS);
+  }
+
   /**
    * Returns a 504 response for a request that may have run and whose deadline has passed.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -37,6 +37,7 @@
   private final Optional<String> lastEventId;
   private final Set<String> triedNodes = new HashSet<>();
   private final ByteBuf body = Unpooled.buffer(0);
+  private final StepGuard guard = new StepGuard(this::onError);
   private RelayNode node;
   private TargetChannel channel;
   private ScheduledFuture<?> deadlineTimer;
@@ -83,8 +84,20 @@
 
   @Override
   public void start() {
-    deadlineTimer = context.schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
-    connect();
+    long remainingMs = deadlineMs - context.clock().nowMs();
+    deadlineTimer = context.schedule(guard.wrap(this::onDeadline), remainingMs);
+    guard.run(this::connect);
+  }
+
+  boolean isActive() {
+    return deadlineTimer != null && !isFinished;
+  }
+
+  @Override
+  public void onError(Throwable error) {
+    boolean mayHaveRun = channel != null || earlierSends > 0;
+    Runnable finishOnce = isFinished ? () -> {} : () -> finish("internal-error");
+    context.endAfterError(request, response, finishOnce, mayHaveRun, error);
   }
 
   private void connect() {
@@ -106,13 +119,14 @@
         .acquire(
             node.address(),
             RelayConnections.MAX_IDLE_MS,
-            this::onConnected,
-            reason -> {
-              if (!isFinished) {
-                uncount();
-                connect();
-              }
-            });
+            guard.wrap(this::onConnected),
+            guard.wrap(
+                reason -> {
+                  if (!isFinished) {
+                    uncount();
+                    connect();
+                  }
+                }));
   }
 
   private void onConnected(TargetChannel connected) {
@@ -124,7 +138,7 @@
     channel.setReading(!isCallerSlow);
     long remainingMs = deadlineMs - context.clock().nowMs();
     RelayMetadata metadata = new RelayMetadata(earlierSends, remainingMs, lastEventId);
-    channel.send(TargetRequests.createRelayed(context, request, metadata), null, this);
+    channel.send(TargetRequests.createRelayed(context, request, metadata), null, guard.wrap(this));
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
@@ -62,6 +62,11 @@
     return true;
   }
 
+  /** Returns whether another node serves the request. */
+  boolean isActive() {
+    return relayed.filter(RelayExchange::isActive).isPresent();
+  }
+
   void onCallerGone() {
     relayed.ifPresent(RelayExchange::onCallerGone);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -107,7 +107,7 @@
     WaitQueue.Waiter<QueuedExchange> waiter =
         queue.add(exchange.schedulingInfo(), waitDeadlineMs, exchange);
     exchange.onQueued(() -> queue.remove(waiter));
-    queue.removeOverflow().ifPresent(QueuedExchange::onNotAdmitted);
+    queue.removeOverflow().ifPresent(RequestDispatcher::refuse);
     scheduleCheck();
   }
 
@@ -145,7 +145,9 @@
 
   /** Moves running streams off targets that are lost or about to leave. */
   void replaceLostTargets() {
-    List.copyOf(running).forEach(StreamExchange::replaceLostTargets);
+    for (StreamExchange exchange : List.copyOf(running)) {
+      exchange.guard.run(exchange::replaceLostTargets);
+    }
   }
 
   /**
@@ -154,12 +156,26 @@
   void startWaitingRequests() {
     for (WaitQueue<QueuedExchange> queue : queues.values()) {
       if (queue.size() > 0) {
-        queue.dispatch(QueuedExchange::tryStart);
-        queue.removeExpired(context.clock().nowMs()).forEach(QueuedExchange::onNotAdmitted);
+        queue.dispatch(RequestDispatcher::tryStart);
+        queue.removeExpired(context.clock().nowMs()).forEach(RequestDispatcher::refuse);
       }
     }
   }
 
+  /** Starts a waiting request. One that fails has left the queue and keeps no other from it. */
+  private static boolean tryStart(QueuedExchange exchange) {
+    try {
+      return exchange.tryStart();
+    } catch (RuntimeException | Error e) {
+      exchange.onError(e);
+      return true;
+    }
+  }
+
+  private static void refuse(QueuedExchange exchange) {
+    new StepGuard(exchange::onError).run(exchange::onNotAdmitted);
+  }
+
   /** Returns the number of waiting requests of all services. */
   int waitingCount() {
     return queues.values().stream().mapToInt(WaitQueue::size).sum();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -59,7 +59,7 @@
 
   @Override
   public void start() {
-    deadlineTimer = context.schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
+    deadlineTimer = schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
     if (failIfRejected(crashGuard.rejection(false)) || (shouldRelay() && tryRelay())) {
       return;
     }
@@ -93,6 +93,11 @@
     return dispatcher.choosePipeline(streamRequest, pipelines, profile, isSent());
   }
 
+  @Override
+  boolean mayHaveRun() {
+    return ledger.mayHaveRun();
+  }
+
   private boolean isSent() {
     return ledger.total() > 0;
   }
@@ -300,8 +305,8 @@
           .acquire(
               pipeline.head().address(),
               TargetChannelPool.DEFAULT_IDLE_MS,
-              this::onConnected,
-              this::onNotConnected);
+              guard.wrap(this::onConnected),
+              guard.wrap(this::onNotConnected));
     }
 
     private void reserve() {
@@ -339,7 +344,7 @@
           TargetRequests.createStream(
               context, request, routed, pipeline, deadlineMs - nowMs, progress.lastEventId()),
           request.metadata().attemptId(),
-          this);
+          guard.wrap(this));
       scheduleSilenceCheck(StreamLimits.FIRST_EVENT_SILENCE_MS);
     }
 
@@ -352,7 +357,7 @@
     }
 
     private void scheduleSilenceCheck(long afterMs) {
-      silenceTimer = context.schedule(this::onSilence, afterMs);
+      silenceTimer = schedule(this::onSilence, afterMs);
     }
 
     /** Starts checks of the pipeline's targets and replaces lost ones, if there are any. */
@@ -372,7 +377,7 @@
       }
       context.fleet().checkTargets(pipeline);
       replaceLostTargets();
-      silenceTimer = context.schedule(this::onSilence, StreamLimits.SILENCE_RECHECK_MS);
+      silenceTimer = schedule(this::onSilence, StreamLimits.SILENCE_RECHECK_MS);
     }
 
     /** Resumes elsewhere if the head is lost, or has the head replace other lost targets. */
@@ -406,12 +411,13 @@
           .repath(
               request.metadata().attemptId(),
               replacement.get(),
-              isAccepted -> {
-                isRepathing = false;
-                if (!isOver) {
-                  onRepathed(replacement.get(), isAccepted);
-                }
-              });
+              guard.wrap(
+                  isAccepted -> {
+                    isRepathing = false;
+                    if (!isOver) {
+                      onRepathed(replacement.get(), isAccepted);
+                    }
+                  }));
     }
 
     /** Relays the stream if it is silent because this node lost its links to the targets. */
@@ -471,7 +477,7 @@
     void onErrorHead() {
       silenceTimer.cancel(false);
       silenceTimer =
-          context.schedule(
+          schedule(
               () -> breakOff("an error response did not end in time"),
               StreamLimits.ERROR_RESPONSE_TIMEOUT_MS);
     }
@@ -543,7 +549,7 @@
         if (ledger.refusals() <= StreamLimits.MAX_IMMEDIATE_REFUSAL_RETRIES) {
           resumeOrFail("target-refused", "the pipeline refused the request");
         } else {
-          context.schedule(
+          schedule(
               () -> resumeOrFail("target-refused", "the pipelines refused the request repeatedly"),
               StreamLimits.REFUSAL_RETRY_DELAY_MS);
         }
@@ -566,7 +572,7 @@
         log("broken", "at", pipeline.head().address(), "why", reason);
         // A request that crashes targets breaks off before its first event.
         List<String> suspects = hasEvents || channel == null ? List.of() : pipeline.addresses();
-        crashGuard.onInterrupted(suspects, () -> resumeOrFail("pipeline-lost", reason));
+        crashGuard.onInterrupted(suspects, guard.wrap(() -> resumeOrFail("pipeline-lost", reason)));
       }
     }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -118,12 +118,7 @@
                         c -> "config"),
                     new FixedFeed<>(entries, Optional::empty, TargetEntry::id),
                     new UnavailableTable(),
-                    new StubEngineControl(
-                        engineStartedMs,
-                        stalledAddresses,
-                        deadAddresses,
-                        restartedAddresses,
-                        repathResults),
+                    newEngines(),
                     onNumber -> onNumber.accept(1)));
     node.start();
     awaitMetrics(
@@ -146,6 +141,11 @@
     }
   }
 
+  EngineControl newEngines() {
+    return new StubEngineControl(
+        engineStartedMs, stalledAddresses, deadAddresses, restartedAddresses, repathResults);
+  }
+
   static RoutingConfiguration configuration() {
     return configuration(1, new RequestLimits(2_000, 10_000, 500, 2_000));
   }
