Test open requests while their route, service and key are removed

No fault was found: a request that runs, waits for a slot or a pipeline, waits for a connection or is between two attempts ends with an answer after a configuration removed all routes, services and keys. Route and deadline of a request are fixed when it starts, the timer of the deadline lives in each state, and queues of removed services expire.

--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
@@ -2,14 +2,33 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.configuration.RequestLimits;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.WeightedService;
+import org.gooseberryhook.router.configuration.Workspace;
+import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +41,9 @@
           TargetStandin.writeResponse(
               out, request, 200, "signed: s\r\nKeep-Alive: timeout=77\r\n", "ok");
 
+  private static final ExecutorService CALLERS =
+      Executors.newCachedThreadPool(new DefaultThreadFactory("callers", true));
+
   /** A connection of a caller that stays open between requests. */
   private final class KeptConnection implements AutoCloseable {
     private final Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort);
@@ -99,4 +121,81 @@
     }
     assertThat(exchange(get("/read/x"))).doesNotContainIgnoringCase("keep-alive");
   }
+
+  /** Guards against open requests that are lost with what they were routed by. */
+  @ParameterizedTest
+  @CsvSource({
+    "/book/x, run, 200",
+    "/draft/x, run, 200",
+    "/draft/x, refuse, 503",
+    "/draft/x, no-target, 503"
+  })
+  void openRequestsAreAnsweredWhenTheirRouteServiceAndKeyAreRemoved(
+      String path, String state, int status) throws Exception {
+    CountDownLatch isReceived = new CountDownLatch(state.equals("no-target") ? 0 : 1);
+    CountDownLatch isChanged = new CountDownLatch(1);
+    TargetStandin.Script script =
+        (request, out) -> {
+          isReceived.countDown();
+          if (state.equals("refuse")) {
+            TargetStandin.writeResponse(out, request, 503, "not-run: 1\r\n", "");
+            return;
+          }
+          isChanged.await();
+          if (path.startsWith("/book")) {
+            OK.respond(request, out);
+          } else {
+            writeEvents(request, out, 1, 3);
+            TargetStandin.write(out, "0\r\n\r\n");
+          }
+        };
+    if (!state.equals("no-target")) {
+      addTarget("plain", null, script);
+      addTarget("model", LayerRange.of(0, 40), script);
+      addTarget("model", LayerRange.of(40, 80), (request, out) -> {});
+    }
+    firstConfiguration = patientConfiguration();
+    startNode();
+    List<CompletableFuture<String>> answers = new ArrayList<>();
+    // More than the target has slots, so that some wait.
+    for (int i = 0; i < 30; i++) {
+      answers.add(CompletableFuture.supplyAsync(() -> answer(path), CALLERS));
+    }
+    assertThat(isReceived.await(10, TimeUnit.SECONDS)).isTrue();
+    changeConfiguration(
+        new RoutingConfiguration(
+            2, List.of(), Map.of(), RequestLimits.DEFAULT, Optional.of(List.of())));
+    isChanged.countDown();
+    for (CompletableFuture<String> answer : answers) {
+      assertThat(answer.get(20, TimeUnit.SECONDS)).containsPattern("^HTTP/1.1 (200|503)");
+    }
+    assertThat(answers).anyMatch(answer -> answer.join().startsWith("HTTP/1.1 " + status));
+  }
+
+  /** Returns the usual configuration, but with requests that may wait for seconds. */
+  private static RoutingConfiguration patientConfiguration() {
+    RoutingConfiguration usual = configuration();
+    return new RoutingConfiguration(
+        1,
+        List.of(
+            patientRoute("/book/", RequestKind.ONCE_ONLY, "plain"),
+            patientRoute("/draft/", RequestKind.STREAM, "model")),
+        usual.services(),
+        usual.limits(),
+        Optional.of(List.of(new Workspace("w", Set.of("k"), OptionalInt.empty()))));
+  }
+
+  private static Route patientRoute(String prefix, RequestKind kind, String service) {
+    List<WeightedService> services = List.of(new WeightedService(service, 1));
+    return new Route(
+        prefix, "h", prefix, kind, 12_000, 5_000, 2, 1, false, false, true, 200, services);
+  }
+
+  private String answer(String path) {
+    try {
+      return exchange(post(path, "b"));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -48,6 +48,9 @@
   final List<TargetEntry> entries = new ArrayList<>();
   RouterNode node;
 
+  /** Version that the node reads when it starts. */
+  RoutingConfiguration firstConfiguration = configuration();
+
   /** Version that the configuration feed returns from now on, null if there is none. */
   volatile RoutingConfiguration nextConfiguration;
 
@@ -113,7 +116,7 @@
                 new RouterNode.Dependencies(
                     new TestHeaderCodec(),
                     new FixedFeed<>(
-                        List.of(configuration()),
+                        List.of(firstConfiguration),
                         () -> Optional.ofNullable(nextConfiguration),
                         c -> "config"),
                     new FixedFeed<>(entries, Optional::empty, TargetEntry::id),
