--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -41,9 +43,11 @@
   /** Time in which the first bytes follow after a connection was opened. */
   private static final long FIRST_BYTES_MS = 300;
 
+  private static final long MS_PER_SECOND = 1_000;
+
   private final ForwardContext context;
   private final RequestDispatcher dispatcher;
-  private final RequestLimits limits;
+  private final CallerLimits limits;
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
   private final ConnectionRecord record;
@@ -51,10 +55,17 @@
   private HttpRequest head;
   private ByteBuf body;
   private long headReceivedMs;
+
+  /** Limit on the current request's body, fixed when its header was received. */
+  private long maxBodyBytes;
+
   private Exchange exchange;
   private CallerResponse response;
   private long lastReceivedMs;
 
+  /** Idle time that the last response announced, 0 if none. */
+  private long announcedIdleMs;
+
   /**
    * When the first bytes of a request head arrived that is not complete, 0 if there is none. For
    * the first request, it is the time at which the connection was opened.
@@ -75,7 +86,7 @@
   CallerConnection(
       ForwardContext context,
       RequestDispatcher dispatcher,
-      RequestLimits limits,
+      CallerLimits limits,
       Consumer<CallerConnection> onClosed) {
     this.context = context;
     this.dispatcher = dispatcher;
@@ -86,12 +97,16 @@
     this.record = new ConnectionRecord(context, this::onBytes);
   }
 
-  /** Returns a handler, to be put before the decoder, that records when bytes arrive. */
+  /**
+   * Returns a handler, to be put before the decoder, that records when bytes arrive and sets the
+   * limit of a new request's header.
+   */
   ChannelHandler receiveTimeHandler() {
     return record;
   }
 
   private void onBytes(int bytes) {
+    updateHeaderLimit();
     closing.ifPresent(c -> c.onBytes(bytes));
     lastReceivedMs = context.clock().nowMs();
     if (!isServing() && head == null && headStartedMs == 0) {
@@ -99,6 +114,26 @@
     }
   }
 
+  /**
+   * Replaces the decoder between two requests if the limit has changed; its configuration is fixed.
+   * A pipelined request that begins in the same read as the end of another one keeps the limit.
+   */
+  private void updateHeaderLimit() {
+    ChannelPipeline pipeline = handlerContext.pipeline();
+    CallerRequestDecoder decoder = pipeline.get(CallerRequestDecoder.class);
+    int maxHeaderBytes = limitsNow().maxHeaderBytes();
+    if (decoder != null
+        && decoder.isBetweenRequests()
+        && decoder.maxHeaderBytes() != maxHeaderBytes) {
+      pipeline.replace(decoder, null, new CallerRequestDecoder(maxHeaderBytes));
+    }
+  }
+
+  private RequestLimits limitsNow() {
+    long nowMs = context.clock().nowMs();
+    return limits.largestSince(nowMs, nowMs);
+  }
+
   /** Returns whether a request is being processed. */
   boolean isServing() {
     return response != null;
@@ -135,19 +170,40 @@
       if (message instanceof HttpContent && head != null) {
         onContent((HttpContent) message);
       }
+    } catch (RuntimeException | Error e) {
+      onError(e);
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
+  /**
+   * Answers the current request after an unchecked exception; without one, the input is refused.
+   */
+  private void onError(Throwable error) {
+    if (exchange != null) {
+      exchange.onError(error);
+      return;
+    }
+    context.logError("internal-error", "", error);
+    if (response == null) {
+      refuse(ProblemResponse.internalError(false));
+    } else if (!response.isStarted()) {
+      response.sendProblem(ProblemResponse.internalError(false));
+    } else {
+      response.abort();
+    }
+  }
+
   private void onHead(HttpRequest request) {
     head = request;
     headReceivedMs = context.clock().nowMs();
     headStartedMs = 0;
     body = Unpooled.buffer();
+    maxBodyBytes = limitsNow().maxBodyBytes();
     if (isOverLimit) {
       refuse(ProblemResponse.notRun("connection-limit", "too many connections", RETRY_AFTER_MS));
-    } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+    } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
     } else if (HttpUtil.is100ContinueExpected(request)) {
       handlerContext.writeAndFlush(
@@ -157,7 +213,7 @@
 
   private void onContent(HttpContent content) {
     int bytes = content.content().readableBytes();
-    if (body.readableBytes() + bytes > limits.maxBodyBytes()) {
+    if (body.readableBytes() + bytes > maxBodyBytes) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
@@ -189,28 +245,37 @@
             handlerContext.channel(),
             head.protocolVersion(),
             () -> !isKeptAlive || isLastBeforeStop(),
+            this::announceIdleTime,
             this::onResponseComplete);
     head = null;
     body = null;
-    String host = request.headers().get("host", "");
-    RoutingResult result =
-        RequestRouter.route(
-            context.configuration().get(), host, request.path(), request.metadata().apiKey());
-    if (result instanceof RoutingResult.Rejected rejected) {
-      request.body().release();
-      context
-          .log()
-          .recordEvent(
-              "rejected",
-              request.metadata().attemptId(),
-              "problem",
-              rejected.problem().kind(),
-              "path",
-              request.path());
-      response.sendProblem(rejected.problem());
-    } else if (result instanceof RoutingResult.Routed routed) {
-      exchange = newExchange(request, routed);
-      exchange.start();
+    route(request)
+        .ifPresent(
+            started -> {
+              exchange = started;
+              new StepGuard(started::onError).run(started::start);
+            });
+  }
+
+  /** Returns the exchange of a request, or responds and returns empty if it is rejected. */
+  private Optional<Exchange> route(CallerRequest request) {
+    boolean isRouted = false;
+    try {
+      String host = request.headers().get("host", "");
+      RoutingResult result =
+          RequestRouter.route(
+              context.configuration().get(), host, request.path(), request.metadata().apiKey());
+      if (result instanceof RoutingResult.Rejected rejected) {
+        reject(request, rejected.problem());
+        return Optional.empty();
+      }
+      Exchange routed = newExchange(request, (RoutingResult.Routed) result);
+      isRouted = true;
+      return Optional.of(routed);
+    } finally {
+      if (!isRouted) {
+        request.body().release();
+      }
     }
   }
 
@@ -223,6 +288,14 @@
     return handlerContext.pipeline().get(CallerRequestDecoder.class).undecodedBytes();
   }
 
+  private void reject(CallerRequest request, ProblemResponse problem) {
+    String attemptId = request.metadata().attemptId();
+    context
+        .log()
+        .recordEvent("rejected", attemptId, "problem", problem.kind(), "path", request.path());
+    response.sendProblem(problem);
+  }
+
   private Exchange newExchange(CallerRequest request, RoutingResult.Routed routed) {
     String service = routed.route().pickService(context.random().nextDouble());
     Optional<EngineProfile> engine =
@@ -238,6 +311,14 @@
     return new PlainExchange(context, dispatcher, request, response, routed, service);
   }
 
+  /** Returns the idle time to announce; the connection is kept for longer than that. */
+  private int announceIdleTime() {
+    long idleTimeoutMs = limits.current(context.clock().nowMs()).idleTimeoutMs();
+    int seconds = (int) Math.min(Integer.MAX_VALUE, idleTimeoutMs / MS_PER_SECOND);
+    announcedIdleMs = seconds * MS_PER_SECOND;
+    return seconds;
+  }
+
   /** Continues with the next request after a response was sent. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isLastBeforeStop();
@@ -295,6 +376,7 @@
             handlerContext.channel(),
             HttpVersion.HTTP_1_1,
             () -> true,
+            () -> 0,
             () -> closeAfterWrites(true));
     refusal.sendProblem(problem);
   }
@@ -341,10 +423,13 @@
     if (isServing() || isRefusing) {
       return;
     }
+    long headerTimeoutMs = limits.largestSince(headStartedMs, nowMs).headerTimeoutMs();
     boolean isHeaderLate =
-        headStartedMs != 0 && head == null && nowMs - headStartedMs > limits.headerTimeoutMs();
-    boolean isIdle = nowMs - lastReceivedMs > limits.idleTimeoutMs();
-    if (isHeaderLate && nowMs - lastReceivedMs < limits.headerTimeoutMs()) {
+        headStartedMs != 0 && head == null && nowMs - headStartedMs > headerTimeoutMs;
+    boolean isIdle =
+        limits.isIdleTimeOver(lastReceivedMs, nowMs)
+            && nowMs - lastReceivedMs > announcedIdleMs + CallerLimits.GRACE_MS;
+    if (isHeaderLate && nowMs - lastReceivedMs < headerTimeoutMs) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
     } else if (isHeaderLate || isIdle) {
       closeIfQuiet(isHeaderLate ? EndReason.HEADER_LATE : EndReason.IDLE, SOCKET_READ_MS);
@@ -419,6 +504,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (isServing() && !(cause instanceof IOException)) {
+      onError(cause);
+      return;
+    }
     context.log().recordEvent("caller-connection", "", "error", String.valueOf(cause.getMessage()));
     close(EndReason.EXCEPTION);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -18,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 /** Writes the response to one request to its caller. */
 final class CallerResponse {
@@ -27,6 +28,7 @@
   private final Channel channel;
   private final HttpVersion requestVersion;
   private final BooleanSupplier mustClose;
+  private final IntSupplier keepAliveSeconds;
   private final Runnable onComplete;
   private boolean isClosing;
   private boolean isStarted;
@@ -39,13 +41,19 @@
    * @param channel the caller's connection
    * @param requestVersion HTTP version of the request
    * @param mustClose whether the connection closes after the response; asked as its head is sent
+   * @param keepAliveSeconds returns the idle time to announce on a kept connection; 0 for none
    * @param onComplete called once when the whole response has been handed to the connection
    */
   CallerResponse(
-      Channel channel, HttpVersion requestVersion, BooleanSupplier mustClose, Runnable onComplete) {
+      Channel channel,
+      HttpVersion requestVersion,
+      BooleanSupplier mustClose,
+      IntSupplier keepAliveSeconds,
+      Runnable onComplete) {
     this.channel = channel;
     this.requestVersion = requestVersion;
     this.mustClose = mustClose;
+    this.keepAliveSeconds = keepAliveSeconds;
     this.onComplete = onComplete;
   }
 
@@ -157,7 +165,13 @@
     isClosing |= mustClose.getAsBoolean();
     if (isClosing) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    } else if (requestVersion.equals(HttpVersion.HTTP_1_0)) {
+      return;
+    }
+    int seconds = keepAliveSeconds.getAsInt();
+    if (seconds > 0) {
+      headers.set("keep-alive", "timeout=" + seconds);
+    }
+    if (seconds > 0 || requestVersion.equals(HttpVersion.HTTP_1_0)) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Exchange.java
@@ -16,6 +16,14 @@
    */
   default void onWritabilityChanged(boolean isWritable) {}
 
+  /**
+   * Ends the request after an unchecked exception: it is answered, or its response is broken off if
+   * it has begun. Does nothing if the response is complete; throws nothing.
+   *
+   * @param error the exception
+   */
+  void onError(Throwable error);
+
   /**
    * Called when the node stops and waits no longer. Ends the request: with a response if none has
    * started, else by breaking it off.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
 
 /** What requests to models and to other services have in common, whichever node serves them. */
 abstract class ForwardedExchange implements QueuedExchange {
@@ -17,6 +18,7 @@
   final long deadlineMs;
   final CrashGuard crashGuard;
   final RelayHandover relay;
+  final StepGuard guard = new StepGuard(this::onError);
   ScheduledFuture<?> deadlineTimer;
   boolean isFinished;
 
@@ -50,6 +52,40 @@
    */
   abstract void fail(String kind, String detail);
 
+  /** Ends the request with a problem, or breaks off a response that has started. */
+  final void fail(ProblemResponse problem) {
+    finish(problem.kind());
+    if (response.isStarted()) {
+      response.abort();
+    } else {
+      response.sendProblem(problem);
+    }
+  }
+
+  /** Ends the request with a problem, if there is one; returns whether there was. */
+  final boolean failIfRejected(Optional<ProblemResponse> rejection) {
+    rejection.ifPresent(this::fail);
+    return rejection.isPresent();
+  }
+
+  /** Runs a step after a delay; an exception in it ends the request. */
+  final ScheduledFuture<?> schedule(Runnable step, long delayMs) {
+    return context.schedule(guard.wrap(step), delayMs);
+  }
+
+  /** Returns whether a target may have run the request. */
+  abstract boolean mayHaveRun();
+
+  @Override
+  public void onError(Throwable error) {
+    if (relay.isActive()) {
+      context.logError("internal-error", request.metadata().attemptId(), error);
+      return;
+    }
+    Runnable finishOnce = isFinished ? () -> {} : () -> finish("internal-error");
+    context.endAfterError(request, response, finishOnce, mayHaveRun(), error);
+  }
+
   @Override
   public String service() {
     return service;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -59,7 +59,7 @@
 
   @Override
   public void start() {
-    deadlineTimer = context.schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
+    deadlineTimer = schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
     if (failIfRejected(crashGuard.rejection(false)) || (shouldRelay() && tryRelay())) {
       return;
     }
@@ -93,6 +93,11 @@
     return dispatcher.choosePipeline(streamRequest, pipelines, profile, isSent());
   }
 
+  @Override
+  boolean mayHaveRun() {
+    return ledger.mayHaveRun();
+  }
+
   private boolean isSent() {
     return ledger.total() > 0;
   }
@@ -153,11 +158,6 @@
     }
   }
 
-  private boolean failIfRejected(Optional<ProblemResponse> rejection) {
-    rejection.ifPresent(this::fail);
-    return rejection.isPresent();
-  }
-
   @Override
   void fail(String kind, String detail) {
     fail(
@@ -166,15 +166,6 @@
             : ProblemResponse.notRun(kind, detail, StreamLimits.RETRY_AFTER_MS));
   }
 
-  private void fail(ProblemResponse problem) {
-    finish(problem.kind());
-    if (response.isStarted()) {
-      response.abort();
-    } else {
-      response.sendProblem(problem);
-    }
-  }
-
   private void onDeadline() {
     if (!isFinished) {
       fail(
@@ -305,8 +296,8 @@
           .acquire(
               pipeline.head().address(),
               TargetChannelPool.DEFAULT_IDLE_MS,
-              this::onConnected,
-              this::onNotConnected);
+              guard.wrap(this::onConnected),
+              guard.wrap(this::onNotConnected));
     }
 
     private void reserve() {
@@ -344,7 +335,7 @@
           TargetRequests.createStream(
               context, request, routed, pipeline, deadlineMs - nowMs, progress.lastEventId()),
           request.metadata().attemptId(),
-          this);
+          guard.wrap(this));
       scheduleSilenceCheck(StreamLimits.FIRST_EVENT_SILENCE_MS);
     }
 
@@ -357,7 +348,7 @@
     }
 
     private void scheduleSilenceCheck(long afterMs) {
-      silenceTimer = context.schedule(this::onSilence, afterMs);
+      silenceTimer = schedule(this::onSilence, afterMs);
     }
 
     /** Starts checks of the pipeline's targets and replaces lost ones, if there are any. */
@@ -377,7 +368,7 @@
       }
       context.fleet().checkTargets(pipeline);
       replaceLostTargets();
-      silenceTimer = context.schedule(this::onSilence, StreamLimits.SILENCE_RECHECK_MS);
+      silenceTimer = schedule(this::onSilence, StreamLimits.SILENCE_RECHECK_MS);
     }
 
     /** Resumes elsewhere if the head is lost, or has the head replace other lost targets. */
@@ -411,12 +402,13 @@
           .repath(
               request.metadata().attemptId(),
               replacement.get(),
-              isAccepted -> {
-                isRepathing = false;
-                if (!isOver) {
-                  onRepathed(replacement.get(), isAccepted);
-                }
-              });
+              guard.wrap(
+                  isAccepted -> {
+                    isRepathing = false;
+                    if (!isOver) {
+                      onRepathed(replacement.get(), isAccepted);
+                    }
+                  }));
     }
 
     /** Relays the stream if it is silent because this node lost its links to the targets. */
@@ -476,7 +468,7 @@
     void onErrorHead() {
       silenceTimer.cancel(false);
       silenceTimer =
-          context.schedule(
+          schedule(
               () -> breakOff("an error response did not end in time"),
               StreamLimits.ERROR_RESPONSE_TIMEOUT_MS);
     }
@@ -548,7 +540,7 @@
         if (ledger.refusals() <= StreamLimits.MAX_IMMEDIATE_REFUSAL_RETRIES) {
           resumeOrFail("target-refused", "the pipeline refused the request");
         } else {
-          context.schedule(
+          schedule(
               () -> resumeOrFail("target-refused", "the pipelines refused the request repeatedly"),
               StreamLimits.REFUSAL_RETRY_DELAY_MS);
         }
@@ -571,7 +563,7 @@
         log("broken", "at", pipeline.head().address(), "why", reason);
         // A request that crashes targets breaks off before its first event.
         List<String> suspects = hasEvents || channel == null ? List.of() : pipeline.addresses();
-        crashGuard.onInterrupted(suspects, () -> resumeOrFail("pipeline-lost", reason));
+        crashGuard.onInterrupted(suspects, guard.wrap(() -> resumeOrFail("pipeline-lost", reason)));
       }
     }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
@@ -5,10 +5,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.Test;
 
@@ -39,8 +38,9 @@
 
   private EmbeddedChannel connect() {
     CallerConnection connection =
-        new CallerConnection(context, null, RequestLimits.DEFAULT, closed -> {});
-    return new EmbeddedChannel(new HttpServerCodec(), connection);
+        new CallerConnection(context, null, new CallerLimits(Optional::empty), closed -> {});
+    return new EmbeddedChannel(
+        new CallerRequestDecoder(16_384), new HttpResponseEncoder(), connection);
   }
 
   private static void send(EmbeddedChannel channel, String text) {
