Let nodes of different versions hear each other

The lists of caller addresses named nodes of one version only, each version shared the capacity of the pipelines as if it were alone, both could plan while the store was away, and registrations of live nodes were taken for stale.

Cause: decoders accept exactly one format version and number of fields.

Ruled out: one report in two formats (twice the datagrams, always); reading earlier formats only (the earlier version would still hear nothing).

Change: the formats 5 and 6 are read, and a node is written to in the format in which it last reported, which is logged as peer-format. What their senders cannot tell is left out: their suspects may only be slow, and their crashes may be cut connections. A node that doesn't report its reach is taken to reach targets. Appended fields are ignored, so that later versions can add some without a new format.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -34,7 +34,7 @@
  *     none
  * @param reachableTargets number of targets that the sender can use now, by name of the service: it
  *     lists them, they are not leaving, and the sender does not suspect them; 0 for a service of
- *     whose targets it reaches none
+ *     whose targets it reaches none; empty if the sender's version does not report it
  */
 public record PeerReport(
     String node,
@@ -69,9 +69,13 @@
   /**
    * Returns whether the sender reaches targets.
    *
-   * @return true if it reports at least one target of any service
+   * @return true if it reports at least one target of any service, or has a configuration and does
+   *     not report what it reaches
    */
   public boolean reachesTargets() {
+    if (reachableTargets.isEmpty()) {
+      return configurationVersion != 0;
+    }
     return reachableTargets.values().stream().anyMatch(count -> count > 0);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
@@ -15,12 +15,28 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes and decodes {@link PeerReport} as MessagePack. */
+/**
+ * Encodes and decodes {@link PeerReport} as MessagePack.
+ *
+ * <p>Nodes of different versions run side by side during an upgrade. New fields are appended, and
+ * decoders ignore fields that they do not know. Earlier formats, whose decoders reject any other,
+ * are read, and written to the nodes that use them.
+ */
 public final class PeerReportCodec {
 
-  private static final int FORMAT_VERSION = 8;
+  /** The present format. */
+  public static final int FORMAT_VERSION = 8;
+
   private static final int FIELD_COUNT = 20;
 
+  /** Format without answers of suspects, numbers of targets and reviews of crashes. */
+  private static final int FORMAT_WITHOUT_REVIEWS = 6;
+
+  /** Format with marks of single requests instead of crash findings. */
+  private static final int FORMAT_WITH_CRASH_MARKS = 5;
+
+  private static final int EARLIER_FIELD_COUNT = 18;
+
   /** Largest number of elements that is accepted in a list or map. */
   private static final int MAX_ELEMENTS = 4_096;
 
@@ -33,8 +49,20 @@
    * @return the bytes
    */
   public static byte[] encode(PeerReport report) {
+    return encode(report, FORMAT_VERSION);
+  }
+
+  /**
+   * Encodes a report in a format that the receiver reads.
+   *
+   * @param report the report
+   * @param format a format that {@link #readFormat} returned
+   * @return the bytes
+   */
+  public static byte[] encode(PeerReport report, int format) {
+    boolean isEarlier = format < FORMAT_VERSION;
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      packer.packArrayHeader(FIELD_COUNT).packInt(FORMAT_VERSION);
+      packer.packArrayHeader(isEarlier ? EARLIER_FIELD_COUNT : FIELD_COUNT).packInt(format);
       packer.packString(report.node()).packLong(report.incarnation());
       packer.packLong(report.sequence()).packString(report.callerAddress());
       packer.packString(report.reportAddress()).packBoolean(report.isReady());
@@ -49,22 +77,35 @@
       for (String suspect : report.suspects()) {
         packer.packString(suspect);
       }
-      packer.packMapHeader(report.answeringSuspects().size());
-      for (Map.Entry<String, Long> entry : report.answeringSuspects().entrySet()) {
-        packer.packString(entry.getKey()).packLong(entry.getValue());
+      if (!isEarlier) {
+        packAges(packer, report.answeringSuspects());
+      }
+      if (format == FORMAT_WITH_CRASH_MARKS) {
+        packer.packArrayHeader(0);
+      } else {
+        packCrashFindings(packer, report.crashFindings());
       }
-      packCrashFindings(packer, report.crashFindings());
       packer.packLong(report.intervalMs());
       packLayerReports(packer, report.layerReports());
       packer.packString(report.dataCentre()).packBoolean(report.canRelay());
       packer.packLong(report.configurationVersion());
-      packCounts(packer, report.reachableTargets());
+      if (!isEarlier) {
+        packCounts(packer, report.reachableTargets());
+      }
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a peer report", e);
     }
   }
 
+  private static void packAges(MessageBufferPacker packer, Map<String, Long> agesMs)
+      throws IOException {
+    packer.packMapHeader(agesMs.size());
+    for (Map.Entry<String, Long> entry : agesMs.entrySet()) {
+      packer.packString(entry.getKey()).packLong(entry.getValue());
+    }
+  }
+
   private static void packCounts(MessageBufferPacker packer, Map<String, Integer> counts)
       throws IOException {
     packer.packMapHeader(counts.size());
@@ -103,13 +144,12 @@
    *
    * @param bytes content of a datagram
    * @return the report, never null
-   * @throws IOException if the bytes are not a report of this format version
+   * @throws IOException if the bytes are not a report of a known format
    */
   public static PeerReport decode(byte[] bytes) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      if (unpacker.unpackArrayHeader() != FIELD_COUNT || unpacker.unpackInt() != FORMAT_VERSION) {
-        throw new IOException("a peer report has an unknown field count or format version");
-      }
+      final int format = unpackFormat(unpacker);
+      final boolean isEarlier = format < FORMAT_VERSION;
       return new PeerReport(
           unpacker.unpackString(),
           unpacker.unpackLong(),
@@ -121,20 +161,73 @@
           unpacker.unpackBoolean(),
           readLoads(unpacker),
           unpacker.unpackBoolean(),
-          readStrings(unpacker),
-          readAges(unpacker),
-          readCrashFindings(unpacker),
+          readSuspects(unpacker, isEarlier),
+          isEarlier ? Map.of() : readAges(unpacker),
+          readCrashFindings(unpacker, format),
           unpacker.unpackLong(),
           readLayerReports(unpacker),
           unpacker.unpackString(),
           unpacker.unpackBoolean(),
           unpacker.unpackLong(),
-          readCounts(unpacker));
+          isEarlier ? Map.of() : readCounts(unpacker));
+    } catch (RuntimeException | EOFException e) {
+      throw new IOException("cannot decode a peer report", e);
+    }
+  }
+
+  /**
+   * Returns the format of an encoded report, in which its sender reads reports as well.
+   *
+   * @param bytes content of a datagram
+   * @return the format
+   * @throws IOException if the bytes do not begin like a report of a known format
+   */
+  public static int readFormat(byte[] bytes) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      return unpackFormat(unpacker);
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode a peer report", e);
     }
   }
 
+  private static int unpackFormat(MessageUnpacker unpacker) throws IOException {
+    int fieldCount = unpacker.unpackArrayHeader();
+    int format = unpacker.unpackInt();
+    boolean isKnown =
+        switch (format) {
+          case FORMAT_VERSION -> fieldCount >= FIELD_COUNT;
+          case FORMAT_WITHOUT_REVIEWS, FORMAT_WITH_CRASH_MARKS -> fieldCount == EARLIER_FIELD_COUNT;
+          default -> false;
+        };
+    if (!isKnown) {
+      throw new IOException("a peer report has an unknown field count or format version");
+    }
+    return format;
+  }
+
+  /**
+   * Reads the suspects. Those of an earlier format are not used: they may only be slow, and their
+   * sender cannot tell that they answer.
+   */
+  private static List<String> readSuspects(MessageUnpacker unpacker, boolean isEarlier)
+      throws IOException {
+    List<String> suspects = readStrings(unpacker);
+    return isEarlier ? List.of() : suspects;
+  }
+
+  /** Reads the crash findings; those of an earlier format include crashes that nothing proves. */
+  private static CrashFindings readCrashFindings(MessageUnpacker unpacker, int format)
+      throws IOException {
+    if (format == FORMAT_WITH_CRASH_MARKS) {
+      unpacker.skipValue();
+      return CrashFindings.NONE;
+    }
+    CrashFindings findings = readCrashFindings(unpacker);
+    return format == FORMAT_WITHOUT_REVIEWS
+        ? new CrashFindings(List.of(), findings.soundStarts())
+        : findings;
+  }
+
   private static Map<String, InFlightLoad> readLoads(MessageUnpacker unpacker) throws IOException {
     int size = checkSize(unpacker.unpackMapHeader());
     Map<String, InFlightLoad> loads = new HashMap<>();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerTable.java
@@ -42,7 +42,7 @@
    * Largest number of registered addresses, and of nodes, that are kept; above the design size of
    * 390 nodes with restarts.
    */
-  static final int MAX_NODES = 2_048;
+  public static final int MAX_NODES = 2_048;
 
   private final String self;
   private final Map<String, Peer> peers = new TreeMap<>();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReportSocket.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReportSocket.java
@@ -13,10 +13,13 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerReportCodec;
+import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.forward.DecisionLog;
 
 /**
@@ -32,6 +35,10 @@
   private final String address;
   private final Consumer<PeerReport> onReport;
   private final DecisionLog log;
+
+  /** Formats of the nodes that use an earlier one, by the address to which reports are sent. */
+  private final Map<String, Integer> earlierFormats = new HashMap<>();
+
   private Channel channel;
 
   PeerReportSocket(EventLoop loop, String address, Consumer<PeerReport> onReport, DecisionLog log) {
@@ -61,16 +68,20 @@
   }
 
   void send(PeerReport report, Set<String> addresses) {
-    ByteBuf bytes = Unpooled.wrappedBuffer(PeerReportCodec.encode(report));
+    Map<Integer, ByteBuf> encoded = new HashMap<>();
     for (String peer : addresses) {
       try {
         InetSocketAddress receiver = toSocketAddress(peer);
+        ByteBuf bytes =
+            encoded.computeIfAbsent(
+                earlierFormats.getOrDefault(peer, PeerReportCodec.FORMAT_VERSION),
+                format -> Unpooled.wrappedBuffer(PeerReportCodec.encode(report, format)));
         channel.write(new DatagramPacket(bytes.retainedDuplicate(), receiver));
       } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
         log.recordEvent("peer-address-invalid", "", "address", peer, "error", e.getMessage());
       }
     }
-    bytes.release();
+    encoded.values().forEach(ByteBuf::release);
     channel.flush();
   }
 
@@ -80,13 +91,24 @@
         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
+  private void rememberFormat(PeerReport report, int format) {
+    if (format == PeerReportCodec.FORMAT_VERSION) {
+      earlierFormats.remove(report.reportAddress());
+    } else if (earlierFormats.size() < PeerTable.MAX_NODES
+        && !Integer.valueOf(format).equals(earlierFormats.put(report.reportAddress(), format))) {
+      log.recordEvent("peer-format", "", "peer", report.node(), "format", format);
+    }
+  }
+
   private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       byte[] bytes = new byte[packet.content().readableBytes()];
       packet.content().readBytes(bytes);
       try {
-        onReport.accept(PeerReportCodec.decode(bytes));
+        PeerReport report = PeerReportCodec.decode(bytes);
+        rememberFormat(report, PeerReportCodec.readFormat(bytes));
+        onReport.accept(report);
       } catch (IOException e) {
         log.recordEvent(
             "peer-report-invalid", "", "from", packet.sender(), "error", e.getMessage());
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PeerReportSocketTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PeerReportSocketTest.java
@@ -5,18 +5,22 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.SocketException;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhook.router.admission.InFlightLoad;
 import org.gooseberryhook.router.cluster.PeerReport;
+import org.gooseberryhook.router.cluster.PeerReportCodec;
 import org.gooseberryhook.router.fleet.CrashFindings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -57,31 +61,67 @@
         new PeerReportSocket(loop, freeAddress(), r -> {}, (kind, attempt, fields) -> {});
     receiver.start();
     sender.start();
-    PeerReport report =
-        new PeerReport(
-            "n",
-            1,
-            2,
-            "c",
-            address,
-            true,
-            0,
-            false,
-            loads,
-            false,
-            List.of(),
-            Map.of(),
-            CrashFindings.NONE,
-            100,
-            Map.of(),
-            "a",
-            true,
-            3,
-            Map.of());
+    PeerReport report = report("n", address, loads);
     loop.submit(() -> sender.send(report, new LinkedHashSet<>(List.of("x", "a:b", address)))).get();
     PeerReport arrived = received.poll(5, TimeUnit.SECONDS);
     assertThat(report.equals(arrived)).isTrue();
     sender.stop();
     receiver.stop();
   }
+
+  private static PeerReport report(String node, String address, Map<String, InFlightLoad> loads) {
+    return new PeerReport(
+        node,
+        1,
+        2,
+        "c",
+        address,
+        true,
+        0,
+        false,
+        loads,
+        false,
+        List.of(),
+        Map.of(),
+        CrashFindings.NONE,
+        100,
+        Map.of(),
+        "a",
+        true,
+        3,
+        Map.of());
+  }
+
+  /**
+   * Guards against nodes of an earlier version that hear nothing of the others until they are
+   * replaced, and against an earlier format that is kept after the replacement.
+   */
+  @Test
+  void aNodeGetsReportsInTheFormatOfItsOwn() throws Exception {
+    try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      peer.setSoTimeout(10_000);
+      PeerReport fromPeer = report("peer", "127.0.0.1:" + peer.getLocalPort(), Map.of());
+      String address = freeAddress();
+      PeerReportSocket socket =
+          new PeerReportSocket(
+              (EventLoop) group.next(), address, received::add, (kind, attempt, fields) -> {});
+      socket.start();
+      for (int format : new int[] {6, PeerReportCodec.FORMAT_VERSION, 5}) {
+        byte[] bytes = PeerReportCodec.encode(fromPeer, format);
+        peer.send(
+            new DatagramPacket(bytes, bytes.length, PeerReportSocket.toSocketAddress(address)));
+        assertThat(received.poll(10, TimeUnit.SECONDS)).isNotNull();
+        group
+            .next()
+            .submit(
+                () -> socket.send(report("n", address, Map.of()), Set.of(fromPeer.reportAddress())))
+            .get();
+        DatagramPacket answer = new DatagramPacket(new byte[1_000], 1_000);
+        peer.receive(answer);
+        byte[] answered = Arrays.copyOf(answer.getData(), answer.getLength());
+        assertThat(PeerReportCodec.readFormat(answered)).isEqualTo(format);
+      }
+      socket.stop();
+    }
+  }
 }
