Log each plan of layers with what it takes away meanwhile

Callers saw hundreds of streams refused during planned releases, and the logs had only the accepted orders: neither why a plan was made nor what the planner believed it would serve.

A "placement" line for each new plan has its reason, the number of orders and those in progress, pipelines and estimated tokens/s of the data centres that it changes before, at least (all layers given up, none loaded) and after, and for at most twelve orders the layers and the pipelines that each ends. The rate limit of lines applies. Logic is unchanged; only data centres that a plan changes are estimated, once per plan.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -20,6 +20,7 @@
 import org.gooseberryhook.router.placement.LayerPlan;
 import org.gooseberryhook.router.placement.OrderTracker;
 import org.gooseberryhook.router.placement.PlanConditions;
+import org.gooseberryhook.router.placement.PlanSummary;
 import org.gooseberryhook.state.LayerRange;
 
 /**
@@ -74,9 +75,21 @@
       Consumer<TargetEntry> onOrderInProgress) {}
 
   /** The plan of a service and its orders; kept only while this node holds the lease. */
-  private record ServicePlan(CachingLayerPlanner planner, OrderTracker tracker) {
+  private record ServicePlan(CachingLayerPlanner planner, OrderTracker tracker, LastPlan lastPlan) {
     ServicePlan() {
-      this(new CachingLayerPlanner(), new OrderTracker());
+      this(new CachingLayerPlanner(), new OrderTracker(), new LastPlan());
+    }
+  }
+
+  /** Tells a new plan from one that is made again before its orders are counted. */
+  private static final class LastPlan {
+    private LayerPlan plan;
+
+    void update(LayerPlan current, Runnable onNewPlan) {
+      if (!current.equals(plan) && !current.ranges().isEmpty()) {
+        onNewPlan.run();
+      }
+      plan = current;
     }
   }
 
@@ -154,6 +167,7 @@
                 tracker.expectedTargets(usable),
                 profile,
                 new PlanConditions(tracker.isSettled(), fleet.isLossConfirmed().getAsBoolean()));
+    service.lastPlan().update(plan, () -> logPlan(plan, usable, profile, tracker));
     int maxOrders =
         isFirstPlan
             ? Integer.MAX_VALUE
@@ -166,6 +180,30 @@
     tracker.targetsInProgress(usable).forEach(fleet.onOrderInProgress());
   }
 
+  private void logPlan(
+      LayerPlan plan, List<TargetEntry> usable, EngineProfile profile, OrderTracker tracker) {
+    PlanSummary summary = PlanSummary.of(usable, plan, profile);
+    log.recordEvent(
+        "placement",
+        "",
+        "service",
+        usable.get(0).service(),
+        "reason",
+        plan.reasons(),
+        "orders",
+        summary.orders(),
+        "inProgress",
+        tracker.targetsInProgress(usable).size(),
+        "before",
+        summary.before(),
+        "least",
+        summary.least(),
+        "after",
+        summary.after(),
+        "changes",
+        summary.changes());
+  }
+
   /** Returns false for an entry of another writer, whose layers the model does not have. */
   private static boolean hasValidLayers(TargetEntry entry, EngineProfile profile) {
     return entry.layers().map(held -> held.endLayer() <= profile.layerCount()).orElse(true);
@@ -179,7 +217,7 @@
         ranges.remove(target.id());
       }
     }
-    return new LayerPlan(ranges);
+    return new LayerPlan(ranges, plan.reasons());
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlan.java
@@ -1,17 +1,34 @@
 package org.gooseberryhook.router.placement;
 
 import java.util.Map;
+import java.util.Set;
 import org.gooseberryhook.state.LayerRange;
 
 /**
  * The layers that targets should hold.
  *
  * @param ranges layers by target id; targets without an entry keep what they hold
+ * @param reasons why targets change; empty if none does
  */
-public record LayerPlan(Map<String, LayerRange> ranges) {
+public record LayerPlan(Map<String, LayerRange> ranges, Set<Reason> reasons) {
 
-  /** Creates a plan with an immutable copy of the ranges. */
+  /** Why a plan changes the layers of targets. */
+  public enum Reason {
+    /** No target of a data centre holds layers. */
+    FIRST,
+    /** Layers have fewer copies than others. */
+    GAP,
+    /** A broken pipeline is divided anew. */
+    DIVISION,
+    /** Targets without layers get some, or overloaded targets give layers up. */
+    SPARE,
+    /** A working pipeline is sped up. */
+    IMPROVEMENT
+  }
+
+  /** Creates a plan with immutable copies. */
   public LayerPlan {
     ranges = Map.copyOf(ranges);
+    reasons = Set.copyOf(reasons);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
@@ -1,9 +1,11 @@
 package org.gooseberryhook.router.placement;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
@@ -33,11 +35,15 @@
       }
     }
     Map<String, LayerRange> ranges = new HashMap<>();
+    Set<LayerPlan.Reason> reasons = EnumSet.noneOf(LayerPlan.Reason.class);
     if (areAllEmpty) {
       InitialPlacement.plan(members, profile).forEach(pipeline -> pipeline.addLayerRanges(ranges));
+      if (!ranges.isEmpty()) {
+        reasons.add(LayerPlan.Reason.FIRST);
+      }
     } else {
-      PlacementRepair.repair(members, profile, conditions, ranges);
+      PlacementRepair.repair(members, profile, conditions, ranges, reasons);
     }
-    return new LayerPlan(ranges);
+    return new LayerPlan(ranges, reasons);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PipelineRebalancer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PipelineRebalancer.java
@@ -47,15 +47,17 @@
    * @param profile profile of the engines
    * @param ranges layers of the targets that the repair changes, by target id; replaced if the new
    *     division is chosen
+   * @return whether the new division is chosen
    */
-  static void repartition(
+  static boolean repartition(
       List<TargetEntry> targets, EngineProfile profile, Map<String, LayerRange> ranges) {
     double repairedThroughput = throughput(apply(targets, ranges), profile);
     Map<String, LayerRange> newRanges = new HashMap<>();
     List<InitialPlacement.PlannedPipeline> pipelines = InitialPlacement.plan(targets, profile);
     pipelines.forEach(pipeline -> pipeline.addLayerRanges(newRanges));
     double newThroughput = InitialPlacement.throughput(pipelines);
-    if (newThroughput > repairedThroughput * MIN_REPARTITION_GAIN) {
+    boolean isChosen = newThroughput > repairedThroughput * MIN_REPARTITION_GAIN;
+    if (isChosen) {
       ranges.clear();
       for (TargetEntry entry : targets) {
         LayerRange wanted = newRanges.get(entry.id());
@@ -64,6 +66,7 @@
         }
       }
     }
+    return isChosen;
   }
 
   /** Returns the targets with the layers that a plan gives them. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
@@ -43,13 +44,14 @@
       List<TargetEntry> members,
       EngineProfile profile,
       PlanConditions conditions,
-      Map<String, LayerRange> ranges) {
+      Map<String, LayerRange> ranges,
+      Set<LayerPlan.Reason> reasons) {
     Map<String, List<TargetEntry>> byDataCentre = new TreeMap<>();
     for (TargetEntry entry : members) {
       byDataCentre.computeIfAbsent(entry.dataCentre(), key -> new ArrayList<>()).add(entry);
     }
     for (List<TargetEntry> targets : byDataCentre.values()) {
-      repairDataCentre(targets, profile, conditions, ranges);
+      repairDataCentre(targets, profile, conditions, ranges, reasons);
     }
   }
 
@@ -57,7 +59,8 @@
       List<TargetEntry> targets,
       EngineProfile profile,
       PlanConditions conditions,
-      Map<String, LayerRange> ranges) {
+      Map<String, LayerRange> ranges,
+      Set<LayerPlan.Reason> reasons) {
     List<TargetEntry> holders = new ArrayList<>();
     List<TargetEntry> empty = new ArrayList<>();
     for (TargetEntry entry : targets) {
@@ -65,7 +68,11 @@
     }
     empty.sort(Comparator.comparing(TargetEntry::address));
     if (holders.isEmpty()) {
+      int before = ranges.size();
       InitialPlacement.plan(targets, profile).forEach(pipeline -> pipeline.addLayerRanges(ranges));
+      if (ranges.size() > before) {
+        reasons.add(LayerPlan.Reason.FIRST);
+      }
       return;
     }
     int[] copies = countCopies(holders, profile.layerCount());
@@ -88,15 +95,22 @@
       }
       from = to + 1;
     }
+    LayerPlan.Reason reason = hasGaps ? LayerPlan.Reason.GAP : LayerPlan.Reason.SPARE;
     if (hasGaps && wantedCopies == 1 && conditions.isLossConfirmed()) {
-      PipelineRebalancer.repartition(targets, profile, changes);
+      if (PipelineRebalancer.repartition(targets, profile, changes)) {
+        reason = LayerPlan.Reason.DIVISION;
+      }
     } else if (!hasGaps) {
       useEmptyTargets(holders, empty, copies, profile, changes);
       if (wantedCopies == 1 && conditions.isSettled() && changes.isEmpty()) {
         PipelineRebalancer.improve(targets, profile, changes);
+        reason = LayerPlan.Reason.IMPROVEMENT;
       }
     }
-    ranges.putAll(changes);
+    if (!changes.isEmpty()) {
+      reasons.add(reason);
+      ranges.putAll(changes);
+    }
   }
 
   /** Moves holders whose layers are all held by other targets as well to the empty targets. */
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/OrderTrackerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/OrderTrackerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TestFleet;
 import org.gooseberryhook.state.LayerRange;
@@ -21,7 +22,7 @@
   private final TargetEntry empty = TestFleet.engine(1, "a", "large");
   private final TargetEntry other = TestFleet.engine(2, "a", "large");
   private final LayerPlan plan =
-      new LayerPlan(Map.of("t-1", LayerRange.of(0, 20), "t-2", LayerRange.of(20, 40)));
+      new LayerPlan(Map.of("t-1", LayerRange.of(0, 20), "t-2", LayerRange.of(20, 40)), Set.of());
 
   @Test
   void anOrderIsNotRepeatedBeforeItsTimeout() {
