Plan with targets that have not loaded any weights

Cause: a target without layers reports no version of the weights, which is decoded as 0, and pipelines consist of one version. The estimate of a repair by such a target was therefore 0, and each repair of a broken pipeline lost against a division of all layers anew, which moved the layers of targets that served (the "placement" line: reason DIVISION, 0 tokens/s after). Where the first target by address had left, all others changed places, waited for their streams and were out for up to 14 s.

Ruled out: the order of gaps and the limit of loads (one gap, one spare, five loads); lost targets (no suspect before 17.7 s).

A target of unknown version now counts as of the version that most holders report, in plans and in the line. The simulation did not show it because its restarted targets kept their version; they now have none.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -89,6 +89,26 @@
         modelVersion);
   }
 
+  /**
+   * Returns a copy of this entry with another version of the weights.
+   *
+   * @param version the version, 0 if unknown
+   * @return the entry, never null
+   */
+  public TargetEntry withModelVersion(long version) {
+    return new TargetEntry(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        isLeaving,
+        acceleratorKind,
+        layers,
+        startedAtMs,
+        version);
+  }
+
   /**
    * Returns a copy of this entry whose target is about to leave.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlanner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.state.LayerRange;
@@ -42,8 +43,30 @@
         reasons.add(LayerPlan.Reason.FIRST);
       }
     } else {
-      PlacementRepair.repair(members, profile, conditions, ranges, reasons);
+      PlacementRepair.repair(withExpectedVersions(members), profile, conditions, ranges, reasons);
     }
     return new LayerPlan(ranges, reasons);
   }
+
+  /**
+   * Returns targets with the version of weights that most holders of layers report in place of an
+   * unknown one. A target that has not loaded any weights reports no version, and a plan would else
+   * not count on it for any pipeline.
+   */
+  static List<TargetEntry> withExpectedVersions(List<TargetEntry> targets) {
+    Map<Long, Integer> holders = new TreeMap<>();
+    for (TargetEntry target : targets) {
+      if (target.modelVersion() != 0 && target.layers().isPresent()) {
+        holders.merge(target.modelVersion(), 1, Integer::sum);
+      }
+    }
+    long expected =
+        holders.entrySet().stream()
+            .max(Map.Entry.comparingByValue())
+            .map(Map.Entry::getKey)
+            .orElse(0L);
+    return targets.stream()
+        .map(target -> target.modelVersion() == 0 ? target.withModelVersion(expected) : target)
+        .toList();
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanSummary.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanSummary.java
@@ -63,7 +63,7 @@
       }
     }
     List<TargetEntry> targets = new ArrayList<>();
-    for (TargetEntry entry : entries) {
+    for (TargetEntry entry : LayerPlanner.withExpectedVersions(entries)) {
       boolean isKnown = profile.acceleratorKind(entry.acceleratorKind()).isPresent();
       if (isKnown && dataCentres.contains(entry.dataCentre())) {
         targets.add(entry);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
@@ -74,22 +74,36 @@
     targets.remove(id);
   }
 
-  /** Adds a target without layers, with a start time that marks it as restarted. */
+  /** Lists a target as leaving; it takes no new requests from then on. */
+  void announceLeaving(String id) {
+    Target target = targets.get(id);
+    target.entry = target.entry.asLeaving();
+  }
+
+  /**
+   * Adds a target without layers, with a start time that marks it as restarted. It does not report
+   * a version of weights before it has loaded some.
+   */
   void addEmpty(TargetEntry entry) {
+    addEmpty(entry, entry.id(), entry.address());
+  }
+
+  /** Adds a target without layers that is otherwise like another one. */
+  void addEmpty(TargetEntry entry, String id, String address) {
     targets.put(
-        entry.id(),
+        id,
         new Target(
             new TargetEntry(
-                entry.id(),
+                id,
                 entry.service(),
-                entry.address(),
+                address,
                 entry.dataCentre(),
                 entry.slots(),
                 false,
                 entry.acceleratorKind(),
                 Optional.empty(),
                 nowMs + 1,
-                entry.modelVersion())));
+                0)));
   }
 
   TargetEntry entry(String id) {
@@ -114,7 +128,7 @@
       nowMs += STEP_MS;
       for (Target target : targets.values()) {
         if (target.ordered.isPresent() && nowMs >= target.doneMs) {
-          target.entry = target.entry.withLayers(target.ordered.get());
+          target.entry = target.entry.withLayers(target.ordered.get()).withModelVersion(1);
           target.ordered = Optional.empty();
         }
       }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/LayerPlannerTest.java
@@ -142,4 +142,21 @@
                 .ranges())
         .isEmpty();
   }
+
+  /**
+   * Guards against orders to targets that serve, when the layers of one that leaves fit an empty
+   * one: the plan did not count on targets that have not loaded any version of the weights.
+   */
+  @Test
+  void anEmptyTargetWithoutAVersionTakesTheLayersOfOneThatLeaves() {
+    List<TargetEntry> targets =
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 27).asLeaving(),
+            TestFleet.engine(2, "a", "large", 27, 54),
+            TestFleet.engine(3, "a", "large", 54, 80),
+            TestFleet.engine(4, "a", "large").withModelVersion(0));
+    LayerPlan plan =
+        LayerPlanner.plan(targets, TestFleet.PROFILE, PlanConditions.ALL_CHANGES_ALLOWED);
+    assertThat(plan.ranges()).isEqualTo(Map.of("t-4", LayerRange.of(0, 27)));
+  }
 }
