Keep new targets free while a release goes on

A release starts each new target some seconds before the old one leaves. In that time the planner gave it layers that sped a pipeline up by a tenth. When the old target left, the new one had first to give these up and wait for the streams that pass through them, and the data centre stayed short of a target for good.

Ruled out: the choice among empty targets (there is one of the kind), the limit of loads (one load at a time).

Until no target has joined or announced its leaving for 5 s (MembershipWatch), a change of a working pipeline must raise its throughput by half instead of 8 %. Gaps are filled at once, also then. A lost target does not start the time.

What is left is the time of the loads after each announcement.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -18,6 +18,7 @@
 import org.gooseberryhook.router.forward.MonotonicClock;
 import org.gooseberryhook.router.placement.CachingLayerPlanner;
 import org.gooseberryhook.router.placement.LayerPlan;
+import org.gooseberryhook.router.placement.MembershipWatch;
 import org.gooseberryhook.router.placement.OrderTracker;
 import org.gooseberryhook.router.placement.PlanConditions;
 import org.gooseberryhook.router.placement.PlanSummary;
@@ -75,9 +76,13 @@
       Consumer<TargetEntry> onOrderInProgress) {}
 
   /** The plan of a service and its orders; kept only while this node holds the lease. */
-  private record ServicePlan(CachingLayerPlanner planner, OrderTracker tracker, LastPlan lastPlan) {
+  private record ServicePlan(
+      CachingLayerPlanner planner,
+      OrderTracker tracker,
+      MembershipWatch members,
+      LastPlan lastPlan) {
     ServicePlan() {
-      this(new CachingLayerPlanner(), new OrderTracker(), new LastPlan());
+      this(new CachingLayerPlanner(), new OrderTracker(), new MembershipWatch(), new LastPlan());
     }
   }
 
@@ -163,10 +168,7 @@
     LayerPlan plan =
         service
             .planner()
-            .plan(
-                tracker.expectedTargets(usable),
-                profile,
-                new PlanConditions(tracker.isSettled(), fleet.isLossConfirmed().getAsBoolean()));
+            .plan(tracker.expectedTargets(usable), profile, conditions(service, entries, nowMs));
     service.lastPlan().update(plan, () -> logPlan(plan, usable, profile, tracker));
     int maxOrders =
         isFirstPlan
@@ -180,6 +182,13 @@
     tracker.targetsInProgress(usable).forEach(fleet.onOrderInProgress());
   }
 
+  private PlanConditions conditions(ServicePlan service, List<TargetEntry> entries, long nowMs) {
+    return new PlanConditions(
+        service.tracker().isSettled(),
+        fleet.isLossConfirmed().getAsBoolean(),
+        service.members().isSteady(entries, nowMs));
+  }
+
   private void logPlan(
       LayerPlan plan, List<TargetEntry> usable, EngineProfile profile, OrderTracker tracker) {
     PlanSummary summary = PlanSummary.of(usable, plan, profile);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PipelineRebalancer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PipelineRebalancer.java
@@ -34,9 +34,6 @@
    */
   private static final double MIN_REPARTITION_GAIN = 3;
 
-  /** Factor by which a change must raise the throughput to be worth its layer load. */
-  private static final double MIN_IMPROVEMENT_GAIN = 1.08;
-
   private PipelineRebalancer() {}
 
   /**
@@ -81,8 +78,12 @@
 
   /** Returns whether a change of the targets of a data centre is worth its layer loads. */
   static boolean isImprovement(
-      List<TargetEntry> before, List<TargetEntry> after, EngineProfile profile) {
-    return throughput(after, profile) > throughput(before, profile) * MIN_IMPROVEMENT_GAIN;
+      List<TargetEntry> before,
+      List<TargetEntry> after,
+      EngineProfile profile,
+      PlanConditions conditions) {
+    return throughput(after, profile)
+        > throughput(before, profile) * conditions.minImprovementGain();
   }
 
   /**
@@ -122,23 +123,27 @@
 
   /**
    * Makes the single change that raises the throughput of the best pipeline most, if it raises it
-   * by more than the factor {@link #MIN_IMPROVEMENT_GAIN}: a free target takes over the layers of
-   * some stages, a stage takes layers of its neighbour in addition, or a stage drops layers that
-   * its neighbour has taken.
+   * by more than the factor of the conditions: a free target takes over the layers of some stages,
+   * a stage takes layers of its neighbour in addition, or a stage drops layers that its neighbour
+   * has taken.
    *
    * @param targets targets of one data centre as they are, with no order in progress
    * @param profile profile of the engines
+   * @param conditions decide how much a change must gain
    * @param ranges receives the new layers of the target that changes, by target id
    */
   static void improve(
-      List<TargetEntry> targets, EngineProfile profile, Map<String, LayerRange> ranges) {
+      List<TargetEntry> targets,
+      EngineProfile profile,
+      PlanConditions conditions,
+      Map<String, LayerRange> ranges) {
     Optional<ModelPipeline> best = best(targets, profile);
     if (best.isEmpty()) {
       return;
     }
     List<PipelineStage> stages = best.get().stages();
     ChangeSearch search =
-        new ChangeSearch(profile, throughputOf(stages, profile) * MIN_IMPROVEMENT_GAIN);
+        new ChangeSearch(profile, throughputOf(stages, profile) * conditions.minImprovementGain());
     for (TargetEntry free : freeTargets(targets, best.get())) {
       for (int first = 0; first < stages.size(); first++) {
         for (int last = first; last < stages.size(); last++) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
@@ -101,9 +101,9 @@
         reason = LayerPlan.Reason.DIVISION;
       }
     } else if (!hasGaps) {
-      useEmptyTargets(holders, empty, copies, profile, changes);
+      useEmptyTargets(holders, empty, copies, profile, conditions, changes);
       if (wantedCopies == 1 && conditions.isSettled() && changes.isEmpty()) {
-        PipelineRebalancer.improve(targets, profile, changes);
+        PipelineRebalancer.improve(targets, profile, conditions, changes);
         reason = LayerPlan.Reason.IMPROVEMENT;
       }
     }
@@ -163,6 +163,7 @@
       List<TargetEntry> empty,
       int[] copies,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     List<InitialPlacement.PlannedPipeline> additional = InitialPlacement.plan(empty, profile);
     double addedThroughput = InitialPlacement.throughput(additional);
@@ -172,9 +173,9 @@
       return;
     }
     double medianCapacity = GapFiller.medianTokenCapacity(holders, profile);
-    trimOverloaded(holders, copies, medianCapacity, profile, ranges);
+    trimOverloaded(holders, copies, medianCapacity, profile, conditions, ranges);
     if (!empty.isEmpty() && holders.size() <= MAX_HOLDERS_FOR_RELIEF) {
-      relieveNeighbours(holders, empty, medianCapacity, profile, ranges);
+      relieveNeighbours(holders, empty, medianCapacity, profile, conditions, ranges);
     }
   }
 
@@ -187,6 +188,7 @@
       List<TargetEntry> empty,
       double medianCapacity,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     TargetEntry spare = largest(empty, profile);
     int maxLayers = maxLayersWithCapacity(spare, medianCapacity * LOW_CAPACITY_SHARE, profile);
@@ -213,7 +215,7 @@
         }
       }
     }
-    if (best != null && isWorthTakingOver(spare, best, holders, profile)) {
+    if (best != null && isWorthTakingOver(spare, best, holders, profile, conditions)) {
       ranges.put(spare.id(), best);
     }
   }
@@ -223,13 +225,17 @@
    * clearly more than the targets do without it: one more stage also makes each pass longer.
    */
   private static boolean isWorthTakingOver(
-      TargetEntry spare, LayerRange taken, List<TargetEntry> holders, EngineProfile profile) {
+      TargetEntry spare,
+      LayerRange taken,
+      List<TargetEntry> holders,
+      EngineProfile profile,
+      PlanConditions conditions) {
     List<TargetEntry> after = new ArrayList<>();
     for (TargetEntry holder : holders) {
       after.add(holder.withLayers(withoutOverlap(holder.layers().get(), taken)));
     }
     after.add(spare.withLayers(taken));
-    return PipelineRebalancer.isImprovement(holders, after, profile);
+    return PipelineRebalancer.isImprovement(holders, after, profile, conditions);
   }
 
   /** Returns the part of a range that another one, which overlaps one of its ends, leaves. */
@@ -298,6 +304,7 @@
       int[] copies,
       double medianCapacity,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     for (TargetEntry entry : holders) {
       if (ranges.containsKey(entry.id()) || excessLayers(entry, medianCapacity, profile) == 0) {
@@ -309,7 +316,7 @@
             !ranges.containsKey(other.id()) && excessLayers(other, medianCapacity, profile) == 0;
         LayerRange kept = withoutOverlap(held, other.layers().get());
         if (canKeepOverlap && !kept.equals(held)) {
-          trim(entry, other, holders, copies, profile, ranges);
+          trim(entry, other, holders, copies, profile, conditions, ranges);
           break;
         }
       }
@@ -329,6 +336,7 @@
       List<TargetEntry> holders,
       int[] copies,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     LayerRange held = entry.layers().get();
     LayerRange kept = withoutOverlap(held, other.layers().get());
@@ -350,7 +358,7 @@
     if (PipelineRebalancer.throughput(after, profile)
             >= PipelineRebalancer.throughput(PipelineRebalancer.apply(holders, ranges), profile)
         && !PipelineRebalancer.isImprovement(
-            after, PipelineRebalancer.apply(holders, otherTrimmed), profile)) {
+            after, PipelineRebalancer.apply(holders, otherTrimmed), profile, conditions)) {
       System.arraycopy(remaining, 0, copies, 0, copies.length);
       ranges.put(entry.id(), kept);
     }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
@@ -37,6 +37,7 @@
   private static final long STALL_TIMEOUT_MS = 2_500;
 
   private final EngineProfile profile;
+  private final MembershipWatch members = new MembershipWatch();
   private final OrderTracker tracker = new OrderTracker();
   private final CachingLayerPlanner planner = new CachingLayerPlanner();
   private final Map<String, Target> targets = new TreeMap<>();
@@ -144,7 +145,7 @@
         planner.plan(
             tracker.expectedTargets(entries),
             profile,
-            new PlanConditions(tracker.isSettled(), true));
+            new PlanConditions(tracker.isSettled(), true, members.isSteady(entries, nowMs)));
     int maxOrders = isFirst ? Integer.MAX_VALUE : 2 * profile.concurrentLayerLoads();
     for (OrderTracker.Order order :
         tracker.nextOrders(plan, entries, profile.layerCount(), maxOrders, nowMs)) {
