--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.TargetEntry;
@@ -43,13 +44,14 @@
       List<TargetEntry> members,
       EngineProfile profile,
       PlanConditions conditions,
-      Map<String, LayerRange> ranges) {
+      Map<String, LayerRange> ranges,
+      Set<LayerPlan.Reason> reasons) {
     Map<String, List<TargetEntry>> byDataCentre = new TreeMap<>();
     for (TargetEntry entry : members) {
       byDataCentre.computeIfAbsent(entry.dataCentre(), key -> new ArrayList<>()).add(entry);
     }
     for (List<TargetEntry> targets : byDataCentre.values()) {
-      repairDataCentre(targets, profile, conditions, ranges);
+      repairDataCentre(targets, profile, conditions, ranges, reasons);
     }
   }
 
@@ -57,7 +59,8 @@
       List<TargetEntry> targets,
       EngineProfile profile,
       PlanConditions conditions,
-      Map<String, LayerRange> ranges) {
+      Map<String, LayerRange> ranges,
+      Set<LayerPlan.Reason> reasons) {
     List<TargetEntry> holders = new ArrayList<>();
     List<TargetEntry> empty = new ArrayList<>();
     for (TargetEntry entry : targets) {
@@ -65,7 +68,11 @@
     }
     empty.sort(Comparator.comparing(TargetEntry::address));
     if (holders.isEmpty()) {
+      int before = ranges.size();
       InitialPlacement.plan(targets, profile).forEach(pipeline -> pipeline.addLayerRanges(ranges));
+      if (ranges.size() > before) {
+        reasons.add(LayerPlan.Reason.FIRST);
+      }
       return;
     }
     int[] copies = countCopies(holders, profile.layerCount());
@@ -88,15 +95,22 @@
       }
       from = to + 1;
     }
+    LayerPlan.Reason reason = hasGaps ? LayerPlan.Reason.GAP : LayerPlan.Reason.SPARE;
     if (hasGaps && wantedCopies == 1 && conditions.isLossConfirmed()) {
-      PipelineRebalancer.repartition(targets, profile, changes);
+      if (PipelineRebalancer.repartition(targets, profile, changes)) {
+        reason = LayerPlan.Reason.DIVISION;
+      }
     } else if (!hasGaps) {
-      useEmptyTargets(holders, empty, copies, profile, changes);
+      useEmptyTargets(holders, empty, copies, profile, conditions, changes);
       if (wantedCopies == 1 && conditions.isSettled() && changes.isEmpty()) {
-        PipelineRebalancer.improve(targets, profile, changes);
+        PipelineRebalancer.improve(targets, profile, conditions, changes);
+        reason = LayerPlan.Reason.IMPROVEMENT;
       }
     }
-    ranges.putAll(changes);
+    if (!changes.isEmpty()) {
+      reasons.add(reason);
+      ranges.putAll(changes);
+    }
   }
 
   /** Moves holders whose layers are all held by other targets as well to the empty targets. */
@@ -149,6 +163,7 @@
       List<TargetEntry> empty,
       int[] copies,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     List<InitialPlacement.PlannedPipeline> additional = InitialPlacement.plan(empty, profile);
     double addedThroughput = InitialPlacement.throughput(additional);
@@ -158,9 +173,9 @@
       return;
     }
     double medianCapacity = GapFiller.medianTokenCapacity(holders, profile);
-    trimOverloaded(holders, copies, medianCapacity, profile, ranges);
+    trimOverloaded(holders, copies, medianCapacity, profile, conditions, ranges);
     if (!empty.isEmpty() && holders.size() <= MAX_HOLDERS_FOR_RELIEF) {
-      relieveNeighbours(holders, empty, medianCapacity, profile, ranges);
+      relieveNeighbours(holders, empty, medianCapacity, profile, conditions, ranges);
     }
   }
 
@@ -173,6 +188,7 @@
       List<TargetEntry> empty,
       double medianCapacity,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     TargetEntry spare = largest(empty, profile);
     int maxLayers = maxLayersWithCapacity(spare, medianCapacity * LOW_CAPACITY_SHARE, profile);
@@ -199,7 +215,7 @@
         }
       }
     }
-    if (best != null && isWorthTakingOver(spare, best, holders, profile)) {
+    if (best != null && isWorthTakingOver(spare, best, holders, profile, conditions)) {
       ranges.put(spare.id(), best);
     }
   }
@@ -209,13 +225,17 @@
    * clearly more than the targets do without it: one more stage also makes each pass longer.
    */
   private static boolean isWorthTakingOver(
-      TargetEntry spare, LayerRange taken, List<TargetEntry> holders, EngineProfile profile) {
+      TargetEntry spare,
+      LayerRange taken,
+      List<TargetEntry> holders,
+      EngineProfile profile,
+      PlanConditions conditions) {
     List<TargetEntry> after = new ArrayList<>();
     for (TargetEntry holder : holders) {
       after.add(holder.withLayers(withoutOverlap(holder.layers().get(), taken)));
     }
     after.add(spare.withLayers(taken));
-    return PipelineRebalancer.isImprovement(holders, after, profile);
+    return PipelineRebalancer.isImprovement(holders, after, profile, conditions);
   }
 
   /** Returns the part of a range that another one, which overlaps one of its ends, leaves. */
@@ -284,6 +304,7 @@
       int[] copies,
       double medianCapacity,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     for (TargetEntry entry : holders) {
       if (ranges.containsKey(entry.id()) || excessLayers(entry, medianCapacity, profile) == 0) {
@@ -295,7 +316,7 @@
             !ranges.containsKey(other.id()) && excessLayers(other, medianCapacity, profile) == 0;
         LayerRange kept = withoutOverlap(held, other.layers().get());
         if (canKeepOverlap && !kept.equals(held)) {
-          trim(entry, other, holders, copies, profile, ranges);
+          trim(entry, other, holders, copies, profile, conditions, ranges);
           break;
         }
       }
@@ -315,6 +336,7 @@
       List<TargetEntry> holders,
       int[] copies,
       EngineProfile profile,
+      PlanConditions conditions,
       Map<String, LayerRange> ranges) {
     LayerRange held = entry.layers().get();
     LayerRange kept = withoutOverlap(held, other.layers().get());
@@ -336,7 +358,7 @@
     if (PipelineRebalancer.throughput(after, profile)
             >= PipelineRebalancer.throughput(PipelineRebalancer.apply(holders, ranges), profile)
         && !PipelineRebalancer.isImprovement(
-            after, PipelineRebalancer.apply(holders, otherTrimmed), profile)) {
+            after, PipelineRebalancer.apply(holders, otherTrimmed), profile, conditions)) {
       System.arraycopy(remaining, 0, copies, 0, copies.length);
       ranges.put(entry.id(), kept);
     }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
@@ -37,6 +37,7 @@
   private static final long STALL_TIMEOUT_MS = 2_500;
 
   private final EngineProfile profile;
+  private final MembershipWatch members = new MembershipWatch();
   private final OrderTracker tracker = new OrderTracker();
   private final CachingLayerPlanner planner = new CachingLayerPlanner();
   private final Map<String, Target> targets = new TreeMap<>();
@@ -74,22 +75,36 @@
     targets.remove(id);
   }
 
-  /** Adds a target without layers, with a start time that marks it as restarted. */
+  /** Lists a target as leaving; it takes no new requests from then on. */
+  void announceLeaving(String id) {
+    Target target = targets.get(id);
+    target.entry = target.entry.asLeaving();
+  }
+
+  /**
+   * Adds a target without layers, with a start time that marks it as restarted. It does not report
+   * a version of weights before it has loaded some.
+   */
   void addEmpty(TargetEntry entry) {
+    addEmpty(entry, entry.id(), entry.address());
+  }
+
+  /** Adds a target without layers that is otherwise like another one. */
+  void addEmpty(TargetEntry entry, String id, String address) {
     targets.put(
-        entry.id(),
+        id,
         new Target(
             new TargetEntry(
-                entry.id(),
+                id,
                 entry.service(),
-                entry.address(),
+                address,
                 entry.dataCentre(),
                 entry.slots(),
                 false,
                 entry.acceleratorKind(),
                 Optional.empty(),
                 nowMs + 1,
-                entry.modelVersion())));
+                0)));
   }
 
   TargetEntry entry(String id) {
@@ -114,7 +129,7 @@
       nowMs += STEP_MS;
       for (Target target : targets.values()) {
         if (target.ordered.isPresent() && nowMs >= target.doneMs) {
-          target.entry = target.entry.withLayers(target.ordered.get());
+          target.entry = target.entry.withLayers(target.ordered.get()).withModelVersion(1);
           target.ordered = Optional.empty();
         }
       }
@@ -130,7 +145,7 @@
         planner.plan(
             tracker.expectedTargets(entries),
             profile,
-            new PlanConditions(tracker.isSettled(), true));
+            new PlanConditions(tracker.isSettled(), true, members.isSteady(entries, nowMs)));
     int maxOrders = isFirst ? Integer.MAX_VALUE : 2 * profile.concurrentLayerLoads();
     for (OrderTracker.Order order :
         tracker.nextOrders(plan, entries, profile.layerCount(), maxOrders, nowMs)) {
