Read the state of suspect targets over a new connection

Cause: the probe of a suspect, of a target without a model and of one at which a request has just failed checked that a connection opens, and then read the state over any open one. Both pass although requests, which need new connections, are reset; the target is cleared and chosen again.

Change: these probes read the state over a new connection, in place of the separate check, which is removed: one new connection for each such probe as before, and one exchange. Others use open connections as before, also those of a pipeline's stages after a stream that fell silent.

TargetProberTest.aTargetThatResetsNewConnectionsIsOutOfReachThoughOpenOnesAnswer failed with probes over open connections, for suspects and others.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -12,8 +12,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** HTTP client for the node's own calls to the platform's store and to targets. */
@@ -91,22 +91,20 @@
    * @param onResult receives the result on the event loop, exactly once
    */
   public void call(String address, Request request, Consumer<Result> onResult) {
-    new Call(address, request, onResult).start();
+    new Call(address, request, onResult)
+        .start((onReady, onFailed) -> channelPool.acquire(address, MAX_IDLE_MS, onReady, onFailed));
   }
 
   /**
-   * Checks whether an address accepts a new connection, which is closed at once. Connections that
-   * are open already do not show that.
+   * Sends a request over a new connection, which later calls may use.
    *
    * @param address IP address and port
-   * @param onResult receives the reason why it does not, empty if it does; on the event loop,
-   *     within {@link TargetChannelPool#CONNECT_TIMEOUT_MS}
+   * @param request the request
+   * @param onResult receives the result on the event loop, exactly once
    */
-  public void checkReachable(String address, Consumer<Optional<String>> onResult) {
-    channelPool.checkReachable(
-        address,
-        () -> onResult.accept(Optional.empty()),
-        reason -> onResult.accept(Optional.of(reason)));
+  public void callAnew(String address, Request request, Consumer<Result> onResult) {
+    new Call(address, request, onResult)
+        .start((onReady, onFailed) -> channelPool.connect(address, onReady, onFailed));
   }
 
   private final class Call implements ResponseListener {
@@ -126,7 +124,7 @@
       this.onResult = onResult;
     }
 
-    void start() {
+    void start(BiConsumer<Consumer<TargetChannel>, Consumer<String>> connector) {
       timer =
           loop.schedule(
               () -> {
@@ -141,8 +139,7 @@
               },
               request.timeoutMs(),
               TimeUnit.MILLISECONDS);
-      channelPool.acquire(
-          address, MAX_IDLE_MS, this::send, reason -> finish(new Result.NotSent(reason)));
+      connector.accept(this::send, reason -> finish(new Result.NotSent(reason)));
     }
 
     private void send(TargetChannel ready) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -85,23 +85,13 @@
   }
 
   /**
-   * Checks whether a target accepts connections; the connection is closed at once.
+   * Opens a connection, whether or not one is idle.
    *
    * @param address IP address and port
-   * @param onReachable called if it does
-   * @param onUnreachable receives the reason if connecting fails
+   * @param onReady receives the connection
+   * @param onFailed receives the reason if connecting fails
    */
-  void checkReachable(String address, Runnable onReachable, Consumer<String> onUnreachable) {
-    connect(
-        address,
-        channel -> {
-          channel.abort();
-          onReachable.run();
-        },
-        onUnreachable);
-  }
-
-  private void connect(String address, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
+  void connect(String address, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
     TargetResponseDecoder decoder = new TargetResponseDecoder();
     TargetChannel handler = new TargetChannel(this, address, decoder);
     Bootstrap bootstrap =
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/EngineControl.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/EngineControl.java
@@ -1,6 +1,5 @@
 package org.gooseberryhook.router.node;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
@@ -31,13 +30,14 @@
   void readState(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult);
 
   /**
-   * Checks whether any target, with or without a model, accepts a new connection. Calls on
-   * connections that are open already do not show that.
+   * Reads the state of a target over a new connection, as requests need it; an answer on an open
+   * one does not show that new ones are served.
    *
    * @param target the target
-   * @param onResult receives the reason why it does not, empty if it does
+   * @param timeoutMs timeout of the call, with the time to connect, in milliseconds
+   * @param onResult receives the result
    */
-  void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult);
+  void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult);
 
   /**
    * Orders a target to load and hold layers.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -381,7 +381,7 @@
   public void checkTarget(String address) {
     TargetEntry target = targetsByAddress.get(address);
     if (target != null) {
-      prober.probe(target);
+      prober.probeAnew(target);
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.admission.TargetPauses;
 import org.gooseberryhook.router.cluster.PeerReport;
@@ -59,6 +60,11 @@
     void onFailure(String address, String reason);
   }
 
+  /** Reads the state of a target, over any connection or a new one. */
+  private interface StateReader {
+    void read(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult);
+  }
+
   /**
    * Creates a prober.
    *
@@ -103,45 +109,41 @@
     deferredProbesMs.keySet().retainAll(listed);
   }
 
-  /** Reads the state of a target, unless it pauses or was probed a moment ago. */
+  /**
+   * Reads the state of a target, unless it pauses or was probed a moment ago. One without a model
+   * or a suspect has to answer on a new connection.
+   */
   void probe(TargetEntry target) {
-    if (pauses.isPaused(target.address(), clock.nowMs())
-        || !suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
-      return;
-    }
-    if (isPlain.test(target) || suspectTracker.isSuspect(target.address())) {
-      engines.checkConnection(target, failure -> onConnectionChecked(target, failure));
-    } else {
-      readState(target);
-    }
+    boolean isAnew = isPlain.test(target) || suspectTracker.isSuspect(target.address());
+    start(target, isAnew ? engines::readStateAnew : engines::readState);
   }
 
-  /**
-   * Handles the check of a target without a model or of a suspect: a call on an open connection
-   * would succeed although requests, which need new ones, fail.
-   */
-  private void onConnectionChecked(TargetEntry target, Optional<String> failure) {
-    if (failure.isPresent()) {
-      listener.onFailure(target.address(), failure.get());
-    } else {
-      readState(target);
+  /** Probes a target at which a request failed; it has to answer on a new connection. */
+  void probeAnew(TargetEntry target) {
+    start(target, engines::readStateAnew);
+  }
+
+  private void start(TargetEntry target, StateReader reader) {
+    if (!pauses.isPaused(target.address(), clock.nowMs())
+        && suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
+      readState(target, reader);
     }
   }
 
-  private void readState(TargetEntry target) {
-    engines.readState(
+  private void readState(TargetEntry target, StateReader reader) {
+    reader.read(
         target,
         FIRST_PROBE_TIMEOUT_MS,
         result -> {
           if (!handleAnswer(target, result)) {
-            readStateAgain(target);
+            readStateAgain(target, reader);
           }
         });
   }
 
   /** Repeats a failed probe: one lost packet delays a response by about 200 ms. */
-  private void readStateAgain(TargetEntry target) {
-    engines.readState(
+  private void readStateAgain(TargetEntry target, StateReader reader) {
+    reader.read(
         target,
         SECOND_PROBE_TIMEOUT_MS,
         result -> {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ChangingFleet.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ChangingFleet.java
@@ -212,9 +212,8 @@
   }
 
   @Override
-  public void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult) {
-    onResult.accept(
-        running.containsKey(target.address()) ? Optional.empty() : Optional.of("not running"));
+  public void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
+    readState(target, timeoutMs, onResult);
   }
 
   @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
@@ -251,11 +251,8 @@
   }
 
   @Override
-  public void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult) {
-    boolean isReachable = isReachable(target.address());
-    after(
-        isReachable || isReset ? 1 : 300,
-        () -> onResult.accept(isReachable ? Optional.empty() : Optional.of("no connection")));
+  public void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
+    readState(target, timeoutMs, onResult);
   }
 
   @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -182,10 +182,13 @@
     }
 
     @Override
-    public void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult) {
+    public void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
       checkedIds.add(target.id());
-      onResult.accept(
-          refusingIds.contains(target.id()) ? Optional.of("refused") : Optional.empty());
+      if (refusingIds.contains(target.id())) {
+        onResult.accept(new EngineResult.Unreachable("refused"));
+      } else {
+        readState(target, timeoutMs, onResult);
+      }
     }
 
     @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PlacementDriverTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PlacementDriverTest.java
@@ -135,8 +135,8 @@
     }
 
     @Override
-    public void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult) {
-      onResult.accept(Optional.empty());
+    public void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
+      readState(target, timeoutMs, onResult);
     }
 
     @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StubEngineControl.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StubEngineControl.java
@@ -1,7 +1,6 @@
 package org.gooseberryhook.router.node;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.TargetEntry;
@@ -40,9 +39,8 @@
   }
 
   @Override
-  public void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult) {
-    onResult.accept(
-        deadAddresses.contains(target.address()) ? Optional.of("dead") : Optional.empty());
+  public void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
+    readState(target, timeoutMs, onResult);
   }
 
   @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetProberTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetProberTest.java
@@ -14,6 +14,8 @@
 import org.gooseberryhook.router.forward.TargetAnswerListener;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests what a probe of a target without a model shows. Guards against targets that accept
@@ -25,12 +27,14 @@
   private static final TargetEntry PLAIN = TestFleet.engine(1, "a", "");
 
   private final List<String> results = new ArrayList<>();
-  private Optional<String> connectionFailure = Optional.empty();
+
   private EngineResult stateResult = new EngineResult.Refused(400);
 
+  private Optional<EngineResult> newConnectionResult = Optional.empty();
+  private final SuspectTracker tracker = new SuspectTracker();
+
   private void probe() {
     PeerTable peers = new PeerTable("n");
-    SuspectTracker tracker = new SuspectTracker();
     TargetTestimony testimony =
         new TargetTestimony(
             peers, () -> 1_000, (kind, id, fields) -> {}, a -> false, a -> false, t -> false);
@@ -62,7 +66,19 @@
 
   @Test
   void aTargetThatAcceptsNoConnectionIsOutOfReach() {
-    connectionFailure = Optional.of("refused");
+    newConnectionResult = Optional.of(new EngineResult.Unreachable("refused"));
+    probe();
+    assertThat(results).containsExactly("failure");
+  }
+
+  /** Guards against a target that is cleared by an answer on an old connection. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aTargetThatResetsNewConnectionsIsOutOfReachThoughOpenOnesAnswer(boolean isSuspect) {
+    if (isSuspect) {
+      tracker.markSuspect(PLAIN.address(), 0);
+    }
+    newConnectionResult = Optional.of(new EngineResult.Unreachable("reset"));
     probe();
     assertThat(results).containsExactly("failure");
   }
@@ -94,8 +110,8 @@
     }
 
     @Override
-    public void checkConnection(TargetEntry target, Consumer<Optional<String>> onResult) {
-      onResult.accept(connectionFailure);
+    public void readStateAnew(TargetEntry target, long timeoutMs, Consumer<EngineResult> onResult) {
+      onResult.accept(newConnectionResult.orElse(stateResult));
     }
 
     @Override
