--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -47,10 +47,7 @@
    */
   private static final long LISTEN_AFTER_STOP_MS = 2_500;
 
-  /** Part of the grace period that is reserved for aborting requests and for the exit itself. */
-  private static final long ABORT_MARGIN_MS = 900;
-
-  /** Time for writing the last responses to callers; a part of {@link #ABORT_MARGIN_MS}. */
+  /** Time for writing the last responses to callers, at most; then the process exits. */
   private static final long LAST_RESPONSES_MS = 500;
 
   /**
@@ -450,7 +447,7 @@
    * responses.
    */
   public void stop() {
-    long deadlineMs = clock.nowMs() + settings.stopGraceMs() - ABORT_MARGIN_MS;
+    long deadlineMs = clock.nowMs() + settings.abortAfterMs();
     CountDownLatch idle = new CountDownLatch(1);
     loop.execute(
         () -> {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
@@ -25,6 +25,21 @@
   /** Sockets that callers cannot use: they are kept for targets, the store and other nodes. */
   private static final int RESERVED_SOCKETS = 1_200;
 
+  /** Part of the grace period, at most, that is reserved for the last responses and the exit. */
+  private static final long MAX_ABORT_MARGIN_MS = 900;
+
+  /** Requests in progress are entitled to five sixths of the grace period. */
+  private static final long ABORT_MARGIN_DIVISOR = 7;
+
+  /**
+   * Returns how long after the stop signal a node ends the requests that are left.
+   *
+   * @return the time in milliseconds
+   */
+  long abortAfterMs() {
+    return stopGraceMs - Math.min(MAX_ABORT_MARGIN_MS, stopGraceMs / ABORT_MARGIN_DIVISOR);
+  }
+
   /**
    * Returns the maximum number of open connections of callers.
    *
