Refuse pipelined requests when a node stops waiting

Cause: after the response to the request in progress the connection closed, whatever else had been read. Ruled out: that they were passed on.

Change: at the abort, each further request that was read whole gets 503 "not run", the last one with Connection: close, and so does one that is still arriving. The lingering close ends at its time though the caller sends on; without a half-close the channel is closed at once.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -77,6 +77,9 @@
 
   private boolean isStopping;
 
+  /** Whether the node waits no longer for requests to end. */
+  private boolean isAborting;
+
   /** Whether no request is started any more, so that what is read is discarded. */
   private boolean isRefusing;
 
@@ -261,6 +264,10 @@
   private Optional<Exchange> route(CallerRequest request) {
     boolean isRouted = false;
     try {
+      if (isAborting) {
+        reject(request, nodeStopping());
+        return Optional.empty();
+      }
       String host = request.headers().get("host", "");
       RoutingResult result =
           RequestRouter.route(
@@ -319,6 +326,11 @@
     return seconds;
   }
 
+  private static ProblemResponse nodeStopping() {
+    return ProblemResponse.notRun(
+        ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
+  }
+
   /** Continues with the next request after a response was sent. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isLastBeforeStop();
@@ -342,6 +354,9 @@
     if (pending.isEmpty()) {
       handlerContext.channel().config().setAutoRead(true);
     }
+    if (isAborting && !isServing() && !isRefusing) {
+      refuse(nodeStopping());
+    }
   }
 
   private void refuseMalformed(Throwable cause) {
@@ -458,19 +473,18 @@
   }
 
   /**
-   * Ends the current request, if there is one, refuses one that is still arriving, and closes the
-   * connection once the responses are written. Requests after the current one are not run.
+   * Ends the current request, if there is one, refuses those behind it, also one that is still
+   * arriving, and closes the connection once the responses are written.
    */
   void abort() {
+    isAborting = true;
     if (exchange != null) {
       record.onClosing(EndReason.STOPPING);
-      isRefusing = true;
+      isStopping = true;
       exchange.onNodeStopping();
     } else if (!isRefusing && !isServing()) {
       if (!pending.isEmpty() || record.unservedBytes() > 0) {
-        refuse(
-            ProblemResponse.notRun(
-                ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS));
+        handlePending();
       } else {
         close(EndReason.STOPPING);
       }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
@@ -29,6 +29,7 @@
 
   private ScheduledFuture<?> timer;
   private long discardedBytes;
+  private boolean isShortened;
 
   LingeringClose(ForwardContext context, Channel channel, boolean isRequestIncomplete) {
     this.context = context;
@@ -42,8 +43,8 @@
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
         .addListener(
             written -> {
-              if (written.isSuccess()) {
-                ((SocketChannel) channel).shutdownOutput();
+              if (written.isSuccess() && channel instanceof DuplexChannel duplex) {
+                duplex.shutdownOutput();
                 channel.config().setAutoRead(true);
                 timer = context.schedule(channel::close, LINGER_MS);
                 shortenIfNextRequest();
@@ -65,7 +66,9 @@
 
   /** A caller that has sent another request waits in vain and should learn that soon. */
   private void shortenIfNextRequest() {
-    if (timer != null && discardedBytes > 0 && !isRequestIncomplete && timer.cancel(false)) {
+    if (timer != null && discardedBytes > 0 && !isRequestIncomplete && !isShortened) {
+      isShortened = true;
+      timer.cancel(false);
       timer = context.schedule(channel::close, NEXT_REQUEST_LINGER_MS);
     }
   }
