--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FailingStepTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FailingStepTest.java
@@ -17,7 +17,7 @@
             EngineControl.class.getClassLoader(),
             new Class<?>[] {EngineControl.class},
             (proxy, method, arguments) -> {
-              if (method.getName().equals("checkConnection")) {
+              if (method.getName().equals("readStateAnew")) {
                 throw new IllegalStateException("injected");
               }
               return method.invoke(engines, arguments);
