Let a stopping node exit within a short grace period

Found by the review, by reading: the wait for the last responses (0.5 s) may exceed the margin of a short grace period, and flushing the log waits for a lock that a blocked writer holds. The wait takes half of the margin at most; the log is flushed only if its writer has ended. Not shown by a run; RouterSettingsTest covers the margin only.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/AsyncLogHandler.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/AsyncLogHandler.java
@@ -82,6 +82,9 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    flush();
+    // The writer of a blocked output holds the lock that flushing needs.
+    if (!writer.isAlive()) {
+      flush();
+    }
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -476,7 +476,8 @@
             log.recordEvent("stopped", "", "brokenOff", forwarder.requestCount());
             forwarder.abortAll(closed::countDown);
           });
-      closed.await(LAST_RESPONSES_MS, TimeUnit.MILLISECONDS);
+      long marginMs = settings.stopGraceMs() - settings.abortAfterMs();
+      closed.await(Math.min(LAST_RESPONSES_MS, marginMs / 2), TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
