Log writes to callers that fail

No line told whether the bytes of a response were written: outcomes are logged when a response is handed over. A handler behind the encoder now logs write-failed with the attempt, for any write that fails while the connection is open. It changes no decision.

ConnectionEndTest 12 of 12 passes before and after.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -108,6 +108,11 @@
     return record;
   }
 
+  /** Returns a handler, to be put behind the encoder, that notices failed writes. */
+  ChannelHandler writeHandler() {
+    return record.writeHandler();
+  }
+
   private void onBytes(int bytes) {
     updateHeaderLimit();
     closing.ifPresent(c -> c.onBytes(bytes));
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -107,6 +107,7 @@
         .addLast(connection.receiveTimeHandler())
         .addLast(new CallerRequestDecoder(limits.current(context.clock().nowMs()).maxHeaderBytes()))
         .addLast(new HttpResponseEncoder())
+        .addLast(connection.writeHandler())
         .addLast(connection);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
@@ -1,8 +1,11 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import java.util.function.IntConsumer;
 
 /**
@@ -64,6 +67,30 @@
     ctx.fireChannelRead(message);
   }
 
+  /**
+   * Returns a handler, to be put behind the encoder, that logs writes which fail although the
+   * connection is open.
+   */
+  ChannelHandler writeHandler() {
+    return new ChannelOutboundHandlerAdapter() {
+      @Override
+      public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        ChannelPromise written = promise.unvoid();
+        written.addListener(
+            done -> {
+              if (!done.isSuccess() && ctx.channel().isActive()) {
+                onWriteFailed(done.cause());
+              }
+            });
+        ctx.write(message, written);
+      }
+    };
+  }
+
+  private void onWriteFailed(Throwable cause) {
+    context.log().recordEvent("write-failed", attemptId, "served", servedRequests, "why", cause);
+  }
+
   /** Returns the number of bytes that arrived. */
   long receivedBytes() {
     return receivedBytes;
