Read a list again after an error in its listener

Three cases were run on the code before: - A relayed change whose listener fails was lost for good: the history of the list has it already, so neither later updates nor reads of changes bring it again (full reads afterwards: 1, expected 2). - A call that throws as it begins was not repeated within 5 s: only the silence timer, 10 s for a whole list, would notice it. - A failing listener of a read was noticed by the silence timer (3 s), with a "feed-silent" line that does not name the error.

Ruled out by reading: the end of the process or of the event loop. Netty catches what a handler or a scheduled step throws, and the silence timer, which starts before the result is handled, restarts the reads.

After an unchecked exception or an Error (also StackOverflowError) it logs "feed-error", ignores the call that is running and reads the whole list after the delay of a failed call. The whole list is needed because the listener may have received a part of the change only.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
@@ -234,22 +234,49 @@
     Consumer<FeedResult<T>> onResult =
         result -> {
           if (call == callCount) {
-            onResult(result, isFullRead);
+            guard(() -> onResult(result, isFullRead));
           }
         };
     startSilenceTimer(isFullRead ? MAX_FULL_READ_MS : MAX_SILENCE_MS);
-    if (isFullRead) {
-      feed.readAll(onResult);
-    } else {
-      feed.readChanges(history.position(), LONG_POLL_MS, onResult);
+    guard(
+        () -> {
+          if (isFullRead) {
+            feed.readAll(onResult);
+          } else {
+            feed.readChanges(history.position(), LONG_POLL_MS, onResult);
+          }
+        });
+  }
+
+  /**
+   * Runs a step on the list. After an unchecked exception or an error, part of what was read may
+   * not have reached the listener; the whole list is therefore read again after a delay.
+   */
+  private void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      log.recordEvent("feed-error", "", "list", name, "error", e);
+      abandonCall();
+      scheduleRead(retryDelayMs(readerCount.getAsInt()));
     }
   }
 
+  /** Ignores the present call or wait, and makes the next call one for the whole list. */
+  private void abandonCall() {
+    if (nextRead != null) {
+      nextRead.cancel(false);
+    }
+    callCount++;
+    isCallPending = false;
+    mustReadAll = true;
+  }
+
   private void startSilenceTimer(long maxSilenceMs) {
     if (silenceTimer != null) {
       silenceTimer.cancel(false);
     }
-    silenceTimer = loop.schedule(this::onSilence, maxSilenceMs, TimeUnit.MILLISECONDS);
+    silenceTimer = loop.schedule(() -> guard(this::onSilence), maxSilenceMs, TimeUnit.MILLISECONDS);
   }
 
   /** Reads all of the list again if the present call or the wait for the next one was lost. */
@@ -268,12 +295,7 @@
         responseCount,
         "isCallPending",
         isCallPending);
-    if (nextRead != null) {
-      nextRead.cancel(false);
-    }
-    callCount++;
-    isCallPending = false;
-    mustReadAll = true;
+    abandonCall();
     scheduleRead(0);
   }
 
@@ -354,6 +376,10 @@
    * @param update the update
    */
   void onRelayed(ListUpdate update) {
+    guard(() -> applyRelayed(update));
+  }
+
+  private void applyRelayed(ListUpdate update) {
     ListPosition own = history.position();
     if (isStopped || mustReadAll) {
       return;
