Move the judgement of an error to the reader of a stream's response

Whether an error response shows a failure of the target is decided from the response alone, so that it belongs to its reader. No change of behaviour.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -19,8 +19,6 @@
  */
 final class StreamExchange extends ForwardedExchange {
 
-  private static final int STATUS_SERVER_ERROR = 500;
-
   private final EngineProfile profile;
   private final StreamProgress progress;
   private Attempt attempt;
@@ -551,9 +549,7 @@
               () -> resumeOrFail("target-refused", "the pipelines refused the request repeatedly"),
               StreamLimits.REFUSAL_RETRY_DELAY_MS);
         }
-      } else if (status >= STATUS_SERVER_ERROR
-          || ProblemResponse.isNotRunStatus(status)
-          || !metadata.isSigned()) {
+      } else if (isTargetFailure()) {
         context.health().recordFailure(pipeline.head().id(), 1, nowMs);
         resumeOrFail("target-error", "the pipeline failed");
       } else if (response.isStarted()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
@@ -7,6 +7,7 @@
 abstract class StreamResponseReader implements ResponseListener {
 
   private static final int STATUS_OK = 200;
+  private static final int STATUS_SERVER_ERROR = 500;
 
   int status;
   HttpHeaders headers;
@@ -47,6 +48,13 @@
     return status == STATUS_OK;
   }
 
+  /** Returns whether an error response shows a failure of the target, not one of the request. */
+  boolean isTargetFailure() {
+    return status >= STATUS_SERVER_ERROR
+        || ProblemResponse.isNotRunStatus(status)
+        || !metadata.isSigned();
+  }
+
   /** Returns whether the response ends within an event. */
   boolean hasPartialEvent() {
     return framer.hasPartialEvent();
