Check that later attempts continue a started stream

Callers found the text of an error, or its whole head, in the middle of their stream, got events twice, or got a stream that ended as if it were complete. A later attempt was passed on like the first one, whatever it sent: a target that ignores the id of the last event begins again, and a body without length may hold another head.

Ruled out as causes: refusals, errors of all statuses, bodies that end early, content encodings and silence; their rows passed before.

Each event of a later attempt must now have an id that follows the last one sent: numbers must grow, and the first event must not be further away than the steps between all events before, if these were equal at least twice. Ids that are no numbers must differ from the first and the last one. Else the attempt is broken off and another one is made, within attempts, budget and time. Repeated events are not skipped, because that would join pieces of two runs. The first attempt passes as it is.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -207,6 +207,11 @@
     context.log().recordEvent(kind, request.metadata().attemptId(), fields);
   }
 
+  /** Returns whether another run may continue the stream, or no target may have run it. */
+  private boolean mayRunAgain() {
+    return !ledger.mayHaveRun() || routed.route().isResumable();
+  }
+
   private boolean hasAttemptsLeft() {
     ledger = ledger.withEnded(context.fleet()::hasEnded);
     return ledger.hasAttemptsLeft(routed.route().maxAttempts());
@@ -249,16 +254,16 @@
     if (isFinished || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
       return;
     }
-    boolean isAllowed = !ledger.mayHaveRun() || routed.route().isResumable();
     long nowMs = context.clock().nowMs();
     long sinceMs = progress.lastEventOr(request.receivedMs());
     long waitDeadlineMs = Math.min(deadlineMs, sinceMs + StreamLimits.CALLER_GAP_TIMEOUT_MS);
-    boolean isInBudget =
-        hasAttemptsLeft()
+    boolean isAllowed =
+        mayRunAgain()
+            && hasAttemptsLeft()
             && (!isSent()
                 || (dispatcher.mayStartBy(service, waitDeadlineMs, 0)
                     && context.retryBudget().trySpend(service, nowMs)));
-    if (!isAllowed || !isInBudget) {
+    if (!isAllowed) {
       fail(kind, detail);
       return;
     }
@@ -278,12 +283,12 @@
     private final long startedMs = context.clock().nowMs();
     private TargetChannel channel;
     private ScheduledFuture<?> silenceTimer;
-    private boolean hasEvents;
     private boolean isRepathing;
     private long earliestRepathMs = Long.MIN_VALUE;
     private boolean isOver;
 
     Attempt(ModelPipeline pipeline, long tokens) {
+      super(progress.idsToContinue(ledger.earlierSends() > 0));
       this.pipeline = pipeline;
       this.tokens = tokens;
     }
@@ -380,8 +385,7 @@
     private void replaceLostTargets() {
       if (context.fleet().isSuspect(pipeline.head().address())) {
         long nowMs = context.clock().nowMs();
-        boolean isAllowed = routed.route().isResumable() || !ledger.mayHaveRun();
-        if (isAllowed && hasAttemptsLeft() && context.retryBudget().canSpend(service, nowMs)) {
+        if (mayRunAgain() && hasAttemptsLeft() && context.retryBudget().canSpend(service, nowMs)) {
           if (channel == null) {
             onFailure("head target of the pipeline does not respond");
           } else if (!tryRelaySilent(nowMs)) {
@@ -457,7 +461,7 @@
               .toList();
       Optional<ModelPipeline> other = choosePipeline(streamRequest, candidates);
       boolean mayMove =
-          routed.route().isResumable()
+          mayRunAgain()
               && other.isPresent()
               && hasAttemptsLeft()
               && context.retryBudget().trySpend(service, nowMs);
@@ -492,11 +496,6 @@
         event.release();
         return;
       }
-      if (!metadata.isSigned()) {
-        event.release();
-        breakOff("stream response is not signed by the target");
-        return;
-      }
       cancelMove();
       if (!response.isStarted()) {
         response.startStream(status, headers);
@@ -509,7 +508,6 @@
       if (!hasEvents) {
         crashGuard.onResponseStarted();
       }
-      hasEvents = true;
       response.sendChunk(event);
       silenceTimer.cancel(false);
       scheduleSilenceCheck(StreamLimits.SILENCE_MS);
@@ -520,7 +518,7 @@
       if (isOver) {
         return;
       }
-      if (isStream() && !hasPartialEvent() && hasEvents) {
+      if (isWholeStream()) {
         end();
         context.health().recordSuccess(pipeline.head().id(), context.clock().nowMs());
         finish("served");
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
@@ -5,7 +5,7 @@
 /** What the caller of a stream has received so far, over all attempts. */
 final class StreamProgress {
 
-  private Optional<String> lastEventId;
+  private final EventIds ids;
   private long firstEventMs;
   private long lastEventMs;
   private long longestGapMs;
@@ -18,7 +18,7 @@
    * @param lastEventId id of the event after which the caller resumes a stream, if it does
    */
   StreamProgress(Optional<String> lastEventId) {
-    this.lastEventId = lastEventId;
+    this.ids = new EventIds(lastEventId);
   }
 
   /**
@@ -40,15 +40,24 @@
     lastEventMs = nowMs;
     events++;
     generatedTokens += tokens;
-    if (!id.isEmpty()) {
-      lastEventId = Optional.of(id);
-    }
+    ids.onSent(id);
     return gapMs;
   }
 
-  /** Returns the id of the last event, from which the stream can be resumed. */
+  /**
+   * Returns the ids of the events that the next attempt must continue.
+   *
+   * @param wasRelayed whether another node sent the stream to targets before
+   * @return the ids, empty if the caller has received no event of this request
+   */
+  Optional<EventIds> idsToContinue(boolean wasRelayed) {
+    boolean isContinued = ids.last().isPresent() && (events > 0 || wasRelayed);
+    return isContinued ? Optional.of(ids) : Optional.empty();
+  }
+
+  /** Returns the id of the last event that had one. */
   Optional<String> lastEventId() {
-    return lastEventId;
+    return ids.last();
   }
 
   /** Returns the number of tokens in the events. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 
 /** Reads the response to one attempt of a stream: events, or the body of an error response. */
 abstract class StreamResponseReader implements ResponseListener {
@@ -12,10 +13,22 @@
   int status;
   HttpHeaders headers;
   ResponseMetadata metadata;
+  boolean hasEvents;
+  private final Optional<EventIds> earlierIds;
   private final EventFramer framer = new EventFramer();
   private final ErrorBody errorBody = new ErrorBody();
 
-  /** Handles a whole event; the reader no longer owns it. */
+  /**
+   * Creates a reader.
+   *
+   * @param earlierIds ids of the events that the caller has received, which the response must
+   *     continue; empty for the first attempt, which is passed on as the target makes it
+   */
+  StreamResponseReader(Optional<EventIds> earlierIds) {
+    this.earlierIds = earlierIds;
+  }
+
+  /** Handles a whole event that may be sent to the caller; the reader no longer owns it. */
   abstract void onEvent(ByteBuf event, String id);
 
   /** Handles the head of an error response. */
@@ -37,12 +50,26 @@
   @Override
   public void onContent(ByteBuf content) {
     boolean isWithinLimit =
-        isStream() ? framer.accept(content, this::onEvent) : errorBody.accept(content);
+        isStream() ? framer.accept(content, this::checkEvent) : errorBody.accept(content);
     if (!isWithinLimit) {
       breakOff("an event or an error response is larger than 1 MiB");
     }
   }
 
+  private void checkEvent(ByteBuf event, String id) {
+    Optional<String> objection =
+        metadata.isSigned()
+            ? earlierIds.flatMap(ids -> ids.objection(id, !hasEvents))
+            : Optional.of("stream response is not signed by the target");
+    if (objection.isPresent()) {
+      event.release();
+      breakOff(objection.get());
+    } else {
+      onEvent(event, id);
+      hasEvents = true;
+    }
+  }
+
   /** Returns whether the response has the status of a stream. */
   boolean isStream() {
     return status == STATUS_OK;
@@ -55,9 +82,9 @@
         || !metadata.isSigned();
   }
 
-  /** Returns whether the response ends within an event. */
-  boolean hasPartialEvent() {
-    return framer.hasPartialEvent();
+  /** Returns whether the response, which has ended, is a stream that ends after an event. */
+  boolean isWholeStream() {
+    return isStream() && hasEvents && !framer.hasPartialEvent();
   }
 
   /** Returns the comments after the last event; the caller must release them. */
