Bound how long a caller may take nothing of its answer

What callers saw: an answer that its caller read more slowly than the idle limit of its connection was cut, and the log called the connection idle. A connection that was to close after its answer stayed open for ever if its caller read nothing; a stopping node then waited for its whole grace period.

Cause: an answer counts as given when it is handed over. From then on the idle limit ran, whether or not bytes were still on their way, and LingeringClose waited for its write without a limit. The deadline of a request bounds only what happens before its answer is handed over.

Ruled out: a limit on the whole write, which would cut large answers to slow callers; Netty's WriteTimeoutHandler is such a limit.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -84,6 +84,7 @@
   private boolean isRefusing;
 
   private boolean isOverLimit;
+  private final WriteProgress writeProgress = new WriteProgress();
   private Optional<LingeringClose> closing = Optional.empty();
 
   CallerConnection(
@@ -436,11 +437,21 @@
   }
 
   /**
-   * Closes the connection if it is idle or its request head is late. If bytes of a late head still
-   * arrive, the caller gets a 408 before.
+   * Closes the connection if it is idle, its request head is late, or the caller takes nothing of
+   * the last response. If bytes of a late head still arrive, the caller gets a 408 before.
    */
   void closeIfTimedOut(long nowMs) {
-    if (isServing() || isRefusing) {
+    if (isServing()) {
+      return;
+    }
+    if (writeProgress.isPending(handlerContext.channel(), nowMs)) {
+      lastReceivedMs = nowMs;
+      if (writeProgress.isStalled(nowMs)) {
+        close(EndReason.WRITE_STALLED);
+      }
+      return;
+    }
+    if (isRefusing) {
       return;
     }
     long headerTimeoutMs = limits.largestSince(headStartedMs, nowMs).headerTimeoutMs();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
@@ -25,6 +25,8 @@
     ABORTED("aborted"),
     REFUSED("refused"),
     AFTER_RESPONSE("after-response"),
+    /** The caller took nothing of its response. */
+    WRITE_STALLED("write-stalled"),
     EXCEPTION("exception");
 
     private final String label;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
@@ -37,7 +37,10 @@
     this.isRequestIncomplete = isRequestIncomplete;
   }
 
-  /** Closes the connection once all that was written has been sent. */
+  /**
+   * Closes the connection once all that was written has been sent. {@link WriteProgress} bounds the
+   * time until then.
+   */
   void start() {
     channel
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
@@ -0,0 +1,129 @@
+package org.gooseberryhook.router.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhook.router.node.TestHeaderCodec;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests connections to which an answer was handed over that is not written. Guards against answers
+ * that count as given and are lost, and against connections that stay open in vain.
+ */
+class UnwrittenAnswerTest {
+
+  private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: h\r\nattempt: a1\r\n\r\n";
+  private static final int MAX_SWEEPS = 1_000;
+  private static final long SWEEP_INTERVAL_MS = 250;
+
+  /** A connection of which the socket takes bytes or does not. */
+  private static final class SocketChannelStandin extends EmbeddedChannel {
+    private boolean isFull;
+
+    /** Bytes that the socket takes of a buffer at each flush while it is full. */
+    private long bytesPerFlush;
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
+      if (!isFull) {
+        super.doWrite(buffer);
+      } else if (!buffer.isEmpty()) {
+        buffer.progress(bytesPerFlush);
+      }
+    }
+  }
+
+  private final SocketChannelStandin channel = new SocketChannelStandin();
+  private final List<String> lines = new ArrayList<>();
+  private long nowMs = 1_000;
+  private CallerConnection connection;
+
+  private void connect() {
+    ForwardContext context =
+        new ForwardContext(
+            channel.eventLoop(),
+            () -> nowMs,
+            null,
+            new TestHeaderCodec(),
+            null,
+            null,
+            null,
+            Optional::empty,
+            null,
+            null,
+            null,
+            null,
+            null,
+            new BodyMemoryBudget(10),
+            null,
+            (kind, attempt, fields) -> lines.add(kind + ' ' + attempt + Arrays.toString(fields)));
+    connection =
+        new CallerConnection(context, null, new CallerLimits(Optional::empty), closed -> {});
+    channel
+        .pipeline()
+        .addLast(connection.receiveTimeHandler())
+        .addLast(new CallerRequestDecoder(16_384))
+        .addLast(new HttpResponseEncoder())
+        .addLast(connection.writeHandler())
+        .addLast(connection);
+  }
+
+  /** Sends a request, which the node refuses because it has no configuration. */
+  private void send(String request) {
+    channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.ISO_8859_1));
+  }
+
+  private String received() {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      text.append(part.toString(StandardCharsets.ISO_8859_1));
+      part.release();
+    }
+    return text.toString();
+  }
+
+  /** Lets time pass, during which the node looks for connections that timed out. */
+  private void passMs(long ms) {
+    for (long endMs = nowMs + ms; nowMs < endMs; nowMs += SWEEP_INTERVAL_MS) {
+      channel.flush();
+      connection.closeIfTimedOut(nowMs);
+      channel.runPendingTasks();
+    }
+  }
+
+  /** Guards against an answer that is cut because its connection counts as idle meanwhile. */
+  @Test
+  void anAnswerThatItsCallerReadsSlowlyIsWrittenAsAWhole() {
+    connect();
+    channel.isFull = true;
+    channel.bytesPerFlush = 1;
+    send(REQUEST);
+    passMs(40_000);
+    assertThat(channel.isOpen()).isTrue();
+    channel.isFull = false;
+    passMs(1_000);
+    assertThat(received()).startsWith("HTTP/1.1 503").endsWith("}");
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  /** Guards against connections without end that callers who read nothing keep. */
+  @Test
+  void aConnectionThatIsClosingAndWhoseCallerReadsNothingIsClosed() {
+    connect();
+    channel.isFull = true;
+    send(REQUEST.replaceFirst("\r\n", "\r\nConnection: close\r\n"));
+    for (int i = 0; i < MAX_SWEEPS && channel.isOpen(); i++) {
+      passMs(SWEEP_INTERVAL_MS);
+    }
+    assertThat(channel.isOpen()).isFalse();
+  }
+}
