Count an answer as given once it is written

An HTTP/1.0 caller saw a cut stream that looked complete. The log counted the lost answers as served.

Cause: CallerResponse called itself done, and the connection went on to the next request, as soon as the last part was handed to the encoder. Nobody read the future of any write.

Change: - The handler behind the encoder closes the connection when any write fails while it is open: heads, chunks, whole answers, 100 Continue. The line of the connection is request-cut with the reason write-failed. - A response is complete when its last part is written. Until then its request is in progress: the next one on the connection does not start, the log line does not count it, a stopping node waits for it. So an answer cannot be lost while a later request is in progress, and answers to pipelined requests no longer pile up for a caller that reads nothing; WriteProgress bounds the wait. - A response that ends with its connection has its connection reset on any close until the end is written, not only by abort().

Why it works: the encoder and the socket report each failure to the promise of the write. A caller that leaves makes Netty close the channel before it fails the writes, so that this is no write-failed but request-abandoned; also for an answer that was handed over. Listeners run within write(); they only close the channel, whose end Netty reports in a later task. Memory of a body is released by the same future in both cases.

Ruled out: a check in each exchange, which is what failed before; closing by reset always, which could take earlier answers with it.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -337,7 +337,7 @@
         ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
   }
 
-  /** Continues with the next request after a response was sent. */
+  /** Continues with the next request after a response was written. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isLastBeforeStop();
     exchange = null;
@@ -441,17 +441,16 @@
    * the last response. If bytes of a late head still arrive, the caller gets a 408 before.
    */
   void closeIfTimedOut(long nowMs) {
-    if (isServing()) {
+    if (isServing() && !response.isDone()) {
       return;
     }
     if (writeProgress.isPending(handlerContext.channel(), nowMs)) {
-      lastReceivedMs = nowMs;
       if (writeProgress.isStalled(nowMs)) {
         close(EndReason.WRITE_STALLED);
       }
       return;
     }
-    if (isRefusing) {
+    if (isServing() || isRefusing) {
       return;
     }
     long headerTimeoutMs = limits.largestSince(headStartedMs, nowMs).headerTimeoutMs();
@@ -518,7 +517,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     onClosed.accept(this);
-    if (isServing() && response.isDone()) {
+    if (isServing() && response.isAborted()) {
       record.onClosing(EndReason.ABORTED);
     }
     record.onClosed(isServing(), isServing() && response.isStarted(), pending.size());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -33,7 +34,10 @@
   private boolean isClosing;
   private boolean isStarted;
   private boolean isDone;
-  private boolean isChunked;
+  private boolean isAborted;
+
+  /** Whether the end of the connection is the end of the response. */
+  private boolean endsWithConnection;
 
   /**
    * Creates a response of which nothing is sent yet.
@@ -42,7 +46,8 @@
    * @param requestVersion HTTP version of the request
    * @param mustClose whether the connection closes after the response; asked as its head is sent
    * @param keepAliveSeconds returns the idle time to announce on a kept connection; 0 for none
-   * @param onComplete called once when the whole response has been handed to the connection
+   * @param onComplete called once when the whole response has been written; a response of which a
+   *     write fails is never complete
    */
   CallerResponse(
       Channel channel,
@@ -61,10 +66,16 @@
     return isStarted;
   }
 
+  /** Returns whether the whole response has been handed to the connection, or broken off. */
   boolean isDone() {
     return isDone;
   }
 
+  /** Returns whether the response was broken off. */
+  boolean isAborted() {
+    return isAborted;
+  }
+
   boolean isClosing() {
     return isClosing;
   }
@@ -111,14 +122,25 @@
   private ChannelFuture send(DefaultFullHttpResponse response) {
     isStarted = true;
     setConnection(response.headers());
-    ChannelFuture written = channel.writeAndFlush(response);
-    complete();
-    return written;
+    return writeLast(response);
+  }
+
+  private ChannelFuture writeLast(HttpObject last) {
+    isDone = true;
+    return channel
+        .writeAndFlush(last)
+        .addListener(
+            written -> {
+              if (written.isSuccess()) {
+                setReset(false);
+                onComplete.run();
+              }
+            });
   }
 
   /**
    * Sends the head of a stream whose length is unknown. It is sent in chunks; to an HTTP/1.0 caller
-   * its end is the end of the connection.
+   * its end is the end of the connection, which is reset unless the whole stream was written.
    */
   void startStream(int status, HttpHeaders headers) {
     isStarted = true;
@@ -126,11 +148,12 @@
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().add(EndToEndHeaders.copyOf(headers));
     response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-    isChunked = !requestVersion.equals(HttpVersion.HTTP_1_0);
-    if (isChunked) {
+    if (!requestVersion.equals(HttpVersion.HTTP_1_0)) {
       HttpUtil.setTransferEncodingChunked(response, true);
     } else {
       isClosing = true;
+      endsWithConnection = true;
+      setReset(true);
     }
     setConnection(response.headers());
     channel.write(response);
@@ -143,24 +166,25 @@
 
   /** Sends the last bytes of a stream, if there are any, and ends it as complete. */
   void endStream(ByteBuf lastBytes) {
-    channel.writeAndFlush(new DefaultLastHttpContent(lastBytes));
-    complete();
+    writeLast(new DefaultLastHttpContent(lastBytes));
   }
 
-  /**
-   * Closes the connection before the response is complete, so that the caller sees that it is not.
-   * If the response ends with the connection, the connection is reset instead.
-   */
+  /** Closes the connection before the response is complete, so that the caller sees it. */
   void abort() {
     if (!isDone) {
       isDone = true;
-      if (isStarted && !isChunked) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-      }
+      isAborted = true;
       channel.close();
     }
   }
 
+  /** Sets whether a response that ends with the connection looks incomplete if that is closed. */
+  private void setReset(boolean isReset) {
+    if (endsWithConnection) {
+      channel.config().setOption(ChannelOption.SO_LINGER, isReset ? 0 : -1);
+    }
+  }
+
   private void setConnection(HttpHeaders headers) {
     isClosing |= mustClose.getAsBoolean();
     if (isClosing) {
@@ -175,9 +199,4 @@
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
   }
-
-  private void complete() {
-    isDone = true;
-    onComplete.run();
-  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
@@ -27,6 +27,8 @@
     AFTER_RESPONSE("after-response"),
     /** The caller took nothing of its response. */
     WRITE_STALLED("write-stalled"),
+    /** A write failed although the connection was open. */
+    WRITE_FAILED("write-failed"),
     EXCEPTION("exception");
 
     private final String label;
@@ -70,8 +72,10 @@
   }
 
   /**
-   * Returns a handler, to be put behind the encoder, that logs writes which fail although the
-   * connection is open.
+   * Returns a handler, to be put behind the encoder, that closes the connection if a write fails
+   * although it is open. What follows on it would not belong to the response that its caller waits
+   * for. If the caller has closed the connection, Netty has closed it too and then fails its
+   * writes.
    */
   ChannelHandler writeHandler() {
     return new ChannelOutboundHandlerAdapter() {
@@ -82,6 +86,7 @@
             done -> {
               if (!done.isSuccess() && ctx.channel().isActive()) {
                 onWriteFailed(done.cause());
+                ctx.close();
               }
             });
         ctx.write(message, written);
@@ -91,6 +96,7 @@
 
   private void onWriteFailed(Throwable cause) {
     context.log().recordEvent("write-failed", attemptId, "served", servedRequests, "why", cause);
+    reason = EndReason.WRITE_FAILED;
   }
 
   /** Returns the number of bytes that arrived. */
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
@@ -4,9 +4,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -14,6 +16,8 @@
 import java.util.Optional;
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests connections to which an answer was handed over that is not written. Guards against answers
@@ -45,6 +49,7 @@
   private final SocketChannelStandin channel = new SocketChannelStandin();
   private final List<String> lines = new ArrayList<>();
   private long nowMs = 1_000;
+  private HttpResponseEncoder encoder = new HttpResponseEncoder();
   private CallerConnection connection;
 
   private void connect() {
@@ -72,7 +77,7 @@
         .pipeline()
         .addLast(connection.receiveTimeHandler())
         .addLast(new CallerRequestDecoder(16_384))
-        .addLast(new HttpResponseEncoder())
+        .addLast(encoder)
         .addLast(connection.writeHandler())
         .addLast(connection);
   }
@@ -126,4 +131,74 @@
     }
     assertThat(channel.isOpen()).isFalse();
   }
+
+  /** Returns an encoder that encodes a number of responses and then throws. */
+  private static HttpResponseEncoder encoderThatThrowsAfter(int responses) {
+    return new HttpResponseEncoder() {
+      private int encoded;
+
+      @Override
+      protected void encode(ChannelHandlerContext ctx, Object message, List<Object> out)
+          throws Exception {
+        if (encoded++ >= responses) {
+          ReferenceCountUtil.release(message);
+          throw new IllegalStateException("injected");
+        }
+        super.encode(ctx, message, out);
+      }
+    };
+  }
+
+  /** Guards against a connection that stays open although nothing can be written to it any more. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void aConnectionOnWhichAWriteFailsIsClosedAndItsRequestIsLoggedAsCut(int served) {
+    encoder = encoderThatThrowsAfter(served);
+    connect();
+    for (int i = 0; i <= served; i++) {
+      send(REQUEST);
+      channel.runPendingTasks();
+    }
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(received().split("HTTP/1.1 503", -1)).hasSize(served + 1);
+    assertThat(lines).filteredOn(line -> line.startsWith("write-failed a1")).hasSize(1);
+    assertThat(lines)
+        .filteredOn(line -> line.startsWith("request-cut a1[by, node, why, write-failed,"))
+        .hasSize(1)
+        .first()
+        .asString()
+        .contains("served, " + served + ", inProgress, true");
+  }
+
+  /** Guards against a log that counts an answer as served which its caller did not get. */
+  @Test
+  void anAnswerThatIsNotWrittenBeforeItsCallerLeavesDoesNotCountAsServed() {
+    connect();
+    channel.isFull = true;
+    send(REQUEST + REQUEST);
+    channel.runPendingTasks();
+    assertThat(lines).filteredOn(line -> line.startsWith("rejected")).hasSize(1);
+    channel.close();
+    channel.runPendingTasks();
+    assertThat(lines).noneMatch(line -> line.startsWith("write-failed"));
+    assertThat(lines)
+        .filteredOn(line -> line.startsWith("request-abandoned a1[by, caller, why, closed,"))
+        .hasSize(1)
+        .first()
+        .asString()
+        .contains("served, 0, inProgress, true");
+  }
+
+  /** Guards against a next request that is left when the answer before it is written late. */
+  @Test
+  void aPipelinedRequestIsAnsweredOnceTheAnswerBeforeItIsWritten() {
+    connect();
+    channel.isFull = true;
+    send(REQUEST + REQUEST);
+    passMs(1_000);
+    channel.isFull = false;
+    passMs(1_000);
+    assertThat(received().split("HTTP/1.1 503", -1)).hasSize(3);
+    assertThat(channel.isOpen()).isTrue();
+  }
 }
