--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -84,6 +84,7 @@
   private boolean isRefusing;
 
   private boolean isOverLimit;
+  private final WriteProgress writeProgress = new WriteProgress();
   private Optional<LingeringClose> closing = Optional.empty();
 
   CallerConnection(
@@ -336,7 +337,7 @@
         ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
   }
 
-  /** Continues with the next request after a response was sent. */
+  /** Continues with the next request after a response was written. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isLastBeforeStop();
     exchange = null;
@@ -436,10 +437,19 @@
   }
 
   /**
-   * Closes the connection if it is idle or its request head is late. If bytes of a late head still
-   * arrive, the caller gets a 408 before.
+   * Closes the connection if it is idle, its request head is late, or the caller takes nothing of
+   * the last response. If bytes of a late head still arrive, the caller gets a 408 before.
    */
   void closeIfTimedOut(long nowMs) {
+    if (isServing() && !response.isDone()) {
+      return;
+    }
+    if (writeProgress.isPending(handlerContext.channel(), nowMs)) {
+      if (writeProgress.isStalled(nowMs)) {
+        close(EndReason.WRITE_STALLED);
+      }
+      return;
+    }
     if (isServing() || isRefusing) {
       return;
     }
@@ -507,7 +517,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     onClosed.accept(this);
-    if (isServing() && response.isDone()) {
+    if (isServing() && response.isAborted()) {
       record.onClosing(EndReason.ABORTED);
     }
     record.onClosed(isServing(), isServing() && response.isStarted(), pending.size());
