Keep a waiting request in its queue when no node takes it

Callers saw nothing at once: a stream waited at a node that was cut off from most targets, no other node could take it, and its caller left. The request ended, but its entry stayed in the queue, and a later turn started it on a released body, which fails and leaks a reservation.

Cause: tryStart of streams and of other requests dropped the action that takes the request out of its queue before it tried to hand the request over, and that may fail.

Ruled out: that the action runs twice harms anything. Removing a waiter that has left does nothing, and one that is handed over does not use the capacity here, so that its cost no longer counts against its workspace. For requests without a model both steps ask the same question in one event, so that only streams are known to reach the state.

Change: the action is kept until the request is sent or ends.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -143,7 +143,6 @@
     Optional<TargetEntry> target = chooseTarget();
     boolean isInReach = target.filter(t -> !context.fleet().isSuspect(t.address())).isPresent();
     if (!isInReach && !mayHaveRun() && relay.isPossible()) {
-      leaveQueue = () -> {};
       return tryRelay();
     }
     if (!isInReach && !mayHaveRun() && relay.isCutOff()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -79,7 +79,6 @@
     Optional<ModelPipeline> chosen =
         choosePipeline(streamRequest, context.fleet().pipelines(service));
     if (chosen.isEmpty() && !isMoveQueued && shouldRelay()) {
-      leaveQueue = () -> {};
       return tryRelay();
     }
     boolean mayStart = chosen.isPresent() && (!isMoveQueued || mayMove(nowMs));
