End each connection at a stop whatever another one throws

Callers saw nothing any more: when the end of one request threw an exception as the node stopped, the requests on all connections after it got neither an answer nor a refusal, and the node did not learn that its connections were closed.

Cause: an exception left the loop over the connections. The same holds for the loops that announce the stop, close idle connections and close those that timed out.

Change: a step that throws for one connection is logged, and the others get theirs. A request whose end throws is ended by the guard of its exchange, which answers it.

Measured: CallerServerTest (three waiting requests, the first throws as it ends) before 1 of 1 failed (the first caller reads nothing for 8 s), after 0 of 1; ConnectionEndTest 12 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -486,7 +486,8 @@
     if (exchange != null) {
       record.onClosing(EndReason.STOPPING);
       isStopping = true;
-      exchange.onNodeStopping();
+      Exchange ending = exchange;
+      new StepGuard(ending::onError).run(ending::onNodeStopping);
     } else if (!isRefusing && !isServing()) {
       if (!pending.isEmpty() || record.unservedBytes() > 0) {
         handlePending();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 
 /** Accepts callers' connections. All methods must be called on the event loop. */
@@ -120,9 +121,7 @@
   private void closeTimedOut() {
     long nowMs = context.clock().nowMs();
     limits.current(nowMs);
-    for (CallerConnection connection : List.copyOf(connections)) {
-      connection.closeIfTimedOut(nowMs);
-    }
+    forEachConnection(connection -> connection.closeIfTimedOut(nowMs));
   }
 
   int connectionCount() {
@@ -140,9 +139,7 @@
   /** Closes each connection after the requests that were received or after the next one. */
   void stopConnections() {
     isStopping = true;
-    for (CallerConnection connection : List.copyOf(connections)) {
-      connection.closeAfterRequests();
-    }
+    forEachConnection(CallerConnection::closeAfterRequests);
   }
 
   /**
@@ -164,7 +161,7 @@
             return;
           }
           listener.close();
-          List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+          forEachConnection(CallerConnection::closeIfIdle);
           onStopped.run();
         },
         ACCEPT_ROUND_MS);
@@ -177,13 +174,22 @@
    */
   void abortAll(Runnable onClosed) {
     sweepTimer.cancel(false);
-    for (CallerConnection connection : List.copyOf(connections)) {
-      connection.abort();
-    }
+    forEachConnection(CallerConnection::abort);
     onAllClosed = onClosed;
     runIfAllClosed();
   }
 
+  /** Runs a step for each connection. An exception in one of them keeps no other from its step. */
+  private void forEachConnection(Consumer<CallerConnection> step) {
+    for (CallerConnection connection : List.copyOf(connections)) {
+      try {
+        step.accept(connection);
+      } catch (RuntimeException | Error e) {
+        context.logError("internal-error", "", e);
+      }
+    }
+  }
+
   private void onClosed(CallerConnection connection) {
     connections.remove(connection);
     runIfAllClosed();
