Refuse waiting requests that a newer configuration rules out

Callers saw refusals only when the wait of their request was over, or their request was sent to another target, although a newer configuration had removed its route, key or service: nothing could serve it, or nothing should.

Cause: a request was routed when it was read, and never again.

Change: when a configuration is put in force, the waiting requests that it does not allow are ended at once, and so is a request between two attempts. They are answered 503 "not run", or 502 if a target may have run them. They were allowed when they were sent, so that they get no 401 or 404: the answer to the next try tells what holds then. A stream that has begun is continued as long as a target can, and one that waits for another target while it runs stays where it is.

Ruled out: sending them to the service that the route has now. Its time has been spent by half, and a caller is served there by its next try.

Measured: the 8 cases of ConfigurationChangeTest that wait or are refused while route, key or service are removed: before 8 failed (no-room, target-refused or a second send), after 0; all 17 tests of the class pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/WaitQueue.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/WaitQueue.java
@@ -164,6 +164,15 @@
     }
   }
 
+  /**
+   * Returns the waiting requests.
+   *
+   * @return a copy, in queue order
+   */
+  public List<T> waiting() {
+    return waiters.stream().map(Waiter::value).toList();
+  }
+
   /**
    * Returns the number of waiting requests.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -73,6 +73,37 @@
     return rejection.isPresent();
   }
 
+  /**
+   * Ends the request if the configuration in force does not allow it any more: its route, key or
+   * service is gone. It was allowed when it was sent, so that it is refused like one that finds no
+   * target, and the answer to the next try tells what holds now. A response that has begun is
+   * continued as long as a target can.
+   *
+   * @return whether the request was ended
+   */
+  final boolean failIfDisallowed() {
+    if (isFinished || response.isStarted()) {
+      return false;
+    }
+    RoutingResult result =
+        RequestRouter.route(
+            context.configuration().get(),
+            request.headers().get("host", ""),
+            request.path(),
+            request.metadata().apiKey());
+    if (result instanceof RoutingResult.Rejected rejected) {
+      fail(rejected.problem().kind(), rejected.problem().detail());
+    } else if (context.configuration().get().flatMap(c -> c.findService(service)).isEmpty()) {
+      fail("no-service", "the service was removed");
+    }
+    return isFinished;
+  }
+
+  @Override
+  public void onConfigurationChanged() {
+    failIfDisallowed();
+  }
+
   /** Logs the targets whose limits leave no room for the request, which is refused. */
   final void logReachedLimits(Stream<TargetEntry> targets) {
     List<String> limited =
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -103,6 +103,13 @@
     dispatcher.startWaitingRequests();
   }
 
+  /**
+   * Ends waiting requests that the configuration does not allow any more; called when it changes.
+   */
+  public void onConfigurationChanged() {
+    dispatcher.onConfigurationChanged();
+  }
+
   /** Moves running streams off targets that are lost or about to leave. */
   public void replaceLostTargets() {
     dispatcher.replaceLostTargets();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -195,6 +195,9 @@
    * Retries if the request may run again and attempts, untried targets and retry budget are left.
    */
   private void retryOrFail(String kind, String detail) {
+    if (failIfDisallowed()) {
+      return;
+    }
     boolean mayRunAgain = !mayHaveRun() || route().kind() == RequestKind.IDEMPOTENT;
     Optional<ProblemResponse> rejection = crashGuard.rejection(mayHaveRun());
     if (rejection.isPresent() && lastErrorResponse == null) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/QueuedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/QueuedExchange.java
@@ -17,6 +17,12 @@
   /** Called when the request was queued; {@code leaveQueue} removes it from the queue. */
   void onQueued(Runnable leaveQueue);
 
+  /**
+   * Called while the request waits and a newer configuration is put in force. Ends the request if
+   * that does not allow it any more.
+   */
+  void onConfigurationChanged();
+
   /**
    * Called when the request was removed from the queue without a start: its waiting time expired,
    * or too many requests wait.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -192,6 +192,15 @@
     }
   }
 
+  /** Ends the waiting requests that a newer configuration does not allow any more. */
+  void onConfigurationChanged() {
+    for (WaitQueue<QueuedExchange> queue : queues.values()) {
+      for (QueuedExchange exchange : queue.waiting()) {
+        new StepGuard(exchange::onError).run(exchange::onConfigurationChanged);
+      }
+    }
+  }
+
   /** Starts a waiting request. One that fails has left the queue and keeps no other from it. */
   private static boolean tryStart(QueuedExchange exchange) {
     try {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -525,6 +525,7 @@
       fleet.onConfigurationChanged();
       log.recordEvent(
           "configuration", "", "version", candidate.version(), "before", Math.max(0, version));
+      forwarder.onConfigurationChanged();
     }
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
@@ -159,6 +159,84 @@
     assertThat(answers).anyMatch(answer -> answer.join().startsWith("HTTP/1.1 " + status));
   }
 
+  /** What a newer configuration takes away. */
+  enum Removal {
+    ROUTE,
+    KEY,
+    SERVICE
+  }
+
+  /** Guards against requests that wait, or are sent again, although nothing can serve them. */
+  @ParameterizedTest
+  @CsvSource({
+    "/draft/x, no-target, ROUTE, no-route",
+    "/draft/x, no-target, KEY, unknown-key",
+    "/draft/x, no-target, SERVICE, no-service",
+    "/book/x, no-room, ROUTE, no-route",
+    "/book/x, no-room, KEY, unknown-key",
+    "/book/x, no-room, SERVICE, no-service",
+    "/book/x, refuse, KEY, unknown-key",
+    "/draft/x, refuse, KEY, unknown-key"
+  })
+  void aWaitingRequestIsRefusedAtOnceWhenItsRouteServiceOrKeyIsRemoved(
+      String path, String state, Removal removal, String problem) throws Exception {
+    CountDownLatch isReceived = new CountDownLatch(1);
+    CountDownLatch isChanged = new CountDownLatch(1);
+    TargetStandin.Script script =
+        (request, out) -> {
+          isReceived.countDown();
+          isChanged.await();
+          TargetStandin.writeResponse(out, request, 503, "not-run: 1\r\n", "");
+        };
+    if (state.equals("refuse")) {
+      for (int i = 0; i < 2; i++) {
+        addTarget("plain", null, script);
+        addPipeline(script);
+      }
+    } else if (state.equals("no-room")) {
+      // It asks the first request for a pause, for the end of which the next one waits.
+      addTarget(
+          "plain",
+          null,
+          (request, out) ->
+              TargetStandin.writeResponse(out, request, 503, "not-run: 1\r\npause: 2\r\n", ""));
+    }
+    firstConfiguration = patientConfiguration();
+    startNode();
+    if (state.equals("no-room")) {
+      assertThat(answer(path)).startsWith("HTTP/1.1 503");
+    }
+    CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> answer(path), CALLERS);
+    if (state.equals("refuse")) {
+      assertThat(isReceived.await(10, TimeUnit.SECONDS)).isTrue();
+    } else {
+      awaitGauge("gooseberryhook_streams_waiting 1.0");
+    }
+    changeConfiguration(without(removal));
+    isChanged.countDown();
+    assertThat(answer.get(20, TimeUnit.SECONDS))
+        .startsWith("HTTP/1.1 503")
+        .contains('"' + problem + '"', "not-run");
+    assertThat(targets.stream().mapToInt(target -> target.requests().size()).sum())
+        .isEqualTo(state.equals("no-target") ? 0 : 1);
+  }
+
+  private static RoutingConfiguration without(Removal removal) {
+    RoutingConfiguration usual = patientConfiguration();
+    List<Route> routes =
+        List.of(
+            patientRoute("/book/", RequestKind.ONCE_ONLY, "plain"),
+            patientRoute("/draft/", RequestKind.STREAM, "model"));
+    Workspace workspace =
+        new Workspace("w", Set.of(removal == Removal.KEY ? "l" : "k"), OptionalInt.empty());
+    return new RoutingConfiguration(
+        2,
+        removal == Removal.ROUTE ? List.of() : routes,
+        removal == Removal.SERVICE ? Map.of() : usual.services(),
+        usual.limits(),
+        Optional.of(List.of(workspace)));
+  }
+
   /** Returns the usual configuration, but with requests that may wait for seconds. */
   private static RoutingConfiguration patientConfiguration() {
     RoutingConfiguration usual = configuration();
