--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -143,7 +143,6 @@
     Optional<TargetEntry> target = chooseTarget();
     boolean isInReach = target.filter(t -> !context.fleet().isSuspect(t.address())).isPresent();
     if (!isInReach && !mayHaveRun() && relay.isPossible()) {
-      leaveQueue = () -> {};
       return tryRelay();
     }
     if (!isInReach && !mayHaveRun() && relay.isCutOff()) {
@@ -196,6 +195,9 @@
    * Retries if the request may run again and attempts, untried targets and retry budget are left.
    */
   private void retryOrFail(String kind, String detail) {
+    if (failIfDisallowed()) {
+      return;
+    }
     boolean mayRunAgain = !mayHaveRun() || route().kind() == RequestKind.IDEMPOTENT;
     Optional<ProblemResponse> rejection = crashGuard.rejection(mayHaveRun());
     if (rejection.isPresent() && lastErrorResponse == null) {
