Leave an entry out alone and log its key and reason

An entry of another writer that is not valid was left out silently: no line and no metric named it. An entry that makes a decoder throw took its page or update with it: the read of the page never ended (no result within 5 s), a relayed update was dropped and the list read again. No odd entry is known that makes TargetDecoder throw; the loss was shown with decoders that throw IllegalStateException and StackOverflowError.

FeedResult.Change.decode, through which the read and the relayed entries go, takes whatever else a decoder throws for a defect of that entry.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ChangeFeed.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ChangeFeed.java
@@ -1,16 +1,15 @@
 package org.gooseberryhook.router.node;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.relay.ListPosition;
 
 /**
  * Access to one list that the platform keeps, such as that of the targets. Each call delivers one
- * result, on the event loop.
+ * result, on the event loop. As a decoder it decodes the entries that another node has read.
  *
  * @param <T> type of the entries
  */
-public interface ChangeFeed<T> {
+public interface ChangeFeed<T> extends EntryDecoder<T> {
 
   /**
    * Reads all entries of the list.
@@ -27,13 +26,4 @@
    * @param onResult receives the result; it has no entries if nothing changed in that time
    */
   void readChanges(ListPosition after, long waitMs, Consumer<FeedResult<T>> onResult);
-
-  /**
-   * Decodes an entry that another node has read.
-   *
-   * @param key key of the entry
-   * @param content stored bytes of the entry
-   * @return the entry; empty if the bytes are not a valid entry
-   */
-  Optional<T> decode(String key, byte[] content);
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
@@ -4,7 +4,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -71,6 +70,7 @@
   private final DecisionLog log;
   private final IntSupplier readerCount;
   private final ListHistory<T> history = new ListHistory<>();
+  private final LeftOutEntries leftOut;
   private ScheduledFuture<?> nextRead;
   private ScheduledFuture<?> silenceTimer;
   private long lastSuccessMs;
@@ -126,6 +126,7 @@
     this.feed = feed;
     this.listener = listener;
     this.log = log;
+    this.leftOut = new LeftOutEntries(name, log);
   }
 
   /** Starts reading. May be called on any thread. */
@@ -181,6 +182,11 @@
     return changeCount;
   }
 
+  /** Returns the number of entries that are left out because they are not valid. */
+  int leftOutCount() {
+    return leftOut.count();
+  }
+
   /**
    * Shortens the delay before the next call to {@link #MIN_DELAY_MS}. Used when the list was found
    * to be stale. Has no effect while a call is running, after a failed call, or if this node does
@@ -336,10 +342,6 @@
   }
 
   private void onEntries(FeedResult.Entries<T> entries, boolean isFullRead) {
-    List<ListHistory.Entry<T>> read = new ArrayList<>();
-    for (FeedResult.Change<T> change : entries.changes()) {
-      read.add(new ListHistory.Entry<>(change.key(), change.value(), change.content()));
-    }
     if (isFullRead) {
       mustReadAll = false;
       ListPosition before = history.position();
@@ -348,20 +350,30 @@
             "feed-reset", "", "list", name, "before", before, "now", entries.position());
         listener.onHistoryReset();
       }
-      int changed = history.replaceAll(read, entries.position()).size();
+      leftOut.replaceAll(entries.changes());
+      int changed = history.replaceAll(toHistory(entries.changes()), entries.position()).size();
       changeCount += changed;
       confirmedMs = nowMs();
       listener.onAll(entries.changes());
       listener.onConfirmed(changed > 0);
     } else if (entries.position().revision() >= history.position().revision()) {
-      apply(read, entries.position().revision(), 0);
+      apply(entries.changes(), entries.position().revision(), 0);
     }
     // Otherwise another node has meanwhile relayed all of these changes and later ones.
   }
 
-  private void apply(List<ListHistory.Entry<T>> read, long revision, long ageMs) {
+  private static <T> List<ListHistory.Entry<T>> toHistory(List<FeedResult.Change<T>> changes) {
+    List<ListHistory.Entry<T>> entries = new ArrayList<>(changes.size());
+    for (FeedResult.Change<T> change : changes) {
+      entries.add(new ListHistory.Entry<>(change.key(), change.value(), change.content()));
+    }
+    return entries;
+  }
+
+  private void apply(List<FeedResult.Change<T>> read, long revision, long ageMs) {
+    leftOut.update(read);
     List<FeedResult.Change<T>> changed = new ArrayList<>();
-    for (ListHistory.Entry<T> entry : history.apply(read, revision)) {
+    for (ListHistory.Entry<T> entry : history.apply(toHistory(read), revision)) {
       changed.add(new FeedResult.Change<>(entry.key(), entry.value(), entry.content()));
     }
     changeCount += changed.size();
@@ -396,11 +408,10 @@
       return;
     }
     isFailing = false;
-    List<ListHistory.Entry<T>> read = new ArrayList<>();
+    List<FeedResult.Change<T>> read = new ArrayList<>();
     for (ListUpdate.ListChange change : update.changes()) {
       if (change.revision() > own.revision()) {
-        Optional<T> value = change.content().flatMap(bytes -> feed.decode(change.key(), bytes));
-        read.add(new ListHistory.Entry<>(change.key(), value, change.content()));
+        read.add(FeedResult.Change.decode(change.key(), change.content(), feed));
       }
     }
     apply(read, update.position().get().revision(), update.ageMs());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedResult.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedResult.java
@@ -1,5 +1,6 @@
 package org.gooseberryhook.router.node;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import org.gooseberryhook.router.relay.ListPosition;
@@ -17,9 +18,66 @@
    * @param key key of the entry
    * @param value the entry; empty if it was removed or is invalid
    * @param content stored bytes of the entry, which other nodes can decode; empty if it was removed
+   * @param defect why the entry is invalid, in at most {@link #MAX_DEFECT_CHARACTERS}; empty if it
+   *     is not
    * @param <T> type of the entry
    */
-  record Change<T>(String key, Optional<T> value, Optional<byte[]> content) {}
+  record Change<T>(
+      String key, Optional<T> value, Optional<byte[]> content, Optional<String> defect) {
+
+    /** Maximum length of a reason, which is logged. */
+    static final int MAX_DEFECT_CHARACTERS = 200;
+
+    /**
+     * Creates a change to an entry that was removed or is not invalid.
+     *
+     * @param key key of the entry
+     * @param value the entry; empty if it was removed
+     * @param content stored bytes of the entry; empty if it was removed
+     */
+    public Change(String key, Optional<T> value, Optional<byte[]> content) {
+      this(key, value, content, Optional.empty());
+    }
+
+    /**
+     * Decodes a changed entry. An entry that makes the decoder fail in any way is invalid: it must
+     * not keep the other entries from being read.
+     *
+     * @param key key of the entry
+     * @param content stored bytes of the entry; empty if it was removed
+     * @param decoder decodes the content
+     * @param <T> type of the entry
+     * @return the change, never null
+     */
+    public static <T> Change<T> decode(
+        String key, Optional<byte[]> content, EntryDecoder<T> decoder) {
+      if (content.isEmpty()) {
+        return new Change<>(key, Optional.empty(), content);
+      }
+      try {
+        return new Change<>(key, decoder.decode(key, content.get()), content);
+      } catch (IOException e) {
+        return invalid(key, content, String.valueOf(e.getMessage()));
+      } catch (RuntimeException | Error e) {
+        return invalid(key, content, e.toString());
+      }
+    }
+
+    /**
+     * Creates a change to an entry that is invalid.
+     *
+     * @param key key of the entry
+     * @param content stored bytes of the entry
+     * @param reason why it is invalid; the first line is kept
+     * @param <T> type of the entry
+     * @return the change, never null
+     */
+    public static <T> Change<T> invalid(String key, Optional<byte[]> content, String reason) {
+      String line = reason.lines().findFirst().orElse("");
+      String defect = line.substring(0, Math.min(line.length(), MAX_DEFECT_CHARACTERS));
+      return new Change<>(key, Optional.empty(), content, Optional.of(defect));
+    }
+  }
 
   /**
    * The entries of the list: all of them, or those that have changed.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -432,6 +432,7 @@
     for (FeedFollower<?> list : List.of(configurationFeed, targetFeed)) {
       metrics.setGauge(list.name() + "_feed_responses", list.responseCount());
       metrics.setGauge(list.name() + "_feed_changes", list.changeCount());
+      metrics.setGauge(list.name() + "_entries_left_out", list.leftOutCount());
       metrics.setGauge(list.name() + "_feed_revision", list.history().position().revision());
     }
     return metrics.page();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FeedFollowerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FeedFollowerTest.java
@@ -183,6 +183,28 @@
     follower.stop();
   }
 
+  /**
+   * Guards against an update that is lost whole because one of its entries makes a decoder fail.
+   */
+  @Test
+  void anEntryThatCannotBeDecodedIsLeftOutAndTheOthersAreApplied() throws Exception {
+    HeldFeed feed = new HeldFeed();
+    List<String> applied = new ArrayList<>();
+    FeedFollower<String> follower = newFollower(feed, applied);
+    follower.start();
+    respond(feed.nextCall(), 2, "first");
+    ListUpdate sound = relayed(follower, 4, "second");
+    ListUpdate odd = relayed(follower, 4, HeldFeed.ODD);
+    List<ListUpdate.ListChange> changes =
+        List.of(
+            new ListUpdate.ListChange("odd", 4, odd.changes().get(0).content()),
+            sound.changes().get(0));
+    onLoop(() -> follower.onRelayed(new ListUpdate("list", sound.position(), 0, changes)));
+    assertThat(applied).contains("second");
+    assertThat(events).containsExactly("entry-left-out");
+    follower.stop();
+  }
+
   /** Guards against a list that is no longer followed after a call that failed as it began. */
   @Test
   void aCallThatThrowsIsRepeated() throws Exception {
@@ -230,6 +252,7 @@
 
   /** A feed whose calls wait until the test responds to them. */
   private static final class HeldFeed implements ChangeFeed<String> {
+    private static final String ODD = "odd";
     private final BlockingQueue<Consumer<FeedResult<String>>> calls = new LinkedBlockingQueue<>();
     private volatile int fullReadCount;
     private volatile RuntimeException firstError;
@@ -257,7 +280,11 @@
 
     @Override
     public Optional<String> decode(String key, byte[] content) {
-      return Optional.of(new String(content, StandardCharsets.UTF_8));
+      String value = new String(content, StandardCharsets.UTF_8);
+      if (value.equals(ODD)) {
+        throw new StackOverflowError("nested too deeply");
+      }
+      return Optional.of(value);
     }
   }
 
