Leave out entries whose figures no target can have

An entry of another writer with born of 400 digits was taken with its low 64 bits, and 2^63-1, negative births, versions of 400 digits and 2,147,483,647 slots were taken as they are. Of two entries at one address, that with the later birth is used, and slots decide which target gets a request: such an entry takes an address for ever, or draws the requests of its service.

TargetEntry now has the bounds in one place: 1 to 4,096 slots, a start from 0 to the end of 2099, and no negative version. An entry outside the bounds is left out with its reason, like any other that is not valid.

Layers beyond those of the configured model need no new rule: neither ModelPipelines.compose nor PlacementDriver uses such a target.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -13,12 +13,13 @@
  * @param service name of the service that it runs
  * @param address IP address and port
  * @param dataCentre name of its data centre
- * @param slots number of requests that it runs at once
+ * @param slots number of requests that it runs at once, from 1 to {@link #MAX_SLOTS}
  * @param isLeaving whether it is about to leave
  * @param acceleratorKind name of its kind of accelerator, empty for plain services
  * @param layers layers that it holds, if any
- * @param startedAtMs time at which it started, in Unix milliseconds; 0 if unknown
- * @param modelVersion version of its weights; 0 if unknown
+ * @param startedAtMs time at which it started, in Unix milliseconds, at most {@link
+ *     #MAX_STARTED_AT_MS}; 0 if unknown
+ * @param modelVersion version of its weights, not negative; 0 if unknown
  */
 public record TargetEntry(
     String id,
@@ -32,6 +33,32 @@
     long startedAtMs,
     long modelVersion) {
 
+  /** Largest number of slots; engines batch a few hundred requests. */
+  public static final int MAX_SLOTS = 4_096;
+
+  /** Latest possible start: the end of the year 2099, in Unix milliseconds. */
+  public static final long MAX_STARTED_AT_MS = 4_102_444_799_999L;
+
+  /**
+   * Checks the figures, which other programs may have written. One that no target can have would
+   * draw all requests to its address, or outlast every later start there.
+   *
+   * @throws IllegalArgumentException if a figure is out of its bounds
+   */
+  public TargetEntry {
+    require(slots >= 1 && slots <= MAX_SLOTS, "slots must be from 1 to " + MAX_SLOTS);
+    require(
+        startedAtMs >= 0 && startedAtMs <= MAX_STARTED_AT_MS,
+        "time of the start must be from 0 to " + MAX_STARTED_AT_MS);
+    require(modelVersion >= 0, "version of the weights must not be negative");
+  }
+
+  private static void require(boolean condition, String requirement) {
+    if (!condition) {
+      throw new IllegalArgumentException(requirement);
+    }
+  }
+
   /**
    * Returns whether the target of another entry started after this one.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedResult.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedResult.java
@@ -56,7 +56,7 @@
       }
       try {
         return new Change<>(key, decoder.decode(key, content.get()), content);
-      } catch (IOException e) {
+      } catch (IOException | IllegalArgumentException e) {
         return invalid(key, content, String.valueOf(e.getMessage()));
       } catch (RuntimeException | Error e) {
         return invalid(key, content, e.toString());
