Let no start in the future take the address of a target

Of two entries at one address, that with the later start is used. With the entry of another writer that starts in the future, of the same or another service, the sound target at that address lost its place: its paths were gone, and it would have stayed out until that time.

The clock decides only between two entries at one address, so that a wrong clock leaves out no target that is alone at its address; if it is far behind, both starts are impossible and compared as before. The store's "now-ms" is a steady clock that need not count Unix time, so it can't be used.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -60,12 +60,20 @@
   }
 
   /**
-   * Returns whether the target of another entry started after this one.
+   * Returns whether the target of another entry started after this one. A start that is not yet
+   * possible is taken for earlier than any other: the entry of another program could otherwise keep
+   * an address from its target.
    *
    * @param other entry with the address of this one
+   * @param latestStartMs latest possible start by the clock of this node, in Unix milliseconds; if
+   *     that clock is far behind, both starts are impossible and compared as usual
    * @return true if the other target started later, or at the same time and has the greater id
    */
-  public boolean isSupersededBy(TargetEntry other) {
+  public boolean isSupersededBy(TargetEntry other, long latestStartMs) {
+    boolean isPossible = startedAtMs <= latestStartMs;
+    if (isPossible != other.startedAtMs <= latestStartMs) {
+      return !isPossible;
+    }
     return startedAtMs != other.startedAtMs
         ? startedAtMs < other.startedAtMs
         : id.compareTo(other.id) < 0;
@@ -76,12 +84,13 @@
    * a while after its target has ended.
    *
    * @param entries entries, several of which may have the same address
+   * @param latestStartMs latest possible start, in Unix milliseconds
    * @return of each address the entry of the last start, in the order of the entries
    */
-  public static List<TargetEntry> latestStarts(List<TargetEntry> entries) {
+  public static List<TargetEntry> latestStarts(List<TargetEntry> entries, long latestStartMs) {
     Map<String, TargetEntry> latest = new HashMap<>();
     for (TargetEntry entry : entries) {
-      latest.merge(entry.address, entry, (a, b) -> a.isSupersededBy(b) ? b : a);
+      latest.merge(entry.address, entry, (a, b) -> a.isSupersededBy(b, latestStartMs) ? b : a);
     }
     return entries.stream().filter(entry -> latest.get(entry.address) == entry).toList();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.gooseberryhook.router.admission.CapacitySharing;
@@ -37,10 +38,14 @@
  */
 final class FleetState implements FleetView {
 
+  /** Time by which the clocks of targets and of this node may differ: one day. */
+  static final long MAX_CLOCK_ERROR_MS = 86_400_000;
+
   private final TargetRegistry registry;
   private final EngineControl engines;
   private final PeerTable peers;
   private final MonotonicClock clock;
+  private final LongSupplier unixTimeMs;
   private final DecisionLog log;
   private final Runnable onStaleTargetList;
   private final SuspectTracker suspectTracker = new SuspectTracker();
@@ -83,6 +88,7 @@
       EngineControl engines,
       PeerTable peers,
       MonotonicClock clock,
+      LongSupplier unixTimeMs,
       Runnable onStaleTargetList,
       DecisionLog log) {
     this.onStaleTargetList = onStaleTargetList;
@@ -90,6 +96,7 @@
     this.engines = engines;
     this.peers = peers;
     this.clock = clock;
+    this.unixTimeMs = unixTimeMs;
     this.log = log;
     this.slowTargets = new SlowTargets(log);
     this.testimony =
@@ -200,7 +207,8 @@
         TargetEntry.latestStarts(
             registry.entries().stream()
                 .filter(entry -> configuration.services().containsKey(entry.service()))
-                .toList());
+                .toList(),
+            latestStartMs());
     listedStarts.update(currentTargets, clock.nowMs());
     Set<String> leaving = new HashSet<>();
     for (TargetEntry entry : currentTargets) {
@@ -228,6 +236,10 @@
     PipelineChangeLog.record(log, previousByService, pipelinesByService);
   }
 
+  private long latestStartMs() {
+    return unixTimeMs.getAsLong() + MAX_CLOCK_ERROR_MS;
+  }
+
   private Map<String, Integer> countReachableTargets() {
     Map<String, Integer> counts = new HashMap<>(targetsByService.size());
     for (TargetEntry entry : targetsByAddress.values()) {
@@ -292,7 +304,7 @@
   /** Returns whether a target is not too slow and no other target has taken over its address. */
   boolean isCurrentAtPace(TargetEntry target) {
     TargetEntry current = targetsByAddress.getOrDefault(target.address(), target);
-    return !target.isSupersededBy(current) && !isTooSlow(target);
+    return !target.isSupersededBy(current, latestStartMs()) && !isTooSlow(target);
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -135,7 +135,14 @@
     this.peers = new PeerTable(settings.name());
     this.lease = new PlacementLease(settings.name(), incarnation);
     this.fleet =
-        new FleetState(registry, deps.engines(), peers, clock, this::readTargetsEarly, log);
+        new FleetState(
+            registry,
+            deps.engines(),
+            peers,
+            clock,
+            System::currentTimeMillis,
+            this::readTargetsEarly,
+            log);
     this.limits = new LimitKeeper(fleet, peers, clock, log);
     this.suspension = new SuspensionCheck(clock, log, lease::relinquish);
     this.forwarder = newForwarder(deps.headerCodec());
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ChangingFleet.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ChangingFleet.java
@@ -72,7 +72,13 @@
     this.random = random;
     this.state =
         new FleetState(
-            registry, this, new PeerTable("n"), () -> nowMs, () -> {}, (kind, id, fields) -> {});
+            registry,
+            this,
+            new PeerTable("n"),
+            () -> nowMs,
+            () -> starts,
+            () -> {},
+            (kind, id, fields) -> {});
     this.placement =
         new PlacementDriver(
             registry,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
@@ -94,6 +94,7 @@
             this,
             peers,
             () -> nowMs,
+            () -> nowMs,
             () -> {},
             (kind, attempt, fields) -> events.add(kind));
     this.links =
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -61,6 +61,7 @@
   private final List<String> checkedIds = new ArrayList<>();
   private final List<String> refusingIds = new ArrayList<>();
   private long nowMs = 10_000;
+  private long unixTimeMs = 1_796_000_000_000L;
   private int rereadCount;
   private final PeerTable peers = new PeerTable("n");
   private final List<Boolean> reviews = new ArrayList<>();
@@ -70,6 +71,7 @@
           new Engines(),
           peers,
           () -> nowMs,
+          () -> unixTimeMs,
           () -> rereadCount++,
           (kind, attempt, fields) -> loggedKinds.add(kind));
 
@@ -264,6 +266,11 @@
   }
 
   private static TargetEntry startedLater(TargetEntry entry, String id, String service) {
+    return startedAt(entry.startedAtMs() + 5, entry, id, service);
+  }
+
+  private static TargetEntry startedAt(
+      long startedAtMs, TargetEntry entry, String id, String service) {
     return new TargetEntry(
         id,
         service,
@@ -273,7 +280,7 @@
         false,
         entry.acceleratorKind(),
         Optional.empty(),
-        entry.startedAtMs() + 5,
+        startedAtMs,
         0);
   }
 
@@ -290,6 +297,41 @@
     assertThat(fleet.isReliable(successor)).isTrue();
   }
 
+  /** Guards against entries of another writer that take the address of a target for ever. */
+  @Test
+  void anEntryThatStartsInTheFutureTakesNoAddressOver() {
+    Map<String, ServiceSettings> services = new HashMap<>(CONFIGURATION.services());
+    services.put("desk", new ServiceSettings("desk", "/health", 10, Optional.empty()));
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(2, List.of(), services, RequestLimits.DEFAULT, Optional.empty());
+    final List<String> before = paths();
+    TargetEntry third = registry.entries().get(2);
+    TargetEntry odd = startedAt(TargetEntry.MAX_STARTED_AT_MS, third, "z-3", "model");
+    registry.put(odd);
+    registry.put(startedAt(unixTimeMs + FleetState.MAX_CLOCK_ERROR_MS + 1, third, "z-4", "desk"));
+    fleet.tick(Optional.of(configuration));
+    assertThat(paths()).isEqualTo(before);
+    assertThat(fleet.targets("desk")).isEmpty();
+    assertThat(fleet.isReliable(third)).isTrue();
+    assertThat(fleet.isReliable(odd)).isFalse();
+  }
+
+  /** Guards against a node whose clock is far behind and that uses targets which have ended. */
+  @Test
+  void theLastStartIsUsedIfTheClockOfTheNodeIsFarBehind() {
+    unixTimeMs = 0;
+    TargetEntry third = registry.entries().get(2);
+    long startedAtMs = 1_796_000_000_000L;
+    registry.put(startedAt(startedAtMs, third, "a-3", "model"));
+    registry.put(startedAt(startedAtMs + 5, third, "a-4", "model"));
+    registry.remove("t-3", nowMs);
+    fleet.tick(Optional.of(CONFIGURATION));
+    assertThat(fleet.targets("model"))
+        .extracting(TargetEntry::id)
+        .contains("a-4")
+        .doesNotContain("a-3");
+  }
+
   /** Guards against a sound target that is left out because of an entry of another writer. */
   @Test
   void anEntryOfAnUnknownServiceTakesNoAddressOver() {
