--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -80,8 +80,19 @@
      * take effect later.
      *
      * @param reason why there is no response
+     * @param isTooLarge whether its body is larger than {@link Request#maxResponseBytes}
      */
-    record Unanswered(String reason) implements Result {}
+    record Unanswered(String reason, boolean isTooLarge) implements Result {
+
+      /**
+       * Creates the outcome of a call whose response failed for another reason than its size.
+       *
+       * @param reason why there is no response
+       */
+      public Unanswered(String reason) {
+        this(reason, false);
+      }
+    }
   }
 
   /**
@@ -174,7 +185,7 @@
         channel.abort();
         finish(
             new Result.Unanswered(
-                "response body is larger than " + request.maxResponseBytes() + " bytes"));
+                "response body is larger than " + request.maxResponseBytes() + " bytes", true));
       } else {
         responseBody.writeBytes(content);
       }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedResult.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedResult.java
@@ -25,6 +25,12 @@
   record Change<T>(
       String key, Optional<T> value, Optional<byte[]> content, Optional<String> defect) {
 
+    /**
+     * Maximum length of an entry's content; the platform's store takes at most 1 MB in a write. A
+     * longer one is neither kept nor relayed.
+     */
+    static final int MAX_CONTENT_BYTES = 1_048_576;
+
     /** Maximum length of a reason, which is logged. */
     static final int MAX_DEFECT_CHARACTERS = 200;
 
@@ -54,6 +60,10 @@
       if (content.isEmpty()) {
         return new Change<>(key, Optional.empty(), content);
       }
+      if (content.get().length > MAX_CONTENT_BYTES) {
+        String reason = "content is longer than " + MAX_CONTENT_BYTES + " bytes";
+        return invalid(key, Optional.of(new byte[0]), reason);
+      }
       try {
         return new Change<>(key, decoder.decode(key, content.get()), content);
       } catch (IOException | IllegalArgumentException e) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LeftOutEntriesTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LeftOutEntriesTest.java
@@ -91,6 +91,17 @@
     assertThat(deep.defect()).contains("java.lang.StackOverflowError");
   }
 
+  /** Guards against odd entries that take the memory of a node and the frames to its followers. */
+  @Test
+  void theContentOfAnEntryThatIsTooLongIsNotKept() {
+    byte[] longContent = new byte[FeedResult.Change.MAX_CONTENT_BYTES + 1];
+    FeedResult.Change<String> change =
+        FeedResult.Change.decode("a", Optional.of(longContent), (key, bytes) -> Optional.of("v"));
+    assertThat(change.value()).isEmpty();
+    assertThat(change.defect()).isPresent();
+    assertThat(change.content().orElseThrow()).isEmpty();
+  }
+
   /** Guards against log lines that are as long as the odd entry. */
   @Test
   void aReasonIsOneLineOfBoundedLength() {
