Let followers read the store if a frame is too large

Changes of more than 4 MiB, as after some 80 odd entries of the largest size at once, made a frame that the decoders of the followers reject. Each follower lost its link, avoided its source for 3 s and read the store. It was not left behind for good: it read the list itself.

The sender now replaces the changes by the update that makes a follower read the whole list, which the store delivers in pages. The followers keep their links and their source.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayServer.java
@@ -186,14 +186,29 @@
         newUpdate(list, from).ifPresent(updates::add);
       }
     }
-    RelayFrame frame =
+    byte[] frame = encodeFrame(updates);
+    if (frame.length > MAX_FRAME_BYTES - LENGTH_BYTES) {
+      // The follower's decoder would end the connection. The store delivers a list in pages.
+      updates.replaceAll(
+          update -> update.changes().isEmpty() ? update : newFullRead(update.list()));
+      frame = encodeFrame(updates);
+    }
+    return Unpooled.wrappedBuffer(frame);
+  }
+
+  private byte[] encodeFrame(List<ListUpdate> updates) {
+    return RelayCodec.encodeFrame(
         new RelayFrame(
             availability.path(),
             availability.isRecent(),
             availability.restoreGraceMs(),
             updates,
-            loads.total());
-    return Unpooled.wrappedBuffer(RelayCodec.encodeFrame(frame));
+            loads.total()));
+  }
+
+  /** Returns an update by which a follower reads the whole list from the store. */
+  private static ListUpdate newFullRead(String list) {
+    return new ListUpdate(list, Optional.empty(), 0, List.of());
   }
 
   /**
@@ -206,7 +221,7 @@
       return Optional.empty();
     }
     if (!history.canContinueFrom(from)) {
-      return Optional.of(new ListUpdate(list.name(), Optional.empty(), 0, List.of()));
+      return Optional.of(newFullRead(list.name()));
     }
     return Optional.of(
         new ListUpdate(
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
@@ -147,6 +147,22 @@
         BOUND_MS);
   }
 
+  /**
+   * Guards against a follower whose link ends with each frame that holds more than a frame may, as
+   * after many odd entries at once.
+   */
+  @Test
+  void changesThatAreTooLargeForAFrameAreReadFromTheStoreByEachNode() throws Exception {
+    startNodes("a1", "a2", "a3");
+    events.clear();
+    String large = "x".repeat(RelayServer.MAX_FRAME_BYTES);
+    onLoop(() -> store.put(large));
+    awaitValueEverywhere(large);
+    onLoop(() -> store.put("small"));
+    awaitValueEverywhere("small");
+    assertThat(events).noneMatch(event -> event.contains("list-source-lost"));
+  }
+
   private static long nowMs() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
