--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -135,7 +135,14 @@
     this.peers = new PeerTable(settings.name());
     this.lease = new PlacementLease(settings.name(), incarnation);
     this.fleet =
-        new FleetState(registry, deps.engines(), peers, clock, this::readTargetsEarly, log);
+        new FleetState(
+            registry,
+            deps.engines(),
+            peers,
+            clock,
+            System::currentTimeMillis,
+            this::readTargetsEarly,
+            log);
     this.limits = new LimitKeeper(fleet, peers, clock, log);
     this.suspension = new SuspensionCheck(clock, log, lease::relinquish);
     this.forwarder = newForwarder(deps.headerCodec());
@@ -432,6 +439,7 @@
     for (FeedFollower<?> list : List.of(configurationFeed, targetFeed)) {
       metrics.setGauge(list.name() + "_feed_responses", list.responseCount());
       metrics.setGauge(list.name() + "_feed_changes", list.changeCount());
+      metrics.setGauge(list.name() + "_entries_left_out", list.leftOutCount());
       metrics.setGauge(list.name() + "_feed_revision", list.history().position().revision());
     }
     return metrics.page();
