Tell the other nodes which targets announced their leaving

While the store is away, its list does not help.

Reports carry the start of each target that announced its leaving, by id. A node applies it to this life of the target only, so a restarted target is used; reports repeat it, so lost datagrams and nodes that start later are covered. Only the node that heard the target reports it at once.

aReportWithLimitsBearsTheNumberThatTheVersionBeforeReads is now a test of both formats with further fields, with the same assertions.

Ruled out: telling the others of pauses; a pause is kept for each target and node by its rule.

LeavingReportTest, over sockets: with the field neither written nor applied 3 of 3 fail; with it 3 of 3 pass. PeerReportFormatsTest 10, PeerReportCodecTest 5, PeerReportSocketTest 2, TargetAnswersTest 11, TargetRegistryTest 20, FleetStateTest 27 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -37,6 +37,8 @@
  *     lists them, they are not leaving, and the sender does not suspect them; 0 for a service of
  *     whose targets it reaches none; empty if the sender's version does not report it
  * @param limits what the sender knows of the limits that targets named, by target id
+ * @param announcedLeaving start, in Unix milliseconds, of the targets that said in an answer to the
+ *     sender or another node that they are about to leave, by target id
  */
 public record PeerReport(
     String node,
@@ -58,7 +60,8 @@
     boolean canRelay,
     long configurationVersion,
     Map<String, Integer> reachableTargets,
-    Map<String, LimitReport> limits) {
+    Map<String, LimitReport> limits,
+    Map<String, Long> announcedLeaving) {
 
   /**
    * Returns whether the sender holds the placement lease and thus plans the placement.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
@@ -27,13 +27,18 @@
 public final class PeerReportCodec {
 
   /** The present format. */
-  public static final int FORMAT_VERSION = 9;
+  public static final int FORMAT_VERSION = 10;
 
-  private static final int FIELD_COUNT = 21;
+  private static final int FIELD_COUNT = 22;
+
+  /** Format with limits but without targets that announced their leaving. */
+  private static final int FORMAT_WITHOUT_LEAVING = 9;
+
+  private static final int FIELD_COUNT_WITHOUT_LEAVING = 21;
 
   /**
-   * Format without limits. The present one bears its number and has a further field: of the
-   * versions that write it, some ignore further fields, and none reads another number.
+   * Format without limits. The later ones bear its number and have further fields: of the versions
+   * that write it, some ignore further fields, and none reads another number.
    */
   private static final int FORMAT_WITHOUT_LIMITS = 8;
 
@@ -92,7 +97,7 @@
         packer.packString(suspect);
       }
       if (!isEarlier) {
-        packAges(packer, report.answeringSuspects());
+        packMillis(packer, report.answeringSuspects());
       }
       if (format == FORMAT_WITH_CRASH_MARKS) {
         packer.packArrayHeader(0);
@@ -106,9 +111,12 @@
       if (!isEarlier) {
         packCounts(packer, report.reachableTargets());
       }
-      if (format == FORMAT_VERSION) {
+      if (format >= FORMAT_WITHOUT_LEAVING) {
         packLimits(packer, report.limits());
       }
+      if (format == FORMAT_VERSION) {
+        packMillis(packer, report.announcedLeaving());
+      }
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a peer report", e);
@@ -118,15 +126,16 @@
   private static int fieldCount(int format) {
     return switch (format) {
       case FORMAT_VERSION -> FIELD_COUNT;
+      case FORMAT_WITHOUT_LEAVING -> FIELD_COUNT_WITHOUT_LEAVING;
       case FORMAT_WITHOUT_LIMITS -> FIELD_COUNT_WITHOUT_LIMITS;
       default -> EARLIER_FIELD_COUNT;
     };
   }
 
-  private static void packAges(MessageBufferPacker packer, Map<String, Long> agesMs)
+  private static void packMillis(MessageBufferPacker packer, Map<String, Long> timesMs)
       throws IOException {
-    packer.packMapHeader(agesMs.size());
-    for (Map.Entry<String, Long> entry : agesMs.entrySet()) {
+    packer.packMapHeader(timesMs.size());
+    for (Map.Entry<String, Long> entry : timesMs.entrySet()) {
       packer.packString(entry.getKey()).packLong(entry.getValue());
     }
   }
@@ -201,7 +210,7 @@
           readLoads(unpacker),
           unpacker.unpackBoolean(),
           readSuspects(unpacker, isEarlier),
-          isEarlier ? Map.of() : readAges(unpacker),
+          isEarlier ? Map.of() : readMillis(unpacker),
           readCrashFindings(unpacker, format),
           unpacker.unpackLong(),
           readLayerReports(unpacker),
@@ -209,7 +218,8 @@
           unpacker.unpackBoolean(),
           unpacker.unpackLong(),
           isEarlier ? Map.of() : readCounts(unpacker),
-          format == FORMAT_VERSION ? readLimits(unpacker) : Map.of());
+          format >= FORMAT_WITHOUT_LEAVING ? readLimits(unpacker) : Map.of(),
+          format == FORMAT_VERSION ? readMillis(unpacker) : Map.of());
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode a peer report", e);
     }
@@ -242,7 +252,12 @@
     if (!isKnown) {
       throw new IOException("a peer report has an unknown field count or format version");
     }
-    return format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT ? FORMAT_VERSION : format;
+    if (format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT) {
+      return FORMAT_VERSION;
+    }
+    boolean hasLimits =
+        format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT_WITHOUT_LEAVING;
+    return hasLimits ? FORMAT_WITHOUT_LEAVING : format;
   }
 
   /**
@@ -329,13 +344,13 @@
     return strings;
   }
 
-  private static Map<String, Long> readAges(MessageUnpacker unpacker) throws IOException {
+  private static Map<String, Long> readMillis(MessageUnpacker unpacker) throws IOException {
     int size = checkSize(unpacker.unpackMapHeader());
-    Map<String, Long> ages = new HashMap<>();
+    Map<String, Long> timesMs = new HashMap<>();
     for (int i = 0; i < size; i++) {
-      ages.put(unpacker.unpackString(), unpacker.unpackLong());
+      timesMs.put(unpacker.unpackString(), unpacker.unpackLong());
     }
-    return ages;
+    return timesMs;
   }
 
   private static CrashFindings readCrashFindings(MessageUnpacker unpacker) throws IOException {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -114,18 +114,28 @@
    * Records that a target itself said that it is about to leave.
    *
    * @param id id of the target
-   * @return true if that was not known
+   * @param startedAtMs start of the target's life that said so, in Unix milliseconds
+   * @return true if that was not known and the target is in this life
    */
-  public boolean announceLeaving(String id) {
+  public boolean announceLeaving(String id, long startedAtMs) {
     TargetEntry entry = entries.get(id);
-    if (entry == null || entry.isLeaving()) {
+    if (entry == null || entry.isLeaving() || entry.startedAtMs() != startedAtMs) {
       return false;
     }
-    announcedStartMs.put(id, entry.startedAtMs());
+    announcedStartMs.put(id, startedAtMs);
     store(entry);
     return true;
   }
 
+  /**
+   * Returns the targets that said that they are about to leave and are not listed as leaving.
+   *
+   * @return an immutable copy: start in Unix milliseconds by target id
+   */
+  public Map<String, Long> announcedLeaving() {
+    return Map.copyOf(announcedStartMs);
+  }
+
   private boolean isOlderThanKnown(TargetEntry entry) {
     TargetEntry known = entries.get(entry.id());
     if (known == null) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -71,6 +71,7 @@
   private final Map<String, Long> endedStartsMs = new HashMap<>();
 
   private final TargetPauses pauses = new TargetPauses();
+  private final LeavingAnnouncements leaving;
   private final TargetTestimony testimony;
   private final TargetProber prober;
   private long composedRegistryRevision = -1;
@@ -92,6 +93,9 @@
     this.clock = clock;
     this.log = log;
     this.slowTargets = new SlowTargets(log);
+    this.leaving =
+        new LeavingAnnouncements(
+            registry, () -> composedConfiguration.ifPresent(this::recompose), log);
     this.testimony =
         new TargetTestimony(
             peers,
@@ -122,6 +126,11 @@
     return testimony;
   }
 
+  /** Returns which targets said in their answers that they are about to leave. */
+  LeavingAnnouncements leaving() {
+    return leaving;
+  }
+
   SuspectTracker suspectTracker() {
     return suspectTracker;
   }
@@ -202,16 +211,16 @@
                 .filter(entry -> configuration.services().containsKey(entry.service()))
                 .toList());
     listedStarts.update(currentTargets, clock.nowMs());
-    Set<String> leaving = new HashSet<>();
+    Set<String> leavingAddresses = new HashSet<>();
     for (TargetEntry entry : currentTargets) {
       if (entry.isLeaving()) {
-        leaving.add(entry.address());
+        leavingAddresses.add(entry.address());
       } else {
         targetsByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
         targetsByAddress.put(entry.address(), entry);
       }
     }
-    continuity.updateLeaving(leaving, clock.nowMs());
+    continuity.updateLeaving(leavingAddresses, clock.nowMs());
     reachableTargets = countReachableTargets();
     Map<String, List<ModelPipeline>> previousByService = new HashMap<>(pipelinesByService);
     pipelinesByService.clear();
@@ -417,9 +426,8 @@
       return;
     }
     testimony.onAnswered(address);
-    if (metadata.isLeaving() && registry.announceLeaving(target.id())) {
-      log.recordEvent("leaving-announced", "", "target", address);
-      composedConfiguration.ifPresent(this::recompose);
+    if (metadata.isLeaving()) {
+      leaving.onAnnounced(target);
     }
     if (metadata.retryAfter().isPresent()) {
       String retryAfter = metadata.retryAfter().get();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -105,7 +105,8 @@
         state.crashCauses().ownRevision(),
         state.registry().layerReports(),
         state.fleet().reachedServices(),
-        state.limits().limits().revision());
+        state.limits().limits().revision(),
+        state.fleet().leaving().heardCount());
   }
 
   /**
@@ -151,7 +152,8 @@
             !isLast && state.canRelay().getAsBoolean(),
             state.configurationVersion().getAsLong(),
             state.fleet().reachableTargets(),
-            state.limits().limits().reports(nowMs));
+            state.limits().limits().reports(nowMs),
+            state.registry().announcedLeaving());
     socket.send(report, state.peers().reportAddresses());
   }
 
@@ -171,6 +173,7 @@
     state.crashCauses().merge(report.crashFindings(), nowMs);
     state.fleet().onPeerSuspects(report.node(), report.suspects(), report.answeringSuspects());
     state.limits().onReport(report);
+    state.fleet().leaving().onReport(report.node(), report.announcedLeaving());
     state.fleet().onPeerLayerReports(report.node(), report.layerReports());
     onLoadsChanged.run();
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportCodecTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportCodecTest.java
@@ -78,7 +78,8 @@
             "t-4",
             new LimitReport(5, OptionalDouble.of(4.9), 70, 30, 2.25, 9.5),
             "t-5",
-            new LimitReport(6, OptionalDouble.empty(), 7, 3, 0, 0)));
+            new LimitReport(6, OptionalDouble.empty(), 7, 3, 0, 0)),
+        Map.of("t-6", 1_700_000_000_000L));
   }
 
   @Test
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportFormatsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportFormatsTest.java
@@ -58,6 +58,7 @@
         true,
         12,
         reachableTargets,
+        Map.of(),
         Map.of());
   }
 
@@ -75,6 +76,7 @@
    */
   @Test
   void reportsOfEarlierVersionsAreReadWithoutWhatTheirSendersCannotTell() throws IOException {
+    assertThat(PeerReportCodec.decode(written("598b8ee"))).isEqualTo(REPORT);
     assertThat(PeerReportCodec.decode(written("2fdbeef"))).isEqualTo(REPORT);
     CrashFindings starts = new CrashFindings(List.of(), FINDINGS.soundStarts());
     assertThat(PeerReportCodec.decode(written("ccd7298")))
@@ -93,7 +95,12 @@
 
   /** The format 5 has marks of crashes, which are not sent, instead of findings. */
   @ParameterizedTest
-  @CsvSource({"2fdbeef, 8, '', ''", "ccd7298, 6, '', ''", "ff14b8a, 5, 924d4e64, 9064"})
+  @CsvSource({
+    "598b8ee, 9, '', ''",
+    "2fdbeef, 8, '', ''",
+    "ccd7298, 6, '', ''",
+    "ff14b8a, 5, 924d4e64, 9064"
+  })
   void aReportIsWrittenAsEarlierVersionsReadIt(
       String commit, int format, String marks, String noMarks) throws IOException {
     byte[] bytes = written(commit);
@@ -113,14 +120,16 @@
   }
 
   /** Guards against a version that ignores further fields and then reads none of the reports. */
-  @Test
-  void aReportWithLimitsBearsTheNumberThatTheVersionBeforeReads() throws IOException {
-    byte[] bytes = PeerReportCodec.encode(REPORT);
+  @ParameterizedTest
+  @CsvSource({"9, 1", "10, 2"})
+  void aReportWithFurtherFieldsBearsTheNumberThatTheVersionsBeforeRead(
+      int format, int furtherFields) throws IOException {
+    byte[] bytes = PeerReportCodec.encode(REPORT, format);
     byte[] earlier = written("2fdbeef");
-    assertThat(bytes[2]).isEqualTo((byte) (earlier[2] + 1));
+    assertThat(bytes[2]).isEqualTo((byte) (earlier[2] + furtherFields));
     assertThat(Arrays.copyOfRange(bytes, 3, earlier.length))
         .isEqualTo(Arrays.copyOfRange(earlier, 3, earlier.length));
-    assertThat(PeerReportCodec.readFormat(bytes)).isEqualTo(PeerReportCodec.FORMAT_VERSION);
+    assertThat(PeerReportCodec.readFormat(bytes)).isEqualTo(format);
   }
 
   @Test
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/RelayChoiceTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/RelayChoiceTest.java
@@ -41,6 +41,7 @@
         false,
         7,
         Map.of("model", reach),
+        Map.of(),
         Map.of());
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -205,8 +205,8 @@
   @Test
   void anAnnouncedLeavingOutlivesOlderEntriesOfTheList() {
     registry.replaceAll(List.of(first, second), 0);
-    assertThat(registry.announceLeaving(first.id())).isTrue();
-    assertThat(registry.announceLeaving(first.id())).isFalse();
+    assertThat(registry.announceLeaving(first.id(), first.startedAtMs())).isTrue();
+    assertThat(registry.announceLeaving(first.id(), first.startedAtMs())).isFalse();
     registry.put(first);
     registry.replaceAll(List.of(first, second), 60_000);
     assertThat(isFirstLeaving()).isTrue();
@@ -216,7 +216,7 @@
   @Test
   void anAnnouncedLeavingOutlivesAnOutageAndARestoreOfTheStore() {
     registry.replaceAll(List.of(first, second), 0);
-    registry.announceLeaving(first.id());
+    registry.announceLeaving(first.id(), first.startedAtMs());
     registry.onStoreUnavailable();
     registry.onHistoryReset(1_000);
     registry.replaceAll(List.of(first, second), 1_000);
@@ -227,7 +227,7 @@
   @Test
   void anotherStartOfTheTargetEndsAnAnnouncedLeaving() {
     registry.replaceAll(List.of(first, second), 0);
-    registry.announceLeaving(first.id());
+    registry.announceLeaving(first.id(), first.startedAtMs());
     TargetEntry restarted =
         new TargetEntry(
             "t-1", "model", first.address(), "a", 134, false, "large", first.layers(), 2, 1);
@@ -238,7 +238,7 @@
   @Test
   void aTargetThatTheListShowsAsReadyAgainAfterItsLeavingIsUsed() {
     registry.replaceAll(List.of(first, second), 0);
-    registry.announceLeaving(first.id());
+    registry.announceLeaving(first.id(), first.startedAtMs());
     registry.put(first.asLeaving());
     registry.put(first);
     assertThat(isFirstLeaving()).isFalse();
@@ -248,7 +248,7 @@
   void anAnnouncementOfAnUnknownTargetChangesNothing() {
     registry.replaceAll(List.of(first), 0);
     long revision = registry.revision();
-    assertThat(registry.announceLeaving(second.id())).isFalse();
+    assertThat(registry.announceLeaving(second.id(), second.startedAtMs())).isFalse();
     assertThat(registry.revision()).isEqualTo(revision);
   }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
@@ -213,6 +213,7 @@
             true,
             1,
             reachable,
+            Map.of(),
             Map.of()),
         nowMs);
     fleet.onPeerSuspects(node, List.copyOf(suspects), agesMs);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -335,6 +335,7 @@
             false,
             0,
             reachableTargets,
+            Map.of(),
             Map.of());
     peers.accept(report, nowMs);
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LeaseKeeperTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LeaseKeeperTest.java
@@ -71,6 +71,7 @@
         false,
         0,
         Map.of(),
+        Map.of(),
         Map.of());
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
@@ -501,6 +501,7 @@
           distribution.canRelay(),
           0,
           Map.of(),
+          Map.of(),
           Map.of());
     }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PeerReportSocketTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PeerReportSocketTest.java
@@ -90,6 +90,7 @@
         true,
         3,
         Map.of(),
+        Map.of(),
         Map.of());
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
@@ -89,6 +89,7 @@
               false,
               1,
               Map.of("model", 2, "plain", 1),
+              Map.of(),
               Map.of());
       byte[] bytes = PeerReportCodec.encode(report);
       int port = Integer.parseInt(reportAddress.substring(reportAddress.lastIndexOf(':') + 1));
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StartDuringRestoreTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StartDuringRestoreTest.java
@@ -44,6 +44,7 @@
             false,
             configurationVersion,
             Map.of(),
+            Map.of(),
             Map.of());
     byte[] bytes = PeerReportCodec.encode(report);
     int port = Integer.parseInt(reportAddress.substring(reportAddress.lastIndexOf(':') + 1));
