Send an attempt at most once on a connection to a target

Callers were told "not run" for a once-only request that a target ran, and a stream ran twice, if a target wrote its refusal of the same attempt once more on a kept connection.

Cause: responses are matched by the id of the attempt, so that a copy of the response to an earlier send of an attempt cannot be told from the response to its next send. Plain requests did not ask whether the connection had carried the attempt. Streams did, but a connection knew only its last attempt, so that one other attempt in between was enough.

Ruled out: other attempts (the id differs, and the copy is ignored); bytes between two requests (the connection is closed).

Each connection now knows the attempts that it has carried, and the pool, the one place from which plain and streamed requests take connections, leaves it to other attempts. It holds four bytes for each attempt, the hash code of the id, because ids come from callers and may be long; two ids with one hash code merely use two connections. After 1,024 attempts the connection is closed, which adds one new connection to 1,024 requests. Ways that were weighed: a connection closed after each refusal costs a new connection for each of them, also to full targets, and does not help with other responses that are written twice; exchanges that remember their connections do not know callers that repeat an id.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -93,7 +93,9 @@
    */
   public void call(String address, Request request, Consumer<Result> onResult) {
     new Call(address, request, onResult)
-        .start((onReady, onFailed) -> channelPool.acquire(address, MAX_IDLE_MS, onReady, onFailed));
+        .start(
+            (onReady, onFailed) ->
+                channelPool.acquire(address, null, MAX_IDLE_MS, onReady, onFailed));
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -324,6 +324,7 @@
           .channelPool()
           .acquire(
               target.address(),
+              request.metadata().attemptId(),
               isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannelPool.DEFAULT_IDLE_MS,
               guard.wrap(this::onConnected),
               guard.wrap(this::onNotConnected));
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -118,6 +118,7 @@
         .channelPool()
         .acquire(
             node.address(),
+            null,
             RelayConnections.MAX_IDLE_MS,
             guard.wrap(this::onConnected),
             guard.wrap(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -294,14 +294,11 @@
       context.limits().tryTake(pipeline.head());
       reserve();
       dispatcher.addRunning(StreamExchange.this);
-      acquire();
-    }
-
-    private void acquire() {
       context
           .channelPool()
           .acquire(
               pipeline.head().address(),
+              request.metadata().attemptId(),
               TargetChannelPool.DEFAULT_IDLE_MS,
               guard.wrap(this::onConnected),
               guard.wrap(this::onNotConnected));
@@ -316,11 +313,6 @@
         connected.abort();
         return;
       }
-      if (connected.hasCarried(request.metadata().attemptId())) {
-        connected.abort();
-        acquire();
-        return;
-      }
       if (!context.fleet().mayReceive(pipeline.head().address())) {
         connected.abort();
         end();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -20,7 +20,8 @@
 
 /**
  * A connection to a target. It carries one request at a time. Responses are matched by the id of
- * the attempt because a target may send a second or a late response on a reused connection.
+ * the attempt because a target may send a second or a late response on a reused connection. For the
+ * same reason, an attempt is sent at most once on a connection.
  */
 final class TargetChannel extends ChannelInboundHandlerAdapter {
 
@@ -50,6 +51,7 @@
   private boolean isReusable;
   private boolean hasDefinedLength;
   private boolean hasFailed;
+  private final CarriedAttempts carriedAttempts = new CarriedAttempts();
   private boolean isFirstUse = true;
   private long overheadBytes;
   private long idleSinceMs;
@@ -78,25 +80,29 @@
   }
 
   /**
-   * Returns whether the last response on this connection was one to the given attempt. A second
-   * copy of it could not be told from the response to the next send of the same attempt.
+   * Returns whether the response to an attempt can be told from all others that may still arrive
+   * here. A copy of the response to an earlier send of the attempt could not.
    *
-   * @param id attempt id
-   * @return false for a new connection
+   * @param id attempt id, null if responses carry none
+   * @return true for a new connection
    */
-  boolean hasCarried(String id) {
-    return !isFirstUse && id.equals(attemptId);
+  boolean canMatch(String id) {
+    return id == null || !carriedAttempts.mayContain(id);
   }
 
   /**
    * Sends a request.
    *
    * @param request the request, which is released
-   * @param newAttemptId attempt id that the response must carry, null if responses carry none
+   * @param newAttemptId attempt id that the response must carry, null if responses carry none; the
+   *     connection must be able to {@linkplain #canMatch match} it
    * @param newListener receives the response
    */
   void send(FullHttpRequest request, String newAttemptId, ResponseListener newListener) {
     attemptId = newAttemptId;
+    if (newAttemptId != null) {
+      carriedAttempts.add(newAttemptId);
+    }
     listener = newListener;
     hasResponseStarted = false;
     isIgnoringContent = false;
@@ -257,7 +263,10 @@
     final ResponseListener ended = listener;
     listener = null;
     isFirstUse = false;
-    if (isReusable && written.isSuccess() && !decoder.hasBytesAfterResponse()) {
+    if (isReusable
+        && !carriedAttempts.isFull()
+        && written.isSuccess()
+        && !decoder.hasBytesAfterResponse()) {
       // Released only after this read: further bytes in it belong to no request and must close the
       // connection.
       channel
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -12,8 +12,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Pool of connections to targets. All methods must be called on the event loop. */
@@ -61,27 +63,46 @@
   }
 
   /**
-   * Takes an idle connection from the pool or opens a new one.
+   * Takes an idle connection from the pool or opens a new one. A connection on which the attempt
+   * was sent before is left to other attempts.
    *
    * @param address IP address and port
+   * @param attemptId attempt id of the request, null if responses carry none
    * @param maxIdleMs longest idle time of a pooled connection, in milliseconds; the target may
    *     close one that was idle for longer while the request is on its way
    * @param onReady receives the connection
    * @param onFailed receives the reason if connecting fails; nothing was sent then
    */
   void acquire(
-      String address, long maxIdleMs, Consumer<TargetChannel> onReady, Consumer<String> onFailed) {
-    Deque<TargetChannel> pooled = idle.get(address);
-    while (pooled != null && !pooled.isEmpty()) {
-      TargetChannel channel = pooled.pollLast();
+      String address,
+      String attemptId,
+      long maxIdleMs,
+      Consumer<TargetChannel> onReady,
+      Consumer<String> onFailed) {
+    Optional<TargetChannel> pooled = takeIdle(address, attemptId, maxIdleMs);
+    if (pooled.isPresent()) {
+      onReady.accept(pooled.get());
+    } else {
+      connect(address, onReady, onFailed);
+    }
+  }
+
+  /** Takes the connection that was idle for the shortest time, and closes unfit ones before it. */
+  private Optional<TargetChannel> takeIdle(String address, String attemptId, long maxIdleMs) {
+    Deque<TargetChannel> pooled = idle.getOrDefault(address, new ArrayDeque<>());
+    Iterator<TargetChannel> latestFirst = pooled.descendingIterator();
+    while (latestFirst.hasNext()) {
+      TargetChannel channel = latestFirst.next();
       long idleMs = clock.nowMs() - channel.idleSinceMs();
-      if (channel.isActive() && idleMs <= Math.min(maxIdleMs, channel.idleLimitMs())) {
-        onReady.accept(channel);
-        return;
+      if (!channel.isActive() || idleMs > Math.min(maxIdleMs, channel.idleLimitMs())) {
+        latestFirst.remove();
+        channel.abort();
+      } else if (channel.canMatch(attemptId)) {
+        latestFirst.remove();
+        return Optional.of(channel);
       }
-      channel.abort();
     }
-    connect(address, onReady, onFailed);
+    return Optional.empty();
   }
 
   /**
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -13,17 +13,22 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests how the end of a connection to a target ends its request. */
+/** Tests which connections to targets requests use, and how the end of one ends its request. */
 class TargetChannelTest {
 
   private static final int LARGE_BODY_BYTES = 64 << 20;
@@ -31,6 +36,16 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
+  private final EventLoop loop = group.next();
+
+  private TargetChannelPool newPool() {
+    return new TargetChannelPool(
+        loop,
+        () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+        new TestHeaderCodec(),
+        (address, metadata, sentMs) -> {});
+  }
+
   @AfterEach
   void stop() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -70,20 +85,122 @@
     return request;
   }
 
+  /** Accepts connections, answers each request on them with its id, and counts both. */
+  private static final class EchoingTarget implements AutoCloseable {
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final AtomicInteger connections = new AtomicInteger();
+
+    EchoingTarget() throws IOException {
+      startDaemon(this::accept);
+    }
+
+    private static void startDaemon(Runnable task) {
+      Thread thread = new Thread(task, "echoing-target");
+      thread.setDaemon(true);
+      thread.start();
+    }
+
+    private void accept() {
+      while (!listener.isClosed()) {
+        try {
+          Socket socket = listener.accept();
+          connections.incrementAndGet();
+          startDaemon(() -> serve(socket));
+        } catch (IOException e) {
+          return;
+        }
+      }
+    }
+
+    private static void serve(Socket socket) {
+      try (socket) {
+        BufferedReader in =
+            new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        String attempt = "";
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+          if (line.startsWith("attempt: ")) {
+            attempt = line;
+          } else if (line.isEmpty()) {
+            String answer = "HTTP/1.1 200 X\r\n" + attempt + "\r\nContent-Length: 0\r\n\r\n";
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+          }
+        }
+      } catch (IOException e) {
+        // The pool has closed the connection.
+        return;
+      }
+    }
+
+    int connectionCount() {
+      return connections.get();
+    }
+
+    String address() {
+      return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+      listener.close();
+    }
+  }
+
+  /** Sends a request of an attempt over a connection of the pool and awaits its response. */
+  private void send(TargetChannelPool pool, String address, String attempt) throws Exception {
+    Outcome outcome = new Outcome();
+    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+    request.headers().set("attempt", attempt);
+    loop.execute(
+        () ->
+            pool.acquire(
+                address,
+                attempt,
+                TargetChannelPool.DEFAULT_IDLE_MS,
+                channel -> channel.send(request, attempt, outcome),
+                outcome::onFailure));
+    assertThat(outcome.result.get(5, TimeUnit.SECONDS)).isEqualTo("complete");
+    // The connection is released after the step that ends the response.
+    loop.submit(() -> {}).get();
+  }
+
+  @Test
+  void anAttemptIsSentAtMostOnceOnAConnectionThatOthersKeepUsing() throws Exception {
+    TargetChannelPool pool = newPool();
+    try (EchoingTarget target = new EchoingTarget()) {
+      for (String attempt : List.of("a1", "a2", "a1", "a3", "a2", "a1")) {
+        send(pool, target.address(), attempt);
+      }
+      // The second a1 opens a connection, which the second a2 may use too; the third a1 opens one.
+      assertThat(target.connectionCount()).isEqualTo(3);
+    }
+  }
+
+  /** Guards against memory that grows with the requests on a connection. */
+  @Test
+  void aConnectionIsClosedBeforeItCarriesMoreAttemptsThanItKnows() throws Exception {
+    TargetChannelPool pool = newPool();
+    try (EchoingTarget target = new EchoingTarget()) {
+      for (int i = 0; i < CarriedAttempts.MAX_ATTEMPTS; i++) {
+        send(pool, target.address(), "a" + i);
+      }
+      assertThat(target.connectionCount()).isEqualTo(1);
+      send(pool, target.address(), "another");
+      assertThat(target.connectionCount()).isEqualTo(2);
+    }
+  }
+
   /** Guards against a failed write that looks like the end of a response without length. */
   @Test
   void aResetWhileTheRequestIsWrittenDoesNotCompleteAResponseWithoutLength() throws Exception {
-    EventLoop loop = group.next();
-    MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    TargetChannelPool pool =
-        new TargetChannelPool(
-            loop, clock, new TestHeaderCodec(), (address, metadata, sentMs) -> {});
+    TargetChannelPool pool = newPool();
     Outcome outcome = new Outcome();
     try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       loop.execute(
           () ->
               pool.acquire(
                   "127.0.0.1:" + listener.getLocalPort(),
+                  "a1",
                   0,
                   channel -> channel.send(largeRequest(), "a1", outcome),
                   outcome::onFailure));
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
@@ -0,0 +1,152 @@
+package org.gooseberryhook.router.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a refusal that a target writes once more on a kept connection and that is taken
+ * for the answer to a later send of the same attempt, which the target runs.
+ */
+class RepeatedAnswerTest extends RouterNodeHarness {
+
+  private static final int COPY_DELAY_MS = 30;
+
+  /** When a target writes its earlier refusal once more. */
+  private enum CopyTime {
+    /** As soon as the next request arrives, before that request is answered. */
+    BEFORE_NEXT_ANSWER,
+    /** In one packet with the answer to the next request. */
+    WITH_NEXT_ANSWER,
+    /** While no request is on the connection. */
+    BETWEEN_REQUESTS
+  }
+
+  /** The first refusal on each connection. */
+  private final Map<OutputStream, String> refusals = new ConcurrentHashMap<>();
+
+  private final Set<String> refusedAttempts = ConcurrentHashMap.newKeySet();
+  private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+
+  private static String request(String path, String attempt) {
+    return post(path, "b").replace("attempt: a1", "attempt: " + attempt);
+  }
+
+  private static String refusal(String attempt, String extra) {
+    return "HTTP/1.1 503 X\r\nattempt: "
+        + attempt
+        + "\r\nnot-run: 1\r\n"
+        + extra
+        + "Content-Length: 0\r\n\r\n";
+  }
+
+  private static String answer(String request) {
+    String attempt = TargetStandin.header(request, "attempt");
+    boolean isStream = request.contains("/draft/");
+    return "HTTP/1.1 200 X\r\nattempt: "
+        + attempt
+        + "\r\nsigned: s\r\n"
+        + (isStream
+            ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"
+            : "Content-Length: 2\r\n\r\nok");
+  }
+
+  /** Refuses attempt {@code a1} when it comes first, runs all others and repeats the refusal. */
+  private TargetStandin.Script refusingOnce(CopyTime copyTime) {
+    return (request, out) -> {
+      String attempt = TargetStandin.header(request, "attempt");
+      if (attempt.equals("a1") && refusedAttempts.add(attempt)) {
+        // The pause outlasts the deadline, so that a stream is not sent again by itself.
+        String refusal = refusal(attempt, request.contains("/draft/") ? "pause: 1.0\r\n" : "");
+        refusals.put(out, refusal);
+        TargetStandin.write(out, refusal);
+        if (copyTime == CopyTime.BETWEEN_REQUESTS) {
+          Thread.sleep(COPY_DELAY_MS);
+          TargetStandin.write(out, refusal);
+        }
+        return;
+      }
+      runs.computeIfAbsent(attempt, a -> new AtomicInteger()).incrementAndGet();
+      String copy = refusals.getOrDefault(out, "");
+      if (copyTime == CopyTime.WITH_NEXT_ANSWER) {
+        TargetStandin.write(out, copy + answer(request));
+      } else {
+        if (copyTime == CopyTime.BEFORE_NEXT_ANSWER) {
+          TargetStandin.write(out, copy);
+          Thread.sleep(COPY_DELAY_MS);
+        }
+        TargetStandin.write(out, answer(request));
+      }
+    };
+  }
+
+  @ParameterizedTest(name = "{0}, {1}, other attempts in between: {2}")
+  @CsvSource({
+    "/book/x, BEFORE_NEXT_ANSWER, 0",
+    "/book/x, WITH_NEXT_ANSWER, 0",
+    "/book/x, BETWEEN_REQUESTS, 0",
+    "/book/x, BEFORE_NEXT_ANSWER, 1",
+    "/book/x, BEFORE_NEXT_ANSWER, 3",
+    "/book/x, WITH_NEXT_ANSWER, 1",
+    "/read/x, BEFORE_NEXT_ANSWER, 0",
+    "/read/x, WITH_NEXT_ANSWER, 1",
+    "/draft/x, BEFORE_NEXT_ANSWER, 0",
+    "/draft/x, BEFORE_NEXT_ANSWER, 1",
+    "/draft/x, WITH_NEXT_ANSWER, 0",
+    "/draft/x, WITH_NEXT_ANSWER, 3",
+    "/draft/x, BETWEEN_REQUESTS, 0"
+  })
+  void aCopyOfARefusalIsNoAnswerToALaterSendOfTheAttempt(String path, CopyTime time, int others)
+      throws Exception {
+    addTarget("plain", null, refusingOnce(time));
+    addPipeline(refusingOnce(time));
+    startNode();
+    boolean isStream = path.startsWith("/draft/");
+    String first = request(path, "a1");
+    String deadline = "attempt: a1\r\ndeadline: 700";
+    assertThat(exchange(isStream ? first.replace("attempt: a1", deadline) : first))
+        .startsWith("HTTP/1.1 503");
+    // Longer than a pause, which a copy states too.
+    Thread.sleep(isStream ? 1_100 : 2 * COPY_DELAY_MS);
+    for (int i = 0; i < others; i++) {
+      assertThat(exchange(request(path, "other" + i))).startsWith("HTTP/1.1 200");
+      Thread.sleep(isStream ? 1_100 : 2 * COPY_DELAY_MS);
+    }
+    assertThat(exchange(request(path, "a1"))).startsWith("HTTP/1.1 200");
+    assertThat(runs.get("a1")).hasValue(1);
+  }
+
+  /** Guards against a copy that ends the move of a stream to the head that refused it before. */
+  @Test
+  void aStreamThatIsRefusedAndSentAgainRunsOnce() throws Exception {
+    AtomicInteger refusalCount = new AtomicInteger();
+    addTarget(
+        "model",
+        LayerRange.of(0, 40),
+        (request, out) -> {
+          String attempt = TargetStandin.header(request, "attempt");
+          if (refusalCount.getAndIncrement() < 2) {
+            refusals.putIfAbsent(out, refusal(attempt, ""));
+            TargetStandin.write(out, refusal(attempt, ""));
+            return;
+          }
+          runs.computeIfAbsent(attempt, a -> new AtomicInteger()).incrementAndGet();
+          TargetStandin.write(out, refusals.getOrDefault(out, ""));
+          Thread.sleep(COPY_DELAY_MS);
+          TargetStandin.write(out, answer(request));
+        });
+    addTarget("model", LayerRange.of(40, 80), (request, out) -> {});
+    startNode();
+    assertThat(exchange(request("/draft/x", "a1"))).startsWith("HTTP/1.1 200");
+    assertThat(runs.get("a1")).hasValue(1);
+  }
+}
