Match responses without attempt id only as first on a connection

A caller without an attempt id got no answer but 504 at its deadline if its request went over a kept connection, and a refusal that named no attempt was believed although the connection had answered another attempt just before.

Cause: a response without id was accepted until the first response of a connection was complete. One that was ignored did not count, and a request without id could be sent on a connection where no response to it is accepted.

Ruled out: dropping each refusal without id.

A response without id is now accepted only as the first one of a connection, whatever that was, and a request without id goes over a new connection.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -52,7 +52,11 @@
   private boolean hasDefinedLength;
   private boolean hasFailed;
   private final CarriedAttempts carriedAttempts = new CarriedAttempts();
-  private boolean isFirstUse = true;
+  private boolean isUnused = true;
+
+  /** Whether the next response is the first one on this connection. */
+  private boolean isFirstResponse = true;
+
   private long overheadBytes;
   private long idleSinceMs;
   private long idleLimitMs;
@@ -81,13 +85,14 @@
 
   /**
    * Returns whether the response to an attempt can be told from all others that may still arrive
-   * here. A copy of the response to an earlier send of the attempt could not.
+   * here. A copy of the response to an earlier send of the attempt could not, and one to an attempt
+   * without id only on a connection that was not used before.
    *
-   * @param id attempt id, null if responses carry none
+   * @param id attempt id, empty if the request has none, null if responses carry none
    * @return true for a new connection
    */
   boolean canMatch(String id) {
-    return id == null || !carriedAttempts.mayContain(id);
+    return id == null || isUnused || (!id.isEmpty() && !carriedAttempts.mayContain(id));
   }
 
   /**
@@ -103,6 +108,7 @@
     if (newAttemptId != null) {
       carriedAttempts.add(newAttemptId);
     }
+    isUnused = false;
     listener = newListener;
     hasResponseStarted = false;
     isIgnoringContent = false;
@@ -188,7 +194,8 @@
         attemptId != null
             && (metadata.attemptId().isPresent()
                 ? !metadata.attemptId().get().equals(attemptId)
-                : !isFirstUse);
+                : !isFirstResponse);
+    isFirstResponse = false;
     pool.answerListener()
         .onAnswer(address, metadata, isOtherAttempt ? LimitObservation.UNKNOWN_TIME_MS : sentMs);
     if (isOtherAttempt) {
@@ -262,7 +269,6 @@
   private void end() {
     final ResponseListener ended = listener;
     listener = null;
-    isFirstUse = false;
     if (isReusable
         && !carriedAttempts.isFull()
         && written.isSuccess()
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
@@ -125,6 +125,55 @@
     assertThat(runs.get("a1")).hasValue(1);
   }
 
+  @Test
+  void aCopyWithoutIdOnAKeptConnectionIsNoAnswer() throws Exception {
+    AtomicInteger count = new AtomicInteger();
+    addTarget(
+        "plain",
+        null,
+        (request, out) -> {
+          boolean isFirst = count.getAndIncrement() == 0;
+          String copy = refusal("", "").replace("attempt: \r\n", "");
+          TargetStandin.write(out, isFirst ? copy : copy + answer(request));
+        });
+    startNode();
+    assertThat(exchange(request("/book/x", "a1"))).startsWith("HTTP/1.1 503");
+    assertThat(exchange(request("/book/x", "a2"))).startsWith("HTTP/1.1 200");
+    assertThat(count).hasValue(2);
+  }
+
+  /** Guards against a refusal that is believed although the connection mixes up its answers. */
+  @Test
+  void anAnswerWithoutIdAfterOneToAnotherAttemptIsNoAnswer() throws Exception {
+    addTarget(
+        "plain",
+        null,
+        (request, out) -> {
+          String unnamed = refusal("", "").replace("attempt: \r\n", "");
+          TargetStandin.write(out, refusal("other", "") + unnamed + answer(request));
+        });
+    startNode();
+    assertThat(exchange(request("/book/x", "a1"))).startsWith("HTTP/1.1 200");
+  }
+
+  /** Guards against an answer that is not recognized, so that its caller waits in vain. */
+  @Test
+  void aRequestWithoutIdGetsItsAnswerAfterOthersOnTheSameTarget() throws Exception {
+    addTarget(
+        "plain",
+        null,
+        (request, out) -> {
+          String named = answer(request);
+          TargetStandin.write(out, named.replace("attempt: \r\n", ""));
+        });
+    startNode();
+    assertThat(exchange(request("/book/x", "a1"))).startsWith("HTTP/1.1 200");
+    String withoutId = post("/book/x", "b").replace("attempt: a1\r\n", "");
+    for (int i = 0; i < 2; i++) {
+      assertThat(exchange(withoutId)).startsWith("HTTP/1.1 200").endsWith("ok");
+    }
+  }
+
   /** Guards against a copy that ends the move of a stream to the head that refused it before. */
   @Test
   void aStreamThatIsRefusedAndSentAgainRunsOnce() throws Exception {
