--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -20,7 +20,8 @@
 
 /**
  * A connection to a target. It carries one request at a time. Responses are matched by the id of
- * the attempt because a target may send a second or a late response on a reused connection.
+ * the attempt because a target may send a second or a late response on a reused connection. For the
+ * same reason, an attempt is sent at most once on a connection.
  */
 final class TargetChannel extends ChannelInboundHandlerAdapter {
 
@@ -50,7 +51,12 @@
   private boolean isReusable;
   private boolean hasDefinedLength;
   private boolean hasFailed;
-  private boolean isFirstUse = true;
+  private final CarriedAttempts carriedAttempts = new CarriedAttempts();
+  private boolean isUnused = true;
+
+  /** Whether the next response is the first one on this connection. */
+  private boolean isFirstResponse = true;
+
   private long overheadBytes;
   private long idleSinceMs;
   private long idleLimitMs;
@@ -78,25 +84,31 @@
   }
 
   /**
-   * Returns whether the last response on this connection was one to the given attempt. A second
-   * copy of it could not be told from the response to the next send of the same attempt.
+   * Returns whether the response to an attempt can be told from all others that may still arrive
+   * here. A copy of the response to an earlier send of the attempt could not, and one to an attempt
+   * without id only on a connection that was not used before.
    *
-   * @param id attempt id
-   * @return false for a new connection
+   * @param id attempt id, empty if the request has none, null if responses carry none
+   * @return true for a new connection
    */
-  boolean hasCarried(String id) {
-    return !isFirstUse && id.equals(attemptId);
+  boolean canMatch(String id) {
+    return id == null || isUnused || (!id.isEmpty() && !carriedAttempts.mayContain(id));
   }
 
   /**
    * Sends a request.
    *
    * @param request the request, which is released
-   * @param newAttemptId attempt id that the response must carry, null if responses carry none
+   * @param newAttemptId attempt id that the response must carry, null if responses carry none; the
+   *     connection must be able to {@linkplain #canMatch match} it
    * @param newListener receives the response
    */
   void send(FullHttpRequest request, String newAttemptId, ResponseListener newListener) {
     attemptId = newAttemptId;
+    if (newAttemptId != null) {
+      carriedAttempts.add(newAttemptId);
+    }
+    isUnused = false;
     listener = newListener;
     hasResponseStarted = false;
     isIgnoringContent = false;
@@ -182,7 +194,8 @@
         attemptId != null
             && (metadata.attemptId().isPresent()
                 ? !metadata.attemptId().get().equals(attemptId)
-                : !isFirstUse);
+                : !isFirstResponse);
+    isFirstResponse = false;
     pool.answerListener()
         .onAnswer(address, metadata, isOtherAttempt ? LimitObservation.UNKNOWN_TIME_MS : sentMs);
     if (isOtherAttempt) {
@@ -256,8 +269,10 @@
   private void end() {
     final ResponseListener ended = listener;
     listener = null;
-    isFirstUse = false;
-    if (isReusable && written.isSuccess() && !decoder.hasBytesAfterResponse()) {
+    if (isReusable
+        && !carriedAttempts.isFull()
+        && written.isSuccess()
+        && !decoder.hasBytesAfterResponse()) {
       // Released only after this read: further bytes in it belong to no request and must close the
       // connection.
       channel
