Keep what targets say about themselves in one class

Leaving and pauses, both said by a target in an answer, are handled by TargetAnnouncements now; FleetState only asks it.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -12,7 +12,6 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.gooseberryhook.router.admission.CapacitySharing;
-import org.gooseberryhook.router.admission.TargetPauses;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.RelayChoice;
@@ -75,8 +74,7 @@
   /** Listed start times of targets that reported a later start themselves, by id. */
   private final Map<String, Long> endedStartsMs = new HashMap<>();
 
-  private final TargetPauses pauses = new TargetPauses();
-  private final LeavingAnnouncements leaving;
+  private final TargetAnnouncements announcements;
   private final TargetTestimony testimony;
   private final TargetProber prober;
   private long composedRegistryRevision = -1;
@@ -100,9 +98,9 @@
     this.unixTimeMs = unixTimeMs;
     this.log = log;
     this.slowTargets = new SlowTargets(log);
-    this.leaving =
-        new LeavingAnnouncements(
-            registry, () -> composedConfiguration.ifPresent(this::recompose), log);
+    this.announcements =
+        new TargetAnnouncements(
+            registry, clock, () -> composedConfiguration.ifPresent(this::recompose), log);
     this.testimony =
         new TargetTestimony(
             peers,
@@ -116,7 +114,7 @@
             engines,
             peers,
             suspectTracker,
-            pauses,
+            announcements.pauses(),
             testimony,
             clock,
             this::isPlain,
@@ -133,9 +131,9 @@
     return testimony;
   }
 
-  /** Returns which targets said in their answers that they are about to leave. */
-  LeavingAnnouncements leaving() {
-    return leaving;
+  /** Returns what targets said about themselves in their answers. */
+  TargetAnnouncements announcements() {
+    return announcements;
   }
 
   SuspectTracker suspectTracker() {
@@ -219,16 +217,16 @@
                 .toList(),
             latestStartMs());
     listedStarts.update(currentTargets, clock.nowMs());
-    Set<String> leavingAddresses = new HashSet<>();
+    Set<String> leaving = new HashSet<>();
     for (TargetEntry entry : currentTargets) {
       if (entry.isLeaving()) {
-        leavingAddresses.add(entry.address());
+        leaving.add(entry.address());
       } else {
         targetsByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
         targetsByAddress.put(entry.address(), entry);
       }
     }
-    continuity.updateLeaving(leavingAddresses, clock.nowMs());
+    continuity.updateLeaving(leaving, clock.nowMs());
     reachableTargets = countReachableTargets();
     Map<String, List<ModelPipeline>> previousByService = new HashMap<>(pipelinesByService);
     pipelinesByService.clear();
@@ -438,25 +436,18 @@
       return;
     }
     testimony.onAnswered(address);
-    if (metadata.isLeaving()) {
-      leaving.onAnnounced(target);
-    }
-    if (metadata.retryAfter().isPresent()) {
-      String retryAfter = metadata.retryAfter().get();
-      TargetPauses.Verdict verdict = pauses.onAsked(address, retryAfter, clock.nowMs());
-      log.recordEvent(
-          "target-pauses", "", "target", address, "asked", retryAfter, "verdict", verdict);
-    }
+    announcements.onAnswer(target, metadata);
   }
 
   @Override
   public boolean mayReceive(String address) {
-    return targetsByAddress.containsKey(address) && !pauses.isPaused(address, clock.nowMs());
+    return targetsByAddress.containsKey(address)
+        && !announcements.pauses().isPaused(address, clock.nowMs());
   }
 
   @Override
   public long pauseEndMs(String address) {
-    return pauses.endMs(address, NO_PAUSE_MS);
+    return announcements.pauses().endMs(address, NO_PAUSE_MS);
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -106,7 +106,7 @@
         state.registry().layerReports(),
         state.fleet().reachedServices(),
         state.limits().limits().revision(),
-        state.fleet().leaving().heardCount());
+        state.fleet().announcements().heardLeavingCount());
   }
 
   /**
@@ -173,7 +173,7 @@
     state.crashCauses().merge(report.crashFindings(), nowMs);
     state.fleet().onPeerSuspects(report.node(), report.suspects(), report.answeringSuspects());
     state.limits().onReport(report);
-    state.fleet().leaving().onReport(report.node(), report.announcedLeaving());
+    state.fleet().announcements().onLeavingReported(report.node(), report.announcedLeaving());
     state.fleet().onPeerLayerReports(report.node(), report.layerReports());
     onLoadsChanged.run();
   }
