Break a stream off that can't be resumed after its last event

A caller of a stream whose events have no ids got the whole stream again, after the events that it had, and a proper end: the next attempt had no id to continue after, and began anew. The same happened to the events after the last one with an id. Found while the ends of a later attempt were listed; no caller has reported it.

A started stream is only resumed, moved or relayed if its last event had an id. The retry budget is not spent any more for a stream that may not be resumed.

BegunStreamTest: of 2 new cases 2 failed before (the stream began again and was ended as complete, so the connection stayed open), both pass now.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
@@ -5,9 +5,9 @@
 import java.util.regex.Pattern;
 
 /**
- * The ids of the events that the caller of a stream has received. Tells whether the events of a
- * later attempt continue the stream: a target that ignores the id of the last event would send
- * events twice.
+ * The ids of the events that the caller of a stream has received. Tells whether a later attempt can
+ * continue the stream, and whether its events do: a target that ignores the id of the last event
+ * would send events twice.
  */
 final class EventIds {
 
@@ -19,6 +19,7 @@
 
   private Optional<String> first = Optional.empty();
   private Optional<String> last;
+  private boolean hasLastEventId = true;
   private BigInteger step = BigInteger.ZERO;
   private int equalSteps;
   private boolean hasUnequalSteps;
@@ -43,7 +44,8 @@
    * @param id its id, empty if it has none
    */
   void onSent(String id) {
-    if (id.isEmpty()) {
+    hasLastEventId = !id.isEmpty();
+    if (!hasLastEventId) {
       return;
     }
     if (last.isPresent() && isNumber(last.get()) && isNumber(id)) {
@@ -58,6 +60,14 @@
     last = Optional.of(id);
   }
 
+  /**
+   * Returns whether a target can be asked to continue after the last event: that event had an id,
+   * or there was none.
+   */
+  boolean canContinue() {
+    return hasLastEventId;
+  }
+
   /**
    * Returns why an event of a later attempt does not continue the stream. Must be called only if
    * there is a last id.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -207,9 +207,9 @@
     context.log().recordEvent(kind, request.metadata().attemptId(), fields);
   }
 
-  /** Returns whether another run may continue the stream, or no target may have run it. */
+  /** Returns whether another run can continue the stream, or no target may have run it. */
   private boolean mayRunAgain() {
-    return !ledger.mayHaveRun() || routed.route().isResumable();
+    return !ledger.mayHaveRun() || (routed.route().isResumable() && progress.canContinue());
   }
 
   private boolean hasAttemptsLeft() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
@@ -44,6 +44,11 @@
     return gapMs;
   }
 
+  /** Returns whether a target can be asked to continue after the last event, if there is one. */
+  boolean canContinue() {
+    return ids.canContinue();
+  }
+
   /**
    * Returns the ids of the events that the next attempt must continue.
    *
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventIdsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventIdsTest.java
@@ -73,4 +73,13 @@
     assertThat(sent("1").objection("", true)).isPresent();
     assertThat(sent("1").objection("", false)).isPresent();
   }
+
+  /** Guards against a stream that is continued after an event whose place is not known. */
+  @Test
+  void aStreamCanOnlyBeContinuedAfterAnEventWithAnId() {
+    assertThat(sent().canContinue()).isTrue();
+    assertThat(sent("1").canContinue()).isTrue();
+    assertThat(sent("1", "").canContinue()).isFalse();
+    assertThat(sent("", "2").canContinue()).isTrue();
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
@@ -26,6 +26,7 @@
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.configuration.WeightedService;
 import org.gooseberryhook.router.configuration.Workspace;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -224,6 +225,44 @@
     return Stream.of(true, false);
   }
 
+  /** Guards against a stream that begins again because no event says where it broke off. */
+  @Test
+  void aStreamWhoseEventsHaveNoIdsIsBrokenOffInsteadOfBegunAgain() throws Exception {
+    startWith(
+        (request, out) -> {
+          int send = countSend(request);
+          writeHead(request, out, "200", SIGNED + CHUNKED);
+          TargetStandin.writeChunk(out, "data: 1\n\n");
+          if (send == 0) {
+            throw new IOException("broken off by the test");
+          }
+          TargetStandin.write(out, END_OF_CHUNKS);
+        });
+    try (Socket socket = connect()) {
+      write(socket, post("/three/x", "b"));
+      assertThat(body(readToEnd(socket))).isEqualTo("data: 1\n\n");
+    }
+  }
+
+  /** Guards against a stream that is resumed after an event whose place is not known. */
+  @Test
+  void aStreamWhoseLastEventHasNoIdIsBrokenOff() throws Exception {
+    startWith(
+        (request, out) -> {
+          int send = countSend(request);
+          writeEvents(request, out, send + 1, send + 1);
+          TargetStandin.writeChunk(out, "data: x\n\n");
+          if (send == 0) {
+            throw new IOException("broken off by the test");
+          }
+          TargetStandin.write(out, END_OF_CHUNKS);
+        });
+    try (Socket socket = connect()) {
+      write(socket, post("/three/x", "b"));
+      assertThat(body(readToEnd(socket))).isEqualTo("id: 1\ndata: 1\n\ndata: x\n\n");
+    }
+  }
+
   /** Starts a node with four pipelines, a plain target, and a route that allows three attempts. */
   private void startWith(TargetStandin.Script script) throws Exception {
     for (int i = 0; i < 4; i++) {
