--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ModelPipelinesTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ModelPipelinesTest.java
@@ -53,6 +53,37 @@
     }
   }
 
+  /**
+   * Guards against a path with one address twice, which targets answer with 400: the list may show
+   * two targets at one address while it is given to another one.
+   */
+  @Property(tries = 300)
+  void noPipelineUsesAnAddressTwice(
+      @ForAll long seed, @ForAll @IntRange(min = 2, max = 30) int size) {
+    Random random = new Random(seed);
+    List<TargetEntry> entries = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      int from = random.nextInt(4) * 20;
+      int to = Math.min(LAYERS, from + 20 * (1 + random.nextInt(2)));
+      TargetEntry entry = TestFleet.engine(random.nextInt(size), "a", "small", from, to);
+      entries.add(
+          new TargetEntry(
+              "id-" + i,
+              entry.service(),
+              entry.address(),
+              entry.dataCentre(),
+              entry.slots(),
+              entry.isLeaving(),
+              entry.acceleratorKind(),
+              entry.layers(),
+              entry.startedAtMs(),
+              entry.modelVersion()));
+    }
+    for (ModelPipeline pipeline : compose(entries)) {
+      assertThat(pipeline.addresses()).doesNotHaveDuplicates();
+    }
+  }
+
   @Test
   void anIncompletePipelineDoesNotTakeTargetsFromAnotherDataCentre() {
     // In data centre a, the head has extended its range after a loss and overlaps the next stage.
