Reject calls that do not fit what was sent of a response

Cause: CallerResponse wrote whatever it was told; each exchange had to remember what was sent.

Change: CallerResponse checks each call. One that does not fit writes nothing, releases its buffers, runs onWritten and logs one line, response-misuse. A response that is not complete is broken off, so that its caller sees it. A complete one is left alone: its caller has the whole answer, and breaking the connection off would only cut the next request. After abort() calls do nothing. sendProblem breaks off a response that has started; the four places that chose between both no longer do. A status outside 200 to 999 is not written: after 1xx callers wait for more.

All callers, as they were: - PlainExchange.reject, fail, sendResponse, onDeadline: right. Each ends the exchange first, the steps ask isOver or isFinished. - StreamExchange.onEvent (startStream, sendChunk), onEnd (endStream): right; an attempt that is over sends nothing. - StreamExchange.onErrorResponse (sendWhole): wrong if events were sent.

Ruled out: types for each state, which would pass the response from exchange to exchange and change all of them.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -195,12 +195,12 @@
       return;
     }
     context.logError("internal-error", "", error);
-    if (response == null) {
+    if (isRefusing) {
+      close(EndReason.EXCEPTION);
+    } else if (response == null) {
       refuse(ProblemResponse.internalError(false));
-    } else if (!response.isStarted()) {
+    } else if (!response.isDone()) {
       response.sendProblem(ProblemResponse.internalError(false));
-    } else {
-      response.abort();
     }
   }
 
@@ -255,7 +255,8 @@
             head.protocolVersion(),
             () -> !isKeptAlive || isLastBeforeStop(),
             this::announceIdleTime,
-            this::onResponseComplete);
+            this::onResponseComplete,
+            this::onMisuse);
     head = null;
     body = null;
     route(request)
@@ -337,6 +338,10 @@
         ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
   }
 
+  private void onMisuse(String call) {
+    context.log().recordEvent("response-misuse", record.attemptId(), "call", call);
+  }
+
   /** Continues with the next request after a response was written. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isLastBeforeStop();
@@ -398,7 +403,8 @@
             HttpVersion.HTTP_1_1,
             () -> true,
             () -> 0,
-            () -> closeAfterWrites(true));
+            () -> closeAfterWrites(true),
+            this::onMisuse);
     refusal.sendProblem(problem);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -19,11 +19,24 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
-/** Writes the response to one request to its caller. */
+/**
+ * Writes the response to one request to its caller: a whole one, or the head, the chunks and the
+ * end of a stream.
+ *
+ * <p>A call that does not fit what was sent before is logged. It writes nothing, because the caller
+ * would take the bytes for a part of another response, and breaks a response off that is not
+ * complete. After {@link #abort} all calls do nothing.
+ */
 final class CallerResponse {
 
+  /** Status codes of final responses have three digits. */
+  private static final int MIN_FINAL_STATUS = 200;
+
+  private static final int MAX_STATUS = 999;
+
   private static final double MS_PER_SECOND = 1_000.0;
 
   private final Channel channel;
@@ -31,6 +44,7 @@
   private final BooleanSupplier mustClose;
   private final IntSupplier keepAliveSeconds;
   private final Runnable onComplete;
+  private final Consumer<String> onMisuse;
   private boolean isClosing;
   private boolean isStarted;
   private boolean isDone;
@@ -48,18 +62,21 @@
    * @param keepAliveSeconds returns the idle time to announce on a kept connection; 0 for none
    * @param onComplete called once when the whole response has been written; a response of which a
    *     write fails is never complete
+   * @param onMisuse receives the description of a call that does not fit what was sent before
    */
   CallerResponse(
       Channel channel,
       HttpVersion requestVersion,
       BooleanSupplier mustClose,
       IntSupplier keepAliveSeconds,
-      Runnable onComplete) {
+      Runnable onComplete,
+      Consumer<String> onMisuse) {
     this.channel = channel;
     this.requestVersion = requestVersion;
     this.mustClose = mustClose;
     this.keepAliveSeconds = keepAliveSeconds;
     this.onComplete = onComplete;
+    this.onMisuse = onMisuse;
   }
 
   boolean isStarted() {
@@ -84,6 +101,11 @@
    * Sends a target's whole response; {@code onWritten} runs once its body is written or dropped.
    */
   void sendWhole(int status, HttpHeaders headers, ByteBuf body, Runnable onWritten) {
+    if (!mayStart("sendWhole", status)) {
+      body.release();
+      onWritten.run();
+      return;
+    }
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
     response.headers().add(EndToEndHeaders.copyOf(headers));
@@ -91,8 +113,21 @@
     send(response).addListener(done -> onWritten.run());
   }
 
-  /** Sends an error response of the router's own as {@code application/problem+json}. */
+  /**
+   * Ends the response with an error of the router's own, as {@code application/problem+json}.
+   * Breaks it off if it has started.
+   */
   void sendProblem(ProblemResponse problem) {
+    if (isDone) {
+      reportMisuse("sendProblem " + problem.kind());
+    } else if (isStarted) {
+      abort();
+    } else {
+      send(newResponse(problem));
+    }
+  }
+
+  private static DefaultFullHttpResponse newResponse(ProblemResponse problem) {
     String json =
         String.format(
             Locale.ROOT,
@@ -116,7 +151,7 @@
               String.format(Locale.ROOT, "%.3f", problem.retryAfterMs() / MS_PER_SECOND));
     }
     HttpUtil.setContentLength(response, response.content().readableBytes());
-    send(response);
+    return response;
   }
 
   private ChannelFuture send(DefaultFullHttpResponse response) {
@@ -143,6 +178,9 @@
    * its end is the end of the connection, which is reset unless the whole stream was written.
    */
   void startStream(int status, HttpHeaders headers) {
+    if (!mayStart("startStream", status)) {
+      return;
+    }
     isStarted = true;
     DefaultHttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
@@ -161,12 +199,43 @@
 
   /** Sends the next bytes of a stream. */
   void sendChunk(ByteBuf bytes) {
-    channel.writeAndFlush(new DefaultHttpContent(bytes));
+    if (mayContinue("sendChunk")) {
+      channel.writeAndFlush(new DefaultHttpContent(bytes));
+    } else {
+      bytes.release();
+    }
   }
 
   /** Sends the last bytes of a stream, if there are any, and ends it as complete. */
   void endStream(ByteBuf lastBytes) {
-    writeLast(new DefaultLastHttpContent(lastBytes));
+    if (mayContinue("endStream")) {
+      writeLast(new DefaultLastHttpContent(lastBytes));
+    } else {
+      lastBytes.release();
+    }
+  }
+
+  private boolean mayStart(String call, int status) {
+    boolean mayStart = !isStarted && !isDone && status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    if (!mayStart) {
+      reportMisuse(call + ' ' + status);
+    }
+    return mayStart;
+  }
+
+  private boolean mayContinue(String call) {
+    boolean mayContinue = isStarted && !isDone;
+    if (!mayContinue) {
+      reportMisuse(call);
+    }
+    return mayContinue;
+  }
+
+  private void reportMisuse(String call) {
+    if (!isAborted) {
+      onMisuse.accept(call + (isDone ? " after the end" : isStarted ? " after the start" : ""));
+      abort();
+    }
   }
 
   /** Closes the connection before the response is complete, so that the caller sees it. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ConnectionRecord.java
@@ -109,6 +109,11 @@
     return unservedBytes;
   }
 
+  /** Returns the attempt id of the request in progress, empty if there is none. */
+  String attemptId() {
+    return attemptId;
+  }
+
   /** Records that a request was read as a whole. */
   void onRequest(String newAttemptId, int undecodedBytes) {
     attemptId = newAttemptId;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
@@ -105,9 +105,7 @@
     } catch (RuntimeException | Error e) {
       logError("internal-error", attemptId, e);
     }
-    if (response.isStarted()) {
-      response.abort();
-    } else if (!response.isDone()) {
+    if (!response.isDone()) {
       response.sendProblem(ProblemResponse.internalError(mayHaveRun));
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -60,11 +60,7 @@
   /** Ends the request with a problem, or breaks off a response that has started. */
   final void fail(ProblemResponse problem) {
     finish(problem.kind());
-    if (response.isStarted()) {
-      response.abort();
-    } else {
-      response.sendProblem(problem);
-    }
+    response.sendProblem(problem);
   }
 
   /** Ends the request with a problem, if there is one; returns whether there was. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -201,7 +201,8 @@
     if (!isFinished) {
       channel = null;
       finish("relay-broken");
-      endWith(ProblemResponse.mayHaveRun("relay-broken", "the connection to the node was lost"));
+      response.sendProblem(
+          ProblemResponse.mayHaveRun("relay-broken", "the connection to the node was lost"));
     }
   }
 
@@ -216,7 +217,7 @@
     if (!isFinished) {
       boolean mayHaveRun = mayHaveRun();
       finish("timeout");
-      endWith(
+      response.sendProblem(
           mayHaveRun
               ? ProblemResponse.timedOut("the other node did not answer in time")
               : ProblemResponse.notRun(
@@ -234,20 +235,12 @@
     boolean mayHaveRun = mayHaveRun();
     finish(kind);
     long retryAfterMs = StreamLimits.retryAfterMs(0, context.random());
-    endWith(
+    response.sendProblem(
         mayHaveRun
             ? ProblemResponse.mayHaveRun(kind, detail)
             : ProblemResponse.notRun(kind, detail, retryAfterMs));
   }
 
-  private void endWith(ProblemResponse problem) {
-    if (response.isStarted()) {
-      response.abort();
-    } else {
-      response.sendProblem(problem);
-    }
-  }
-
   @Override
   public void onCallerGone() {
     if (!isFinished) {
