Frame answers by method and reject statuses that HTTP lacks

What callers saw: an error of the router's own to a HEAD request had a body, which the caller takes for the beginning of the next answer on a kept connection; a stream that was relayed ended with a chunk. The length that a target states to HEAD, or with 304, was replaced by 0. A target's status of 1000 reached callers, who cannot parse it; after a status below 100 a request waited for its deadline.

Cause: HttpResponseEncoder does not know the method of the request. A status below 200 counted as one that a final response follows.

Change: CallerResponseEncoder ends a response to HEAD after its head, as HttpServerCodec does. A stated length stays if there is no body. A target whose status is not a number of three digits is broken off, so that the request is sent again if it may, else answered 502.

Checked and right: 204, 205 and 304 with and without a length on a kept connection, and a kept connection of an HTTP/1.0 caller (the encoder drops body and length). 101 without an upgrade is passed over like other 1xx, and the request waits for the final response.

The relayed stream to HEAD was read, not run.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -51,6 +51,7 @@
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
   private final ConnectionRecord record;
+  private final CallerResponseEncoder encoder = new CallerResponseEncoder();
   private ChannelHandlerContext handlerContext;
   private HttpRequest head;
   private ByteBuf body;
@@ -109,6 +110,11 @@
     return record;
   }
 
+  /** Returns the encoder of the responses. */
+  ChannelHandler encoder() {
+    return encoder;
+  }
+
   /** Returns a handler, to be put behind the encoder, that notices failed writes. */
   ChannelHandler writeHandler() {
     return record.writeHandler();
@@ -210,6 +216,7 @@
     headStartedMs = 0;
     body = Unpooled.buffer();
     maxBodyBytes = limitsNow().maxBodyBytes();
+    encoder.setRequestMethod(request.method());
     if (isOverLimit) {
       refuse(ProblemResponse.notRun("connection-limit", "too many connections", RETRY_AFTER_MS));
     } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -99,6 +99,9 @@
 
   /**
    * Sends a target's whole response; {@code onWritten} runs once its body is written or dropped.
+   *
+   * <p>A response without a body may state the length that the body of another one would have: to a
+   * {@code HEAD} request, or if its status is 304.
    */
   void sendWhole(int status, HttpHeaders headers, ByteBuf body, Runnable onWritten) {
     if (!mayStart("sendWhole", status)) {
@@ -109,7 +112,9 @@
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
     response.headers().add(EndToEndHeaders.copyOf(headers));
-    HttpUtil.setContentLength(response, body.readableBytes());
+    if (body.isReadable() || !HttpUtil.isContentLengthSet(response)) {
+      HttpUtil.setContentLength(response, body.readableBytes());
+    }
     send(response).addListener(done -> onWritten.run());
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -106,7 +105,7 @@
         .pipeline()
         .addLast(connection.receiveTimeHandler())
         .addLast(new CallerRequestDecoder(limits.current(context.clock().nowMs()).maxHeaderBytes()))
-        .addLast(new HttpResponseEncoder())
+        .addLast(connection.encoder())
         .addLast(connection.writeHandler())
         .addLast(connection);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -25,7 +25,9 @@
 final class TargetChannel extends ChannelInboundHandlerAdapter {
 
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
+  private static final int MIN_STATUS = 100;
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final int MAX_STATUS = 999;
   private static final long MS_PER_SECOND = 1_000;
 
   /**
@@ -173,6 +175,10 @@
 
   private void onResponse(HttpResponse response) {
     int status = response.status().code();
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      fail("response has a status that is no number of three digits");
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       isIgnoringContent = true;
       return;
