Answer a relayed request truly if its last step throws

What callers saw: 503 and "not-run" for a request that the other node had run and answered, if the step that passes the answer on threw.

Cause: RelayExchange told by its open channel whether a node got the request, and cleared the channel before it passed the answer on.

Change: a field of its own, isSent, set before the request is sent and never cleared. The answer is 502 and "unknown" then.

Ruled out: to clear the channel later; finish() would close a connection that has gone back to the pool.

Measured: RelayExchangeTest, 1 test, 1 failure before and none after (mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest=RelayExchangeTest -Dsurefire.failIfNoSpecifiedTests=false test).

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -48,6 +48,9 @@
   private boolean isCallerSlow;
   private boolean isFinished;
 
+  /** Whether a node got the request, so that a target may have run it. */
+  private boolean isSent;
+
   /** Whether the request counts as relayed to the node. */
   private boolean isCounted;
 
@@ -95,9 +98,8 @@
 
   @Override
   public void onError(Throwable error) {
-    boolean mayHaveRun = channel != null || earlierSends > 0;
     Runnable finishOnce = isFinished ? () -> {} : () -> finish("internal-error");
-    context.endAfterError(request, response, finishOnce, mayHaveRun, error);
+    context.endAfterError(request, response, finishOnce, mayHaveRun(), error);
   }
 
   private void connect() {
@@ -137,6 +139,7 @@
     channel = connected;
     channel.setReading(!isCallerSlow);
     long remainingMs = deadlineMs - context.clock().nowMs();
+    isSent = true;
     RelayMetadata metadata = new RelayMetadata(earlierSends, remainingMs, lastEventId);
     channel.send(TargetRequests.createRelayed(context, request, metadata), null, guard.wrap(this));
   }
@@ -227,10 +230,9 @@
 
   /** Returns whether a target may have run the request, or the other node has it. */
   private boolean mayHaveRun() {
-    return channel != null || earlierSends > 0;
+    return isSent || earlierSends > 0;
   }
 
-  /** Fails the request. Without a channel, no other node has got it or it was refused. */
   private void fail(String kind, String detail) {
     boolean mayHaveRun = mayHaveRun();
     finish(kind);
--- /dev/null
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -0,0 +1,138 @@
+package org.gooseberryhook.router.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToIntFunction;
+import org.gooseberryhook.router.configuration.RequestKind;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.node.TestHeaderCodec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests how a request ends that another node serves. */
+class RelayExchangeTest {
+
+  private static final MonotonicClock CLOCK =
+      () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  private static final Route ROUTE =
+      new Route(
+          "r", "h", "/", RequestKind.ONCE_ONLY, 10_000, 1, 1, 1, true, false, false, 0, List.of());
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final EmbeddedChannel caller = new EmbeddedChannel(new HttpResponseEncoder());
+  private final CompletableFuture<Void> completed = new CompletableFuture<>();
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private ForwardContext context(String nodeAddress, DecisionLog log) {
+    RelayView view =
+        new RelayView() {
+          @Override
+          public boolean isCutOff(String service) {
+            return true;
+          }
+
+          @Override
+          public Optional<RelayNode> choose(
+              String service, Set<String> excludedNodes, ToIntFunction<String> relayedTo) {
+            return Optional.of(new RelayNode("other", nodeAddress));
+          }
+        };
+    TargetChannelPool pool =
+        new TargetChannelPool(loop, CLOCK, new TestHeaderCodec(), (node, metadata, sentMs) -> {});
+    return new ForwardContext(
+        loop,
+        CLOCK,
+        null,
+        new TestHeaderCodec(),
+        pool,
+        new RelayConnections(view, pool),
+        null,
+        Optional::empty,
+        null,
+        null,
+        null,
+        null,
+        null,
+        new BodyMemoryBudget(10),
+        null,
+        log);
+  }
+
+  private RelayExchange exchange(ForwardContext context) {
+    DefaultHttpHeaders headers = new DefaultHttpHeaders();
+    CallerRequest request =
+        new CallerRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.POST,
+            "/x",
+            headers,
+            Unpooled.buffer(0),
+            context.headerCodec().readRequest(headers),
+            CLOCK.nowMs());
+    CallerResponse response =
+        new CallerResponse(
+            caller,
+            HttpVersion.HTTP_1_1,
+            () -> true,
+            () -> 0,
+            () -> completed.complete(null),
+            misuse -> {});
+    return new RelayExchange(
+        context,
+        request,
+        response,
+        new RoutingResult.Routed(ROUTE, Optional.empty(), 0),
+        "s",
+        0,
+        Optional.empty());
+  }
+
+  /** Guards against a refusal that promises that a request has not run which has. */
+  @Test
+  void aRequestWhoseLastStepThrowsMayHaveRun() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ForwardContext context =
+          context(
+              "127.0.0.1:" + listener.getLocalPort(),
+              (kind, attempt, fields) -> {
+                if (kind.equals("relay")) {
+                  throw new IllegalStateException("injected");
+                }
+              });
+      loop.execute(exchange(context)::start);
+      try (Socket node = listener.accept()) {
+        String answer = "HTTP/1.1 200 X\r\nsigned: s\r\nContent-Length: 2\r\n\r\nok";
+        node.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+        completed.get(5, TimeUnit.SECONDS);
+      }
+    }
+    ByteBuf head = caller.readOutbound();
+    assertThat(head.toString(StandardCharsets.ISO_8859_1)).startsWith("HTTP/1.1 502");
+    assertThat(head.toString(StandardCharsets.ISO_8859_1)).contains("\"unknown\"");
+  }
+}
