End a request at once that cannot be written to its target

What callers saw: a request whose write to a target or another node failed while the connection was open got no answer before its deadline. No case with a sound request is known; the test sends a released body.

Cause: as with answers, TargetChannel read the future of its write only at the end of a response.

Change: if the write fails and the connection is open, the attempt fails and the connection is closed, in a later step because the sender has not finished its own. The request counts as one that may have run, since a part of it may have been sent. If the target closed the connection, the end of the connection is reported as before.

Measured: TargetChannelTest, 2 tests, 1 error (timeout) before and none after (mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest=TargetChannelTest -Dsurefire.failIfNoSpecifiedTests=false test).

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -106,6 +106,13 @@
     decoder.setRequestMethod(request.method());
     sentMs = pool.clock().nowMs();
     written = channel.writeAndFlush(request);
+    written.addListener(
+        done -> {
+          if (!done.isSuccess() && channel.isActive()) {
+            // Later, because the sender has not finished its step.
+            channel.eventLoop().execute(() -> fail("the request could not be written"));
+          }
+        });
   }
 
   /**
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -96,4 +96,27 @@
       assertThat(outcome.result.get(5, TimeUnit.SECONDS)).isEqualTo("failed");
     }
   }
+
+  /** Guards against a request that waits for its deadline although it was not sent. */
+  @Test
+  void aRequestThatCannotBeWrittenFailsAtOnce() throws Exception {
+    EventLoop loop = group.next();
+    MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    TargetChannelPool pool =
+        new TargetChannelPool(
+            loop, clock, new TestHeaderCodec(), (address, metadata, sentMs) -> {});
+    Outcome outcome = new Outcome();
+    FullHttpRequest released = largeRequest();
+    released.release();
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      loop.execute(
+          () ->
+              pool.acquire(
+                  "127.0.0.1:" + listener.getLocalPort(),
+                  0,
+                  channel -> channel.send(released, "a1", outcome),
+                  outcome::onFailure));
+      assertThat(outcome.result.get(5, TimeUnit.SECONDS)).isEqualTo("failed");
+    }
+  }
 }
