Close the API's connections whose responses are not written

What clients saw: after a write that failed, the connection stayed open, for ever if the response had no end.

Cause: as with callers of the router, RequestBounds counts a response as given when its last part is handed over, and LingeringClose waits for its write without a limit.

Change: a failed write closes the connection and is logged.

Read, and left: StatusServer closes after 20 s without a request, and no write of a page can fail in its encoder. RelayServer and RelayClient write frames that the encoder cannot reject; a frame above the limit ends the connection on the other side. PeerConnection uses void promises, whose failures reach exceptionCaught, which closes.

--- a/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/RequestBounds.java
+++ b/gooseberryhook-core/src/main/java/org/gooseberryhook/transport/RequestBounds.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhook.protocol.Json;
 import org.gooseberryhook.protocol.Problem;
@@ -234,13 +235,21 @@
     return response;
   }
 
+  /** Closes the connection after a failed write: nothing that follows would be a response. */
+  private void onWritten(Future<? super Void> written) {
+    if (!written.isSuccess() && context.channel().isActive()) {
+      LOG.errorf(written.cause(), "a response could not be written; its connection is closed");
+      context.close();
+    }
+  }
+
   @Override
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
     boolean isInterim =
         message instanceof HttpResponse response
             && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     boolean isEnd = message instanceof LastHttpContent && !isInterim;
-    ctx.write(message, promise);
+    ctx.write(message, promise.unvoid().addListener(this::onWritten));
     if (isEnd && (isRefusing || closesAfterResponse)) {
       LingeringClose.close(ctx.channel());
     } else if (isEnd) {
