--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -51,6 +51,7 @@
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
   private final ConnectionRecord record;
+  private final CallerResponseEncoder encoder = new CallerResponseEncoder();
   private ChannelHandlerContext handlerContext;
   private HttpRequest head;
   private ByteBuf body;
@@ -109,6 +110,11 @@
     return record;
   }
 
+  /** Returns the encoder of the responses. */
+  ChannelHandler encoder() {
+    return encoder;
+  }
+
   /** Returns a handler, to be put behind the encoder, that notices failed writes. */
   ChannelHandler writeHandler() {
     return record.writeHandler();
@@ -195,12 +201,12 @@
       return;
     }
     context.logError("internal-error", "", error);
-    if (response == null) {
+    if (isRefusing) {
+      close(EndReason.EXCEPTION);
+    } else if (response == null) {
       refuse(ProblemResponse.internalError(false));
-    } else if (!response.isStarted()) {
+    } else if (!response.isDone()) {
       response.sendProblem(ProblemResponse.internalError(false));
-    } else {
-      response.abort();
     }
   }
 
@@ -210,6 +216,7 @@
     headStartedMs = 0;
     body = Unpooled.buffer();
     maxBodyBytes = limitsNow().maxBodyBytes();
+    encoder.setRequestMethod(request.method());
     if (isOverLimit) {
       refuse(ProblemResponse.notRun("connection-limit", "too many connections", RETRY_AFTER_MS));
     } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
@@ -255,7 +262,8 @@
             head.protocolVersion(),
             () -> !isKeptAlive || isLastBeforeStop(),
             this::announceIdleTime,
-            this::onResponseComplete);
+            this::onResponseComplete,
+            this::onMisuse);
     head = null;
     body = null;
     route(request)
@@ -337,6 +345,10 @@
         ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
   }
 
+  private void onMisuse(String call) {
+    context.log().recordEvent("response-misuse", record.attemptId(), "call", call);
+  }
+
   /** Continues with the next request after a response was written. */
   private void onResponseComplete() {
     boolean isClosing = response.isClosing() || isLastBeforeStop();
@@ -398,7 +410,8 @@
             HttpVersion.HTTP_1_1,
             () -> true,
             () -> 0,
-            () -> closeAfterWrites(true));
+            () -> closeAfterWrites(true),
+            this::onMisuse);
     refusal.sendProblem(problem);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -26,7 +26,9 @@
 final class TargetChannel extends ChannelInboundHandlerAdapter {
 
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
+  private static final int MIN_STATUS = 100;
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final int MAX_STATUS = 999;
   private static final long MS_PER_SECOND = 1_000;
 
   /**
@@ -116,6 +118,13 @@
     decoder.setRequestMethod(request.method());
     sentMs = pool.clock().nowMs();
     written = channel.writeAndFlush(request);
+    written.addListener(
+        done -> {
+          if (!done.isSuccess() && channel.isActive()) {
+            // Later, because the sender has not finished its step.
+            channel.eventLoop().execute(() -> fail("the request could not be written"));
+          }
+        });
   }
 
   /**
@@ -185,6 +194,10 @@
 
   private void onResponse(HttpResponse response) {
     int status = response.status().code();
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      fail("response has a status that is no number of three digits");
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       isIgnoringContent = true;
       return;
