Take the connection of a failed write from the pool of the test

TargetChannelTest was changed on two sides: the pool asks for the attempt of a request now, and a new test did not pass one. TargetChannelTest, CallerResponseTest, UnwrittenAnswerTest, BegunStreamTest and ResponseFramingTest pass.

--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -217,11 +217,7 @@
   /** Guards against a request that waits for its deadline although it was not sent. */
   @Test
   void aRequestThatCannotBeWrittenFailsAtOnce() throws Exception {
-    EventLoop loop = group.next();
-    MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    TargetChannelPool pool =
-        new TargetChannelPool(
-            loop, clock, new TestHeaderCodec(), (address, metadata, sentMs) -> {});
+    TargetChannelPool pool = newPool();
     Outcome outcome = new Outcome();
     FullHttpRequest released = largeRequest();
     released.release();
@@ -230,6 +226,7 @@
           () ->
               pool.acquire(
                   "127.0.0.1:" + listener.getLocalPort(),
+                  "a1",
                   0,
                   channel -> channel.send(released, "a1", outcome),
                   outcome::onFailure));
