Do not read requests behind one whose answer may break off

Callers saw that a request which was sent behind a stream on its connection got neither an answer nor a refusal, although the node had read it as a whole: the stream was broken off, and nothing can follow a broken answer.

Cause: a read takes in all that a socket has received, up to 2 KB and more, and so the requests behind the one that is decoded.

Ways weighed: a refusal of streams that come to a stopping node with more behind them leaves those that began before, and those whose target fails. "Connection: close" on such a stream tells its caller, but the node has read what it does not answer. No reading behind a stream comes too late for what the same read took in.

Change: reads are no larger than what the current request still lacks, or 24 bytes where that is not known, and stop once bytes behind a request in progress have arrived. No HTTP/1.1 request with a host is as short. A node that stops reads on before it decides whether a response is the last one, or refuses what still arrives.

The price: while bytes wait behind a request, a caller that leaves is noticed by a write only.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -51,6 +51,7 @@
   private final Consumer<CallerConnection> onClosed;
   private final Queue<Object> pending = new ArrayDeque<>();
   private final ConnectionRecord record;
+  private final RequestReads reads = new RequestReads(this::nextReadBytes, this::hasBytesBehind);
   private ChannelHandlerContext handlerContext;
   private HttpRequest head;
   private ByteBuf body;
@@ -113,7 +114,34 @@
     return record.writeHandler();
   }
 
+  /** Returns the reads of the connection; they are also its first handler. */
+  RequestReads reads() {
+    return reads;
+  }
+
+  private int nextReadBytes() {
+    if (isRefusing) {
+      return RequestReads.MAX_BYTES;
+    }
+    long bodyBytes = head == null ? 0 : HttpUtil.getContentLength(head, 0L);
+    long missingBytes = bodyBytes - (body == null ? 0 : body.readableBytes());
+    return (int)
+        Math.min(RequestReads.MAX_BYTES, Math.max(RequestReads.MAX_BYTES_BEHIND, missingBytes));
+  }
+
+  private boolean hasBytesBehind() {
+    return isServing() && record.unservedBytes() > 0;
+  }
+
+  /** Stops reading while a request is served and bytes behind it have arrived. */
+  private void pauseReadingBehind() {
+    if (hasBytesBehind()) {
+      handlerContext.channel().config().setAutoRead(false);
+    }
+  }
+
   private void onBytes(int bytes) {
+    pauseReadingBehind();
     updateHeaderLimit();
     closing.ifPresent(c -> c.onBytes(bytes));
     lastReceivedMs = context.clock().nowMs();
@@ -257,6 +285,20 @@
             this::onResponseComplete);
     head = null;
     body = null;
+    pauseReadingBehind();
+    if (isStopping) {
+      // Whether the connection closes after the response depends on what is read until then.
+      context.loop().execute(() -> new StepGuard(this::onError).run(() -> start(request)));
+    } else {
+      start(request);
+    }
+  }
+
+  private void start(CallerRequest request) {
+    if (!handlerContext.channel().isActive()) {
+      request.body().release();
+      return;
+    }
     route(request)
         .ifPresent(
             started -> {
@@ -358,12 +400,30 @@
     }
     if (pending.isEmpty()) {
       handlerContext.channel().config().setAutoRead(true);
+      pauseReadingBehind();
     }
-    if (isAborting && !isServing() && !isRefusing) {
-      refuse(nodeStopping());
+    if (isAborting) {
+      refuseOnceQuiet();
     }
   }
 
+  /** Refuses a request that is still arriving, unless the socket has received the rest of it. */
+  private void refuseOnceQuiet() {
+    long receivedBytes = record.receivedBytes();
+    context.schedule(
+        () -> {
+          if (isServing() || isRefusing || !handlerContext.channel().isActive()) {
+            return;
+          }
+          if (record.receivedBytes() == receivedBytes) {
+            refuse(nodeStopping());
+          } else {
+            refuseOnceQuiet();
+          }
+        },
+        SOCKET_READ_MS);
+  }
+
   private void refuseMalformed(Throwable cause) {
     if (!handlerContext.channel().isActive()) {
       // The decoder reports a request that the end of the connection has cut off.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -103,8 +103,10 @@
       connection.refuseRequest();
     }
     connections.add(connection);
+    channel.config().setRecvByteBufAllocator(connection.reads().allocator());
     channel
         .pipeline()
+        .addLast(connection.reads())
         .addLast(connection.receiveTimeHandler())
         .addLast(new CallerRequestDecoder(limits.current(context.clock().nowMs()).maxHeaderBytes()))
         .addLast(new HttpResponseEncoder())
--- /dev/null
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
@@ -0,0 +1,73 @@
+package org.gooseberryhook.router.forward;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+
+/**
+ * Reads a caller's connection in pieces of a size that suits the request. Otherwise one read takes
+ * in what a caller has sent behind a request, and that is lost if the answer to the request is
+ * broken off: nothing can follow a broken answer. What was not read may be sent again.
+ */
+final class RequestReads extends ChannelOutboundHandlerAdapter {
+
+  /** Size of a read where a request may end; a whole HTTP/1.1 request with a host is longer. */
+  static final int MAX_BYTES_BEHIND = 24;
+
+  /** Size of a read where a request does not end. */
+  static final int MAX_BYTES = 16_384;
+
+  /** Reads in a row before other connections get their turn. */
+  private static final int MAX_READS = 64;
+
+  private final IntSupplier nextReadBytes;
+  private final BooleanSupplier hasBytesBehind;
+
+  /**
+   * Creates the reads of a connection.
+   *
+   * @param nextReadBytes returns the size of the next read in bytes, above 0
+   * @param hasBytesBehind returns whether a request is served and more has arrived behind it
+   */
+  RequestReads(IntSupplier nextReadBytes, BooleanSupplier hasBytesBehind) {
+    this.nextReadBytes = nextReadBytes;
+    this.hasBytesBehind = hasBytesBehind;
+  }
+
+  /** Returns what allocates the buffer of each read. */
+  RecvByteBufAllocator allocator() {
+    return new DefaultMaxMessagesRecvByteBufAllocator(MAX_READS) {
+      @Override
+      public Handle newHandle() {
+        return new MaxMessageHandle() {
+          @Override
+          public int guess() {
+            return nextReadBytes.getAsInt();
+          }
+        };
+      }
+    };
+  }
+
+  /** Keeps decoders, which ask for more bytes of an incomplete message, from reading in a pause. */
+  @Override
+  public void read(ChannelHandlerContext ctx) {
+    if (ctx.channel().config().isAutoRead()) {
+      ctx.read();
+    }
+  }
+
+  /** Resets a connection that is closed with a request behind, which was not read. */
+  @Override
+  public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+    if (hasBytesBehind.getAsBoolean()) {
+      ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+    ctx.close(promise);
+  }
+}
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -149,6 +149,76 @@
     }
   }
 
+  /**
+   * Guards against a request that is read, and gets neither an answer nor a refusal, because the
+   * answer before it is broken off. A connection that is reset shows that bytes were not read.
+   */
+  @ParameterizedTest
+  @CsvSource({"stop, together", "stop, later", "target, together", "target, later"})
+  void aRequestBehindAStreamThatIsBrokenOffHasNotBeenRead(String cause, String sent)
+      throws Exception {
+    CountDownLatch isSent = new CountDownLatch(1);
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 1);
+          await(isSent);
+          if (cause.equals("target")) {
+            throw new IOException("broken");
+          }
+          Thread.sleep(20_000);
+        });
+    TargetStandin plain = addTarget("plain", null, ConnectionEndTest::respond);
+    startNode();
+    try (Socket socket = open()) {
+      String stream = keptAlive(post("/wait/x", "b"));
+      String behind = keptAlive(post("/book/x", "b"));
+      write(socket, sent.equals("together") ? stream + behind : stream);
+      assertThat(socket.getInputStream().read()).isEqualTo('H');
+      if (sent.equals("later")) {
+        write(socket, behind);
+        Thread.sleep(100);
+      }
+      isSent.countDown();
+      if (cause.equals("stop")) {
+        startStopping().get(10, TimeUnit.SECONDS);
+      }
+      assertThatThrownBy(() -> readAll(socket))
+          .isInstanceOf(IOException.class)
+          .hasMessageContaining("reset");
+      String cut = awaitLine("request-cut");
+      int readBytes = Integer.parseInt(cut.replaceAll(".*unservedBytes\":(\\d+).*", "$1"));
+      assertThat(readBytes).isBetween(1, 24);
+      assertThat(plain.requests()).isEmpty();
+    }
+  }
+
+  /** Guards against requests that are not read to their end because they come in pieces. */
+  @ParameterizedTest
+  @CsvSource({"0, false", "1, false", "23, false", "24, false", "9000, false", "9000, true"})
+  void pipelinedRequestsWithBodiesOfAnySizeAreServedInOrder(int bodyBytes, boolean isChunked)
+      throws Exception {
+    TargetStandin target = addTarget("plain", null, ConnectionEndTest::respond);
+    startNode();
+    String body = "x".repeat(bodyBytes);
+    String request = keptAlive(post("/book/x", body));
+    if (isChunked) {
+      request =
+          request
+              .replaceFirst("Content-Length: \\d+", "Transfer-Encoding: chunked")
+              .replaceFirst(
+                  "\r\n\r\nx+$",
+                  "\r\n\r\n" + Integer.toHexString(bodyBytes) + "\r\n" + body + "\r\n0\r\n\r\n");
+    }
+    try (Socket socket = open()) {
+      write(socket, request + request + post("/book/x", body));
+      for (int i = 0; i < 2; i++) {
+        assertThat(readResponse(socket)).startsWith("HTTP/1.1 200").doesNotContain("close");
+      }
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 200").contains("connection: close");
+      assertThat(target.requests()).hasSize(3).allMatch(r -> r.endsWith("\r\n\r\n" + body));
+    }
+  }
+
   /** Guards against a reset that takes the refusal with it because bytes are left unread. */
   @Test
   void aRefusalReachesACallerThatIsStillSending() throws Exception {
