Bound the slots of odd entries where targets can have them

The bound of 4,096 slots would leave a target out that runs more requests at once; it is 65,536 now, still below the figures of odd entries.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -33,8 +33,8 @@
     long startedAtMs,
     long modelVersion) {
 
-  /** Largest number of slots; engines batch a few hundred requests. */
-  public static final int MAX_SLOTS = 4_096;
+  /** Largest number of slots, far above the few hundred requests that engines batch. */
+  public static final int MAX_SLOTS = 65_536;
 
   /** Latest possible start: the end of the year 2099, in Unix milliseconds. */
   public static final long MAX_STARTED_AT_MS = 4_102_444_799_999L;
