Resume streams at heads that did not have them before

A stream that a target broke off, or answered with an error, was sent to the same target again although others had room, until its attempts were spent: the target with the least load is chosen, and one that fails at once looks least loaded. Its caller saw the stream break off while sound targets were idle. Seen when the ends of a later attempt were tested: with four equal pipelines, one head got all three attempts.

Ruled out: the reservation of the failed attempt is given back before the choice, and a target that answers probes is no suspect, so nothing else keeps the stream from it.

A stream that was sent before now takes a pipeline whose head did not have it, if one has room, else any with room as before. A target that started again at the same address counts as another one; one that refused the stream is handled as before.

BegunStreamTest: the new case failed before (heads t-7, t-7, t-7) and passes now; BegunStreamTest 40 of 40, StreamAttemptsTest 8, SendLedgerTest 7, RelayedRequestTest 14 and CrashingRequestTest 5 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -38,26 +38,35 @@
   }
 
   /**
-   * Chooses the pipeline of a stream.
+   * Chooses the pipeline of a stream. A head that did not have the stream before is preferred: one
+   * that fails at once looks least loaded and would get all attempts.
    *
    * @param request the stream
    * @param pipelines pipelines that can serve it
    * @param profile profile of the engines
-   * @param isMove whether the stream was sent to a pipeline before
+   * @param ledger earlier sends of the stream
    * @return the pipeline, or empty if the stream has to wait
    */
   Optional<ModelPipeline> choosePipeline(
-      StreamRequest request, List<ModelPipeline> pipelines, EngineProfile profile, boolean isMove) {
-    CapacitySharing sharing = context.fleet().sharing();
+      StreamRequest request,
+      List<ModelPipeline> pipelines,
+      EngineProfile profile,
+      SendLedger ledger) {
     long nowMs = context.clock().nowMs();
     List<ModelPipeline> active =
         pipelines.stream()
             .filter(pipeline -> pauseEndMs(pipeline) <= nowMs)
             .filter(pipeline -> context.limits().hasPermit(pipeline.head()))
             .toList();
-    return isMove
-        ? admission.chooseForMove(request, active, profile, sharing, nowMs)
-        : admission.choose(request, active, profile, sharing, nowMs);
+    CapacitySharing sharing = context.fleet().sharing();
+    if (ledger.total() == 0) {
+      return admission.choose(request, active, profile, sharing, nowMs);
+    }
+    List<ModelPipeline> untried =
+        active.stream().filter(pipeline -> !ledger.wasSentTo(pipeline.head())).toList();
+    return admission
+        .chooseForMove(request, untried, profile, sharing, nowMs)
+        .or(() -> admission.chooseForMove(request, active, profile, sharing, nowMs));
   }
 
   private long pauseEndMs(ModelPipeline pipeline) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -113,6 +113,21 @@
     return possiblyRun() > 0;
   }
 
+  /**
+   * Returns whether the request was sent to a target, which did not refuse it.
+   *
+   * @param target entry of the target; one of a later start at the same address is another target
+   * @return true if one of the sends went there
+   */
+  boolean wasSentTo(TargetEntry target) {
+    return sends.stream()
+        .map(Send::target)
+        .anyMatch(
+            sent ->
+                sent.address().equals(target.address())
+                    && sent.startedAtMs() == target.startedAtMs());
+  }
+
   /**
    * Returns whether the request may be sent once more.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -89,7 +89,7 @@
 
   private Optional<ModelPipeline> choosePipeline(
       StreamRequest streamRequest, List<ModelPipeline> pipelines) {
-    return dispatcher.choosePipeline(streamRequest, pipelines, profile, isSent());
+    return dispatcher.choosePipeline(streamRequest, pipelines, profile, ledger);
   }
 
   @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -221,4 +223,25 @@
       assertThat(body(readToEnd(socket))).isEqualTo("id: 1\ndata: 1\n\ndata: x\n\n");
     }
   }
+
+  /**
+   * Guards against attempts that are all spent on one target, which looks least loaded because it
+   * fails at once.
+   */
+  @Test
+  void aBegunStreamIsResumedAtHeadsThatDidNotHaveItBefore() throws Exception {
+    List<String> heads = new CopyOnWriteArrayList<>();
+    startWith(
+        (request, out) -> {
+          heads.add(TargetStandin.header(request, "target"));
+          if (countSend(request) == 2) {
+            continueToEnd(request, out);
+            return;
+          }
+          writeEvents(request, out, heads.size(), heads.size());
+          throw new IOException("broken off by the test");
+        });
+    assertWhole("/three/x");
+    assertThat(heads).hasSize(3).doesNotHaveDuplicates();
+  }
 }
