Close a connection that cannot go on after an answer

What callers would see: an exception in the step that follows a written answer left the connection open, and the next request on it without an answer. No such exception is known outside tests.

Cause: since an answer counts as given once it is written, the step is called by the future of the write, and Netty only logs what it throws. Found as a warning of Netty in the log of BodyMemoryBudgetTest, whose context has no event loop.

Change: the step is guarded. After an exception the connection is closed and internal-error is logged.

Measured: UnwrittenAnswerTest, 7 tests, 1 failure before and none after (mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest=UnwrittenAnswerTest -Dsurefire.failIfNoSpecifiedTests=false test); BodyMemoryBudgetTest, FailingStartTest, CallerResponseTest, ConnectionEndTest: 39 tests, none failed, and no such warning of Netty.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -52,6 +52,10 @@
   private final Queue<Object> pending = new ArrayDeque<>();
   private final ConnectionRecord record;
   private final CallerResponseEncoder encoder = new CallerResponseEncoder();
+
+  /** For steps that the future of a write calls, which would drop an exception. */
+  private final StepGuard completionGuard = new StepGuard(this::onCompletionError);
+
   private ChannelHandlerContext handlerContext;
   private HttpRequest head;
   private ByteBuf body;
@@ -262,7 +266,7 @@
             head.protocolVersion(),
             () -> !isKeptAlive || isLastBeforeStop(),
             this::announceIdleTime,
-            this::onResponseComplete,
+            completionGuard.wrap(this::onResponseComplete),
             this::onMisuse);
     head = null;
     body = null;
@@ -345,6 +349,12 @@
         ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
   }
 
+  /** Closes the connection: its answer was written, and the next request would not be served. */
+  private void onCompletionError(Throwable error) {
+    context.logError("internal-error", "", error);
+    close(EndReason.EXCEPTION);
+  }
+
   private void onMisuse(String call) {
     context.log().recordEvent("response-misuse", record.attemptId(), "call", call);
   }
@@ -410,7 +420,7 @@
             HttpVersion.HTTP_1_1,
             () -> true,
             () -> 0,
-            () -> closeAfterWrites(true),
+            completionGuard.wrap(() -> closeAfterWrites(true)),
             this::onMisuse);
     refusal.sendProblem(problem);
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.ReferenceCountUtil;
@@ -48,6 +49,7 @@
 
   private final SocketChannelStandin channel = new SocketChannelStandin();
   private final List<String> lines = new ArrayList<>();
+  private EventLoop loop = channel.eventLoop();
   private long nowMs = 1_000;
   private HttpResponseEncoder encoder = new HttpResponseEncoder();
   private CallerConnection connection;
@@ -55,7 +57,7 @@
   private void connect() {
     ForwardContext context =
         new ForwardContext(
-            channel.eventLoop(),
+            loop,
             () -> nowMs,
             null,
             new TestHeaderCodec(),
@@ -201,4 +203,16 @@
     assertThat(received().split("HTTP/1.1 503", -1)).hasSize(3);
     assertThat(channel.isOpen()).isTrue();
   }
+
+  /** Guards against a connection that serves no further request after an exception. */
+  @Test
+  void aConnectionIsClosedIfItCannotGoOnAfterAnAnswer() {
+    loop = null;
+    connect();
+    send(REQUEST + REQUEST);
+    channel.runPendingTasks();
+    assertThat(received()).startsWith("HTTP/1.1 503").endsWith("}");
+    assertThat(lines).anyMatch(line -> line.startsWith("internal-error"));
+    assertThat(channel.isOpen()).isFalse();
+  }
 }
