Move what depends on the input alone out of CallerConnection

The decoder replaces itself when its limit changes and names the problem of input that it cannot decode; RequestReads computes the size of the next read. No change of behaviour.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -14,8 +13,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -134,10 +131,7 @@
     if (isRefusing) {
       return RequestReads.MAX_BYTES;
     }
-    long bodyBytes = head == null ? 0 : HttpUtil.getContentLength(head, 0L);
-    long missingBytes = bodyBytes - (body == null ? 0 : body.readableBytes());
-    return (int)
-        Math.min(RequestReads.MAX_BYTES, Math.max(RequestReads.MAX_BYTES_BEHIND, missingBytes));
+    return RequestReads.sizeOfNext(head, body);
   }
 
   private boolean hasBytesBehind() {
@@ -153,7 +147,7 @@
 
   private void onBytes(int bytes) {
     pauseReadingBehind();
-    updateHeaderLimit();
+    CallerRequestDecoder.setMaxHeaderBytes(handlerContext.pipeline(), limitsNow().maxHeaderBytes());
     closing.ifPresent(c -> c.onBytes(bytes));
     lastReceivedMs = context.clock().nowMs();
     if (!isServing() && head == null && headStartedMs == 0) {
@@ -161,21 +155,6 @@
     }
   }
 
-  /**
-   * Replaces the decoder between two requests if the limit has changed; its configuration is fixed.
-   * A pipelined request that begins in the same read as the end of another one keeps the limit.
-   */
-  private void updateHeaderLimit() {
-    ChannelPipeline pipeline = handlerContext.pipeline();
-    CallerRequestDecoder decoder = pipeline.get(CallerRequestDecoder.class);
-    int maxHeaderBytes = limitsNow().maxHeaderBytes();
-    if (decoder != null
-        && decoder.isBetweenRequests()
-        && decoder.maxHeaderBytes() != maxHeaderBytes) {
-      pipeline.replace(decoder, null, new CallerRequestDecoder(maxHeaderBytes));
-    }
-  }
-
   private RequestLimits limitsNow() {
     long nowMs = context.clock().nowMs();
     return limits.largestSince(nowMs, nowMs);
@@ -452,13 +431,7 @@
       // The decoder reports a request that the end of the connection has cut off.
       return;
     }
-    if (cause instanceof TooLongHttpHeaderException) {
-      refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers are too large");
-    } else if (cause instanceof TooLongHttpLineException) {
-      refuse(HttpResponseStatus.REQUEST_URI_TOO_LONG, "request line is too long");
-    } else {
-      refuse(HttpResponseStatus.BAD_REQUEST, "request is not valid HTTP");
-    }
+    refuse(CallerRequestDecoder.problemOf(cause));
   }
 
   private void refuse(HttpResponseStatus status, String detail) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
@@ -2,10 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.List;
 
 /** Decodes callers' requests and rejects those whose length is ambiguous. */
@@ -14,6 +18,8 @@
   private static final int MAX_CHUNK_BYTES = 16_384;
 
   private final int maxHeaderBytes;
+
+  /** Whether no byte of a next request has arrived, so that another decoder may take over. */
   private boolean isBetweenRequests = true;
 
   CallerRequestDecoder(int maxHeaderBytes) {
@@ -25,15 +31,33 @@
     this.maxHeaderBytes = maxHeaderBytes;
   }
 
-  int maxHeaderBytes() {
-    return maxHeaderBytes;
-  }
-
   /**
-   * Returns whether no byte of a next request has arrived, so that another decoder may take over.
+   * Replaces the decoder between two requests if the limit has changed; its configuration is fixed.
+   * A pipelined request that begins in the same read as the end of another one keeps the limit.
    */
-  boolean isBetweenRequests() {
-    return isBetweenRequests;
+  static void setMaxHeaderBytes(ChannelPipeline pipeline, int maxHeaderBytes) {
+    CallerRequestDecoder decoder = pipeline.get(CallerRequestDecoder.class);
+    if (decoder != null && decoder.isBetweenRequests && decoder.maxHeaderBytes != maxHeaderBytes) {
+      pipeline.replace(decoder, null, new CallerRequestDecoder(maxHeaderBytes));
+    }
+  }
+
+  /** Returns the problem of a request that could not be decoded. */
+  static ProblemResponse problemOf(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException) {
+      return ProblemResponse.invalid(
+          HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code(),
+          "bad-request",
+          "headers are too large");
+    }
+    if (cause instanceof TooLongHttpLineException) {
+      return ProblemResponse.invalid(
+          HttpResponseStatus.REQUEST_URI_TOO_LONG.code(),
+          "bad-request",
+          "request line is too long");
+    }
+    return ProblemResponse.invalid(
+        HttpResponseStatus.BAD_REQUEST.code(), "bad-request", "request is not valid HTTP");
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
@@ -1,11 +1,14 @@
 package org.gooseberryhook.router.forward;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 
@@ -39,6 +42,19 @@
     this.hasBytesBehind = hasBytesBehind;
   }
 
+  /**
+   * Returns the size of the next read.
+   *
+   * @param head head of the request that is arriving, null before it is complete
+   * @param body what has arrived of its body, null if nothing has
+   * @return the size in bytes
+   */
+  static int sizeOfNext(HttpRequest head, ByteBuf body) {
+    long bodyBytes = head == null ? 0 : HttpUtil.getContentLength(head, 0L);
+    long missingBytes = bodyBytes - (body == null ? 0 : body.readableBytes());
+    return (int) Math.min(MAX_BYTES, Math.max(MAX_BYTES_BEHIND, missingBytes));
+  }
+
   /** Returns what allocates the buffer of each read. */
   RecvByteBufAllocator allocator() {
     return new DefaultMaxMessagesRecvByteBufAllocator(MAX_READS) {
