Ask the dispatcher which waiting streams still run

Change: the dispatcher, which knows the streams that run on a pipeline, passes over them, in place of a check in StreamExchange. A request that has ended already counts as ended. Behaviour is the same.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -79,11 +79,11 @@
    * target, and the answer to the next try tells what holds now. A response that has begun is
    * continued as long as a target can.
    *
-   * @return whether the request was ended
+   * @return whether the request has ended, now or before
    */
   final boolean failIfDisallowed() {
     if (isFinished || response.isStarted()) {
-      return false;
+      return isFinished;
     }
     RoutingResult result =
         RequestRouter.route(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -196,7 +196,10 @@
   void onConfigurationChanged() {
     for (WaitQueue<QueuedExchange> queue : queues.values()) {
       for (QueuedExchange exchange : queue.waiting()) {
-        new StepGuard(exchange::onError).run(exchange::onConfigurationChanged);
+        // A stream that waits for another pipeline may still run on its own.
+        if (!running.contains(exchange)) {
+          new StepGuard(exchange::onError).run(exchange::onConfigurationChanged);
+        }
       }
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -135,14 +135,6 @@
     }
   }
 
-  @Override
-  public void onConfigurationChanged() {
-    // A stream that waits for a move still runs on its target.
-    if (!isMoveQueued) {
-      super.onConfigurationChanged();
-    }
-  }
-
   /** Returns whether it may become known in a moment that another node reaches the targets. */
   private boolean shouldWaitForRelay() {
     return context.fleet().pipelines(service).isEmpty() && relay.isCutOff();
@@ -255,9 +247,7 @@
 
   /** Resumes elsewhere after a failed attempt if that is allowed, else fails the stream. */
   private void resumeOrFail(String kind, String detail) {
-    if (isFinished
-        || failIfDisallowed()
-        || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
+    if (failIfDisallowed() || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
       return;
     }
     boolean isAllowed = !ledger.mayHaveRun() || routed.route().isResumable();
