Use no connection to a target that has received anything unread

A request could be sent on a kept connection whose target had already written further bytes, or closed it, while the event loop had not read that yet. Bytes were then read as the beginning of the next response: a head without its end makes one head with it, so that the status and "not run" of bytes that belong to no request go with the id of an attempt that the target runs. After a close, a once-only request may have run for all that is known, although it never arrived.

Cause: bytes without a request close their connection only once they are read; the pool looked only at what the event loop had read before.

Ruled out: bytes in the same read as the end of a response, and those that are read before the next send; both close the connection already.

The pool now reads the socket, without blocking, as it takes a connection, and closes it if anything is there. That is one system call for each reuse and no new connection for a sound target. What arrives after the check is still told apart by the id of the attempt only.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -1,7 +1,6 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -41,7 +40,7 @@
   private final TargetChannelPool pool;
   private final String address;
   private final TargetResponseDecoder decoder;
-  private Channel channel;
+  private TargetSocketChannel channel;
   private ResponseListener listener;
   private String attemptId = "";
   private ChannelFuture written;
@@ -75,6 +74,15 @@
     return channel != null && channel.isActive() && !hasFailed;
   }
 
+  /**
+   * Returns whether an idle connection can carry a request. One that has received anything since
+   * its last response cannot: bytes would be taken for the start of the next response, and after
+   * the end of the connection it would be unknown whether the request ran.
+   */
+  boolean isUsable() {
+    return isActive() && !channel.hasUnreadInput();
+  }
+
   long idleSinceMs() {
     return idleSinceMs;
   }
@@ -155,12 +163,12 @@
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
-    channel = ctx.channel();
+    channel = (TargetSocketChannel) ctx.channel();
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
-    channel = ctx.channel();
+    channel = (TargetSocketChannel) ctx.channel();
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -94,7 +93,7 @@
     while (latestFirst.hasNext()) {
       TargetChannel channel = latestFirst.next();
       long idleMs = clock.nowMs() - channel.idleSinceMs();
-      if (!channel.isActive() || idleMs > Math.min(maxIdleMs, channel.idleLimitMs())) {
+      if (!channel.isUsable() || idleMs > Math.min(maxIdleMs, channel.idleLimitMs())) {
         latestFirst.remove();
         channel.abort();
       } else if (channel.canMatch(attemptId)) {
@@ -118,7 +117,7 @@
     Bootstrap bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channelFactory(TargetSocketChannel::new)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .handler(
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -27,6 +27,8 @@
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests which connections to targets requests use, and how the end of one ends its request. */
 class TargetChannelTest {
@@ -74,14 +76,14 @@
     }
   }
 
-  private static FullHttpRequest largeRequest() {
+  private static FullHttpRequest request(int bodyBytes) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.POST,
             "/",
-            Unpooled.wrappedBuffer(new byte[LARGE_BODY_BYTES]));
-    HttpUtil.setContentLength(request, LARGE_BODY_BYTES);
+            Unpooled.wrappedBuffer(new byte[bodyBytes]));
+    HttpUtil.setContentLength(request, bodyBytes);
     return request;
   }
 
@@ -176,6 +178,71 @@
     }
   }
 
+  /**
+   * Guards against a request on a connection that has received bytes, or its end, which the event
+   * loop has not read yet.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "a copy, HTTP/1.1 503 X\\r\\nattempt: a1\\r\\nnot-run: 1\\r\\nContent-Length: 0\\r\\n\\r\\n",
+    "a part of a head, HTTP/1.1 503 X\\r\\nnot-run: 1\\r\\nx:",
+    "the end, ''"
+  })
+  void aConnectionWithUnreadInputIsNotUsedAgain(String kind, String unread) throws Exception {
+    TargetChannelPool pool = newPool();
+    String answer = "HTTP/1.1 200 X\r\nattempt: %s\r\nContent-Length: 0\r\n\r\n";
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      listener.setSoTimeout(5_000);
+      String address = "127.0.0.1:" + listener.getLocalPort();
+      CompletableFuture<Void> first =
+          CompletableFuture.runAsync(() -> sendUnchecked(pool, address));
+      Socket kept = listener.accept();
+      write(kept, String.format(answer, "a1"));
+      first.get(5, TimeUnit.SECONDS);
+      Outcome outcome = new Outcome();
+      loop.execute(
+          () -> {
+            writeAndAwaitArrival(kept, unread.translateEscapes());
+            pool.acquire(
+                address,
+                "a2",
+                TargetChannelPool.DEFAULT_IDLE_MS,
+                channel -> channel.send(request(1), "a2", outcome),
+                outcome::onFailure);
+          });
+      try (Socket second = listener.accept()) {
+        write(second, String.format(answer, "a2"));
+        assertThat(outcome.result.get(5, TimeUnit.SECONDS)).isEqualTo("complete");
+      }
+    }
+  }
+
+  private void sendUnchecked(TargetChannelPool pool, String address) {
+    try {
+      send(pool, address, "a1");
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Writes bytes, or ends the connection if there are none, and waits until they have arrived. */
+  private static void writeAndAwaitArrival(Socket socket, String text) {
+    try {
+      if (text.isEmpty()) {
+        socket.close();
+      } else {
+        write(socket, text);
+      }
+      Thread.sleep(100);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Guards against memory that grows with the requests on a connection. */
   @Test
   void aConnectionIsClosedBeforeItCarriesMoreAttemptsThanItKnows() throws Exception {
@@ -202,7 +269,7 @@
                   "127.0.0.1:" + listener.getLocalPort(),
                   "a1",
                   0,
-                  channel -> channel.send(largeRequest(), "a1", outcome),
+                  channel -> channel.send(request(LARGE_BODY_BYTES), "a1", outcome),
                   outcome::onFailure));
       try (Socket socket = listener.accept()) {
         String part = "HTTP/1.1 200 X\r\nattempt: a1\r\nsigned: s\r\n\r\npart";
