--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -286,7 +286,7 @@
   void aRequestThatCannotBeWrittenFailsAtOnce() throws Exception {
     TargetChannelPool pool = newPool();
     Outcome outcome = new Outcome();
-    FullHttpRequest released = largeRequest();
+    FullHttpRequest released = request(1);
     released.release();
     try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       loop.execute(
