Follow another node if one reports an invalid address

A peer whose report names an address that cannot be parsed made follow() throw with the link already set. The next disconnect() then failed on the missing channel, and so did the duty of the lists at each tick until that peer was gone: the node followed nobody.

Such a source is lost at once, with a line, and avoided like one whose connection fails. Ruled out: a check where reports are decoded; reports of other versions with further kinds of addresses would be rejected as a whole.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayClient.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayClient.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -60,9 +61,21 @@
     return link.map(present -> present.source);
   }
 
-  /** Follows a node instead of the present one. */
+  /**
+   * Follows a node instead of the present one. A node that reports an invalid address is lost at
+   * once.
+   */
   void follow(String source, String address) {
     disconnect();
+    InetSocketAddress socketAddress;
+    try {
+      socketAddress = PeerReportSocket.toSocketAddress(address);
+    } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+      log.recordEvent("peer-address-invalid", "", "address", address, "error", e.getMessage());
+      // Later, because the caller is about to note that it follows this node.
+      loop.execute(() -> onSourceLost.accept(source));
+      return;
+    }
     Link opened = new Link(source, address);
     link = Optional.of(opened);
     ChannelFuture connecting =
@@ -79,7 +92,7 @@
                     channel.pipeline().addLast(opened);
                   }
                 })
-            .connect(PeerReportSocket.toSocketAddress(address));
+            .connect(socketAddress);
     opened.channel = connecting.channel();
     connecting.addListener(
         future -> {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayClientTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayClientTest.java
@@ -28,6 +28,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the connection to the followed node against a source that the test controls. */
 class RelayClientTest {
@@ -123,4 +125,17 @@
     assertThat(lostSources.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isEqualTo("source");
     assertThat(lostSources).isEmpty();
   }
+
+  /** Guards against a node that follows no other one because a peer reports an odd address. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:65536"})
+  void aSourceWithAnInvalidAddressIsLostAndAnotherOneFollowed(String invalid) throws Exception {
+    group.next().submit(() -> client.follow("odd", invalid)).get();
+    assertThat(lostSources.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isEqualTo("odd");
+    String address = "127.0.0.1:" + source.getLocalPort();
+    group.next().submit(() -> client.follow("source", address)).get();
+    try (Socket connection = source.accept()) {
+      assertThat(readMessage(connection).positions()).containsKey("list");
+    }
+  }
 }
