End the output before a connection with unread requests is closed

Callers that had sent a request behind a stream could lose the end of a complete answer before it: when the stream was broken off, the connection was reset, and a reset discards what the caller has not received yet (found by review).

The output is ended first, without reading on, and the connection is closed a second later. A stream that ends with its connection is still reset, since only that shows that it is not complete. Ruled out: reading and discarding what comes behind, as LingeringClose does; the node would then have read requests that it does not answer.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
@@ -1,14 +1,17 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 
@@ -25,11 +28,15 @@
   /** Size of a read where a request does not end. */
   static final int MAX_BYTES = 16_384;
 
+  /** Time in which the caller receives the end of the output before the connection is closed. */
+  private static final long LINGER_MS = 1_000;
+
   /** Reads in a row before other connections get their turn. */
   private static final int MAX_READS = 64;
 
   private final IntSupplier nextReadBytes;
   private final BooleanSupplier hasBytesBehind;
+  private boolean isEndingOutput;
 
   /**
    * Creates the reads of a connection.
@@ -78,12 +85,28 @@
     }
   }
 
-  /** Resets a connection that is closed with a request behind, which was not read. */
+  /**
+   * Ends the output first if a request behind was not read, and closes the connection a little
+   * later: to close a socket with unread bytes resets the connection, and the reset overtakes what
+   * the caller has not received yet of the answers before. If the end of the connection is the end
+   * of an answer, only a reset shows that it is not complete.
+   */
   @Override
   public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
-    if (hasBytesBehind.getAsBoolean()) {
-      ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+    boolean isReset = ctx.channel().config().getOption(ChannelOption.SO_LINGER) == 0;
+    if (isReset || isEndingOutput || !hasBytesBehind.getAsBoolean()) {
+      ctx.close(promise);
+      return;
     }
-    ctx.close(promise);
+    isEndingOutput = true;
+    ctx.channel().config().setAutoRead(false);
+    ctx.executor().schedule(() -> ctx.close(promise), LINGER_MS, TimeUnit.MILLISECONDS);
+    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            written -> {
+              if (written.isSuccess() && ctx.channel() instanceof DuplexChannel duplex) {
+                duplex.shutdownOutput();
+              }
+            });
   }
 }
