Do not renew an announcement of leaving that the list has ended

Nodes see the list at different times. One for which it had ended an announcement (it showed the target as leaving and then as ready) took the announcement from a node that had not seen that yet, reported it, and gave it back to that node later: the target would be left out by all nodes for as long as it lives (found by review).

Each node remembers which lives of targets the list has shown as leaving, and does not take reports about these. What a target says to the node itself still counts.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -45,6 +45,9 @@
   /** Start times of targets that said themselves that they leave, by id, until the list says so. */
   private final Map<String, Long> announcedStartMs = new HashMap<>();
 
+  /** Start of the targets' lives that the list has shown as leaving, by target id. */
+  private final Map<String, Long> listedLeavingStartMs = new HashMap<>();
+
   private boolean isRestoringFromCopy;
   private boolean hasFullList;
   private boolean isStoreUnavailable;
@@ -88,6 +91,9 @@
 
   private void store(TargetEntry listed) {
     departedStartMs.remove(listed.id());
+    if (listed.isLeaving()) {
+      listedLeavingStartMs.put(listed.id(), listed.startedAtMs());
+    }
     TargetEntry entry = withAnnouncement(listed);
     if (!entry.equals(entries.put(entry.id(), entry))) {
       revision++;
@@ -127,6 +133,21 @@
     return true;
   }
 
+  /**
+   * Records that another node reports that a target said that it is about to leave. What the list
+   * has ended in this target's life is not begun again: nodes see the list at different times, and
+   * would otherwise tell each other for ever.
+   *
+   * @param id id of the target
+   * @param startedAtMs start of the target's life that said so, in Unix milliseconds
+   * @return true if that was not known and the target is in this life
+   */
+  public boolean onReportedLeaving(String id, long startedAtMs) {
+    Long listedStartMs = listedLeavingStartMs.get(id);
+    boolean isEndedByList = listedStartMs != null && listedStartMs == startedAtMs;
+    return !isEndedByList && announceLeaving(id, startedAtMs);
+  }
+
   /**
    * Returns the targets that said that they are about to leave and are not listed as leaving.
    *
@@ -170,6 +191,7 @@
     missing.remove(id);
     listedEntries.remove(id);
     announcedStartMs.remove(id);
+    listedLeavingStartMs.remove(id);
     revision++;
     departedStartMs.put(id, removed.startedAtMs());
     if (departedStartMs.size() > MAX_DEPARTED) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetAnnouncements.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetAnnouncements.java
@@ -68,7 +68,7 @@
   void onLeavingReported(String node, Map<String, Long> startedAtMsById) {
     boolean isChanged = false;
     for (Map.Entry<String, Long> announced : startedAtMsById.entrySet()) {
-      if (registry.announceLeaving(announced.getKey(), announced.getValue())) {
+      if (registry.onReportedLeaving(announced.getKey(), announced.getValue())) {
         isChanged = true;
         recordLeaving(announced.getKey(), "", node);
       }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/TargetRegistryTest.java
@@ -251,4 +251,25 @@
     assertThat(registry.announceLeaving(second.id(), second.startedAtMs())).isFalse();
     assertThat(registry.revision()).isEqualTo(revision);
   }
+
+  /**
+   * Guards against a target that is left out for good: a node that follows the list later repeats
+   * the announcement to one for which the list has ended it, and then hears it from that one.
+   */
+  @Test
+  void reportsOfOtherNodesDoNotRenewAnAnnouncementThatTheListHasEnded() {
+    TargetRegistry other = new TargetRegistry();
+    for (TargetRegistry node : List.of(registry, other)) {
+      node.replaceAll(List.of(first, second), 0);
+      node.announceLeaving(first.id(), first.startedAtMs());
+    }
+    registry.put(first.asLeaving());
+    registry.put(first);
+    other.announcedLeaving().forEach(registry::onReportedLeaving);
+    other.put(first.asLeaving());
+    other.put(first);
+    registry.announcedLeaving().forEach(other::onReportedLeaving);
+    assertThat(isFirstLeaving()).isFalse();
+    assertThat(other.entries().get(0).isLeaving()).isFalse();
+  }
 }
