Read on connections to targets that were paused when released

Callers saw a plain request or a control call without an answer until its deadline, although the target had answered.

Cause: a slow caller pauses reading of its stream's connection. If the end of the response is in the bytes that were read before the pause, the connection goes to the pool while reading is paused. Streams set reading before they send, plain requests and control calls do not.

Ruled out: setting it in each sender, which the next one could forget; an idle connection that is not read does not notice its end either. Reading is now resumed before the connection goes to the pool.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -156,7 +156,7 @@
 
   /**
    * Pauses or resumes reading of the response, so that the target sends no faster than the caller
-   * reads.
+   * reads. Reading is resumed after the end of the response.
    *
    * @param isReading whether to read
    */
@@ -301,6 +301,8 @@
           .execute(
               () -> {
                 if (isActive()) {
+                  // The last bytes of the response may have arrived while reading was paused.
+                  setReading(true);
                   idleSinceMs = pool.clock().nowMs();
                   pool.release(this);
                 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -195,7 +195,7 @@
       listener.setSoTimeout(5_000);
       String address = "127.0.0.1:" + listener.getLocalPort();
       CompletableFuture<Void> first =
-          CompletableFuture.runAsync(() -> sendUnchecked(pool, address));
+          CompletableFuture.runAsync(() -> sendUnchecked(pool, address, "a1"));
       Socket kept = listener.accept();
       write(kept, String.format(answer, "a1"));
       first.get(5, TimeUnit.SECONDS);
@@ -217,9 +217,9 @@
     }
   }
 
-  private void sendUnchecked(TargetChannelPool pool, String address) {
+  private void sendUnchecked(TargetChannelPool pool, String address, String attempt) {
     try {
-      send(pool, address, "a1");
+      send(pool, address, attempt);
     } catch (Exception e) {
       throw new IllegalStateException(e);
     }
@@ -243,6 +243,46 @@
     }
   }
 
+  /** Guards against a request whose answer is not read because an earlier caller was slow. */
+  @Test
+  void aConnectionThatWasPausedAtTheEndOfItsResponseIsReadAgain() throws Exception {
+    TargetChannelPool pool = newPool();
+    String answer = "HTTP/1.1 200 X\r\nattempt: %s\r\nContent-Length: 2\r\n\r\nok";
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      listener.setSoTimeout(5_000);
+      String address = "127.0.0.1:" + listener.getLocalPort();
+      CompletableFuture<TargetChannel> used = new CompletableFuture<>();
+      Outcome paused = new Outcome();
+      paused.content.thenRun(() -> used.join().setReading(false));
+      loop.execute(
+          () ->
+              pool.connect(
+                  address,
+                  channel -> {
+                    used.complete(channel);
+                    channel.send(request(0), "a1", paused);
+                  },
+                  paused::onFailure));
+      try (Socket kept = listener.accept()) {
+        write(kept, String.format(answer, "a1"));
+        assertThat(paused.result.get(5, TimeUnit.SECONDS)).isEqualTo("complete");
+        CompletableFuture<Void> next =
+            CompletableFuture.runAsync(() -> sendUnchecked(pool, address, "a2"));
+        awaitRequests(kept, 2);
+        write(kept, String.format(answer, "a2"));
+        next.get(10, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  private static void awaitRequests(Socket socket, int count) throws IOException {
+    socket.setSoTimeout(5_000);
+    StringBuilder received = new StringBuilder();
+    while (received.toString().split("\r\n\r\n", -1).length <= count) {
+      received.append((char) socket.getInputStream().read());
+    }
+  }
+
   /** Guards against memory that grows with the requests on a connection. */
   @Test
   void aConnectionIsClosedBeforeItCarriesMoreAttemptsThanItKnows() throws Exception {
