Close idle connections of all pools at their limit

Targets and nodes saw idle connections of control calls and of relayed requests stay open until they closed them themselves, up to 32 for each address; a target counts them against the connections that it accepts.

Cause: only the forwarder's pool was swept.

Ruled out: a duty for each pool, which the next pool could lack. A pool now looks at all its connections every 250 ms while it has any, and has a longest idle time of its own beside that of the target.

RelayExchangeTest (1) and RelayedRequestTest (14) pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerServer.java
@@ -114,9 +114,7 @@
   }
 
   private PeriodicDuties newDuties() {
-    return new PeriodicDuties(context.log())
-        .add("caller-timeouts", this::closeTimedOut)
-        .add("idle-targets", context.channelPool()::closeIdle);
+    return new PeriodicDuties(context.log()).add("caller-timeouts", this::closeTimedOut);
   }
 
   private void closeTimedOut() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -34,7 +34,8 @@
   public ControlCalls(EventLoop loop, MonotonicClock clock, HeaderCodec headerCodec) {
     this.loop = loop;
     this.channelPool =
-        new TargetChannelPool(loop, clock, headerCodec, (address, metadata, sentMs) -> {});
+        new TargetChannelPool(
+            loop, clock, headerCodec, (address, metadata, sentMs) -> {}, MAX_IDLE_MS);
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -71,10 +71,16 @@
             clock,
             random,
             headerCodec,
-            new TargetChannelPool(loop, clock, headerCodec, answerListener),
+            new TargetChannelPool(
+                loop, clock, headerCodec, answerListener, TargetChannelPool.DEFAULT_IDLE_MS),
             new RelayConnections(
                 relayView,
-                new TargetChannelPool(loop, clock, headerCodec, (node, metadata, sentMs) -> {})),
+                new TargetChannelPool(
+                    loop,
+                    clock,
+                    headerCodec,
+                    (node, metadata, sentMs) -> {},
+                    RelayConnections.MAX_IDLE_MS)),
             loads,
             configuration,
             fleet,
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -12,9 +12,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** Pool of connections to targets. All methods must be called on the event loop. */
@@ -29,6 +29,9 @@
   /** Maximum number of idle connections to a target; further ones are closed. */
   static final int MAX_IDLE_PER_TARGET = 32;
 
+  /** Interval at which idle connections are looked at, while there are any. */
+  private static final long SWEEP_INTERVAL_MS = 250;
+
   /** Time limit for connecting; targets are a few milliseconds away. */
   static final int CONNECT_TIMEOUT_MS = 400;
 
@@ -36,13 +39,27 @@
   private final MonotonicClock clock;
   private final HeaderCodec headerCodec;
   private final TargetAnswerListener answerListener;
+  private final long maxIdleMs;
+  private boolean isSweepScheduled;
   private final Map<String, Deque<TargetChannel>> idle = new HashMap<>();
 
+  /**
+   * Creates a pool without connections.
+   *
+   * @param loop the event loop
+   * @param clock monotonic clock
+   * @param headerCodec reads the headers of responses
+   * @param answerListener receives what targets state about themselves
+   * @param maxIdleMs time after which an idle connection is closed even if its target allows more,
+   *     in milliseconds
+   */
   TargetChannelPool(
       EventLoop loop,
       MonotonicClock clock,
       HeaderCodec headerCodec,
-      TargetAnswerListener answerListener) {
+      TargetAnswerListener answerListener,
+      long maxIdleMs) {
+    this.maxIdleMs = maxIdleMs;
     this.answerListener = answerListener;
     this.loop = loop;
     this.clock = clock;
@@ -92,8 +109,7 @@
     Iterator<TargetChannel> latestFirst = pooled.descendingIterator();
     while (latestFirst.hasNext()) {
       TargetChannel channel = latestFirst.next();
-      long idleMs = clock.nowMs() - channel.idleSinceMs();
-      if (!channel.isUsable() || idleMs > Math.min(maxIdleMs, channel.idleLimitMs())) {
+      if (!channel.isUsable() || isIdleTooLong(channel, maxIdleMs)) {
         latestFirst.remove();
         channel.abort();
       } else if (channel.canMatch(attemptId)) {
@@ -104,6 +120,10 @@
     return Optional.empty();
   }
 
+  private boolean isIdleTooLong(TargetChannel channel, long limitMs) {
+    return clock.nowMs() - channel.idleSinceMs() > Math.min(limitMs, channel.idleLimitMs());
+  }
+
   /**
    * Opens a connection, whether or not one is idle.
    *
@@ -157,6 +177,7 @@
       channel.abort();
     } else {
       pooled.addLast(channel);
+      scheduleSweep();
     }
   }
 
@@ -171,13 +192,31 @@
     }
   }
 
+  private void scheduleSweep() {
+    if (!isSweepScheduled) {
+      isSweepScheduled = true;
+      loop.schedule(this::sweep, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void sweep() {
+    isSweepScheduled = false;
+    closeIdle();
+    if (!idle.isEmpty()) {
+      scheduleSweep();
+    }
+  }
+
   /** Closes the connections that were idle for longer than their limit. */
-  void closeIdle() {
-    long nowMs = clock.nowMs();
-    for (Deque<TargetChannel> pooled : List.copyOf(idle.values())) {
-      while (!pooled.isEmpty()
-          && nowMs - pooled.peekFirst().idleSinceMs() > pooled.peekFirst().idleLimitMs()) {
-        pooled.pollFirst().abort();
+  private void closeIdle() {
+    for (Deque<TargetChannel> pooled : idle.values()) {
+      Iterator<TargetChannel> channels = pooled.iterator();
+      while (channels.hasNext()) {
+        TargetChannel channel = channels.next();
+        if (isIdleTooLong(channel, maxIdleMs)) {
+          channels.remove();
+          channel.abort();
+        }
       }
     }
     idle.values().removeIf(Deque::isEmpty);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -63,7 +63,12 @@
           }
         };
     TargetChannelPool pool =
-        new TargetChannelPool(loop, CLOCK, new TestHeaderCodec(), (node, metadata, sentMs) -> {});
+        new TargetChannelPool(
+            loop,
+            CLOCK,
+            new TestHeaderCodec(),
+            (node, metadata, sentMs) -> {},
+            RelayConnections.MAX_IDLE_MS);
     return new ForwardContext(
         loop,
         CLOCK,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -19,8 +20,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -41,11 +44,16 @@
   private final EventLoop loop = group.next();
 
   private TargetChannelPool newPool() {
+    return newPool(TargetChannelPool.DEFAULT_IDLE_MS);
+  }
+
+  private TargetChannelPool newPool(long maxIdleMs) {
     return new TargetChannelPool(
         loop,
         () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
         new TestHeaderCodec(),
-        (address, metadata, sentMs) -> {});
+        (address, metadata, sentMs) -> {},
+        maxIdleMs);
   }
 
   @AfterEach
@@ -283,6 +291,71 @@
     }
   }
 
+  /** Guards against idle connections that take places of a target until it closes them. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "limit of the target, 60000, Keep-Alive: timeout=1",
+    "limit of the pool, 500, Keep-Alive: timeout=60"
+  })
+  void anIdleConnectionIsClosedAtItsLimit(String kind, long maxIdleMs, String header)
+      throws Exception {
+    TargetChannelPool pool = newPool(maxIdleMs);
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      Socket idle = useNewConnection(pool, listener, header);
+      assertThat(idle.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  /** Guards against a connection that is kept because an older one may be idle for longer. */
+  @Test
+  void anIdleConnectionIsClosedAtItsLimitBesideOneWithALongerLimit() throws Exception {
+    TargetChannelPool pool = newPool(60_000);
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      Socket longer = useNewConnection(pool, listener, "Keep-Alive: timeout=60");
+      Socket shorter = useNewConnection(pool, listener, "Keep-Alive: timeout=1");
+      assertThat(shorter.getInputStream().read()).isEqualTo(-1);
+      longer.setSoTimeout(500);
+      assertThatThrownBy(() -> longer.getInputStream().read())
+          .isInstanceOf(SocketTimeoutException.class);
+    }
+  }
+
+  /** Sends a request over a new connection, answers it and returns the target's side. */
+  private Socket useNewConnection(TargetChannelPool pool, ServerSocket listener, String header)
+      throws Exception {
+    Outcome outcome = new Outcome();
+    String address = "127.0.0.1:" + listener.getLocalPort();
+    loop.execute(
+        () ->
+            pool.connect(
+                address, channel -> channel.send(request(0), "a1", outcome), outcome::onFailure));
+    Socket socket = listener.accept();
+    awaitRequests(socket, 1);
+    write(socket, "HTTP/1.1 200 X\r\nattempt: a1\r\n" + header + "\r\nContent-Length: 0\r\n\r\n");
+    assertThat(outcome.result.get(5, TimeUnit.SECONDS)).isEqualTo("complete");
+    return socket;
+  }
+
+  /** Guards against idle connections of control calls that are never closed. */
+  @Test
+  void aConnectionOfAControlCallIsClosedOnceItIsIdle() throws Exception {
+    ControlCalls calls =
+        new ControlCalls(
+            loop, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), new TestHeaderCodec());
+    ControlCalls.Request get =
+        new ControlCalls.Request(HttpMethod.GET, "/", Map.of(), new byte[0], 5_000, 100);
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      String address = "127.0.0.1:" + listener.getLocalPort();
+      CompletableFuture<ControlCalls.Result> result = new CompletableFuture<>();
+      loop.execute(() -> calls.callAnew(address, get, result::complete));
+      Socket idle = listener.accept();
+      awaitRequests(idle, 1);
+      write(idle, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+      assertThat(result.get(5, TimeUnit.SECONDS)).isInstanceOf(ControlCalls.Result.Answered.class);
+      assertThat(idle.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
   /** Guards against memory that grows with the requests on a connection. */
   @Test
   void aConnectionIsClosedBeforeItCarriesMoreAttemptsThanItKnows() throws Exception {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TestContexts.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TestContexts.java
@@ -53,7 +53,11 @@
         new SplittableRandom(1),
         new TestHeaderCodec(),
         new TargetChannelPool(
-            loop, clock, new TestHeaderCodec(), (address, metadata, sentMs) -> {}),
+            loop,
+            clock,
+            new TestHeaderCodec(),
+            (address, metadata, sentMs) -> {},
+            TargetChannelPool.DEFAULT_IDLE_MS),
         new RelayConnections(withoutNodes(isCutOff), null),
         new LoadTracker(),
         () -> Optional.of(configuration.get()),
