Give each order to a target a connection of its own

A refused order could pass for accepted: the placement then counted it as sent, and a stream was taken to be on a pipeline that its head had not switched to. A report after an order could count as no answer.

Cause: reports and orders carry no id. A target may send an answer twice; the copy that arrives after the next call was sent on the connection was read as the answer to that call. A place order follows a report on the same connection at once, so that it suffices if that report comes twice.

Ruled out: a kept connection whose last answer was to a GET and which is closed after the order. The copy of a report would still pass for the answer to the order, and the next report would need the new connection instead.

An order is now sent over a new connection, which is closed after its answer. The price is one connection for each order; a full target may reset it, and the order then fails as unreachable. Reports still share connections: a copy is read as one stale report and ends its connection.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -104,7 +104,7 @@
    * @param onResult receives the result on the event loop, exactly once
    */
   public void call(String address, Request request, Consumer<Result> onResult) {
-    new Call(address, request, onResult)
+    new Call(address, request, false, onResult)
         .start(
             (onReady, onFailed) ->
                 channelPool.acquire(address, null, MAX_IDLE_MS, onReady, onFailed));
@@ -118,13 +118,28 @@
    * @param onResult receives the result on the event loop, exactly once
    */
   public void callAnew(String address, Request request, Consumer<Result> onResult) {
-    new Call(address, request, onResult)
+    new Call(address, request, false, onResult)
+        .start((onReady, onFailed) -> channelPool.connect(address, onReady, onFailed));
+  }
+
+  /**
+   * Sends a request over a new connection, which is closed after the response. Responses carry no
+   * id, and a target may send one twice: on a connection with other calls, the second one could be
+   * taken for the response to the next call.
+   *
+   * @param address IP address and port
+   * @param request the request
+   * @param onResult receives the result on the event loop, exactly once
+   */
+  public void callAlone(String address, Request request, Consumer<Result> onResult) {
+    new Call(address, request, true, onResult)
         .start((onReady, onFailed) -> channelPool.connect(address, onReady, onFailed));
   }
 
   private final class Call implements ResponseListener {
     private final String address;
     private final Request request;
+    private final boolean isAlone;
     private final Consumer<Result> onResult;
     private final ByteBuf responseBody = Unpooled.buffer();
     private TargetChannel channel;
@@ -133,9 +148,10 @@
     private HttpHeaders headers;
     private boolean isDone;
 
-    Call(String address, Request request, Consumer<Result> onResult) {
+    Call(String address, Request request, boolean isAlone, Consumer<Result> onResult) {
       this.address = address;
       this.request = request;
+      this.isAlone = isAlone;
       this.onResult = onResult;
     }
 
@@ -196,6 +212,9 @@
 
     @Override
     public void onEnd() {
+      if (isAlone) {
+        channel.abort();
+      }
       byte[] bytes = new byte[responseBody.readableBytes()];
       responseBody.readBytes(bytes);
       finish(new Result.Answered(status, headers, bytes));
