Ignore relayed answers that name another attempt

A caller whose request was relayed would have got any answer that came on the connection to the other node, also one that names another attempt.

Cause: relayed requests were sent without an attempt id to compare, because problems of a node itself carry none. Not seen in operation: it takes a node that sends an answer twice.

Ruled out: the rule for targets, by which an answer without id on a used connection belongs to another request. It would drop the problems of other nodes. For nodes, only an answer that names another attempt is ignored. Nothing that is sent changes, so that nodes of earlier versions work.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -142,7 +142,10 @@
     long remainingMs = deadlineMs - context.clock().nowMs();
     isSent = true;
     RelayMetadata metadata = new RelayMetadata(earlierSends, remainingMs, lastEventId);
-    channel.send(TargetRequests.createRelayed(context, request, metadata), null, guard.wrap(this));
+    channel.sendToNode(
+        TargetRequests.createRelayed(context, request, metadata),
+        request.metadata().attemptId(),
+        guard.wrap(this));
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -45,6 +45,10 @@
   private TargetSocketChannel channel;
   private ResponseListener listener;
   private String attemptId = "";
+
+  /** Whether a response without attempt id may be that to the request. */
+  private boolean isIdOptional;
+
   private ChannelFuture written;
   private long sentMs;
   private boolean hasResponseStarted;
@@ -114,10 +118,31 @@
    * @param newListener receives the response
    */
   void send(FullHttpRequest request, String newAttemptId, ResponseListener newListener) {
-    attemptId = newAttemptId;
     if (newAttemptId != null) {
       carriedAttempts.add(newAttemptId);
     }
+    send(request, newAttemptId, false, newListener);
+  }
+
+  /**
+   * Sends a request to another node. The response of a target bears the attempt id, a problem of
+   * the node itself does not.
+   *
+   * @param request the request, which is released
+   * @param newAttemptId attempt id that the response carries if it is that of a target
+   * @param newListener receives the response
+   */
+  void sendToNode(FullHttpRequest request, String newAttemptId, ResponseListener newListener) {
+    send(request, newAttemptId, true, newListener);
+  }
+
+  private void send(
+      FullHttpRequest request,
+      String newAttemptId,
+      boolean isNewIdOptional,
+      ResponseListener newListener) {
+    attemptId = newAttemptId;
+    isIdOptional = isNewIdOptional;
     isUnused = false;
     listener = newListener;
     hasResponseStarted = false;
@@ -215,7 +240,7 @@
         attemptId != null
             && (metadata.attemptId().isPresent()
                 ? !metadata.attemptId().get().equals(attemptId)
-                : !isFirstResponse);
+                : !isFirstResponse && !isIdOptional);
     isFirstResponse = false;
     pool.answerListener()
         .onAnswer(address, metadata, isOtherAttempt ? LimitObservation.UNKNOWN_TIME_MS : sentMs);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -41,7 +42,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final EmbeddedChannel caller = new EmbeddedChannel(new HttpResponseEncoder());
-  private final CompletableFuture<Void> completed = new CompletableFuture<>();
+  private CompletableFuture<Void> completed = new CompletableFuture<>();
 
   @AfterEach
   void stop() {
@@ -88,8 +89,9 @@
         log);
   }
 
-  private RelayExchange exchange(ForwardContext context) {
+  private RelayExchange exchange(ForwardContext context, String attempt) {
     DefaultHttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("attempt", attempt);
     CallerRequest request =
         new CallerRequest(
             HttpVersion.HTTP_1_1,
@@ -129,7 +131,7 @@
                   throw new IllegalStateException("injected");
                 }
               });
-      loop.execute(exchange(context)::start);
+      loop.execute(exchange(context, "a1")::start);
       try (Socket node = listener.accept()) {
         String answer = "HTTP/1.1 200 X\r\nsigned: s\r\nContent-Length: 2\r\n\r\nok";
         node.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
@@ -140,4 +142,69 @@
     assertThat(head.toString(StandardCharsets.ISO_8859_1)).startsWith("HTTP/1.1 502");
     assertThat(head.toString(StandardCharsets.ISO_8859_1)).contains("\"unknown\"");
   }
+
+  /** Guards against a caller that gets the answer to another request. */
+  @Test
+  void anAnswerThatNamesAnotherAttemptIsIgnored() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ForwardContext context =
+          context("127.0.0.1:" + listener.getLocalPort(), (kind, attempt, fields) -> {});
+      loop.execute(exchange(context, "a2")::start);
+      try (Socket node = listener.accept()) {
+        write(node, answer(200, "attempt: a1\r\nsigned: s\r\n", "no"));
+        write(node, answer(200, "attempt: a2\r\nsigned: s\r\n", "ok"));
+        completed.get(5, TimeUnit.SECONDS);
+      }
+    }
+    assertThat(readAnswer()).startsWith("HTTP/1.1 200").contains("attempt: a2").endsWith("ok");
+  }
+
+  /** Guards against a problem that is ignored because the other node names no attempt in it. */
+  @Test
+  void aProblemOfTheOtherNodeOnAUsedConnectionIsPassedOn() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ForwardContext context =
+          context("127.0.0.1:" + listener.getLocalPort(), (kind, attempt, fields) -> {});
+      RelayExchange first = exchange(context, "a1");
+      loop.execute(first::start);
+      try (Socket node = listener.accept()) {
+        awaitRequest(node);
+        write(node, answer(200, "attempt: a1\r\nsigned: s\r\n", "ok"));
+        completed.get(5, TimeUnit.SECONDS);
+        assertThat(readAnswer()).startsWith("HTTP/1.1 200");
+        completed = new CompletableFuture<>();
+        loop.execute(exchange(context, "a2")::start);
+        awaitRequest(node);
+        write(node, answer(503, "", "full"));
+        completed.get(5, TimeUnit.SECONDS);
+      }
+    }
+    assertThat(readAnswer()).startsWith("HTTP/1.1 503").endsWith("full");
+  }
+
+  private static String answer(int status, String headers, String body) {
+    return String.format(
+        "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, body.length(), body);
+  }
+
+  private static void awaitRequest(Socket node) throws IOException {
+    node.setSoTimeout(5_000);
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      head.append((char) node.getInputStream().read());
+    }
+  }
+
+  private static void write(Socket node, String answer) throws IOException {
+    node.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Returns all that the caller was sent. */
+  private String readAnswer() {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = caller.readOutbound(); part != null; part = caller.readOutbound()) {
+      text.append(part.toString(StandardCharsets.ISO_8859_1));
+    }
+    return text.toString();
+  }
 }
