Notice that a caller has left before its next request is sent

Reading pauses while bytes wait behind a request. If the caller left meanwhile, the next request was read and sent to a target before the end of the connection was read (found by review): a target worked for a caller that had gone.

A request that waited behind another one starts a millisecond later, when the event loop has read what follows it. Ruled out: reading on behind a request, which takes whole requests in that may get no answer.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -37,6 +37,9 @@
   /** Time in which the event loop reads what sockets have received, if it is not busy. */
   private static final long SOCKET_READ_MS = 20;
 
+  /** Time after which the event loop has read what a socket had received before. */
+  private static final long READ_ROUND_MS = 1;
+
   /** Time in which the first bytes follow after a connection was opened. */
   private static final long FIRST_BYTES_MS = 300;
 
@@ -86,6 +89,9 @@
   /** Whether no request is started any more, so that what is read is discarded. */
   private boolean isRefusing;
 
+  /** Whether what is read next waited behind another request. */
+  private boolean isReadAfterPause;
+
   private boolean isOverLimit;
   private final WriteProgress writeProgress = new WriteProgress();
   private Optional<LingeringClose> closing = Optional.empty();
@@ -128,10 +134,7 @@
   }
 
   private int nextReadBytes() {
-    if (isRefusing) {
-      return RequestReads.MAX_BYTES;
-    }
-    return RequestReads.sizeOfNext(head, body);
+    return isRefusing ? RequestReads.MAX_BYTES : RequestReads.sizeOfNext(head, body);
   }
 
   private boolean hasBytesBehind() {
@@ -278,9 +281,9 @@
     head = null;
     body = null;
     pauseReadingBehind();
-    if (isStopping) {
-      // Whether the connection closes after the response depends on what is read until then.
-      context.loop().execute(() -> new StepGuard(this::onError).run(() -> start(request)));
+    if (isStopping || isReadAfterPause) {
+      // What is read until then tells whether the caller has left, and whether a response is last.
+      context.schedule(new StepGuard(this::onError).wrap(() -> start(request)), READ_ROUND_MS);
     } else {
       start(request);
     }
@@ -304,7 +307,7 @@
     boolean isRouted = false;
     try {
       if (isAborting) {
-        reject(request, nodeStopping());
+        reject(request, ProblemResponse.nodeStopping(RETRY_AFTER_MS));
         return Optional.empty();
       }
       String host = request.headers().get("host", "");
@@ -365,11 +368,6 @@
     return seconds;
   }
 
-  private static ProblemResponse nodeStopping() {
-    return ProblemResponse.notRun(
-        ForwardedExchange.NODE_STOPPING, "the node is stopping", RETRY_AFTER_MS);
-  }
-
   /** Closes the connection: its answer was written, and the next request would not be served. */
   private void onCompletionError(Throwable error) {
     context.logError("internal-error", "", error);
@@ -401,6 +399,7 @@
       handle(pending.poll());
     }
     if (pending.isEmpty()) {
+      isReadAfterPause = record.unservedBytes() > 0;
       handlerContext.channel().config().setAutoRead(true);
       pauseReadingBehind();
     }
@@ -418,7 +417,7 @@
             return;
           }
           if (record.receivedBytes() == receivedBytes) {
-            refuse(nodeStopping());
+            refuse(ProblemResponse.nodeStopping(RETRY_AFTER_MS));
           } else {
             refuseOnceQuiet();
           }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemResponse.java
@@ -82,6 +82,16 @@
         : notRun("internal-error", detail, INTERNAL_ERROR_RETRY_AFTER_MS);
   }
 
+  /**
+   * Returns the problem of a request that reaches a node which is stopping.
+   *
+   * @param retryAfterMs time after which the caller may repeat the request, in milliseconds
+   * @return the problem
+   */
+  static ProblemResponse nodeStopping(long retryAfterMs) {
+    return notRun(ForwardedExchange.NODE_STOPPING, "the node is stopping", retryAfterMs);
+  }
+
   /**
    * Returns a 504 response for a request that may have run and whose deadline has passed.
    *
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -394,4 +394,28 @@
       assertThat(received).contains(body + "HTTP/1.1 200").endsWith("data: 1\n\n\r\n");
     }
   }
+
+  /** Guards against requests that are sent to targets long after their caller has left. */
+  @Test
+  void aRequestBehindAnotherOneIsNotSentOnceItsCallerHasLeft() throws Exception {
+    CountDownLatch isAnswered = new CountDownLatch(1);
+    TargetStandin target =
+        addTarget(
+            "plain",
+            null,
+            (request, out) -> {
+              await(isAnswered);
+              respond(request, out);
+            });
+    startNode();
+    try (Socket socket = open()) {
+      write(socket, keptAlive(post("/read/x", "b")) + keptAlive(post("/read/y", "b")));
+      while (target.requests().isEmpty()) {
+        Thread.sleep(10);
+      }
+    }
+    isAnswered.countDown();
+    awaitGauge("gooseberryhook_caller_connections 0.0");
+    assertThat(target.requests()).hasSize(1);
+  }
 }
