Ask for the linger option of open connections only

The option of a closed socket cannot be read: a second close of a caller's connection ended in an exception in its promise. No caller saw it; found by reading. The option is read only while a request behind is unread and the connection is open.

ConnectionEndTest 24, StreamUntilCloseTest 2 and UnwrittenAnswerTest 7 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestReads.java
@@ -93,8 +93,8 @@
    */
   @Override
   public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
-    boolean isReset = ctx.channel().config().getOption(ChannelOption.SO_LINGER) == 0;
-    if (isReset || isEndingOutput || !hasBytesBehind.getAsBoolean()) {
+    boolean hasUnreadRequest = ctx.channel().isActive() && hasBytesBehind.getAsBoolean();
+    if (isEndingOutput || !hasUnreadRequest || isResetOnClose(ctx)) {
       ctx.close(promise);
       return;
     }
@@ -109,4 +109,8 @@
               }
             });
   }
+
+  private static boolean isResetOnClose(ChannelHandlerContext ctx) {
+    return Integer.valueOf(0).equals(ctx.channel().config().getOption(ChannelOption.SO_LINGER));
+  }
 }
