Apply targets and pipelines together with a configuration

Cause: routes followed a newer configuration at once, targets and pipelines at the next turn of the node's duties.

Change: the fleet is composed again, and waiting requests are tried, in the step that applies the configuration.

After: ConfigurationChangeTest 18, BegunStreamChangeTest 8 and FleetStateTest 29 green.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -525,15 +525,20 @@
     }
   }
 
-  /** Applies a configuration unless its version is as old as or older than the current one. */
+  /**
+   * Applies a configuration unless its version is as old as or older than the current one. Its
+   * targets and pipelines come into force with its routes: requests of a service without targets
+   * are refused at once.
+   */
   private void applyConfiguration(RoutingConfiguration candidate) {
     long version = configuration.map(RoutingConfiguration::version).orElse(Long.MIN_VALUE);
     if (candidate.version() > version) {
       configuration = Optional.of(candidate);
-      fleet.onConfigurationChanged();
       log.recordEvent(
           "configuration", "", "version", candidate.version(), "before", Math.max(0, version));
       forwarder.onConfigurationChanged();
+      fleet.onConfigurationChanged();
+      onFleetChanged();
     }
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConfigurationChangeTest.java
@@ -26,9 +26,11 @@
 import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.configuration.Route;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.ServiceSettings;
 import org.gooseberryhook.router.configuration.WeightedService;
 import org.gooseberryhook.router.configuration.Workspace;
 import org.gooseberryhook.state.LayerRange;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -109,6 +111,27 @@
     assertThat(exchange(get("/read/x"))).doesNotContainIgnoringCase("keep-alive");
   }
 
+  /** Guards against refusals of a service whose routes are in force before its targets are. */
+  @Test
+  void requestsToAnAddedServiceAreServedAsSoonAsItsVersionIsInForce() throws Exception {
+    int versions = 6;
+    for (int i = 2; i <= versions; i++) {
+      addTarget("added-" + i, null, OK);
+    }
+    startNode();
+    for (int i = 2; i <= versions; i++) {
+      String service = "added-" + i;
+      changeConfiguration(
+          new RoutingConfiguration(
+              i,
+              List.of(route("/added/", RequestKind.IDEMPOTENT, service, 1_000)),
+              Map.of(service, new ServiceSettings(service, "/health", 10, Optional.empty())),
+              firstConfiguration.limits(),
+              Optional.of(List.of(new Workspace("w", Set.of("k"), OptionalInt.empty())))));
+      assertThat(exchange(get("/added/x"))).startsWith("HTTP/1.1 200");
+    }
+  }
+
   /** Guards against open requests that are lost with what they were routed by. */
   @ParameterizedTest
   @CsvSource({
