Keep the silent attempt of a begun stream until another has an event

What callers saw: a stream that had begun was broken off although its target was sound, only silent for one to two seconds, and went on.

Cause: a stream that moved because of silence closed the connection to its first target before the second one had shown anything. If the second one refused, answered with an error, reset the connection, left events out or was silent as well, no attempt or no pipeline was left.

Ruled out: a longer wait before the move. It delays each stream whose target is lost, and the second attempt can fail after any wait.

Change: a silent attempt with events is set aside with its connection open. The attempt that has the next event goes on and the other one is closed, so that only one of them is ever passed on. If no other attempt is possible, the stream returns to the silent one instead of failing.

Test: mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest='BegunStreamTest#aBegunStreamIsWholeIfItsTarget*' -Dsurefire.failIfNoSpecifiedTests=false test Before: 12 of 14 cases fail (10 broken off, 2 without the rest of the stream). After: 14 of 14 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -22,6 +22,13 @@
   private final EngineProfile profile;
   private final StreamProgress progress;
   private Attempt attempt;
+
+  /**
+   * Attempt with events that the stream has left because of silence, null if there is none. Its
+   * target may be sound and continue, so that it is kept until another one has an event.
+   */
+  private Attempt silentAttempt;
+
   private SendLedger ledger;
 
   /** Whether an attempt failed, so that the stream waits to be resumed and not to be started. */
@@ -104,13 +111,29 @@
     leaveQueue = () -> {};
     if (attempt != null && !attempt.isOver) {
       log("move", "from", attempt.pipeline.describe());
-      attempt.cancel();
+      if (attempt.hasEvents) {
+        attempt.setAside();
+        silentAttempt = attempt;
+      } else {
+        attempt.cancel();
+      }
     }
     dispatcher.onStarted(pipeline, isSent());
     attempt = new Attempt(pipeline, streamRequest.reservedTokens());
     attempt.start();
   }
 
+  /** Continues with the attempt that the stream has left, and ends the one in its place. */
+  private void returnToSilentAttempt() {
+    log("return", "to", silentAttempt.pipeline.describe());
+    leaveQueue.run();
+    leaveQueue = () -> {};
+    attempt.cancel();
+    attempt = silentAttempt;
+    silentAttempt = null;
+    attempt.takeUp();
+  }
+
   private StreamRequest newStreamRequest(long nowMs) {
     return StreamRequestFactory.create(
         request, routed, profile, progress.generatedTokens(), isSent(), deadlineMs, nowMs);
@@ -121,6 +144,8 @@
     leaveQueue = () -> {};
     if (isMoveQueued) {
       cancelMove();
+    } else if (silentAttempt != null) {
+      returnToSilentAttempt();
     } else if (!isFinished && !tryRelay()) {
       logReachedLimits(context.fleet().pipelines(service).stream().map(ModelPipeline::head));
       long resumeMs = dispatcher.earliestResumeMs(context.fleet().pipelines(service));
@@ -182,12 +207,18 @@
     if (attempt != null && !attempt.isOver && attempt.channel != null) {
       attempt.channel.setReading(isWritable);
     }
+    if (silentAttempt != null) {
+      silentAttempt.channel.setReading(isWritable);
+    }
   }
 
   @Override
   void finish(String outcome) {
     isFinished = true;
     leaveQueue.run();
+    if (silentAttempt != null) {
+      silentAttempt.cancel();
+    }
     if (attempt != null) {
       attempt.cancel();
     }
@@ -263,7 +294,11 @@
                 || (dispatcher.mayStartBy(service, waitDeadlineMs, 0)
                     && context.retryBudget().trySpend(service, nowMs)));
     if (!isAllowed) {
-      fail(kind, detail);
+      if (silentAttempt != null) {
+        returnToSilentAttempt();
+      } else {
+        fail(kind, detail);
+      }
       return;
     }
     if (shouldRelay() && tryRelay()) {
@@ -318,7 +353,7 @@
       if (!context.fleet().mayReceive(pipeline.head().address())) {
         connected.abort();
         end();
-        resumeOrFail("target-unavailable", "the head is leaving or wants no requests now");
+        resume("target-unavailable", "the head is leaving or wants no requests now");
         return;
       }
       if (failIfRejected(crashGuard.beforeSend(ledger.mayHaveRun()))) {
@@ -344,10 +379,32 @@
       if (!isOver) {
         end();
         context.fleet().reportFailure(pipeline.head().address(), reason);
-        resumeOrFail("connect-failed", reason);
+        resume("connect-failed", reason);
+      }
+    }
+
+    /** Resumes the stream elsewhere, unless it has returned to another attempt meanwhile. */
+    private void resume(String kind, String detail) {
+      if (this == attempt) {
+        resumeOrFail(kind, detail);
       }
     }
 
+    /** Keeps the connection only, so that the stream can return to this attempt. */
+    void setAside() {
+      cancelMove();
+      silenceTimer.cancel(false);
+      reservation.release();
+      dispatcher.removeRunning(StreamExchange.this);
+    }
+
+    /** Makes this the present attempt again after {@link #setAside}. */
+    void takeUp() {
+      reserve();
+      dispatcher.addRunning(StreamExchange.this);
+      scheduleSilenceCheck(StreamLimits.SILENCE_MS);
+    }
+
     private void scheduleSilenceCheck(long afterMs) {
       silenceTimer = schedule(this::onSilence, afterMs);
     }
@@ -405,7 +462,7 @@
               guard.wrap(
                   isAccepted -> {
                     isRepathing = false;
-                    if (!isOver) {
+                    if (!isOver && this == attempt) {
                       onRepathed(replacement.get(), isAccepted);
                     }
                   }));
@@ -487,6 +544,11 @@
         event.release();
         return;
       }
+      if (this == silentAttempt) {
+        returnToSilentAttempt();
+      } else if (silentAttempt != null) {
+        silentAttempt.cancel();
+      }
       cancelMove();
       if (!response.isStarted()) {
         response.startStream(status, headers);
@@ -510,6 +572,9 @@
         return;
       }
       if (isWholeStream()) {
+        if (this == silentAttempt) {
+          returnToSilentAttempt();
+        }
         end();
         context.health().recordSuccess(pipeline.head().id(), context.clock().nowMs());
         finish("served");
@@ -532,18 +597,18 @@
         dispatcher.onTargetRefused(pipeline, faultAddress, status, profile);
         context.health().recordFailure(pipeline.head().id(), 0.5, nowMs);
         if (ledger.refusals() <= StreamLimits.MAX_IMMEDIATE_REFUSAL_RETRIES) {
-          resumeOrFail("target-refused", "the pipeline refused the request");
+          resume("target-refused", "the pipeline refused the request");
         } else {
           schedule(
-              () -> resumeOrFail("target-refused", "the pipelines refused the request repeatedly"),
+              () -> resume("target-refused", "the pipelines refused the request repeatedly"),
               StreamLimits.REFUSAL_RETRY_DELAY_MS);
         }
       } else if (isTargetFailure()) {
         context.health().recordFailure(pipeline.head().id(), 1, nowMs);
-        resumeOrFail("target-error", "the pipeline failed");
+        resume("target-error", "the pipeline failed");
       } else if (response.isStarted()) {
         // An answer can't follow the events, and the target of the first event took the request.
-        resumeOrFail("target-answered", "the pipeline answered " + status);
+        resume("target-answered", "the pipeline answered " + status);
       } else {
         finish("answered-" + status);
         response.sendWhole(status, headers, errorBody(), () -> {});
@@ -558,11 +623,16 @@
         log("broken", "at", pipeline.head().address(), "why", reason);
         // A request that crashes targets breaks off before its first event.
         List<String> suspects = hasEvents || channel == null ? List.of() : pipeline.addresses();
-        crashGuard.onInterrupted(suspects, guard.wrap(() -> resumeOrFail("pipeline-lost", reason)));
+        crashGuard.onInterrupted(suspects, guard.wrap(() -> resume("pipeline-lost", reason)));
       }
     }
 
     private void end() {
+      if (this == silentAttempt) {
+        isOver = true;
+        silentAttempt = null;
+        return;
+      }
       cancelMove();
       isOver = true;
       if (channel == null) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
@@ -244,4 +244,44 @@
     assertWhole("/three/x");
     assertThat(heads).hasSize(3).doesNotHaveDuplicates();
   }
+
+  static Stream<Arguments> endsAfterSilence() {
+    return Stream.of(
+            refusal("503", false),
+            error("400", SIGNED),
+            error("500", SIGNED),
+            stream("gap", SIGNED + CHUNKED, chunk(events(6, 6)) + END_OF_CHUNKS),
+            ending("reset before an event", broken("", true)),
+            ending("no answer", (request, out) -> Thread.sleep(60_000)),
+            ending(
+                "slow events",
+                (request, out) -> {
+                  writeEvents(request, out, 4, 4);
+                  Thread.sleep(1_000);
+                  TargetStandin.write(out, chunk(events(5, 6)) + END_OF_CHUNKS);
+                }))
+        .map(Arguments::get)
+        .flatMap(end -> Stream.of(true, false).map(isSuspect -> arguments(end[0], end[1], isSuspect)));
+  }
+
+  /** Guards against a begun stream that is lost although the target that fell silent goes on. */
+  @ParameterizedTest(name = "{0}, suspect: {2}")
+  @MethodSource("endsAfterSilence")
+  void aBegunStreamIsWholeIfItsTargetGoesOnAfterAnotherOneFailed(
+      String name, TargetStandin.Script later, boolean isSuspect) throws Exception {
+    startWith(
+        (request, out) -> {
+          if (countSend(request) > 0) {
+            later.respond(request, out);
+            return;
+          }
+          writeEvents(request, out, 1, 3);
+          if (isSuspect) {
+            deadAddresses.add(TargetStandin.header(request, "path").split("=")[0]);
+          }
+          Thread.sleep(1_900);
+          TargetStandin.write(out, chunk(events(4, 6)) + END_OF_CHUNKS);
+        });
+    assertWhole("/draft/x");
+  }
 }
