Do not lose error responses to streams whose bodies come late

What callers saw: 502, may have run, for a stream that its target had answered with a signed 404 or 409, or had refused as not run, if the target fell silent for a second between the head and the body.

Cause: every error response was broken off 0.7 s after its head and counted as an attempt that may have run, so that a stream that may run only once was lost.

Ruled out: a longer limit for all of them. A target that has failed should not hold a stream, and a begun stream cannot use the answer.

Change: a refusal holds without its body, and leads to another attempt. A signed answer below 500 to a stream without events is waited for until the deadline. Others are broken off as before.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -525,9 +525,21 @@
     void onErrorHead() {
       silenceTimer.cancel(false);
       silenceTimer =
-          schedule(
-              () -> breakOff("an error response did not end in time"),
-              StreamLimits.ERROR_RESPONSE_TIMEOUT_MS);
+          schedule(this::onUnfinishedError, StreamLimits.ERROR_RESPONSE_TIMEOUT_MS);
+    }
+
+    /**
+     * Goes on without the rest of an error response, unless the caller can get it: the target may
+     * be sound and only silent.
+     */
+    private void onUnfinishedError() {
+      if (metadata.isNotRun()) {
+        channel.abort();
+        end();
+        onErrorResponse();
+      } else if (response.isStarted() || isTargetFailure()) {
+        breakOff("an error response did not end in time");
+      }
     }
 
     @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StreamAttemptsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StreamAttemptsTest.java
@@ -13,8 +13,14 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.gooseberryhook.router.configuration.RequestKind;
+import org.gooseberryhook.router.configuration.Route;
+import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.WeightedService;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests of the number of targets on which a stream runs; its route allows two attempts. */
 class StreamAttemptsTest extends RouterNodeHarness {
@@ -225,6 +231,48 @@
     assertThat(smallHeads).hasSize(2);
   }
 
+  /** Guards against an answer, or a refusal, that is lost because its body comes late. */
+  @ParameterizedTest
+  @CsvSource({"404, signed, 404", "409, signed, 409", "503, not-run, 200", "429, not-run, 200"})
+  void anErrorResponseWhoseBodyIsLateIsPassedOnOrLeadsToAnotherAttempt(
+      int status, String header, int answer) throws Exception {
+    AtomicBoolean isSent = new AtomicBoolean();
+    addPipelines(
+        3,
+        (request, out) -> {
+          if (isSent.getAndSet(true)) {
+            writeEvents(request, out, 1, 1);
+            endWith(out, 2);
+            return;
+          }
+          BegunStreamHarness.writeHead(
+              request, out, String.valueOf(status), header + ": 1\r\nContent-Length: 5\r\n");
+          Thread.sleep(1_500);
+          TargetStandin.write(out, "error");
+        });
+    RoutingConfiguration usual = configuration();
+    Route notResumable =
+        new Route(
+            "/draft/",
+            "h",
+            "/draft/",
+            RequestKind.STREAM,
+            10_000,
+            500,
+            2,
+            1,
+            false,
+            true,
+            false,
+            200,
+            List.of(new WeightedService("model", 1)));
+    firstConfiguration =
+        new RoutingConfiguration(
+            1, List.of(notResumable), usual.services(), usual.limits(), Optional.empty());
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).startsWith("HTTP/1.1 " + answer);
+  }
+
   /** Guards against a second copy of a refusal that is taken for the response to the next send. */
   @Test
   void aRefusalThatIsSentTwiceDoesNotHideARun() throws Exception {
