Let refusals reach callers that send large allowed bodies

What callers saw: a request that was refused before its body had arrived, for lack of memory or connections, ended with a reset instead of the refusal, so that its caller did not learn that it had not run.

Cause: after a refusal at most 1 MiB was discarded before the connection was closed, whatever body the configuration allows. The reset ends the caller's write, and a caller that fails to write may not read.

Ruled out: the time limit of one second. The connection of the trace was closed 38 ms after it was opened, with 1,052,645 bytes read.

Change: twice the limit on bodies may be discarded, at least 1 MiB. The time limit stays.

Test: mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest='ConnectionEndTest#aRefusalReaches*' -Dsurefire.failIfNoSpecifiedTests=false test Before: 2 of 3 cases fail with "Broken pipe". After: 3 of 3 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -460,7 +460,8 @@
   private void closeAfterWrites(boolean isRequestIncomplete) {
     isRefusing = true;
     LingeringClose lingering =
-        new LingeringClose(context, handlerContext.channel(), isRequestIncomplete);
+        new LingeringClose(
+            context, handlerContext.channel(), isRequestIncomplete, limitsNow().maxBodyBytes());
     closing = Optional.of(lingering);
     lingering.start();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
@@ -19,7 +19,7 @@
   /** The same after the first bytes that do not belong to the last request. */
   private static final long NEXT_REQUEST_LINGER_MS = 100;
 
-  private static final long MAX_DISCARDED_BYTES = 1_048_576;
+  private static final long MIN_DISCARDED_BYTES = 1_048_576;
 
   private final ForwardContext context;
   private final Channel channel;
@@ -27,14 +27,28 @@
   /** Whether bytes that come belong to the request that was responded to. */
   private final boolean isRequestIncomplete;
 
+  /** Number of bytes that are discarded before the connection is closed. */
+  private final long maxDiscardedBytes;
+
   private ScheduledFuture<?> timer;
   private long discardedBytes;
   private boolean isShortened;
 
-  LingeringClose(ForwardContext context, Channel channel, boolean isRequestIncomplete) {
+  /**
+   * Creates the close of a connection.
+   *
+   * @param context shared state
+   * @param channel the connection
+   * @param isRequestIncomplete whether bytes that come belong to the request that was responded to
+   * @param maxBodyBytes limit on the body of a request, which an allowed request may still send
+   */
+  LingeringClose(
+      ForwardContext context, Channel channel, boolean isRequestIncomplete, long maxBodyBytes) {
     this.context = context;
     this.channel = channel;
     this.isRequestIncomplete = isRequestIncomplete;
+    // Chunks of a few bytes have about as much framing as content.
+    this.maxDiscardedBytes = Math.max(MIN_DISCARDED_BYTES, 2 * maxBodyBytes);
   }
 
   /**
@@ -60,7 +74,7 @@
   /** Must be called when bytes arrive; they are discarded. */
   void onBytes(int bytes) {
     discardedBytes += bytes;
-    if (discardedBytes > MAX_DISCARDED_BYTES) {
+    if (discardedBytes > maxDiscardedBytes) {
       channel.close();
     } else {
       shortenIfNextRequest();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -17,6 +17,7 @@
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import org.gooseberryhook.router.configuration.RequestLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -232,6 +233,27 @@
     }
   }
 
+  /** Guards against a refusal that is lost because the caller is reset within an allowed body. */
+  @ParameterizedTest
+  @CsvSource({"false", "true"})
+  void aRefusalReachesACallerThatSendsALargeBodyBehindIt(boolean isChunked) throws Exception {
+    maxSockets = 1;
+    firstConfiguration = configuration(1, new RequestLimits(2_000, 8_000_000, 500, 2_000));
+    startNode();
+    String request = post("/book/x", "b".repeat(8_000_000));
+    if (isChunked) {
+      request =
+          request
+              .replaceFirst("Content-Length: \\d+", "Transfer-Encoding: chunked")
+              .replaceFirst("\r\n\r\nb+$", "\r\n\r\n" + "8\r\nbbbbbbbb\r\n".repeat(1_000_000))
+              .concat("0\r\n\r\n");
+    }
+    try (Socket first = open()) {
+      awaitGauge("gooseberryhook_caller_connections 1.0");
+      assertThat(exchange(request)).startsWith("HTTP/1.1 503").contains("not-run");
+    }
+  }
+
   /** Guards against a request that lies unread in the socket when an idle connection is closed. */
   @Test
   void aRequestThatIsNotReadYetIsServedWhenTheNodeStops() throws Exception {
