Measure stalled writes anew for each response

What callers saw: an answer was cut by a close of its connection although its caller had read the one before, if the request took longer than 10 s.

Ruled out: a caller that reads nothing. In the test the first answer is written as a whole before the second request begins.

Change: what was measured is forgotten once a response has been sent.

Test: mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest=UnwrittenAnswerTest -Dsurefire.failIfNoSpecifiedTests=false test Before: 1 of 8 fails (anAnswerIsGivenTimeAfterARequestThatTookLong). After: 8 of 8 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -384,6 +384,7 @@
     exchange = null;
     response = null;
     record.onResponse();
+    writeProgress.onAllSent();
     releaseBody();
     lastReceivedMs = context.clock().nowMs();
     if (isClosing) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/WriteProgress.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/WriteProgress.java
@@ -35,6 +35,12 @@
     return pendingBytes > 0;
   }
 
+  /** Must be called when a response was sent as a whole; the next one may be as long as it was. */
+  void onAllSent() {
+    pendingBytes = 0;
+    sentBytes = 0;
+  }
+
   /**
    * Returns whether nothing was sent for longer than {@link #MAX_STALL_MS}, if bytes wait.
    *
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -122,6 +123,30 @@
     assertThat(channel.isOpen()).isTrue();
   }
 
+  /** Guards against an answer that counts as stalled since the one before, which was as long. */
+  @Test
+  void anAnswerIsGivenTimeAfterARequestThatTookLong() {
+    channel.freezeTime();
+    connect();
+    channel.isFull = true;
+    send(REQUEST + REQUEST.substring(0, 10));
+    passMs(1_000);
+    channel.isFull = false;
+    channel.flush();
+    channel.runPendingTasks();
+    // A request of which a part had to wait is started a little later.
+    send(REQUEST.substring(10));
+    passMs(2 * WriteProgress.MAX_STALL_MS);
+    channel.isFull = true;
+    channel.advanceTimeBy(1, TimeUnit.SECONDS);
+    channel.runPendingTasks();
+    passMs(1_000);
+    assertThat(channel.isOpen()).isTrue();
+    channel.isFull = false;
+    passMs(1_000);
+    assertThat(received().split("HTTP/1.1 503", -1)).hasSize(3);
+  }
+
   /** Guards against connections without end that callers who read nothing keep. */
   @Test
   void aConnectionThatIsClosingAndWhoseCallerReadsNothingIsClosed() {
