Do not take a target for silent while it sends its answer

What callers saw: 502 or 500 for an idempotent request whose target was sending its answer steadily, if the answer took longer than 30 % of the time left and the next target refused, failed or broke off.

Cause: the check of a silent target asked only whether the answer was complete. It closed the connection in the middle of the body.

Ruled out: a shortage of time. The first answer ends after 0.6 s of 1 s.

Change: a target of which a part of the answer has come since the last check is not silent.

Test: mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest='RouterNodeTest#anIdempotentRequestGets*' -Dsurefire.failIfNoSpecifiedTests=false test Before: 3 of 3 cases fail. After: 3 of 3 pass.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -313,6 +313,9 @@
     private ResponseMetadata metadata;
     private boolean isOver;
 
+    /** Whether a part of the response has arrived since the last check. */
+    private boolean hasProgressed;
+
     Attempt(TargetEntry target) {
       this.target = target;
     }
@@ -395,6 +398,11 @@
       if (isOver) {
         return;
       }
+      if (hasProgressed) {
+        hasProgressed = false;
+        scheduleSilenceCheck();
+        return;
+      }
       context.fleet().checkTarget(target.address());
       boolean canLeave =
           route().kind() == RequestKind.IDEMPOTENT
@@ -414,10 +422,12 @@
       status = newStatus;
       headers = newHeaders;
       metadata = newMetadata;
+      hasProgressed = true;
     }
 
     @Override
     public void onContent(ByteBuf content) {
+      hasProgressed = true;
       int bytes = content.readableBytes();
       if (body.readableBytes() + bytes > MAX_RESPONSE_BYTES
           || !context.bodyMemory().tryReserve(bytes)) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeTest.java
@@ -17,6 +17,8 @@
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests what callers and targets receive from a node over real sockets. */
 class RouterNodeTest extends RouterNodeHarness {
@@ -141,6 +143,37 @@
     assertThat(target.requests()).hasSize(1);
   }
 
+  /** Guards against an answer that is thrown away while its target still sends it. */
+  @ParameterizedTest
+  @CsvSource({"true, 503", "true, 500", "true, 0"})
+  void anIdempotentRequestGetsTheAnswerOfASlowTargetIfTheNextOneFails(boolean isSteady, int status)
+      throws Exception {
+    AtomicInteger sends = new AtomicInteger();
+    for (int i = 0; i < 2; i++) {
+      addTarget(
+          "plain",
+          null,
+          (request, out) -> {
+            if (sends.getAndIncrement() > 0) {
+              if (status == 0) {
+                throw new IOException("broken off by the test");
+              }
+              String header = status == 503 ? "not-run: 1\r\n" : "signed: s\r\n";
+              TargetStandin.writeResponse(out, request, status, header, "error");
+              return;
+            }
+            BegunStreamHarness.writeHead(
+                request, out, "200", "signed: s\r\nContent-Length: 10\r\n");
+            for (int sent = 0; sent < 10; sent++) {
+              Thread.sleep(isSteady ? 60 : sent == 0 ? 600 : 0);
+              TargetStandin.write(out, "x");
+            }
+          });
+    }
+    startNode();
+    assertThat(exchange(get("/read/x"))).startsWith("HTTP/1.1 200").endsWith("x".repeat(10));
+  }
+
   @Test
   void aStreamRunsOverAPipelineThatHoldsAllLayers() throws Exception {
     TargetStandin head =
