Continue relayed streams that the other node ends early

What callers saw: a stream that a node without links relays to another node was broken off when that node stopped or could not go on with it, although targets and attempts were left.

Cause: the first node does not know how many targets the other one used, so that a further attempt could exceed the attempts of the route.

Ruled out: a header of the response alone (sent before later attempts), fewer attempts for the other node (one stays unused in most streams), a comment among the events (an earlier version passes it on to callers).

Change: the first node asks with "TE: trailers". The other one then ends a stream that it gives up with trailers that state how many targets may have run it, or states it in the head of its problem before the first event. The first node passes whole events on and continues after the last of them like after an attempt of its own, at a node that did not have the stream or at its own targets, within the attempts, the retry budget and the crash rules. Without the number, or with an impossible one, the stream is broken off as before. An earlier version ignores the question and does not ask itself.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -123,12 +124,29 @@
    * Breaks it off if it has started.
    */
   void sendProblem(ProblemResponse problem) {
+    sendProblem(problem, EmptyHttpHeaders.INSTANCE);
+  }
+
+  /**
+   * Ends the response with an error of the router's own.
+   *
+   * @param problem the error
+   * @param fields headers of the error for a node that asked for them. If the response has started,
+   *     they are its trailers, which mark it as incomplete; without any, it is broken off
+   */
+  void sendProblem(ProblemResponse problem, HttpHeaders fields) {
     if (isDone) {
       reportMisuse("sendProblem " + problem.kind());
-    } else if (isStarted) {
+    } else if (!isStarted) {
+      DefaultFullHttpResponse response = newResponse(problem);
+      response.headers().add(fields);
+      send(response);
+    } else if (fields.isEmpty() || endsWithConnection) {
       abort();
     } else {
-      send(newResponse(problem));
+      DefaultLastHttpContent end = new DefaultLastHttpContent();
+      end.trailingHeaders().add(fields);
+      writeLast(end);
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -3,6 +3,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.gooseberryhook.router.fleet.TargetEntry;
 
@@ -36,7 +37,8 @@
       CallerRequest request,
       CallerResponse response,
       RoutingResult.Routed routed,
-      String service) {
+      String service,
+      Set<String> triedNodes) {
     this.context = context;
     this.dispatcher = dispatcher;
     this.request = request;
@@ -45,7 +47,19 @@
     this.service = service;
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
     this.crashGuard = new CrashGuard(context, request, routed, service);
-    this.relay = new RelayHandover(context, request, response, routed, service);
+    this.relay = new RelayHandover(context, request, response, routed, service, triedNodes);
+  }
+
+  /** Continues a request that this node relayed to other ones. */
+  ForwardedExchange(ForwardedExchange relayed, Set<String> triedNodes) {
+    this(
+        relayed.context,
+        relayed.dispatcher,
+        relayed.request,
+        relayed.response,
+        relayed.routed,
+        relayed.service,
+        triedNodes);
   }
 
   /** Ends the request at this node and logs its outcome; sends nothing to the caller. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/HeaderCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/HeaderCodec.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.OptionalInt;
 
 /** Reads and writes the headers that a deployment uses between callers, router and targets. */
 public interface HeaderCodec {
@@ -36,6 +37,22 @@
    */
   void writeRelayHeaders(HttpHeaders headers, RelayMetadata metadata);
 
+  /**
+   * Adds the number of targets that may have run a stream which this node ends early.
+   *
+   * @param fields headers or trailers of the response to the node that relayed the stream
+   * @param sends the number, with the targets that got the stream from that node
+   */
+  void writeRelayedSends(HttpHeaders fields, int sends);
+
+  /**
+   * Reads the number of targets that may have run a stream which another node ended early.
+   *
+   * @param fields headers or trailers of the response of that node
+   * @return the number, 0 if it is not valid, empty if it is not stated
+   */
+  OptionalInt readRelayedSends(HttpHeaders fields);
+
   /**
    * Reads a target's headers.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -71,7 +71,7 @@
       CallerResponse response,
       RoutingResult.Routed routed,
       String service) {
-    super(context, dispatcher, request, response, routed, service);
+    super(context, dispatcher, request, response, routed, service, Set.of());
     this.sends = request.metadata().relayedSends().orElse(0);
     this.possiblyRunSends = sends;
   }
@@ -92,7 +92,8 @@
 
   /** Relays the request to another node, if there is one; its attempts and budget must allow it. */
   private boolean tryRelay() {
-    return relay.tryRelay(possiblyRunSends, Optional.empty(), () -> finish("handed-over"));
+    return relay.tryRelay(
+        possiblyRunSends, Optional.empty(), Optional.empty(), () -> finish("handed-over"));
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ProblemResponse.java
@@ -69,6 +69,11 @@
     return new ProblemResponse(STATUS_BAD_GATEWAY, kind, detail, 0, true);
   }
 
+  /** Returns {@link #mayHaveRun} or {@link #notRun}, as is true of the request. */
+  static ProblemResponse failed(boolean mayHaveRun, String kind, String detail, long retryAfterMs) {
+    return mayHaveRun ? mayHaveRun(kind, detail) : notRun(kind, detail, retryAfterMs);
+  }
+
   /**
    * Returns a response for a request that ends because of a fault of the router.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.gooseberryhook.router.configuration.RequestKind;
 import org.gooseberryhook.router.forward.RelayView.RelayNode;
@@ -18,12 +19,13 @@
  *
  * <p>The other node counts the attempts, spends the retry budget and records the outcome. The
  * request is sent to one node only: if the connection breaks afterwards, nothing is known of the
- * attempts that were made.
+ * attempts that were made. If the node ends a stream early and states how many targets may have run
+ * it, a further exchange continues it.
  */
 final class RelayExchange implements Exchange, ResponseListener {
 
-  /** Maximum number of nodes that are tried until a connection to one is open. */
-  private static final int MAX_CONNECT_ATTEMPTS = 3;
+  /** Maximum number of nodes that are tried for a request, reached or not. */
+  static final int MAX_NODES = 3;
 
   /** Maximum size of a response that is passed on as a whole, in bytes. */
   private static final int MAX_RESPONSE_BYTES = 8_388_608;
@@ -35,7 +37,9 @@
   private final String service;
   private final int earlierSends;
   private final Optional<String> lastEventId;
-  private final Set<String> triedNodes = new HashSet<>();
+  private final Optional<RelayedStream> stream;
+  private final Set<String> triedNodes;
+  private final EventFramer framer = new EventFramer();
   private final ByteBuf body = Unpooled.buffer(0);
   private final StepGuard guard = new StepGuard(this::onError);
   private RelayNode node;
@@ -45,6 +49,11 @@
   private int status;
   private HttpHeaders headers;
   private boolean isStream;
+
+  /** Number of targets that may have run the request, if the other node ended it early. */
+  private OptionalInt relayedSends = OptionalInt.empty();
+
+  private Optional<Exchange> continuation = Optional.empty();
   private boolean isCallerSlow;
   private boolean isFinished;
 
@@ -66,6 +75,8 @@
    * @param service name of the service
    * @param earlierSends number of targets that got the request from this node and may have run it
    * @param lastEventId id of the last event that the caller received, if any
+   * @param stream continues the request if the other node ends it early; empty if none can
+   * @param triedNodes names of the nodes to which it must not be relayed
    */
   RelayExchange(
       ForwardContext context,
@@ -74,7 +85,9 @@
       RoutingResult.Routed routed,
       String service,
       int earlierSends,
-      Optional<String> lastEventId) {
+      Optional<String> lastEventId,
+      Optional<RelayedStream> stream,
+      Set<String> triedNodes) {
     this.context = context;
     this.request = request;
     this.response = response;
@@ -82,6 +95,8 @@
     this.service = service;
     this.earlierSends = earlierSends;
     this.lastEventId = lastEventId;
+    this.stream = stream;
+    this.triedNodes = new HashSet<>(triedNodes);
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
   }
 
@@ -93,18 +108,22 @@
   }
 
   boolean isActive() {
-    return deadlineTimer != null && !isFinished;
+    return continuation.isPresent() || (deadlineTimer != null && !isFinished);
   }
 
   @Override
   public void onError(Throwable error) {
+    if (continuation.isPresent()) {
+      context.logError("internal-error", request.metadata().attemptId(), error);
+      return;
+    }
     Runnable finishOnce = isFinished ? () -> {} : () -> finish("internal-error");
     context.endAfterError(request, response, finishOnce, mayHaveRun(), error);
   }
 
   private void connect() {
     Optional<RelayNode> chosen =
-        triedNodes.size() < MAX_CONNECT_ATTEMPTS
+        triedNodes.size() < MAX_NODES
             ? context.relays().choose(service, triedNodes)
             : Optional.empty();
     if (chosen.isEmpty()) {
@@ -143,7 +162,7 @@
     isSent = true;
     RelayMetadata metadata = new RelayMetadata(earlierSends, remainingMs, lastEventId);
     channel.sendToNode(
-        TargetRequests.createRelayed(context, request, metadata),
+        TargetRequests.createRelayed(context, request, metadata, stream.isPresent()),
         request.metadata().attemptId(),
         guard.wrap(this));
   }
@@ -154,7 +173,11 @@
     headers = newHeaders;
     boolean isOk = status == HttpResponseStatus.OK.code();
     boolean isSuccess = HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS;
-    if ((isSuccess && !metadata.isSigned()) || (!isOk && response.isStarted())) {
+    if (!isSuccess && !metadata.isSigned() && metadata.attemptId().isEmpty()) {
+      relayedSends = context.headerCodec().readRelayedSends(headers);
+    }
+    boolean mayContinue = isOk || relayedSends.isPresent();
+    if ((isSuccess && !metadata.isSigned()) || (!mayContinue && response.isStarted())) {
       breakOff("the other node did not continue the stream or passed no target's signature on");
       return;
     }
@@ -169,6 +192,12 @@
     if (isFinished) {
       return;
     }
+    if (isStream && stream.isPresent()) {
+      if (!framer.accept(content, this::onEvent)) {
+        breakOff("an event is larger than 1 MiB");
+      }
+      return;
+    }
     if (isStream) {
       response.sendChunk(content.retainedSlice());
       return;
@@ -183,15 +212,29 @@
     }
   }
 
+  private void onEvent(ByteBuf event, String id) {
+    stream.get().onSentEvent(id);
+    response.sendChunk(event);
+  }
+
+  @Override
+  public void onTrailers(HttpHeaders trailers) {
+    if (isStream) {
+      relayedSends = context.headerCodec().readRelayedSends(trailers);
+    }
+  }
+
   @Override
   public void onEnd() {
     if (isFinished) {
       return;
     }
     channel = null;
-    if (isStream) {
+    if (relayedSends.isPresent()) {
+      onEndedEarly(relayedSends.getAsInt());
+    } else if (isStream) {
       finish("relayed");
-      response.endStream(Unpooled.EMPTY_BUFFER);
+      response.endStream(framer.takeRemaining());
     } else if (earlierSends > 0 && ProblemResponse.isNotRunStatus(status)) {
       // True of the other node only: targets got the request from this one before.
       fail("relay-refused", "the other node refused the request");
@@ -203,6 +246,20 @@
     }
   }
 
+  /** Continues the stream, unless the number of targets cannot be right. */
+  private void onEndedEarly(int sends) {
+    if (stream.isEmpty() || sends < Math.max(1, earlierSends)) {
+      onFailure("the other node did not state how many targets may have run the stream");
+      return;
+    }
+    Exchange next = stream.get().createContinuation(sends, Set.copyOf(triedNodes));
+    request.body().retain();
+    finish("ended-early");
+    continuation = Optional.of(next);
+    next.onWritabilityChanged(!isCallerSlow);
+    new StepGuard(next::onError).run(next::start);
+  }
+
   @Override
   public void onFailure(String reason) {
     if (!isFinished) {
@@ -252,6 +309,7 @@
     if (!isFinished) {
       finish("caller-gone");
     }
+    continuation.ifPresent(Exchange::onCallerGone);
   }
 
   @Override
@@ -260,6 +318,7 @@
     if (!isFinished && channel != null) {
       channel.setReading(isWritable);
     }
+    continuation.ifPresent(next -> next.onWritabilityChanged(isWritable));
   }
 
   @Override
@@ -267,6 +326,7 @@
     if (!isFinished) {
       fail(ForwardedExchange.NODE_STOPPING, "the node is stopping");
     }
+    continuation.ifPresent(Exchange::onNodeStopping);
   }
 
   private void uncount() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
@@ -1,5 +1,7 @@
 package org.gooseberryhook.router.forward;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.Set;
 
@@ -11,6 +13,10 @@
   private final CallerResponse response;
   private final RoutingResult.Routed routed;
   private final String service;
+
+  /** Names of the nodes that had the request from this one. */
+  private final Set<String> triedNodes;
+
   private Optional<RelayExchange> relayed = Optional.empty();
 
   RelayHandover(
@@ -18,12 +24,14 @@
       CallerRequest request,
       CallerResponse response,
       RoutingResult.Routed routed,
-      String service) {
+      String service,
+      Set<String> triedNodes) {
     this.context = context;
     this.request = request;
     this.response = response;
     this.routed = routed;
     this.service = service;
+    this.triedNodes = triedNodes;
   }
 
   /**
@@ -37,7 +45,39 @@
   /** Returns whether another node reaches more targets of the service. */
   boolean isPossible() {
     return request.metadata().relayedSends().isEmpty()
-        && context.relays().choose(service, Set.of()).isPresent();
+        && triedNodes.size() < RelayExchange.MAX_NODES
+        && context.relays().choose(service, triedNodes).isPresent();
+  }
+
+  /** Returns whether the request is better served by another node than if it waits here. */
+  boolean isPreferable() {
+    return hasPipeline() ? isCutOff() : isPossible();
+  }
+
+  /** Returns whether it may become known in a moment that another node reaches the targets. */
+  boolean isExpected() {
+    return !hasPipeline() && isCutOff();
+  }
+
+  private boolean hasPipeline() {
+    return !context.fleet().pipelines(service).isEmpty();
+  }
+
+  /** Returns whether this node relayed the request before and another one ended it early. */
+  boolean isContinuing() {
+    return !triedNodes.isEmpty();
+  }
+
+  /**
+   * Returns what tells the node that relayed the request to this one how many targets may have run
+   * it; nothing if it did not ask or none has.
+   */
+  HttpHeaders endFields(SendLedger ledger) {
+    HttpHeaders fields = new DefaultHttpHeaders();
+    if (ledger.mayHaveRun() && TargetRequests.isRelayedWithTrailers(request)) {
+      context.headerCodec().writeRelayedSends(fields, ledger.possiblyRun());
+    }
+    return fields;
   }
 
   /**
@@ -46,16 +86,22 @@
    *
    * @param sends number of targets that got the request from this node and may have run it
    * @param lastEventId id of the last event that the caller received, if any
+   * @param stream continues the request if the other node ends it early; empty if none can
    * @param onHandover called before the request is relayed
    * @return false if there is no node for it
    */
-  boolean tryRelay(int sends, Optional<String> lastEventId, Runnable onHandover) {
+  boolean tryRelay(
+      int sends,
+      Optional<String> lastEventId,
+      Optional<RelayedStream> stream,
+      Runnable onHandover) {
     if (!isPossible()) {
       return false;
     }
     request.body().retain();
     RelayExchange exchange =
-        new RelayExchange(context, request, response, routed, service, sends, lastEventId);
+        new RelayExchange(
+            context, request, response, routed, service, sends, lastEventId, stream, triedNodes);
     relayed = Optional.of(exchange);
     onHandover.run();
     exchange.start();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -94,6 +94,12 @@
         .orElse(nowMs);
   }
 
+  /** Returns the {@code Retry-After} of a stream for which no pipeline has room. */
+  long retryAfterMs(String service) {
+    long resumeMs = earliestResumeMs(context.fleet().pipelines(service));
+    return StreamLimits.retryAfterMs(resumeMs - context.clock().nowMs(), context.random());
+  }
+
   /**
    * Returns whether a stream may start by a time: pauses end by then, and the limits of the heads
    * allow it.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ResponseListener.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ResponseListener.java
@@ -15,6 +15,9 @@
   /** Called with bytes of the body; the buffer is valid during the call only. */
   void onContent(ByteBuf content);
 
+  /** Called before {@link #onEnd} if the response has trailers. */
+  default void onTrailers(HttpHeaders trailers) {}
+
   /** Called when the response is complete. */
   void onEnd();
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -15,7 +15,7 @@
  *
  * @param sends the sends that were not refused, in order
  * @param refusals number of sends of which a target has stated that the request did not run
- * @param earlierSends number of sends by the node that relayed the request to this one, which count
+ * @param earlierSends number of sends by other nodes, which count
  */
 record SendLedger(List<Send> sends, int refusals, int earlierSends) {
 
@@ -55,9 +55,9 @@
   }
 
   /**
-   * Returns the ledger of a request that another node relayed.
+   * Returns the ledger of a request that another node has relayed or served before.
    *
-   * @param earlierSends number of targets that got it from that node and may have run it
+   * @param earlierSends number of targets that got it from other nodes and may have run it
    * @return a ledger without sends of this node
    */
   static SendLedger ofRelayed(int earlierSends) {
@@ -103,7 +103,12 @@
     return earlierSends + sends.size() + refusals;
   }
 
-  /** Returns the number of sends that were not refused, with those of the earlier node. */
+  /** Returns whether there is any send. */
+  boolean isSent() {
+    return total() > 0;
+  }
+
+  /** Returns the number of sends that were not refused, with those of other nodes. */
   int possiblyRun() {
     return earlierSends + sends.size();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StepGuard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StepGuard.java
@@ -53,6 +53,11 @@
         run(() -> listener.onContent(content));
       }
 
+      @Override
+      public void onTrailers(HttpHeaders trailers) {
+        run(() -> listener.onTrailers(trailers));
+      }
+
       @Override
       public void onEnd() {
         run(listener::onEnd);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -17,7 +18,7 @@
  * <p>The response head is sent with the first event. If an attempt fails before, the next one sends
  * a response head of its own.
  */
-final class StreamExchange extends ForwardedExchange {
+final class StreamExchange extends ForwardedExchange implements RelayedStream {
 
   private final EngineProfile profile;
   private final StreamProgress progress;
@@ -41,12 +42,30 @@
       RoutingResult.Routed routed,
       String service,
       EngineProfile profile) {
-    super(context, dispatcher, request, response, routed, service);
+    super(context, dispatcher, request, response, routed, service, Set.of());
     this.profile = profile;
     this.progress = new StreamProgress(request.metadata().lastEventId());
     this.ledger = SendLedger.ofRelayed(request.metadata().relayedSends().orElse(0));
   }
 
+  /** Continues a stream that another node served for this one. */
+  private StreamExchange(StreamExchange relayed, int sends, Set<String> triedNodes) {
+    super(relayed, triedNodes);
+    this.profile = relayed.profile;
+    this.progress = relayed.progress;
+    this.ledger = SendLedger.ofRelayed(sends);
+  }
+
+  @Override
+  public long onSentEvent(String id) {
+    return progress.onEvent(id, profile.decodeStepsPerPass(), context.clock().nowMs());
+  }
+
+  @Override
+  public Exchange createContinuation(int sends, Set<String> triedNodes) {
+    return new StreamExchange(this, sends, triedNodes);
+  }
+
   @Override
   public WaitQueue.SchedulingInfo schedulingInfo() {
     String workspace = routed.workspace().map(Workspace::name).orElse("");
@@ -57,13 +76,17 @@
 
   @Override
   public void start() {
-    context.limits().recordRequest(service, context.clock().nowMs());
     deadlineTimer = schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
-    if (failIfRejected(crashGuard.rejection(false)) || (shouldRelay() && tryRelay())) {
+    if (relay.isContinuing()) {
+      resumeOrFail("relay-ended", "the other node ended the stream early");
+      return;
+    }
+    context.limits().recordRequest(service, context.clock().nowMs());
+    if (failIfRejected(crashGuard.rejection(false)) || (relay.isPreferable() && tryRelay())) {
       return;
     }
     long usualWaitMs = (long) (routed.route().targetLatencyMs() * StreamLimits.MAX_WAIT_SHARE);
-    long waitMs = shouldWaitForRelay() ? StreamLimits.RELAY_WAIT_MS : usualWaitMs;
+    long waitMs = relay.isExpected() ? StreamLimits.RELAY_WAIT_MS : usualWaitMs;
     long waitDeadlineMs = Math.min(deadlineMs, request.receivedMs() + waitMs);
     boolean mayWait =
         dispatcher.mayStartBy(service, waitDeadlineMs, dispatcher.waitingCount(service));
@@ -76,7 +99,7 @@
     StreamRequest streamRequest = newStreamRequest(nowMs);
     Optional<ModelPipeline> chosen =
         choosePipeline(streamRequest, context.fleet().pipelines(service));
-    if (chosen.isEmpty() && !isMoveQueued && shouldRelay()) {
+    if (chosen.isEmpty() && !isMoveQueued && relay.isPreferable()) {
       return tryRelay();
     }
     boolean mayStart = chosen.isPresent() && (!isMoveQueued || mayMove(nowMs));
@@ -96,24 +119,20 @@
     return ledger.mayHaveRun();
   }
 
-  private boolean isSent() {
-    return ledger.total() > 0;
-  }
-
   private void startOn(ModelPipeline pipeline, StreamRequest streamRequest) {
     leaveQueue = () -> {};
     if (attempt != null && !attempt.isOver) {
       log("move", "from", attempt.pipeline.describe());
       attempt.cancel();
     }
-    dispatcher.onStarted(pipeline, isSent());
+    dispatcher.onStarted(pipeline, ledger.isSent());
     attempt = new Attempt(pipeline, streamRequest.reservedTokens());
     attempt.start();
   }
 
   private StreamRequest newStreamRequest(long nowMs) {
     return StreamRequestFactory.create(
-        request, routed, profile, progress.generatedTokens(), isSent(), deadlineMs, nowMs);
+        request, routed, profile, progress.generatedTokens(), ledger.isSent(), deadlineMs, nowMs);
   }
 
   @Override
@@ -123,31 +142,21 @@
       cancelMove();
     } else if (!isFinished && !tryRelay()) {
       logReachedLimits(context.fleet().pipelines(service).stream().map(ModelPipeline::head));
-      long resumeMs = dispatcher.earliestResumeMs(context.fleet().pipelines(service));
-      long retryAfterMs =
-          StreamLimits.retryAfterMs(resumeMs - context.clock().nowMs(), context.random());
-      fail(
+      failResumable(
           ledger.mayHaveRun()
               ? ProblemResponse.mayHaveRun("pipeline-lost", "no other pipeline has room")
-              : ProblemResponse.notRun("no-room", "all pipelines are full", retryAfterMs));
+              : ProblemResponse.notRun(
+                  "no-room", "all pipelines are full", dispatcher.retryAfterMs(service)));
     }
   }
 
-  /** Returns whether it may become known in a moment that another node reaches the targets. */
-  private boolean shouldWaitForRelay() {
-    return context.fleet().pipelines(service).isEmpty() && relay.isCutOff();
-  }
-
-  /** Returns whether the stream is better served by another node than if it waits here. */
-  private boolean shouldRelay() {
-    boolean hasPipeline = !context.fleet().pipelines(service).isEmpty();
-    return hasPipeline ? relay.isCutOff() : relay.isPossible();
-  }
-
   /** Relays the stream to another node, if there is one; its attempts and budget must allow it. */
   private boolean tryRelay() {
     return relay.tryRelay(
-        ledger.possiblyRun(), progress.lastEventId(), () -> finish("handed-over"));
+        ledger.possiblyRun(),
+        progress.lastEventId(),
+        Optional.of(this),
+        () -> finish("handed-over"));
   }
 
   /** Moves the stream, if it runs, off targets that are lost or about to leave. */
@@ -159,10 +168,14 @@
 
   @Override
   void fail(String kind, String detail) {
-    fail(
-        ledger.mayHaveRun()
-            ? ProblemResponse.mayHaveRun(kind, detail)
-            : ProblemResponse.notRun(kind, detail, StreamLimits.RETRY_AFTER_MS));
+    failResumable(
+        ProblemResponse.failed(ledger.mayHaveRun(), kind, detail, StreamLimits.RETRY_AFTER_MS));
+  }
+
+  /** Ends the stream; the node that relayed it, if one did, may continue it. */
+  private void failResumable(ProblemResponse problem) {
+    finish(problem.kind());
+    response.sendProblem(problem, relay.endFields(ledger));
   }
 
   private void onDeadline() {
@@ -259,14 +272,14 @@
     boolean isAllowed =
         mayRunAgain()
             && hasAttemptsLeft()
-            && (!isSent()
+            && (!ledger.isSent()
                 || (dispatcher.mayStartBy(service, waitDeadlineMs, 0)
                     && context.retryBudget().trySpend(service, nowMs)));
     if (!isAllowed) {
       fail(kind, detail);
       return;
     }
-    if (shouldRelay() && tryRelay()) {
+    if (relay.isPreferable() && tryRelay()) {
       return;
     }
     log("resume", "reason", kind, "detail", detail);
@@ -328,7 +341,7 @@
       channel = connected;
       channel.setReading(!isCallerSlow);
       long nowMs = context.clock().nowMs();
-      if (!isSent()) {
+      if (!ledger.isSent()) {
         context.retryBudget().recordFirstSend(service, nowMs);
       }
       ledger = ledger.withSend(pipeline.head());
@@ -491,8 +504,7 @@
       if (!response.isStarted()) {
         response.startStream(status, headers);
       }
-      int tokens = profile.decodeStepsPerPass();
-      long gapMs = progress.onEvent(id, tokens, context.clock().nowMs());
+      long gapMs = onSentEvent(id);
       if (routed.route().gapTargetMs() > 0 && gapMs > routed.route().gapTargetMs()) {
         context.fleet().checkPace(pipeline);
       }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -300,6 +301,10 @@
         fail("connection was reset before the end of the response");
         return;
       }
+      HttpHeaders trailers = ((LastHttpContent) content).trailingHeaders();
+      if (!trailers.isEmpty()) {
+        listener.onTrailers(trailers);
+      }
       end();
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetRequests.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetRequests.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -35,14 +36,31 @@
     return create(request, headers);
   }
 
-  /** Returns the request to be sent to another node, with the caller's key. */
+  /**
+   * Returns the request to be sent to another node, with the caller's key.
+   *
+   * @param acceptsTrailers whether the other node may end the response early with trailers
+   */
   static FullHttpRequest createRelayed(
-      ForwardContext context, CallerRequest request, RelayMetadata metadata) {
+      ForwardContext context,
+      CallerRequest request,
+      RelayMetadata metadata,
+      boolean acceptsTrailers) {
     HttpHeaders headers = EndToEndHeaders.copyOf(request.headers());
     context.headerCodec().writeRelayHeaders(headers, metadata);
+    if (acceptsTrailers) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderNames.TE);
+      headers.set(HttpHeaderNames.TE, HttpHeaderValues.TRAILERS);
+    }
     return create(request, headers);
   }
 
+  /** Returns whether a request comes from another node, which accepts trailers. */
+  static boolean isRelayedWithTrailers(CallerRequest request) {
+    return request.metadata().relayedSends().isPresent()
+        && request.headers().containsValue(HttpHeaderNames.TE, HttpHeaderValues.TRAILERS, true);
+  }
+
   private static FullHttpRequest create(CallerRequest request, HttpHeaders headers) {
     headers.remove(HttpHeaderNames.EXPECT);
     FullHttpRequest targetRequest =
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -116,7 +116,9 @@
         new RoutingResult.Routed(ROUTE, Optional.empty(), 0),
         "s",
         0,
-        Optional.empty());
+        Optional.empty(),
+        Optional.empty(),
+        Set.of());
   }
 
   /** Guards against a refusal that promises that a request has not run which has. */
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
@@ -21,11 +21,18 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerReportCodec;
 import org.gooseberryhook.router.fleet.CrashFindings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests requests at a node that lost its links to all targets while another node reaches them.
@@ -343,4 +350,137 @@
     exchange(post("/draft/x", "p"));
     awaitSuspects();
   }
+
+  /** Sends two events after the last one of the caller and ends the first stream early. */
+  private static TargetStandin.Script endingEarlyOnce(int sends) {
+    AtomicInteger streams = new AtomicInteger();
+    return (request, out) -> {
+      int next = 1 + Integer.parseInt("0" + TargetStandin.header(request, "last-event-id"));
+      writeEvents(request, out, next, next + 1);
+      boolean isEarly = streams.getAndIncrement() == 0;
+      TargetStandin.write(
+          out, "0\r\n" + (isEarly ? "relayed-sends: " + sends + "\r\n" : "") + "\r\n");
+    };
+  }
+
+  private static void assertHasEvents(String response, int count) {
+    assertThat(Pattern.compile("id: \\d+").matcher(response).results().map(MatchResult::group))
+        .containsExactlyElementsOf(
+            IntStream.rangeClosed(1, count).mapToObj(i -> "id: " + i).toList());
+  }
+
+  /** Guards against streams that are broken off when the node that serves them stops. */
+  @Test
+  void aStreamThatItsNodeEndsEarlyContinuesAtAnotherNode() throws Exception {
+    TargetStandin.Script script = endingEarlyOnce(1);
+    TargetStandin first = addPeer(script);
+    TargetStandin second = addPeer(script);
+    startCutOffNode();
+    String response = exchange(post("/draft/x", "p"));
+    assertHasEvents(response, 4);
+    assertThat(response).endsWith("\r\n0\r\n\r\n").doesNotContain("relayed-sends");
+    assertThat(first.requests()).hasSize(1);
+    assertThat(second.requests()).hasSize(1);
+    List<String> sends =
+        Stream.of(first, second)
+            .map(peer -> TargetStandin.header(peer.requests().get(0), "relayed-sends"))
+            .toList();
+    assertThat(sends).containsExactlyInAnyOrder("0", "1");
+  }
+
+  /** Guards against a caller that is told of a failure which another node would not have had. */
+  @Test
+  void aStreamThatItsNodeEndsBeforeItsFirstEventContinuesAtAnotherNode() throws Exception {
+    AtomicBoolean isFirst = new AtomicBoolean(true);
+    for (int i = 0; i < 2; i++) {
+      addPeer(
+          (request, out) -> {
+            if (isFirst.getAndSet(false)) {
+              String head = "HTTP/1.1 502 X\r\nrelayed-sends: 1\r\nContent-Length: 8\r\n\r\n";
+              TargetStandin.write(out, head + "stopping");
+            } else {
+              writeWholeStream(request, out);
+            }
+          });
+    }
+    startCutOffNode();
+    String response = exchange(post("/draft/x", "p"));
+    assertHasEvents(response, 3);
+    assertThat(response).endsWith("\r\n0\r\n\r\n").doesNotContain("relayed-sends");
+  }
+
+  @Test
+  void aStreamThatItsNodeEndsEarlyContinuesHereOnceTargetsAreReached() throws Exception {
+    TargetStandin.Script endingEarly = endingEarlyOnce(1);
+    addPipeline(endingEarly);
+    TargetStandin peer =
+        addPeer(
+            (request, out) -> {
+              for (TargetStandin target : targets) {
+                target.reopen();
+              }
+              deadAddresses.clear();
+              endingEarly.respond(request, out);
+            });
+    startNode();
+    cutLinks();
+    String response = exchange(post("/draft/x", "p"));
+    assertHasEvents(response, 4);
+    assertThat(response).endsWith("0\r\n\r\n");
+    assertThat(peer.requests()).hasSize(1);
+  }
+
+  /** Guards against more attempts than the route allows, and against a stream that looks whole. */
+  @ParameterizedTest(name = "targets that may have run the stream: {0}")
+  @ValueSource(strings = {"2", "0", "many"})
+  void aStreamThatItsNodeEndsEarlyWithoutAttemptsLeftIsBrokenOff(String sends) throws Exception {
+    AtomicInteger streams = new AtomicInteger();
+    for (int i = 0; i < 2; i++) {
+      addPeer(
+          (request, out) -> {
+            streams.incrementAndGet();
+            writeEvents(request, out, 1, 2);
+            TargetStandin.write(out, "0\r\nrelayed-sends: " + sends + "\r\n\r\n");
+          });
+    }
+    startCutOffNode();
+    String response = exchange(post("/draft/x", "p"));
+    assertHasEvents(response, 2);
+    assertThat(response).doesNotContain("0\r\n\r\n").doesNotContain("relayed-sends");
+    assertThat(streams.get()).isEqualTo(1);
+  }
+
+  /** Guards against an end that looks whole to a node of an earlier version, or to a caller. */
+  @ParameterizedTest(name = "{0}, events: {1}")
+  @CsvSource({
+    "relayed-sends: 0\\r\\nTE: trailers, 1, '0\\r\\nrelayed-sends: 1\\r\\n\\r\\n'",
+    "relayed-sends: 0\\r\\nTE: trailers, 0, '\\r\\nrelayed-sends: 1\\r\\n'",
+    "relayed-sends: 0, 1, ''",
+    "TE: trailers, 1, ''"
+  })
+  void aNodeThatStopsTellsOnlyTheNodeThatAsksHowManyTargetsMayHaveRunAStream(
+      String fields, int events, String told) throws Exception {
+    addPipeline(
+        (request, out) -> {
+          if (events > 0) {
+            writeEvents(request, out, 1, events);
+          }
+          Thread.sleep(10_000);
+        });
+    startNode();
+    String request =
+        post("/wait/x", "p").replaceFirst("\r\n", "\r\n" + fields.translateEscapes() + "\r\n");
+    CompletableFuture<String> response =
+        CompletableFuture.supplyAsync(() -> exchangeUnchecked(request));
+    for (int i = 0; i < 500 && targets.get(0).requests().isEmpty(); i++) {
+      Thread.sleep(10);
+    }
+    startStopping();
+    assertThat(response.get(10, TimeUnit.SECONDS)).contains(told.translateEscapes());
+    assertThat(targets.get(0).requests()).noneMatch(sent -> sent.contains("railers"));
+    if (told.isEmpty()) {
+      assertHasEvents(response.get(), events);
+      assertThat(response.get()).doesNotContain("0\r\n\r\n").doesNotContain("relayed-sends");
+    }
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestHeaderCodec.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TestHeaderCodec.java
@@ -60,6 +60,18 @@
     metadata.lastEventId().ifPresent(id -> headers.set("last-event-id", id));
   }
 
+  @Override
+  public void writeRelayedSends(HttpHeaders fields, int sends) {
+    fields.set("relayed-sends", sends);
+  }
+
+  @Override
+  public OptionalInt readRelayedSends(HttpHeaders fields) {
+    return fields.contains("relayed-sends")
+        ? OptionalInt.of(fields.getInt("relayed-sends", 0))
+        : OptionalInt.empty();
+  }
+
   @Override
   public ResponseMetadata readResponse(int status, HttpHeaders headers) {
     return new ResponseMetadata(
