Move the attempt of a stream and the target list's listener out

StreamAttempt has what belongs to one attempt, TargetListListener what is read of the list of targets, and CallerRequestDecoder makes the problems of requests that it or the connection rejects. No change of behaviour.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerConnection.java
@@ -234,7 +234,7 @@
     if (isOverLimit) {
       refuse(ProblemResponse.notRun("connection-limit", "too many connections", RETRY_AFTER_MS));
     } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
-      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      refuse(CallerRequestDecoder.bodyTooLarge());
     } else if (HttpUtil.is100ContinueExpected(request)) {
       handlerContext.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -244,7 +244,7 @@
   private void onContent(HttpContent content) {
     int bytes = content.content().readableBytes();
     if (body.readableBytes() + bytes > maxBodyBytes) {
-      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      refuse(CallerRequestDecoder.bodyTooLarge());
       return;
     }
     if (!context.bodyMemory().tryReserve(bytes)) {
@@ -434,10 +434,6 @@
     refuse(CallerRequestDecoder.problemOf(cause));
   }
 
-  private void refuse(HttpResponseStatus status, String detail) {
-    refuse(ProblemResponse.invalid(status.code(), "bad-request", detail));
-  }
-
   /** Responds with a problem to a request that is not forwarded, and closes the connection. */
   private void refuse(ProblemResponse problem) {
     isRefusing = true;
@@ -517,7 +513,7 @@
         limits.isIdleTimeOver(lastReceivedMs, nowMs)
             && nowMs - lastReceivedMs > announcedIdleMs + CallerLimits.GRACE_MS;
     if (isHeaderLate && nowMs - lastReceivedMs < headerTimeoutMs) {
-      refuse(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
+      refuse(CallerRequestDecoder.headerTooLate());
     } else if (isHeaderLate || isIdle) {
       closeIfQuiet(isHeaderLate ? EndReason.HEADER_LATE : EndReason.IDLE, SOCKET_READ_MS);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerRequestDecoder.java
@@ -83,4 +83,18 @@
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are present");
   }
+
+  /** Returns the problem of a request whose body exceeds the limit of the configuration. */
+  static ProblemResponse bodyTooLarge() {
+    return problem(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+  }
+
+  /** Returns the problem of a request whose header did not arrive within the time limit. */
+  static ProblemResponse headerTooLate() {
+    return problem(HttpResponseStatus.REQUEST_TIMEOUT, "headers came too slowly");
+  }
+
+  private static ProblemResponse problem(HttpResponseStatus status, String detail) {
+    return ProblemResponse.invalid(status.code(), "bad-request", detail);
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -1,7 +1,5 @@
 package org.gooseberryhook.router.forward;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -20,26 +18,26 @@
  */
 final class StreamExchange extends ForwardedExchange implements RelayedStream {
 
-  private final EngineProfile profile;
-  private final StreamProgress progress;
-  private Attempt attempt;
+  final EngineProfile profile;
+  final StreamProgress progress;
+  StreamAttempt attempt;
 
   /**
-   * Attempt with events that the stream has left because of silence, null if there is none. Its
-   * target may be sound and continue, so that it is kept until another one has an event.
+   * StreamAttempt with events that the stream has left because of silence, null if there is none.
+   * Its target may be sound and continue, so that it is kept until another one has an event.
    */
-  private Attempt silentAttempt;
+  StreamAttempt silentAttempt;
 
-  private SendLedger ledger;
+  SendLedger ledger;
 
   /** Whether an attempt failed, so that the stream waits to be resumed and not to be started. */
   private boolean isResuming;
 
   /** Whether the stream waits for another pipeline while it stays at its silent one. */
-  private boolean isMoveQueued;
+  boolean isMoveQueued;
 
   /** Whether the caller's connection is full, so that reading from the target is paused. */
-  private boolean isCallerSlow;
+  boolean isCallerSlow;
 
   StreamExchange(
       ForwardContext context,
@@ -116,7 +114,7 @@
     return mayStart;
   }
 
-  private Optional<ModelPipeline> choosePipeline(
+  Optional<ModelPipeline> choosePipeline(
       StreamRequest streamRequest, List<ModelPipeline> pipelines) {
     return dispatcher.choosePipeline(streamRequest, pipelines, profile, ledger);
   }
@@ -126,10 +124,10 @@
     return ledger.mayHaveRun();
   }
 
-  private void startOn(ModelPipeline pipeline, StreamRequest streamRequest) {
+  void startOn(ModelPipeline pipeline, StreamRequest streamRequest) {
     leaveQueue = () -> {};
-    if (attempt != null && !attempt.isOver) {
-      log("move", "from", attempt.pipeline.describe());
+    if (attempt != null && !attempt.isOver()) {
+      log("move", "from", attempt.pipeline().describe());
       if (attempt.hasEvents) {
         attempt.setAside();
         silentAttempt = attempt;
@@ -138,13 +136,13 @@
       }
     }
     dispatcher.onStarted(pipeline, ledger.isSent());
-    attempt = new Attempt(pipeline, streamRequest.reservedTokens());
+    attempt = new StreamAttempt(this, pipeline, streamRequest.reservedTokens());
     attempt.start();
   }
 
   /** Continues with the attempt that the stream has left, and ends the one in its place. */
-  private void returnToSilentAttempt() {
-    log("return", "to", silentAttempt.pipeline.describe());
+  void returnToSilentAttempt() {
+    log("return", "to", silentAttempt.pipeline().describe());
     leaveQueue.run();
     leaveQueue = () -> {};
     attempt.cancel();
@@ -153,7 +151,7 @@
     attempt.takeUp();
   }
 
-  private StreamRequest newStreamRequest(long nowMs) {
+  StreamRequest newStreamRequest(long nowMs) {
     return StreamRequestFactory.create(
         request, routed, profile, progress.generatedTokens(), ledger.isSent(), deadlineMs, nowMs);
   }
@@ -176,7 +174,7 @@
   }
 
   /** Relays the stream to another node, if there is one; its attempts and budget must allow it. */
-  private boolean tryRelay() {
+  boolean tryRelay() {
     return relay.tryRelay(
         ledger.possiblyRun(),
         progress.lastEventId(),
@@ -186,7 +184,7 @@
 
   /** Moves the stream, if it runs, off targets that are lost or about to leave. */
   void replaceLostTargets() {
-    if (attempt != null && !attempt.isOver) {
+    if (attempt != null && !attempt.isOver()) {
       attempt.replaceLostTargets();
     }
   }
@@ -217,11 +215,11 @@
   public void onWritabilityChanged(boolean isWritable) {
     isCallerSlow = !isWritable;
     super.onWritabilityChanged(isWritable);
-    if (attempt != null && !attempt.isOver && attempt.channel != null) {
-      attempt.channel.setReading(isWritable);
+    if (attempt != null) {
+      attempt.setReading(isWritable);
     }
     if (silentAttempt != null) {
-      silentAttempt.channel.setReading(isWritable);
+      silentAttempt.setReading(isWritable);
     }
   }
 
@@ -241,32 +239,32 @@
     crashGuard.onFinished();
     request.body().release();
     long firstMs = progress.firstEventAfterMs(request.receivedMs());
-    Optional<ModelPipeline> last = Optional.ofNullable(attempt).map(a -> a.pipeline);
+    Optional<ModelPipeline> last = Optional.ofNullable(attempt).map(StreamAttempt::pipeline);
     Object[] details = StreamOutcome.details(request, ledger, progress, firstMs, last);
     context.recordOutcome("stream", request, routed, outcome, firstMs, details);
   }
 
-  private void log(String kind, Object... fields) {
+  void log(String kind, Object... fields) {
     context.log().recordEvent(kind, request.metadata().attemptId(), fields);
   }
 
   /** Returns whether another run can continue the stream, or no target may have run it. */
-  private boolean mayRunAgain() {
+  boolean mayRunAgain() {
     return !ledger.mayHaveRun() || (routed.route().isResumable() && progress.canContinue());
   }
 
-  private boolean hasAttemptsLeft() {
+  boolean hasAttemptsLeft() {
     ledger = ledger.withEnded(context.fleet()::hasEnded);
     return ledger.hasAttemptsLeft(routed.route().maxAttempts());
   }
 
   /** Waits for another pipeline without leaving the silent one, whose target may be alive. */
-  private void queueMove() {
+  void queueMove() {
     if (!isMoveQueued) {
       isMoveQueued = true;
       isResuming = true;
-      attempt.reservation.release();
-      long sinceMs = progress.lastEventOr(attempt.startedMs);
+      attempt.releaseReservation();
+      long sinceMs = progress.lastEventOr(attempt.startedMs());
       dispatcher.submit(this, Math.min(deadlineMs, sinceMs + StreamLimits.CALLER_GAP_TIMEOUT_MS));
     }
   }
@@ -274,7 +272,7 @@
   /** Returns whether a queued move may take place now; if not, it is given up. */
   private boolean mayMove(long nowMs) {
     boolean mayMove =
-        context.fleet().isSuspect(attempt.pipeline.head().address())
+        context.fleet().isSuspect(attempt.pipeline().head().address())
             && context.retryBudget().trySpend(service, nowMs);
     if (!mayMove) {
       context.loop().execute(this::cancelMove);
@@ -283,7 +281,7 @@
   }
 
   /** Ends the wait for another pipeline; the reservation at the present one holds again. */
-  private void cancelMove() {
+  void cancelMove() {
     if (isMoveQueued) {
       isMoveQueued = false;
       leaveQueue.run();
@@ -293,7 +291,7 @@
   }
 
   /** Resumes elsewhere after a failed attempt if that is allowed, else fails the stream. */
-  private void resumeOrFail(String kind, String detail) {
+  void resumeOrFail(String kind, String detail) {
     if (failIfDisallowed() || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
       return;
     }
@@ -321,362 +319,4 @@
     isResuming = true;
     dispatcher.submit(this, waitDeadlineMs);
   }
-
-  /** One attempt at one pipeline. */
-  private final class Attempt extends StreamResponseReader {
-    private final long tokens;
-    private ModelPipeline pipeline;
-    private PipelineReservation reservation;
-    private final long startedMs = context.clock().nowMs();
-    private TargetChannel channel;
-    private ScheduledFuture<?> silenceTimer;
-    private boolean isRepathing;
-    private long earliestRepathMs = Long.MIN_VALUE;
-    private boolean isOver;
-
-    Attempt(ModelPipeline pipeline, long tokens) {
-      super(progress.idsToContinue(ledger.earlierSends() > 0));
-      this.pipeline = pipeline;
-      this.tokens = tokens;
-    }
-
-    void start() {
-      context.limits().tryTake(pipeline.head());
-      reserve();
-      dispatcher.addRunning(StreamExchange.this);
-      context
-          .channelPool()
-          .acquire(
-              pipeline.head().address(),
-              request.metadata().attemptId(),
-              TargetChannelPool.DEFAULT_IDLE_MS,
-              guard.wrap(this::onConnected),
-              guard.wrap(this::onNotConnected));
-    }
-
-    private void reserve() {
-      reservation = new PipelineReservation(context.loads(), pipeline, tokens);
-    }
-
-    private void onConnected(TargetChannel connected) {
-      if (isOver) {
-        connected.abort();
-        return;
-      }
-      if (!context.fleet().mayReceive(pipeline.head().address())) {
-        connected.abort();
-        end();
-        resume("target-unavailable", "the head is leaving or wants no requests now");
-        return;
-      }
-      if (failIfRejected(crashGuard.beforeSend(ledger.mayHaveRun()))) {
-        connected.abort();
-        return;
-      }
-      channel = connected;
-      channel.setReading(!isCallerSlow);
-      long nowMs = context.clock().nowMs();
-      if (!ledger.isSent()) {
-        context.retryBudget().recordFirstSend(service, nowMs);
-      }
-      ledger = ledger.withSend(pipeline.head());
-      channel.send(
-          TargetRequests.createStream(
-              context, request, routed, pipeline, deadlineMs - nowMs, progress.lastEventId()),
-          request.metadata().attemptId(),
-          guard.wrap(this));
-      scheduleSilenceCheck(StreamLimits.FIRST_EVENT_SILENCE_MS);
-    }
-
-    private void onNotConnected(String reason) {
-      if (!isOver) {
-        end();
-        context.fleet().reportFailure(pipeline.head().address(), reason);
-        resume("connect-failed", reason);
-      }
-    }
-
-    /** Resumes the stream elsewhere, unless it has returned to another attempt meanwhile. */
-    private void resume(String kind, String detail) {
-      if (this == attempt) {
-        resumeOrFail(kind, detail);
-      }
-    }
-
-    /** Keeps the connection only, so that the stream can return to this attempt. */
-    void setAside() {
-      cancelMove();
-      silenceTimer.cancel(false);
-      reservation.release();
-      dispatcher.removeRunning(StreamExchange.this);
-    }
-
-    /** Makes this the present attempt again after {@link #setAside}. */
-    void takeUp() {
-      reserve();
-      dispatcher.addRunning(StreamExchange.this);
-      scheduleSilenceCheck(StreamLimits.SILENCE_MS);
-    }
-
-    private void scheduleSilenceCheck(long afterMs) {
-      silenceTimer = schedule(this::onSilence, afterMs);
-    }
-
-    /** Starts checks of the pipeline's targets and replaces lost ones, if there are any. */
-    private void onSilence() {
-      if (isOver) {
-        return;
-      }
-      if (isCallerSlow) {
-        scheduleSilenceCheck(StreamLimits.SILENCE_MS);
-        return;
-      }
-      long silentMs = context.clock().nowMs() - progress.lastEventOr(startedMs);
-      // Without another pipeline the stream stays: silence alone is no reason to abort it.
-      if (silentMs >= StreamLimits.CALLER_GAP_TIMEOUT_MS - StreamLimits.RESUME_MARGIN_MS
-          && tryMove(StreamLimits.UNLIMITED_CROSSINGS)) {
-        return;
-      }
-      context.fleet().checkTargets(pipeline);
-      replaceLostTargets();
-      silenceTimer = schedule(this::onSilence, StreamLimits.SILENCE_RECHECK_MS);
-    }
-
-    /** Resumes elsewhere if the head is lost, or has the head replace other lost targets. */
-    private void replaceLostTargets() {
-      if (context.fleet().isSuspect(pipeline.head().address())) {
-        long nowMs = context.clock().nowMs();
-        if (mayRunAgain() && hasAttemptsLeft() && context.retryBudget().canSpend(service, nowMs)) {
-          if (channel == null) {
-            onFailure("head target of the pipeline does not respond");
-          } else if (!tryRelaySilent(nowMs)) {
-            queueMove();
-          }
-        }
-        return;
-      }
-      cancelMove();
-      Optional<ModelPipeline> replacement = context.fleet().findReplacement(pipeline);
-      boolean isRepathDelayed = context.clock().nowMs() < earliestRepathMs;
-      if (replacement.isEmpty() || isRepathing || isRepathDelayed || channel == null) {
-        return;
-      }
-      boolean hasMoreCrossings =
-          replacement.get().dataCentreCrossings() > pipeline.dataCentreCrossings();
-      if (hasMoreCrossings && (context.fleet().isLeaving(pipeline) || tryMove(0))) {
-        return;
-      }
-      isRepathing = true;
-      context
-          .fleet()
-          .repath(
-              request.metadata().attemptId(),
-              replacement.get(),
-              guard.wrap(
-                  isAccepted -> {
-                    isRepathing = false;
-                    if (!isOver && this == attempt) {
-                      onRepathed(replacement.get(), isAccepted);
-                    }
-                  }));
-    }
-
-    /** Relays the stream if it is silent because this node lost its links to the targets. */
-    private boolean tryRelaySilent(long nowMs) {
-      boolean isSilent = nowMs - progress.lastEventOr(startedMs) > StreamLimits.SILENCE_MS;
-      return isSilent
-          && relay.isCutOff()
-          && relay.isPossible()
-          && context.retryBudget().trySpend(service, nowMs)
-          && tryRelay();
-    }
-
-    private void onRepathed(ModelPipeline newPipeline, boolean isAccepted) {
-      if (isAccepted) {
-        cancelMove();
-        pipeline = newPipeline;
-        reservation.move(pipeline);
-        return;
-      }
-      earliestRepathMs = context.clock().nowMs() + StreamLimits.REPATH_RETRY_DELAY_MS;
-      if (context.clock().nowMs() - progress.lastEventOr(startedMs) > StreamLimits.SILENCE_MS) {
-        // No other target has the capacity for the lost layers.
-        tryMove(StreamLimits.UNLIMITED_CROSSINGS);
-      }
-    }
-
-    /**
-     * Resumes at another pipeline, if one has capacity. Those inside one data centre are preferred:
-     * the tokens of all streams of a pipeline take seconds at the bandwidth between data centres.
-     *
-     * @param maxCrossings maximum crossings between data centres of the other pipeline
-     * @return false if the stream stays at its pipeline
-     */
-    private boolean tryMove(int maxCrossings) {
-      long nowMs = context.clock().nowMs();
-      StreamRequest streamRequest = newStreamRequest(nowMs);
-      List<ModelPipeline> candidates =
-          context.fleet().pipelines(service).stream()
-              .filter(p -> p.dataCentreCrossings() <= maxCrossings)
-              .filter(p -> !p.head().address().equals(pipeline.head().address()))
-              .toList();
-      Optional<ModelPipeline> other = choosePipeline(streamRequest, candidates);
-      boolean mayMove =
-          mayRunAgain()
-              && other.isPresent()
-              && hasAttemptsLeft()
-              && context.retryBudget().trySpend(service, nowMs);
-      if (mayMove) {
-        // Otherwise the queue would start the stream once more, or end it when its wait is over.
-        cancelMove();
-        startOn(other.get(), streamRequest);
-      }
-      return mayMove;
-    }
-
-    @Override
-    void onErrorHead() {
-      silenceTimer.cancel(false);
-      silenceTimer =
-          schedule(this::onUnfinishedError, StreamLimits.ERROR_RESPONSE_TIMEOUT_MS);
-    }
-
-    /**
-     * Goes on without the rest of an error response, unless the caller can get it: the target may
-     * be sound and only silent.
-     */
-    private void onUnfinishedError() {
-      if (metadata.isNotRun()) {
-        channel.abort();
-        end();
-        onErrorResponse();
-      } else if (response.isStarted() || isTargetFailure()) {
-        breakOff("an error response did not end in time");
-      }
-    }
-
-    @Override
-    void breakOff(String reason) {
-      if (!isOver && channel != null) {
-        channel.abort();
-      }
-      onFailure(reason);
-    }
-
-    @Override
-    void onEvent(ByteBuf event, String id) {
-      if (isOver || isFinished) {
-        event.release();
-        return;
-      }
-      if (this == silentAttempt) {
-        returnToSilentAttempt();
-      } else if (silentAttempt != null) {
-        silentAttempt.cancel();
-      }
-      cancelMove();
-      if (!response.isStarted()) {
-        response.startStream(status, headers);
-      }
-      long gapMs = onSentEvent(id);
-      if (routed.route().gapTargetMs() > 0 && gapMs > routed.route().gapTargetMs()) {
-        context.fleet().checkPace(pipeline);
-      }
-      if (!hasEvents) {
-        crashGuard.onResponseStarted();
-      }
-      response.sendChunk(event);
-      silenceTimer.cancel(false);
-      scheduleSilenceCheck(StreamLimits.SILENCE_MS);
-    }
-
-    @Override
-    public void onEnd() {
-      if (isOver) {
-        return;
-      }
-      if (isWholeStream()) {
-        if (this == silentAttempt) {
-          returnToSilentAttempt();
-        }
-        end();
-        context.health().recordSuccess(pipeline.head().id(), context.clock().nowMs());
-        finish("served");
-        response.endStream(takeRemaining());
-      } else if (isStream()) {
-        onFailure("stream ended without events or within an event");
-      } else {
-        end();
-        onErrorResponse();
-      }
-    }
-
-    private void onErrorResponse() {
-      long nowMs = context.clock().nowMs();
-      if (metadata.isNotRun()) {
-        ledger = ledger.withLastRefused();
-        // If no target is named, the head itself refused: it restarted or holds other layers now.
-        String faultAddress = metadata.faultAddress().orElse(pipeline.head().address());
-        log("refused", "status", status, "fault", faultAddress);
-        dispatcher.onTargetRefused(pipeline, faultAddress, status, profile);
-        context.health().recordFailure(pipeline.head().id(), 0.5, nowMs);
-        if (ledger.refusals() <= StreamLimits.MAX_IMMEDIATE_REFUSAL_RETRIES) {
-          resume("target-refused", "the pipeline refused the request");
-        } else {
-          schedule(
-              () -> resume("target-refused", "the pipelines refused the request repeatedly"),
-              StreamLimits.REFUSAL_RETRY_DELAY_MS);
-        }
-      } else if (isTargetFailure()) {
-        context.health().recordFailure(pipeline.head().id(), 1, nowMs);
-        resume("target-error", "the pipeline failed");
-      } else if (response.isStarted()) {
-        // An answer can't follow the events, and the target of the first event took the request.
-        resume("target-answered", "the pipeline answered " + status);
-      } else {
-        finish("answered-" + status);
-        response.sendWhole(status, headers, errorBody(), () -> {});
-      }
-    }
-
-    @Override
-    public void onFailure(String reason) {
-      if (!isOver) {
-        end();
-        context.fleet().checkTargets(pipeline);
-        log("broken", "at", pipeline.head().address(), "why", reason);
-        // A request that crashes targets breaks off before its first event.
-        List<String> suspects = hasEvents || channel == null ? List.of() : pipeline.addresses();
-        crashGuard.onInterrupted(suspects, guard.wrap(() -> resume("pipeline-lost", reason)));
-      }
-    }
-
-    private void end() {
-      if (this == silentAttempt) {
-        isOver = true;
-        silentAttempt = null;
-        return;
-      }
-      cancelMove();
-      isOver = true;
-      if (channel == null) {
-        context.limits().giveBack(pipeline.head());
-      }
-      if (silenceTimer != null) {
-        silenceTimer.cancel(false);
-      }
-      reservation.release();
-      dispatcher.removeRunning(StreamExchange.this);
-      context.loop().execute(dispatcher::startWaitingRequests);
-    }
-
-    void cancel() {
-      if (!isOver) {
-        end();
-        if (channel != null) {
-          channel.abort();
-        }
-      }
-    }
-  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -160,7 +160,7 @@
             log);
     this.targetFeed =
         new FeedFollower<>(
-            "targets", loop, deps.targetFeed(), new TargetListener(), this::listReaderCount, log);
+            "targets", loop, deps.targetFeed(), newTargetListener(), this::listReaderCount, log);
     this.distribution = newDistribution();
     this.leaseKeeper =
         new LeaseKeeper(
@@ -542,47 +542,14 @@
     }
   }
 
-  private final class TargetListener implements FeedFollower.Listener<TargetEntry> {
-    @Override
-    public void onAll(List<FeedResult.Change<TargetEntry>> entries) {
-      List<TargetEntry> usable = new ArrayList<>();
-      entries.forEach(entry -> entry.value().ifPresent(usable::add));
-      registry.replaceAll(usable, clock.nowMs());
-      log.recordEvent("targets-read", "", "count", usable.size());
-      distribution.onListReadAll();
-      onFleetChanged();
-    }
-
-    @Override
-    public void onHistoryReset() {
-      registry.onHistoryReset(clock.nowMs());
-    }
-
-    @Override
-    public void onConfirmed(boolean hasChanges) {
-      distribution.onListConfirmed();
-    }
-
-    @Override
-    public void onChanges(List<FeedResult.Change<TargetEntry>> changes) {
-      long nowMs = clock.nowMs();
-      registry.onStoreAvailable(nowMs);
-      for (FeedResult.Change<TargetEntry> change : changes) {
-        if (change.value().isPresent()) {
-          registry.put(change.value().get());
-        } else {
-          registry.remove(change.key(), nowMs);
-        }
-      }
-      if (!changes.isEmpty()) {
-        onFleetChanged();
-      }
-    }
-
-    @Override
-    public void onStoreUnavailable() {
-      registry.onStoreUnavailable();
-    }
+  private TargetListListener newTargetListener() {
+    return new TargetListListener(
+        registry,
+        clock,
+        log,
+        () -> distribution.onListReadAll(),
+        () -> distribution.onListConfirmed(),
+        this::onFleetChanged);
   }
 
   /** Reads the list of targets early, because a target's state shows that it is stale. */
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamTest.java
@@ -261,7 +261,8 @@
                   TargetStandin.write(out, chunk(events(5, 6)) + END_OF_CHUNKS);
                 }))
         .map(Arguments::get)
-        .flatMap(end -> Stream.of(true, false).map(isSuspect -> arguments(end[0], end[1], isSuspect)));
+        .flatMap(
+            end -> Stream.of(true, false).map(isSuspect -> arguments(end[0], end[1], isSuspect)));
   }
 
   /** Guards against a begun stream that is lost although the target that fell silent goes on. */
