Keep a refused connection open while its caller still sends

Cause: the connection was closed one second after the refusal, whether or not bytes of the request still came; the bound on bytes was not reached. Ruled out: load alone; a caller that sends 500 bytes every 0.4 s is cut off as well.

Change: the second runs from the last bytes of the request, for ten seconds in all. The bound on bytes stays, and so does the shorter time behind a complete request.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/LingeringClose.java
@@ -13,9 +13,12 @@
  */
 final class LingeringClose {
 
-  /** Longest time for which the connection stays open after the last write. */
+  /** Time for which the connection stays open after the last write. */
   private static final long LINGER_MS = 1_000;
 
+  /** The same in all while the rest of an incomplete request keeps arriving. */
+  private static final long MAX_LINGER_MS = 10_000;
+
   /** The same after the first bytes that do not belong to the last request. */
   private static final long NEXT_REQUEST_LINGER_MS = 100;
 
@@ -31,6 +34,8 @@
   private final long maxDiscardedBytes;
 
   private ScheduledFuture<?> timer;
+  private long startedMs;
+  private long lastBytesMs;
   private long discardedBytes;
   private boolean isShortened;
 
@@ -63,7 +68,9 @@
               if (written.isSuccess() && channel instanceof DuplexChannel duplex) {
                 duplex.shutdownOutput();
                 channel.config().setAutoRead(true);
-                timer = context.schedule(channel::close, LINGER_MS);
+                startedMs = context.clock().nowMs();
+                lastBytesMs = startedMs;
+                timer = context.schedule(this::onTimeOver, LINGER_MS);
                 shortenIfNextRequest();
               } else {
                 channel.close();
@@ -71,8 +78,20 @@
             });
   }
 
+  /** Closes the connection unless its caller still sends the request that was responded to. */
+  private void onTimeOver() {
+    long nowMs = context.clock().nowMs();
+    long endMs = Math.min(lastBytesMs + LINGER_MS, startedMs + MAX_LINGER_MS);
+    if (isRequestIncomplete && nowMs < endMs) {
+      timer = context.schedule(this::onTimeOver, endMs - nowMs);
+    } else {
+      channel.close();
+    }
+  }
+
   /** Must be called when bytes arrive; they are discarded. */
   void onBytes(int bytes) {
+    lastBytesMs = context.clock().nowMs();
     discardedBytes += bytes;
     if (discardedBytes > maxDiscardedBytes) {
       channel.close();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ConnectionEndTest.java
@@ -254,6 +254,24 @@
     }
   }
 
+  /** Guards against a refusal that is lost because the caller is reset while it still sends. */
+  @Test
+  void aRefusalReachesACallerThatSendsItsBodySlowly() throws Exception {
+    maxSockets = 1;
+    startNode();
+    try (Socket first = open()) {
+      awaitGauge("gooseberryhook_caller_connections 1.0");
+      try (Socket socket = open()) {
+        write(socket, post("/book/x", "b".repeat(3_000)).replaceFirst("b+$", ""));
+        for (int i = 0; i < 6; i++) {
+          Thread.sleep(400);
+          write(socket, "b".repeat(500));
+        }
+        assertThat(readAll(socket)).startsWith("HTTP/1.1 503").contains("not-run");
+      }
+    }
+  }
+
   /** Guards against a request that lies unread in the socket when an idle connection is closed. */
   @Test
   void aRequestThatIsNotReadYetIsServedWhenTheNodeStops() throws Exception {
