Count a limited head for what it takes in plans

A head that names a limit of a few requests a second kept the other stages of its pipeline idle for as long as the limit lasted, also beside empty targets: plans counted the pipeline in full.

Plans now bound a pipeline by the limit of its head, in requests of mean size, as a function of targets and lasting limits (HeadLimits). One change follows from it: an empty target gets the layers of the head, if the data centre then serves 8 % more, or half more while targets join or leave. A limit counts once it has been in force for the time in which the layers of its target load, at least 5 s (LimitWatch). Nothing is given up, and nothing is moved back when the limit ends. The log line of a plan shows the bounded estimate.

Ruled out: using the bounded estimate for divisions, trims and further pipelines, as these would move layers in use for a limit and again when it ends.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/TargetLimits.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/TargetLimits.java
@@ -345,6 +345,18 @@
     return findLimited(target).isPresent();
   }
 
+  /**
+   * Returns the limit of a target for all nodes together.
+   *
+   * @param target entry of the target
+   * @return requests a second; empty if no limit is in force
+   */
+  public OptionalDouble limitPerSecond(TargetEntry target) {
+    return findLimited(target)
+        .map(held -> held.observation.perSecond())
+        .orElse(OptionalDouble.empty());
+  }
+
   private Optional<HeldLimit> findLimited(TargetEntry target) {
     if (heldById.isEmpty()) {
       return Optional.empty();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PlacementDriver.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.cluster.PlacementLease;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -18,6 +20,7 @@
 import org.gooseberryhook.router.forward.MonotonicClock;
 import org.gooseberryhook.router.placement.CachingLayerPlanner;
 import org.gooseberryhook.router.placement.LayerPlan;
+import org.gooseberryhook.router.placement.LimitWatch;
 import org.gooseberryhook.router.placement.MembershipWatch;
 import org.gooseberryhook.router.placement.OrderTracker;
 import org.gooseberryhook.router.placement.PlanConditions;
@@ -66,6 +69,7 @@
    * @param isReachable whether orders may be sent to a target
    * @param isLossConfirmed whether the targets that are left out are known to be gone
    * @param hasLinks whether the view of this node is good enough for a plan
+   * @param limitOf limit that a target has named, in requests a second, or empty
    * @param onOrderInProgress called for each target whose order has not taken effect
    */
   record FleetKnowledge(
@@ -73,6 +77,7 @@
       Predicate<TargetEntry> isReachable,
       BooleanSupplier isLossConfirmed,
       BooleanSupplier hasLinks,
+      Function<TargetEntry, OptionalDouble> limitOf,
       Consumer<TargetEntry> onOrderInProgress) {}
 
   /** The plan of a service and its orders; kept only while this node holds the lease. */
@@ -80,9 +85,15 @@
       CachingLayerPlanner planner,
       OrderTracker tracker,
       MembershipWatch members,
+      LimitWatch limits,
       LastPlan lastPlan) {
     ServicePlan() {
-      this(new CachingLayerPlanner(), new OrderTracker(), new MembershipWatch(), new LastPlan());
+      this(
+          new CachingLayerPlanner(),
+          new OrderTracker(),
+          new MembershipWatch(),
+          new LimitWatch(),
+          new LastPlan());
     }
   }
 
@@ -165,11 +176,18 @@
             .filter(fleet.isServing())
             .filter(entry -> hasValidLayers(entry, profile))
             .toList();
-    LayerPlan plan =
-        service
-            .planner()
-            .plan(tracker.expectedTargets(usable), profile, conditions(service, entries, nowMs));
-    service.lastPlan().update(plan, () -> logPlan(plan, usable, profile, tracker));
+    PlanConditions conditions = conditions(service, entries, profile, nowMs);
+    LayerPlan plan = service.planner().plan(tracker.expectedTargets(usable), profile, conditions);
+    service
+        .lastPlan()
+        .update(
+            plan,
+            () ->
+                logPlan(
+                    plan,
+                    PlanSummary.of(usable, plan, profile, conditions.limits()),
+                    usable,
+                    tracker));
     int maxOrders =
         isFirstPlan
             ? Integer.MAX_VALUE
@@ -182,17 +200,18 @@
     tracker.targetsInProgress(usable).forEach(fleet.onOrderInProgress());
   }
 
-  private PlanConditions conditions(ServicePlan service, List<TargetEntry> entries, long nowMs) {
+  private PlanConditions conditions(
+      ServicePlan service, List<TargetEntry> entries, EngineProfile profile, long nowMs) {
     return new PlanConditions(
         service.tracker().isSettled(),
         fleet.isLossConfirmed().getAsBoolean(),
         service.members().isSteady(entries, nowMs),
-        service.members().isReleasing(nowMs));
+        service.members().isReleasing(nowMs),
+        service.limits().update(entries, fleet.limitOf(), profile, nowMs));
   }
 
   private void logPlan(
-      LayerPlan plan, List<TargetEntry> usable, EngineProfile profile, OrderTracker tracker) {
-    PlanSummary summary = PlanSummary.of(usable, plan, profile);
+      LayerPlan plan, PlanSummary summary, List<TargetEntry> usable, OrderTracker tracker) {
     log.recordEvent(
         "placement",
         "",
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -214,6 +214,7 @@
             fleet::isReliable,
             fleet::isLossConfirmed,
             links::areUp,
+            target -> limits.limits().limitPerSecond(target),
             fleet::probeIfStoreUnavailable),
         engines,
         lease,
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlan.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/LayerPlan.java
@@ -25,7 +25,9 @@
     /** A working pipeline is sped up. */
     IMPROVEMENT,
     /** Targets that have joined get the layers of those that they are about to replace. */
-    REPLACEMENT
+    REPLACEMENT,
+    /** Targets without layers get those of heads whose limits have lasted. */
+    LIMIT
   }
 
   /** Creates a plan with immutable copies. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PipelineRebalancer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PipelineRebalancer.java
@@ -91,15 +91,27 @@
    * target with an earlier one.
    */
   static double throughput(List<TargetEntry> targets, EngineProfile profile) {
+    return throughput(targets, profile, HeadLimits.NONE);
+  }
+
+  /**
+   * Returns the total throughput of the pipelines of a data centre, each bounded by the limit of
+   * its head. Of those that share a target, the one with the highest bound counts.
+   */
+  static double throughput(List<TargetEntry> targets, EngineProfile profile, HeadLimits limits) {
     Set<String> used = new HashSet<>();
     double sum = 0;
-    for (ModelPipeline pipeline :
-        ModelPipelines.compose(targets, profile.layerCount(), e -> true)) {
+    List<ModelPipeline> highestFirst =
+        new ArrayList<>(ModelPipelines.compose(targets, profile.layerCount(), e -> true));
+    highestFirst.sort(
+        Comparator.comparingDouble(
+            pipeline -> -limits.bound(Double.MAX_VALUE, pipeline.head(), profile)));
+    for (ModelPipeline pipeline : highestFirst) {
       Set<String> stageTargets = new HashSet<>();
       pipeline.stages().forEach(stage -> stageTargets.add(stage.target().id()));
       if (stageTargets.stream().noneMatch(used::contains)) {
         used.addAll(stageTargets);
-        sum += throughputOf(pipeline.stages(), profile);
+        sum += limits.bound(throughputOf(pipeline.stages(), profile), pipeline.head(), profile);
       }
     }
     return sum;
@@ -162,6 +174,54 @@
     search.chosen.ifPresent(stage -> ranges.put(stage.target().id(), stage.layers()));
   }
 
+  /**
+   * Gives an empty target the layers of the head whose limit costs the data centre most, if the
+   * other stages of its pipeline then serve enough more. Nothing is moved back when the limit ends.
+   * All other changes leave limits out: they are made for longer than limits last.
+   *
+   * @param targets targets of one data centre as they are, with no order in progress
+   * @param profile profile of the engines
+   * @param conditions limits, and how much a change must gain
+   * @param ranges receives the new layers of the target that changes, by target id
+   */
+  static void addHead(
+      List<TargetEntry> targets,
+      EngineProfile profile,
+      PlanConditions conditions,
+      Map<String, LayerRange> ranges) {
+    Map<String, TargetEntry> emptyByKind = new TreeMap<>();
+    List<TargetEntry> limitedHeads = new ArrayList<>();
+    for (TargetEntry target : targets) {
+      if (target.layers().isEmpty()) {
+        emptyByKind.putIfAbsent(target.acceleratorKind(), target);
+      } else if (conditions.limits().isLimited(target) && target.layers().get().firstLayer() == 0) {
+        limitedHeads.add(target);
+      }
+    }
+    boolean isLarge = targets.size() > PlacementRepair.MAX_HOLDERS_FOR_RELIEF;
+    if (isLarge || limitedHeads.isEmpty() || emptyByKind.isEmpty()) {
+      return;
+    }
+    double best =
+        throughput(targets, profile, conditions.limits()) * conditions.minImprovementGain();
+    for (TargetEntry head : limitedHeads) {
+      LayerRange range = head.layers().get();
+      for (TargetEntry empty : emptyByKind.values()) {
+        boolean isCandidate =
+            !conditions.limits().isLimited(empty)
+                && range.layerCount() <= GapFiller.layerCapacity(empty, profile);
+        Map<String, LayerRange> change = Map.of(empty.id(), range);
+        double throughput =
+            isCandidate ? throughput(apply(targets, change), profile, conditions.limits()) : 0;
+        if (throughput > best) {
+          best = throughput;
+          ranges.clear();
+          ranges.putAll(change);
+        }
+      }
+    }
+  }
+
   private static Optional<ModelPipeline> best(List<TargetEntry> targets, EngineProfile profile) {
     return ModelPipelines.compose(targets, profile.layerCount(), e -> true).stream()
         .max(Comparator.comparingDouble(p -> throughputOf(p.stages(), profile)));
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlacementRepair.java
@@ -103,6 +103,10 @@
       }
     } else if (!hasGaps) {
       useEmptyTargets(holders, empty, copies, profile, conditions, changes);
+      if (conditions.isSettled() && changes.isEmpty()) {
+        PipelineRebalancer.addHead(targets, profile, conditions, changes);
+        reason = changes.isEmpty() ? reason : LayerPlan.Reason.LIMIT;
+      }
       if (wantedCopies == 1 && conditions.isSettled() && changes.isEmpty()) {
         PipelineRebalancer.improve(targets, profile, conditions, changes);
         reason = LayerPlan.Reason.IMPROVEMENT;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanConditions.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanConditions.java
@@ -12,13 +12,18 @@
  *     without layers stay free for those that may leave next, unless they add much
  * @param isReleasing whether a target has begun to leave lately, so that those that join are likely
  *     to replace others; only then are these prepared for it
+ * @param limits limits of the heads of pipelines
  */
 public record PlanConditions(
-    boolean isSettled, boolean isLossConfirmed, boolean isSteady, boolean isReleasing) {
+    boolean isSettled,
+    boolean isLossConfirmed,
+    boolean isSteady,
+    boolean isReleasing,
+    HeadLimits limits) {
 
   /** Conditions under which a plan may make any change. */
   public static final PlanConditions ALL_CHANGES_ALLOWED =
-      new PlanConditions(true, true, true, true);
+      new PlanConditions(true, true, true, true, HeadLimits.NONE);
 
   /** Factor by which a change must raise the throughput to be worth its layer load. */
   private static final double MIN_IMPROVEMENT_GAIN = 1.08;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanSummary.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/placement/PlanSummary.java
@@ -52,9 +52,11 @@
    * @param entries the targets as they are
    * @param plan the plan
    * @param profile profile of the engines
+   * @param limits limits of the heads of pipelines
    * @return the summary, never null
    */
-  public static PlanSummary of(List<TargetEntry> entries, LayerPlan plan, EngineProfile profile) {
+  public static PlanSummary of(
+      List<TargetEntry> entries, LayerPlan plan, EngineProfile profile, HeadLimits limits) {
     Map<String, LayerRange> ranges = new TreeMap<>(plan.ranges());
     Set<String> dataCentres = new HashSet<>();
     for (TargetEntry entry : entries) {
@@ -75,9 +77,9 @@
       dropped.add(wanted == null ? target : withCommonLayers(target, wanted));
     }
     return new PlanSummary(
-        estimate(targets, profile),
-        estimate(dropped, profile),
-        estimate(PipelineRebalancer.apply(targets, ranges), profile),
+        estimate(targets, profile, limits),
+        estimate(dropped, profile, limits),
+        estimate(PipelineRebalancer.apply(targets, ranges), profile, limits),
         ranges.size(),
         describe(targets, ranges, profile));
   }
@@ -94,9 +96,10 @@
                         Math.min(held.endLayer(), wanted.endLayer()))));
   }
 
-  private static Estimate estimate(List<TargetEntry> targets, EngineProfile profile) {
+  private static Estimate estimate(
+      List<TargetEntry> targets, EngineProfile profile, HeadLimits limits) {
     double tokensPerMs =
-        PipelineRebalancer.throughput(targets, profile) * profile.decodeStepsPerPass();
+        PipelineRebalancer.throughput(targets, profile, limits) * profile.decodeStepsPerPass();
     return new Estimate(
         ModelPipelines.compose(targets, profile.layerCount(), entry -> true).size(),
         Math.round(tokensPerMs * MS_PER_SECOND));
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ChangingFleet.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ChangingFleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.cluster.PeerTable;
@@ -87,6 +88,7 @@
                 state::isReliable,
                 state::isLossConfirmed,
                 () -> true,
+                target -> OptionalDouble.empty(),
                 state::probeIfStoreUnavailable),
             this,
             lease,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CutOffPlanner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -107,6 +108,7 @@
                 fleet::isReliable,
                 fleet::isLossConfirmed,
                 links::areUp,
+                target -> OptionalDouble.empty(),
                 fleet::probeIfStoreUnavailable),
             this,
             lease,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PlacementDriverTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/PlacementDriverTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.cluster.PlacementLease;
@@ -33,6 +36,7 @@
   private final Set<String> unreachable = new HashSet<>();
   private final List<Runnable> stateReads = new ArrayList<>();
   private final List<String> orderedIds = new ArrayList<>();
+  private final Map<String, OptionalDouble> limits = new HashMap<>();
   private boolean hasLinks = true;
   private long nowMs = 10_000;
   private final PlacementDriver placement =
@@ -43,6 +47,7 @@
               entry -> !leftOut.contains(entry.id()) && !unreachable.contains(entry.id()),
               () -> true,
               () -> hasLinks,
+              entry -> limits.getOrDefault(entry.id(), OptionalDouble.empty()),
               entry -> {}),
           new Engines(),
           lease,
@@ -79,6 +84,24 @@
     assertThat(orderedIds).contains("t-3");
   }
 
+  /** Guards against a planner that is not told the limits that the node has heard. */
+  @Test
+  void theLayersOfAHeadWithALastingLimitAreOrderedFromASpare() {
+    registry.replaceAll(
+        List.of(
+            TestFleet.engine(1, "a", "large", 0, 30),
+            TestFleet.engine(4, "a", "large", 30, 60),
+            TestFleet.engine(5, "a", "large", 60, 80),
+            TestFleet.engine(3, "a", "large")),
+        nowMs);
+    limits.put("t-1", OptionalDouble.of(0.5));
+    for (int i = 0; i < 40; i++) {
+      tick();
+      answerStateReads();
+    }
+    assertThat(orderedIds).contains("t-3");
+  }
+
   /** Guards against a plan made of the failures of this node's own links. */
   @Test
   void aNodeWithoutLinksSendsNoOrders() {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/FleetSimulation.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -38,9 +41,11 @@
 
   private final EngineProfile profile;
   private final MembershipWatch members = new MembershipWatch();
+  private final LimitWatch limits = new LimitWatch();
   private final OrderTracker tracker = new OrderTracker();
   private final CachingLayerPlanner planner = new CachingLayerPlanner();
   private final Map<String, Target> targets = new TreeMap<>();
+  private final Map<String, Double> limitsPerSecond = new HashMap<>();
   private long nowMs;
   private int orderCount;
 
@@ -71,6 +76,15 @@
     return List.copyOf(targets.keySet());
   }
 
+  /** Lets a target name a limit of requests a second; an infinite one ends it. */
+  void limit(String id, double perSecond) {
+    if (Double.isInfinite(perSecond)) {
+      limitsPerSecond.remove(id);
+    } else {
+      limitsPerSecond.put(id, perSecond);
+    }
+  }
+
   void remove(String id) {
     targets.remove(id);
   }
@@ -149,7 +163,8 @@
                 tracker.isSettled(),
                 true,
                 members.isSteady(entries, nowMs),
-                members.isReleasing(nowMs)));
+                members.isReleasing(nowMs),
+                limits.update(entries, this::limitOf, profile, nowMs)));
     int maxOrders = isFirst ? Integer.MAX_VALUE : 2 * profile.concurrentLayerLoads();
     for (OrderTracker.Order order :
         tracker.nextOrders(plan, entries, profile.layerCount(), maxOrders, nowMs)) {
@@ -212,9 +227,10 @@
    */
   double requestsPerSecond() {
     List<ModelPipeline> pipelines =
-        ModelPipelines.compose(entries(), profile.layerCount(), entry -> true).stream()
-            .filter(pipeline -> pipeline.dataCentreCrossings() == 0)
-            .toList();
+        new ArrayList<>(
+            ModelPipelines.compose(entries(), profile.layerCount(), entry -> true).stream()
+                .filter(pipeline -> pipeline.dataCentreCrossings() == 0)
+                .toList());
     LoadTracker loads = new LoadTracker();
     StreamAdmission admission = new StreamAdmission(loads, target -> 1, new SplittableRandom(1));
     StreamRequest request =
@@ -231,20 +247,43 @@
         loads.add(stage.target().id(), request.reservedTokens() * stage.layers().layerCount());
       }
       admitted.merge(next.get(), 1, Integer::sum);
+      String head = next.get().head().id();
+      if (headRequestsPerSecond(admitted, head) >= limitPerSecond(head)) {
+        pipelines.removeIf(pipeline -> pipeline.head().id().equals(head));
+      }
     }
+    Set<String> heads = new HashSet<>();
+    admitted.keySet().forEach(pipeline -> heads.add(pipeline.head().id()));
+    return heads.stream()
+        .mapToDouble(head -> Math.min(limitPerSecond(head), headRequestsPerSecond(admitted, head)))
+        .sum();
+  }
+
+  private OptionalDouble limitOf(TargetEntry target) {
+    Double perSecond = limitsPerSecond.get(target.id());
+    return perSecond == null ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
+  }
+
+  private double limitPerSecond(String id) {
+    return limitsPerSecond.getOrDefault(id, Double.POSITIVE_INFINITY);
+  }
+
+  private double headRequestsPerSecond(Map<ModelPipeline, Integer> admitted, String head) {
     double eventsPerRequest = (double) profile.meanOutputTokens() / profile.decodeStepsPerPass();
     double sum = 0;
     for (Map.Entry<ModelPipeline, Integer> entry : admitted.entrySet()) {
-      List<EngineStage> stages = new ArrayList<>();
-      for (PipelineStage stage : entry.getKey().stages()) {
-        stages.add(
-            new EngineStage(
-                profile.acceleratorKind(stage.target().acceleratorKind()).orElseThrow(),
-                stage.layers().layerCount(),
-                1));
+      if (entry.getKey().head().id().equals(head)) {
+        List<EngineStage> stages = new ArrayList<>();
+        for (PipelineStage stage : entry.getKey().stages()) {
+          stages.add(
+              new EngineStage(
+                  profile.acceleratorKind(stage.target().acceleratorKind()).orElseThrow(),
+                  stage.layers().layerCount(),
+                  1));
+        }
+        double gapMs = EventGap.meanMs(stages, profile, entry.getValue());
+        sum += entry.getValue() * 1_000 / (gapMs * eventsPerRequest);
       }
-      double gapMs = EventGap.meanMs(stages, profile, entry.getValue());
-      sum += entry.getValue() * 1_000 / (gapMs * eventsPerRequest);
     }
     return sum;
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/PlanSummaryTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/placement/PlanSummaryTest.java
@@ -24,7 +24,10 @@
 
   private static PlanSummary summary(Map<String, LayerRange> ranges) {
     return PlanSummary.of(
-        TARGETS, new LayerPlan(ranges, Set.of(LayerPlan.Reason.GAP)), TestFleet.PROFILE);
+        TARGETS,
+        new LayerPlan(ranges, Set.of(LayerPlan.Reason.GAP)),
+        TestFleet.PROFILE,
+        HeadLimits.NONE);
   }
 
   @Test
