--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
@@ -198,4 +201,62 @@
     assertThat(exchange(request("/draft/x", "a1"))).startsWith("HTTP/1.1 200");
     assertThat(runs.get("a1")).hasValue(1);
   }
+
+  /** Guards against a request that waits for its deadline on a connection that mixes answers. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({"/book/x, 502, 3", "/read/x, 200, 4", "/draft/x, 200, 4"})
+  void anAnswerWithoutIdOnAKeptConnectionEndsTheAttempt(String path, int status, int sends)
+      throws Exception {
+    Set<OutputStream> connections = ConcurrentHashMap.newKeySet();
+    AtomicInteger unnamed = new AtomicInteger();
+    AtomicInteger count = new AtomicInteger();
+    TargetStandin.Script script =
+        (request, out) -> {
+          count.incrementAndGet();
+          boolean isKept = !connections.add(out);
+          boolean isUnnamed = isKept && unnamed.getAndIncrement() == 0;
+          String refusal = refusal("", "").replace("attempt: \r\n", "");
+          TargetStandin.write(out, isUnnamed ? refusal : answer(request));
+        };
+    for (int i = 0; i < 2; i++) {
+      addTarget("plain", null, script);
+      addPipeline(script);
+    }
+    startNode();
+    List<Integer> statuses = new ArrayList<>();
+    long longestMs = 0;
+    // One more than there are targets, so that one of them comes over a kept connection.
+    for (String attempt : List.of("a1", "a2", "a3")) {
+      long startedNanos = System.nanoTime();
+      String response = exchange(request(path, attempt));
+      long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+      // The first one comes over a new connection, and while classes are loaded.
+      longestMs = attempt.equals("a1") ? 0 : Math.max(longestMs, tookMs);
+      statuses.add(Integer.parseInt(response.substring("HTTP/1.1 ".length()).substring(0, 3)));
+      assertThat(response).doesNotContain("not-run");
+    }
+    assertThat(longestMs).isLessThan(900);
+    assertThat(unnamed.get()).isPositive();
+    assertThat(statuses).contains(status).allMatch(s -> s == 200 || s == status);
+    assertThat(count).hasValue(sends);
+  }
+
+  /** Guards against an answer that is lost because a copy of an earlier one came before it. */
+  @Test
+  void anAnswerThatFollowsOneWithoutIdIsPassedOn() throws Exception {
+    addTarget(
+        "plain",
+        null,
+        (request, out) -> {
+          if (TargetStandin.header(request, "attempt").equals("a2")) {
+            TargetStandin.write(out, refusal("", "").replace("attempt: \r\n", ""));
+            Thread.sleep(COPY_DELAY_MS);
+          }
+          TargetStandin.write(out, answer(request));
+        });
+    startNode();
+    for (String attempt : List.of("a1", "a2", "a3")) {
+      assertThat(exchange(request("/book/x", attempt))).startsWith("HTTP/1.1 200");
+    }
+  }
 }
