Do not keep to an earlier format between nodes after an upgrade

Seen by callers: after all nodes run the present version, streams with the crashing part are sent by node 0 again and again (16 arrivals more than allowed, `pipeline-lost`), while nodes 1 and 2 reject them.

Trace: node 0 is upgraded first, hears format 6 of the others and writes it (`peer-format`, 1261761 ms). Node 1 starts in the present version at 1298694 ms, hears format 6 of node 0 first and answers in it (`peer-format` of node-0 at 1299035 ms; node 2 at 1302092 ms). Each then writes what it hears of the other, for good. Suspects and crash findings of format 6 are not used, so node 0 confirms no crash (`refusal-reviewed` OPEN, failingNodes=0, 15 s) and learns none of the others; limits and numbers of targets are missing as well.

Ruled out: the earlier version (all its processes have ended), the check of crashes (nodes 1 and 2 find them within 0.6 s of each other's reports), a loss of the first reports (both sides log the format).

One report in eight to a node that uses an earlier format is also sent in the present one, which earlier versions drop or read as their own, as they do with the first report of each node. A node that has used the present format is taken to read it until its next start. Answering in the present format only after a new start was weighed: the other node cannot tell that start from one of an earlier version.

`PeerReportSocketTest` fails before (the pair stays at format 6).

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReportSocket.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReportSocket.java
@@ -14,8 +14,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerReportCodec;
@@ -36,9 +38,21 @@
   private final Consumer<PeerReport> onReport;
   private final DecisionLog log;
 
+  /**
+   * One in so many reports to a node that uses an earlier format is also sent in the present one.
+   * Two nodes of the present version that first hear each other in an earlier format, as one does
+   * that was started beside earlier versions, would otherwise keep to it for good.
+   */
+  static final int REPORTS_PER_PROBE = 8;
+
   /** Formats of the nodes that use an earlier one, by the address to which reports are sent. */
   private final Map<String, Integer> earlierFormats = new HashMap<>();
 
+  /** Incarnations of the nodes that have used the present format, by the same address. */
+  private final Map<String, Long> presentIncarnations = new HashMap<>();
+
+  private int sentCount;
+
   private Channel channel;
 
   PeerReportSocket(EventLoop loop, String address, Consumer<PeerReport> onReport, DecisionLog log) {
@@ -69,14 +83,21 @@
 
   void send(PeerReport report, Set<String> addresses) {
     Map<Integer, ByteBuf> encoded = new HashMap<>();
+    sentCount++;
     for (String peer : addresses) {
       try {
         InetSocketAddress receiver = toSocketAddress(peer);
-        ByteBuf bytes =
-            encoded.computeIfAbsent(
-                earlierFormats.getOrDefault(peer, PeerReportCodec.FORMAT_VERSION),
-                format -> Unpooled.wrappedBuffer(PeerReportCodec.encode(report, format)));
-        channel.write(new DatagramPacket(bytes.retainedDuplicate(), receiver));
+        int used = earlierFormats.getOrDefault(peer, PeerReportCodec.FORMAT_VERSION);
+        boolean isProbed = sentCount % REPORTS_PER_PROBE == 0;
+        for (int format :
+            isProbed
+                ? new TreeSet<>(List.of(used, PeerReportCodec.FORMAT_VERSION))
+                : Set.of(used)) {
+          ByteBuf bytes =
+              encoded.computeIfAbsent(
+                  format, f -> Unpooled.wrappedBuffer(PeerReportCodec.encode(report, f)));
+          channel.write(new DatagramPacket(bytes.retainedDuplicate(), receiver));
+        }
       } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
         log.recordEvent("peer-address-invalid", "", "address", peer, "error", e.getMessage());
       }
@@ -91,11 +112,17 @@
         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
+  /** Remembers which format a node reads: the present one, if it ever used that in its life. */
   private void rememberFormat(PeerReport report, int format) {
+    String peer = report.reportAddress();
     if (format == PeerReportCodec.FORMAT_VERSION) {
-      earlierFormats.remove(report.reportAddress());
-    } else if (earlierFormats.size() < PeerTable.MAX_NODES
-        && !Integer.valueOf(format).equals(earlierFormats.put(report.reportAddress(), format))) {
+      earlierFormats.remove(peer);
+      if (presentIncarnations.size() < PeerTable.MAX_NODES) {
+        presentIncarnations.put(peer, report.incarnation());
+      }
+    } else if (presentIncarnations.getOrDefault(peer, -1L) != report.incarnation()
+        && earlierFormats.size() < PeerTable.MAX_NODES
+        && !Integer.valueOf(format).equals(earlierFormats.put(peer, format))) {
       log.recordEvent("peer-format", "", "peer", report.node(), "format", format);
     }
   }
