Report connections that get no socket on the event loop

What callers saw: not seen outside the test. An attempt for which the process had no socket continued on another thread, beside the event loop that the state of all exchanges is confined to: queues, loads and the response could be left in any state, and a request without an answer.

Cause: if a socket cannot be opened, Netty returns a future whose listeners run on its global executor. The pool called its user from there.

Ruled out: refused connections and timeouts; these fail on the loop.

Change: the pool passes the failure on to the event loop.

Test: mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest=TargetChannelTest -Dsurefire.failIfNoSpecifiedTests=false test Before: aConnectionForWhichThereIsNoSocketFailsOnTheEventLoop fails. After: the whole class passes.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -42,6 +43,7 @@
   private final long maxIdleMs;
   private boolean isSweepScheduled;
   private final Map<String, Deque<TargetChannel>> idle = new HashMap<>();
+  private final ChannelFactory<TargetSocketChannel> sockets;
 
   /**
    * Creates a pool without connections.
@@ -59,6 +61,18 @@
       HeaderCodec headerCodec,
       TargetAnswerListener answerListener,
       long maxIdleMs) {
+    this(loop, clock, headerCodec, answerListener, maxIdleMs, TargetSocketChannel::new);
+  }
+
+  /** Creates a pool that opens its sockets with a factory. */
+  TargetChannelPool(
+      EventLoop loop,
+      MonotonicClock clock,
+      HeaderCodec headerCodec,
+      TargetAnswerListener answerListener,
+      long maxIdleMs,
+      ChannelFactory<TargetSocketChannel> sockets) {
+    this.sockets = sockets;
     this.maxIdleMs = maxIdleMs;
     this.answerListener = answerListener;
     this.loop = loop;
@@ -137,7 +151,7 @@
     Bootstrap bootstrap =
         new Bootstrap()
             .group(loop)
-            .channelFactory(TargetSocketChannel::new)
+            .channelFactory(sockets)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .handler(
@@ -158,11 +172,20 @@
           if (done.isSuccess()) {
             onReady.accept(handler);
           } else {
-            onFailed.accept("connect failed: " + done.cause().getMessage());
+            // Without a socket, Netty calls this on another thread.
+            runOnLoop(() -> onFailed.accept("connect failed: " + done.cause().getMessage()));
           }
         });
   }
 
+  private void runOnLoop(Runnable step) {
+    if (loop.inEventLoop()) {
+      step.run();
+    } else {
+      loop.execute(step);
+    }
+  }
+
   /** Parses an IP address and port, {@code address:port}. */
   static InetSocketAddress socketAddress(String address) {
     int colon = address.lastIndexOf(':');
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -413,4 +414,29 @@
       assertThat(outcome.result.get(5, TimeUnit.SECONDS)).isEqualTo("failed");
     }
   }
+
+  /**
+   * Guards against steps of an exchange beside the event loop that all its state is confined to.
+   */
+  @Test
+  void aConnectionForWhichThereIsNoSocketFailsOnTheEventLoop() throws Exception {
+    TargetChannelPool pool =
+        new TargetChannelPool(
+            loop,
+            () -> 0,
+            new TestHeaderCodec(),
+            (address, metadata, sentMs) -> {},
+            TargetChannelPool.DEFAULT_IDLE_MS,
+            () -> {
+              throw new ChannelException("too many open files");
+            });
+    CompletableFuture<Boolean> isOnLoop = new CompletableFuture<>();
+    loop.execute(
+        () ->
+            pool.connect(
+                "127.0.0.1:1",
+                channel -> isOnLoop.complete(false),
+                reason -> isOnLoop.complete(loop.inEventLoop())));
+    assertThat(isOnLoop.get(5, TimeUnit.SECONDS)).isTrue();
+  }
 }
