Offer a begun stream to another node instead of giving it up

Callers saw a stream break off after its first events, beside a change of the configuration, although its targets were sound: the links of their node were silent for 1.4 s, and their key had been taken away after the stream had begun.

Cause: a node without links cancelled the stream at its target and passed it on in one step. The other node checks the key and the route by the configuration that it has, and answers 401 or 404; a full one answers 503, and one whose other pipelines are lost 502. None of these can follow events, so the stream was broken off. A stream that has begun goes on at its own node whatever the configuration says now; the relay did not keep to that.

A stream that has begun is now offered: it stays at its target, or waits for a pipeline, until the other node's 200 with a target's signature has come. An event of the own target withdraws the offer. If its target breaks off meanwhile, the answer of the other node comes first. After an offer that was not taken, the stream is not offered again. What the other node may have run counts as an attempt. Requests of which nothing was answered are passed on as before: they get an answer in each case. The relayed request is the same as before, so that versions run side by side.

Tests before: the 7 rows of the first new test and the second one fail; the third, as it is now, was not run on the code before. After: RelayedRequestTest 23, RelayExchangeTest 3, StreamAttemptsTest 8, BegunStreamTest 40, SendLedgerTest 7, RouterNodeTest 24 and ConnectionEndTest 24 pass, in one run beside other load. In it BegunStreamChangeTest failed in row 8, service-gone, and passed alone (8 of 8) afterwards; by its log the stream was resumed and served between the new version and the end of the pipelines of the removed service.

mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest=RelayedRequestTest -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -28,6 +28,22 @@
   /** Maximum size of a response that is passed on as a whole, in bytes. */
   private static final int MAX_RESPONSE_BYTES = 8_388_608;
 
+  private static final int STATUS_SERVER_ERROR = 500;
+
+  /** Receives what the other node does with a stream that has begun and is offered to it. */
+  interface Offer {
+
+    /** The other node continues the stream; its response follows. */
+    void onAccepted();
+
+    /**
+     * The other node does not continue the stream; nothing was sent to the caller.
+     *
+     * @param mayHaveRun whether a target of the other node may have run the request
+     */
+    void onDeclined(boolean mayHaveRun);
+  }
+
   private final ForwardContext context;
   private final CallerRequest request;
   private final CallerResponse response;
@@ -56,6 +72,9 @@
 
   private long reservedBytes;
 
+  /** Who keeps the stream until the other node accepts it; empty if no one does. */
+  private Optional<Offer> offer;
+
   /**
    * Creates the exchange; it releases the body of the request when it ends.
    *
@@ -66,6 +85,8 @@
    * @param service name of the service
    * @param earlierSends number of targets that got the request from this node and may have run it
    * @param lastEventId id of the last event that the caller received, if any
+   * @param offer receives whether the other node continues a stream; until then, nothing is written
+   *     to the response. If empty, the response is the other node's from the start
    */
   RelayExchange(
       ForwardContext context,
@@ -74,7 +95,8 @@
       RoutingResult.Routed routed,
       String service,
       int earlierSends,
-      Optional<String> lastEventId) {
+      Optional<String> lastEventId,
+      Optional<Offer> offer) {
     this.context = context;
     this.request = request;
     this.response = response;
@@ -82,6 +104,7 @@
     this.service = service;
     this.earlierSends = earlierSends;
     this.lastEventId = lastEventId;
+    this.offer = offer;
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
   }
 
@@ -96,8 +119,37 @@
     return deadlineTimer != null && !isFinished;
   }
 
+  /** Returns whether the other node has not accepted the stream yet. */
+  boolean isOffered() {
+    return isActive() && offer.isPresent();
+  }
+
+  /**
+   * Ends an offer; its listener is not called.
+   *
+   * @return whether a target of the other node may have run the request
+   */
+  boolean withdraw() {
+    boolean mayHaveRun = isSent;
+    offer = Optional.empty();
+    finish("withdrawn");
+    return mayHaveRun;
+  }
+
+  private void decline(boolean mayHaveRun) {
+    final Offer declined = offer.orElseThrow();
+    offer = Optional.empty();
+    finish("declined");
+    declined.onDeclined(mayHaveRun);
+  }
+
   @Override
   public void onError(Throwable error) {
+    if (isOffered()) {
+      context.logError("internal-error", request.metadata().attemptId(), error);
+      decline(isSent);
+      return;
+    }
     Runnable finishOnce = isFinished ? () -> {} : () -> finish("internal-error");
     context.endAfterError(request, response, finishOnce, mayHaveRun(), error);
   }
@@ -154,6 +206,20 @@
     headers = newHeaders;
     boolean isOk = status == HttpResponseStatus.OK.code();
     boolean isSuccess = HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS;
+    if (isOffered()) {
+      if (!isOk || !metadata.isSigned()) {
+        // A node's own error below 500 states that it did not send the request to a target.
+        boolean isNotRun =
+            !metadata.isSigned()
+                && (ProblemResponse.isNotRunStatus(status)
+                    || (!isSuccess && status < STATUS_SERVER_ERROR));
+        decline(!isNotRun);
+        return;
+      }
+      Offer accepted = offer.get();
+      offer = Optional.empty();
+      accepted.onAccepted();
+    }
     if ((isSuccess && !metadata.isSigned()) || (!isOk && response.isStarted())) {
       breakOff("the other node did not continue the stream or passed no target's signature on");
       return;
@@ -205,7 +271,10 @@
 
   @Override
   public void onFailure(String reason) {
-    if (!isFinished) {
+    if (isOffered()) {
+      channel = null;
+      decline(isSent);
+    } else if (!isFinished) {
       channel = null;
       finish("relay-broken");
       response.sendProblem(
@@ -221,7 +290,9 @@
   }
 
   private void onDeadline() {
-    if (!isFinished) {
+    if (isOffered()) {
+      decline(isSent);
+    } else if (!isFinished) {
       boolean mayHaveRun = mayHaveRun();
       finish("timeout");
       response.sendProblem(
@@ -238,6 +309,10 @@
   }
 
   private void fail(String kind, String detail) {
+    if (isOffered()) {
+      decline(isSent);
+      return;
+    }
     boolean mayHaveRun = mayHaveRun();
     finish(kind);
     long retryAfterMs = StreamLimits.retryAfterMs(0, context.random());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** Hands a request over to another node that reaches more targets of its service. */
 final class RelayHandover {
@@ -13,6 +14,9 @@
   private final String service;
   private Optional<RelayExchange> relayed = Optional.empty();
 
+  /** Whether a node declined the stream; others act on the same configuration and the same load. */
+  private boolean isDeclined;
+
   RelayHandover(
       ForwardContext context,
       CallerRequest request,
@@ -36,7 +40,8 @@
 
   /** Returns whether another node reaches more targets of the service. */
   boolean isPossible() {
-    return request.metadata().relayedSends().isEmpty()
+    return !isDeclined
+        && request.metadata().relayedSends().isEmpty()
         && context.relays().choose(service, Set.of()).isPresent();
   }
 
@@ -53,18 +58,72 @@
     if (!isPossible()) {
       return false;
     }
-    request.body().retain();
-    RelayExchange exchange =
-        new RelayExchange(context, request, response, routed, service, sends, lastEventId);
-    relayed = Optional.of(exchange);
+    RelayExchange exchange = newExchange(sends, lastEventId, Optional.empty());
     onHandover.run();
     exchange.start();
     return true;
   }
 
+  /**
+   * Offers a stream that has begun to another node, if that is possible. The exchange of the caller
+   * of this method goes on and must {@linkplain #withdraw withdraw} the offer once it can continue
+   * the stream itself or ends it. Another node may act on a configuration that allows the request
+   * no more, or have no room: the stream is not given up for that.
+   *
+   * @param sends number of targets that got the request from this node and may have run it
+   * @param lastEventId id of the last event that the caller received
+   * @param onAccepted called when the other node continues the stream; must end the own exchange
+   * @param onDeclined called if it does not, with whether a target of it may have run the request
+   * @return false if there is no node for it
+   */
+  boolean tryOffer(
+      int sends, Optional<String> lastEventId, Runnable onAccepted, Consumer<Boolean> onDeclined) {
+    if (!isPossible()) {
+      return false;
+    }
+    RelayExchange.Offer offer =
+        new RelayExchange.Offer() {
+          @Override
+          public void onAccepted() {
+            onAccepted.run();
+          }
+
+          @Override
+          public void onDeclined(boolean mayHaveRun) {
+            isDeclined = true;
+            onDeclined.accept(mayHaveRun);
+          }
+        };
+    newExchange(sends, lastEventId, Optional.of(offer)).start();
+    return true;
+  }
+
+  private RelayExchange newExchange(
+      int sends, Optional<String> lastEventId, Optional<RelayExchange.Offer> offer) {
+    request.body().retain();
+    RelayExchange exchange =
+        new RelayExchange(context, request, response, routed, service, sends, lastEventId, offer);
+    relayed = Optional.of(exchange);
+    return exchange;
+  }
+
+  /** Returns whether another node has been offered the stream and has not responded. */
+  boolean isOffered() {
+    return relayed.filter(RelayExchange::isOffered).isPresent();
+  }
+
+  /**
+   * Ends an offer, if there is one.
+   *
+   * @return whether a target of the other node may have run the request
+   */
+  boolean withdraw() {
+    return relayed.filter(RelayExchange::isOffered).map(RelayExchange::withdraw).orElse(false);
+  }
+
   /** Returns whether another node serves the request. */
   boolean isActive() {
-    return relayed.filter(RelayExchange::isActive).isPresent();
+    return relayed.filter(e -> e.isActive() && !e.isOffered()).isPresent();
   }
 
   void onCallerGone() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -15,7 +15,8 @@
  *
  * @param sends the sends that were not refused, in order
  * @param refusals number of sends of which a target has stated that the request did not run
- * @param earlierSends number of sends by the node that relayed the request to this one, which count
+ * @param earlierSends number of sends by other nodes, which count: by the one that relayed the
+ *     request to this one, or by one that was offered it
  */
 record SendLedger(List<Send> sends, int refusals, int earlierSends) {
 
@@ -75,6 +76,15 @@
     return new SendLedger(Stream.concat(sends.stream(), added).toList(), refusals, earlierSends);
   }
 
+  /**
+   * Adds a send of another node that was offered the request and does not serve it any more.
+   *
+   * @return the new ledger, never null
+   */
+  SendLedger withSendElsewhere() {
+    return new SendLedger(sends, refusals, earlierSends + 1);
+  }
+
   /**
    * Records that the target of the last send has stated that the request did not run.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -21,12 +21,16 @@
 
   private final EngineProfile profile;
   private final StreamProgress progress;
+  private final StreamRelay nodes;
   private Attempt attempt;
   private SendLedger ledger;
 
   /** Whether an attempt failed, so that the stream waits to be resumed and not to be started. */
   private boolean isResuming;
 
+  /** Whether the stream is resumed if another node does not continue it. */
+  private boolean isResumeDeferred;
+
   /** Whether the stream waits for another pipeline while it stays at its silent one. */
   private boolean isMoveQueued;
 
@@ -44,6 +48,7 @@
     super(context, dispatcher, request, response, routed, service);
     this.profile = profile;
     this.progress = new StreamProgress(request.metadata().lastEventId());
+    this.nodes = new StreamRelay(context, relay, response, service);
     this.ledger = SendLedger.ofRelayed(request.metadata().relayedSends().orElse(0));
   }
 
@@ -59,12 +64,11 @@
   public void start() {
     context.limits().recordRequest(service, context.clock().nowMs());
     deadlineTimer = schedule(this::onDeadline, deadlineMs - context.clock().nowMs());
-    if (failIfRejected(crashGuard.rejection(false)) || (shouldRelay() && tryRelay())) {
+    if (failIfRejected(crashGuard.rejection(false)) || (nodes.shouldRelay() && tryRelay())) {
       return;
     }
-    long usualWaitMs = (long) (routed.route().targetLatencyMs() * StreamLimits.MAX_WAIT_SHARE);
-    long waitMs = shouldWaitForRelay() ? StreamLimits.RELAY_WAIT_MS : usualWaitMs;
-    long waitDeadlineMs = Math.min(deadlineMs, request.receivedMs() + waitMs);
+    long waitDeadlineMs =
+        Math.min(deadlineMs, request.receivedMs() + nodes.maxWaitMs(routed.route()));
     boolean mayWait =
         dispatcher.mayStartBy(service, waitDeadlineMs, dispatcher.waitingCount(service));
     dispatcher.submit(this, mayWait ? waitDeadlineMs : Long.MIN_VALUE);
@@ -76,7 +80,7 @@
     StreamRequest streamRequest = newStreamRequest(nowMs);
     Optional<ModelPipeline> chosen =
         choosePipeline(streamRequest, context.fleet().pipelines(service));
-    if (chosen.isEmpty() && !isMoveQueued && shouldRelay()) {
+    if (chosen.isEmpty() && !isMoveQueued && nodes.shouldRelay()) {
       return tryRelay();
     }
     boolean mayStart = chosen.isPresent() && (!isMoveQueued || mayMove(nowMs));
@@ -133,21 +137,25 @@
     }
   }
 
-  /** Returns whether it may become known in a moment that another node reaches the targets. */
-  private boolean shouldWaitForRelay() {
-    return context.fleet().pipelines(service).isEmpty() && relay.isCutOff();
+  private boolean tryRelay() {
+    isResumeDeferred = attempt != null && attempt.isOver;
+    return nodes.tryRelay(
+        ledger, progress, () -> finish("handed-over"), guard.wrap(this::onOfferDeclined));
   }
 
-  /** Returns whether the stream is better served by another node than if it waits here. */
-  private boolean shouldRelay() {
-    boolean hasPipeline = !context.fleet().pipelines(service).isEmpty();
-    return hasPipeline ? relay.isCutOff() : relay.isPossible();
+  private void onOfferDeclined(boolean mayHaveRun) {
+    if (mayHaveRun) {
+      ledger = ledger.withSendElsewhere();
+    }
+    if (isResumeDeferred) {
+      resumeOrFail("relay-declined", "another node did not continue the stream");
+    }
   }
 
-  /** Relays the stream to another node, if there is one; its attempts and budget must allow it. */
-  private boolean tryRelay() {
-    return relay.tryRelay(
-        ledger.possiblyRun(), progress.lastEventId(), () -> finish("handed-over"));
+  private void withdrawOffer() {
+    if (relay.withdraw()) {
+      ledger = ledger.withSendElsewhere();
+    }
   }
 
   /** Moves the stream, if it runs, off targets that are lost or about to leave. */
@@ -188,6 +196,7 @@
   void finish(String outcome) {
     isFinished = true;
     leaveQueue.run();
+    withdrawOffer();
     if (attempt != null) {
       attempt.cancel();
     }
@@ -250,7 +259,10 @@
 
   /** Resumes elsewhere after a failed attempt if that is allowed, else fails the stream. */
   private void resumeOrFail(String kind, String detail) {
-    if (failIfDisallowed() || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
+    isResumeDeferred = relay.isOffered();
+    if (isResumeDeferred
+        || failIfDisallowed()
+        || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
       return;
     }
     long nowMs = context.clock().nowMs();
@@ -266,7 +278,7 @@
       fail(kind, detail);
       return;
     }
-    if (shouldRelay() && tryRelay()) {
+    if (nodes.shouldRelay() && tryRelay()) {
       return;
     }
     log("resume", "reason", kind, "detail", detail);
@@ -357,7 +369,7 @@
       if (isOver) {
         return;
       }
-      if (isCallerSlow) {
+      if (isCallerSlow || relay.isOffered()) {
         scheduleSilenceCheck(StreamLimits.SILENCE_MS);
         return;
       }
@@ -374,12 +386,17 @@
 
     /** Resumes elsewhere if the head is lost, or has the head replace other lost targets. */
     private void replaceLostTargets() {
+      if (relay.isOffered()) {
+        return;
+      }
       if (context.fleet().isSuspect(pipeline.head().address())) {
         long nowMs = context.clock().nowMs();
         if (mayRunAgain() && hasAttemptsLeft() && context.retryBudget().canSpend(service, nowMs)) {
           if (channel == null) {
             onFailure("head target of the pipeline does not respond");
-          } else if (!tryRelaySilent(nowMs)) {
+          } else if (nodes.tryLeave(progress.lastEventOr(startedMs)) && tryRelay()) {
+            cancelMove();
+          } else {
             queueMove();
           }
         }
@@ -411,16 +428,6 @@
                   }));
     }
 
-    /** Relays the stream if it is silent because this node lost its links to the targets. */
-    private boolean tryRelaySilent(long nowMs) {
-      boolean isSilent = nowMs - progress.lastEventOr(startedMs) > StreamLimits.SILENCE_MS;
-      return isSilent
-          && relay.isCutOff()
-          && relay.isPossible()
-          && context.retryBudget().trySpend(service, nowMs)
-          && tryRelay();
-    }
-
     private void onRepathed(ModelPipeline newPipeline, boolean isAccepted) {
       if (isAccepted) {
         cancelMove();
@@ -488,6 +495,7 @@
         return;
       }
       cancelMove();
+      withdrawOffer();
       if (!response.isStarted()) {
         response.startStream(status, headers);
       }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -116,6 +116,7 @@
         new RoutingResult.Routed(ROUTE, Optional.empty(), 0),
         "s",
         0,
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -21,11 +22,15 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerReportCodec;
 import org.gooseberryhook.router.fleet.CrashFindings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Tests requests at a node that lost its links to all targets while another node reaches them.
@@ -316,6 +321,116 @@
     assertThat(TargetStandin.header(peer.requests().get(0), "relayed-sends")).isEqualTo("1");
   }
 
+  static Stream<Arguments> answersThatContinueNoStream() {
+    return Stream.of(
+        answer("key is gone at the other node", "401", ""),
+        answer("route is gone at the other node", "404", ""),
+        answer("no room at the other node", "503", "Retry-After: 1\r\n"),
+        answer("no other pipeline at the other node", "502", ""),
+        answer("error of a target of the other node", "500", "signed: s\r\n"),
+        answer("stream that no target signed", "200", ""),
+        arguments(
+            "broken connection",
+            (TargetStandin.Script)
+                (request, out) -> {
+                  throw new IOException("broken");
+                }));
+  }
+
+  private static Arguments answer(String name, String status, String headers) {
+    return arguments(
+        name,
+        (TargetStandin.Script)
+            (request, out) ->
+                TargetStandin.writeResponse(out, request, Integer.parseInt(status), headers, "no"));
+  }
+
+  /**
+   * Guards against a stream that has begun and is broken off because another node, which acts on a
+   * newer configuration or is full, does not continue it, although its silent target does.
+   */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("answersThatContinueNoStream")
+  void aBegunStreamStaysAtItsSilentTargetUnlessAnotherNodeContinuesIt(
+      String name, TargetStandin.Script declining) throws Exception {
+    TargetStandin peer = addPeer(declining);
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          Thread.sleep(2_500);
+          TargetStandin.writeChunk(out, "id: 3\ndata: 3\n\n");
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertThat(peer.requests()).hasSize(1);
+    assertThat(response).contains("id: 1\n", "id: 2\n", "id: 3\n").endsWith("0\r\n\r\n");
+    assertThat(response).containsOnlyOnce("HTTP/1.1");
+    awaitGauge("gooseberryhook_requests_relayed 0.0");
+  }
+
+  /** Guards against events of two runs in one stream. */
+  @Test
+  void aStreamWhoseTargetGoesOnIsTakenBackFromTheOtherNode() throws Exception {
+    AtomicBoolean isOffered = new AtomicBoolean();
+    addPeer(
+        (request, out) -> {
+          isOffered.set(true);
+          Thread.sleep(1_000);
+          writeEvents(request, out, 3, 9);
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          while (!isOffered.get()) {
+            Thread.sleep(10);
+          }
+          TargetStandin.writeChunk(out, "id: 3\ndata: 3\n\n");
+          Thread.sleep(1_500);
+          TargetStandin.writeChunk(out, "id: 4\ndata: 4\n\n");
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertThat(response).contains("id: 3\n", "id: 4\n").doesNotContain("id: 5\n");
+    assertThat(response).containsOnlyOnce("id: 3\n").endsWith("0\r\n\r\n");
+    awaitGauge("gooseberryhook_requests_relayed 0.0");
+  }
+
+  /** Guards against a stream that is lost with its target while another node is asked. */
+  @Test
+  void aBegunStreamWhoseTargetBreaksOffIsContinuedByTheNodeThatWasAsked() throws Exception {
+    AtomicBoolean isOffered = new AtomicBoolean();
+    addPeer(
+        (request, out) -> {
+          isOffered.set(true);
+          Thread.sleep(300);
+          writeEvents(request, out, 3, 3);
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          while (!isOffered.get()) {
+            Thread.sleep(10);
+          }
+          throw new IOException("broken");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertThat(response).contains("id: 1\n", "id: 2\n", "id: 3\n").endsWith("0\r\n\r\n");
+  }
+
   /** Guards against more attempts than the route allows, counted over both nodes. */
   @Test
   void theAttemptsOfTheFirstNodeCountAtTheSecond() throws Exception {
