Merge the offer of begun streams with their continuation

Cause: a node without links ended a begun stream at its silent target before the other node had answered. The other node checks the key and the route by the configuration that it has, and may be full or stop. None of its errors can follow events. The continuation of relayed streams applies only where the other node states how many targets may have run the stream; 401, 404, 503 and an earlier version do not.

Ruled out: that the kept silent attempt covers this. It is kept until another attempt of the same node has an event; the relay ended both.

Change: all three behaviours hold together. A begun stream is offered: its attempt, a silent one that it has left, or its resumption stays until the other node's 200 with a target's signature has come. An event of either attempt withdraws the offer. No attempt is moved, sent or resumed while the offer is open, also not after a rejected replacement of a target. Once accepted, the other node's stream is cut into events and continued if it ends early, with the sends of both nodes. The continuation offers the stream too, as it has begun. After a declined offer the stream goes on here and this exchange does not offer it again. The ledger counts what the other node may have run: the number in the head of its problem, none for its own error below 500 or a status that says so, else one. A withdrawn offer that was sent counts as one.

Differs from the continuation before: a begun stream that the other node ends with a number before any event of its own goes on here and not at a third node, because it counts as declined. A stream that is resumed after a declined offer spends from the retry budget twice.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -30,6 +30,22 @@
   /** Maximum size of a response that is passed on as a whole, in bytes. */
   private static final int MAX_RESPONSE_BYTES = 8_388_608;
 
+  private static final int STATUS_SERVER_ERROR = 500;
+
+  /** Receives what the other node does with a stream that has begun and is offered to it. */
+  interface Offer {
+
+    /** The other node continues the stream; its response follows. */
+    void onAccepted();
+
+    /**
+     * The other node does not continue the stream; nothing was sent to the caller.
+     *
+     * @param sends number of targets of the other node that may have run the request
+     */
+    void onDeclined(int sends);
+  }
+
   private final ForwardContext context;
   private final CallerRequest request;
   private final CallerResponse response;
@@ -65,6 +81,9 @@
 
   private long reservedBytes;
 
+  /** Who keeps the stream until the other node accepts it; empty if no one does. */
+  private Optional<Offer> offer;
+
   /**
    * Creates the exchange; it releases the body of the request when it ends.
    *
@@ -77,6 +96,8 @@
    * @param lastEventId id of the last event that the caller received, if any
    * @param stream continues the request if the other node ends it early; empty if none can
    * @param triedNodes names of the nodes to which it must not be relayed
+   * @param offer receives whether the other node continues a stream; until then, nothing is written
+   *     to the response. If empty, the response is the other node's from the start
    */
   RelayExchange(
       ForwardContext context,
@@ -87,7 +108,8 @@
       int earlierSends,
       Optional<String> lastEventId,
       Optional<RelayedStream> stream,
-      Set<String> triedNodes) {
+      Set<String> triedNodes,
+      Optional<Offer> offer) {
     this.context = context;
     this.request = request;
     this.response = response;
@@ -97,6 +119,7 @@
     this.lastEventId = lastEventId;
     this.stream = stream;
     this.triedNodes = new HashSet<>(triedNodes);
+    this.offer = offer;
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
   }
 
@@ -111,8 +134,50 @@
     return continuation.isPresent() || (deadlineTimer != null && !isFinished);
   }
 
+  /** Returns whether the other node has not accepted the stream yet. */
+  boolean isOffered() {
+    return isActive() && offer.isPresent();
+  }
+
+  /**
+   * Ends an offer; its listener is not called.
+   *
+   * @return number of targets of the other node that may have run the request, as far as is known
+   */
+  int withdraw() {
+    offer = Optional.empty();
+    finish("withdrawn");
+    return isSent ? 1 : 0;
+  }
+
+  private void decline(int sends) {
+    final Offer declined = offer.orElseThrow();
+    offer = Optional.empty();
+    finish("declined");
+    declined.onDeclined(sends);
+  }
+
+  /** Returns how many targets of the other node may have run the request that it declined. */
+  private int sendsOfError(ResponseMetadata metadata) {
+    if (relayedSends.isPresent() && relayedSends.getAsInt() >= Math.max(1, earlierSends)) {
+      return relayedSends.getAsInt() - earlierSends;
+    }
+    // A node's own error below 500 states that it did not send the request to a target.
+    boolean isOwnError =
+        !metadata.isSigned()
+            && HttpStatusClass.valueOf(status) != HttpStatusClass.SUCCESS
+            && status < STATUS_SERVER_ERROR;
+    boolean isNotRun = !metadata.isSigned() && ProblemResponse.isNotRunStatus(status);
+    return isOwnError || isNotRun ? 0 : 1;
+  }
+
   @Override
   public void onError(Throwable error) {
+    if (isOffered()) {
+      context.logError("internal-error", request.metadata().attemptId(), error);
+      decline(isSent ? 1 : 0);
+      return;
+    }
     if (continuation.isPresent()) {
       context.logError("internal-error", request.metadata().attemptId(), error);
       return;
@@ -176,6 +241,15 @@
     if (!isSuccess && !metadata.isSigned() && metadata.attemptId().isEmpty()) {
       relayedSends = context.headerCodec().readRelayedSends(headers);
     }
+    if (isOffered()) {
+      if (!isOk || !metadata.isSigned()) {
+        decline(sendsOfError(metadata));
+        return;
+      }
+      Offer accepted = offer.get();
+      offer = Optional.empty();
+      accepted.onAccepted();
+    }
     boolean mayContinue = isOk || relayedSends.isPresent();
     if ((isSuccess && !metadata.isSigned()) || (!mayContinue && response.isStarted())) {
       breakOff("the other node did not continue the stream or passed no target's signature on");
@@ -262,7 +336,10 @@
 
   @Override
   public void onFailure(String reason) {
-    if (!isFinished) {
+    if (isOffered()) {
+      channel = null;
+      decline(isSent ? 1 : 0);
+    } else if (!isFinished) {
       channel = null;
       finish("relay-broken");
       response.sendProblem(
@@ -278,7 +355,9 @@
   }
 
   private void onDeadline() {
-    if (!isFinished) {
+    if (isOffered()) {
+      decline(isSent ? 1 : 0);
+    } else if (!isFinished) {
       boolean mayHaveRun = mayHaveRun();
       finish("timeout");
       response.sendProblem(
@@ -295,6 +374,10 @@
   }
 
   private void fail(String kind, String detail) {
+    if (isOffered()) {
+      decline(isSent ? 1 : 0);
+      return;
+    }
     boolean mayHaveRun = mayHaveRun();
     finish(kind);
     long retryAfterMs = StreamLimits.retryAfterMs(0, context.random());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -15,7 +15,8 @@
  *
  * @param sends the sends that were not refused, in order
  * @param refusals number of sends of which a target has stated that the request did not run
- * @param earlierSends number of sends by other nodes, which count
+ * @param earlierSends number of sends by other nodes, which count: by the one that relayed the
+ *     request to this one, or by one that was offered it
  */
 record SendLedger(List<Send> sends, int refusals, int earlierSends) {
 
@@ -75,6 +76,16 @@
     return new SendLedger(Stream.concat(sends.stream(), added).toList(), refusals, earlierSends);
   }
 
+  /**
+   * Adds sends of another node that was offered the request and does not serve it any more.
+   *
+   * @param count number of its targets that may have run the request
+   * @return the new ledger, never null
+   */
+  SendLedger withSendsElsewhere(int count) {
+    return new SendLedger(sends, refusals, earlierSends + count);
+  }
+
   /**
    * Records that the target of the last send has stated that the request did not run.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -154,7 +154,7 @@
     if (isOver) {
       return;
     }
-    if (stream.isCallerSlow) {
+    if (stream.isCallerSlow || stream.relay.isOffered()) {
       scheduleSilenceCheck(StreamLimits.SILENCE_MS);
       return;
     }
@@ -171,6 +171,9 @@
 
   /** Resumes elsewhere if the head is lost, or has the head replace other lost targets. */
   void replaceLostTargets() {
+    if (stream.relay.isOffered()) {
+      return;
+    }
     if (context.fleet().isSuspect(pipeline.head().address())) {
       long nowMs = context.clock().nowMs();
       if (stream.mayRunAgain()
@@ -178,7 +181,9 @@
           && context.retryBudget().canSpend(stream.service, nowMs)) {
         if (channel == null) {
           onFailure("head target of the pipeline does not respond");
-        } else if (!tryRelaySilent(nowMs)) {
+        } else if (tryRelaySilent(nowMs)) {
+          stream.cancelMove();
+        } else {
           stream.queueMove();
         }
       }
@@ -228,8 +233,8 @@
       return;
     }
     earliestRepathMs = context.clock().nowMs() + StreamLimits.REPATH_RETRY_DELAY_MS;
-    if (context.clock().nowMs() - stream.progress.lastEventOr(startedMs)
-        > StreamLimits.SILENCE_MS) {
+    long silentMs = context.clock().nowMs() - stream.progress.lastEventOr(startedMs);
+    if (silentMs > StreamLimits.SILENCE_MS && !stream.relay.isOffered()) {
       // No other target has the capacity for the lost layers.
       tryMove(StreamLimits.UNLIMITED_CROSSINGS);
     }
@@ -304,6 +309,7 @@
       stream.silentAttempt.cancel();
     }
     stream.cancelMove();
+    stream.withdrawOffer();
     if (!stream.response.isStarted()) {
       stream.response.startStream(status, headers);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -33,6 +33,9 @@
   /** Whether an attempt failed, so that the stream waits to be resumed and not to be started. */
   private boolean isResuming;
 
+  /** Whether the stream is resumed if another node does not continue it. */
+  private boolean isResumeDeferred;
+
   /** Whether the stream waits for another pipeline while it stays at its silent one. */
   boolean isMoveQueued;
 
@@ -173,13 +176,35 @@
     }
   }
 
-  /** Relays the stream to another node, if there is one; its attempts and budget must allow it. */
+  /**
+   * Relays the stream to another node, if there is one; its attempts and budget must allow it. A
+   * stream that has begun is offered, and stays here until the other node continues it.
+   *
+   * @return false if there is no node for it
+   */
   boolean tryRelay() {
-    return relay.tryRelay(
-        ledger.possiblyRun(),
-        progress.lastEventId(),
-        Optional.of(this),
-        () -> finish("handed-over"));
+    int sends = ledger.possiblyRun();
+    Runnable onHandover = () -> finish("handed-over");
+    if (!response.isStarted()) {
+      return relay.tryRelay(sends, progress.lastEventId(), Optional.of(this), onHandover);
+    }
+    isResumeDeferred = attempt == null || attempt.isOver();
+    return relay.tryOffer(sends, progress.lastEventId(), this, onHandover, this::onOfferDeclined);
+  }
+
+  private void onOfferDeclined(int sends) {
+    guard.run(
+        () -> {
+          ledger = ledger.withSendsElsewhere(sends);
+          if (isResumeDeferred) {
+            resumeOrFail("relay-declined", "another node did not continue the stream");
+          }
+        });
+  }
+
+  /** Ends an offer to another node, because the stream goes on or ends here. */
+  void withdrawOffer() {
+    ledger = ledger.withSendsElsewhere(relay.withdraw());
   }
 
   /** Moves the stream, if it runs, off targets that are lost or about to leave. */
@@ -227,6 +252,7 @@
   void finish(String outcome) {
     isFinished = true;
     leaveQueue.run();
+    withdrawOffer();
     if (silentAttempt != null) {
       silentAttempt.cancel();
     }
@@ -292,7 +318,10 @@
 
   /** Resumes elsewhere after a failed attempt if that is allowed, else fails the stream. */
   void resumeOrFail(String kind, String detail) {
-    if (failIfDisallowed() || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
+    isResumeDeferred = relay.isOffered();
+    if (isResumeDeferred
+        || failIfDisallowed()
+        || failIfRejected(crashGuard.rejection(ledger.mayHaveRun()))) {
       return;
     }
     long nowMs = context.clock().nowMs();
