--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntConsumer;
 
 /** Hands a request over to another node that reaches more targets of its service. */
 final class RelayHandover {
@@ -19,6 +20,9 @@
 
   private Optional<RelayExchange> relayed = Optional.empty();
 
+  /** Whether a node declined the stream; others act on the same configuration and the same load. */
+  private boolean isDeclined;
+
   RelayHandover(
       ForwardContext context,
       CallerRequest request,
@@ -44,7 +48,8 @@
 
   /** Returns whether another node reaches more targets of the service. */
   boolean isPossible() {
-    return request.metadata().relayedSends().isEmpty()
+    return !isDeclined
+        && request.metadata().relayedSends().isEmpty()
         && triedNodes.size() < RelayExchange.MAX_NODES
         && context.relays().choose(service, triedNodes).isPresent();
   }
@@ -98,19 +103,90 @@
     if (!isPossible()) {
       return false;
     }
+    RelayExchange exchange = newExchange(sends, lastEventId, stream, Optional.empty());
+    onHandover.run();
+    exchange.start();
+    return true;
+  }
+
+  /**
+   * Offers a stream that has begun to another node, if that is possible. The exchange of the caller
+   * of this method goes on and must {@linkplain #withdraw withdraw} the offer once it can continue
+   * the stream itself or ends it. Another node may act on a configuration that allows the request
+   * no more, or have no room: the stream is not given up for that.
+   *
+   * @param sends number of targets that got the request from this node and may have run it
+   * @param lastEventId id of the last event that the caller received
+   * @param stream continues the stream if the other node accepts it and ends it early
+   * @param onAccepted called when the other node continues the stream; must end the own exchange
+   * @param onDeclined called if it does not, with the number of its targets that may have run it
+   * @return false if there is no node for it
+   */
+  boolean tryOffer(
+      int sends,
+      Optional<String> lastEventId,
+      RelayedStream stream,
+      Runnable onAccepted,
+      IntConsumer onDeclined) {
+    if (!isPossible()) {
+      return false;
+    }
+    RelayExchange.Offer offer =
+        new RelayExchange.Offer() {
+          @Override
+          public void onAccepted() {
+            onAccepted.run();
+          }
+
+          @Override
+          public void onDeclined(int sendsElsewhere) {
+            isDeclined = true;
+            onDeclined.accept(sendsElsewhere);
+          }
+        };
+    newExchange(sends, lastEventId, Optional.of(stream), Optional.of(offer)).start();
+    return true;
+  }
+
+  private RelayExchange newExchange(
+      int sends,
+      Optional<String> lastEventId,
+      Optional<RelayedStream> stream,
+      Optional<RelayExchange.Offer> offer) {
     request.body().retain();
     RelayExchange exchange =
         new RelayExchange(
-            context, request, response, routed, service, sends, lastEventId, stream, triedNodes);
+            context,
+            request,
+            response,
+            routed,
+            service,
+            sends,
+            lastEventId,
+            stream,
+            triedNodes,
+            offer);
     relayed = Optional.of(exchange);
-    onHandover.run();
-    exchange.start();
-    return true;
+    return exchange;
+  }
+
+  /** Returns whether another node has been offered the stream and has not responded. */
+  boolean isOffered() {
+    return relayed.filter(RelayExchange::isOffered).isPresent();
+  }
+
+  /**
+   * Ends an offer, if there is one.
+   *
+   * @return number of targets of the other node that may have run the request, as far as is known
+   */
+  int withdraw() {
+    return relayed.filter(RelayExchange::isOffered).map(RelayExchange::withdraw).orElse(0);
   }
 
   /** Returns whether another node serves the request. */
   boolean isActive() {
-    return relayed.filter(RelayExchange::isActive).isPresent();
+    return relayed.filter(e -> e.isActive() && !e.isOffered()).isPresent();
   }
 
   void onCallerGone() {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -118,7 +118,8 @@
         0,
         Optional.empty(),
         Optional.empty(),
-        Set.of());
+        Set.of(),
+        Optional.empty());
   }
 
   /** Guards against a refusal that promises that a request has not run which has. */
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedRequestTest.java
@@ -1,124 +1,35 @@
 package org.gooseberryhook.router.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
-import java.net.DatagramPacket;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import org.gooseberryhook.router.cluster.PeerReport;
-import org.gooseberryhook.router.cluster.PeerReportCodec;
-import org.gooseberryhook.router.fleet.CrashFindings;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests requests at a node that lost its links to all targets while another node reaches them.
  * Guards against callers that are refused there for as long as the links are away.
  */
-class RelayedRequestTest extends RouterNodeHarness {
-
-  private final List<TargetStandin> peers = new ArrayList<>();
-  private final ScheduledExecutorService reports = Executors.newSingleThreadScheduledExecutor();
-  private final AtomicLong sequence = new AtomicLong();
-
-  /** Adds another node; its stand-in accepts requests of callers. */
-  private TargetStandin addPeer(TargetStandin.Script script) throws IOException {
-    TargetStandin peer = new TargetStandin(script);
-    peers.add(peer);
-    return peer;
-  }
-
-  private void startCutOffNode() throws Exception {
-    addPipeline((request, out) -> {});
-    addTarget("plain", null, (request, out) -> {});
-    startNode();
-    cutLinks();
-  }
-
-  /** Closes all targets and waits until the node is known to lack links that others have. */
-  private void cutLinks() throws Exception {
-    for (TargetStandin target : targets) {
-      deadAddresses.add(target.address());
-      target.close();
-    }
-    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
-    awaitGauge("gooseberryhook_live_peers " + (double) peers.size());
-  }
-
-  private void awaitSuspects() throws Exception {
-    awaitGauge("gooseberryhook_suspected_targets " + (double) targets.size());
-  }
-
-  private void reportPeers() {
-    for (int i = 0; i < peers.size(); i++) {
-      String name = "peer-" + i;
-      PeerReport report =
-          new PeerReport(
-              name,
-              1,
-              sequence.incrementAndGet(),
-              peers.get(i).address(),
-              "127.0.0.1:1",
-              true,
-              0,
-              false,
-              Map.of(),
-              false,
-              List.of(),
-              Map.of(),
-              CrashFindings.NONE,
-              1_000,
-              Map.of(),
-              "a",
-              false,
-              1,
-              Map.of("model", 2, "plain", 1),
-              Map.of(),
-              Map.of());
-      byte[] bytes = PeerReportCodec.encode(report);
-      int port = Integer.parseInt(reportAddress.substring(reportAddress.lastIndexOf(':') + 1));
-      try (DatagramSocket socket = new DatagramSocket()) {
-        socket.send(
-            new DatagramPacket(
-                bytes,
-                bytes.length,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
-      } catch (IOException e) {
-        throw new IllegalStateException(e);
-      }
-    }
-  }
-
-  @AfterEach
-  void stopPeers() throws IOException {
-    reports.shutdownNow();
-    for (TargetStandin peer : peers) {
-      peer.close();
-    }
-  }
+class RelayedRequestTest extends RelayedRequestHarness {
 
   private static void writeWholeStream(String request, OutputStream out) throws IOException {
     writeEvents(request, out, 1, 3);
@@ -323,6 +234,116 @@
     assertThat(TargetStandin.header(peer.requests().get(0), "relayed-sends")).isEqualTo("1");
   }
 
+  static Stream<Arguments> answersThatContinueNoStream() {
+    return Stream.of(
+        answer("key is gone at the other node", "401", ""),
+        answer("route is gone at the other node", "404", ""),
+        answer("no room at the other node", "503", "Retry-After: 1\r\n"),
+        answer("no other pipeline at the other node", "502", ""),
+        answer("error of a target of the other node", "500", "signed: s\r\n"),
+        answer("stream that no target signed", "200", ""),
+        arguments(
+            "broken connection",
+            (TargetStandin.Script)
+                (request, out) -> {
+                  throw new IOException("broken");
+                }));
+  }
+
+  private static Arguments answer(String name, String status, String headers) {
+    return arguments(
+        name,
+        (TargetStandin.Script)
+            (request, out) ->
+                TargetStandin.writeResponse(out, request, Integer.parseInt(status), headers, "no"));
+  }
+
+  /**
+   * Guards against a stream that has begun and is broken off because another node, which acts on a
+   * newer configuration or is full, does not continue it, although its silent target does.
+   */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("answersThatContinueNoStream")
+  void aBegunStreamStaysAtItsSilentTargetUnlessAnotherNodeContinuesIt(
+      String name, TargetStandin.Script declining) throws Exception {
+    TargetStandin peer = addPeer(declining);
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          Thread.sleep(2_500);
+          TargetStandin.writeChunk(out, "id: 3\ndata: 3\n\n");
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertThat(peer.requests()).hasSize(1);
+    assertThat(response).contains("id: 1\n", "id: 2\n", "id: 3\n").endsWith("0\r\n\r\n");
+    assertThat(response).containsOnlyOnce("HTTP/1.1");
+    awaitGauge("gooseberryhook_requests_relayed 0.0");
+  }
+
+  /** Guards against events of two runs in one stream. */
+  @Test
+  void aStreamWhoseTargetGoesOnIsTakenBackFromTheOtherNode() throws Exception {
+    AtomicBoolean isOffered = new AtomicBoolean();
+    addPeer(
+        (request, out) -> {
+          isOffered.set(true);
+          Thread.sleep(1_000);
+          writeEvents(request, out, 3, 9);
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          while (!isOffered.get()) {
+            Thread.sleep(10);
+          }
+          TargetStandin.writeChunk(out, "id: 3\ndata: 3\n\n");
+          Thread.sleep(1_500);
+          TargetStandin.writeChunk(out, "id: 4\ndata: 4\n\n");
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertThat(response).contains("id: 3\n", "id: 4\n").doesNotContain("id: 5\n");
+    assertThat(response).containsOnlyOnce("id: 3\n").endsWith("0\r\n\r\n");
+    awaitGauge("gooseberryhook_requests_relayed 0.0");
+  }
+
+  /** Guards against a stream that is lost with its target while another node is asked. */
+  @Test
+  void aBegunStreamWhoseTargetBreaksOffIsContinuedByTheNodeThatWasAsked() throws Exception {
+    AtomicBoolean isOffered = new AtomicBoolean();
+    addPeer(
+        (request, out) -> {
+          isOffered.set(true);
+          Thread.sleep(300);
+          writeEvents(request, out, 3, 3);
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          while (!isOffered.get()) {
+            Thread.sleep(10);
+          }
+          throw new IOException("broken");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertThat(response).contains("id: 1\n", "id: 2\n", "id: 3\n").endsWith("0\r\n\r\n");
+  }
+
   /** Guards against more attempts than the route allows, counted over both nodes. */
   @Test
   void theAttemptsOfTheFirstNodeCountAtTheSecond() throws Exception {
@@ -430,6 +451,77 @@
     assertThat(peer.requests()).hasSize(1);
   }
 
+  /** Guards against more attempts than the route allows after a node has accepted a stream. */
+  @Test
+  void theAttemptsOfBothNodesCountOnceAnAcceptedStreamEndsEarly() throws Exception {
+    final TargetStandin.Script endingEarly = endingEarlyOnce(2);
+    final TargetStandin first = addPeer(endingEarly);
+    final TargetStandin second = addPeer(endingEarly);
+    addPipeline(
+        (request, out) -> {
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          Thread.sleep(5_000);
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 2.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertHasEvents(response, 4);
+    assertThat(response).doesNotContain("0\r\n\r\n").doesNotContain("relayed-sends");
+    assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
+  }
+
+  /**
+   * Guards against an attempt that is lost to a node which has sent the stream to no target, and
+   * against more attempts than the route allows if it may have sent it.
+   */
+  @ParameterizedTest(name = "{0} {1}: resumed {2}")
+  @CsvSource({
+    "401, '', true",
+    "503, '', true",
+    "502, 'relayed-sends: 1\\r\\n', true",
+    "502, 'relayed-sends: 2\\r\\n', false",
+    "502, '', false",
+    "401, 'signed: s\\r\\n', false"
+  })
+  void aStreamThatAnotherNodeDeclinedIsResumedHereWithinTheAttempts(
+      int status, String escapedHeaders, boolean isResumed) throws Exception {
+    final String headers = escapedHeaders.translateEscapes();
+    AtomicBoolean isDeclined = new AtomicBoolean();
+    TargetStandin peer =
+        addPeer(
+            (request, out) -> {
+              deadAddresses.clear();
+              // A node's own problem names no attempt.
+              String head = "HTTP/1.1 " + status + " X\r\n" + headers;
+              TargetStandin.write(out, head + "Content-Length: 2\r\n\r\nno");
+              isDeclined.set(true);
+            });
+    addPipeline(
+        (request, out) -> {
+          if (isDeclined.get()) {
+            writeEvents(request, out, 3, 3);
+            TargetStandin.write(out, "0\r\n\r\n");
+            return;
+          }
+          writeEvents(request, out, 1, 2);
+          targets.forEach(target -> deadAddresses.add(target.address()));
+          while (!isDeclined.get()) {
+            Thread.sleep(10);
+          }
+          Thread.sleep(500);
+          throw new IOException("broken");
+        });
+    startNode();
+    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, TimeUnit.MILLISECONDS);
+    awaitGauge("gooseberryhook_live_peers 1.0");
+    String response = exchange(post("/draft/x", "p"));
+    assertHasEvents(response, isResumed ? 3 : 2);
+    assertThat(response.endsWith("0\r\n\r\n")).isEqualTo(isResumed);
+    assertThat(peer.requests()).hasSize(1);
+  }
+
   /** Guards against more attempts than the route allows, and against a stream that looks whole. */
   @ParameterizedTest(name = "targets that may have run the stream: {0}")
   @ValueSource(strings = {"2", "0", "many"})
