--- a/review/common/Standins.java
+++ b/review/common/Standins.java
@@ -658,9 +658,13 @@
     final List<Replica> replicas = new CopyOnWriteArrayList<>();
 
     Deployment(int nodeCount, Path folder) throws IOException {
+      this(nodeCount, folder, 6);
+    }
+
+    Deployment(int nodeCount, Path folder, int engines) throws IOException {
       store.put("op", "config", configuration(3));
       int base = freePorts(nodeCount);
-      for (int i = 0; i < 6; i++) {
+      for (int i = 0; i < engines; i++) {
         add(new Engine(store, "i-e" + i, "khomas-" + "abc".charAt(i % 3)));
       }
       for (int i = 0; i < nodeCount; i++) {
