--- a/review/common/Standins.java
+++ b/review/common/Standins.java
@@ -422,7 +422,7 @@
     final String ip;
     private final int basePort;
     private final Path folder;
-    private final String command;
+    private String command;
     private Process process;
     private volatile long startedMs = Long.MAX_VALUE;
     private volatile long terminatedMs = Long.MAX_VALUE;
@@ -458,8 +458,9 @@
       Files.writeString(folder.resolve("node-" + number + ".json"), settings.toString());
     }
 
-    String front() {
-      return ip + ":" + basePort;
+    /** Sets the command of the next starts, to run another build. */
+    void setCommand(String newCommand) {
+      command = newCommand;
     }
 
     int port() {
