--- a/review/build.sh
+++ b/review/build.sh
@@ -18,3 +18,4 @@
 javac -nowarn -encoding UTF-8 -implicit:class -cp "$libraries" \
   -sourcepath "$src/gooseberryhook-core/src/main/java:$src/gooseberryhook-router/src/main/java:$src/platform/src/main/java" \
   -d target/review/earlier "$src/platform/src/main/java/org/gooseberryhook/platform/Main.java" 2>target/review/earlier.log
+rm -rf "$src"
--- a/review/common/CrashAfterRestart.java
+++ b/review/common/CrashAfterRestart.java
@@ -28,6 +28,9 @@
 
   private static final int MAX_LATER_RETRIES = 3;
 
+  /** Longest time from the start of the program to its end. */
+  private static final long MAX_MS = 112_000;
+
   /** Arrivals of the crashing request at replicas. */
   private record Arrival(String attempt, Standins.Node from, long atMs, boolean isInTouch) {}
 
@@ -38,6 +41,7 @@
   private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
   private final AtomicInteger lastReplica = new AtomicInteger();
   private final AtomicInteger lostBookings = new AtomicInteger();
+  private final long startMs = Standins.nowMs();
   private volatile boolean isRunning = true;
 
   private CrashAfterRestart(Path caseFolder, Path work) throws IOException {
@@ -118,7 +122,7 @@
     // All machines know each other by then.
     Standins.sleepMs(4_000);
     recorder.line("all machines are ready");
-    long endMs = Standins.nowMs() + RUN_MS;
+    long endMs = Math.min(Standins.nowMs() + RUN_MS, startMs + MAX_MS);
     Standins.daemon(this::sendBookings);
     Standins.daemon(this::repeatCrashingRequest);
     if (hasTrouble) {
--- a/review/common/CrashBesideEarlierBuild.java
+++ b/review/common/CrashBesideEarlierBuild.java
@@ -32,6 +32,9 @@
 
   private static final int MAX_LATER_RETRIES = 3;
 
+  /** Longest time from the start of the program to its end. */
+  private static final long MAX_MS = 112_000;
+
   /** Arrivals of the crashing request at replicas. */
   private record Arrival(String attempt, Standins.Node from, long atMs, boolean isInTouch) {}
 
@@ -42,6 +45,7 @@
   private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
   private final AtomicInteger lastReplica = new AtomicInteger();
   private final AtomicInteger lostBookings = new AtomicInteger();
+  private final long startMs = Standins.nowMs();
   private volatile boolean isRunning = true;
 
   private CrashBesideEarlierBuild(Path caseFolder, Path work) throws IOException {
@@ -125,13 +129,13 @@
     // All machines know each other by then.
     Standins.sleepMs(4_000);
     recorder.line("all machines are ready");
-    long endMs = Standins.nowMs() + RUN_MS;
+    long endMs = Math.min(Standins.nowMs() + RUN_MS, startMs + MAX_MS);
     Standins.daemon(this::sendBookings);
     Standins.daemon(this::repeatCrashingRequest);
     if (hasTrouble) {
       Standins.await(40_000, () -> arrivals.size() >= 3);
       Standins.sleepMs(STABILITY_WINDOW_MS + 1_000);
-      replaceMachines();
+      replaceMachines(endMs - 8_000);
     }
     Standins.sleepMs(endMs - Standins.nowMs());
     isRunning = false;
@@ -139,15 +143,18 @@
   }
 
   /** Stops the machines in turn and starts them with the present build. */
-  private void replaceMachines() throws Exception {
+  private void replaceMachines(long endMs) throws Exception {
     for (Standins.Node node : deployment.nodes) {
+      if (Standins.nowMs() > endMs) {
+        return;
+      }
       recorder.line("SIGTERM to machine " + node.number);
       node.stopGracefully();
       node.setCommand(Standins.command());
       node.start();
       Standins.await(20_000, node::isReady);
       recorder.line("machine " + node.number + " is ready with the present build");
-      Standins.sleepMs(PAUSE_MS);
+      Standins.sleepMs(Math.min(PAUSE_MS, endMs + 8_000 - Standins.nowMs()));
     }
   }
 
