Check every event of a stream against those that its caller has

Cause: only later attempts were checked. The events of a first attempt, of one that a caller's own Last-Event-Id begins, and of a response that another node passes on were sent as they came.

Change: StreamProgress, which knows what the caller has, gives each response an EventCheck, and no event is sent without it. A number that does not grow breaks the attempt off; the next attempt continues after the last event. A stream that may not be resumed, or that another node serves, is broken off. Skipping repeated events was ruled out: they may be of another run. The reason in the line "broken" names both ids.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
@@ -6,19 +6,26 @@
 
 /**
  * The ids of the events that the caller of a stream has received. Tells whether a later attempt can
- * continue the stream, and whether its events do: a target that ignores the id of the last event
- * would send events twice.
+ * continue the stream, and whether an event may follow: a target that ignores the id of the last
+ * event, or makes events of its own response again, would send events twice.
  */
 final class EventIds {
 
   /** Longest number that is compared as one. */
   private static final Pattern NUMBER = Pattern.compile("[0-9]{1,40}");
 
+  /** Length to which an id of a target is cut in a reason. */
+  private static final int MAX_LOGGED_LENGTH = 60;
+
   /** Number of equal steps between ids from which on a larger step counts as a gap. */
   private static final int MIN_EQUAL_STEPS = 2;
 
   private Optional<String> first = Optional.empty();
   private Optional<String> last;
+
+  /** Value of the last id if it is a number. */
+  private Optional<BigInteger> lastNumber;
+
   private boolean hasLastEventId = true;
   private BigInteger step = BigInteger.ZERO;
   private int equalSteps;
@@ -31,6 +38,7 @@
    */
   EventIds(Optional<String> last) {
     this.last = last;
+    this.lastNumber = last.flatMap(EventIds::toNumber);
   }
 
   /** Returns the id of the last event that had one. */
@@ -48,8 +56,9 @@
     if (!hasLastEventId) {
       return;
     }
-    if (last.isPresent() && isNumber(last.get()) && isNumber(id)) {
-      BigInteger newStep = new BigInteger(id).subtract(new BigInteger(last.get()));
+    Optional<BigInteger> number = toNumber(id);
+    if (lastNumber.isPresent() && number.isPresent()) {
+      BigInteger newStep = number.get().subtract(lastNumber.get());
       hasUnequalSteps |= equalSteps > 0 && !newStep.equals(step);
       step = newStep;
       equalSteps++;
@@ -58,6 +67,7 @@
       first = Optional.of(id);
     }
     last = Optional.of(id);
+    lastNumber = number;
   }
 
   /**
@@ -68,6 +78,19 @@
     return hasLastEventId;
   }
 
+  /**
+   * Returns why an event of a first attempt must not follow the last one. Only numbers have an
+   * order; texts, and events without an id, are passed on as the target makes them.
+   *
+   * @param id its id, empty if it has none
+   * @return the reason, empty if the event may follow the last one
+   */
+  Optional<String> repetition(String id) {
+    return isNumberNotAfterLast(toNumber(id))
+        ? Optional.of("a stream repeats events" + details(id))
+        : Optional.empty();
+  }
+
   /**
    * Returns why an event of a later attempt does not continue the stream. Must be called only if
    * there is a last id.
@@ -78,32 +101,46 @@
    */
   Optional<String> objection(String id, boolean isFirst) {
     if (id.isEmpty()) {
-      return Optional.of("an event of a continued stream has no id");
+      return Optional.of("an event of a continued stream has no id" + details(id));
     }
-    if (isNumber(id) != isNumber(last.orElse(""))) {
-      return Optional.of("an event of a continued stream has an id of another form");
+    Optional<BigInteger> number = toNumber(id);
+    if (number.isPresent() != lastNumber.isPresent()) {
+      return Optional.of("an event of a continued stream has an id of another form" + details(id));
     }
     boolean isRepeated =
-        isNumber(id)
-            ? new BigInteger(id).compareTo(new BigInteger(last.get())) <= 0
+        number.isPresent()
+            ? isNumberNotAfterLast(number)
             : last.get().equals(id) || first.equals(Optional.of(id));
     if (isRepeated) {
-      return Optional.of("a continued stream repeats events");
+      return Optional.of("a continued stream repeats events" + details(id));
     }
-    return isFirst && isGap(id)
-        ? Optional.of("a continued stream leaves events out")
+    return isFirst && number.filter(this::isGap).isPresent()
+        ? Optional.of("a continued stream leaves events out" + details(id))
         : Optional.empty();
   }
 
+  private boolean isNumberNotAfterLast(Optional<BigInteger> number) {
+    return lastNumber.isPresent()
+        && number.isPresent()
+        && number.get().compareTo(lastNumber.get()) <= 0;
+  }
+
+  private String details(String id) {
+    return ": id '" + shorten(id) + "' after '" + shorten(last.orElse("")) + "'";
+  }
+
+  private static String shorten(String id) {
+    return id.length() > MAX_LOGGED_LENGTH ? id.substring(0, MAX_LOGGED_LENGTH) + "..." : id;
+  }
+
   /** Ids may count events or tokens, so only a step unlike all earlier, equal ones is a gap. */
-  private boolean isGap(String id) {
-    return isNumber(id)
-        && !hasUnequalSteps
+  private boolean isGap(BigInteger number) {
+    return !hasUnequalSteps
         && equalSteps >= MIN_EQUAL_STEPS
-        && new BigInteger(id).subtract(new BigInteger(last.get())).compareTo(step) > 0;
+        && number.subtract(lastNumber.get()).compareTo(step) > 0;
   }
 
-  private static boolean isNumber(String id) {
-    return NUMBER.matcher(id).matches();
+  private static Optional<BigInteger> toNumber(String id) {
+    return NUMBER.matcher(id).matches() ? Optional.of(new BigInteger(id)) : Optional.empty();
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -54,6 +54,7 @@
   private final int earlierSends;
   private final Optional<String> lastEventId;
   private final Optional<RelayedStream> stream;
+  private final Optional<EventCheck> eventCheck;
   private final Set<String> triedNodes;
   private final EventFramer framer = new EventFramer();
   private final ByteBuf body = Unpooled.buffer(0);
@@ -118,6 +119,7 @@
     this.earlierSends = earlierSends;
     this.lastEventId = lastEventId;
     this.stream = stream;
+    this.eventCheck = stream.map(RelayedStream::newEventCheck);
     this.triedNodes = new HashSet<>(triedNodes);
     this.offer = offer;
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
@@ -287,6 +289,13 @@
   }
 
   private void onEvent(ByteBuf event, String id) {
+    Optional<String> objection =
+        isFinished ? Optional.empty() : eventCheck.flatMap(check -> check.objection(id));
+    objection.ifPresent(this::breakOff);
+    if (isFinished) {
+      event.release();
+      return;
+    }
     stream.get().onSentEvent(id);
     response.sendChunk(event);
   }
@@ -341,6 +350,10 @@
       decline(isSent ? 1 : 0);
     } else if (!isFinished) {
       channel = null;
+      context
+          .log()
+          .recordEvent(
+              "broken", request.metadata().attemptId(), "at", node.address(), "why", reason);
       finish("relay-broken");
       response.sendProblem(
           ProblemResponse.mayHaveRun("relay-broken", "the connection to the node was lost"));
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayedStream.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayedStream.java
@@ -13,6 +13,9 @@
    */
   long onSentEvent(String id);
 
+  /** Returns the check of the events of a response that begins now. */
+  EventCheck newEventCheck();
+
   /**
    * Returns an exchange that continues the stream after the last event, or ends it if that is not
    * allowed. Called once, when the other node has ended the stream early and runs it no more.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -24,7 +24,7 @@
   private boolean isOver;
 
   StreamAttempt(StreamExchange stream, ModelPipeline pipeline, long tokens) {
-    super(stream.progress.idsToContinue(stream.ledger.earlierSends() > 0));
+    super(stream.newEventCheck());
     this.stream = stream;
     this.context = stream.context;
     this.guard = stream.guard;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -52,7 +52,8 @@
       EngineProfile profile) {
     super(context, dispatcher, request, response, routed, service, Set.of());
     this.profile = profile;
-    this.progress = new StreamProgress(request.metadata().lastEventId());
+    this.progress =
+        new StreamProgress(request.metadata().lastEventId(), routed.route().isResumable());
     this.ledger = SendLedger.ofRelayed(request.metadata().relayedSends().orElse(0));
   }
 
@@ -69,6 +70,11 @@
     return progress.onEvent(id, profile.decodeStepsPerPass(), context.clock().nowMs());
   }
 
+  @Override
+  public EventCheck newEventCheck() {
+    return progress.newEventCheck(ledger.earlierSends() > 0);
+  }
+
   @Override
   public Exchange createContinuation(int sends, Set<String> triedNodes) {
     return new StreamExchange(this, sends, triedNodes);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
@@ -6,6 +6,7 @@
 final class StreamProgress {
 
   private final EventIds ids;
+  private final Optional<String> callerLastEventId;
   private long firstEventMs;
   private long lastEventMs;
   private long longestGapMs;
@@ -16,9 +17,11 @@
    * Creates the progress of a stream without events.
    *
    * @param lastEventId id of the event after which the caller resumes a stream, if it does
+   * @param isResumable whether targets resume the stream after such an event
    */
-  StreamProgress(Optional<String> lastEventId) {
-    this.ids = new EventIds(lastEventId);
+  StreamProgress(Optional<String> lastEventId, boolean isResumable) {
+    this.callerLastEventId = lastEventId;
+    this.ids = new EventIds(lastEventId.filter(id -> isResumable));
   }
 
   /**
@@ -50,19 +53,23 @@
   }
 
   /**
-   * Returns the ids of the events that the next attempt must continue.
+   * Returns the check of the events of the next response. It follows the events that are sent to
+   * the caller meanwhile.
    *
    * @param wasRelayed whether another node sent the stream to targets before
-   * @return the ids, empty if the caller has received no event of this request
    */
-  Optional<EventIds> idsToContinue(boolean wasRelayed) {
+  EventCheck newEventCheck(boolean wasRelayed) {
     boolean isContinued = ids.last().isPresent() && (events > 0 || wasRelayed);
-    return isContinued ? Optional.of(ids) : Optional.empty();
+    if (!isContinued) {
+      return ids::repetition;
+    }
+    int eventsBefore = events;
+    return id -> ids.objection(id, events == eventsBefore);
   }
 
-  /** Returns the id of the last event that had one. */
+  /** Returns the id after which a target must continue, if there is one. */
   Optional<String> lastEventId() {
-    return ids.last();
+    return ids.last().or(() -> callerLastEventId);
   }
 
   /** Returns the number of tokens in the events. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
@@ -14,18 +14,17 @@
   HttpHeaders headers;
   ResponseMetadata metadata;
   boolean hasEvents;
-  private final Optional<EventIds> earlierIds;
+  private final EventCheck eventCheck;
   private final EventFramer framer = new EventFramer();
   private final ErrorBody errorBody = new ErrorBody();
 
   /**
    * Creates a reader.
    *
-   * @param earlierIds ids of the events that the caller has received, which the response must
-   *     continue; empty for the first attempt, which is passed on as the target makes it
+   * @param eventCheck decides whether an event may follow those that the caller has received
    */
-  StreamResponseReader(Optional<EventIds> earlierIds) {
-    this.earlierIds = earlierIds;
+  StreamResponseReader(EventCheck eventCheck) {
+    this.eventCheck = eventCheck;
   }
 
   /** Handles a whole event that may be sent to the caller; the reader no longer owns it. */
@@ -59,7 +58,7 @@
   private void checkEvent(ByteBuf event, String id) {
     Optional<String> objection =
         metadata.isSigned()
-            ? earlierIds.flatMap(ids -> ids.objection(id, !hasEvents))
+            ? eventCheck.objection(id)
             : Optional.of("stream response is not signed by the target");
     if (objection.isPresent()) {
       event.release();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventIdsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventIdsTest.java
@@ -82,4 +82,29 @@
     assertThat(sent("1", "").canContinue()).isFalse();
     assertThat(sent("", "2").canContinue()).isTrue();
   }
+
+  /** Guards against a first attempt that sends an event twice. */
+  @ParameterizedTest
+  @CsvSource({"9, 10, true", "10, 9, false", "10, 10, false", "10, 010, false", "10, 12, true"})
+  void aNumberOfAFirstAttemptMustBeLargerThanTheLastOne(String last, String next, boolean follows) {
+    assertThat(sent(last).repetition(next).isEmpty()).isEqualTo(follows);
+  }
+
+  /** Guards against a sound first attempt that is given up because its ids have no order. */
+  @Test
+  void textsAndMissingIdsOfAFirstAttemptAreNoRepetition() {
+    assertThat(sent().repetition("1")).isEmpty();
+    assertThat(sent("a").repetition("a")).isEmpty();
+    assertThat(sent("a").repetition("1")).isEmpty();
+    assertThat(sent("1").repetition("a")).isEmpty();
+    assertThat(sent("1").repetition("")).isEmpty();
+  }
+
+  /** Guards against a log line that does not say which event came again, or is too long. */
+  @Test
+  void theReasonNamesBothIdsInAFewBytes() {
+    assertThat(sent("6").repetition("3")).contains("a stream repeats events: id '3' after '6'");
+    String reason = sent("1").objection("x".repeat(1_000_000), true).orElseThrow();
+    assertThat(reason).contains("x...' after '1'").hasSizeLessThan(200);
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/BegunStreamHarness.java
@@ -49,7 +49,24 @@
         out, "HTTP/1.1 " + status + " X\r\nattempt: " + attempt + "\r\n" + headers + "\r\n");
   }
 
-  /** Starts a node with four pipelines, a plain target, and a route that allows three attempts. */
+  private static Route streamWithThreeAttempts(String prefix, boolean isResumable) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        RequestKind.STREAM,
+        10_000,
+        500,
+        3,
+        1,
+        false,
+        false,
+        isResumable,
+        200,
+        List.of(new WeightedService("model", 1)));
+  }
+
+  /** Starts a node with four pipelines, a plain target, and routes that allow three attempts. */
   void startWith(TargetStandin.Script script) throws Exception {
     for (int i = 0; i < 4; i++) {
       addPipeline(script);
@@ -59,28 +76,14 @@
         null,
         (request, out) -> TargetStandin.writeResponse(out, request, 200, SIGNED, "ok"));
     RoutingConfiguration usual = configuration(1, new RequestLimits(2_000, 10_000, 500, 60_000));
-    Route three =
-        new Route(
-            "/three/",
-            "h",
-            "/three/",
-            RequestKind.STREAM,
-            10_000,
-            500,
-            3,
-            1,
-            false,
-            false,
-            true,
-            200,
-            List.of(new WeightedService("model", 1)));
     firstConfiguration =
         new RoutingConfiguration(
             1,
             List.of(
                 route("/draft/", RequestKind.STREAM, "model", 10_000),
                 route("/read/", RequestKind.IDEMPOTENT, "plain", 1_000),
-                three),
+                streamWithThreeAttempts("/three/", true),
+                streamWithThreeAttempts("/whole/", false)),
             usual.services(),
             usual.limits(),
             Optional.of(List.of(new Workspace("w", Set.of("k"), OptionalInt.empty()))));
