Stop the nodes of tests without time for late callers

Change: the harness shortens the grace period of a node that its test did not stop. Tests of stops stop their node themselves, with the usual grace. No check changed.

--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -40,6 +40,7 @@
 
   private static final int FIRST_PORT = 12_000;
   private static final int PORT_COUNT = 18_000;
+  private static final long SHORT_STOP_GRACE_MS = 200;
 
   /** Begins at a random port, so that test runs beside one another seldom meet. */
   private static final AtomicInteger NEXT_PORT =
@@ -112,15 +113,9 @@
   void startNode() throws Exception {
     callerPort = freePort();
     reportAddress = "127.0.0.1:" + freePort();
-    NodeAddresses addresses =
-        new NodeAddresses(
-            "127.0.0.1:" + callerPort, "unused", Optional.empty(), reportAddress, "unused");
-    RouterSettings settings =
-        new RouterSettings(
-            "n", "a", addresses, maxSockets, new RetryBounds(0.2, 100, 10_000), 3_000, 2);
     node =
         new RouterNode(
-            settings,
+            settings(3_000),
             (loop, clock, log) ->
                 new RouterNode.Dependencies(
                     new TestHeaderCodec(),
@@ -138,6 +133,14 @@
         "gooseberryhook_configuration_version 1.0");
   }
 
+  private RouterSettings settings(long stopGraceMs) {
+    NodeAddresses addresses =
+        new NodeAddresses(
+            "127.0.0.1:" + callerPort, "unused", Optional.empty(), reportAddress, "unused");
+    return new RouterSettings(
+        "n", "a", addresses, maxSockets, new RetryBounds(0.2, 100, 10_000), stopGraceMs, 2);
+  }
+
   /** Puts a newer configuration in force. */
   void changeConfiguration(RoutingConfiguration newer) throws Exception {
     nextConfiguration = newer;
@@ -220,9 +223,11 @@
     return CompletableFuture.runAsync(stopping::stop);
   }
 
+  /** Stops a node that the test did not stop, without time for late callers. */
   @AfterEach
-  void stop() throws IOException {
+  void stop() throws Exception {
     if (node != null) {
+      node.loop().submit(() -> node.reload(settings(SHORT_STOP_GRACE_MS))).get();
       node.stop();
     }
     for (TargetStandin target : targets) {
