Break a relayed stream off that ends without events or within an event

Callers got the bytes after the last whole event unchecked, and the end of a whole stream after them: RelayExchange.onEnd passed on what the framer had left.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -67,6 +67,9 @@
   private HttpHeaders headers;
   private boolean isStream;
 
+  /** Whether an event of the other node was sent to the caller. */
+  private boolean hasEvents;
+
   /** Number of targets that may have run the request, if the other node ended it early. */
   private OptionalInt relayedSends = OptionalInt.empty();
 
@@ -296,6 +299,7 @@
       event.release();
       return;
     }
+    hasEvents = true;
     stream.get().onSentEvent(id);
     response.sendChunk(event);
   }
@@ -315,6 +319,8 @@
     channel = null;
     if (relayedSends.isPresent()) {
       onEndedEarly(relayedSends.getAsInt());
+    } else if (isStream && stream.isPresent() && (!hasEvents || framer.hasPartialEvent())) {
+      onFailure("the other node ended the stream without events or within an event");
     } else if (isStream) {
       finish("relayed");
       response.endStream(framer.takeRemaining());
