Compare a caller's own last id as such after another node ended early

A node that relays a stream knows whether the caller has an event of it. It took the sends of the other node as a sign of one, so that a last id of another form than the target's ids, or an empty one, broke the next attempt off.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -72,7 +72,7 @@
 
   @Override
   public EventCheck newEventCheck() {
-    return progress.newEventCheck(ledger.earlierSends() > 0);
+    return progress.newEventCheck(request.metadata().relayedSends().orElse(0) > 0);
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamProgress.java
@@ -21,7 +21,7 @@
    */
   StreamProgress(Optional<String> lastEventId, boolean isResumable) {
     this.callerLastEventId = lastEventId;
-    this.ids = new EventIds(lastEventId.filter(id -> isResumable));
+    this.ids = new EventIds(lastEventId.filter(id -> isResumable && !id.isEmpty()));
   }
 
   /**
