Start no second run of a stream at a head that still has its first

A stream that had left a silent head and whose next attempt failed was sent to the silent head once more, under the same attempt id, while the first connection was open.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -125,7 +126,17 @@
 
   Optional<ModelPipeline> choosePipeline(
       StreamRequest streamRequest, List<ModelPipeline> pipelines) {
-    return dispatcher.choosePipeline(streamRequest, pipelines, profile, ledger);
+    List<ModelPipeline> others =
+        pipelines.stream().filter(p -> !isRunningAt(p.head().address())).toList();
+    return dispatcher.choosePipeline(streamRequest, others, profile, ledger);
+  }
+
+  /** An order names a run by its attempt id only, so that a head must not have two of a stream. */
+  private boolean isRunningAt(String address) {
+    return Stream.of(Optional.ofNullable(attempt), Optional.ofNullable(silentAttempt))
+        .flatMap(Optional::stream)
+        .filter(running -> !running.isOver())
+        .anyMatch(running -> running.pipeline().head().address().equals(address));
   }
 
   @Override
