--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
@@ -26,6 +26,9 @@
   /** Value of the last id if it is a number. */
   private Optional<BigInteger> lastNumber;
 
+  /** Value of the last id that is a number; texts may come between numbers. */
+  private Optional<BigInteger> greatestNumber;
+
   private boolean hasLastEventId = true;
   private BigInteger step = BigInteger.ZERO;
   private int equalSteps;
@@ -39,6 +42,7 @@
   EventIds(Optional<String> last) {
     this.last = last;
     this.lastNumber = last.flatMap(EventIds::toNumber);
+    this.greatestNumber = lastNumber;
   }
 
   /** Returns the id of the last event that had one. */
@@ -68,6 +72,7 @@
     }
     last = Optional.of(id);
     lastNumber = number;
+    greatestNumber = number.or(() -> greatestNumber);
   }
 
   /**
@@ -86,7 +91,7 @@
    * @return the reason, empty if the event may follow the last one
    */
   Optional<String> repetition(String id) {
-    return isNumberNotAfterLast(toNumber(id))
+    return isNumberNotAfter(greatestNumber, toNumber(id))
         ? Optional.of("a stream repeats events" + details(id))
         : Optional.empty();
   }
@@ -109,7 +114,7 @@
     }
     boolean isRepeated =
         number.isPresent()
-            ? isNumberNotAfterLast(number)
+            ? isNumberNotAfter(lastNumber, number)
             : last.get().equals(id) || first.equals(Optional.of(id));
     if (isRepeated) {
       return Optional.of("a continued stream repeats events" + details(id));
@@ -119,10 +124,11 @@
         : Optional.empty();
   }
 
-  private boolean isNumberNotAfterLast(Optional<BigInteger> number) {
-    return lastNumber.isPresent()
+  private static boolean isNumberNotAfter(
+      Optional<BigInteger> earlier, Optional<BigInteger> number) {
+    return earlier.isPresent()
         && number.isPresent()
-        && number.get().compareTo(lastNumber.get()) <= 0;
+        && number.get().compareTo(earlier.get()) <= 0;
   }
 
   private String details(String id) {
