Test the answer of a relayed stream whose first event is refused

Red: 2 of 2, the caller gets a closed connection and no byte. The added test of a silent attempt that goes on with a repeated event is green.

--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedEventReviewTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedEventReviewTest.java
@@ -89,6 +89,21 @@
     assertThat(response).contains(event(1), event(4)).endsWith("0\r\n\r\n");
   }
 
+  /** Guards against a connection that ends without an answer because the first event is refused. */
+  @ParameterizedTest
+  @ValueSource(strings = {"1", "2"})
+  void aRelayedStreamWhoseFirstEventIsRepeatedIsAnswered(String lastEventId) throws Exception {
+    addPeer(
+        (request, out) -> {
+          writeEvents(request, out, 1, 3);
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startCutOffNode();
+    String resumed = "Host: h\r\nlast-event-id: " + lastEventId;
+    String response = exchange(post("/draft/x", "p").replace("Host: h", resumed));
+    assertThat(response).startsWith("HTTP/1.1 502").doesNotContain("data: 1");
+  }
+
   /** Guards against events of an other node that follow a repeated one in the same read. */
   @Test
   void relayedEventsAfterARepeatedOneInTheSameBufferAreNotSent() throws Exception {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedEventReviewTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedEventReviewTest.java
@@ -238,6 +238,25 @@
     }
   }
 
+  /** Guards against a silent attempt that goes on with an event that the caller has. */
+  @Test
+  void aSilentAttemptThatGoesOnWithARepeatedEventIsNotReturnedTo() throws Exception {
+    startWith(
+        (request, out) -> {
+          if (countSend(request) == 0) {
+            writeEvents(request, out, 1, 3);
+            Thread.sleep(1_900);
+            TargetStandin.writeChunk(out, event("3") + event("4"));
+            Thread.sleep(2_000);
+          } else {
+            Thread.sleep(900);
+            continueToEnd(request, out);
+          }
+        });
+    assertThat(body(exchange(post("/three/x", "b")))).isEqualTo(events(1, 6));
+    assertThat(targets.stream().mapToInt(target -> target.requests().size()).sum()).isEqualTo(2);
+  }
+
   private void startWithTwoPipelines(TargetStandin.Script script) throws Exception {
     addPipeline(script);
     addPipeline(script);
