--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -261,7 +261,8 @@
       return;
     }
     isStream = isOk && routed.route().kind() == RequestKind.STREAM;
-    if (isStream && !response.isStarted()) {
+    // A checked stream starts with its first event, so that a failure before it can be answered.
+    if (isStream && stream.isEmpty() && !response.isStarted()) {
       response.startStream(status, headers);
     }
   }
@@ -299,6 +300,9 @@
       event.release();
       return;
     }
+    if (!response.isStarted()) {
+      response.startStream(status, headers);
+    }
     hasEvents = true;
     stream.get().onSentEvent(id);
     response.sendChunk(event);
