--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventIds.java
@@ -126,9 +126,7 @@
 
   private static boolean isNumberNotAfter(
       Optional<BigInteger> earlier, Optional<BigInteger> number) {
-    return earlier.isPresent()
-        && number.isPresent()
-        && number.get().compareTo(earlier.get()) <= 0;
+    return earlier.isPresent() && number.isPresent() && number.get().compareTo(earlier.get()) <= 0;
   }
 
   private String details(String id) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedEventReviewTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RelayedEventReviewTest.java
@@ -57,7 +57,8 @@
           Thread.sleep(5_000);
         });
     startNode();
-    reports.scheduleAtFixedRate(this::reportPeers, 0, 50, java.util.concurrent.TimeUnit.MILLISECONDS);
+    reports.scheduleAtFixedRate(
+        this::reportPeers, 0, 50, java.util.concurrent.TimeUnit.MILLISECONDS);
     awaitGauge("gooseberryhook_live_peers 1.0");
     String response = exchange(post("/draft/x", "p"));
     assertThat(response).contains(event(1), event(2)).doesNotContain("0\r\n\r\n");
