--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -67,6 +67,9 @@
   private HttpHeaders headers;
   private boolean isStream;
 
+  /** Whether an event of the other node was sent to the caller. */
+  private boolean hasEvents;
+
   /** Number of targets that may have run the request, if the other node ended it early. */
   private OptionalInt relayedSends = OptionalInt.empty();
 
@@ -258,7 +261,8 @@
       return;
     }
     isStream = isOk && routed.route().kind() == RequestKind.STREAM;
-    if (isStream && !response.isStarted()) {
+    // A checked stream starts with its first event, so that a failure before it can be answered.
+    if (isStream && stream.isEmpty() && !response.isStarted()) {
       response.startStream(status, headers);
     }
   }
@@ -296,6 +300,10 @@
       event.release();
       return;
     }
+    if (!response.isStarted()) {
+      response.startStream(status, headers);
+    }
+    hasEvents = true;
     stream.get().onSentEvent(id);
     response.sendChunk(event);
   }
@@ -315,6 +323,8 @@
     channel = null;
     if (relayedSends.isPresent()) {
       onEndedEarly(relayedSends.getAsInt());
+    } else if (isStream && stream.isPresent() && (!hasEvents || framer.hasPartialEvent())) {
+      onFailure("the other node ended the stream without events or within an event");
     } else if (isStream) {
       finish("relayed");
       response.endStream(framer.takeRemaining());
