Count unfinished events and errors of streams against the memory budget

Callers of streams got no answer, and a plain request of another caller got a 503 after waiting 3 s, when a target sent first events without end.

Cause: an unfinished event, or the body of an error response to a stream, may grow to 1 MiB (2 MiB of buffer). Only plain bodies were counted against the memory budget, so that the buffers of some hundred streams exceeded the heap of 160 MB together. Buffers of streams that another node serves were not counted either. A buffer also kept its size after a large event was passed on.

Ruled out: heads, trailers and bytes that are not content are limited to 32 KiB and 1 MiB of which nothing is kept; bodies of plain and relayed responses were counted already.

The buffers are now counted by their capacity, up to half the budget, so that bodies keep the other half. Up to 16 KiB of a stream are not counted: events have a few hundred bytes, and the streams of sound targets must not end because others have filled the memory. A stream that exceeds the memory is broken off as one with too large an event, and may resume at another pipeline.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/BodyMemoryBudget.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/BodyMemoryBudget.java
@@ -6,9 +6,18 @@
  */
 final class BodyMemoryBudget {
 
+  /**
+   * Share of the budget that unfinished parts of streams may take, so that they leave memory for
+   * the bodies of other requests.
+   */
+  private static final double STREAM_SHARE = 0.5;
+
   private final long maxBytes;
   private long reservedBytes;
 
+  /** Part of {@link #reservedBytes} that is reserved for streams. */
+  private long streamBytes;
+
   /**
    * Creates a budget of which nothing is reserved.
    *
@@ -41,6 +50,31 @@
     reservedBytes -= bytes;
   }
 
+  /**
+   * Reserves bytes for the unfinished part of a streamed response if the budget and the share of
+   * streams allow it.
+   *
+   * @param bytes number of bytes, not negative
+   * @return false if fewer bytes are left, in which case nothing is reserved
+   */
+  boolean tryReserveForStream(long bytes) {
+    if (streamBytes + bytes > maxBytes * STREAM_SHARE || !tryReserve(bytes)) {
+      return false;
+    }
+    streamBytes += bytes;
+    return true;
+  }
+
+  /**
+   * Releases bytes of a streamed response.
+   *
+   * @param bytes number of bytes that were reserved by {@link #tryReserveForStream}
+   */
+  void releaseOfStream(long bytes) {
+    streamBytes -= bytes;
+    release(bytes);
+  }
+
   long reservedBytes() {
     return reservedBytes;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ErrorBody.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ErrorBody.java
@@ -24,6 +24,11 @@
     return isWithinLimit;
   }
 
+  /** Returns the memory that the body takes, in bytes. */
+  int capacityBytes() {
+    return bytes.capacity();
+  }
+
   ByteBuf bytes() {
     return bytes;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventFramer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/EventFramer.java
@@ -15,6 +15,9 @@
   /** Maximum size of an event in bytes; the targets' events have a few hundred bytes. */
   static final int MAX_EVENT_BYTES = 1_048_576;
 
+  /** Capacity that the buffer keeps between events. */
+  private static final int KEPT_BYTES = 4_096;
+
   private static final String ID_FIELD = "id:";
 
   private final ByteBuf pending = Unpooled.buffer();
@@ -48,9 +51,24 @@
       onEvent.accept(event, readId(event));
     }
     pending.discardSomeReadBytes();
+    shrinkBuffer();
     return pending.readableBytes() <= MAX_EVENT_BYTES;
   }
 
+  /** Frees the memory of a large event or read that was passed on. */
+  private void shrinkBuffer() {
+    int bytes = Math.max(KEPT_BYTES, pending.readableBytes());
+    if (pending.capacity() > 4 * bytes) {
+      pending.discardReadBytes();
+      pending.capacity(bytes);
+    }
+  }
+
+  /** Returns the memory that the unfinished event takes, in bytes. */
+  int capacityBytes() {
+    return pending.capacity();
+  }
+
   /** Returns whether the bytes so far end within an event or a comment. */
   boolean hasPartialEvent() {
     boolean isBetweenEvents = !hasField && isLastLineBlank && lineOffset == pending.readableBytes();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -57,6 +57,7 @@
   private final Optional<EventCheck> eventCheck;
   private final Set<String> triedNodes;
   private final EventFramer framer = new EventFramer();
+  private final BufferReservation framerMemory;
   private final ByteBuf body = Unpooled.buffer(0);
   private final StepGuard guard = new StepGuard(this::onError);
   private RelayNode node;
@@ -125,6 +126,7 @@
     this.eventCheck = stream.map(RelayedStream::newEventCheck);
     this.triedNodes = new HashSet<>(triedNodes);
     this.offer = offer;
+    this.framerMemory = new BufferReservation(context.bodyMemory());
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
   }
 
@@ -275,6 +277,8 @@
     if (isStream && stream.isPresent()) {
       if (!framer.accept(content, this::onEvent)) {
         breakOff("an event is larger than 1 MiB");
+      } else if (!framerMemory.tryResize(framer.capacityBytes())) {
+        breakOff("an event exceeds the memory that this node has for streams");
       }
       return;
     }
@@ -453,6 +457,7 @@
     request.body().release();
     context.bodyMemory().release(reservedBytes);
     reservedBytes = 0;
+    framerMemory.release();
     context
         .log()
         .recordEvent(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -24,7 +24,7 @@
   private boolean isOver;
 
   StreamAttempt(StreamExchange stream, ModelPipeline pipeline, long tokens) {
-    super(stream.newEventCheck());
+    super(stream.newEventCheck(), stream.context.bodyMemory());
     this.stream = stream;
     this.context = stream.context;
     this.guard = stream.guard;
@@ -387,6 +387,7 @@
   }
 
   private void end() {
+    releaseMemory();
     if (this == stream.silentAttempt) {
       isOver = true;
       stream.silentAttempt = null;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
@@ -17,14 +17,17 @@
   private final EventCheck eventCheck;
   private final EventFramer framer = new EventFramer();
   private final ErrorBody errorBody = new ErrorBody();
+  private final BufferReservation memory;
 
   /**
    * Creates a reader.
    *
    * @param eventCheck decides whether an event may follow those that the caller has received
+   * @param bodyMemory memory budget that the buffered part of the response is counted against
    */
-  StreamResponseReader(EventCheck eventCheck) {
+  StreamResponseReader(EventCheck eventCheck, BodyMemoryBudget bodyMemory) {
     this.eventCheck = eventCheck;
+    this.memory = new BufferReservation(bodyMemory);
   }
 
   /** Handles a whole event that may be sent to the caller; the reader no longer owns it. */
@@ -52,6 +55,8 @@
         isStream() ? framer.accept(content, this::checkEvent) : errorBody.accept(content);
     if (!isWithinLimit) {
       breakOff("an event or an error response is larger than 1 MiB");
+    } else if (!memory.tryResize(framer.capacityBytes() + errorBody.capacityBytes())) {
+      breakOff("an event or an error response exceeds the memory that this node has for streams");
     }
   }
 
@@ -69,6 +74,11 @@
     }
   }
 
+  /** Gives the memory of the response back, which is not read any further. */
+  void releaseMemory() {
+    memory.release();
+  }
+
   /** Returns whether the response has the status of a stream. */
   boolean isStream() {
     return status == STATUS_OK;
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
@@ -90,6 +90,17 @@
     assertThat(bodyMemory.reservedBytes()).isZero();
   }
 
+  /** Guards against streams that leave no memory for the bodies of other requests. */
+  @Test
+  void unfinishedPartsOfStreamsLeaveHalfTheBudget() {
+    assertThat(bodyMemory.tryReserveForStream(5)).isTrue();
+    assertThat(bodyMemory.tryReserveForStream(1)).isFalse();
+    assertThat(bodyMemory.tryReserve(5)).isTrue();
+    bodyMemory.releaseOfStream(5);
+    assertThat(bodyMemory.reservedBytes()).isEqualTo(5);
+    assertThat(bodyMemory.tryReserveForStream(5)).isTrue();
+  }
+
   @Test
   void nothingIsReservedIfTooLittleIsLeft() {
     assertThat(bodyMemory.tryReserve(8)).isTrue();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventFramerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/EventFramerTest.java
@@ -53,6 +53,19 @@
     assertThat(feed(framer, "x".repeat(EventFramer.MAX_EVENT_BYTES + 1))).isFalse();
   }
 
+  /** Guards against memory that a stream keeps for a large event until it ends. */
+  @Test
+  void theMemoryOfALargeEventIsFreedOnceItIsPassedOn() {
+    EventFramer framer = new EventFramer();
+    feed(framer, "data: " + "x".repeat(900_000));
+    assertThat(framer.capacityBytes()).isGreaterThan(900_000);
+    feed(framer, "\n\nid: 2\n");
+    assertThat(framer.capacityBytes()).isLessThanOrEqualTo(BufferReservation.UNCOUNTED_BYTES);
+    feed(framer, "data: b\n\n");
+    assertThat(events).hasSize(2).endsWith("id: 2\ndata: b\n\n");
+    assertThat(ids).containsExactly("", "2");
+  }
+
   @Test
   void anEventWithoutIdFieldHasAnEmptyId() {
     feed(new EventFramer(), "data: id:7\n\n");
