Keep memory for requests when the bodies of responses fill the budget

A request of another client to a sound service was answered 503 while a target sent bodies without end to many requests.

Cause: the bodies of requests and of responses share one memory budget, a quarter of the heap. The unfinished bodies of responses filled it, so that each further request body, and each further response of however few bytes, was refused.

Responses now take three quarters of the budget at most, streams a half as before. The first 16 KiB of a response are not counted, so that a small one does not depend on memory that others have filled. With the heap of 160 MB, responses together may have 30 instead of 40 MiB.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/BodyMemoryBudget.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/BodyMemoryBudget.java
@@ -6,16 +6,25 @@
  */
 final class BodyMemoryBudget {
 
+  /**
+   * Share of the budget that responses may take. The rest is left to the bodies of requests, which
+   * would otherwise be refused because of the responses to others.
+   */
+  private static final double RESPONSE_SHARE = 0.75;
+
   /**
    * Share of the budget that unfinished parts of streams may take, so that they leave memory for
-   * the bodies of other requests.
+   * the bodies of other responses.
    */
   private static final double STREAM_SHARE = 0.5;
 
   private final long maxBytes;
   private long reservedBytes;
 
-  /** Part of {@link #reservedBytes} that is reserved for streams. */
+  /** Part of {@link #reservedBytes} that is reserved for responses, those of streams included. */
+  private long responseBytes;
+
+  /** Part of {@link #responseBytes} that is reserved for streams. */
   private long streamBytes;
 
   /**
@@ -51,14 +60,38 @@
   }
 
   /**
-   * Reserves bytes for the unfinished part of a streamed response if the budget and the share of
-   * streams allow it.
+   * Reserves bytes for a response if the budget and the share of responses allow it.
+   *
+   * @param bytes number of bytes, not negative
+   * @return false if fewer bytes are left, in which case nothing is reserved
+   */
+  boolean tryReserveForResponse(long bytes) {
+    if (responseBytes + bytes > maxBytes * RESPONSE_SHARE || !tryReserve(bytes)) {
+      return false;
+    }
+    responseBytes += bytes;
+    return true;
+  }
+
+  /**
+   * Releases bytes of a response.
+   *
+   * @param bytes number of bytes that were reserved by {@link #tryReserveForResponse}
+   */
+  void releaseOfResponse(long bytes) {
+    responseBytes -= bytes;
+    release(bytes);
+  }
+
+  /**
+   * Reserves bytes for the unfinished part of a streamed response if the budget and the shares of
+   * responses and of streams allow it.
    *
    * @param bytes number of bytes, not negative
    * @return false if fewer bytes are left, in which case nothing is reserved
    */
   boolean tryReserveForStream(long bytes) {
-    if (streamBytes + bytes > maxBytes * STREAM_SHARE || !tryReserve(bytes)) {
+    if (streamBytes + bytes > maxBytes * STREAM_SHARE || !tryReserveForResponse(bytes)) {
       return false;
     }
     streamBytes += bytes;
@@ -72,7 +105,7 @@
    */
   void releaseOfStream(long bytes) {
     streamBytes -= bytes;
-    release(bytes);
+    releaseOfResponse(bytes);
   }
 
   long reservedBytes() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/BufferReservation.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/BufferReservation.java
@@ -7,8 +7,8 @@
 final class BufferReservation {
 
   /**
-   * Size in bytes up to which a buffer is not counted. Events have a few hundred bytes, so that the
-   * streams of sound targets do not depend on memory that other responses have filled.
+   * Size in bytes up to which the buffer of a response is not counted. Events and most bodies are
+   * smaller, so that they do not depend on memory that other responses have filled.
    */
   static final int UNCOUNTED_BYTES = 16_384;
 
@@ -25,6 +25,16 @@
     this.budget = budget;
   }
 
+  /**
+   * Returns the number of bytes of a buffer that count against the budget.
+   *
+   * @param sizeBytes size of the buffer in bytes
+   * @return the whole size, or 0 up to {@link #UNCOUNTED_BYTES}
+   */
+  static long countedBytes(int sizeBytes) {
+    return sizeBytes > UNCOUNTED_BYTES ? sizeBytes : 0;
+  }
+
   /**
    * Adjusts the reservation to the present size of the buffer. Does nothing after {@link #release}.
    *
@@ -32,7 +42,7 @@
    * @return false if the buffer has grown and the budget does not allow it
    */
   boolean tryResize(int capacityBytes) {
-    long neededBytes = capacityBytes > UNCOUNTED_BYTES ? capacityBytes : 0;
+    long neededBytes = countedBytes(capacityBytes);
     if (isReleased || neededBytes == reservedBytes) {
       return true;
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -287,7 +287,7 @@
         targetResponse.status(),
         targetResponse.headers(),
         targetResponse.body(),
-        () -> context.bodyMemory().release(bytes));
+        () -> context.bodyMemory().releaseOfResponse(bytes));
   }
 
   private void onDeadline() {
@@ -314,7 +314,7 @@
     leaveQueue.run();
     crashGuard.onFinished();
     request.body().release();
-    context.bodyMemory().release(reservedBytes);
+    context.bodyMemory().releaseOfResponse(reservedBytes);
     reservedBytes = 0;
     long tookMs = context.clock().nowMs() - request.receivedMs();
     context.recordOutcome("plain", request, routed, outcome, tookMs, "sends", sends);
@@ -478,9 +478,11 @@
     @Override
     public void onContent(ByteBuf content) {
       hasProgressed = true;
-      int bytes = content.readableBytes();
-      if (body.readableBytes() + bytes > MAX_RESPONSE_BYTES
-          || !context.bodyMemory().tryReserve(bytes)) {
+      int size = body.readableBytes() + content.readableBytes();
+      long bytes =
+          BufferReservation.countedBytes(size)
+              - BufferReservation.countedBytes(body.readableBytes());
+      if (size > MAX_RESPONSE_BYTES || !context.bodyMemory().tryReserveForResponse(bytes)) {
         channel.abort();
         onFailure("response body exceeds 8 MiB or the memory that this node has for bodies");
       } else {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -286,9 +286,10 @@
       response.sendChunk(content.retainedSlice());
       return;
     }
-    int bytes = content.readableBytes();
-    if (body.readableBytes() + bytes > MAX_RESPONSE_BYTES
-        || !context.bodyMemory().tryReserve(bytes)) {
+    int size = body.readableBytes() + content.readableBytes();
+    long bytes =
+        BufferReservation.countedBytes(size) - BufferReservation.countedBytes(body.readableBytes());
+    if (size > MAX_RESPONSE_BYTES || !context.bodyMemory().tryReserveForResponse(bytes)) {
       breakOff("response body exceeds 8 MiB or the memory that this node has for bodies");
     } else {
       reservedBytes += bytes;
@@ -339,7 +340,8 @@
       final long bytes = reservedBytes;
       reservedBytes = 0;
       finish("relayed");
-      response.sendWhole(status, headers, body, () -> context.bodyMemory().release(bytes));
+      response.sendWhole(
+          status, headers, body, () -> context.bodyMemory().releaseOfResponse(bytes));
     }
   }
 
@@ -455,7 +457,7 @@
     deadlineTimer.cancel(false);
     uncount();
     request.body().release();
-    context.bodyMemory().release(reservedBytes);
+    context.bodyMemory().releaseOfResponse(reservedBytes);
     reservedBytes = 0;
     framerMemory.release();
     context
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
@@ -101,6 +101,19 @@
     assertThat(bodyMemory.tryReserveForStream(5)).isTrue();
   }
 
+  /** Guards against requests that are refused because of the responses to others. */
+  @Test
+  void responsesLeaveAQuarterOfTheBudget() {
+    assertThat(bodyMemory.tryReserveForStream(5)).isTrue();
+    assertThat(bodyMemory.tryReserveForResponse(2)).isTrue();
+    assertThat(bodyMemory.tryReserveForResponse(1)).isFalse();
+    assertThat(bodyMemory.tryReserve(3)).isTrue();
+    bodyMemory.releaseOfStream(5);
+    assertThat(bodyMemory.tryReserveForResponse(5)).isTrue();
+    bodyMemory.releaseOfResponse(7);
+    assertThat(bodyMemory.reservedBytes()).isEqualTo(3);
+  }
+
   @Test
   void nothingIsReservedIfTooLittleIsLeft() {
     assertThat(bodyMemory.tryReserve(8)).isTrue();
