Test that events of relayed streams count against the memory budget

The buffer of a stream that another node serves was counted along with those of targets. Only the latter were tested.

Evidence: the test passes, and fails with a TimeoutException after 5 s when the check of RelayExchange is taken out.

--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToIntFunction;
 import org.gooseberryhook.router.configuration.RequestKind;
@@ -38,6 +39,24 @@
       new Route(
           "r", "h", "/", RequestKind.ONCE_ONLY, 10_000, 1, 1, 1, true, false, false, 0, List.of());
 
+  private static final RelayedStream STREAM =
+      new RelayedStream() {
+        @Override
+        public long onSentEvent(String id) {
+          return 0;
+        }
+
+        @Override
+        public EventCheck newEventCheck() {
+          return id -> Optional.empty();
+        }
+
+        @Override
+        public Exchange createContinuation(int sends, Set<String> triedNodes) {
+          throw new UnsupportedOperationException();
+        }
+      };
+
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
@@ -90,6 +109,11 @@
   }
 
   private RelayExchange exchange(ForwardContext context, String attempt) {
+    return exchange(context, attempt, ROUTE, Optional.empty());
+  }
+
+  private RelayExchange exchange(
+      ForwardContext context, String attempt, Route route, Optional<RelayedStream> stream) {
     DefaultHttpHeaders headers = new DefaultHttpHeaders();
     headers.set("attempt", attempt);
     CallerRequest request =
@@ -113,11 +137,11 @@
         context,
         request,
         response,
-        new RoutingResult.Routed(ROUTE, Optional.empty(), 0),
+        new RoutingResult.Routed(route, Optional.empty(), 0),
         "s",
         0,
         Optional.empty(),
-        Optional.empty(),
+        stream,
         Set.of(),
         Optional.empty());
   }
@@ -185,6 +209,38 @@
     assertThat(readAnswer()).startsWith("HTTP/1.1 503").endsWith("full");
   }
 
+  /** Guards against events of other nodes that exhaust the heap without being counted. */
+  @Test
+  void anUnfinishedEventBeyondTheMemoryOfTheNodeEndsTheRelayedStream() throws Exception {
+    List<String> reasons = new CopyOnWriteArrayList<>();
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    Route route =
+        new Route(
+            "r", "h", "/", RequestKind.STREAM, 10_000, 1, 1, 1, true, false, false, 0, List.of());
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ForwardContext context =
+          context(
+              "127.0.0.1:" + listener.getLocalPort(),
+              (kind, attempt, fields) -> {
+                if (kind.equals("broken")) {
+                  reasons.add(String.valueOf(fields[fields.length - 1]));
+                } else if (kind.equals("relay")) {
+                  ended.complete(null);
+                }
+              });
+      loop.execute(exchange(context, "a1", route, Optional.of(STREAM))::start);
+      try (Socket node = listener.accept()) {
+        awaitRequest(node);
+        write(node, "HTTP/1.1 200 X\r\nattempt: a1\r\nsigned: s\r\n\r\ndata: ");
+        write(node, "x".repeat(3 * BufferReservation.UNCOUNTED_BYTES));
+        ended.get(5, TimeUnit.SECONDS);
+      }
+      assertThat(reasons)
+          .containsExactly("an event exceeds the memory that this node has for streams");
+      assertThat(context.bodyMemory().reservedBytes()).isZero();
+    }
+  }
+
   private static String answer(int status, String headers, String body) {
     return String.format(
         "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, body.length(), body);
