Try a cause early whose crashes rarer causes may explain

Class of fault: a verdict that keeps out the evidence against it, and evidence that only the node that saw it uses.

Change: a cause in exactly three crashes, each of which a rarer suspect may explain too, gets its trial after 2 s instead of 60 s, with a request that has none of those suspects: a crash of it would say nothing. Rarer means in fewer requests decided by this node since both are suspected; the part that crashes targets is usually the rarest, so it is not the one that is tried. After a fourth crash the delay is as before. A sound start that another node reports counts as an earlier one in the attribution.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashAttribution.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashAttribution.java
@@ -48,8 +48,11 @@
    * @param crashes number of crashes
    * @param lastCrashMs monotonic time of the last one in milliseconds
    * @param workspaces hashes of the workspaces whose requests had the cause
+   * @param alternatives for each of the crashes, the other causes that may explain it: those that
+   *     are present in exactly the same crashes, or in several of which the cause is not in all
    */
-  record Culprit(int crashes, long lastCrashMs, Set<Long> workspaces) {
+  record Culprit(
+      int crashes, long lastCrashMs, Set<Long> workspaces, List<Set<Long>> alternatives) {
 
     /**
      * Returns whether the crashes concern a workspace. Those of one other workspace do not: its
@@ -77,6 +80,9 @@
             removeSimultaneous(crashes);
           }
         });
+    Map<Long, Set<Integer>> crashesByCause = new HashMap<>();
+    unexplained.forEach(
+        (cause, crashes) -> crashesByCause.put(cause, Set.copyOf(crashes.keySet())));
     Map<Long, Culprit> culprits = new HashMap<>();
     while (true) {
       Set<Integer> most = Set.of();
@@ -97,10 +103,13 @@
             }
           });
       boolean isAnyUnknown = tied.stream().anyMatch(cause -> !wasSound.test(cause));
+      tied.removeIf(cause -> isAnyUnknown && wasSound.test(cause));
       for (long cause : tied) {
-        if (!isAnyUnknown || !wasSound.test(cause)) {
-          culprits.put(cause, newCulprit(cause, unexplained.get(cause), observations));
+        List<Set<Long>> alternatives = new ArrayList<>();
+        for (int crash : explained) {
+          alternatives.add(alternatives(cause, crash, tied, crashesByCause, minCrashes));
         }
+        culprits.put(cause, newCulprit(cause, unexplained.get(cause), alternatives, observations));
       }
       unexplained.values().forEach(crashes -> crashes.keySet().removeAll(explained));
       unexplained.values().removeIf(Map::isEmpty);
@@ -121,8 +130,35 @@
     }
   }
 
+  /**
+   * Returns the other causes that may explain a crash. One that is only in crashes of the cause
+   * explains nothing that the cause does not: it may be the fingerprint of a request with it.
+   */
+  private static Set<Long> alternatives(
+      long cause,
+      int crash,
+      List<Long> tied,
+      Map<Long, Set<Integer>> crashesByCause,
+      int minCrashes) {
+    Set<Integer> ownCrashes = crashesByCause.get(cause);
+    Set<Long> alternatives = new HashSet<>();
+    crashesByCause.forEach(
+        (other, crashes) -> {
+          if (other != cause
+              && crashes.size() >= minCrashes
+              && crashes.contains(crash)
+              && (tied.contains(other) || !ownCrashes.containsAll(crashes))) {
+            alternatives.add(other);
+          }
+        });
+    return Set.copyOf(alternatives);
+  }
+
   private static Culprit newCulprit(
-      long cause, Map<Integer, Observation> crashes, List<Observation> observations) {
+      long cause,
+      Map<Integer, Observation> crashes,
+      List<Set<Long>> alternatives,
+      List<Observation> observations) {
     Set<Long> workspaces = new HashSet<>();
     long lastCrashMs = Long.MIN_VALUE;
     for (Observation observation : observations) {
@@ -133,7 +169,8 @@
     for (Observation observation : crashes.values()) {
       lastCrashMs = Math.max(lastCrashMs, observation.crashMs());
     }
-    return new Culprit(crashes.size(), lastCrashMs, Set.copyOf(workspaces));
+    return new Culprit(
+        crashes.size(), lastCrashMs, Set.copyOf(workspaces), List.copyOf(alternatives));
   }
 
   /** Numbers the crashes and returns, for each cause, one observation of each of its crashes. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
@@ -20,7 +20,8 @@
  * may share. A cause of which a target began a response is none. Crashes are attributed to the
  * fewest remaining causes, see {@link CrashAttribution}. From {@link #MIN_CRASHES} crashes on,
  * requests with the cause are rejected, apart from single trials, which become rarer with each
- * crash. Performs no I/O and reads no clock.
+ * crash. A rejected cause has no sound starts that would clear it, so a cause whose crashes rarer
+ * ones may explain gets an early trial. Performs no I/O and reads no clock.
  */
 public final class CrashCauses {
 
@@ -70,6 +71,10 @@
   private final Map<Long, Long> soundStartsMs = new LinkedHashMap<>();
   private final Map<Long, Long> ownSoundStartsMs = new LinkedHashMap<>();
   private final Map<Long, Boolean> earlierSoundStarts = new LeastRecentMap();
+
+  /** Number of decisions about requests with a suspected cause since it is suspected. */
+  private final Map<Long, Integer> decisionCounts = new HashMap<>();
+
   private final Map<Long, Integer> trials = new HashMap<>();
   private final Map<Long, AliveSpan> aliveSpans = new HashMap<>();
   private Map<Long, Culprit> culprits = Map.of();
@@ -235,6 +240,7 @@
   public void merge(CrashFindings findings, long nowMs) {
     expire(nowMs);
     for (CrashFindings.SoundStart start : findings.soundStarts()) {
+      isAttributionCurrent &= earlierSoundStarts.put(start.cause(), true) != null;
       clear(start.cause(), nowMs - start.ageMs());
     }
     for (CrashFindings.Crash crash : findings.crashes()) {
@@ -308,9 +314,11 @@
     Verdict verdict = Verdict.ALLOWED;
     for (long cause : causes) {
       if (observationsByCause.containsKey(cause)) {
+        decisionCounts.merge(cause, 1, Integer::sum);
         Culprit culprit = culprits().get(cause);
         if (culprit != null && culprit.concerns(workspace)) {
-          Verdict other = decide(cause, culprit, nodesBefore, nowMs);
+          long trialMs = culprit.lastCrashMs() + trialDelayMs(cause, culprit, causes);
+          Verdict other = decide(cause, culprit, trialMs, nodesBefore, nowMs);
           if (other.decision().compareTo(verdict.decision()) > 0) {
             verdict = other;
           }
@@ -320,8 +328,8 @@
     return verdict;
   }
 
-  private Verdict decide(long cause, Culprit culprit, LongToIntFunction nodesBefore, long nowMs) {
-    long trialMs = culprit.lastCrashMs() + trialDelayMs(culprit.crashes());
+  private Verdict decide(
+      long cause, Culprit culprit, long trialMs, LongToIntFunction nodesBefore, long nowMs) {
     long sinceTrialMs = nowMs - trialMs;
     if (sinceTrialMs >= 0
         && !trials.containsKey(cause)
@@ -332,14 +340,33 @@
     return new Verdict(decision, cause, culprit.crashes(), Math.max(0, -sinceTrialMs));
   }
 
-  private static long trialDelayMs(int crashes) {
-    if (crashes < FINAL_CRASHES) {
+  private long trialDelayMs(long cause, Culprit culprit, List<Long> requestCauses) {
+    int crashes = culprit.crashes();
+    if (crashes < FINAL_CRASHES
+        || (crashes == FINAL_CRASHES && mayBeBystander(cause, culprit, requestCauses))) {
       return FIRST_TRIAL_DELAY_MS;
     }
     double delayMs = FINAL_TRIAL_DELAY_MS * Math.pow(TRIAL_DELAY_FACTOR, crashes - FINAL_CRASHES);
     return (long) Math.min(RETENTION_MS, delayMs);
   }
 
+  /**
+   * Returns whether rarer causes may explain all crashes of a culprit. A cause in many requests is
+   * in many crashes by chance. A request that has one of the other causes as well cannot tell them
+   * apart.
+   */
+  private boolean mayBeBystander(long cause, Culprit culprit, List<Long> requestCauses) {
+    int decisions = decisionCounts.getOrDefault(cause, 0);
+    for (Set<Long> others : culprit.alternatives()) {
+      boolean isAnyRarer =
+          others.stream().anyMatch(other -> decisionCounts.getOrDefault(other, 0) < decisions);
+      if (!isAnyRarer || requestCauses.stream().anyMatch(others::contains)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /**
    * Records that a trial begins. Until {@link #endTrial}, no other request with the cause is sent.
    *
@@ -438,6 +465,7 @@
     isAttributionCurrent &= before == known.size();
     if (known.isEmpty()) {
       observationsByCause.remove(cause);
+      decisionCounts.remove(cause);
     }
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashCausesTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashCausesTest.java
@@ -249,4 +249,61 @@
     CrashFindings late = causes.findings(CrashCauses.REPORT_MS + 100);
     assertThat(late.crashes()).extracting(CrashFindings.Crash::cause).containsOnly(DEADLY);
   }
+
+  /** Guards against a workspace that stays rejected because its requests were near each crash. */
+  @Test
+  void ofTwoCausesInTheSameThreeCrashesOnlyTheMoreFrequentOneIsTriedEarly() {
+    long trialMs = crashWithBystander();
+    assertThat(firstDecision(List.of(1L, 203L), trialMs - 1)).isEqualTo(Decision.NEVER);
+    assertThat(firstDecision(List.of(1L, 203L), trialMs)).isEqualTo(Decision.TRIAL);
+    assertThat(firstDecision(List.of(DEADLY, 303L), trialMs)).isEqualTo(Decision.NEVER);
+    causes.recordSoundStart(List.of(1L, 203L), trialMs + 100);
+    assertThat(firstDecision(List.of(1L, 204L), trialMs + 101)).isEqualTo(Decision.ALLOWED);
+    assertThat(firstDecision(List.of(DEADLY, 304L), trialMs + 5_000)).isEqualTo(Decision.NEVER);
+  }
+
+  /** Guards against an early trial whose crash says nothing about the cause that is tried. */
+  @Test
+  void aRequestWithBothOfTheCausesIsNoEarlyTrial() {
+    long trialMs = crashWithBystander();
+    assertThat(firstDecision(List.of(1L, DEADLY), trialMs)).isEqualTo(Decision.NEVER);
+  }
+
+  /** Guards against early trials that go on although each of them crashes a target. */
+  @Test
+  void aCauseWhoseEarlyTrialCrashedATargetIsNotTriedEarlyAgain() {
+    long trialMs = crashWithBystander();
+    causes.recordCrash(List.of(1L, 203L), W1, 9, trialMs);
+    assertThat(firstDecision(List.of(1L, 204L), trialMs + CrashCauses.FINAL_TRIAL_DELAY_MS))
+        .isEqualTo(Decision.NEVER);
+  }
+
+  /** Returns when the bystander may be tried; more requests were rejected for it. */
+  private long crashWithBystander() {
+    for (int crash = 0; crash < 3; crash++) {
+      causes.recordCrash(List.of(DEADLY, 100L + crash), W1, crash, crash * 20L);
+      causes.recordCrash(List.of(1L, 200L + crash), W1, crash, crash * 20L);
+    }
+    for (int request = 0; request < 3; request++) {
+      firstDecision(List.of(1L, 400L + request), 50);
+    }
+    firstDecision(List.of(DEADLY, 500L), 50);
+    return 40 + CrashCauses.FIRST_TRIAL_DELAY_MS;
+  }
+
+  private Decision firstDecision(List<Long> requestCauses, long nowMs) {
+    return causes.decide(requestCauses, W1, c -> 0, nowMs).decision();
+  }
+
+  /** Guards against a part that is rejected where only other nodes know that it was sound. */
+  @Test
+  void aPartThatWasSoundAtAnotherNodeIsNotHeldBack() {
+    otherNode.recordCrash(List.of(1L), W1, 8, 0);
+    otherNode.recordSoundStart(List.of(1L), 5);
+    causes.merge(otherNode.findings(6), 6);
+    causes.recordCrash(List.of(1L, DEADLY), W1, 1, 10);
+    causes.recordCrash(List.of(1L, DEADLY), W1, 2, 300);
+    assertThat(decide(causes, 1, W1, 310)).isEqualTo(Decision.ALLOWED);
+    assertThat(decide(causes, DEADLY, W1, 310)).isEqualTo(Decision.LATER);
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashSimulationTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashSimulationTest.java
@@ -57,14 +57,24 @@
     return simulation.rejectedSoundRequests / (double) Math.max(1, simulation.soundRequests);
   }
 
-  /** Seeds of a search of 400 for each load; listed in KNOWN-RED.txt. */
+  /**
+   * Seeds in which a sound cause stayed rejected because its requests were near the crashes of
+   * others; found among 400 for each load.
+   */
   @ParameterizedTest
   @CsvSource({"0, 50", "0, 100", "0, 308", "1, 218", "1, 245", "1, 333", "2, 374"})
-  @EnabledIfSystemProperty(named = "known.red", matches = "true")
   void soundRequestsAreServedInTheSeedsThatRejectedMany(int load, long seed) {
     assertThat(rejectedShare(loads().get(load), seed)).isLessThan(0.05);
   }
 
+  /** Seeds 400 to 999 of the loads above, not used to design the trials; see KNOWN-RED.txt. */
+  @ParameterizedTest
+  @CsvSource({"1, 436", "1, 943"})
+  @EnabledIfSystemProperty(named = "known.red", matches = "true")
+  void soundRequestsAreServedInFurtherSeedsThatRejectMany(int load, long seed) {
+    assertThat(rejectedShare(loads().get(load), seed)).isLessThan(0.05);
+  }
+
   /** Guards against a verdict that another run of the same seed does not have. */
   @ParameterizedTest
   @MethodSource({"loads", "loadsWithoutDeadlyParts"})
