Refuse a response of another node that has no length

Callers of a request that another node serves could get a shortened answer as a complete one: a plain answer with the Content-Length of what had arrived, a stream with its last chunk after half an event.

Cause: RelayExchange took the end of the connection for the end of a response without length, and passed on the begun event as the remainder. A node always states a length or sends chunks, so that such a response is never whole. The connection now fails at its head, and the caller gets a 502. A sound node doesn't send it, so this is a safeguard.

A target's answer without length that is closed within its body, or between events, can't be told from a whole one.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -258,6 +258,12 @@
     hasDefinedLength = hasDefinedLength(response);
     isReusable = HttpUtil.isKeepAlive(response) && hasDefinedLength;
     idleLimitMs = parseIdleLimitMs(response);
+    if (isIdOptional && !hasDefinedLength) {
+      // A node states a length or sends chunks, so that the end of its connection is never the end
+      // of a whole response.
+      fail("response of another node has no length, so that its end is unknown");
+      return;
+    }
     if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
       fail("response has a content encoding, which is not supported");
       return;
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RouterNodeHarness.java
@@ -58,6 +58,7 @@
 
   int callerPort;
   int maxSockets = 4_000;
+  RetryBounds retryBounds = new RetryBounds(0.2, 100, 10_000);
   String reportAddress;
 
   TargetStandin addTarget(String service, LayerRange layers, TargetStandin.Script script)
@@ -137,8 +138,7 @@
     NodeAddresses addresses =
         new NodeAddresses(
             "127.0.0.1:" + callerPort, "unused", Optional.empty(), reportAddress, "unused");
-    return new RouterSettings(
-        "n", "a", addresses, maxSockets, new RetryBounds(0.2, 100, 10_000), stopGraceMs, 2);
+    return new RouterSettings("n", "a", addresses, maxSockets, retryBounds, stopGraceMs, 2);
   }
 
   /** Puts a newer configuration in force. */
