Refuse requests that would not end before the node stops

Callers saw: in a planned stop of one node, requests that came late in the grace period were passed on to a target and answered 502 when the node ended, among them once-only requests whose effect may have happened. Streams were cut within their events.

Cause: a stopping node sent requests to targets as before, whatever was left of the grace period. RouterSettings.abortAfterMs was applied only at its end.

Ruled out: requests without an answer; each got a 502 or was cut after events. Requests that were read after the end were refused as not run already (CallerConnection.route).

First sends, queued requests, retries, moves and relays are made only if the expected time fits into what is left. Else a request that has not run gets a 503 with Retry-After at once, and one that may have run ends as a failed one.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardContext.java
@@ -33,6 +33,7 @@
  * @param crashCauses what is known about requests that crash targets
  * @param limits limits that targets named, and this node's permits
  * @param bodyMemory memory budget of buffered bodies
+ * @param stopForecast estimates which requests end before the node stops
  * @param metrics counts and latencies of requests
  * @param log log of routing decisions
  */
@@ -51,6 +52,7 @@
     CrashCauses crashCauses,
     TargetLimits limits,
     BodyMemoryBudget bodyMemory,
+    StopForecast stopForecast,
     RequestMetrics metrics,
     DecisionLog log) {
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ForwardedExchange.java
@@ -47,7 +47,9 @@
     this.service = service;
     this.deadlineMs = TargetRequests.deadlineMs(request, routed.route());
     this.crashGuard = new CrashGuard(context, request, routed, service);
-    this.relay = new RelayHandover(context, request, response, routed, service, triedNodes);
+    this.relay =
+        new RelayHandover(
+            context, request, response, routed, service, triedNodes, this::mayEndBeforeStop);
   }
 
   /** Continues a request that this node relayed to other ones. */
@@ -71,6 +73,11 @@
    */
   abstract void fail(String kind, String detail);
 
+  /** Ends the request because the node stops; see {@link #fail(String, String)}. */
+  final void failStopping() {
+    fail(NODE_STOPPING, "the node is stopping");
+  }
+
   /** Ends the request with a problem, or breaks off a response that has started. */
   final void fail(ProblemResponse problem) {
     finish(problem.kind());
@@ -139,6 +146,9 @@
     return context.schedule(guard.wrap(step), delayMs);
   }
 
+  /** Returns whether the request, if it is sent now, is likely to end before the node stops. */
+  abstract boolean mayEndBeforeStop();
+
   /** Returns whether a target may have run the request. */
   abstract boolean mayHaveRun();
 
@@ -178,7 +188,7 @@
   @Override
   public void onNodeStopping() {
     if (!isFinished) {
-      fail(NODE_STOPPING, "the node is stopping");
+      failStopping();
     }
     relay.onNodeStopping();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -89,6 +89,7 @@
             crashCauses,
             limits,
             new BodyMemoryBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_SHARE)),
+            new StopForecast(),
             metrics,
             log);
     dispatcher = new RequestDispatcher(context);
@@ -121,8 +122,14 @@
     dispatcher.replaceLostTargets();
   }
 
-  /** Closes each connection after the requests that were received or after the next one. */
-  public void stopConnections() {
+  /**
+   * Closes each connection after the requests that were received or after the next one. From now
+   * on, requests are sent to targets only if they are likely to end in time.
+   *
+   * @param endMs monotonic time at which the requests that are left are ended, in milliseconds
+   */
+  public void stopConnections(long endMs) {
+    context.stopForecast().setStop(endMs);
     server.stopConnections();
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -148,6 +148,12 @@
 
   @Override
   public boolean tryStart() {
+    if (!mayEndBeforeStop()) {
+      leaveQueue.run();
+      leaveQueue = () -> {};
+      waitOrFail(NODE_STOPPING, "the node is stopping");
+      return true;
+    }
     Optional<TargetEntry> target = chooseTarget();
     boolean isInReach = target.filter(t -> !context.fleet().isSuspect(t.address())).isPresent();
     if (!isInReach && !mayHaveRun() && relay.isPossible()) {
@@ -190,6 +196,11 @@
     attempt.start();
   }
 
+  @Override
+  boolean mayEndBeforeStop() {
+    return context.stopForecast().mayEnd(route(), context.clock().nowMs());
+  }
+
   @Override
   boolean mayHaveRun() {
     return possiblyRunSends > 0;
@@ -214,7 +225,7 @@
       reject(rejection.get());
       return;
     }
-    mayRunAgain &= rejection.isEmpty();
+    mayRunAgain &= rejection.isEmpty() && mayEndBeforeStop();
     boolean hasAttemptsLeft = sends < Math.max(1, route().maxAttempts()) || !mayHaveRun();
     long nowMs = context.clock().nowMs();
     if (mayRunAgain
@@ -293,6 +304,9 @@
   private void onDeadline() {
     if (!isFinished) {
       boolean isNotRun = !mayHaveRun();
+      if (attempt != null) {
+        attempt.recordUnfinished();
+      }
       finish("timeout");
       response.sendProblem(
           isNotRun
@@ -332,6 +346,7 @@
     private final ByteBuf body = Unpooled.buffer();
     private TargetChannel channel;
     private ScheduledFuture<?> silenceTimer;
+    private long sentMs;
     private int status;
     private HttpHeaders headers;
     private ResponseMetadata metadata;
@@ -373,6 +388,12 @@
         retryOrFail("target-unavailable", "the target is leaving or wants no requests now");
         return;
       }
+      if (!mayEndBeforeStop()) {
+        connected.abort();
+        end();
+        waitOrFail(NODE_STOPPING, "the node is stopping");
+        return;
+      }
       Optional<ProblemResponse> rejection = crashGuard.beforeSend(mayHaveRun());
       if (rejection.isPresent()) {
         connected.abort();
@@ -386,6 +407,7 @@
       if (sends++ == 0) {
         context.retryBudget().recordFirstSend(service, nowMs);
       }
+      sentMs = nowMs;
       long leftMs = deadlineMs - nowMs;
       scheduleSilenceCheck();
       ForwardMetadata forwardMetadata =
@@ -435,6 +457,7 @@
           route().kind() == RequestKind.IDEMPOTENT
               && route().maxAttempts() > sends
               && (relay.isCutOff() || chooseTarget().isPresent())
+              && mayEndBeforeStop()
               && context.retryBudget().canSpend(service, context.clock().nowMs());
       if (canLeave) {
         leave();
@@ -517,6 +540,7 @@
       } else {
         crashGuard.onResponseStarted();
         context.health().recordSuccess(target.id(), nowMs);
+        context.stopForecast().recordServed(route(), nowMs - sentMs);
         sendResponse("served", new TargetResponse(status, headers, body));
       }
     }
@@ -554,6 +578,12 @@
       context.loop().execute(dispatcher::startWaitingRequests);
     }
 
+    void recordUnfinished() {
+      if (!isOver && channel != null) {
+        context.stopForecast().recordUnfinished(route(), context.clock().nowMs() - sentMs);
+      }
+    }
+
     void cancel() {
       if (!isOver) {
         end();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayExchange.java
@@ -81,6 +81,8 @@
   /** Whether a node got the request, so that a target may have run it. */
   private boolean isSent;
 
+  private long sentMs;
+
   /** Whether the request counts as relayed to the node. */
   private boolean isCounted;
 
@@ -232,6 +234,7 @@
     channel.setReading(!isCallerSlow);
     long remainingMs = deadlineMs - context.clock().nowMs();
     isSent = true;
+    sentMs = context.clock().nowMs();
     RelayMetadata metadata = new RelayMetadata(earlierSends, remainingMs, lastEventId);
     channel.sendToNode(
         TargetRequests.createRelayed(context, request, metadata, stream.isPresent()),
@@ -333,6 +336,7 @@
     } else if (isStream && stream.isPresent() && (!hasEvents || framer.hasPartialEvent())) {
       onFailure("the other node ended the stream without events or within an event");
     } else if (isStream) {
+      recordTime();
       finish("relayed");
       startStream();
       response.endStream(framer.takeRemaining());
@@ -342,12 +346,17 @@
     } else {
       final long bytes = reservedBytes;
       reservedBytes = 0;
+      recordTime();
       finish("relayed");
       response.sendWhole(
           status, headers, body, () -> context.bodyMemory().releaseOfResponse(bytes));
     }
   }
 
+  private void recordTime() {
+    context.stopForecast().recordServed(routed.route(), context.clock().nowMs() - sentMs);
+  }
+
   /** Continues the stream, unless the number of targets cannot be right. */
   private void onEndedEarly(int sends) {
     if (stream.isEmpty() || sends < Math.max(1, earlierSends)) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RelayHandover.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 
 /** Hands a request over to another node that reaches more targets of its service. */
@@ -18,6 +19,9 @@
   /** Names of the nodes that had the request from this one. */
   private final Set<String> triedNodes;
 
+  /** Whether the request, if it is sent now, is likely to end before this node stops. */
+  private final BooleanSupplier mayEnd;
+
   private Optional<RelayExchange> relayed = Optional.empty();
 
   /** Whether a node declined the stream; others act on the same configuration and the same load. */
@@ -29,13 +33,15 @@
       CallerResponse response,
       RoutingResult.Routed routed,
       String service,
-      Set<String> triedNodes) {
+      Set<String> triedNodes,
+      BooleanSupplier mayEnd) {
     this.context = context;
     this.request = request;
     this.response = response;
     this.routed = routed;
     this.service = service;
     this.triedNodes = triedNodes;
+    this.mayEnd = mayEnd;
   }
 
   /**
@@ -46,9 +52,10 @@
     return request.metadata().relayedSends().isEmpty() && context.relays().isCutOff(service);
   }
 
-  /** Returns whether another node reaches more targets of the service. */
+  /** Returns whether another node reaches more targets, and the request may end before a stop. */
   boolean isPossible() {
     return !isDeclined
+        && mayEnd.getAsBoolean()
         && request.metadata().relayedSends().isEmpty()
         && triedNodes.size() < RelayExchange.MAX_NODES
         && context.relays().choose(service, triedNodes).isPresent();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -17,6 +17,7 @@
   private ModelPipeline pipeline;
   private PipelineReservation reservation;
   private final long startedMs;
+  private long sentMs;
   private TargetChannel channel;
   private ScheduledFuture<?> silenceTimer;
   private boolean isRepathing;
@@ -91,6 +92,12 @@
       resume("target-unavailable", "the head is leaving or wants no requests now");
       return;
     }
+    if (!stream.mayEndBeforeStop()) {
+      connected.abort();
+      end();
+      resume(ForwardedExchange.NODE_STOPPING, "the node is stopping");
+      return;
+    }
     if (stream.failIfRejected(stream.crashGuard.beforeSend(stream.ledger.mayHaveRun()))) {
       connected.abort();
       return;
@@ -101,6 +108,7 @@
     if (!stream.ledger.isSent()) {
       context.retryBudget().recordFirstSend(stream.service, nowMs);
     }
+    sentMs = nowMs;
     stream.ledger = stream.ledger.withSend(pipeline.head());
     channel.send(
         TargetRequests.createStream(
@@ -336,6 +344,7 @@
       }
       end();
       context.health().recordSuccess(pipeline.head().id(), context.clock().nowMs());
+      recordTimes();
       stream.finish("served");
       stream.response.endStream(takeRemaining());
     } else if (isStream()) {
@@ -346,6 +355,19 @@
     }
   }
 
+  /** Records how long the stream took, if this attempt served all of it. */
+  private void recordTimes() {
+    if (stream.ledger.total() == 1) {
+      context
+          .stopForecast()
+          .recordStream(
+              stream.routed.route(),
+              stream.progress.firstEventAfterMs(sentMs),
+              context.clock().nowMs() - sentMs,
+              stream.progress.generatedTokens());
+    }
+  }
+
   private void onErrorResponse() {
     long nowMs = context.clock().nowMs();
     if (metadata.isNotRun()) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -110,6 +110,9 @@
 
   @Override
   public boolean tryStart() {
+    if (!mayEndBeforeStop()) {
+      return endStart();
+    }
     long nowMs = context.clock().nowMs();
     StreamRequest streamRequest = newStreamRequest(nowMs);
     Optional<ModelPipeline> chosen =
@@ -124,6 +127,31 @@
     return mayStart;
   }
 
+  /** Sends the stream to no further pipeline, since it would be cut when the node stops. */
+  private boolean endStart() {
+    if (isMoveQueued) {
+      context.loop().execute(this::cancelMove);
+      return false;
+    }
+    if (silentAttempt != null) {
+      returnToSilentAttempt();
+    } else {
+      failStopping();
+    }
+    return true;
+  }
+
+  @Override
+  boolean mayEndBeforeStop() {
+    return context
+        .stopForecast()
+        .mayStreamEnd(
+            routed.route(),
+            request.metadata(),
+            progress.generatedTokens(),
+            context.clock().nowMs());
+  }
+
   Optional<ModelPipeline> choosePipeline(
       StreamRequest streamRequest, List<ModelPipeline> pipelines) {
     List<ModelPipeline> others =
@@ -291,9 +319,14 @@
     context.log().recordEvent(kind, request.metadata().attemptId(), fields);
   }
 
-  /** Returns whether another run can continue the stream, or no target may have run it. */
+  /**
+   * Returns whether another run can continue the stream, or no target may have run it, and it is
+   * likely to end before the node stops.
+   */
   boolean mayRunAgain() {
-    return !ledger.mayHaveRun() || (routed.route().isResumable() && progress.canContinue());
+    boolean canRunAgain =
+        !ledger.mayHaveRun() || (routed.route().isResumable() && progress.canContinue());
+    return canRunAgain && mayEndBeforeStop();
   }
 
   boolean hasAttemptsLeft() {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
@@ -10,7 +10,7 @@
    * Factor on callers' estimates of generated tokens. The estimates are right at the median; the
    * margin covers most of the longer outputs.
    */
-  private static final double ESTIMATE_MARGIN = 1.2;
+  static final double ESTIMATE_MARGIN = 1.2;
 
   /** Factor on the gap target of a stream that is resumed at another pipeline. */
   private static final double RESUMED_GAP_FACTOR = 1.5;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -464,7 +464,7 @@
           reporter.sendReport(false);
           leaseKeeper.stop();
           registration.stop();
-          forwarder.stopConnections();
+          forwarder.stopConnections(deadlineMs);
           loop.schedule(
               () -> forwarder.stopListening(() -> awaitIdle(idle)),
               LISTEN_AFTER_STOP_MS,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/BodyMemoryBudgetTest.java
@@ -34,6 +34,7 @@
           null,
           null,
           bodyMemory,
+          new StopForecast(),
           null,
           (kind, attempt, fields) -> {});
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/FailingStartTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/FailingStartTest.java
@@ -58,6 +58,7 @@
         null,
         new TargetLimits("n", null, null, null),
         bodyMemory,
+        new StopForecast(),
         null,
         (kind, attempt, fields) -> {});
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -104,6 +104,7 @@
         null,
         null,
         new BodyMemoryBudget(10),
+        new StopForecast(),
         null,
         log);
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TestContexts.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TestContexts.java
@@ -67,6 +67,7 @@
         new CrashCauses(),
         new TargetLimits("n", null, null, null),
         new BodyMemoryBudget(1_000),
+        new StopForecast(),
         metrics,
         (kind, attempt, fields) -> {});
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/UnwrittenAnswerTest.java
@@ -72,6 +72,7 @@
             null,
             null,
             new BodyMemoryBudget(10),
+            new StopForecast(),
             null,
             (kind, attempt, fields) -> lines.add(kind + ' ' + attempt + Arrays.toString(fields)));
     connection =
