--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -232,8 +232,8 @@
       loop.execute(exchange(context, "a1", route, Optional.of(STREAM))::start);
       try (Socket node = listener.accept()) {
         awaitRequest(node);
-        write(node, "HTTP/1.1 200 X\r\nattempt: a1\r\nsigned: s\r\n\r\ndata: ");
-        write(node, "x".repeat(3 * BufferReservation.UNCOUNTED_BYTES));
+        write(node, "HTTP/1.1 200 X\r\nattempt: a1\r\nsigned: s\r\nContent-Length: 99999\r\n\r\n");
+        write(node, "data: " + "x".repeat(3 * BufferReservation.UNCOUNTED_BYTES));
         ended.get(5, TimeUnit.SECONDS);
       }
       assertThat(reasons)
