Look for running attempts only of streams that have one

Since each choice of a pipeline built a list without the heads that run the stream already, also for waiting streams, which have none and are looked at at each change of load. They use the list as it is now. Read, not measured.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -154,8 +154,11 @@
 
   Optional<ModelPipeline> choosePipeline(
       StreamRequest streamRequest, List<ModelPipeline> pipelines) {
+    // Waiting streams come here at each change of load, most of them without an attempt.
     List<ModelPipeline> others =
-        pipelines.stream().filter(p -> !isRunningAt(p.head().address())).toList();
+        attempt == null
+            ? pipelines
+            : pipelines.stream().filter(p -> !isRunningAt(p.head().address())).toList();
     return dispatcher.choosePipeline(streamRequest, others, profile, ledger);
   }
 
