Count the targets of a stream, not its sends, as attempts

Cause: max-attempts bounds the targets to which a caller's attempt may be sent, and the ledger counted sends. Two connections that broke one after the other to the same target used up both attempts.

Change: sends to the same target under the same start count once. A node sends a stream at most twice for each attempt of the route, so that a target that breaks it off again and again does not get it without end; each send after the first spends from the retry budget as before.

Before: aStreamWhoseConnectionsToOneTargetBreakTwiceIsResumedThere, aStreamThatOneTargetBreaksOffAgainAndAgainIsNotSentWithoutEnd and severalSendsToOneTargetCountOnceButAreBounded fail (22 tests, 3 failures). After: both classes, RelayedRequestTest and BegunStreamTest pass.

mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest='StreamAttemptsTest,SendLedgerTest,RelayedRequestTest,BegunStreamTest' \ -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import java.util.List;
+import java.util.Map;
 import java.util.StringJoiner;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -9,14 +10,15 @@
 /**
  * The targets to which a request was sent and what is known for certain about each send. Immutable.
  *
- * <p>A send counts towards the attempts of the route unless the target has stated that the request
- * did not run, or has shown a later start. A target that does not respond, resets connections or
- * refuses new ones may be alive and still run the request.
+ * <p>A target counts towards the attempts of the route once it got the request, unless it has stated
+ * that the request did not run, or has shown a later start. A target that does not respond, resets
+ * connections or refuses new ones may be alive and still run the request. Further sends to the same
+ * target do not count, but are bounded.
  *
  * @param sends the sends that were not refused, in order
  * @param refusals number of sends of which a target has stated that the request did not run
- * @param earlierSends number of sends by other nodes, which count: by the one that relayed the
- *     request to this one, or by one that was offered it
+ * @param earlierSends number of targets that got the request from other nodes, which count: from the
+ *     one that relayed the request to this one, or from one that was offered it
  */
 record SendLedger(List<Send> sends, int refusals, int earlierSends) {
 
@@ -29,6 +31,12 @@
    */
   static final int MAX_UNCOUNTED_ENDED = 1;
 
+  /**
+   * Sends by this node for each attempt that the route allows. A stream whose connections to one
+   * target break again and again is not resumed there without end.
+   */
+  static final int MAX_SENDS_PER_ATTEMPT = 2;
+
   private static final int MAX_DESCRIBED_SENDS = 8;
 
   /** What is known about a send that was not refused. */
@@ -119,9 +127,19 @@
     return total() > 0;
   }
 
-  /** Returns the number of sends that were not refused, with those of other nodes. */
+  /** Returns the number of targets that got the request and did not refuse it, at any node. */
   int possiblyRun() {
-    return earlierSends + sends.size();
+    return earlierSends + countTargets(sends.stream());
+  }
+
+  /** Counts targets by address and start: a later start at an address is another target. */
+  private static int countTargets(Stream<Send> sends) {
+    return (int)
+        sends
+            .map(Send::target)
+            .map(target -> Map.entry(target.address(), target.startedAtMs()))
+            .distinct()
+            .count();
   }
 
   /** Returns whether any target may have run the request, even if it has ended since. */
@@ -147,12 +165,14 @@
   /**
    * Returns whether the request may be sent once more.
    *
-   * @param maxAttempts attempts that the route allows; at least one is always allowed
-   * @return true if fewer sends than that count
+   * @param maxAttempts number of targets that the route allows; at least one is always allowed
+   * @return true if fewer targets than that count, and this node has not sent it too often
    */
   boolean hasAttemptsLeft(int maxAttempts) {
-    int uncounted = Math.min(MAX_UNCOUNTED_ENDED, sends.size() - liveTargets().size());
-    return possiblyRun() - uncounted < Math.max(1, maxAttempts);
+    int allowed = Math.max(1, maxAttempts);
+    int ended = countTargets(sends.stream().filter(send -> send.verdict() == Verdict.ENDED));
+    return possiblyRun() - Math.min(MAX_UNCOUNTED_ENDED, ended) < allowed
+        && sends.size() < MAX_SENDS_PER_ATTEMPT * allowed;
   }
 
   /**
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/SendLedgerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/SendLedgerTest.java
@@ -53,6 +53,17 @@
     assertThat(ledger.hasAttemptsLeft(2)).isFalse();
   }
 
+  /** Guards against attempts that are used up by connections that broke at one target. */
+  @Test
+  void severalSendsToOneTargetCountOnceButAreBounded() {
+    SendLedger ledger = SendLedger.EMPTY.withSend(first).withSend(first);
+    assertThat(ledger.possiblyRun()).isEqualTo(1);
+    assertThat(ledger.total()).isEqualTo(2);
+    assertThat(ledger.hasAttemptsLeft(2)).isTrue();
+    assertThat(ledger.withSend(second).hasAttemptsLeft(2)).isFalse();
+    assertThat(ledger.withSend(first).withSend(first).hasAttemptsLeft(2)).isFalse();
+  }
+
   @Test
   void aRouteWithoutAttemptsAllowsOne() {
     assertThat(SendLedger.EMPTY.hasAttemptsLeft(0)).isTrue();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StreamAttemptsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StreamAttemptsTest.java
@@ -114,6 +114,39 @@
     assertThat(heads).hasSize(3).doesNotHaveDuplicates();
   }
 
+  /** Guards against a stream that is lost because its connections to one target broke twice. */
+  @Test
+  void aStreamWhoseConnectionsToOneTargetBreakTwiceIsResumedThere() throws Exception {
+    addPipelines(
+        1,
+        (request, out) -> {
+          int next = nextEvent(request);
+          writeEvents(request, out, next, next);
+          if (heads.size() < 3) {
+            throw new TargetStandin.ResetException();
+          }
+          endWith(out, next + 1);
+        });
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).contains("id: 4\n").endsWith("0\r\n\r\n");
+    assertThat(heads).hasSize(3);
+  }
+
+  /** Guards against a stream that is sent without end to a target that breaks each one off. */
+  @Test
+  void aStreamThatOneTargetBreaksOffAgainAndAgainIsNotSentWithoutEnd() throws Exception {
+    addPipelines(
+        1,
+        (request, out) -> {
+          int next = nextEvent(request);
+          writeEvents(request, out, next, next);
+          throw new TargetStandin.ResetException();
+        });
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).doesNotContain("0\r\n\r\n");
+    assertThat(heads).hasSize(4);
+  }
+
   /** Guards against an extra attempt for each live target that only accepts no connection. */
   @Test
   void aStreamWhoseLiveTargetsRefuseConnectionsRunsOnNoMoreTargetsThanItsRouteAllows()
