Count a send by itself that its target has failed

Change: a send that its target failed (an error response, or a response that can't be passed on) counts by itself. Sends whose connections were lost count once for a target, as before. liveTargets was left without a user; the tests that read it compare the sends with their verdicts now, which asks for more.

Before: aStreamThatItsOnlyTargetAnswersWithAnErrorIsNotSentThereAThirdTime fails (15 tests, 1 failure). After: StreamAttemptsTest and SendLedgerTest pass.

mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest='StreamAttemptsTest,SendLedgerTest' -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -12,8 +12,8 @@
  *
  * <p>A target counts towards the attempts of the route once it got the request, unless it has stated
  * that the request did not run, or has shown a later start. A target that does not respond, resets
- * connections or refuses new ones may be alive and still run the request. Further sends to the same
- * target do not count, but are bounded.
+ * connections or refuses new ones may be alive and still run the request. Sends to one target whose
+ * connections were lost count once, and are bounded; one that the target failed counts by itself.
  *
  * @param sends the sends that were not refused, in order
  * @param refusals number of sends of which a target has stated that the request did not run
@@ -43,6 +43,8 @@
   enum Verdict {
     /** The target may run the request, or may have run it. */
     POSSIBLY_RUN,
+    /** The target answered with an error, or its response could not be passed on. */
+    FAILED,
     /** The target has started again; it may have run the request before. */
     ENDED
   }
@@ -54,8 +56,8 @@
    * @param verdict what is known about it
    */
   record Send(TargetEntry target, Verdict verdict) {
-    private Send ended() {
-      return new Send(target, Verdict.ENDED);
+    private Send with(Verdict newVerdict) {
+      return new Send(target, newVerdict);
     }
   }
 
@@ -104,6 +106,20 @@
     return new SendLedger(sends.subList(0, sends.size() - 1), refusals + 1, earlierSends);
   }
 
+  /**
+   * Records that the target of the last send has failed the request, so that sending it there again
+   * is of little use.
+   *
+   * @return the new ledger, never null
+   * @throws IndexOutOfBoundsException if there is no send
+   */
+  SendLedger withLastFailed() {
+    int last = sends.size() - 1;
+    Stream<Send> failed = Stream.of(sends.get(last).with(Verdict.FAILED));
+    return new SendLedger(
+        Stream.concat(sends.subList(0, last).stream(), failed).toList(), refusals, earlierSends);
+  }
+
   /**
    * Records which targets have ended. The verdict on a target that was found to have ended stays.
    *
@@ -112,7 +128,7 @@
    */
   SendLedger withEnded(Predicate<TargetEntry> hasEnded) {
     return new SendLedger(
-        sends.stream().map(send -> hasEnded.test(send.target()) ? send.ended() : send).toList(),
+        sends.stream().map(send -> hasEnded.test(send.target()) ? send.with(Verdict.ENDED) : send).toList(),
         refusals,
         earlierSends);
   }
@@ -127,9 +143,15 @@
     return total() > 0;
   }
 
-  /** Returns the number of targets that got the request and did not refuse it, at any node. */
+  /**
+   * Returns the number of targets that got the request from any node and did not refuse it. One
+   * that got it again after it failed it counts again.
+   */
   int possiblyRun() {
-    return earlierSends + countTargets(sends.stream());
+    int failed = (int) sends.stream().filter(send -> send.verdict() == Verdict.FAILED).count();
+    return earlierSends
+        + failed
+        + countTargets(sends.stream().filter(send -> send.verdict() != Verdict.FAILED));
   }
 
   /** Counts targets by address and start: a later start at an address is another target. */
@@ -175,16 +197,6 @@
         && sends.size() < MAX_SENDS_PER_ATTEMPT * allowed;
   }
 
-  /**
-   * Returns the targets of the sends that were not refused and that are not known to have ended.
-   */
-  List<TargetEntry> liveTargets() {
-    return sends.stream()
-        .filter(send -> send.verdict() == Verdict.POSSIBLY_RUN)
-        .map(Send::target)
-        .toList();
-  }
-
   /**
    * Returns a text of bounded length for the log.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -301,10 +301,17 @@
   void breakOff(String reason) {
     if (!isOver && channel != null) {
       channel.abort();
+      recordFailed();
     }
     onFailure(reason);
   }
 
+  private void recordFailed() {
+    if (this == stream.attempt) {
+      stream.ledger = stream.ledger.withLastFailed();
+    }
+  }
+
   @Override
   void onEvent(ByteBuf event, String id) {
     if (isOver || stream.isFinished) {
@@ -386,9 +393,11 @@
       }
     } else if (isTargetFailure()) {
       context.health().recordFailure(pipeline.head().id(), 1, nowMs);
+      recordFailed();
       resume("target-error", "the pipeline failed");
     } else if (stream.response.isStarted()) {
       // An answer can't follow the events, and the target of the first event took the request.
+      recordFailed();
       resume("target-answered", "the pipeline answered " + status);
     } else {
       stream.finish("answered-" + status);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/SendLedgerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/SendLedgerTest.java
@@ -33,13 +33,17 @@
     SendLedger ledger = SendLedger.EMPTY.withSend(first).withSend(second).withEnded(first::equals);
     assertThat(ledger.hasAttemptsLeft(2)).isTrue();
     assertThat(ledger.mayHaveRun()).isTrue();
-    assertThat(ledger.liveTargets()).containsExactly(second);
+    assertThat(ledger.sends())
+        .containsExactly(
+            new SendLedger.Send(first, SendLedger.Verdict.ENDED),
+            new SendLedger.Send(second, SendLedger.Verdict.POSSIBLY_RUN));
   }
 
   @Test
   void aTargetThatEndedStaysEnded() {
     SendLedger ledger = SendLedger.EMPTY.withSend(first).withEnded(t -> true).withEnded(t -> false);
-    assertThat(ledger.liveTargets()).isEmpty();
+    assertThat(ledger.sends())
+        .containsExactly(new SendLedger.Send(first, SendLedger.Verdict.ENDED));
   }
 
   /**
@@ -64,6 +68,14 @@
     assertThat(ledger.withSend(first).withSend(first).hasAttemptsLeft(2)).isFalse();
   }
 
+  /** Guards against a caller that waits while a target fails its stream once more. */
+  @Test
+  void aSendThatItsTargetFailedCountsByItself() {
+    SendLedger ledger = SendLedger.EMPTY.withSend(first).withSend(first).withLastFailed();
+    assertThat(ledger.possiblyRun()).isEqualTo(2);
+    assertThat(ledger.hasAttemptsLeft(2)).isFalse();
+  }
+
   @Test
   void aRouteWithoutAttemptsAllowsOne() {
     assertThat(SendLedger.EMPTY.hasAttemptsLeft(0)).isTrue();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StreamAttemptsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/StreamAttemptsTest.java
@@ -132,6 +132,24 @@
     assertThat(heads).hasSize(3);
   }
 
+  /** Guards against a caller that waits while the only target fails its stream once more. */
+  @Test
+  void aStreamThatItsOnlyTargetAnswersWithAnErrorIsNotSentThereAThirdTime() throws Exception {
+    addPipelines(
+        1,
+        (request, out) -> {
+          if (heads.size() > 1) {
+            TargetStandin.writeResponse(out, request, 502, "signed: s\r\n", "error");
+            return;
+          }
+          writeEvents(request, out, 1, 1);
+          throw new TargetStandin.ResetException();
+        });
+    startNode();
+    assertThat(exchange(post("/draft/x", "p"))).contains("id: 1\n").doesNotContain("0\r\n\r\n");
+    assertThat(heads).hasSize(2);
+  }
+
   /** Guards against a stream that is sent without end to a target that breaks each one off. */
   @Test
   void aStreamThatOneTargetBreaksOffAgainAndAgainIsNotSentWithoutEnd() throws Exception {
