Probe a head anew that loses a new connection unanswered

A node whose new connections to targets were reset, while kept ones lived on, sent streams to the same head again and again and answered 502 (pipeline-lost, unknown); other nodes relayed streams to it.

Cause: a broken stream led to probes over any connection. They succeeded over kept ones, so that the head stayed in the pipeline and the node reported that it reaches all six targets; nothing tested new connections.

Ruled out: crash marks (the log has none for these streams; the check of the listener finds it open) and the relaying nodes' choice (node 2 had the highest reach that was reported).

A stream whose new connection ends before a response began now has its head probed over new connections, before the probes of all targets, which would defer that one by their interval. The retry waits 100 ms for the result. A head that fails is a suspect: new streams are relayed.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -400,11 +400,27 @@
   public void onFailure(String reason) {
     if (!isOver) {
       end();
+      boolean isUnanswered = channel != null && !channel.hasResponded();
+      if (isUnanswered) {
+        // First, because a probe over a kept connection would delay the one that shows the loss.
+        context.fleet().checkTarget(pipeline.head().address());
+      }
       context.fleet().checkTargets(pipeline);
       stream.log("broken", "at", pipeline.head().address(), "why", reason);
       // A request that crashes targets breaks off before its first event.
       List<String> suspects = hasEvents || channel == null ? List.of() : pipeline.addresses();
-      stream.crashGuard.onInterrupted(suspects, guard.wrap(() -> resume("pipeline-lost", reason)));
+      stream.crashGuard.onInterrupted(
+          suspects, guard.wrap(() -> resumeAfterLoss(reason, isUnanswered)));
+    }
+  }
+
+  /** Resumes the stream, after the check of a head that lost a new connection. */
+  private void resumeAfterLoss(String reason, boolean isUnanswered) {
+    if (isUnanswered && !context.fleet().isSuspect(pipeline.head().address())) {
+      stream.schedule(
+          () -> resume("pipeline-lost", reason), StreamLimits.UNANSWERED_RETRY_DELAY_MS);
+    } else {
+      resume("pipeline-lost", reason);
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamLimits.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamLimits.java
@@ -48,6 +48,12 @@
    */
   static final long REFUSAL_RETRY_DELAY_MS = 40;
 
+  /**
+   * Delay of a retry after a new connection was lost without a response: time for two probes of the
+   * head over new connections, so that the retry does not meet the same loss.
+   */
+  static final long UNANSWERED_RETRY_DELAY_MS = 100;
+
   /**
    * Time between a refused change of the pipeline and the next attempt. The head refuses because a
    * new target does not hold its layers yet or lacks memory; that changes only when layers are
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -98,6 +98,11 @@
     return idleLimitMs;
   }
 
+  /** Returns whether a target has begun a response on this connection. */
+  boolean hasResponded() {
+    return !isFirstResponse;
+  }
+
   /**
    * Returns whether the response to an attempt can be told from all others that may still arrive
    * here. A copy of the response to an earlier send of the attempt could not, and one to an attempt
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetStandin.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetStandin.java
@@ -40,6 +40,7 @@
   }
 
   private volatile ServerSocket listener;
+  private volatile boolean isResettingNew;
   private Thread acceptor;
   private final Script script;
   private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
@@ -66,6 +67,11 @@
     return "127.0.0.1:" + listener.getLocalPort();
   }
 
+  /** Resets new connections from now on when a request arrives on them; open ones live on. */
+  void resetNewConnections() {
+    isResettingNew = true;
+  }
+
   List<String> requests() {
     return List.copyOf(requests);
   }
@@ -74,7 +80,8 @@
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
-        Thread worker = new Thread(() -> serve(socket), "target-connection");
+        boolean isReset = isResettingNew;
+        Thread worker = new Thread(() -> serve(socket, isReset), "target-connection");
         worker.setDaemon(true);
         worker.start();
       } catch (IOException e) {
@@ -83,7 +90,7 @@
     }
   }
 
-  private void serve(Socket socket) {
+  private void serve(Socket socket, boolean isReset) {
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
       while (true) {
@@ -91,6 +98,10 @@
         if (request.isEmpty()) {
           return;
         }
+        if (isReset) {
+          socket.setSoLinger(true, 0);
+          return;
+        }
         requests.add(request);
         respond(request, socket);
       }
