Keep streams with events at a head that is a suspect

A running stream was moved to another pipeline as soon as its head became a suspect, although events flowed: it was sent to a second target, returned to the first one with the next event, and had spent an attempt and retry budget. A head becomes a suspect without being lost if it resets new connections only, because it is full or the node's new connections are cut.

Ruled out: the silence timer, which had not run.

An attempt without events is moved at once, as before.

ResetConnectionsTest#aStreamWithEventsStaysAtAHeadThatResetsNewConnections, over sockets: two sends of the first stream before, one with the change.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -184,6 +184,11 @@
     }
     if (context.fleet().isSuspect(pipeline.head().address())) {
       long nowMs = context.clock().nowMs();
+      long silentMs = nowMs - stream.progress.lastEventOr(startedMs);
+      if (hasEvents && silentMs < StreamLimits.SILENCE_MS) {
+        // The head may only be out of reach of new connections. A silence is checked by its timer.
+        return;
+      }
       if (stream.mayRunAgain()
           && stream.hasAttemptsLeft()
           && context.retryBudget().canSpend(stream.service, nowMs)) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ResetConnectionsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ResetConnectionsTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -82,4 +85,59 @@
     assertThat(exchange(post("/draft/x", "p"))).contains("id: 3\n").endsWith("0\r\n\r\n");
     assertThat(peer.requests()).hasSize(1);
   }
+
+  /** Guards against streams that are moved off a full target that serves them. */
+  @Test
+  void aStreamWithEventsStaysAtAHeadThatResetsNewConnections() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      addPipeline(
+          (request, out) -> {
+            writeEvents(request, out, 1, 1);
+            for (int event = 2; event <= 20; event++) {
+              Thread.sleep(50);
+              TargetStandin.writeChunk(out, "id: " + event + "\ndata: " + event + "\n\n");
+            }
+            TargetStandin.write(out, "0\r\n\r\n");
+          });
+    }
+    startNode();
+    CompletableFuture<String> first =
+        CompletableFuture.supplyAsync(() -> exchangeUnchecked(post("/draft/x", "p")));
+    TargetStandin head = awaitHead();
+    resetNewConnections(head);
+    List<CompletableFuture<String>> later = new CopyOnWriteArrayList<>();
+    for (int i = 2; i < 6; i++) {
+      String request = post("/draft/x", "p").replace("attempt: a1", "attempt: a" + i);
+      later.add(CompletableFuture.supplyAsync(() -> exchangeUnchecked(request)));
+    }
+    awaitGauge("gooseberryhook_suspected_targets 1.0");
+    assertThat(first.get(8, TimeUnit.SECONDS)).contains("id: 20\n").endsWith("0\r\n\r\n");
+    for (CompletableFuture<String> response : later) {
+      assertThat(response.get(8, TimeUnit.SECONDS)).contains("id: 20\n").endsWith("0\r\n\r\n");
+    }
+    assertThat(targets)
+        .flatExtracting(TargetStandin::requests)
+        .filteredOn(request -> TargetStandin.header(request, "attempt").equals("a1"))
+        .hasSize(1);
+  }
+
+  private TargetStandin awaitHead() throws InterruptedException {
+    for (int i = 0; i < 300; i++) {
+      for (TargetStandin target : targets) {
+        if (!target.requests().isEmpty()) {
+          return target;
+        }
+      }
+      Thread.sleep(10);
+    }
+    throw new AssertionError("no target got the stream");
+  }
+
+  private String exchangeUnchecked(String request) {
+    try {
+      return exchange(request);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
 }
