Relay streams to the nodes that reach the most targets

A node with links to five of six targets had no pipeline, was idle for that reason, and got most of the streams that cut-off nodes relayed: it refused them after 200 ms (503, no-room).

Cause: all nodes with at least half of the largest reach counted alike, and the one with fewer requests was taken.

Ruled out: lack of room; node 0, which reached all, served what it got.

Streams go to the nodes that reach the most, of a large fleet to the best one in eight and its equals. Plain requests need one target and are spread as before.

RelayChoiceTest: both new tests fail if streams are spread as plain requests are, and pass with the change (8 tests).

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/RelayChoice.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/RelayChoice.java
@@ -15,6 +15,9 @@
  * it. A node that reaches no more targets of the service than this one is never chosen. Of the
  * others two are drawn at random and the one with fewer requests is taken, so that many cut-off
  * nodes spread their requests without agreeing on it.
+ *
+ * <p>A stream needs targets for all layers of a model. A node that lacks one target may be unable to
+ * serve any, and is idle for that reason. Streams therefore go to nodes that reach the most.
  */
 public final class RelayChoice {
 
@@ -23,12 +26,19 @@
    */
   private static final int CUT_OFF_FACTOR = 2;
 
+  /**
+   * Streams go to the best one of this many nodes by reach and to its equals, so that no single
+   * node of a large fleet gets all of them.
+   */
+  private static final int NODES_PER_PREFERRED = 8;
+
   private RelayChoice() {}
 
   /**
    * What a node for a request is chosen by.
    *
    * @param service name of the service
+   * @param isStreamed whether its requests need targets for all layers of a model
    * @param reachableTargets number of its targets that this node reaches
    * @param configurationVersion version of the configuration that this node applies; a node with an
    *     older one may reject the request
@@ -37,6 +47,7 @@
    */
   public record Criteria(
       String service,
+      boolean isStreamed,
       int reachableTargets,
       long configurationVersion,
       String dataCentre,
@@ -74,12 +85,18 @@
             .filter(node -> node.configurationVersion() >= criteria.configurationVersion())
             .filter(node -> reach(node, criteria) > criteria.reachableTargets())
             .toList();
-    int best = candidates.stream().mapToInt(node -> reach(node, criteria)).max().orElse(0);
-    List<PeerReport> linked =
-        candidates.stream().filter(node -> !isCutOff(reach(node, criteria), best)).toList();
-    if (linked.isEmpty()) {
+    if (candidates.isEmpty()) {
       return Optional.empty();
     }
+    int[] reaches = candidates.stream().mapToInt(node -> reach(node, criteria)).sorted().toArray();
+    int best = reaches[reaches.length - 1];
+    int preferred = (reaches.length - 1) / NODES_PER_PREFERRED;
+    int required = criteria.isStreamed() ? reaches[reaches.length - 1 - preferred] : 0;
+    List<PeerReport> linked =
+        candidates.stream()
+            .filter(node -> reach(node, criteria) >= required)
+            .filter(node -> !isCutOff(reach(node, criteria), best))
+            .toList();
     PeerReport first = linked.get(random.nextInt(linked.size()));
     PeerReport second = linked.get(random.nextInt(linked.size()));
     int difference = load(first, relayedTo) - load(second, relayedTo);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayNodes.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayNodes.java
@@ -58,6 +58,7 @@
     RelayChoice.Criteria criteria =
         new RelayChoice.Criteria(
             service,
+            fleet.listedEngines().containsKey(service),
             fleet.reachableTargets().getOrDefault(service, 0),
             configurationVersion.getAsLong(),
             dataCentre,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/RelayChoiceTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/RelayChoiceTest.java
@@ -3,11 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.gooseberryhook.router.admission.InFlightLoad;
 import org.gooseberryhook.router.fleet.CrashFindings;
 import org.junit.jupiter.api.Test;
@@ -46,7 +48,11 @@
   }
 
   private static RelayChoice.Criteria criteria(int reach, String... excluded) {
-    return new RelayChoice.Criteria("model", reach, 7, "a", Set.of(excluded));
+    return new RelayChoice.Criteria("model", false, reach, 7, "a", Set.of(excluded));
+  }
+
+  private static RelayChoice.Criteria streamed() {
+    return new RelayChoice.Criteria("model", true, 0, 7, "a", Set.of());
   }
 
   private Optional<String> choose(RelayChoice.Criteria criteria, PeerReport... nodes) {
@@ -79,7 +85,7 @@
   void aNodeThatIsNotReadyOrWasTriedOrAppliesAnOlderConfigurationIsNotChosen() {
     assertThat(choose(criteria(0), node("b", 9, 0, false))).isEmpty();
     assertThat(choose(criteria(0, "b"), node("b", 9, 0, true))).isEmpty();
-    RelayChoice.Criteria newer = new RelayChoice.Criteria("model", 0, 8, "a", Set.of());
+    RelayChoice.Criteria newer = new RelayChoice.Criteria("model", false, 0, 8, "a", Set.of());
     assertThat(choose(newer, node("b", 9, 0, true))).isEmpty();
   }
 
@@ -114,4 +120,26 @@
     }
     assertThat(total.get("a1")).isBetween(300, 400);
   }
+
+  /** Guards against streams that a node without a pipeline gets and refuses because it is idle. */
+  @Test
+  void aStreamIsNotRelayedToAnIdleNodeThatLacksATargetOfOthers() {
+    for (int i = 0; i < 50; i++) {
+      assertThat(choose(streamed(), node("b", 5, 0, true), node("c", 6, 99, true))).contains("c");
+    }
+  }
+
+  /** Guards against a node that gets the streams of a large fleet because it reaches the most. */
+  @Test
+  void streamsAreSpreadOverSeveralNodesOfALargeFleet() {
+    PeerReport[] nodes =
+        IntStream.rangeClosed(1, 40)
+            .mapToObj(i -> node("b" + i, 40 + i, i, true))
+            .toArray(PeerReport[]::new);
+    Set<String> chosen = new HashSet<>();
+    for (int i = 0; i < 300; i++) {
+      choose(streamed(), nodes).ifPresent(chosen::add);
+    }
+    assertThat(chosen).containsExactlyInAnyOrder("b36", "b37", "b38", "b39", "b40");
+  }
 }
