Let probes over kept connections not delay those over new ones

A new connection to a head was reset and its target was not probed over a new one, so that it stayed in use, if a silent stream had its targets probed over kept connections less than 400 ms before.

Cause: both kinds of probes shared the shortest interval between two probes of a target, although only one shows whether new connections work.

Ruled out: the order of both checks after a broken stream; the earlier probe came from another stream.

Probes over new connections have an interval of their own, so that a target gets at most two probes in 400 ms from a node.

FleetStateTest#aCheckOverANewConnectionIsNotDeferredByOneOverAKeptConnection fails before and passes with the change, as does the case that showed it: ResetConnectionsTest#aStreamWithEventsStaysAtAHeadThatResetsNewConnections failed beside load average 56 (1 of 1) as described. Its streams last 2 s now, so that its later streams meet the first one.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectTracker.java
@@ -46,6 +46,7 @@
   private record Exclusion(long lengthMs, long endMs) {}
 
   private final Map<String, Long> lastProbeMs = new HashMap<>();
+  private final Map<String, Long> lastProbeAnewMs = new HashMap<>();
   private long revision;
 
   /** Marks a target as suspect; returns false if it was one already. */
@@ -114,6 +115,20 @@
     return true;
   }
 
+  /**
+   * Does the same for a probe over a new connection. Probes over kept connections do not delay it,
+   * since they do not show whether new ones are accepted.
+   */
+  boolean tryStartProbeAnew(String address, long nowMs) {
+    Long lastMs = lastProbeAnewMs.get(address);
+    if (lastMs != null && nowMs - lastMs < MIN_PROBE_INTERVAL_MS) {
+      return false;
+    }
+    lastProbeAnewMs.put(address, nowMs);
+    lastProbeMs.put(address, nowMs);
+    return true;
+  }
+
   /** Returns the time since the last probe of a target began, in milliseconds. */
   long msSinceProbe(String address, long nowMs) {
     Long lastMs = lastProbeMs.get(address);
@@ -147,6 +162,7 @@
       revision++;
     }
     lastProbeMs.keySet().retainAll(listed);
+    lastProbeAnewMs.keySet().retainAll(listed);
     lastExclusions.keySet().retainAll(listed);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -114,20 +114,23 @@
    * or a suspect has to answer on a new connection.
    */
   void probe(TargetEntry target) {
-    boolean isAnew = isPlain.test(target) || suspectTracker.isSuspect(target.address());
-    start(target, isAnew ? engines::readStateAnew : engines::readState);
+    if (isPlain.test(target) || suspectTracker.isSuspect(target.address())) {
+      probeAnew(target);
+    } else if (!isPaused(target)
+        && suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
+      readState(target, engines::readState);
+    }
   }
 
   /** Probes a target at which a request failed; it has to answer on a new connection. */
   void probeAnew(TargetEntry target) {
-    start(target, engines::readStateAnew);
+    if (!isPaused(target) && suspectTracker.tryStartProbeAnew(target.address(), clock.nowMs())) {
+      readState(target, engines::readStateAnew);
+    }
   }
 
-  private void start(TargetEntry target, StateReader reader) {
-    if (!pauses.isPaused(target.address(), clock.nowMs())
-        && suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
-      readState(target, reader);
-    }
+  private boolean isPaused(TargetEntry target) {
+    return pauses.isPaused(target.address(), clock.nowMs());
   }
 
   private void readState(TargetEntry target, StateReader reader) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -225,6 +225,16 @@
     assertThat(probedIds).containsExactly("t-1");
   }
 
+  /** Guards against a loss that stays unseen because a kept connection was probed before. */
+  @Test
+  void aCheckOverANewConnectionIsNotDeferredByOneOverAKeptConnection() {
+    refusingIds.add("t-1");
+    fleet.pipelines("model").forEach(fleet::checkTargets);
+    assertThat(probedIds).contains("t-1");
+    fleet.checkTarget("10.0.0.001:80");
+    assertThat(fleet.isSuspect("10.0.0.001:80")).isTrue();
+  }
+
   /** Guards against probes of each node for each report of each other one. */
   @Test
   void aSuspicionOfAnotherNodeIsCheckedOnceAndNotWithEachOfItsReports() {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ResetConnectionsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ResetConnectionsTest.java
@@ -93,7 +93,7 @@
       addPipeline(
           (request, out) -> {
             writeEvents(request, out, 1, 1);
-            for (int event = 2; event <= 20; event++) {
+            for (int event = 2; event <= 40; event++) {
               Thread.sleep(50);
               TargetStandin.writeChunk(out, "id: " + event + "\ndata: " + event + "\n\n");
             }
@@ -111,9 +111,9 @@
       later.add(CompletableFuture.supplyAsync(() -> exchangeUnchecked(request)));
     }
     awaitGauge("gooseberryhook_suspected_targets 1.0");
-    assertThat(first.get(8, TimeUnit.SECONDS)).contains("id: 20\n").endsWith("0\r\n\r\n");
+    assertThat(first.get(8, TimeUnit.SECONDS)).contains("id: 40\n").endsWith("0\r\n\r\n");
     for (CompletableFuture<String> response : later) {
-      assertThat(response.get(8, TimeUnit.SECONDS)).contains("id: 20\n").endsWith("0\r\n\r\n");
+      assertThat(response.get(8, TimeUnit.SECONDS)).contains("id: 40\n").endsWith("0\r\n\r\n");
     }
     assertThat(targets)
         .flatExtracting(TargetStandin::requests)
