Use a small limit of a target from its first seconds on

Callers were sent elsewhere or refused although the target had room.

Cause: a node's permits began between -1 and 0. At 0.5 a second and three nodes a permit takes 6 s, so that the first request came 6 to 12 s after the limit was named; with unlucky draws each node sent one request in the 12 s. No permit is lost later: after 25 s all is used.

Change: a node begins with 0 to 1 permits. The bound on 4 s is not touched: it already counts one saved request of each node.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PermitBucket.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PermitBucket.java
@@ -22,14 +22,15 @@
   private long refilledMs;
 
   /**
-   * Creates a bucket without permits.
+   * Creates a bucket with a part of a permit.
    *
-   * @param phase number in [0, 1) by which the first permit is delayed, so that the nodes do not
-   *     all send in the same moment
+   * @param initialPart number in [0, 1), random so that the nodes do not all send at the same time.
+   *     A negative value would leave a limit below one request a second unused for up to two
+   *     intervals of a node's permits.
    * @param nowMs monotonic time in milliseconds
    */
-  PermitBucket(double phase, long nowMs) {
-    this.permits = -phase;
+  PermitBucket(double initialPart, long nowMs) {
+    this.permits = initialPart;
     this.refilledMs = nowMs;
   }
 
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/LimitSimulationTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/LimitSimulationTest.java
@@ -98,6 +98,17 @@
     assertKept(simulation, limit, fromMs);
   }
 
+  /** Guards against nodes that send nothing for a long time after they learn of a small limit. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+  void aLimitBelowOneRequestASecondIsUsedFromTheStabilityWindowOn(long seed) {
+    LimitSimulation simulation = new LimitSimulation(demands(3, 62), 0, seed);
+    final long fromMs = begin(simulation, 0.5);
+    simulation.run(12_000);
+    assertKept(simulation, 0.5, fromMs);
+    assertThat(simulation.rate(fromMs, simulation.nowMs())).isGreaterThan(0.5 * MIN_USED_SHARE);
+  }
+
   /** Nodes without reports of each other must not each take the limit for themselves. */
   @ParameterizedTest
   @CsvSource({"0.5,1", "0.5,2", "0.5,9", "4.9,1", "4.9,2", "4.9,9", "40,2", "40,9"})
