Pass on crashes that other nodes observed, so that restarts keep them

Callers of sound requests lost what these targets had accepted.

A node reported only the crashes that it observed itself, so they were forgotten with it, although all others knew them. Nodes now report the crashes of culprits that others observed, unless they heard them three times in one to two report intervals. Each observation has a number: counting by time would count a late report as a further crash. A sound start, and the withdrawal of an own crash, retract observations by number, and retractions are passed on for as long as the crashes.

Reports get two more fields (format 11); formats 5 to 10 are read and written as before. A file of guards format 10.

Known: a trial whose target is silent is repeated at another target, so that one trial may end two targets.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -25,7 +25,7 @@
  * @param suspects addresses of targets at which requests of the sender failed recently
  * @param answeringSuspects time since the last answer to the sender, in milliseconds, of targets
  *     that other nodes reported as suspects or that are slow, by address
- * @param crashFindings what the sender found out about requests that crash targets
+ * @param crashFindings what the sender knows of requests that crash targets
  * @param intervalMs longest time until the next report
  * @param layerReports layers that targets reported while the store is unavailable and that its last
  *     list does not show, by target id
@@ -72,6 +72,37 @@
     return leaseRevision != 0;
   }
 
+  /**
+   * Returns this report with other crash findings.
+   *
+   * @param findings the findings
+   * @return a new report
+   */
+  PeerReport withCrashFindings(CrashFindings findings) {
+    return new PeerReport(
+        node,
+        incarnation,
+        sequence,
+        callerAddress,
+        reportAddress,
+        isReady,
+        leaseRevision,
+        isStopping,
+        loads,
+        isStoreUnavailable,
+        suspects,
+        answeringSuspects,
+        findings,
+        intervalMs,
+        layerReports,
+        dataCentre,
+        canRelay,
+        configurationVersion,
+        reachableTargets,
+        limits,
+        announcedLeaving);
+  }
+
   /**
    * Returns whether the sender reaches targets.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
@@ -27,9 +27,14 @@
 public final class PeerReportCodec {
 
   /** The present format. */
-  public static final int FORMAT_VERSION = 10;
+  public static final int FORMAT_VERSION = 11;
 
-  private static final int FIELD_COUNT = 22;
+  private static final int FIELD_COUNT = 24;
+
+  /** Format without numbers of observed crashes and without retractions. */
+  private static final int FORMAT_WITHOUT_CRASH_IDS = 10;
+
+  private static final int FIELD_COUNT_WITHOUT_CRASH_IDS = 22;
 
   /** Format with limits but without targets that announced their leaving. */
   private static final int FORMAT_WITHOUT_LEAVING = 9;
@@ -114,9 +119,12 @@
       if (format >= FORMAT_WITHOUT_LEAVING) {
         packLimits(packer, report.limits());
       }
-      if (format == FORMAT_VERSION) {
+      if (format >= FORMAT_WITHOUT_CRASH_IDS) {
         packMillis(packer, report.announcedLeaving());
       }
+      if (format == FORMAT_VERSION) {
+        packCrashIds(packer, report.crashFindings());
+      }
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a peer report", e);
@@ -126,6 +134,7 @@
   private static int fieldCount(int format) {
     return switch (format) {
       case FORMAT_VERSION -> FIELD_COUNT;
+      case FORMAT_WITHOUT_CRASH_IDS -> FIELD_COUNT_WITHOUT_CRASH_IDS;
       case FORMAT_WITHOUT_LEAVING -> FIELD_COUNT_WITHOUT_LEAVING;
       case FORMAT_WITHOUT_LIMITS -> FIELD_COUNT_WITHOUT_LIMITS;
       default -> EARLIER_FIELD_COUNT;
@@ -175,6 +184,18 @@
     }
   }
 
+  private static void packCrashIds(MessageBufferPacker packer, CrashFindings findings)
+      throws IOException {
+    packer.packArrayHeader(findings.crashes().size());
+    for (CrashFindings.Crash crash : findings.crashes()) {
+      packer.packLong(crash.id());
+    }
+    packer.packArrayHeader(2 * findings.retractions().size());
+    for (CrashFindings.Retraction retraction : findings.retractions()) {
+      packer.packLong(retraction.id()).packLong(retraction.ageMs());
+    }
+  }
+
   private static void packLayerReports(
       MessageBufferPacker packer, Map<String, LayerReport> layerReports) throws IOException {
     packer.packMapHeader(layerReports.size());
@@ -198,33 +219,65 @@
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       final int format = unpackFormat(unpacker);
       final boolean isEarlier = format < FORMAT_WITHOUT_LIMITS;
-      return new PeerReport(
-          unpacker.unpackString(),
-          unpacker.unpackLong(),
-          unpacker.unpackLong(),
-          unpacker.unpackString(),
-          unpacker.unpackString(),
-          unpacker.unpackBoolean(),
-          unpacker.unpackLong(),
-          unpacker.unpackBoolean(),
-          readLoads(unpacker),
-          unpacker.unpackBoolean(),
-          readSuspects(unpacker, isEarlier),
-          isEarlier ? Map.of() : readMillis(unpacker),
-          readCrashFindings(unpacker, format),
-          unpacker.unpackLong(),
-          readLayerReports(unpacker),
-          unpacker.unpackString(),
-          unpacker.unpackBoolean(),
-          unpacker.unpackLong(),
-          isEarlier ? Map.of() : readCounts(unpacker),
-          format >= FORMAT_WITHOUT_LEAVING ? readLimits(unpacker) : Map.of(),
-          format == FORMAT_VERSION ? readMillis(unpacker) : Map.of());
+      PeerReport report = readReport(unpacker, format, isEarlier);
+      return format == FORMAT_VERSION ? readCrashIds(unpacker, report) : report;
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode a peer report", e);
     }
   }
 
+  private static PeerReport readReport(MessageUnpacker unpacker, int format, boolean isEarlier)
+      throws IOException {
+    return new PeerReport(
+        unpacker.unpackString(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackLong(),
+        unpacker.unpackBoolean(),
+        readLoads(unpacker),
+        unpacker.unpackBoolean(),
+        readSuspects(unpacker, isEarlier),
+        isEarlier ? Map.of() : readMillis(unpacker),
+        readCrashFindings(unpacker, format),
+        unpacker.unpackLong(),
+        readLayerReports(unpacker),
+        unpacker.unpackString(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackLong(),
+        isEarlier ? Map.of() : readCounts(unpacker),
+        format >= FORMAT_WITHOUT_LEAVING ? readLimits(unpacker) : Map.of(),
+        format >= FORMAT_WITHOUT_CRASH_IDS ? readMillis(unpacker) : Map.of());
+  }
+
+  /** Reads the numbers of the crashes, which the fields before them list, and the retractions. */
+  private static PeerReport readCrashIds(MessageUnpacker unpacker, PeerReport report)
+      throws IOException {
+    CrashFindings findings = report.crashFindings();
+    if (unpacker.unpackArrayHeader() != findings.crashes().size()) {
+      throw new IOException("a peer report has another number of crash ids than of crashes");
+    }
+    List<CrashFindings.Crash> crashes = new ArrayList<>();
+    for (CrashFindings.Crash crash : findings.crashes()) {
+      crashes.add(
+          new CrashFindings.Crash(
+              crash.cause(),
+              crash.workspace(),
+              crash.target(),
+              crash.ageMs(),
+              unpacker.unpackLong()));
+    }
+    int retractionCount = checkSize(unpacker.unpackArrayHeader()) / 2;
+    List<CrashFindings.Retraction> retractions = new ArrayList<>();
+    for (int i = 0; i < retractionCount; i++) {
+      retractions.add(new CrashFindings.Retraction(unpacker.unpackLong(), unpacker.unpackLong()));
+    }
+    return report.withCrashFindings(
+        new CrashFindings(crashes, findings.soundStarts(), retractions));
+  }
+
   /**
    * Returns the format of an encoded report, in which its sender reads reports as well.
    *
@@ -255,6 +308,9 @@
     if (format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT) {
       return FORMAT_VERSION;
     }
+    if (format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT_WITHOUT_CRASH_IDS) {
+      return FORMAT_WITHOUT_CRASH_IDS;
+    }
     boolean hasLimits =
         format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT_WITHOUT_LEAVING;
     return hasLimits ? FORMAT_WITHOUT_LEAVING : format;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashAttribution.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashAttribution.java
@@ -39,8 +39,14 @@
    * @param workspace hash of the request's workspace
    * @param target hash of the target's address
    * @param crashMs monotonic time of the crash in milliseconds
+   * @param id number of the observation among those of all nodes; 0 if it has none
    */
-  record Observation(long cause, long workspace, long target, long crashMs) {}
+  record Observation(long cause, long workspace, long target, long crashMs, long id) {
+
+    Observation withId(long newId) {
+      return new Observation(cause, workspace, target, crashMs, newId);
+    }
+  }
 
   /**
    * A cause to which crashes are attributed.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongToIntFunction;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.fleet.CrashAttribution.Culprit;
@@ -14,7 +15,8 @@
 
 /**
  * Finds out which requests crash targets. Callers send such requests, or others like them, to any
- * node, so the nodes share their findings.
+ * node, so the nodes share their findings. They also pass on those of other nodes that concern a
+ * culprit: otherwise a finding would be lost with the node that made it.
  *
  * <p>A request has several possible causes: itself, and each part of its prompt that other requests
  * may share. A cause of which a target began a response is none. Crashes are attributed to the
@@ -70,13 +72,17 @@
   private final Set<Observation> own = new LinkedHashSet<>();
   private final Map<Long, Long> soundStartsMs = new LinkedHashMap<>();
   private final Map<Long, Long> ownSoundStartsMs = new LinkedHashMap<>();
-  private final Map<Long, Boolean> earlierSoundStarts = new LeastRecentMap();
+  private final Map<Long, Boolean> earlierSoundStarts =
+      new BoundedMap<>(MAX_EARLIER_SOUND_STARTS, true);
 
   /** Number of decisions about requests with a suspected cause since it is suspected. */
   private final Map<Long, Integer> decisionCounts = new HashMap<>();
 
   private final Map<Long, Integer> trials = new HashMap<>();
   private final Map<Long, AliveSpan> aliveSpans = new HashMap<>();
+  private final GossipSuppression crashGossip = new GossipSuppression();
+  private final GossipSuppression retractionGossip = new GossipSuppression();
+  private final ObservationIds ids;
   private Map<Long, Culprit> culprits = Map.of();
   private boolean isAttributionCurrent = true;
   private int observationCount;
@@ -90,19 +96,18 @@
     }
   }
 
-  /** Causes of which a response began, without the least recent ones beyond the bound. */
-  private static final class LeastRecentMap extends LinkedHashMap<Long, Boolean> {
-    private static final long serialVersionUID = 1L;
-    private static final float LOAD_FACTOR = 0.75f;
-
-    LeastRecentMap() {
-      super(MAX_EARLIER_SOUND_STARTS, LOAD_FACTOR, true);
-    }
+  /** Creates the findings of a process that has just started. */
+  public CrashCauses() {
+    this(ThreadLocalRandom.current().nextLong());
+  }
 
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-      return size() > MAX_EARLIER_SOUND_STARTS;
-    }
+  /**
+   * Creates empty findings.
+   *
+   * @param seed decides the numbers of the node's observations; must differ between processes
+   */
+  CrashCauses(long seed) {
+    ids = new ObservationIds(seed);
   }
 
   /** Whether a request may be sent. */
@@ -171,7 +176,8 @@
 
   /**
    * Withdraws the crashes of a target that answers under the start that it had before them, and
-   * ignores those that other nodes report later.
+   * ignores those that other nodes report later. The own ones are withdrawn at all nodes: only
+   * their times are known for certain, as a late report makes a crash look later.
    *
    * @param target hash of the target's address
    * @param sinceMs monotonic time in milliseconds from which on its start is known
@@ -181,12 +187,12 @@
   public int withdrawCrashes(long target, long sinceMs, long nowMs) {
     AliveSpan span = new AliveSpan(sinceMs, nowMs);
     aliveSpans.put(target, span);
+    Predicate<Observation> isWithdrawn =
+        observation -> observation.target() == target && span.contains(observation.crashMs());
     int before = observationCount;
+    retractIf(observation -> own.contains(observation) && isWithdrawn.test(observation), nowMs);
     for (Map.Entry<Long, List<Observation>> entry : List.copyOf(observationsByCause.entrySet())) {
-      removeIf(
-          entry.getKey(),
-          entry.getValue(),
-          observation -> observation.target() == target && span.contains(observation.crashMs()));
+      removeIf(entry.getKey(), entry.getValue(), isWithdrawn);
     }
     return before - observationCount;
   }
@@ -202,7 +208,7 @@
   public void recordCrash(List<Long> causes, long workspace, long target, long nowMs) {
     expire(nowMs);
     for (long cause : causes) {
-      Observation observation = new Observation(cause, workspace, target, nowMs);
+      Observation observation = new Observation(cause, workspace, target, nowMs, ids.next());
       if (add(observation)) {
         own.add(observation);
         ownRevision++;
@@ -225,7 +231,8 @@
         cleared.add(cause);
         ownSoundStartsMs.put(cause, nowMs);
         ownRevision++;
-        clear(cause, nowMs);
+        retractIf(observation -> observation.cause() == cause, nowMs);
+        recordClearing(cause, nowMs);
       }
     }
     return cleared;
@@ -239,18 +246,46 @@
    */
   public void merge(CrashFindings findings, long nowMs) {
     expire(nowMs);
+    for (CrashFindings.Retraction retraction : findings.retractions()) {
+      retractionGossip.onHeard(retraction.id());
+      mergeRetraction(retraction, nowMs);
+    }
     for (CrashFindings.SoundStart start : findings.soundStarts()) {
       isAttributionCurrent &= earlierSoundStarts.put(start.cause(), true) != null;
       clear(start.cause(), nowMs - start.ageMs());
     }
     for (CrashFindings.Crash crash : findings.crashes()) {
-      long crashMs = nowMs - Math.max(0, crash.ageMs());
-      if (nowMs - crashMs < RETENTION_MS) {
-        add(new Observation(crash.cause(), crash.workspace(), crash.target(), crashMs));
+      if (crash.ageMs() < RETENTION_MS) {
+        mergeCrash(crash, nowMs);
+      }
+    }
+    for (CrashFindings.Crash crash : findings.crashes()) {
+      // All crashes of a cause expire together, so earlier ones count beside a recent one.
+      if (crash.ageMs() >= RETENTION_MS && observationsByCause.containsKey(crash.cause())) {
+        mergeCrash(crash, nowMs);
       }
     }
   }
 
+  private void mergeCrash(CrashFindings.Crash crash, long nowMs) {
+    long crashMs = nowMs - Math.max(0, crash.ageMs());
+    add(new Observation(crash.cause(), crash.workspace(), crash.target(), crashMs, crash.id()));
+    Long keptId = ids.keptId(crash.id());
+    if (keptId != null) {
+      crashGossip.onHeard(keptId);
+    }
+  }
+
+  private void mergeRetraction(CrashFindings.Retraction retraction, long nowMs) {
+    if (!ids.isRetracted(retraction.id()) && retraction.ageMs() < RETENTION_MS) {
+      Long known = ids.keptId(retraction.id());
+      long keptId = known == null ? retraction.id() : known;
+      long timeMs = nowMs - Math.max(0, retraction.ageMs());
+      retractIf(observation -> observation.id() == keptId, timeMs);
+      ids.retract(retraction.id(), timeMs);
+    }
+  }
+
   /**
    * Returns a number that rises whenever this node finds out something new.
    *
@@ -261,27 +296,32 @@
   }
 
   /**
-   * Returns the findings of this node for the other nodes.
+   * Returns the findings for the other nodes: those of this node, and those of others about
+   * culprits that few nodes have passed on lately.
    *
    * @param nowMs monotonic time in milliseconds
+   * @param intervalMs usual time between two reports of a node
    * @return at most {@link #MAX_FINDINGS} of each kind; crashes of culprits before others, and
    *     newer ones before older ones
    */
-  public CrashFindings findings(long nowMs) {
-    if (own.isEmpty() && ownSoundStartsMs.isEmpty()) {
-      return CrashFindings.NONE;
-    }
+  public CrashFindings findings(long nowMs, long intervalMs) {
     expire(nowMs);
+    crashGossip.roll(nowMs, intervalMs);
+    retractionGossip.roll(nowMs, intervalMs);
     List<CrashFindings.Crash> crashes = new ArrayList<>();
     List<CrashFindings.Crash> crashesOfCulprits = new ArrayList<>();
     for (Observation observation : own) {
       long ageMs = nowMs - observation.crashMs();
       boolean isOfCulprit = culprits().containsKey(observation.cause());
       if (isOfCulprit || ageMs < REPORT_MS) {
-        (isOfCulprit ? crashesOfCulprits : crashes)
-            .add(
-                new CrashFindings.Crash(
-                    observation.cause(), observation.workspace(), observation.target(), ageMs));
+        (isOfCulprit ? crashesOfCulprits : crashes).add(reported(observation, nowMs));
+      }
+    }
+    for (long cause : culprits().keySet()) {
+      for (Observation observation : observationsByCause.get(cause)) {
+        if (!own.contains(observation) && crashGossip.isRare(observation.id())) {
+          crashes.add(reported(observation, nowMs));
+        }
       }
     }
     crashes.addAll(crashesOfCulprits);
@@ -292,7 +332,18 @@
             starts.add(new CrashFindings.SoundStart(cause, nowMs - startMs));
           }
         });
-    return new CrashFindings(last(crashes), last(starts));
+    List<CrashFindings.Retraction> retractions = ids.retractions(nowMs);
+    retractions.removeIf(retraction -> !retractionGossip.isRare(retraction.id()));
+    return new CrashFindings(last(crashes), last(starts), last(retractions));
+  }
+
+  private static CrashFindings.Crash reported(Observation observation, long nowMs) {
+    return new CrashFindings.Crash(
+        observation.cause(),
+        observation.workspace(),
+        observation.target(),
+        nowMs - observation.crashMs(),
+        observation.id());
   }
 
   private static <T> List<T> last(List<T> findings) {
@@ -406,6 +457,14 @@
 
   /** Adds an observation unless it is known, its target is alive, or a response began since. */
   private boolean add(Observation observation) {
+    if (ids.isRetracted(observation.id())) {
+      return false;
+    }
+    Long keptId = ids.keptId(observation.id());
+    if (keptId != null) {
+      correctTime(observation);
+      return false;
+    }
     AliveSpan span = aliveSpans.get(observation.target());
     if (span != null && span.contains(observation.crashMs())) {
       return false;
@@ -420,10 +479,16 @@
       if (other.target() == observation.target()
           && other.workspace() == observation.workspace()
           && Math.abs(other.crashMs() - observation.crashMs()) <= CrashAttribution.SAME_CRASH_MS) {
+        if (observation.id() != ObservationIds.NONE) {
+          ids.put(observation.id(), other.id());
+        }
         return false;
       }
     }
-    known.add(observation);
+    Observation numbered =
+        observation.id() == ObservationIds.NONE ? observation.withId(ids.next()) : observation;
+    known.add(numbered);
+    ids.put(numbered.id(), numbered.id());
     observationCount++;
     isAttributionCurrent = false;
     if (observationCount > MAX_OBSERVATIONS) {
@@ -432,6 +497,20 @@
     return true;
   }
 
+  /** Takes an earlier time of a known crash: a report that came late makes it look later. */
+  private void correctTime(Observation observation) {
+    List<Observation> known = observationsByCause.getOrDefault(observation.cause(), List.of());
+    for (int i = 0; i < known.size(); i++) {
+      Observation kept = known.get(i);
+      if (kept.id() == observation.id()
+          && kept.crashMs() - observation.crashMs() > CrashAttribution.SAME_MOMENT_MS
+          && !own.contains(kept)) {
+        known.set(i, observation);
+        isAttributionCurrent = false;
+      }
+    }
+  }
+
   /** Removes the cause with the fewest observations, the oldest of them. */
   private void removeLeastSuspect() {
     Long least = null;
@@ -442,19 +521,36 @@
         least = entry.getKey();
       }
     }
+    observationsByCause.get(least).forEach(observation -> ids.forget(observation.id()));
     removeIf(least, observationsByCause.get(least), observation -> true);
   }
 
+  /** Removes observations and tells the other nodes that they no longer count. */
+  private void retractIf(Predicate<Observation> isRetracted, long timeMs) {
+    for (Map.Entry<Long, List<Observation>> entry : List.copyOf(observationsByCause.entrySet())) {
+      for (Observation observation : entry.getValue()) {
+        if (isRetracted.test(observation)) {
+          ids.retract(observation.id(), timeMs);
+        }
+      }
+      removeIf(entry.getKey(), entry.getValue(), isRetracted);
+    }
+  }
+
   private void clear(long cause, long soundMs) {
     List<Observation> known = observationsByCause.get(cause);
     if (known == null) {
       return;
     }
+    recordClearing(cause, soundMs);
+    removeIf(cause, known, observation -> observation.crashMs() <= soundMs);
+  }
+
+  private void recordClearing(long cause, long soundMs) {
     soundStartsMs.merge(cause, soundMs, Math::max);
     if (soundStartsMs.size() > MAX_OBSERVATIONS) {
       soundStartsMs.remove(soundStartsMs.keySet().iterator().next());
     }
-    removeIf(cause, known, observation -> observation.crashMs() <= soundMs);
   }
 
   private void removeIf(long cause, List<Observation> known, Predicate<Observation> isRemoved) {
@@ -474,6 +570,7 @@
       return;
     }
     nextExpiryMs = nowMs + EXPIRY_INTERVAL_MS;
+    ids.expire(nowMs);
     soundStartsMs.values().removeIf(startMs -> nowMs - startMs >= RETENTION_MS);
     ownSoundStartsMs.values().removeIf(startMs -> nowMs - startMs >= REPORT_MS);
     aliveSpans.values().removeIf(span -> nowMs - span.untilMs() >= RETENTION_MS);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -145,7 +145,7 @@
             state.registry().isStoreUnavailable(),
             state.fleet().suspectAndSlowAddresses(),
             state.fleet().testimony().answerAgesMs(),
-            state.crashCauses().findings(nowMs),
+            state.crashCauses().findings(nowMs, intervalMs()),
             intervalMs(),
             state.registry().layerReports(),
             dataCentre,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportFormatsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/cluster/PeerReportFormatsTest.java
@@ -76,6 +76,7 @@
    */
   @Test
   void reportsOfEarlierVersionsAreReadWithoutWhatTheirSendersCannotTell() throws IOException {
+    assertThat(PeerReportCodec.decode(written("1076e17"))).isEqualTo(REPORT);
     assertThat(PeerReportCodec.decode(written("598b8ee"))).isEqualTo(REPORT);
     assertThat(PeerReportCodec.decode(written("2fdbeef"))).isEqualTo(REPORT);
     CrashFindings starts = new CrashFindings(List.of(), FINDINGS.soundStarts());
@@ -96,6 +97,7 @@
   /** The format 5 has marks of crashes, which are not sent, instead of findings. */
   @ParameterizedTest
   @CsvSource({
+    "1076e17, 10, '', ''",
     "598b8ee, 9, '', ''",
     "2fdbeef, 8, '', ''",
     "ccd7298, 6, '', ''",
@@ -121,7 +123,7 @@
 
   /** Guards against a version that ignores further fields and then reads none of the reports. */
   @ParameterizedTest
-  @CsvSource({"9, 1", "10, 2"})
+  @CsvSource({"9, 1", "10, 2", "11, 4"})
   void aReportWithFurtherFieldsBearsTheNumberThatTheVersionsBeforeRead(
       int format, int furtherFields) throws IOException {
     byte[] bytes = PeerReportCodec.encode(REPORT, format);
@@ -132,6 +134,24 @@
     assertThat(PeerReportCodec.readFormat(bytes)).isEqualTo(format);
   }
 
+  /** Guards against counting a crash twice that a node of the previous version reports as well. */
+  @Test
+  void numbersOfCrashesAndRetractionsReachOnlyVersionsThatReadThem() throws IOException {
+    CrashFindings findings =
+        new CrashFindings(
+            List.of(
+                new CrashFindings.Crash(17, 2, 3, 40, -8), new CrashFindings.Crash(18, 2, 3, 40)),
+            List.of(new CrashFindings.SoundStart(5, 6)),
+            List.of(new CrashFindings.Retraction(-9, 50)));
+    PeerReport report = report(List.of(), Map.of(), findings, Map.of());
+    assertThat(PeerReportCodec.decode(PeerReportCodec.encode(report))).isEqualTo(report);
+    CrashFindings earlier =
+        PeerReportCodec.decode(PeerReportCodec.encode(report, 10)).crashFindings();
+    assertThat(earlier.crashes()).extracting(CrashFindings.Crash::cause).containsExactly(17L, 18L);
+    assertThat(earlier.crashes()).extracting(CrashFindings.Crash::id).containsOnly(0L);
+    assertThat(earlier.retractions()).isEmpty();
+  }
+
   @Test
   void aReportOfAnUnknownFormatIsRejected() throws IOException {
     byte[] bytes = written("2fdbeef");
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashCausesTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashCausesTest.java
@@ -19,6 +19,9 @@
   private static final long W2 = 102;
   private static final int FAR = 1_000_000;
 
+  /** Time between two reports of a node in a small fleet. */
+  private static final long INTERVAL_MS = 100;
+
   private final CrashCauses causes = new CrashCauses();
   private final CrashCauses otherNode = new CrashCauses();
 
@@ -54,7 +57,9 @@
     causes.recordCrash(List.of(DEADLY), W1, 2, 5_000);
     assertThat(causes.withdrawCrashes(2, 5_000, 5_000)).isEqualTo(1);
     assertThat(decide(causes, DEADLY, W1, 5_001)).isEqualTo(Decision.ALLOWED);
-    assertThat(causes.findings(5_001).crashes()).extracting("target").doesNotContain(2L);
+    assertThat(causes.findings(5_001, INTERVAL_MS).crashes())
+        .extracting("target")
+        .doesNotContain(2L);
     assertThat(causes.withdrawCrashes(1, 5_000, 5_000)).isZero();
   }
 
@@ -86,7 +91,7 @@
   void crashesReportedByOtherNodesCount() {
     causes.recordCrash(List.of(DEADLY), W1, 1, 0);
     otherNode.recordCrash(List.of(DEADLY), W1, 2, 0);
-    causes.merge(otherNode.findings(1), 1);
+    causes.merge(otherNode.findings(1, INTERVAL_MS), 1);
     assertThat(decide(causes, DEADLY, W1, 2)).isEqualTo(Decision.LATER);
   }
 
@@ -94,7 +99,7 @@
   void theSameCrashSeenByTwoNodesCountsOnce() {
     causes.recordCrash(List.of(DEADLY), W1, 1, 0);
     otherNode.recordCrash(List.of(DEADLY), W1, 1, 3);
-    causes.merge(otherNode.findings(5), 5);
+    causes.merge(otherNode.findings(5, INTERVAL_MS), 5);
     assertThat(decide(causes, DEADLY, W1, 6)).isEqualTo(Decision.ALLOWED);
   }
 
@@ -112,11 +117,11 @@
   @Test
   void aResponseThatBeganAtAnotherNodeClearsACause() {
     crash(causes, 2, W1);
-    otherNode.merge(causes.findings(10), 10);
+    otherNode.merge(causes.findings(10, INTERVAL_MS), 10);
     assertThat(otherNode.recordSoundStart(List.of(DEADLY), 20)).containsExactly(DEADLY);
-    causes.merge(otherNode.findings(30), 30);
+    causes.merge(otherNode.findings(30, INTERVAL_MS), 30);
     assertThat(decide(causes, DEADLY, W1, 31)).isEqualTo(Decision.ALLOWED);
-    otherNode.merge(causes.findings(32), 32);
+    otherNode.merge(causes.findings(32, INTERVAL_MS), 32);
     assertThat(decide(otherNode, DEADLY, W1, 33)).isEqualTo(Decision.ALLOWED);
   }
 
@@ -207,7 +212,7 @@
     crash(causes, 2, W1);
     long expiredMs = CrashCauses.RETENTION_MS + 1;
     assertThat(decide(causes, DEADLY, W1, expiredMs)).isEqualTo(Decision.ALLOWED);
-    assertThat(causes.findings(expiredMs)).isEqualTo(CrashFindings.NONE);
+    assertThat(causes.findings(expiredMs, INTERVAL_MS)).isEqualTo(CrashFindings.NONE);
     assertThat(causes.isEmpty()).isTrue();
   }
 
@@ -219,7 +224,8 @@
     for (int i = 0; i < 5_000; i++) {
       causes.recordCrash(List.of(1_000 + (long) random.nextInt(100_000)), W2, 50 + i, 100);
     }
-    assertThat(causes.findings(101).crashes()).hasSizeLessThanOrEqualTo(CrashCauses.MAX_FINDINGS);
+    assertThat(causes.findings(101, INTERVAL_MS).crashes())
+        .hasSizeLessThanOrEqualTo(CrashCauses.MAX_FINDINGS);
     assertThat(decide(causes, DEADLY, W1, 102)).isEqualTo(Decision.NEVER);
   }
 
@@ -246,7 +252,7 @@
   void findingsAboutACulpritAreReportedAsLongAsItIsOne() {
     crash(causes, 2, W1);
     causes.recordCrash(List.of(9L), W1, 5, 1);
-    CrashFindings late = causes.findings(CrashCauses.REPORT_MS + 100);
+    CrashFindings late = causes.findings(CrashCauses.REPORT_MS + 100, INTERVAL_MS);
     assertThat(late.crashes()).extracting(CrashFindings.Crash::cause).containsOnly(DEADLY);
   }
 
@@ -300,7 +306,7 @@
   void aPartThatWasSoundAtAnotherNodeIsNotHeldBack() {
     otherNode.recordCrash(List.of(1L), W1, 8, 0);
     otherNode.recordSoundStart(List.of(1L), 5);
-    causes.merge(otherNode.findings(6), 6);
+    causes.merge(otherNode.findings(6, INTERVAL_MS), 6);
     causes.recordCrash(List.of(1L, DEADLY), W1, 1, 10);
     causes.recordCrash(List.of(1L, DEADLY), W1, 2, 300);
     assertThat(decide(causes, 1, W1, 310)).isEqualTo(Decision.ALLOWED);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashSimulation.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashSimulation.java
@@ -1,10 +1,13 @@
 package org.gooseberryhook.router.fleet;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -45,11 +48,22 @@
       long otherCrashIntervalMs,
       long durationMs) {}
 
+  /**
+   * Nodes that are stopped and started in turn.
+   *
+   * @param fromMs time of the first stop
+   * @param intervalMs time between two stops
+   * @param downMs time from a stop to the start
+   * @param arePassedOn whether nodes pass on the findings of others
+   */
+  record Restarts(long fromMs, long intervalMs, long downMs, boolean arePassedOn) {}
+
   private static final class Request {
     final int node;
     final long workspace;
     final List<Long> causes;
     final long deadlyPart;
+    CrashCauses sender;
     int sends;
     int target;
     int targetLife;
@@ -65,6 +79,7 @@
   private record Event(long timeMs, long sequence, Runnable action) {}
 
   private final Load load;
+  private final Optional<Restarts> restarts;
   private final Random random;
   private final List<CrashCauses> nodes = new ArrayList<>();
   private final PriorityQueue<Event> events =
@@ -73,6 +88,8 @@
               a.timeMs() != b.timeMs()
                   ? Long.compare(a.timeMs(), b.timeMs())
                   : Long.compare(a.sequence(), b.sequence()));
+  private final Map<Integer, Set<List<Long>>> ownCrashes = new HashMap<>();
+  private final long[] nodeStartsMs;
   private final int[] lives;
   private final long[] downUntilMs;
 
@@ -86,18 +103,31 @@
   /** Requests with a deadly part that reached targets, by part. */
   final Map<Long, List<Long>> deadlySendsMs = new TreeMap<>();
 
+  /** Those of them that were sent by nodes which had run for the window. */
+  private final Map<Long, List<Long>> sendsInTouchMs = new TreeMap<>();
+
+  /** Observations in all reports, each counted once and not for each receiver. */
+  long reportedObservations;
+
   int soundRequests;
   int rejectedSoundRequests;
   int deadlyRequests;
   int finalRejections;
 
   CrashSimulation(Load load, long seed) {
+    this(load, Optional.empty(), seed);
+  }
+
+  CrashSimulation(Load load, Optional<Restarts> restarts, long seed) {
     this.load = load;
+    this.restarts = restarts;
+    this.nodeStartsMs = new long[load.nodes()];
+    Arrays.fill(nodeStartsMs, -STABILITY_WINDOW_MS);
     this.random = new Random(seed);
     this.lives = new int[load.targets()];
     this.downUntilMs = new long[load.targets()];
     for (int i = 0; i < load.nodes(); i++) {
-      nodes.add(new CrashCauses());
+      nodes.add(new CrashCauses(i));
     }
   }
 
@@ -110,6 +140,7 @@
     if (load.otherCrashIntervalMs() > 0) {
       at(load.otherCrashIntervalMs(), this::crashForAnotherReason);
     }
+    restarts.ifPresent(turn -> at(turn.fromMs(), () -> restart(turn, 0)));
     while (!events.isEmpty() && events.peek().timeMs() <= load.durationMs()) {
       Event event = events.poll();
       nowMs = event.timeMs();
@@ -130,6 +161,43 @@
     return most;
   }
 
+  /** Returns the largest number of sends with one part by nodes in touch after the third crash. */
+  long mostSendsInTouchAfterThirdCrash() {
+    long most = 0;
+    for (Map.Entry<Long, List<Long>> entry : crashesMs.entrySet()) {
+      if (entry.getValue().size() >= 3) {
+        long sinceMs = entry.getValue().get(2) + STABILITY_WINDOW_MS;
+        List<Long> sendsMs = sendsInTouchMs.getOrDefault(entry.getKey(), List.of());
+        most = Math.max(most, sendsMs.stream().filter(ms -> ms > sinceMs).count());
+      }
+    }
+    return most;
+  }
+
+  private boolean isUp(int node) {
+    return nodeStartsMs[node] <= nowMs;
+  }
+
+  private void restart(Restarts turn, int count) {
+    int node = count % load.nodes();
+    nodeStartsMs[node] = nowMs + turn.downMs();
+    nodes.set(node, new CrashCauses(load.nodes() + count));
+    ownCrashes.remove(node);
+    at(nowMs + turn.intervalMs(), () -> restart(turn, count + 1));
+  }
+
+  /** Returns the findings that a node reports. */
+  private CrashFindings findings(int node) {
+    CrashFindings findings = nodes.get(node).findings(nowMs, load.reportIntervalMs());
+    if (restarts.isEmpty() || restarts.get().arePassedOn()) {
+      return findings;
+    }
+    List<CrashFindings.Crash> own = new ArrayList<>(findings.crashes());
+    Set<List<Long>> known = ownCrashes.getOrDefault(node, Set.of());
+    own.removeIf(crash -> !known.contains(List.of(crash.cause(), crash.target())));
+    return new CrashFindings(own, findings.soundStarts());
+  }
+
   /** Returns the counts and the times of all sends and crashes. */
   String summary() {
     return String.join(
@@ -156,7 +224,12 @@
             ? deadlyPart
             : 100 + workspace * GROUPS_PER_WORKSPACE + random.nextInt(GROUPS_PER_WORKSPACE);
     List<Long> causes = List.of(workspace, group, 10_000 + eventCount);
-    Request request = new Request(random.nextInt(load.nodes()), workspace, causes, deadlyPart);
+    int node = random.nextInt(load.nodes());
+    while (!isUp(node)) {
+      node = (node + 1) % load.nodes();
+    }
+    Request request = new Request(node, workspace, causes, deadlyPart);
+    request.sender = nodes.get(node);
     if (isDeadly) {
       deadlyRequests++;
     } else {
@@ -167,7 +240,7 @@
   }
 
   private void send(Request request) {
-    CrashCauses node = nodes.get(request.node);
+    CrashCauses node = request.sender;
     CrashCauses.Verdict verdict =
         node.decide(
             request.causes,
@@ -201,6 +274,9 @@
     unbegun.computeIfAbsent(request.target, t -> new LinkedHashSet<>()).add(request);
     if (request.deadlyPart != 0) {
       deadlySendsMs.computeIfAbsent(request.deadlyPart, p -> new ArrayList<>()).add(nowMs);
+      if (nowMs - nodeStartsMs[request.node] >= STABILITY_WINDOW_MS) {
+        sendsInTouchMs.computeIfAbsent(request.deadlyPart, p -> new ArrayList<>()).add(nowMs);
+      }
     }
     at(nowMs + 40 + random.nextInt(260), () -> begin(request));
   }
@@ -214,7 +290,7 @@
       crash(request.target);
     } else {
       unbegun.get(request.target).remove(request);
-      nodes.get(request.node).recordSoundStart(request.causes, nowMs);
+      request.sender.recordSoundStart(request.causes, nowMs);
     }
   }
 
@@ -236,7 +312,15 @@
       at(
           seenMs,
           () -> {
-            nodes.get(request.node).recordCrash(request.causes, request.workspace, target, seenMs);
+            if (nodes.get(request.node) != request.sender) {
+              return;
+            }
+            request.sender.recordCrash(request.causes, request.workspace, target, seenMs);
+            for (long cause : request.causes) {
+              ownCrashes
+                  .computeIfAbsent(request.node, n -> new HashSet<>())
+                  .add(List.of(cause, (long) target));
+            }
             if (request.sends < MAX_SENDS) {
               send(request);
             }
@@ -245,12 +329,16 @@
   }
 
   private void report(int sender) {
-    CrashFindings findings = nodes.get(sender).findings(nowMs);
+    CrashFindings findings = isUp(sender) ? findings(sender) : CrashFindings.NONE;
+    reportedObservations += findings.crashes().size();
+    boolean isEmpty = findings.equals(CrashFindings.NONE);
     for (int receiver = 0; receiver < load.nodes(); receiver++) {
       if (receiver != sender && random.nextDouble() >= load.reportLoss()) {
         CrashCauses node = nodes.get(receiver);
         long arrivalMs = nowMs + 1 + random.nextInt(10);
-        at(arrivalMs, () -> node.merge(findings, arrivalMs));
+        if (!isEmpty) {
+          at(arrivalMs, () -> node.merge(findings, arrivalMs));
+        }
       }
     }
     at(nowMs + load.reportIntervalMs(), () -> report(sender));
