Let a second stop signal wait for the first stop

Cause: each signal runs RouterNode.stop. The second call moves the time by which the node expects requests to end, so that it takes requests which the first call still cuts at the end of its own grace period. It also fails afterwards, because the event loop has ended.

Ruled out: the forecast itself; without a second signal none is cut (LateRequestTest, same machine).

Change: the second call waits for the first one and does nothing.

Not played: a node process of its own with a grace of 8 s.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -85,6 +85,9 @@
 
   private volatile boolean isStopping;
 
+  /** Whether {@link #stop} was called; guarded by this object. */
+  private boolean hasStopped;
+
   /**
    * Implementations of the interfaces to the platform, which a deployment provides to a node.
    *
@@ -449,9 +452,14 @@
   /**
    * Stops the node: directs callers to other nodes, waits for requests in flight, and ends those
    * that are left shortly before the grace period does. Blocks until their callers have the
-   * responses.
+   * responses. A further call, as of a second signal, waits for the first one and has no effect: it
+   * does not extend the grace period.
    */
-  public void stop() {
+  public synchronized void stop() {
+    if (hasStopped) {
+      return;
+    }
+    hasStopped = true;
     long deadlineMs = clock.nowMs() + settings.abortAfterMs();
     CountDownLatch idle = new CountDownLatch(1);
     loop.execute(
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LateRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/LateRequestTest.java
@@ -25,6 +25,7 @@
 
   private static final int REQUESTS = 30;
   private static final long INTERVAL_MS = 100;
+  private static final long SECOND_SIGNAL_MS = 1_500;
 
   /** The callers state 30 tokens, and an event has three. */
   private static final int EVENTS_PER_STREAM = 10;
@@ -126,6 +127,21 @@
     assertServedOrNotRun(responses, r -> r.startsWith("HTTP/1.1 200"));
   }
 
+  /** Guards against requests that are sent because a second signal seems to extend the stop. */
+  @Test
+  void aRequestAfterASecondStopSignalIsNotCutByTheFirstStop() throws Exception {
+    addTarget("plain", null, this::respondLate);
+    startNode();
+    String request = post("/slow/x", "b");
+    serveFirst(request);
+    CompletableFuture<Void> second =
+        CompletableFuture.runAsync(
+            node::stop, CompletableFuture.delayedExecutor(SECOND_SIGNAL_MS, TimeUnit.MILLISECONDS));
+    List<String> responses = responsesWhileStopping(request);
+    assertServedOrNotRun(responses, r -> r.startsWith("HTTP/1.1 200"));
+    second.get(10, TimeUnit.SECONDS);
+  }
+
   /** Guards against streams that are started, at once or from the queue, and cut. */
   @Test
   void aStreamThatCannotEndBeforeTheNodeStopsIsRefusedAsNotRun() throws Exception {
