--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/RelayChoice.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/RelayChoice.java
@@ -16,8 +16,8 @@
  * others two are drawn at random and the one with fewer requests is taken, so that many cut-off
  * nodes spread their requests without agreeing on it.
  *
- * <p>A stream needs targets for all layers of a model. A node that lacks one target may be unable to
- * serve any, and is idle for that reason. Streams therefore go to nodes that reach the most.
+ * <p>A stream needs targets for all layers of a model. A node that lacks one target may be unable
+ * to serve any, and is idle for that reason. Streams therefore go to nodes that reach the most.
  */
 public final class RelayChoice {
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/SendLedger.java
@@ -10,15 +10,15 @@
 /**
  * The targets to which a request was sent and what is known for certain about each send. Immutable.
  *
- * <p>A target counts towards the attempts of the route once it got the request, unless it has stated
- * that the request did not run, or has shown a later start. A target that does not respond, resets
- * connections or refuses new ones may be alive and still run the request. Further sends to the same
- * target do not count, but are bounded.
+ * <p>A target counts towards the attempts of the route once it got the request, unless it has
+ * stated that the request did not run, or has shown a later start. A target that does not respond,
+ * resets connections or refuses new ones may be alive and still run the request. Further sends to
+ * the same target do not count, but are bounded.
  *
  * @param sends the sends that were not refused, in order
  * @param refusals number of sends of which a target has stated that the request did not run
- * @param earlierSends number of targets that got the request from other nodes, which count: from the
- *     one that relayed the request to this one, or from one that was offered it
+ * @param earlierSends number of targets that got the request from other nodes, which count: from
+ *     the one that relayed the request to this one, or from one that was offered it
  */
 record SendLedger(List<Send> sends, int refusals, int earlierSends) {
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -116,8 +116,7 @@
   void probe(TargetEntry target) {
     if (isPlain.test(target) || suspectTracker.isSuspect(target.address())) {
       probeAnew(target);
-    } else if (!isPaused(target)
-        && suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
+    } else if (!isPaused(target) && suspectTracker.tryStartProbe(target.address(), clock.nowMs())) {
       readState(target, engines::readState);
     }
   }
