Test a whole stream that a target sends once more

Tests had a copy of a refusal only.

Command: mvn -o -q -B -ntp -pl gooseberryhook-router -am -Dtest='RepeatedAnswerTest#aCopyOfAnEarlier*' -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/RepeatedAnswerTest.java
@@ -218,4 +218,47 @@
       assertThat(exchange(request("/book/x", attempt))).startsWith("HTTP/1.1 200");
     }
   }
+
+  private static String stream(String request) {
+    String lastId = TargetStandin.header(request, "last-event-id");
+    StringBuilder chunks = new StringBuilder();
+    for (int id = lastId.isEmpty() ? 1 : Integer.parseInt(lastId) + 1; id <= 6; id++) {
+      chunks.append("f\r\nid: ").append(id).append("\ndata: ").append(id).append("\n\n\r\n");
+    }
+    return answer(request).replaceFirst("(?s)\r\n\r\n.*", "\r\n\r\n") + chunks + "0\r\n\r\n";
+  }
+
+  /** Guards against events of an earlier stream on the connection that its caller gets again. */
+  @ParameterizedTest(name = "{0}, resumed as {1}")
+  @CsvSource({
+    "BEFORE_NEXT_ANSWER, a1",
+    "BEFORE_NEXT_ANSWER, a2",
+    "WITH_NEXT_ANSWER, a1",
+    "WITH_NEXT_ANSWER, a2",
+    "BETWEEN_REQUESTS, a2"
+  })
+  void aCopyOfAnEarlierStreamIsNotSentToTheCallerThatResumesIt(CopyTime time, String attempt)
+      throws Exception {
+    Map<OutputStream, String> copies = new ConcurrentHashMap<>();
+    addPipeline(
+        (request, out) -> {
+          String answer = stream(request);
+          String copy = copies.getOrDefault(out, "");
+          copies.put(out, answer);
+          if (time == CopyTime.WITH_NEXT_ANSWER) {
+            TargetStandin.write(out, copy + answer);
+            return;
+          }
+          String before = time == CopyTime.BEFORE_NEXT_ANSWER ? copy : answer;
+          TargetStandin.write(out, before);
+          Thread.sleep(COPY_DELAY_MS);
+          TargetStandin.write(out, answer);
+        });
+    startNode();
+    assertThat(exchange(request("/draft/x", "a1"))).contains("id: 1\n", "id: 6\n");
+    Thread.sleep(2 * COPY_DELAY_MS);
+    String resumed = "Host: h\r\nlast-event-id: 3";
+    String response = exchange(request("/draft/x", attempt).replace("Host: h", resumed));
+    assertThat(BegunStreamHarness.body(response)).isEqualTo(BegunStreamHarness.events(4, 6));
+  }
 }
