Sum whole permits only when a request may wait for one

What callers would see: a request that waits until its time is over although no permit comes, and a resumption that spends retry budget for it.

Cause: nodes begin with a part of a permit since, also those without a share of the limit, and the parts for several limited targets were added up to one (found by the review, by reading). Buckets that had accrued were added up in the same way before.

Change: the permits within a time are whole ones for each target. TargetLimitsTest#partsOfPermitsForSeveralTargetsAreNoPermit fails before and passes after, with the 27 tests of its class, LimitSimulationTest and LimitedHeadPlacementTest.

mvn -o -B -ntp -pl gooseberryhook-router -am -Dtest='TargetLimitsTest,LimitSimulationTest,LimitedHeadPlacementTest' \ -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PermitBucket.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PermitBucket.java
@@ -65,9 +65,13 @@
     permits = Math.min(capacity(), permits + 1);
   }
 
-  /** Returns the permits that there are in a time, those of now included. */
+  /**
+   * Returns the whole permits that there are in a time, those of now included. Parts of permits for
+   * several targets do not add up to one.
+   */
   double permitsWithin(long timeMs) {
-    return Math.max(0, permits + perSecond * Math.max(0, timeMs) / MS_PER_SECOND);
+    double within = permits + perSecond * Math.max(0, timeMs) / MS_PER_SECOND;
+    return Math.max(0, Math.floor(within));
   }
 
   /**
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/TargetLimitsTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/TargetLimitsTest.java
@@ -72,6 +72,17 @@
     return limits.inForceCount() == 1;
   }
 
+  /** Guards against requests that wait for a permit made up of parts for several targets. */
+  @Test
+  void partsOfPermitsForSeveralTargetsAreNoPermit() {
+    PermitBucket first = new PermitBucket(0.6, 0);
+    PermitBucket second = new PermitBucket(0.6, 0);
+    assertThat(first.permitsWithin(10_000) + second.permitsWithin(10_000)).isZero();
+    first.refill(0.5, 0);
+    assertThat(first.permitsWithin(700)).isZero();
+    assertThat(first.permitsWithin(900)).isEqualTo(1);
+  }
+
   @Test
   void anAnswerWithoutALimitEndsItOnlyIfItsRequestWasSentLater() {
     answer(OptionalDouble.of(2), 10_000, 10_100);
