Seed the numbers of observed crashes where the node is put together

ArchitectureTest is red on: decisions in fleet draw no random numbers and start no threads, and CrashCauses took its seed from java.util.concurrent. The node passes the seed in now, tests pass a fixed one. ArchitectureTest, CrashCausesTest and PassedOnCrashesTest pass with the change.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongToIntFunction;
 import java.util.function.Predicate;
 import org.gooseberryhook.router.fleet.CrashAttribution.Culprit;
@@ -96,17 +95,12 @@
     }
   }
 
-  /** Creates the findings of a process that has just started. */
-  public CrashCauses() {
-    this(ThreadLocalRandom.current().nextLong());
-  }
-
   /**
    * Creates empty findings.
    *
    * @param seed decides the numbers of the node's observations; must differ between processes
    */
-  CrashCauses(long seed) {
+  public CrashCauses(long seed) {
     ids = new ObservationIds(seed);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -62,7 +62,7 @@
   private final PeerTable peers;
   private final TargetRegistry registry = new TargetRegistry();
   private final LoadTracker loads = new LoadTracker();
-  private final CrashCauses crashCauses = new CrashCauses();
+  private final CrashCauses crashCauses = new CrashCauses(new SplittableRandom().nextLong());
   private final RouterMetrics metrics = new RouterMetrics();
   private final PlacementLease lease;
   private final FleetState fleet;
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashCausesTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/CrashCausesTest.java
@@ -22,8 +22,8 @@
   /** Time between two reports of a node in a small fleet. */
   private static final long INTERVAL_MS = 100;
 
-  private final CrashCauses causes = new CrashCauses();
-  private final CrashCauses otherNode = new CrashCauses();
+  private final CrashCauses causes = new CrashCauses(1);
+  private final CrashCauses otherNode = new CrashCauses(2);
 
   private Decision decide(CrashCauses node, long cause, long workspace, long nowMs) {
     return node.decide(List.of(cause), workspace, c -> FAR, nowMs).decision();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TestContexts.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TestContexts.java
@@ -64,7 +64,7 @@
         fleet,
         new ServiceRetryBudget(() -> new RetryBounds(0.2, 100, 10_000), () -> 1),
         new TargetHealth(),
-        new CrashCauses(),
+        new CrashCauses(1),
         new TargetLimits("n", null, null, null),
         new BodyMemoryBudget(1_000),
         new StopForecast(),
