Add up amounts of all nodes along with their loads

Cause: a node knows the loads of the others but not their demand, so that no decision can weigh the demand of the fleet. Change: FleetSums travel with the loads, in the relay of a large fleet and in the reports of a small one, appended to the messages so that earlier versions ignore them. Nothing publishes amounts yet.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReport.java
@@ -39,6 +39,7 @@
  * @param limits what the sender knows of the limits that targets named, by target id
  * @param announcedLeaving start, in Unix milliseconds, of the targets that said in an answer to the
  *     sender or another node that they are about to leave, by target id
+ * @param sums the sender's amounts; empty in a large fleet, where they are relayed with the loads
  */
 public record PeerReport(
     String node,
@@ -61,7 +62,56 @@
     long configurationVersion,
     Map<String, Integer> reachableTargets,
     Map<String, LimitReport> limits,
-    Map<String, Long> announcedLeaving) {
+    Map<String, Long> announcedLeaving,
+    FleetSums sums) {
+
+  /** Creates a report without amounts; its components are those of the record. */
+  public PeerReport(
+      String node,
+      long incarnation,
+      long sequence,
+      String callerAddress,
+      String reportAddress,
+      boolean isReady,
+      long leaseRevision,
+      boolean isStopping,
+      Map<String, InFlightLoad> loads,
+      boolean isStoreUnavailable,
+      List<String> suspects,
+      Map<String, Long> answeringSuspects,
+      CrashFindings crashFindings,
+      long intervalMs,
+      Map<String, LayerReport> layerReports,
+      String dataCentre,
+      boolean canRelay,
+      long configurationVersion,
+      Map<String, Integer> reachableTargets,
+      Map<String, LimitReport> limits,
+      Map<String, Long> announcedLeaving) {
+    this(
+        node,
+        incarnation,
+        sequence,
+        callerAddress,
+        reportAddress,
+        isReady,
+        leaseRevision,
+        isStopping,
+        loads,
+        isStoreUnavailable,
+        suspects,
+        answeringSuspects,
+        crashFindings,
+        intervalMs,
+        layerReports,
+        dataCentre,
+        canRelay,
+        configurationVersion,
+        reachableTargets,
+        limits,
+        announcedLeaving,
+        FleetSums.NONE);
+  }
 
   /**
    * Returns whether the sender holds the placement lease and thus plans the placement.
@@ -100,7 +150,40 @@
         configurationVersion,
         reachableTargets,
         limits,
-        announcedLeaving);
+        announcedLeaving,
+        sums);
+  }
+
+  /**
+   * Returns this report with the amounts of its sender.
+   *
+   * @param newSums the amounts
+   * @return a new report
+   */
+  public PeerReport withSums(FleetSums newSums) {
+    return new PeerReport(
+        node,
+        incarnation,
+        sequence,
+        callerAddress,
+        reportAddress,
+        isReady,
+        leaseRevision,
+        isStopping,
+        loads,
+        isStoreUnavailable,
+        suspects,
+        answeringSuspects,
+        crashFindings,
+        intervalMs,
+        layerReports,
+        dataCentre,
+        canRelay,
+        configurationVersion,
+        reachableTargets,
+        limits,
+        announcedLeaving,
+        newSums);
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/PeerReportCodec.java
@@ -27,9 +27,14 @@
 public final class PeerReportCodec {
 
   /** The present format. */
-  public static final int FORMAT_VERSION = 11;
+  public static final int FORMAT_VERSION = 12;
 
-  private static final int FIELD_COUNT = 24;
+  private static final int FIELD_COUNT = 25;
+
+  /** Format without the amounts that add up over the fleet. */
+  private static final int FORMAT_WITHOUT_SUMS = 11;
+
+  private static final int FIELD_COUNT_WITHOUT_SUMS = 24;
 
   /** Format without numbers of observed crashes and without retractions. */
   private static final int FORMAT_WITHOUT_CRASH_IDS = 10;
@@ -102,7 +107,7 @@
         packer.packString(suspect);
       }
       if (!isEarlier) {
-        packMillis(packer, report.answeringSuspects());
+        packLongs(packer, report.answeringSuspects());
       }
       if (format == FORMAT_WITH_CRASH_MARKS) {
         packer.packArrayHeader(0);
@@ -120,11 +125,14 @@
         packLimits(packer, report.limits());
       }
       if (format >= FORMAT_WITHOUT_CRASH_IDS) {
-        packMillis(packer, report.announcedLeaving());
+        packLongs(packer, report.announcedLeaving());
       }
-      if (format == FORMAT_VERSION) {
+      if (format >= FORMAT_WITHOUT_SUMS) {
         packCrashIds(packer, report.crashFindings());
       }
+      if (format == FORMAT_VERSION) {
+        packLongs(packer, report.sums().amounts());
+      }
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a peer report", e);
@@ -134,6 +142,7 @@
   private static int fieldCount(int format) {
     return switch (format) {
       case FORMAT_VERSION -> FIELD_COUNT;
+      case FORMAT_WITHOUT_SUMS -> FIELD_COUNT_WITHOUT_SUMS;
       case FORMAT_WITHOUT_CRASH_IDS -> FIELD_COUNT_WITHOUT_CRASH_IDS;
       case FORMAT_WITHOUT_LEAVING -> FIELD_COUNT_WITHOUT_LEAVING;
       case FORMAT_WITHOUT_LIMITS -> FIELD_COUNT_WITHOUT_LIMITS;
@@ -141,10 +150,10 @@
     };
   }
 
-  private static void packMillis(MessageBufferPacker packer, Map<String, Long> timesMs)
+  private static void packLongs(MessageBufferPacker packer, Map<String, Long> values)
       throws IOException {
-    packer.packMapHeader(timesMs.size());
-    for (Map.Entry<String, Long> entry : timesMs.entrySet()) {
+    packer.packMapHeader(values.size());
+    for (Map.Entry<String, Long> entry : values.entrySet()) {
       packer.packString(entry.getKey()).packLong(entry.getValue());
     }
   }
@@ -220,7 +229,13 @@
       final int format = unpackFormat(unpacker);
       final boolean isEarlier = format < FORMAT_WITHOUT_LIMITS;
       PeerReport report = readReport(unpacker, format, isEarlier);
-      return format == FORMAT_VERSION ? readCrashIds(unpacker, report) : report;
+      if (format < FORMAT_WITHOUT_SUMS) {
+        return report;
+      }
+      PeerReport withIds = readCrashIds(unpacker, report);
+      return format == FORMAT_VERSION
+          ? withIds.withSums(new FleetSums(readLongs(unpacker)))
+          : withIds;
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode a peer report", e);
     }
@@ -240,7 +255,7 @@
         readLoads(unpacker),
         unpacker.unpackBoolean(),
         readSuspects(unpacker, isEarlier),
-        isEarlier ? Map.of() : readMillis(unpacker),
+        isEarlier ? Map.of() : readLongs(unpacker),
         readCrashFindings(unpacker, format),
         unpacker.unpackLong(),
         readLayerReports(unpacker),
@@ -249,7 +264,7 @@
         unpacker.unpackLong(),
         isEarlier ? Map.of() : readCounts(unpacker),
         format >= FORMAT_WITHOUT_LEAVING ? readLimits(unpacker) : Map.of(),
-        format >= FORMAT_WITHOUT_CRASH_IDS ? readMillis(unpacker) : Map.of());
+        format >= FORMAT_WITHOUT_CRASH_IDS ? readLongs(unpacker) : Map.of());
   }
 
   /** Reads the numbers of the crashes, which the fields before them list, and the retractions. */
@@ -308,6 +323,9 @@
     if (format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT) {
       return FORMAT_VERSION;
     }
+    if (format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT_WITHOUT_SUMS) {
+      return FORMAT_WITHOUT_SUMS;
+    }
     if (format == FORMAT_WITHOUT_LIMITS && fieldCount >= FIELD_COUNT_WITHOUT_CRASH_IDS) {
       return FORMAT_WITHOUT_CRASH_IDS;
     }
@@ -400,13 +418,13 @@
     return strings;
   }
 
-  private static Map<String, Long> readMillis(MessageUnpacker unpacker) throws IOException {
+  private static Map<String, Long> readLongs(MessageUnpacker unpacker) throws IOException {
     int size = checkSize(unpacker.unpackMapHeader());
-    Map<String, Long> timesMs = new HashMap<>();
+    Map<String, Long> values = new HashMap<>();
     for (int i = 0; i < size; i++) {
-      timesMs.put(unpacker.unpackString(), unpacker.unpackLong());
+      values.put(unpacker.unpackString(), unpacker.unpackLong());
     }
-    return timesMs;
+    return values;
   }
 
   private static CrashFindings readCrashFindings(MessageUnpacker unpacker) throws IOException {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ListDistribution.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/ListDistribution.java
@@ -10,6 +10,8 @@
 import java.util.random.RandomGenerator;
 import org.gooseberryhook.router.admission.InFlightLoad;
 import org.gooseberryhook.router.admission.LoadTracker;
+import org.gooseberryhook.router.cluster.FleetSums;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.cluster.LoadAggregation;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
@@ -58,6 +60,7 @@
   private final LoadTracker loads;
   private final Runnable onLoadsChanged;
   private final LoadAggregation aggregation = new LoadAggregation();
+  private final FleetSumsTracker sums;
   private final RelayServer server;
   private final RelayClient client;
   private final Map<String, Long> avoidedUntilMs = new HashMap<>();
@@ -76,6 +79,7 @@
       List<FeedFollower<?>> lists,
       Supplier<Boolean> isLeaseHeld,
       LoadTracker loads,
+      FleetSumsTracker sums,
       Runnable onLoadsChanged,
       EventLoop loop,
       MonotonicClock clock,
@@ -87,6 +91,7 @@
     this.lists = List.copyOf(lists);
     this.isLeaseHeld = isLeaseHeld;
     this.loads = loads;
+    this.sums = sums;
     this.onLoadsChanged = onLoadsChanged;
     this.clock = clock;
     this.log = log;
@@ -177,7 +182,8 @@
         && areLoadsRelayed()
         && nowMs - lastLoadsMs >= LOAD_INTERVAL_MS) {
       lastLoadsMs = nowMs;
-      client.send(new FollowerMessage(Map.of(), aggregation.nextSent(loads.ownLoads())));
+      client.send(
+          new FollowerMessage(Map.of(), aggregation.nextSent(loads.ownLoads()), sums.nextSent()));
     }
   }
 
@@ -201,10 +207,12 @@
     if (next.isEmpty()) {
       client.disconnect();
       aggregation.onSourceGone();
+      sums.onSourceGone();
     } else if (!next.equals(client.source()) && hasReadAll()) {
       lastFrameMs = clock.nowMs();
       sourcePath = List.of();
       aggregation.onSourceGone();
+      sums.onSourceGone();
       client.follow(next.get(), addresses.get(next.get()));
     }
   }
@@ -217,9 +225,9 @@
   private FollowerMessage newSubscription() {
     Map<String, ListPosition> positions = new HashMap<>();
     lists.forEach(list -> positions.put(list.name(), list.history().position()));
-    Map<String, InFlightLoad> sent =
-        areLoadsRelayed() ? aggregation.nextSent(loads.ownLoads()) : Map.of();
-    return new FollowerMessage(positions, sent);
+    return areLoadsRelayed()
+        ? new FollowerMessage(positions, aggregation.nextSent(loads.ownLoads()), sums.nextSent())
+        : new FollowerMessage(positions, Map.of());
   }
 
   /** Subscribes again after this node has read a whole list. */
@@ -244,6 +252,7 @@
     }
     aggregation.onTotal(frame.loads());
     loads.replaceRelayedLoads(aggregation.others());
+    sums.onTotal(frame.sums());
     onLoadsChanged.run();
     registry.extendRestoreGrace(frame.restoreGraceMs(), clock.nowMs());
     for (ListUpdate update : frame.updates()) {
@@ -292,8 +301,10 @@
 
   private final class Loads implements RelayServer.FollowerLoads {
     @Override
-    public void replaceFollower(String follower, Map<String, InFlightLoad> followerLoads) {
+    public void replaceFollower(
+        String follower, Map<String, InFlightLoad> followerLoads, FleetSums followerSums) {
       aggregation.replaceFollower(follower, followerLoads);
+      sums.replaceFollower(follower, followerSums);
       loads.replaceRelayedLoads(aggregation.others());
     }
 
@@ -301,5 +312,10 @@
     public Map<String, InFlightLoad> total() {
       return areLoadsRelayed() ? loads.totalLoads() : Map.of();
     }
+
+    @Override
+    public FleetSums totalSums() {
+      return areLoadsRelayed() ? sums.total() : FleetSums.NONE;
+    }
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -6,6 +6,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.gooseberryhook.router.admission.LoadTracker;
+import org.gooseberryhook.router.cluster.FleetSums;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.PlacementLease;
@@ -44,7 +46,8 @@
       PlacementLease lease,
       BooleanSupplier canRelay,
       LongSupplier configurationVersion,
-      LimitKeeper limits) {}
+      LimitKeeper limits,
+      FleetSumsTracker sums) {}
 
   PeerReporter(
       RouterSettings settings,
@@ -81,6 +84,7 @@
     for (String expired : state.peers().expire(nowMs)) {
       log.recordEvent("node-gone", "", "peer", expired);
       state.loads().replacePeerLoads(expired, Map.of());
+      state.sums().replacePeer(expired, FleetSums.NONE);
       state.fleet().onPeerGone(expired);
       state.limits().limits().onNodeGone(expired);
     }
@@ -130,6 +134,7 @@
    */
   void sendReport(boolean isLast) {
     long nowMs = clock.nowMs();
+    boolean areRelayed = ReportSchedule.areLoadsRelayed(receiverCount());
     schedule.onSent(urgentState(), nowMs);
     PeerReport report =
         new PeerReport(
@@ -141,7 +146,7 @@
             isReady.getAsBoolean(),
             leaseRevision(),
             isLast,
-            ReportSchedule.areLoadsRelayed(receiverCount()) ? Map.of() : state.loads().ownLoads(),
+            areRelayed ? Map.of() : state.loads().ownLoads(),
             state.registry().isStoreUnavailable(),
             state.fleet().suspectAndSlowAddresses(),
             state.fleet().testimony().answerAgesMs(),
@@ -153,7 +158,8 @@
             state.configurationVersion().getAsLong(),
             state.fleet().reachableTargets(),
             state.limits().limits().reports(nowMs),
-            state.registry().announcedLeaving());
+            state.registry().announcedLeaving(),
+            areRelayed ? FleetSums.NONE : state.sums().own());
     socket.send(report, state.peers().reportAddresses());
   }
 
@@ -167,6 +173,7 @@
       log.recordEvent("node-seen", "", "peer", report.node(), "incarnation", report.incarnation());
     }
     state.loads().replacePeerLoads(report.node(), report.isStopping() ? Map.of() : report.loads());
+    state.sums().replacePeer(report.node(), report.isStopping() ? FleetSums.NONE : report.sums());
     if (report.isLeaseHolder()) {
       state.lease().onHolderReport(report.leaseRevision(), nowMs);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayServer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RelayServer.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.gooseberryhook.router.admission.InFlightLoad;
+import org.gooseberryhook.router.cluster.FleetSums;
 import org.gooseberryhook.router.forward.DecisionLog;
 import org.gooseberryhook.router.forward.MonotonicClock;
 import org.gooseberryhook.router.relay.FollowerMessage;
@@ -79,11 +80,15 @@
 
   /** Loads of the followers and of all nodes. */
   interface FollowerLoads {
-    /** Replaces the loads that a follower sent; none when it is gone. */
-    void replaceFollower(String follower, Map<String, InFlightLoad> followerLoads);
+    /** Replaces the loads and amounts that a follower sent; none when it is gone. */
+    void replaceFollower(
+        String follower, Map<String, InFlightLoad> followerLoads, FleetSums followerSums);
 
     /** Returns the loads of all nodes, by target id. */
     Map<String, InFlightLoad> total();
+
+    /** Returns the amounts of all nodes. */
+    FleetSums totalSums();
   }
 
   RelayServer(
@@ -158,7 +163,7 @@
 
   private void forgetLoads(Channel follower) {
     lastLoadsMs.remove(follower);
-    loads.replaceFollower(follower.id().asShortText(), Map.of());
+    loads.replaceFollower(follower.id().asShortText(), Map.of(), FleetSums.NONE);
   }
 
   /** Sends the state of the lists to all followers. Must be called on the event loop. */
@@ -203,7 +208,8 @@
             availability.isRecent(),
             availability.restoreGraceMs(),
             updates,
-            loads.total()));
+            loads.total(),
+            loads.totalSums()));
   }
 
   /** Returns an update by which a follower reads the whole list from the store. */
@@ -258,7 +264,7 @@
         ctx.close();
         return;
       }
-      loads.replaceFollower(ctx.channel().id().asShortText(), received.loads());
+      loads.replaceFollower(ctx.channel().id().asShortText(), received.loads(), received.sums());
       lastLoadsMs.put(ctx.channel(), clock.nowMs());
       if (!received.positions().isEmpty()) {
         followers.put(ctx.channel(), received.positions());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -13,6 +13,7 @@
 import org.gooseberryhook.protocol.TableService;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.ServiceRetryBudget;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.PlacementLease;
@@ -62,6 +63,7 @@
   private final PeerTable peers;
   private final TargetRegistry registry = new TargetRegistry();
   private final LoadTracker loads = new LoadTracker();
+  private final FleetSumsTracker sums;
   private final CrashCauses crashCauses = new CrashCauses(new SplittableRandom().nextLong());
   private final RouterMetrics metrics = new RouterMetrics();
   private final PlacementLease lease;
@@ -136,6 +138,7 @@
     this.log = new StructuredLog(settings.name(), clock);
     Dependencies deps = dependencyFactory.create(loop, clock, log);
     this.peers = new PeerTable(settings.name());
+    this.sums = new FleetSumsTracker(() -> peers.liveReports().size());
     this.lease = new PlacementLease(settings.name(), incarnation);
     this.fleet =
         new FleetState(
@@ -147,7 +150,7 @@
             this::readTargetsEarly,
             log);
     this.limits = new LimitKeeper(fleet, peers, clock, log);
-    this.suspension = new SuspensionCheck(clock, log, lease::relinquish);
+    this.suspension = new SuspensionCheck(clock, log, this::onSuspended);
     this.forwarder = newForwarder(deps.headerCodec());
     deps.engines().setAnswerListener(this::onTargetAnswer);
     fleet.setAliveListener(new CrashWithdrawal(crashCauses, clock, log));
@@ -186,7 +189,8 @@
             lease,
             this::canRelay,
             this::configurationVersion,
-            limits),
+            limits,
+            sums),
         loop,
         clock,
         this::isReady,
@@ -202,6 +206,7 @@
         List.of(configurationFeed, targetFeed),
         () -> lease.isHeld(clock.nowMs()),
         loads,
+        sums,
         this::onLoadsChanged,
         loop,
         clock,
@@ -236,6 +241,11 @@
         log);
   }
 
+  private void onSuspended() {
+    lease.relinquish();
+    sums.forgetOthers();
+  }
+
   private boolean canRelay() {
     return distribution.canRelay();
   }
@@ -364,6 +374,7 @@
     return new PeriodicDuties(log)
         .add("suspension", suspension::tick)
         .add("targets", () -> registry.removeExpired(clock.nowMs()))
+        .add("sums", () -> sums.refresh(clock.nowMs()))
         .add("lists", distribution::tick)
         .add("registration", registration::tick)
         .add("fleet", () -> fleet.tick(configuration))
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayCodec.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayCodec.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import org.gooseberryhook.router.admission.InFlightLoad;
+import org.gooseberryhook.router.cluster.FleetSums;
 import org.gooseberryhook.router.relay.ListUpdate.ListChange;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 /** Encodes and decodes the messages between a node and its followers as MessagePack. */
 public final class RelayCodec {
@@ -23,6 +25,10 @@
   private static final int MAX_LISTS = 16;
   private static final int MAX_PATH_NODES = 64;
   private static final int MAX_TARGETS = 16_384;
+
+  /** The sums of many nodes may have more keys than the amounts of one. */
+  private static final int MAX_SUMS = 65_536;
+
   private static final int MAX_CHANGES = 65_536;
   private static final int MAX_CONTENT_BYTES = 8_388_608;
 
@@ -42,6 +48,7 @@
         packPosition(packer, entry.getValue());
       }
       packLoads(packer, message.loads());
+      packSums(packer, message.sums());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a follower's message", e);
@@ -63,7 +70,7 @@
       for (int i = 0; i < size; i++) {
         positions.put(unpacker.unpackString(), unpackPosition(unpacker));
       }
-      return new FollowerMessage(positions, unpackLoads(unpacker));
+      return new FollowerMessage(positions, unpackLoads(unpacker), unpackSums(unpacker));
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode the relay message of a follower", e);
     }
@@ -89,6 +96,26 @@
     return loads;
   }
 
+  /** Writes the amounts, which the versions before them do not read. */
+  private static void packSums(MessageBufferPacker packer, FleetSums sums) throws IOException {
+    packer.packMapHeader(sums.amounts().size());
+    for (Map.Entry<String, Long> entry : sums.amounts().entrySet()) {
+      packer.packString(entry.getKey()).packLong(entry.getValue());
+    }
+  }
+
+  private static FleetSums unpackSums(MessageUnpacker unpacker) throws IOException {
+    if (!unpacker.hasNext() || unpacker.getNextFormat().getValueType() != ValueType.MAP) {
+      return FleetSums.NONE;
+    }
+    int size = requireAtMost(unpacker.unpackMapHeader(), MAX_SUMS);
+    Map<String, Long> amounts = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      amounts.put(unpacker.unpackString(), unpacker.unpackLong());
+    }
+    return new FleetSums(amounts);
+  }
+
   /**
    * Encodes a frame.
    *
@@ -118,6 +145,7 @@
         }
       }
       packLoads(packer, frame.loads());
+      packSums(packer, frame.sums());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode a relay frame", e);
@@ -147,7 +175,13 @@
             position.isKnown() ? Optional.of(position) : Optional.empty();
         updates.add(new ListUpdate(list, known, ageMs, unpackChanges(unpacker)));
       }
-      return new RelayFrame(path, isStoreAvailable, restoreGraceMs, updates, unpackLoads(unpacker));
+      return new RelayFrame(
+          path,
+          isStoreAvailable,
+          restoreGraceMs,
+          updates,
+          unpackLoads(unpacker),
+          unpackSums(unpacker));
     } catch (RuntimeException | EOFException e) {
       throw new IOException("cannot decode a relay frame", e);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayFrame.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/RelayFrame.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.gooseberryhook.router.admission.InFlightLoad;
+import org.gooseberryhook.router.cluster.FleetSums;
 
 /**
  * Message to a node that follows the lists of the sender.
@@ -16,13 +17,15 @@
  * @param updates one update for each list
  * @param loads loads of all nodes by target id, as the sender knows them; empty in a small fleet,
  *     where each node reports to each other one
+ * @param sums amounts of all nodes, as the sender knows them; empty in a small fleet
  */
 public record RelayFrame(
     List<String> path,
     boolean isStoreAvailable,
     long restoreGraceMs,
     List<ListUpdate> updates,
-    Map<String, InFlightLoad> loads) {
+    Map<String, InFlightLoad> loads,
+    FleetSums sums) {
 
   /** Copies the collections. */
   public RelayFrame {
@@ -30,4 +33,22 @@
     updates = List.copyOf(updates);
     loads = Map.copyOf(loads);
   }
+
+  /**
+   * Creates a message without amounts.
+   *
+   * @param path names of the nodes through which the sender gets the lists
+   * @param isStoreAvailable whether the sender's knowledge is recent
+   * @param restoreGraceMs time for which missing entries may still be restored, in milliseconds
+   * @param updates one update for each list
+   * @param loads loads of all nodes by target id
+   */
+  public RelayFrame(
+      List<String> path,
+      boolean isStoreAvailable,
+      long restoreGraceMs,
+      List<ListUpdate> updates,
+      Map<String, InFlightLoad> loads) {
+    this(path, isStoreAvailable, restoreGraceMs, updates, loads, FleetSums.NONE);
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ListDistributionTest.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.RetryBounds;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.fleet.CrashFindings;
@@ -478,6 +479,7 @@
               List.of(follower),
               () -> isEachOtherPreferred,
               loads,
+              new FleetSumsTracker(() -> 0),
               () -> {},
               loop,
               ListDistributionTest::nowMs,
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/relay/RelayCodecTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/relay/RelayCodecTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.gooseberryhook.router.admission.InFlightLoad;
+import org.gooseberryhook.router.cluster.FleetSums;
 import org.gooseberryhook.router.relay.ListUpdate.ListChange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,7 +39,8 @@
             true,
             700,
             List.of(gone, update),
-            Map.of("t-1", new InFlightLoad(3, 900)));
+            Map.of("t-1", new InFlightLoad(3, 900)),
+            new FleetSums(Map.of(FleetSums.arrivalKey("model", 1), 2_500L)));
     RelayFrame decoded = RelayCodec.decodeFrame(RelayCodec.encodeFrame(frame));
     assertThat(decoded).usingRecursiveComparison().isEqualTo(frame);
   }
@@ -48,7 +50,10 @@
     Map<String, ListPosition> positions =
         Map.of("targets", new ListPosition(2, 40), "configuration", ListPosition.NONE);
     FollowerMessage message =
-        new FollowerMessage(positions, Map.of("t-1", new InFlightLoad(3, 900)));
+        new FollowerMessage(
+            positions,
+            Map.of("t-1", new InFlightLoad(3, 900)),
+            new FleetSums(Map.of(FleetSums.NODES_KEY, 4L)));
     assertThat(RelayCodec.decodeMessage(RelayCodec.encodeMessage(message))).isEqualTo(message);
   }
 
