Admit streams by urgency over all nodes

Cause: urgency acted in the queue of one node only, so that a less urgent stream at one node took the room that an urgent one was refused at another. Change: each node computes from the demand of all nodes and the room of a service which fraction of each rank it admits, and rejects the rest at once. Where the demand is known, a start competes with the expected starts and not with all nodes. Applies to services whose requests have several ranks.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StartLimiter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StartLimiter.java
@@ -41,14 +41,15 @@
    *
    * @param head id of the pipeline's first target
    * @param freeCapacity requests that the pipeline can still start in the window, over all nodes
-   * @param nodeCount number of nodes that share the pipeline
+   * @param competingStarts number of starts, or of nodes, that share the pipeline in the window
    * @param windowNumber number of the present window
    * @return true if this node has not used up its share
    */
-  public boolean mayStart(String head, double freeCapacity, int nodeCount, long windowNumber) {
+  public boolean mayStart(
+      String head, double freeCapacity, double competingStarts, long windowNumber) {
     Window window = window(head, windowNumber);
     // The free capacity no longer includes what this node itself started in the window.
-    double share = (Math.max(0, freeCapacity) + window.started()) / nodeCount;
+    double share = (Math.max(0, freeCapacity) + window.started()) / competingStarts;
     return window.started() < (int) share + (window.draw() < share % 1 ? 1 : 0);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -222,7 +222,7 @@
   }
 
   /** Returns the memory that streams may reserve at a stage, in tokens times layers. */
-  private static double memoryCapacity(PipelineStage stage, EngineProfile profile) {
+  static double memoryCapacity(PipelineStage stage, EngineProfile profile) {
     AcceleratorKind kind = profile.acceleratorKind(stage.target().acceleratorKind()).orElseThrow();
     int heldLayers = stage.target().layers().orElse(stage.layers()).layerCount();
     return profile.layerTokenCapacity(kind.memoryMb(), heldLayers) * MEMORY_SHARE;
@@ -320,7 +320,8 @@
       double freeRequests =
           total * ((1 - utilization) / utilization + ENDING_WEIGHT * endingFraction) + 1;
       return utilization > START_LIMIT_UTILIZATION
-          && !startLimiter.mayStart(head, freeRequests, sharing.nodeCount(), nowMs / windowMs);
+          && !startLimiter.mayStart(
+              head, freeRequests, sharing.competingStarts(), nowMs / windowMs);
     }
     boolean isNearlyFull = utilization > NODE_SHARE_UTILIZATION && sharing.nodeCount() > 1;
     return isNearlyFull
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
@@ -1,12 +1,15 @@
 package org.gooseberryhook.router.configuration;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** A version of the configuration, indexed for lookups by host, service and API key. */
 public final class RoutingConfiguration {
@@ -17,6 +20,7 @@
   private final RequestLimits limits;
   private final boolean isKeyRequired;
   private final Map<String, Workspace> workspacesByKey = new HashMap<>();
+  private final Map<String, SortedSet<Integer>> ranksByService = new HashMap<>();
 
   /**
    * Creates a configuration.
@@ -45,6 +49,18 @@
     for (Workspace workspace : workspaces.orElse(List.of())) {
       workspace.apiKeys().forEach(key -> workspacesByKey.put(key, workspace));
     }
+    for (Route route : routes) {
+      for (WeightedService service : route.services()) {
+        ranksByService
+            .computeIfAbsent(service.service(), name -> new TreeSet<>())
+            .add(route.priority());
+      }
+    }
+    for (Workspace workspace : workspaces.orElse(List.of())) {
+      workspace
+          .priority()
+          .ifPresent(rank -> ranksByService.values().forEach(ranks -> ranks.add(rank)));
+    }
   }
 
   /**
@@ -100,6 +116,18 @@
     return services;
   }
 
+  /**
+   * Returns the priority ranks that the requests for a service may have, by the priorities of
+   * routes and workspaces.
+   *
+   * @param service name of the service
+   * @return the ranks in ascending order, empty if no route leads to the service
+   */
+  public SortedSet<Integer> ranks(String service) {
+    return Collections.unmodifiableSortedSet(
+        ranksByService.getOrDefault(service, Collections.emptySortedSet()));
+  }
+
   public long version() {
     return version;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -1,12 +1,15 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.channel.EventLoop;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.ServiceRetryBudget;
 import org.gooseberryhook.router.admission.TargetLimits;
+import org.gooseberryhook.router.cluster.FleetSums;
+import org.gooseberryhook.router.cluster.FleetSumsView;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.fleet.CrashCauses;
 import org.gooseberryhook.router.fleet.TargetHealth;
@@ -44,6 +47,7 @@
    * @param answerListener receives what targets state about themselves
    * @param metrics counts and latencies of requests
    * @param log log of routing decisions
+   * @param fleetSums amounts of all nodes, such as the demand of callers
    * @param address IP address and port for callers
    * @param maxConnections maximum number of open connections of callers; further ones are refused
    */
@@ -63,6 +67,7 @@
       TargetAnswerListener answerListener,
       RequestMetrics metrics,
       DecisionLog log,
+      FleetSumsView fleetSums,
       String address,
       int maxConnections) {
     context =
@@ -92,7 +97,7 @@
             new StopForecast(),
             metrics,
             log);
-    dispatcher = new RequestDispatcher(context);
+    dispatcher = new RequestDispatcher(context, fleetSums);
     server = new CallerServer(context, dispatcher, address, maxConnections);
   }
 
@@ -169,6 +174,25 @@
     return dispatcher.waitingCount();
   }
 
+  /**
+   * Returns this node's demand, for the sums of the fleet.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return the amounts; none if no service has requests of several ranks
+   */
+  public FleetSums ownDemand(long nowMs) {
+    return dispatcher.ownDemand(nowMs);
+  }
+
+  /**
+   * Returns the admitted fractions of the services whose requests have several ranks.
+   *
+   * @return fractions by service and rank
+   */
+  public Map<String, Map<Integer, Double>> admittedFractions() {
+    return dispatcher.admittedFractions();
+  }
+
   /**
    * Returns the number of requests that are relayed to other nodes now.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -8,12 +8,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
+import org.gooseberryhook.router.admission.AdmissionThreshold;
+import org.gooseberryhook.router.admission.AdmissionVerdict;
 import org.gooseberryhook.router.admission.CapacitySharing;
+import org.gooseberryhook.router.admission.DemandTracker;
 import org.gooseberryhook.router.admission.FullTargets;
+import org.gooseberryhook.router.admission.PriorityAdmission;
+import org.gooseberryhook.router.admission.ServiceRoom;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
+import org.gooseberryhook.router.cluster.FleetSums;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
+import org.gooseberryhook.router.cluster.FleetSumsView;
 import org.gooseberryhook.router.configuration.EngineProfile;
+import org.gooseberryhook.router.configuration.ServiceSettings;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 
 /** Queues requests until their service has capacity, and starts them in order. */
@@ -25,15 +35,41 @@
    */
   static final long CHECK_INTERVAL_MS = 15;
 
+  private static final long DRAW_MULTIPLIER = 0x9e3779b97f4a7c15L;
+
+  /** Keeps the 53 highest bits, which a double represents exactly. */
+  private static final int DRAW_SHIFT = 11;
+
+  private static final double DRAW_UNIT = 0x1.0p-53;
+
   private final ForwardContext context;
   private final StreamAdmission admission;
+  private final DemandTracker demand = new DemandTracker();
+  private final PriorityAdmission priority;
   private final Map<String, WaitQueue<QueuedExchange>> queues = new HashMap<>();
   private final Set<StreamExchange> running = new LinkedHashSet<>();
+
+  /** Gap targets of the last streams by service, which decide how full a pipeline may be. */
+  private final Map<String, Long> gapTargetsMs = new HashMap<>();
+
   private ScheduledFuture<?> checkTimer;
   private boolean isStartDue;
 
   RequestDispatcher(ForwardContext context) {
+    this(context, new FleetSumsTracker(() -> 0));
+  }
+
+  RequestDispatcher(ForwardContext context, FleetSumsView fleetSums) {
     this.context = context;
+    this.priority =
+        new PriorityAdmission(
+            fleetSums,
+            this::ranks,
+            this::room,
+            (service, rank, workspace, rankFraction) -> rankFraction,
+            () -> context.fleet().sharing().nodeCount(),
+            context.random(),
+            this::logShortage);
     this.admission =
         new StreamAdmission(context.loads(), context.fleet()::slowdownFactor, context.random());
   }
@@ -42,6 +78,7 @@
    * Chooses the pipeline of a stream. A head that did not have the stream before is preferred: one
    * that fails at once looks least loaded and would get all attempts.
    *
+   * @param service name of its service
    * @param request the stream
    * @param pipelines pipelines that can serve it
    * @param profile profile of the engines
@@ -49,6 +86,7 @@
    * @return the pipeline, or empty if the stream has to wait
    */
   Optional<ModelPipeline> choosePipeline(
+      String service,
       StreamRequest request,
       List<ModelPipeline> pipelines,
       EngineProfile profile,
@@ -59,7 +97,8 @@
             .filter(pipeline -> pauseEndMs(pipeline) <= nowMs)
             .filter(pipeline -> context.limits().hasPermit(pipeline.head()))
             .toList();
-    CapacitySharing sharing = context.fleet().sharing();
+    CapacitySharing sharing =
+        priority.sharing(service, context.fleet().sharing(), pipelines.size(), nowMs);
     if (ledger.total() == 0) {
       return admission.choose(request, active, profile, sharing, nowMs);
     }
@@ -139,6 +178,113 @@
     return pipelines.isEmpty() || starts >= 1 + aheadCount;
   }
 
+  /** Returns the ranks that decide admission: those of requests, and that of resumed streams. */
+  private Set<Integer> ranks(String service) {
+    Set<Integer> ranks =
+        new TreeSet<>(
+            context.configuration().get().map(c -> c.ranks(service)).orElse(new TreeSet<>()));
+    if (ranks.size() > 1) {
+      ranks.add(StreamLimits.RESUME_RANK);
+    }
+    return ranks;
+  }
+
+  /** Returns the room of a service for requests of the usual size. */
+  private ServiceRoom room(String service) {
+    List<ModelPipeline> pipelines = context.fleet().pipelines(service);
+    Optional<EngineProfile> profile =
+        context
+            .configuration()
+            .get()
+            .flatMap(c -> c.findService(service))
+            .flatMap(ServiceSettings::engineProfile);
+    if (profile.isEmpty()) {
+      return ServiceRoom.NONE;
+    }
+    StreamRequest usual =
+        new StreamRequest(
+            profile.get().meanPromptTokens(),
+            profile.get().meanOutputTokens(),
+            0,
+            0,
+            0,
+            0,
+            gapTargetsMs.getOrDefault(service, 0L));
+    return ServiceRoom.estimate(
+        pipelines, profile.get(), context.loads(), context.fleet()::slowdownFactor, usual);
+  }
+
+  private void logShortage(String service, AdmissionThreshold threshold, ServiceRoom room) {
+    context
+        .log()
+        .recordEvent(
+            "admission-threshold",
+            "",
+            "service",
+            service,
+            "fractions",
+            threshold.fractions(),
+            "average",
+            threshold.averageFraction(),
+            "freeTokens",
+            Math.round(room.freeCost()),
+            "endingTokensPerSecond",
+            Math.round(room.endingCostPerSecond()));
+  }
+
+  /**
+   * Records the arrival of a stream for the demand of the fleet.
+   *
+   * @param scheduling rank, workspace and cost of the stream
+   * @param gapTargetMs longest time between two events that is on time, in milliseconds
+   */
+  void recordArrival(String service, WaitQueue.SchedulingInfo scheduling, long gapTargetMs) {
+    if (priority.isActive(service)) {
+      gapTargetsMs.put(service, gapTargetMs);
+      demand.recordArrival(service, scheduling.rank(), scheduling.cost(), context.clock().nowMs());
+    }
+  }
+
+  /** Records that a stream is refused because no pipeline has room for it. */
+  void recordRefusal(String service, int rank) {
+    if (priority.isActive(service)) {
+      demand.recordRefusal(service, rank, context.clock().nowMs());
+    }
+  }
+
+  /**
+   * Decides whether a stream may take room that more urgent requests may need.
+   *
+   * @param scheduling rank, workspace and cost of the stream
+   * @param attemptId id of the request, by which repeated checks decide the same
+   * @return the verdict
+   */
+  AdmissionVerdict checkPriority(
+      String service, WaitQueue.SchedulingInfo scheduling, String attemptId) {
+    return priority.check(
+        service,
+        scheduling.rank(),
+        scheduling.workspace(),
+        draw(attemptId),
+        context.clock().nowMs());
+  }
+
+  /** Returns a number in [0, 1) that is uniformly distributed over the ids of requests. */
+  private static double draw(String attemptId) {
+    long hash = attemptId.hashCode() * DRAW_MULTIPLIER;
+    return (hash >>> DRAW_SHIFT) * DRAW_UNIT;
+  }
+
+  /** Returns this node's share of the demand, for the sums of the fleet. */
+  FleetSums ownDemand(long nowMs) {
+    return demand.own(nowMs);
+  }
+
+  /** Returns the admitted fraction of each rank by service. */
+  Map<String, Map<Integer, Double>> admittedFractions() {
+    return priority.admittedFractions();
+  }
+
   /** Records that a stream starts on a pipeline, for the first time or after a move. */
   void onStarted(ModelPipeline pipeline, boolean isMove) {
     CapacitySharing sharing = context.fleet().sharing();
@@ -245,6 +391,14 @@
 
   /** Ends the waiting requests that a newer configuration does not allow any more. */
   void onConfigurationChanged() {
+    context
+        .configuration()
+        .get()
+        .ifPresent(
+            c -> {
+              priority.retainServices(c.services().keySet());
+              gapTargetsMs.keySet().retainAll(c.services().keySet());
+            });
     for (WaitQueue<QueuedExchange> queue : queues.values()) {
       for (QueuedExchange exchange : queue.waiting()) {
         // A stream that waits for another pipeline may still run on its own.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.gooseberryhook.router.admission.AdmissionVerdict;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -114,6 +115,10 @@
     if (failIfRejected(crashGuard.rejection(false)) || (relay.isPreferable() && tryRelay())) {
       return;
     }
+    dispatcher.recordArrival(service, schedulingInfo(), routed.route().gapTargetMs());
+    if (!relay.isExpected() && rejectLessUrgent()) {
+      return;
+    }
     long usualWaitMs = (long) (routed.route().targetLatencyMs() * StreamLimits.MAX_WAIT_SHARE);
     long waitMs = relay.isExpected() ? StreamLimits.RELAY_WAIT_MS : usualWaitMs;
     long waitDeadlineMs = Math.min(deadlineMs, request.receivedMs() + waitMs);
@@ -132,6 +137,9 @@
     if (!mayEndBeforeStop()) {
       return endStart();
     }
+    if (!isResuming && !ledger.isSent() && rejectLessUrgent()) {
+      return true;
+    }
     long nowMs = context.clock().nowMs();
     StreamRequest streamRequest = newStreamRequest(nowMs);
     Optional<ModelPipeline> chosen =
@@ -146,6 +154,33 @@
     return mayStart;
   }
 
+  /** Rejects the stream if the room goes to other requests; returns whether it was rejected. */
+  private boolean rejectLessUrgent() {
+    WaitQueue.SchedulingInfo scheduling = schedulingInfo();
+    AdmissionVerdict verdict =
+        dispatcher.checkPriority(service, scheduling, request.metadata().attemptId());
+    if (!(verdict instanceof AdmissionVerdict.Reject reject)) {
+      return false;
+    }
+    log(
+        "not-admitted",
+        "rank",
+        reject.rank(),
+        "rankFraction",
+        reject.rankFraction(),
+        "workspaceFraction",
+        reject.workspaceFraction(),
+        "cost",
+        scheduling.cost(),
+        "retryAfterMs",
+        reject.retryAfterMs());
+    dispatcher.recordRefusal(service, scheduling.rank());
+    failResumable(
+        ProblemResponse.notRun(
+            "no-room", "more urgent requests need the room", reject.retryAfterMs()));
+    return true;
+  }
+
   /** Sends the stream to no further pipeline, since it would be cut when the node stops. */
   private boolean endStart() {
     if (isMoveQueued) {
@@ -180,10 +215,10 @@
     List<ModelPipeline> allowed = runningTargets.allowed(pipelines, context.fleet()::hasEnded);
     List<ModelPipeline> preferred = runningTargets.preferred(allowed, context.fleet()::hasEnded);
     Optional<ModelPipeline> chosen =
-        dispatcher.choosePipeline(streamRequest, preferred, profile, ledger);
+        dispatcher.choosePipeline(service, streamRequest, preferred, profile, ledger);
     return chosen.isPresent() || preferred.size() == allowed.size()
         ? chosen
-        : dispatcher.choosePipeline(streamRequest, allowed, profile, ledger);
+        : dispatcher.choosePipeline(service, streamRequest, allowed, profile, ledger);
   }
 
   @Override
@@ -242,6 +277,7 @@
       returnToSilentAttempt();
     } else if (!isFinished && !tryRelay()) {
       logReachedLimits(context.fleet().pipelines(service).stream().map(ModelPipeline::head));
+      dispatcher.recordRefusal(service, routed.rank());
       failResumable(
           ledger.mayHaveRun()
               ? ProblemResponse.mayHaveRun("pipeline-lost", "no other pipeline has room")
@@ -426,6 +462,7 @@
     }
     log("resume", "reason", kind, "detail", detail);
     isResuming = true;
+    dispatcher.recordArrival(service, schedulingInfo(), routed.route().gapTargetMs());
     dispatcher.submit(this, waitDeadlineMs);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
@@ -20,6 +20,7 @@
   static final int MAX_LABELLED_WORKSPACES = 256;
 
   private static final String OTHER_WORKSPACES = "other";
+  private static final double PERMILLE = 1_000;
 
   /** Bucket bounds of the latency histograms, finer around the usual goals of 200 and 500 ms. */
   private static final double[] BUCKET_BOUNDS_MS = {
@@ -81,6 +82,22 @@
         .set(value);
   }
 
+  /** Sets the share of the requests of a rank that a service admits, in thousandths. */
+  void setAdmittedFraction(String service, int rank, double fraction) {
+    gauges
+        .computeIfAbsent(
+            "admitted_permille/" + service + '/' + rank,
+            key -> {
+              AtomicLong holder = new AtomicLong();
+              Gauge.builder("gooseberryhook_admitted_permille", holder, AtomicLong::doubleValue)
+                  .tag("service", service)
+                  .tag("rank", Integer.toString(rank))
+                  .register(registry);
+              return holder;
+            })
+        .set(Math.round(fraction * PERMILLE));
+  }
+
   String page() {
     return registry.scrape();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -152,6 +152,7 @@
     this.limits = new LimitKeeper(fleet, peers, clock, log);
     this.suspension = new SuspensionCheck(clock, log, this::onSuspended);
     this.forwarder = newForwarder(deps.headerCodec());
+    sums.setSource(forwarder::ownDemand);
     deps.engines().setAnswerListener(this::onTargetAnswer);
     fleet.setAliveListener(new CrashWithdrawal(crashCauses, clock, log));
     this.links = new LinkMonitor(fleet, peers, clock, log);
@@ -300,6 +301,7 @@
         this::onTargetAnswer,
         metrics,
         log,
+        sums,
         settings.addresses().callers(),
         settings.maxCallerConnections());
   }
@@ -443,6 +445,12 @@
     metrics.setGauge("requests_relayed", forwarder.relayedCount());
     metrics.setGauge("target_limits", limits.limits().inForceCount());
     metrics.setGauge("target_limit_refusals", limits.limits().refusalCount());
+    forwarder
+        .admittedFractions()
+        .forEach(
+            (service, fractions) ->
+                fractions.forEach(
+                    (rank, fraction) -> metrics.setAdmittedFraction(service, rank, fraction)));
     metrics.setGauge("caller_connections", forwarder.connectionCount());
     metrics.setGauge("live_peers", peers.liveReports().size());
     metrics.setGauge("targets", registry.entries().size());
