Give callers addresses of nodes by the cores of their VMs

Cause: the VMs of large deployments differ up to six times in cores, and the directory spread callers evenly over them. Change: addresses are drawn in proportion to the cores that nodes report. VMs of equal or unknown cores are drawn evenly as before.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -4,15 +4,16 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.gooseberryhook.protocol.TableService;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.ServiceRetryBudget;
+import org.gooseberryhook.router.cluster.CallerSpread;
 import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
@@ -64,6 +65,7 @@
   private final TargetRegistry registry = new TargetRegistry();
   private final LoadTracker loads = new LoadTracker();
   private final FleetSumsTracker sums;
+  private final RandomGenerator callerSpreadRandom = new SplittableRandom();
   private final CrashCauses crashCauses = new CrashCauses(new SplittableRandom().nextLong());
   private final RouterMetrics metrics = new RouterMetrics();
   private final PlacementLease lease;
@@ -367,7 +369,8 @@
             previous.maxSockets(),
             changed.retries(),
             changed.stopGraceMs(),
-            changed.directoryTtlSeconds());
+            changed.directoryTtlSeconds(),
+            changed.capacity());
     log.recordEvent(
         "reload", "", "before", previous, "now", settings, "needsRestart", needsRestart);
   }
@@ -418,20 +421,20 @@
    * Returns the addresses to which callers should connect. Must be called on the event loop.
    *
    * @param maxAddresses limit on the number of addresses
-   * @return addresses of ready nodes in random order; a random selection if there are more
+   * @return addresses of ready nodes in random order, by what their VMs can carry; a random
+   *     selection if there are more
    */
   public List<String> callerAddresses(int maxAddresses) {
-    List<String> addresses = new ArrayList<>();
+    List<CallerSpread.Node> ready = new ArrayList<>();
     if (isReady()) {
-      addresses.add(settings.addresses().callers());
+      ready.add(new CallerSpread.Node(settings.addresses().callers(), settings.capacity()));
     }
     for (PeerReport report : peers.liveReports()) {
       if (report.isReady()) {
-        addresses.add(report.callerAddress());
+        ready.add(new CallerSpread.Node(report.callerAddress(), report.capacity()));
       }
     }
-    Collections.shuffle(addresses);
-    return addresses.subList(0, Math.min(maxAddresses, addresses.size()));
+    return CallerSpread.draw(ready, maxAddresses, callerSpreadRandom);
   }
 
   /**
