--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/FleetSums.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/FleetSums.java
@@ -74,6 +74,18 @@
     return key("w", service, rank, workspace);
   }
 
+  /**
+   * Returns the key of the cost of the requests of all workspaces for a service, which holds also
+   * what has no amount of its own in {@link #workspaces}.
+   *
+   * @param service name of the service
+   * @param rank priority rank of the requests
+   * @return the key
+   */
+  public static String workspaceTotalKey(String service, int rank) {
+    return key("t", service, rank, "");
+  }
+
   private static String key(String kind, String service, int rank, String workspace) {
     return kind + SEPARATOR + rank + SEPARATOR + service + SEPARATOR + workspace;
   }
@@ -88,6 +100,25 @@
     return amounts.getOrDefault(key, 0L);
   }
 
+  /**
+   * Returns the cost of the requests of workspaces for a service, as far as it is known by name.
+   *
+   * @param service name of the service
+   * @param rank priority rank of the requests
+   * @return amounts by the name of the workspace
+   */
+  public Map<String, Long> workspaces(String service, int rank) {
+    String prefix = workspaceKey(service, rank, "");
+    Map<String, Long> byName = new HashMap<>();
+    amounts.forEach(
+        (key, amount) -> {
+          if (key.startsWith(prefix)) {
+            byName.put(key.substring(prefix.length()), amount);
+          }
+        });
+    return byName;
+  }
+
   /**
    * Returns the sums of these amounts and others.
    *
