Let a queue place a request behind the others of its rank

Cause: the tags of a wait queue forget what a workspace used when the queue becomes empty, so that a workspace far above its share of the fleet starts as early as others at each node. Change: addBehindRank adds a request with a start tag after the last waiting one of its rank. Other workspaces may overtake it until their cost has reached that tag, so that it does not starve. The order of requests that are added as before does not change. Not used by the router yet.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/WaitQueue.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/WaitQueue.java
@@ -16,7 +16,8 @@
  * the cost of their requests (start-time fair queueing), so that a workspace that sends many
  * requests at once does not block the others. The requests of one workspace start in order of
  * arrival. All tags are reset when the queue becomes empty, so that past use does not limit a
- * workspace while there is free capacity.
+ * workspace while there is free capacity. In a shortage, the use over all nodes counts instead:
+ * {@link #addBehindRank}.
  *
  * @param <T> type of the request
  */
@@ -87,7 +88,35 @@
    * @return the waiting request
    */
   public Waiter<T> add(SchedulingInfo scheduling, long expiryMs, T value) {
-    double startTag = Math.max(virtualTime, finishTags.getOrDefault(scheduling.workspace(), 0.0));
+    return add(scheduling, expiryMs, value, turn(scheduling));
+  }
+
+  /**
+   * Adds a request of a workspace that asks for more than its share of a scarce service. It starts
+   * after the requests of its rank that wait now. Of those that come later, each other workspace
+   * may start its next ones before it, up to the cost of those that it waits behind, so that it is
+   * delayed but does not starve.
+   *
+   * @param scheduling properties that determine its order
+   * @param expiryMs monotonic time at which it is refused, in milliseconds
+   * @param value the request
+   * @return the waiting request
+   */
+  public Waiter<T> addBehindRank(SchedulingInfo scheduling, long expiryMs, T value) {
+    Waiter<T> last =
+        waiters.floor(new Waiter<>(scheduling, Double.MAX_VALUE, Long.MAX_VALUE, 0, value));
+    double startTag =
+        last == null || last.scheduling().rank() != scheduling.rank()
+            ? turn(scheduling)
+            : Math.max(turn(scheduling), last.startTag() + last.scheduling().cost());
+    return add(scheduling, expiryMs, value, startTag);
+  }
+
+  private double turn(SchedulingInfo scheduling) {
+    return Math.max(virtualTime, finishTags.getOrDefault(scheduling.workspace(), 0.0));
+  }
+
+  private Waiter<T> add(SchedulingInfo scheduling, long expiryMs, T value, double startTag) {
     finishTags.put(scheduling.workspace(), startTag + scheduling.cost());
     Waiter<T> waiter = new Waiter<>(scheduling, startTag, ++lastSequence, expiryMs, value);
     waiters.add(waiter);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/WaitQueueTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/admission/WaitQueueTest.java
@@ -136,4 +136,21 @@
     addOf("few", 1, "first");
     assertThat(start(2)).containsExactly("next", "first");
   }
+
+  /** Guards against a workspace above its share that starts before others, or never. */
+  @Test
+  void aWorkspaceAboveItsShareWaitsBehindOthersOfItsRankAndIsNotStarved() {
+    addOf("first", 1, "first0");
+    addOf("first", 1, "first1");
+    queue.addBehindRank(new WaitQueue.SchedulingInfo(1, "above", 1), 100, "above0");
+    queue.addBehindRank(new WaitQueue.SchedulingInfo(1, "above", 1), 100, "above1");
+    addOf("second", 1, "second0");
+    queue.add(new WaitQueue.SchedulingInfo(2, "second", 1), 100, "less urgent");
+    assertThat(start(3)).containsExactly("first0", "second0", "first1");
+    for (int i = 0; i < 4; i++) {
+      addOf("third", 1, "third" + i);
+    }
+    assertThat(start(6))
+        .containsExactly("third0", "above0", "third1", "above1", "third2", "third3");
+  }
 }
