Measure the shares of workspaces beside the other decisions

Cause: each new decision is to be measured by RouterDecisions. Change: a second table with the time of a division after new sums, after a new fraction of the rank, and of a question that is answered from a division that is known.

--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.load;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
+import org.gooseberryhook.router.admission.WorkspaceShares;
+import org.gooseberryhook.router.cluster.FleetSums;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
@@ -22,7 +25,8 @@
 /**
  * Measures how long the decisions of the router take as the fleet grows: the first layer plan, the
  * plan after the loss of a target and the composition of pipelines, in milliseconds, and the choice
- * of a pipeline, in microseconds. Each figure is the best of {@link #REPEATS} repeats.
+ * of a pipeline, in microseconds; and as the number of workspaces grows, their shares. Each figure
+ * is the best of {@link #REPEATS} repeats.
  *
  * @since 0.2
  */
@@ -31,6 +35,7 @@
   private static final int[][] FLEETS = {{36, 3}, {90, 4}, {3_700, 8}};
   private static final int[] KINDS_OF_TEN = {0, 1, 1, 1, 2, 2, 2, 2, 2, 2};
   private static final String[] KIND_NAMES = {"large", "middle", "small"};
+  private static final int[] WORKSPACES = {24, 256, 4_000};
   private static final int CHOICE_COUNT = 2_000;
   private static final int REPEATS = 5;
 
@@ -71,6 +76,53 @@
     for (int[] fleet : FLEETS) {
       measure(fleet[0], fleet[1]);
     }
+    System.out.println("workspaces  new sums us  new fraction us  share us");
+    for (int workspaces : WORKSPACES) {
+      measureShares(workspaces);
+    }
+  }
+
+  /** Measures the division among workspaces and a question about a share that is known. */
+  private static void measureShares(int workspaces) {
+    SplittableRandom random = new SplittableRandom(1);
+    Map<String, Long> amounts = new HashMap<>();
+    for (int i = 0; i < workspaces; i++) {
+      amounts.put(FleetSums.workspaceKey("model", 1, "workspace-" + i), 1 + random.nextLong(1_000));
+    }
+    WorkspaceShares shares = new WorkspaceShares();
+    long[] nowMs = new long[1];
+    double[] fraction = {0.4};
+    Runnable ask = () -> shares.admittedFraction("model", 1, "workspace-7", fraction[0]);
+    double newSumsMs =
+        bestMs(
+            () -> {
+              for (int i = 0; i < CHOICE_COUNT; i++) {
+                nowMs[0] += 1_000;
+                shares.refresh(new FleetSums(amounts), nowMs[0]);
+                ask.run();
+              }
+            });
+    double newFractionMs =
+        bestMs(
+            () -> {
+              for (int i = 0; i < CHOICE_COUNT; i++) {
+                fraction[0] = fraction[0] == 0.4 ? 0.5 : 0.4;
+                ask.run();
+              }
+            });
+    double shareMs =
+        bestMs(
+            () -> {
+              for (int i = 0; i < CHOICE_COUNT; i++) {
+                ask.run();
+              }
+            });
+    System.out.printf(
+        "%10d  %11.1f  %15.1f  %8.2f%n",
+        workspaces,
+        newSumsMs * 1_000 / CHOICE_COUNT,
+        newFractionMs * 1_000 / CHOICE_COUNT,
+        shareMs * 1_000 / CHOICE_COUNT);
   }
 
   private static void measure(int replicas, int dataCentres) {
