--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -180,8 +180,7 @@
         reject.retryAfterMs());
     dispatcher.recordRefusal(service, scheduling.rank());
     failResumable(
-        ProblemResponse.notRun(
-            "no-room", "more urgent requests need the room", reject.retryAfterMs()));
+        ProblemResponse.notRun("no-room", "other requests need the room", reject.retryAfterMs()));
     return true;
   }
 
