--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -166,6 +166,10 @@
         "not-admitted",
         "rank",
         reject.rank(),
+        "workspace",
+        scheduling.workspace(),
+        "demandShare",
+        dispatcher.demandShare(service, scheduling),
         "rankFraction",
         reject.rankFraction(),
         "workspaceFraction",
@@ -175,8 +179,7 @@
         "retryAfterMs",
         reject.retryAfterMs());
     failResumable(
-        ProblemResponse.notRun(
-            "no-room", "more urgent requests need the room", reject.retryAfterMs()));
+        ProblemResponse.notRun("no-room", "other requests need the room", reject.retryAfterMs()));
     return true;
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -447,7 +447,7 @@
     metrics.setGauge("requests_relayed", forwarder.relayedCount());
     metrics.setGauge("target_limits", limits.limits().inForceCount());
     metrics.setGauge("target_limit_refusals", limits.limits().refusalCount());
-    metrics.setAdmittedFractions(forwarder.admittedFractions());
+    metrics.setAdmission(forwarder.admittedFractions(), forwarder.heldBackWorkspaces());
     metrics.setGauge("caller_connections", forwarder.connectionCount());
     metrics.setGauge("live_peers", peers.liveReports().size());
     metrics.setGauge("targets", registry.entries().size());
