--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -215,6 +215,7 @@
    */
   private void retryOrFail(String kind, String detail) {
     if (silentAttempt == null ? failIfDisallowed() : isFinished) {
+      context.log().recordEvent("not-repeated", request.metadata().attemptId(), "reason", kind);
       return;
     }
     boolean mayRunAgain =
