Let three nodes probe a lost target for a large fleet

Cause: each node probed each target that any other node began to suspect. One node without links made 108 others probe all 102 targets, and a crash cost 2 x 108 probes in its first second. A node that lost two targets of a plain service probed all targets of the fleet, and each node without the store probed a whole data centre for each refusal. Change: with more than 12 other nodes only three ranked probers with links probe what others suspect. The others take a target out of use by two reports, one of a prober, and use it again by a prober's answer. Cut-off nodes probe a sample first, nodes without the store share their probes. Smaller fleets decide as before. ProbeScheduleTest: two tests added.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -75,8 +75,10 @@
   private final Map<String, Long> endedStartsMs = new HashMap<>();
 
   private final TargetAnnouncements announcements;
+  private final ProberSelection probers;
   private final TargetTestimony testimony;
   private final TargetProber prober;
+  private final PeerSuspicions peerSuspicions;
   private long composedRegistryRevision = -1;
   private long composedSuspectRevision = -1;
   private long nextProbeMs;
@@ -101,18 +103,19 @@
     this.announcements =
         new TargetAnnouncements(
             registry, clock, () -> composedConfiguration.ifPresent(this::recompose), log);
+    this.probers = new ProberSelection(peers, this::reachableTargets);
     this.testimony =
         new TargetTestimony(
-            peers,
+            probers,
             clock,
             log,
-            suspectTracker::isSuspect,
+            suspectTracker::isOwnSuspect,
             slowTargets::contains,
             this::hasLaterStart);
     this.prober =
         new TargetProber(
             engines,
-            peers,
+            probers,
             suspectTracker,
             announcements.pauses(),
             testimony,
@@ -120,6 +123,16 @@
             this::isPlain,
             slowTargets::contains,
             new ProbeListener());
+    this.peerSuspicions =
+        new PeerSuspicions(
+            suspectTracker,
+            probers,
+            testimony,
+            prober,
+            clock,
+            log,
+            this::clearSuspect,
+            () -> composedConfiguration.ifPresent(this::recompose));
   }
 
   void setAliveListener(ListedStarts.AliveListener listener) {
@@ -159,6 +172,7 @@
       forgetUnlistedTargets();
     }
     suspectTracker.expireExclusions(clock.nowMs());
+    probers.refresh(clock.nowMs());
     testimony.evaluateReviews();
     boolean isChanged =
         registry.revision() != composedRegistryRevision
@@ -172,6 +186,7 @@
     }
     if (clock.nowMs() >= nextProbeMs) {
       nextProbeMs = clock.nowMs() + ProbeSchedule.INTERVAL_MS;
+      peerSuspicions.review(currentTargets);
       prober.probeSuspectAndSlow(currentTargets);
     }
     prober.startDeferredProbes(currentTargets);
@@ -202,6 +217,7 @@
     slowTargets.retainListed(listed);
     testimony.retainListed(listed);
     prober.retainListed(listed);
+    probers.retainListed(listed);
     endedStartsMs.keySet().retainAll(listedIds);
   }
 
@@ -402,7 +418,7 @@
   @Override
   public void checkTarget(String address) {
     TargetEntry target = targetsByAddress.get(address);
-    if (target != null) {
+    if (target != null && !suspectTracker.isAdopted(address)) {
       prober.probeAnew(target);
     }
   }
@@ -457,11 +473,7 @@
 
   @Override
   public void checkTargets(ModelPipeline pipeline) {
-    for (PipelineStage stage : pipeline.stages()) {
-      if (!suspectTracker.isSuspect(stage.target().address())) {
-        prober.probe(stage.target());
-      }
-    }
+    prober.probePipeline(pipeline);
   }
 
   @Override
@@ -476,30 +488,9 @@
     }
   }
 
-  /**
-   * Probes the targets that another node newly suspects, and the suspects of this node that it no
-   * longer suspects. Reports repeat what the node suspects; only changes tell something.
-   */
+  /** Applies the suspects that another node reports, and its answers from those of others. */
   void onPeerSuspects(String node, List<String> addresses, Map<String, Long> answerAgesMs) {
-    Set<String> before = testimony.suspectsOf(node);
-    testimony.onReport(node, addresses, answerAgesMs);
-    if (addresses.isEmpty() && before.isEmpty()) {
-      return;
-    }
-    for (TargetEntry entry : currentTargets) {
-      String address = entry.address();
-      boolean isSuspectThere = addresses.contains(address);
-      boolean isChanged = isSuspectThere != before.contains(address);
-      if (isChanged && isSuspectThere != suspectTracker.isSuspect(address)) {
-        if (isSuspectThere) {
-          testimony.onNewSuspicion(address);
-          prober.defer(address);
-        } else {
-          prober.probe(entry);
-        }
-      }
-    }
-    prober.startDeferredProbes(currentTargets);
+    peerSuspicions.onReport(node, addresses, answerAgesMs, currentTargets);
   }
 
   /** Forgets the suspects of a node that is gone. */
@@ -567,8 +558,9 @@
 
     @Override
     public void onReachable(TargetEntry target) {
-      testimony.onAnswered(target.address());
+      // The answer of a target that is no suspect any more is reported to the other nodes.
       clearSuspect(target);
+      testimony.onAnswered(target.address());
     }
 
     @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -436,6 +436,7 @@
     metrics.setGauge("live_peers", peers.liveReports().size());
     metrics.setGauge("targets", registry.entries().size());
     metrics.setGauge("suspected_targets", fleet.suspectTracker().suspectAddresses().size());
+    metrics.setGauge("adopted_targets", fleet.suspectTracker().adoptedAddresses().size());
     metrics.setGauge("list_source_is_store", distribution.source().isPresent() ? 0 : 1);
     metrics.setGauge("list_followers", distribution.followerCount());
     metrics.setGauge("placement_lease_held", lease.isHeld(clock.nowMs()) ? 1 : 0);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/SuspectTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.fleet.TargetEntry;
 
 /**
@@ -45,6 +46,12 @@
   /** The length and the end of the last exclusion of a target. */
   private record Exclusion(long lengthMs, long endMs) {}
 
+  /** Since when targets are left out only because other nodes report them as lost. */
+  private final Map<String, Long> adoptedSinceMs = new HashMap<>();
+
+  /** Suspects of this node that the other nodes have confirmed as lost. */
+  private final Set<String> confirmedSuspects = new HashSet<>();
+
   private final Map<String, Long> lastProbeMs = new HashMap<>();
   private final Map<String, Long> lastProbeAnewMs = new HashMap<>();
   private long revision;
@@ -68,14 +75,54 @@
     }
     lastSuspectedMs.remove(address);
     firstSuspectedMs.remove(address);
+    confirmedSuspects.remove(address);
     revision++;
     return true;
   }
 
+  /** Returns whether a target is left out, by failures that this node or others met. */
   boolean isSuspect(String address) {
+    return isOwnSuspect(address) || adoptedSinceMs.containsKey(address);
+  }
+
+  /** Returns whether this node itself met a failure of a target. */
+  boolean isOwnSuspect(String address) {
     return lastSuspectedMs.containsKey(address);
   }
 
+  /**
+   * Sets whether a target is lost by the reports of other nodes; returns whether that is a change.
+   * It is not one of {@link #suspectAddresses}, which would confirm the reports it comes from.
+   */
+  boolean setAdopted(String address, boolean isLost, long nowMs) {
+    boolean isChanged =
+        isLost
+            ? adoptedSinceMs.putIfAbsent(address, nowMs) == null
+            : adoptedSinceMs.remove(address) != null;
+    revision += isChanged ? 1 : 0;
+    return isChanged;
+  }
+
+  boolean isAdopted(String address) {
+    return adoptedSinceMs.containsKey(address);
+  }
+
+  List<String> adoptedAddresses() {
+    return new ArrayList<>(adoptedSinceMs.keySet());
+  }
+
+  /** Records that other nodes have confirmed the loss of a suspect of this node. */
+  void confirm(String address) {
+    if (isOwnSuspect(address)) {
+      confirmedSuspects.add(address);
+    }
+  }
+
+  /** Returns whether other nodes have confirmed the loss, so that its link is not at fault. */
+  boolean isConfirmed(String address) {
+    return confirmedSuspects.contains(address);
+  }
+
   /**
    * Excludes a target from new requests because it refused one. If the last exclusion ended less
    * than its own length ago, the new one is twice as long, up to {@link #MAX_EXCLUSION_MS}. Returns
@@ -140,15 +187,18 @@
    * not confirm a loss.
    */
   boolean areAllConfirmed(long nowMs) {
-    return firstSuspectedMs.values().stream().allMatch(ms -> nowMs - ms >= CONFIRM_AFTER_MS);
+    return Stream.of(firstSuspectedMs, adoptedSinceMs)
+        .flatMap(sinceMs -> sinceMs.values().stream())
+        .allMatch(ms -> nowMs - ms >= CONFIRM_AFTER_MS);
   }
 
   /** Returns the time since a target became a suspect, in milliseconds; 0 if it is none. */
   long msSinceSuspected(String address, long nowMs) {
-    Long firstMs = firstSuspectedMs.get(address);
-    return firstMs == null ? 0 : nowMs - firstMs;
+    long adoptedMs = adoptedSinceMs.getOrDefault(address, nowMs);
+    return nowMs - Math.min(adoptedMs, firstSuspectedMs.getOrDefault(address, nowMs));
   }
 
+  /** Returns the targets at which this node itself met a failure. */
   List<String> suspectAddresses() {
     return new ArrayList<>(lastSuspectedMs.keySet());
   }
@@ -158,7 +208,8 @@
     Set<String> listed = new HashSet<>();
     entries.forEach(entry -> listed.add(entry.address()));
     firstSuspectedMs.keySet().retainAll(listed);
-    if (lastSuspectedMs.keySet().retainAll(listed)) {
+    confirmedSuspects.retainAll(listed);
+    if (lastSuspectedMs.keySet().retainAll(listed) | adoptedSinceMs.keySet().retainAll(listed)) {
       revision++;
     }
     lastProbeMs.keySet().retainAll(listed);
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -1,5 +1,6 @@
 package org.gooseberryhook.router.node;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -7,9 +8,12 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.gooseberryhook.router.admission.TargetPauses;
-import org.gooseberryhook.router.cluster.PeerReport;
-import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.fleet.LinkSample;
+import org.gooseberryhook.router.fleet.LossQuorum;
+import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.PipelineStage;
 import org.gooseberryhook.router.fleet.ProbeSchedule;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.forward.MonotonicClock;
@@ -36,7 +40,7 @@
   private static final int MAX_SERVICE_PROBES = 8;
 
   private final EngineControl engines;
-  private final PeerTable peers;
+  private final ProberSelection probers;
   private final SuspectTracker suspectTracker;
   private final TargetPauses pauses;
   private final TargetTestimony testimony;
@@ -45,8 +49,18 @@
   private final Predicate<String> isSlow;
   private final Listener listener;
 
-  /** Times since when targets are to be probed that were probed too recently, by address. */
-  private final Map<String, Long> deferredProbesMs = new HashMap<>();
+  /** Probes that are to start later, by address. */
+  private final Map<String, DeferredProbe> deferredProbes = new HashMap<>();
+
+  private final LinkSample linkSample = new LinkSample();
+
+  /**
+   * A probe that is to start later.
+   *
+   * @param sinceMs time since when an answer makes it needless
+   * @param dueMs earliest time of its start
+   */
+  private record DeferredProbe(long sinceMs, long dueMs) {}
 
   /** Receives the results of probes. */
   interface Listener {
@@ -69,7 +83,7 @@
    * Creates a prober.
    *
    * @param engines control interface of the targets
-   * @param peers reports of the other nodes
+   * @param probers the other nodes, and which of them probe a target for all
    * @param suspectTracker suspects of this node and the times of probes
    * @param pauses pauses that targets asked for
    * @param testimony what the nodes know of each other's suspects
@@ -80,7 +94,7 @@
    */
   TargetProber(
       EngineControl engines,
-      PeerTable peers,
+      ProberSelection probers,
       SuspectTracker suspectTracker,
       TargetPauses pauses,
       TargetTestimony testimony,
@@ -89,7 +103,7 @@
       Predicate<String> isSlow,
       Listener listener) {
     this.engines = engines;
-    this.peers = peers;
+    this.probers = probers;
     this.suspectTracker = suspectTracker;
     this.pauses = pauses;
     this.testimony = testimony;
@@ -101,12 +115,18 @@
 
   /** Probes a target that another node began to suspect, as soon as it may be probed again. */
   void defer(String address) {
-    deferredProbesMs.put(address, clock.nowMs());
+    defer(address, 0);
+  }
+
+  /** Does the same after a time, in milliseconds. */
+  void defer(String address, long delayMs) {
+    long nowMs = clock.nowMs();
+    deferredProbes.put(address, new DeferredProbe(nowMs, nowMs + delayMs));
   }
 
   /** Forgets the targets that are no longer listed. */
   void retainListed(Set<String> listed) {
-    deferredProbesMs.keySet().retainAll(listed);
+    deferredProbes.keySet().retainAll(listed);
   }
 
   /**
@@ -128,28 +148,53 @@
     }
   }
 
+  /**
+   * Probes the targets of a pipeline whose stream is silent or was interrupted. If another node of
+   * a large fleet reports one of them as lost, that is likely to be the cause, and only those that
+   * are reported are probed.
+   */
+  void probePipeline(ModelPipeline pipeline) {
+    Predicate<String> isReported = a -> probers.isLargeFleet() && testimony.isReportedLost(a);
+    boolean isExplained = pipeline.addresses().stream().anyMatch(isReported);
+    for (PipelineStage stage : pipeline.stages()) {
+      String address = stage.target().address();
+      if (!suspectTracker.isSuspect(address) && (!isExplained || isReported.test(address))) {
+        probe(stage.target());
+      }
+    }
+  }
+
   private boolean isPaused(TargetEntry target) {
     return pauses.isPaused(target.address(), clock.nowMs());
   }
 
   private void readState(TargetEntry target, StateReader reader) {
+    if (probers.isLargeFleet() && suspectTracker.isSuspect(target.address())) {
+      // One try: the next probe repeats it, and a lost packet does not make a suspect of this one.
+      readStateOnce(target, reader, FIRST_PROBE_TIMEOUT_MS + SECOND_PROBE_TIMEOUT_MS);
+      return;
+    }
     reader.read(
         target,
         FIRST_PROBE_TIMEOUT_MS,
         result -> {
           if (!handleAnswer(target, result)) {
-            readStateAgain(target, reader);
+            readStateOnce(target, reader, SECOND_PROBE_TIMEOUT_MS);
           }
         });
   }
 
-  /** Repeats a failed probe: one lost packet delays a response by about 200 ms. */
-  private void readStateAgain(TargetEntry target, StateReader reader) {
+  /**
+   * Probes a target for the last time. A failed first try is repeated because one lost packet
+   * delays a response by about 200 ms.
+   */
+  private void readStateOnce(TargetEntry target, StateReader reader, long timeoutMs) {
     reader.read(
         target,
-        SECOND_PROBE_TIMEOUT_MS,
+        timeoutMs,
         result -> {
           if (!handleAnswer(target, result)) {
+            linkSample.onResult(target.address(), false, clock.nowMs());
             listener.onFailure(target.address(), String.valueOf(result));
           }
         });
@@ -158,6 +203,9 @@
   /** Returns false if the target did not answer. One without a model has no state to report. */
   private boolean handleAnswer(TargetEntry target, EngineResult result) {
     boolean isPlainAnswer = isPlain.test(target) && !(result instanceof EngineResult.Unreachable);
+    if (isPlainAnswer || result instanceof EngineResult.State) {
+      linkSample.onResult(target.address(), true, clock.nowMs());
+    }
     if (isPlainAnswer) {
       listener.onReachable(target);
     } else if (result instanceof EngineResult.State state) {
@@ -168,43 +216,102 @@
 
   /** Probes suspect and slow targets, as far as that is due. */
   void probeSuspectAndSlow(List<TargetEntry> currentTargets) {
-    List<String> others = peers.liveReports().stream().map(PeerReport::node).toList();
+    boolean isLarge = probers.isLargeFleet();
     for (TargetEntry entry : currentTargets) {
       String address = entry.address();
-      boolean isDue = suspectTracker.isSuspect(address) || isSlow.test(address);
-      // The runs of this method are not exactly an interval apart.
-      if (isDue
-          && suspectTracker.msSinceProbe(address, clock.nowMs()) + ProbeSchedule.INTERVAL_MS / 2
-              >= ProbeSchedule.intervalMs(peers.self(), others, address)) {
+      boolean isDue =
+          isLarge
+              ? isDueInLargeFleet(address)
+              : isSuspectOrSlow(address) && isDueAfter(address, probers.intervalMs(address));
+      if (isDue) {
         probe(entry);
       }
     }
   }
 
+  private boolean isSuspectOrSlow(String address) {
+    return suspectTracker.isSuspect(address) || isSlow.test(address);
+  }
+
+  /** Returns whether an interval has passed; runs of the caller are not exactly one apart. */
+  private boolean isDueAfter(String address, long intervalMs) {
+    long sinceMs = suspectTracker.msSinceProbe(address, clock.nowMs());
+    return sinceMs + ProbeSchedule.INTERVAL_MS / 2 >= intervalMs;
+  }
+
+  private boolean isDueInLargeFleet(String address) {
+    if (!suspectTracker.isSuspect(address) && testimony.mustObjectAgain(address)) {
+      return true;
+    }
+    boolean isReported = testimony.isReportedLost(address) && probers.isProber(address);
+    if (!isReported && !suspectTracker.isSuspect(address)) {
+      return isSlow.test(address)
+          && isDueAfter(address, ProbeSchedule.paceIntervalMs(probers.nodeCount()));
+    }
+    boolean isOwn = suspectTracker.isOwnSuspect(address);
+    long suspectMs = suspectTracker.msSinceSuspected(address, clock.nowMs());
+    if (isOwn && suspectMs < SuspectTracker.MIN_SUSPECT_MS) {
+      return false;
+    }
+    if (isOwn && !LossQuorum.isLost(testimony.evidence(address))) {
+      int suspectingNodes = 1 + testimony.nodesSuspecting(address).size();
+      return isDueAfter(address, ProbeSchedule.ownIntervalMs(suspectingNodes));
+    }
+    int rank = probers.rank(address);
+    return suspectMs >= ProbeSchedule.explorationDelayMs(rank)
+        && isDueAfter(address, ProbeSchedule.suspectIntervalMs(rank, probers.nodeCount()));
+  }
+
   /**
    * Probes further targets while this node is cut off from a service: its links to the others are
    * likely to be lost as well, and few requests would show that.
    */
   void probeOthers(List<TargetEntry> currentTargets) {
-    currentTargets.stream()
-        .filter(entry -> !suspectTracker.isSuspect(entry.address()))
-        .filter(
-            entry ->
-                suspectTracker.msSinceProbe(entry.address(), clock.nowMs())
-                    >= CUT_OFF_PROBE_INTERVAL_MS)
-        .limit(MAX_CUT_OFF_PROBES)
-        .forEach(this::probe);
+    boolean isLarge = probers.isLargeFleet();
+    int allowed =
+        isLarge ? linkSample.allowed(MAX_CUT_OFF_PROBES, clock.nowMs()) : MAX_CUT_OFF_PROBES;
+    if (allowed == 0) {
+      return;
+    }
+    Stream<TargetEntry> others =
+        currentTargets.stream()
+            .filter(entry -> !suspectTracker.isSuspect(entry.address()))
+            .filter(entry -> isProbedLongAgo(entry, CUT_OFF_PROBE_INTERVAL_MS));
+    if (isLarge) {
+      // Targets that follow each other in the list are often behind the same link.
+      others =
+          others.sorted(
+              Comparator.comparingLong(
+                  entry -> ProbeSchedule.rank(probers.self(), entry.address())));
+    }
+    others
+        .limit(allowed)
+        .forEach(
+            entry -> {
+              linkSample.onStarted(entry.address(), clock.nowMs());
+              probe(entry);
+            });
+  }
+
+  private boolean isProbedLongAgo(TargetEntry entry, long intervalMs) {
+    return suspectTracker.msSinceProbe(entry.address(), clock.nowMs()) >= intervalMs;
   }
 
-  /** Probes other targets without a model after a failure of one; few requests would show more. */
+  /**
+   * Probes other targets without a model after a failure of one; few requests would show more. In a
+   * large fleet that is seldom needed: not if other nodes report the same failure.
+   */
   void probeSameService(Optional<TargetEntry> failed, List<TargetEntry> currentTargets) {
+    boolean isLarge = probers.isLargeFleet();
     failed
         .filter(isPlain)
+        .filter(plain -> !isLarge || testimony.nodesSuspecting(plain.address()).isEmpty())
         .ifPresent(
             plain ->
                 currentTargets.stream()
                     .filter(entry -> entry.service().equals(plain.service()))
                     .filter(entry -> !suspectTracker.isSuspect(entry.address()))
+                    .filter(entry -> !isLarge || isProbedLongAgo(entry, CUT_OFF_PROBE_INTERVAL_MS))
                     .limit(MAX_SERVICE_PROBES)
                     .forEach(this::probe));
   }
@@ -212,12 +319,16 @@
   /**
    * Probes all targets of a service in the data centre of one that refused a request. A target that
    * lacks the expected layers is seldom the only one: orders go to all targets of a data centre
-   * together. Used while the store is unavailable and the list does not show the new layers.
+   * together. Used while the store is unavailable and the list does not show the new layers. The
+   * nodes of a large fleet that have no store share these probes and report the layers.
    */
   void probeSameDataCentre(TargetEntry target, List<TargetEntry> currentTargets) {
+    long intervalMs =
+        probers.isLargeFleet() ? ProbeSchedule.sharedIntervalMs(probers.nodesWithoutStore()) : 0;
     for (TargetEntry entry : currentTargets) {
       if (entry.service().equals(target.service())
-          && entry.dataCentre().equals(target.dataCentre())) {
+          && entry.dataCentre().equals(target.dataCentre())
+          && isProbedLongAgo(entry, intervalMs)) {
         probe(entry);
       }
     }
@@ -228,26 +339,32 @@
    * has answered since.
    */
   void startDeferredProbes(List<TargetEntry> currentTargets) {
-    if (deferredProbesMs.isEmpty()) {
+    if (deferredProbes.isEmpty()) {
       return;
     }
     for (TargetEntry entry : currentTargets) {
       String address = entry.address();
-      Long sinceMs = deferredProbesMs.get(address);
-      if (sinceMs == null) {
+      DeferredProbe deferred = deferredProbes.get(address);
+      if (deferred == null || deferred.dueMs() > clock.nowMs()) {
         continue;
       }
       boolean isDone =
-          suspectTracker.isSuspect(address) || testimony.hasAnsweredSince(address, sinceMs);
+          suspectTracker.isOwnSuspect(address)
+              || testimony.hasAnsweredSince(address, deferred.sinceMs())
+              || hasAnsweredOtherProber(address, deferred.sinceMs());
       boolean mayProbe =
           suspectTracker.msSinceProbe(address, clock.nowMs())
               >= SuspectTracker.MIN_PROBE_INTERVAL_MS;
       if (isDone || mayProbe) {
-        deferredProbesMs.remove(address);
+        deferredProbes.remove(address);
       }
       if (!isDone) {
         probe(entry);
       }
     }
   }
+
+  private boolean hasAnsweredOtherProber(String address, long sinceMs) {
+    return probers.isLargeFleet() && testimony.hasAnsweredProberSince(address, sinceMs);
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetTestimony.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetTestimony.java
@@ -9,8 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.gooseberryhook.router.cluster.PeerReport;
-import org.gooseberryhook.router.cluster.PeerTable;
+import org.gooseberryhook.router.fleet.LossQuorum;
 import org.gooseberryhook.router.fleet.ProbeSchedule;
 import org.gooseberryhook.router.fleet.RefusalReview;
 import org.gooseberryhook.router.fleet.TargetEntry;
@@ -23,7 +22,7 @@
  */
 final class TargetTestimony {
 
-  private final PeerTable peers;
+  private final ProberSelection probers;
   private final MonotonicClock clock;
   private final DecisionLog log;
   private final Predicate<String> isSuspect;
@@ -33,6 +32,9 @@
   /** Suspects that other nodes last reported, by name of the node. */
   private final Map<String, Set<String>> suspectsByPeer = new HashMap<>();
 
+  /** The names of the nodes that reported a suspect last, by its address. */
+  private final Map<String, Set<String>> nodesBySuspect = new HashMap<>();
+
   /** Times of the last answers of suspects to other nodes, by name of the node and by address. */
   private final Map<String, Map<String, Long>> answersByPeerMs = new HashMap<>();
 
@@ -61,7 +63,7 @@
   /**
    * Creates an object without testimony.
    *
-   * @param peers reports of the other nodes
+   * @param probers the other nodes, and which of them probe a target for all
    * @param clock monotonic clock
    * @param log log of the node
    * @param isSuspect whether this node suspects the target at an address
@@ -69,13 +71,13 @@
    * @param hasLaterStart whether a target has shown a later start than the given entry
    */
   TargetTestimony(
-      PeerTable peers,
+      ProberSelection probers,
       MonotonicClock clock,
       DecisionLog log,
       Predicate<String> isSuspect,
       Predicate<String> isSlow,
       Predicate<TargetEntry> hasLaterStart) {
-    this.peers = peers;
+    this.probers = probers;
     this.clock = clock;
     this.log = log;
     this.isSuspect = isSuspect;
@@ -111,7 +113,7 @@
           new RefusalReview.Evidence(
               hasLaterStart.test(open.review.target()),
               Math.max(open.answeredMs, lastAnswerToPeersMs(address)),
-              peers.liveReports().size(),
+              probers.otherCount(),
               failingPeers(address));
       RefusalReview.Verdict verdict = open.review.evaluate(evidence, clock.nowMs());
       boolean isOver = verdict != RefusalReview.Verdict.OPEN;
@@ -136,18 +138,84 @@
   }
 
   private boolean isSuspectedByPeer(String address) {
-    return suspectsByPeer.values().stream().anyMatch(set -> set.contains(address));
+    return nodesBySuspect.containsKey(address);
   }
 
   /** Returns how many other nodes fail to reach a target; one that answers them is only slow. */
   private int failingPeers(String address) {
-    return (int)
-        suspectsByPeer.entrySet().stream()
-            .filter(entry -> entry.getValue().contains(address))
-            .filter(
-                entry ->
-                    !answersByPeerMs.getOrDefault(entry.getKey(), Map.of()).containsKey(address))
-            .count();
+    return (int) nodesSuspecting(address).stream().filter(node -> !answers(node, address)).count();
+  }
+
+  private boolean answers(String node, String address) {
+    return answersByPeerMs.getOrDefault(node, Map.of()).containsKey(address);
+  }
+
+  /**
+   * Returns what the nodes with links report about a target. This node counts as one of them if it
+   * suspects the target itself.
+   */
+  LossQuorum.Evidence evidence(String address) {
+    Set<String> chosen = probers.probers(address);
+    Set<String> failing = new HashSet<>(nodesSuspecting(address));
+    failing.removeIf(node -> answers(node, address) || !probers.hasLinks(node));
+    if (isSuspect.test(address)) {
+      failing.add(probers.self());
+    }
+    int failingProbers = (int) failing.stream().filter(chosen::contains).count();
+    boolean answersProber = chosen.stream().anyMatch(node -> answers(node, address));
+    boolean answersHere = chosen.contains(probers.self()) && answersMs.containsKey(address);
+    return new LossQuorum.Evidence(
+        failing.size(), failingProbers, answersProber || answersHere, hasAnsweredLately(address));
+  }
+
+  private boolean hasAnsweredLately(String address) {
+    return hasAnsweredAnySince(address, clock.nowMs() - LossQuorum.ANSWER_VALID_MS);
+  }
+
+  private boolean hasAnsweredAnySince(String address, long validSinceMs) {
+    return hasAnsweredSince(address, validSinceMs)
+        || answersByPeerMs.values().stream()
+            .anyMatch(
+                answers ->
+                    answers.getOrDefault(address, RefusalReview.NO_ANSWER_MS) >= validSinceMs);
+  }
+
+  /**
+   * Returns whether this node should find out whether a target still answers it that others report
+   * as lost. The nodes that may do so follow each other until one of them reports an answer.
+   */
+  boolean mustObjectAgain(String address) {
+    if (!answersMs.containsKey(address) || !LossQuorum.isReported(evidence(address))) {
+      return false;
+    }
+    long delayMs =
+        LossQuorum.OBJECTION_INTERVAL_MS + ProbeSchedule.deferralMs(probers.rank(address));
+    return !hasAnsweredAnySince(address, clock.nowMs() - delayMs);
+  }
+
+  /** Returns whether another node with links reports that it fails to reach a target. */
+  boolean isReportedLost(String address) {
+    return nodesSuspecting(address).stream()
+        .anyMatch(node -> probers.hasLinks(node) && !answers(node, address));
+  }
+
+  /** Returns the addresses that several nodes suspect or find slow, this one included. */
+  Set<String> oftenReportedAddresses() {
+    Set<String> addresses = new HashSet<>();
+    nodesBySuspect.forEach(
+        (address, nodes) -> {
+          if (nodes.size() > 1 || isSuspect.test(address)) {
+            addresses.add(address);
+          }
+        });
+    return addresses;
+  }
+
+  /** Returns whether a prober of a target reports an answer that it got since a time. */
+  boolean hasAnsweredProberSince(String address, long sinceMs) {
+    return probers.probers(address).stream()
+        .map(node -> answersByPeerMs.getOrDefault(node, Map.of()).get(address))
+        .anyMatch(answeredMs -> answeredMs != null && answeredMs >= sinceMs);
   }
 
   private long lastAnswerToPeersMs(String address) {
@@ -187,12 +255,9 @@
     if (suspectsByPeer.isEmpty()) {
       return testimony;
     }
-    List<String> others = peers.liveReports().stream().map(PeerReport::node).toList();
-    Set<String> reported = new HashSet<>();
-    suspectsByPeer.values().forEach(reported::addAll);
-    for (String address : reported) {
+    for (String address : nodesBySuspect.keySet()) {
       boolean isKnown = objectionsMs.containsKey(address) || isSuspect.test(address);
-      if (isKnown && ProbeSchedule.isFrequentProber(peers.self(), others, address)) {
+      if (isKnown && probers.isProber(address)) {
         testimony.put(address, objectionsMs.getOrDefault(address, RefusalReview.NO_ANSWER_MS));
       }
     }
@@ -206,14 +271,7 @@
 
   /** Returns the names of the other nodes that suspect a target, or find it slow. */
   Set<String> nodesSuspecting(String address) {
-    Set<String> nodes = new HashSet<>();
-    suspectsByPeer.forEach(
-        (node, addresses) -> {
-          if (addresses.contains(address)) {
-            nodes.add(node);
-          }
-        });
-    return nodes;
+    return nodesBySuspect.getOrDefault(address, Set.of());
   }
 
   /** Returns whether a suspect answers another node. */
@@ -240,14 +298,26 @@
     answerAgesMs.forEach(
         (address, ageMs) -> peerAnswersMs.put(address, clock.nowMs() - Math.max(0, ageMs)));
     peerReportedSuspects.addAll(suspects);
-    suspectsByPeer.put(node, Set.copyOf(suspects));
-    suspectsByPeer.values().removeIf(Set::isEmpty);
+    replaceSuspects(node, Set.copyOf(suspects));
     answersByPeerMs.put(node, peerAnswersMs);
     answersByPeerMs.values().removeIf(Map::isEmpty);
     forgetUnreportedAnswers();
     evaluateReviews();
   }
 
+  private void replaceSuspects(String node, Set<String> suspects) {
+    Set<String> before = suspectsOf(node);
+    for (String address : before) {
+      Set<String> nodes = nodesBySuspect.get(address);
+      if (!suspects.contains(address) && nodes.remove(node) && nodes.isEmpty()) {
+        nodesBySuspect.remove(address);
+      }
+    }
+    suspects.forEach(a -> nodesBySuspect.computeIfAbsent(a, k -> new HashSet<>()).add(node));
+    suspectsByPeer.put(node, suspects);
+    suspectsByPeer.values().removeIf(Set::isEmpty);
+  }
+
   /** Notes that another node began to suspect a target, so that only later answers object. */
   void onNewSuspicion(String address) {
     objectionsMs.remove(address);
@@ -266,7 +336,7 @@
 
   /** Forgets what a node that is gone reported. */
   void onPeerGone(String node) {
-    suspectsByPeer.remove(node);
+    replaceSuspects(node, Set.of());
     answersByPeerMs.remove(node);
     forgetUnreportedAnswers();
   }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ProbeScheduleTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ProbeScheduleTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests how many probes a fleet sends to a failed target. Guards against probes that grow with the
@@ -66,4 +68,23 @@
     assertThat(ProbeSchedule.paceIntervalMs(79)).isEqualTo(7_900);
     assertThat(ProbeSchedule.paceIntervalMs(390)).isEqualTo(8_000);
   }
+
+  /** Guards against probes that grow with the fleet, up to the size to design for. */
+  @ParameterizedTest
+  @ValueSource(ints = {14, 109, 390})
+  void aLostTargetOfALargeFleetGetsOneProbeASecondAtMost(int nodes) {
+    double sum = 0;
+    for (int rank = 0; rank < nodes; rank++) {
+      sum += 1_000.0 / ProbeSchedule.suspectIntervalMs(rank, nodes);
+    }
+    assertThat(sum).isBetween(0.8, 1.0);
+  }
+
+  /** Guards against all nodes trying a target together that its probers report as lost. */
+  @Test
+  void nodesThatAreNoProbersOfALostTargetTryItOneAfterTheOther() {
+    assertThat(ProbeSchedule.explorationDelayMs(2)).isZero();
+    assertThat(ProbeSchedule.explorationDelayMs(3)).isEqualTo(20_000);
+    assertThat(ProbeSchedule.explorationDelayMs(108)).isEqualTo(106 * 20_000);
+  }
 }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplay.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplay.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.gooseberryhook.router.cluster.ReportSchedule;
 import org.gooseberryhook.router.fleet.CrashFindings;
 import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ProbeSchedule;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.fleet.TestFleet;
@@ -178,10 +180,19 @@
     filledUntilMs.put(target.address(), nowMs + durationMs);
   }
 
+  /** Returns the number of nodes that may send requests to a target. */
   long nodesUsing(TargetEntry target) {
     return nodes.stream().filter(node -> !node.fleet.isSuspect(target.address())).count();
   }
 
+  /** Returns the first nodes of the order in which nodes probe a target. */
+  List<Node> probers(TargetEntry target) {
+    return nodes.stream()
+        .sorted(Comparator.comparingLong(node -> ProbeSchedule.rank(node.name, target.address())))
+        .limit(ProbeSchedule.FREQUENT_PROBERS)
+        .toList();
+  }
+
   private static int firstFree(double[] slots) {
     int first = 0;
     for (int i = 1; i < slots.length; i++) {
@@ -237,6 +248,7 @@
     final TargetRegistry registry = new TargetRegistry();
     final FleetState fleet;
     boolean hasLinks = true;
+    final Set<String> cutAddresses = new HashSet<>();
     final Map<String, Long> keptUntilMs = new HashMap<>();
     private final Map<String, Long> probeKeptUntilMs = new HashMap<>();
     private final Set<ModelPipeline> running = new HashSet<>();
@@ -289,8 +301,12 @@
       }
     }
 
+    private boolean isLinked(String address) {
+      return hasLinks && !cutAddresses.contains(address);
+    }
+
     private boolean cannotReach(String address) {
-      return !hasLinks || crashed.contains(address) || hung.contains(address);
+      return !isLinked(address) || crashed.contains(address) || hung.contains(address);
     }
 
     /** Takes a kept connection or opens one; returns false if that fails. */
@@ -299,8 +315,8 @@
         return true;
       }
       countConnection(address);
-      if (!hasLinks || crashed.contains(address)) {
-        after(hasLinks ? 1 : CONNECT_TIMEOUT_MS, onFailed);
+      if (!isLinked(address) || crashed.contains(address)) {
+        after(isLinked(address) ? 1 : CONNECT_TIMEOUT_MS, onFailed);
         return false;
       }
       return true;
@@ -322,12 +338,15 @@
 
     /** Checks the targets of a stream that has lost one, until the stream would have ended. */
     private void checkStream(ModelPipeline pipeline, long endMs) {
-      boolean isLost = pipeline.addresses().stream().anyMatch(this::cannotReach);
+      boolean isLost =
+          cannotReach(pipeline.head().address())
+              || pipeline.addresses().stream()
+                  .anyMatch(address -> crashed.contains(address) || hung.contains(address));
       boolean isLeft = pipeline.addresses().stream().anyMatch(fleet::isSuspect);
       if (isLost) {
         fleet.checkTargets(pipeline);
       } else {
-        pipeline.addresses().forEach(address -> fleet.onTargetAnswer(address, ANSWER));
+        fleet.onTargetAnswer(pipeline.head().address(), ANSWER);
       }
       if (!isLeft && nowMs < endMs) {
         after(SILENCE_MS, () -> checkStream(pipeline, endMs));
@@ -414,10 +433,10 @@
           Math.max(peakProbesPerSecond, probesInSecond.merge(address, 1, Integer::sum));
       boolean isPlain = slotsFreeMs.containsKey(address);
       double answerMs = nowMs + 3;
-      if (isPlain && hasLinks && !crashed.contains(address) && !hung.contains(address)) {
+      if (isPlain && !cannotReach(address)) {
         answerMs = occupy(address, 1) + 2;
       }
-      if (hasLinks && crashed.contains(address)) {
+      if (isLinked(address) && crashed.contains(address)) {
         after(1, () -> onResult.accept(new EngineResult.Unreachable("refused")));
       } else if (cannotReach(address) || answerMs > nowMs + timeoutMs) {
         after(timeoutMs, () -> onResult.accept(timeOut()));
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplayTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplayTest.java
@@ -1,6 +1,9 @@
 package org.gooseberryhook.router.node;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import org.gooseberryhook.router.fleet.TargetEntry;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -11,26 +14,36 @@
  */
 class ProbeReplayTest {
 
+  private static final int NODES = Integer.getInteger("probe.nodes", 109);
   private static final long WARM_UP_MS = 4_000;
   private static final long FAULT_MS = 9_000;
   private static final long AFTER_MS = 5_000;
 
+  /** Faults, and the bounds of probes in 14 s and of those of one target in a second. */
   enum Fault {
-    NONE,
-    ENGINE_CRASHED,
-    PLAIN_CRASHED,
-    ENGINE_HUNG,
-    PLAIN_HUNG,
-    PLAIN_OVERLOADED,
-    THIRD_WITHOUT_STORE,
-    ONE_NODE_WITHOUT_LINKS,
-    RESET_CONNECTIONS
+    NONE(0, 0),
+    ENGINE_CRASHED(120, 40),
+    PLAIN_CRASHED(40, 10),
+    ENGINE_HUNG(700, 100),
+    PLAIN_HUNG(60, 10),
+    PLAIN_OVERLOADED(60, 10),
+    THIRD_WITHOUT_STORE(4_000, 36),
+    ONE_NODE_WITHOUT_LINKS(1_100, 10),
+    RESET_CONNECTIONS(1_200, 16);
+
+    private final int maxProbes;
+    private final int maxPeak;
+
+    Fault(int maxProbes, int maxPeak) {
+      this.maxProbes = maxProbes;
+      this.maxPeak = maxPeak;
+    }
   }
 
   @ParameterizedTest
   @EnumSource(Fault.class)
-  void replay(Fault fault) {
-    ProbeReplay replay = new ProbeReplay(Integer.getInteger("probe.nodes", 109), 7);
+  void probesDoNotGrowWithTheNodes(Fault fault) {
+    ProbeReplay replay = new ProbeReplay(NODES, 7);
     replay.run(WARM_UP_MS);
     replay.resetCounts();
     TargetEntry engine = replay.engines.get(4);
@@ -59,9 +72,8 @@
     replay.nodes.forEach(node -> node.registry.onStoreAvailable(0));
     replay.run(AFTER_MS);
     System.out.printf(
-        "%s: requests %d, probes %d, peak %d per target and second,"
-            + " new connections %d (%.2f per request),"
-            + " plain rejected %d, of them for probes %d, using in fault: engine %d plain %d, after: %d %d%n",
+        "%s: requests %d, probes %d, peak %d per target and second, new connections %d (%.2f),"
+            + " plain rejected %d, of them for probes %d, using %d and %d, after %d and %d%n",
         fault,
         replay.requests,
         replay.probes,
@@ -74,6 +86,57 @@
         usingPlain,
         replay.nodesUsing(engine),
         replay.nodesUsing(plain));
+    assertThat(replay.probes).isLessThanOrEqualTo(fault.maxProbes);
+    assertThat(replay.peakProbesPerSecond).isLessThanOrEqualTo(fault.maxPeak);
+    assertThat(replay.plainRejectedForProbes).isZero();
+    assertThat(usingEngine).isEqualTo(expectedUsers(fault, "ENGINE"));
+    assertThat(usingPlain).isEqualTo(expectedUsers(fault, "PLAIN"));
+    assertThat(replay.nodesUsing(engine)).isEqualTo(NODES);
+    assertThat(replay.nodesUsing(plain)).isEqualTo(NODES);
+  }
+
+  /** Returns how many nodes should use the target of a kind during a fault. */
+  private static long expectedUsers(Fault fault, String kind) {
+    if (fault == Fault.ONE_NODE_WITHOUT_LINKS) {
+      return NODES - 1;
+    }
+    boolean isLost = fault.name().matches(kind + "_(CRASHED|HUNG)");
+    return isLost ? 0 : NODES;
+  }
+
+  /**
+   * Guards against a fleet that goes on using a crashed target, or does not use it again, because
+   * those that probe it for all have no links and fail to reach every target.
+   */
+  @Test
+  void aLossIsNoticedByAllNodesWhenTheProbersHaveNoLinks() {
+    ProbeReplay replay = new ProbeReplay(NODES, 7);
+    TargetEntry engine = replay.engines.get(4);
+    replay.probers(engine).forEach(node -> node.hasLinks = false);
+    replay.run(WARM_UP_MS);
+    assertThat(replay.nodesUsing(replay.engines.get(5))).isGreaterThanOrEqualTo(NODES - 3);
+    replay.crashed.add(engine.address());
+    replay.run(2_000);
+    assertThat(replay.nodesUsing(engine)).isZero();
+    replay.crashed.clear();
+    replay.run(AFTER_MS);
+    assertThat(replay.nodesUsing(engine)).isGreaterThanOrEqualTo(NODES - 3);
+  }
+
+  /** Guards against a sound target that all nodes leave because three cannot reach it. */
+  @Test
+  void aTargetThatOnlyItsProbersCannotReachStaysInUse() {
+    ProbeReplay replay = new ProbeReplay(NODES, 7);
+    TargetEntry head = replay.engines.get(0);
+    replay.probers(head).forEach(node -> node.cutAddresses.add(head.address()));
+    replay.run(WARM_UP_MS);
+    replay.probers(head).forEach(node -> node.fleet.reportFailure(head.address(), "cut"));
+    long nodeSeconds = 0;
+    for (int i = 0; i < 40; i++) {
+      replay.run(1_000);
+      nodeSeconds += replay.nodesUsing(head);
+    }
+    assertThat(nodeSeconds / 40).isGreaterThanOrEqualTo(NODES - 10);
   }
 
   private static void withoutStore(ProbeReplay replay) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetProberTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetProberTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.gooseberryhook.router.admission.TargetPauses;
@@ -34,13 +35,13 @@
   private final SuspectTracker tracker = new SuspectTracker();
 
   private void probe() {
-    PeerTable peers = new PeerTable("n");
+    ProberSelection probers = new ProberSelection(new PeerTable("n"), Map::of);
     TargetTestimony testimony =
         new TargetTestimony(
-            peers, () -> 1_000, (kind, id, fields) -> {}, a -> false, a -> false, t -> false);
+            probers, () -> 1_000, (kind, id, fields) -> {}, a -> false, a -> false, t -> false);
     new TargetProber(
             new Engines(),
-            peers,
+            probers,
             tracker,
             new TargetPauses(),
             testimony,
