Keep full plain targets in use when probes wait

Cause: a probe of a plain target that accepts the connection and answers too late counted as a loss. A target whose slots are all in use does so, and its load went to the others of its service. Change: control calls tell a silent connection from none. In a fleet of more than 12 other nodes a silent plain target is no loss while the loads show as many requests as slots or it has answered within 1.5 s, for at most 3 s without an answer; its probe is not repeated then.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/ControlCalls.java
@@ -82,16 +82,18 @@
      *
      * @param reason why there is no response
      * @param isTooLarge whether its body is larger than {@link Request#maxResponseBytes}
+     * @param isTimeout whether the connection was open and silent until the time limit
      */
-    record Unanswered(String reason, boolean isTooLarge) implements Result {
+    record Unanswered(String reason, boolean isTooLarge, boolean isTimeout) implements Result {
 
       /**
-       * Creates the outcome of a call whose response failed for another reason than its size.
+       * Creates the outcome of a call whose response failed for another reason than its size or
+       * time.
        *
        * @param reason why there is no response
        */
       public Unanswered(String reason) {
-        this(reason, false);
+        this(reason, false, false);
       }
     }
   }
@@ -166,7 +168,7 @@
                     channel == null
                         ? new Result.NotSent("no connection within the time limit of the call")
                         : new Result.Unanswered(
-                            "no response within " + request.timeoutMs() + " ms"));
+                            "no response within " + request.timeoutMs() + " ms", false, true));
               },
               request.timeoutMs(),
               TimeUnit.MILLISECONDS);
@@ -204,7 +206,9 @@
         channel.abort();
         finish(
             new Result.Unanswered(
-                "response body is larger than " + request.maxResponseBytes() + " bytes", true));
+                "response body is larger than " + request.maxResponseBytes() + " bytes",
+                true,
+                false));
       } else {
         responseBody.writeBytes(content);
       }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/EngineResult.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/EngineResult.java
@@ -46,6 +46,14 @@
    */
   record Refused(int status) implements EngineResult {}
 
+  /**
+   * The target accepted the connection and sent nothing within the time limit: it hangs, is paused
+   * or is busy. An order may still take effect later.
+   *
+   * @param reason why there is no response
+   */
+  record Silent(String reason) implements EngineResult {}
+
   /**
    * The target did not respond; an order may still take effect later.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FleetState.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import org.gooseberryhook.router.admission.CapacitySharing;
 import org.gooseberryhook.router.cluster.PeerReport;
@@ -139,6 +140,11 @@
     aliveListener = listener;
   }
 
+  /** Sets what returns the requests of all nodes in progress at the target with an id. */
+  void setRequestCount(ToIntFunction<String> requestCount) {
+    prober.setRequestCount(requestCount);
+  }
+
   /** Returns what the nodes know of each other's suspects. */
   TargetTestimony testimony() {
     return testimony;
@@ -451,6 +457,7 @@
     if (target == null) {
       return;
     }
+    prober.onAnswered(address);
     testimony.onAnswered(address);
     announcements.onAnswer(target, metadata);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -146,6 +146,7 @@
             System::currentTimeMillis,
             this::readTargetsEarly,
             log);
+    fleet.setRequestCount(targetId -> loads.totalLoad(targetId).requests());
     this.limits = new LimitKeeper(fleet, peers, clock, log);
     this.suspension = new SuspensionCheck(clock, log, lease::relinquish);
     this.forwarder = newForwarder(deps.headerCodec());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
 import org.gooseberryhook.router.admission.TargetPauses;
 import org.gooseberryhook.router.fleet.LinkSample;
@@ -15,6 +16,7 @@
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.PipelineStage;
 import org.gooseberryhook.router.fleet.ProbeSchedule;
+import org.gooseberryhook.router.fleet.SilentProbe;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.forward.MonotonicClock;
 
@@ -54,6 +56,14 @@
 
   private final LinkSample linkSample = new LinkSample();
 
+  /** Times of the last answers of targets, by address. */
+  private final Map<String, Long> lastAnswersMs = new HashMap<>();
+
+  /** Times of the first silent probes since the last answers of targets, by address. */
+  private final Map<String, Long> silentSinceMs = new HashMap<>();
+
+  private ToIntFunction<String> requestCount = targetId -> 0;
+
   /**
    * A probe that is to start later.
    *
@@ -127,6 +137,8 @@
   /** Forgets the targets that are no longer listed. */
   void retainListed(Set<String> listed) {
     deferredProbes.keySet().retainAll(listed);
+    lastAnswersMs.keySet().retainAll(listed);
+    silentSinceMs.keySet().retainAll(listed);
   }
 
   /**
@@ -178,7 +190,8 @@
         target,
         FIRST_PROBE_TIMEOUT_MS,
         result -> {
-          if (!handleAnswer(target, result)) {
+          // A full target is not probed again: the probe would take a slot of it.
+          if (!handleAnswer(target, result) && isLoss(target, result)) {
             readStateOnce(target, reader, SECOND_PROBE_TIMEOUT_MS);
           }
         });
@@ -195,15 +208,49 @@
         result -> {
           if (!handleAnswer(target, result)) {
             linkSample.onResult(target.address(), false, clock.nowMs());
-            listener.onFailure(target.address(), String.valueOf(result));
+            if (isLoss(target, result)) {
+              listener.onFailure(target.address(), String.valueOf(result));
+            }
           }
         });
   }
 
+  /** Returns whether a failed probe shows a loss; a plain target may only be full. */
+  private boolean isLoss(TargetEntry target, EngineResult result) {
+    boolean mayBeFull =
+        probers.isLargeFleet() && isPlain.test(target) && result instanceof EngineResult.Silent;
+    if (!mayBeFull) {
+      return true;
+    }
+    String address = target.address();
+    long nowMs = clock.nowMs();
+    long sinceMs = silentSinceMs.computeIfAbsent(address, a -> nowMs);
+    return SilentProbe.isLoss(
+        new SilentProbe.Evidence(
+            target.slots(),
+            requestCount.applyAsInt(target.id()),
+            nowMs - lastAnswersMs.getOrDefault(address, Long.MIN_VALUE / 2),
+            nowMs - sinceMs));
+  }
+
+  /** Notes that a target has answered this node. */
+  void onAnswered(String address) {
+    lastAnswersMs.put(address, clock.nowMs());
+    silentSinceMs.remove(address);
+  }
+
+  /** Sets what returns the requests of all nodes in progress at the target with an id. */
+  void setRequestCount(ToIntFunction<String> newRequestCount) {
+    requestCount = newRequestCount;
+  }
+
   /** Returns false if the target did not answer. One without a model has no state to report. */
   private boolean handleAnswer(TargetEntry target, EngineResult result) {
-    boolean isPlainAnswer = isPlain.test(target) && !(result instanceof EngineResult.Unreachable);
+    boolean hasNoAnswer =
+        result instanceof EngineResult.Unreachable || result instanceof EngineResult.Silent;
+    boolean isPlainAnswer = isPlain.test(target) && !hasNoAnswer;
     if (isPlainAnswer || result instanceof EngineResult.State) {
+      onAnswered(target.address());
       linkSample.onResult(target.address(), true, clock.nowMs());
     }
     if (isPlainAnswer) {
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplay.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplay.java
@@ -45,7 +45,13 @@
   private static final long TICK_MS = 50;
   private static final long CONNECT_TIMEOUT_MS = 400;
   private static final long SILENCE_MS = 300;
+
+  /** Time for which connections are kept for requests; 30 s are the limit of the pool. */
+  private static final long REQUEST_IDLE_MS = Long.getLong("probe.idle.ms", 4_500);
+
+  /** Time for which connections are kept for probes. */
   private static final long IDLE_MS = 2_000;
+
   private static final ResponseMetadata ANSWER =
       new ResponseMetadata(
           Optional.empty(),
@@ -177,9 +183,20 @@
   /** Occupies all slots of a plain target for a time; requests and probes wait. */
   void fill(TargetEntry target, long durationMs) {
     Arrays.fill(slotsFreeMs.get(target.address()), nowMs + durationMs);
+    Arrays.fill(workFreeMs.get(target.address()), nowMs + durationMs);
     filledUntilMs.put(target.address(), nowMs + durationMs);
   }
 
+  private int requestsInProgress(String targetId) {
+    for (TargetEntry target : plain) {
+      if (target.id().equals(targetId)) {
+        double[] work = workFreeMs.get(target.address());
+        return (int) Arrays.stream(work).filter(endMs -> endMs > nowMs).count();
+      }
+    }
+    return 0;
+  }
+
   /** Returns the number of nodes that may send requests to a target. */
   long nodesUsing(TargetEntry target) {
     return nodes.stream().filter(node -> !node.fleet.isSuspect(target.address())).count();
@@ -268,6 +285,7 @@
               () -> 1_796_000_000_000L,
               () -> {},
               (kind, id, fields) -> {});
+      fleet.setRequestCount(id -> requestsInProgress(id));
       List<TargetEntry> all = new ArrayList<>(engines);
       all.addAll(plain);
       registry.replaceAll(all, nowMs);
@@ -352,7 +370,7 @@
         after(SILENCE_MS, () -> checkStream(pipeline, endMs));
       } else {
         running.remove(pipeline);
-        keptUntilMs.put(pipeline.head().address(), nowMs + IDLE_MS);
+        keptUntilMs.put(pipeline.head().address(), nowMs + REQUEST_IDLE_MS);
       }
     }
 
@@ -392,7 +410,7 @@
       after(
           Math.round(endMs) - nowMs,
           () -> {
-            keptUntilMs.put(address, nowMs + IDLE_MS);
+            keptUntilMs.put(address, nowMs + REQUEST_IDLE_MS);
             fleet.onTargetAnswer(address, ANSWER);
           });
     }
@@ -439,7 +457,8 @@
       if (isLinked(address) && crashed.contains(address)) {
         after(1, () -> onResult.accept(new EngineResult.Unreachable("refused")));
       } else if (cannotReach(address) || answerMs > nowMs + timeoutMs) {
-        after(timeoutMs, () -> onResult.accept(timeOut()));
+        boolean isConnected = isLinked(address);
+        after(timeoutMs, () -> onResult.accept(timeOut(isConnected)));
       } else {
         probeKeptUntilMs.put(address, Math.round(answerMs) + IDLE_MS);
         EngineResult result =
@@ -455,8 +474,10 @@
       }
     }
 
-    private EngineResult timeOut() {
-      return new EngineResult.Unreachable("no response in time");
+    private EngineResult timeOut(boolean isConnected) {
+      return isConnected
+          ? new EngineResult.Silent("no response in time")
+          : new EngineResult.Unreachable("no connection in time");
     }
 
     @Override
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplayTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/ProbeReplayTest.java
@@ -139,6 +139,19 @@
     assertThat(nodeSeconds / 40).isGreaterThanOrEqualTo(NODES - 10);
   }
 
+  /** Guards against a full target that leaves its load to the others of its service. */
+  @Test
+  void aFullPlainTargetStaysInUse() {
+    ProbeReplay replay = new ProbeReplay(NODES, 7);
+    replay.run(WARM_UP_MS);
+    TargetEntry full = replay.plain.get(1);
+    replay.fill(full, 2_500);
+    for (int i = 0; i < 5; i++) {
+      replay.run(500);
+      assertThat(replay.nodesUsing(full)).isEqualTo(NODES);
+    }
+  }
+
   private static void withoutStore(ProbeReplay replay) {
     for (ProbeReplay.Node node : replay.nodes.subList(0, replay.nodes.size() / 3)) {
       node.registry.onStoreUnavailable();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetProberTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetProberTest.java
@@ -84,6 +84,14 @@
     assertThat(results).containsExactly("failure");
   }
 
+  /** Guards against fewer probes of a hung target in a small fleet, which takes it for lost. */
+  @Test
+  void aSilentTargetIsOutOfReachInASmallFleet() {
+    stateResult = new EngineResult.Silent("no response in time");
+    probe();
+    assertThat(results).containsExactly("failure");
+  }
+
   private final class Results implements TargetProber.Listener {
     @Override
     public void onState(TargetEntry target, EngineResult.State state) {
