Keep connections for as long as targets allow

Cause: the pool closed connections after 2 s although targets state a longer limit in Keep-Alive. At 109 nodes a node sends to the same head every 8 s, so that nearly each request opened a connection. Change: the stated limit, less half a second, counts up to 30 s; without the header it stays 2 s. Only the last used connection to a target may be idle for longer than 2 s, which bounds those that a fleet holds. Requests that must not run twice keep 0.5 s and no longer close connections that others may use.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -72,7 +72,7 @@
             random,
             headerCodec,
             new TargetChannelPool(
-                loop, clock, headerCodec, answerListener, TargetChannelPool.DEFAULT_IDLE_MS),
+                loop, clock, headerCodec, answerListener, TargetChannelPool.MAX_IDLE_MS),
             new RelayConnections(
                 relayView,
                 new TargetChannelPool(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -359,7 +359,7 @@
           .acquire(
               target.address(),
               request.metadata().attemptId(),
-              isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannelPool.DEFAULT_IDLE_MS,
+              isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannelPool.MAX_IDLE_MS,
               guard.wrap(this::onConnected),
               guard.wrap(this::onNotConnected));
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -77,7 +77,7 @@
         .acquire(
             pipeline.head().address(),
             stream.request.metadata().attemptId(),
-            TargetChannelPool.DEFAULT_IDLE_MS,
+            TargetChannelPool.MAX_IDLE_MS,
             guard.wrap(this::onConnected),
             guard.wrap(this::onNotConnected));
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -27,6 +27,18 @@
    */
   static final long DEFAULT_IDLE_MS = 2_000;
 
+  /**
+   * Longest idle time of a pooled connection to a target that allows more. A node of a large fleet
+   * sends to the same target every 8 to 20 s.
+   */
+  static final long MAX_IDLE_MS = 30_000;
+
+  /**
+   * Number of connections to a target that may be idle for longer than {@link #DEFAULT_IDLE_MS}.
+   * More would fill the connections of a target that hundreds of nodes use, after each peak.
+   */
+  private static final int MAX_LONG_IDLE_PER_TARGET = 1;
+
   /** Maximum number of idle connections to a target; further ones are closed. */
   static final int MAX_IDLE_PER_TARGET = 32;
 
@@ -117,8 +129,11 @@
     }
   }
 
-  /** Takes the connection that was idle for the shortest time, and closes unfit ones before it. */
-  private Optional<TargetChannel> takeIdle(String address, String attemptId, long maxIdleMs) {
+  /**
+   * Takes the connection that was idle for the shortest time, and closes unfit ones before it.
+   * Those that were idle for too long only for this request are kept for others.
+   */
+  private Optional<TargetChannel> takeIdle(String address, String attemptId, long limitMs) {
     Deque<TargetChannel> pooled = idle.getOrDefault(address, new ArrayDeque<>());
     Iterator<TargetChannel> latestFirst = pooled.descendingIterator();
     while (latestFirst.hasNext()) {
@@ -126,7 +141,7 @@
       if (!channel.isUsable() || isIdleTooLong(channel, maxIdleMs)) {
         latestFirst.remove();
         channel.abort();
-      } else if (channel.canMatch(attemptId)) {
+      } else if (channel.canMatch(attemptId) && !isIdleTooLong(channel, limitMs)) {
         latestFirst.remove();
         return Optional.of(channel);
       }
@@ -230,13 +245,17 @@
     }
   }
 
-  /** Closes the connections that were idle for longer than their limit. */
+  /**
+   * Closes the connections that were idle for longer than their limit, and all but the last used
+   * ones of those that were idle for long.
+   */
   private void closeIdle() {
     for (Deque<TargetChannel> pooled : idle.values()) {
       Iterator<TargetChannel> channels = pooled.iterator();
       while (channels.hasNext()) {
         TargetChannel channel = channels.next();
-        if (isIdleTooLong(channel, maxIdleMs)) {
+        boolean isSpare = pooled.size() > MAX_LONG_IDLE_PER_TARGET;
+        if (isIdleTooLong(channel, isSpare ? Math.min(maxIdleMs, DEFAULT_IDLE_MS) : maxIdleMs)) {
           channels.remove();
           channel.abort();
         }
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/TargetChannelTest.java
@@ -321,6 +321,36 @@
     }
   }
 
+  /** Guards against nodes that fill the connections of a target after a peak of requests. */
+  @Test
+  void onlyTheLastUsedOfSeveralConnectionsIsIdleForLong() throws Exception {
+    TargetChannelPool pool = newPool(TargetChannelPool.MAX_IDLE_MS);
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      Socket first = useNewConnection(pool, listener, "Keep-Alive: timeout=60");
+      Socket last = useNewConnection(pool, listener, "Keep-Alive: timeout=60");
+      assertThat(first.getInputStream().read()).isEqualTo(-1);
+      last.setSoTimeout(500);
+      assertThatThrownBy(() -> last.getInputStream().read())
+          .isInstanceOf(SocketTimeoutException.class);
+    }
+  }
+
+  /** Guards against a request that must not run twice and closes a connection others may use. */
+  @Test
+  void aConnectionThatIsIdleForTooLongForOneRequestIsKeptForOthers() throws Exception {
+    TargetChannelPool pool = newPool(TargetChannelPool.MAX_IDLE_MS);
+    try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      Socket kept = useNewConnection(pool, listener, "Keep-Alive: timeout=60");
+      String address = "127.0.0.1:" + listener.getLocalPort();
+      Thread.sleep(100);
+      loop.execute(() -> pool.acquire(address, "a2", 50, channel -> {}, reason -> {}));
+      listener.accept().close();
+      kept.setSoTimeout(500);
+      assertThatThrownBy(() -> kept.getInputStream().read())
+          .isInstanceOf(SocketTimeoutException.class);
+    }
+  }
+
   /** Sends a request over a new connection, answers it and returns the target's side. */
   private Socket useNewConnection(TargetChannelPool pool, ServerSocket listener, String header)
       throws Exception {
