Learn what requests cost from those that ended

Cause: no stream counted as shorter than the mean of its service, callers that understated their output reserved too little for as long as they did, and each plain request counted as 1 whatever its target takes for it.

Change: CostModel learns the ratio of the output to the caller's estimate by workspace, route and bucket of estimates, and work times of plain requests by route and target. The mean decides the reserved memory and the cost, the 90th percentile whether a stream ends before its deadline. Figures of routes are summed over all nodes under new keys of FleetSums, which older nodes ignore. RemainingWork keeps what targets have left for this node's requests; TargetChooser weighs it. Without lessons, decisions are those of before, except for senseless prompt counts, which count as the mean.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/CapacitySharing.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/CapacitySharing.java
@@ -36,8 +36,7 @@
    * @return the sharing
    */
   public CapacitySharing withDemand(double startsPerSecond, int pipelineCount) {
-    double starts =
-        startsPerSecond * reportIntervalMs / MS_PER_SECOND / Math.max(1, pipelineCount);
+    double starts = startsPerSecond * reportIntervalMs / MS_PER_SECOND / Math.max(1, pipelineCount);
     return new CapacitySharing(
         nodeCount, reportIntervalMs, Math.max(1, Math.min(nodeCount, starts)));
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -357,7 +357,7 @@
     double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads, slowdownFactors);
     double neededMs =
         PipelineEstimate.prefillMs(pipeline, profile, request.promptTokens(), slowdownFactors)
-            + stepMs * request.expectedOutputTokens();
+            + stepMs * request.highOutputTokens();
     return neededMs <= (request.deadlineMs() - nowMs) * DEADLINE_SHARE;
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamRequest.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamRequest.java
@@ -4,7 +4,11 @@
  * Properties of a stream request that determine its pipeline.
  *
  * @param promptTokens number of prompt tokens
- * @param expectedOutputTokens number of output tokens that the request is unlikely to exceed
+ * @param expectedOutputTokens number of output tokens that the request has on average
+ * @param heldOutputTokens number of output tokens that the request holds in memory, averaged over
+ *     the time that it runs
+ * @param highOutputTokens number of output tokens that the request is unlikely to exceed; decides
+ *     whether it ends before the deadline
  * @param rank priority rank; 0 is the most urgent
  * @param arrivedMs monotonic time of the request's arrival, in milliseconds
  * @param deadlineMs monotonic time at which the caller stops waiting, in milliseconds
@@ -16,6 +20,8 @@
 public record StreamRequest(
     int promptTokens,
     int expectedOutputTokens,
+    int heldOutputTokens,
+    int highOutputTokens,
     int rank,
     long arrivedMs,
     long deadlineMs,
@@ -23,10 +29,37 @@
     long gapTargetMs) {
 
   /**
-   * Share of the expected output that counts as held in memory. At any time, streams are at all
-   * points of their outputs, so that half of the output is held on average.
+   * Creates a request whose output has no known spread.
+   *
+   * @param promptTokens number of prompt tokens
+   * @param expectedOutputTokens number of output tokens that the request is unlikely to exceed
+   * @param rank priority rank; 0 is the most urgent
+   * @param arrivedMs monotonic time of the request's arrival, in milliseconds
+   * @param deadlineMs monotonic time at which the caller stops waiting, in milliseconds
+   * @param targetLatencyMs time from arrival to the first event that still counts as on time, in
+   *     milliseconds
+   * @param gapTargetMs longest time between two events that still counts as on time, in
+   *     milliseconds; 0 or less for no target
    */
-  static final double HELD_OUTPUT_SHARE = 0.6;
+  public StreamRequest(
+      int promptTokens,
+      int expectedOutputTokens,
+      int rank,
+      long arrivedMs,
+      long deadlineMs,
+      long targetLatencyMs,
+      long gapTargetMs) {
+    this(
+        promptTokens,
+        expectedOutputTokens,
+        (int) Math.round(ExpectedOutput.HELD_SHARE * expectedOutputTokens),
+        expectedOutputTokens,
+        rank,
+        arrivedMs,
+        deadlineMs,
+        targetLatencyMs,
+        gapTargetMs);
+  }
 
   /**
    * Returns the memory to reserve for the request.
@@ -34,6 +67,6 @@
    * @return number of tokens
    */
   public long reservedTokens() {
-    return promptTokens + Math.round(HELD_OUTPUT_SHARE * expectedOutputTokens);
+    return (long) promptTokens + heldOutputTokens;
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/FleetSums.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/FleetSums.java
@@ -74,6 +74,19 @@
     return key("w", service, rank, workspace);
   }
 
+  /**
+   * Returns the key of an amount about the lengths of streams.
+   *
+   * @param route name of the route
+   * @param bucket number of the bucket of callers' estimates
+   * @param power 0 for the number of streams, 1 for the sum of their lengths, 2 for that of the
+   *     squares
+   * @return the key
+   */
+  public static String lengthKey(String route, int bucket, int power) {
+    return key("l", route, bucket, Integer.toString(power));
+  }
+
   private static String key(String kind, String service, int rank, String workspace) {
     return kind + SEPARATOR + rank + SEPARATOR + service + SEPARATOR + workspace;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -175,10 +175,11 @@
   }
 
   /**
-   * Returns this node's demand, for the sums of the fleet.
+   * Returns this node's demand and the lengths of streams that it learned, for the sums of the
+   * fleet.
    *
    * @param nowMs monotonic time in milliseconds
-   * @return the amounts; none if no service has requests of several ranks
+   * @return the amounts; without demand if no service has requests of several ranks
    */
   public FleetSums ownDemand(long nowMs) {
     return dispatcher.ownDemand(nowMs);
@@ -193,6 +194,15 @@
     return dispatcher.admittedFractions();
   }
 
+  /**
+   * Returns figures about the costs of requests.
+   *
+   * @return values by name of the gauge
+   */
+  public Map<String, Long> costGauges() {
+    return dispatcher.costs().gauges();
+  }
+
   /**
    * Returns the number of requests that are relayed to other nodes now.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -168,7 +168,7 @@
 
   private Optional<TargetEntry> chooseTarget() {
     long nowMs = context.clock().nowMs();
-    return new TargetChooser(context.loads())
+    return new TargetChooser(context.loads(), dispatcher.costs().workTimes(route().name(), nowMs))
         .choose(
             untriedTargets()
                 .filter(pauseEndsBy(nowMs))
@@ -345,6 +345,8 @@
     /** Whether another attempt takes its turn, which decides how the request goes on. */
     private boolean hasSuccessor;
 
+    private RequestCosts.PlainRun costRun;
+
     Attempt(TargetEntry target) {
       this.target = target;
     }
@@ -353,6 +355,7 @@
       // There is a permit: the target was chosen for it in this step.
       context.limits().tryTake(target);
       context.loads().add(target.id(), 0);
+      costRun = dispatcher.costs().startPlain(route().name(), target, context.loads());
       boolean isOnceOnly = route().kind() != RequestKind.IDEMPOTENT;
       context
           .channelPool()
@@ -534,6 +537,7 @@
         }
         context.health().recordSuccess(target.id(), nowMs);
         context.stopForecast().recordServed(route(), nowMs - sentMs);
+        dispatcher.costs().recordPlain(costRun, nowMs - sentMs);
         sendResponse("served", new TargetResponse(status, headers, body));
       }
     }
@@ -572,6 +576,7 @@
       }
       PlainExchange.cancel(silenceTimer);
       context.loads().remove(target.id(), 0);
+      dispatcher.costs().endPlain(costRun);
       dispatcher.startWaitingRequestsSoon();
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -44,6 +44,7 @@
 
   private final ForwardContext context;
   private final StreamAdmission admission;
+  private final RequestCosts costs;
   private final DemandTracker demand = new DemandTracker();
   private final PriorityAdmission priority;
   private final Map<String, WaitQueue<QueuedExchange>> queues = new HashMap<>();
@@ -61,6 +62,7 @@
 
   RequestDispatcher(ForwardContext context, FleetSumsView fleetSums) {
     this.context = context;
+    this.costs = new RequestCosts(fleetSums, context.clock());
     this.priority =
         new PriorityAdmission(
             fleetSums,
@@ -275,9 +277,17 @@
     return (hash >>> DRAW_SHIFT) * DRAW_UNIT;
   }
 
-  /** Returns this node's share of the demand, for the sums of the fleet. */
+  /** Returns what is known about the costs of requests. */
+  RequestCosts costs() {
+    return costs;
+  }
+
+  /**
+   * Returns this node's share of the demand and the lengths that it learned, for the sums of the
+   * fleet.
+   */
   FleetSums ownDemand(long nowMs) {
-    return demand.own(nowMs);
+    return demand.own(nowMs).plus(costs.own(nowMs));
   }
 
   /** Returns the admitted fraction of each rank by service. */
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StopForecast.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StopForecast.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.gooseberryhook.router.admission.CostModel;
 import org.gooseberryhook.router.configuration.Route;
 
 /**
@@ -129,9 +130,7 @@
     }
     OptionalInt estimate = metadata.estimatedOutputTokens();
     double estimatedTokens =
-        estimate.isPresent()
-            ? estimate.getAsInt() * StreamRequestFactory.ESTIMATE_MARGIN
-            : Integer.MAX_VALUE;
+        estimate.isPresent() ? estimate.getAsInt() * CostModel.ESTIMATE_MARGIN : Integer.MAX_VALUE;
     double tokens = Math.min(metadata.maxOutputTokens().orElse(Integer.MAX_VALUE), estimatedTokens);
     double tokensLeft = Math.max(0, tokens - generatedTokens);
     long microsPerToken = known.microsPerToken.high().getAsLong();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -14,7 +14,7 @@
   private final StreamExchange stream;
   private final ForwardContext context;
   private final StepGuard guard;
-  private final long tokens;
+  private final StreamRequest streamRequest;
   private ModelPipeline pipeline;
   private PipelineReservation reservation;
   private final long startedMs;
@@ -25,14 +25,14 @@
   private long earliestRepathMs = Long.MIN_VALUE;
   private boolean isOver;
 
-  StreamAttempt(StreamExchange stream, ModelPipeline pipeline, long tokens) {
+  StreamAttempt(StreamExchange stream, ModelPipeline pipeline, StreamRequest streamRequest) {
     super(stream.newEventCheck(), stream.context.bodyMemory());
     this.stream = stream;
     this.context = stream.context;
     this.guard = stream.guard;
     this.startedMs = context.clock().nowMs();
     this.pipeline = pipeline;
-    this.tokens = tokens;
+    this.streamRequest = streamRequest;
   }
 
   /** Returns the pipeline, which changes if targets of it are replaced. */
@@ -59,7 +59,9 @@
 
   /** Takes a place at the pipeline. */
   void reserve() {
-    reservation = new PipelineReservation(context.loads(), pipeline, tokens);
+    reservation =
+        new PipelineReservation(
+            context.loads(), stream.dispatcher.costs().remaining(), pipeline, streamRequest);
   }
 
   /** Gives the place at the pipeline back. */
@@ -347,6 +349,7 @@
       stream.response.startStream(status, headers);
     }
     long gapMs = stream.onSentEvent(id);
+    reservation.onGenerated(stream.profile.decodeStepsPerPass());
     if (stream.routed.route().gapTargetMs() > 0 && gapMs > stream.routed.route().gapTargetMs()) {
       context.fleet().checkPace(pipeline);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.gooseberryhook.router.admission.AdmissionVerdict;
+import org.gooseberryhook.router.admission.ExpectedOutput;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -34,6 +35,9 @@
   /** The targets at which runs of this stream may be in progress. */
   RunningTargets runningTargets;
 
+  /** Output that was expected when the stream was first considered, null before. */
+  private ExpectedOutput firstExpected;
+
   /** Whether an attempt failed, so that the stream waits to be resumed and not to be started. */
   private boolean isResuming;
 
@@ -67,6 +71,7 @@
     super(relayed, triedNodes);
     this.profile = relayed.profile;
     this.progress = relayed.progress;
+    this.firstExpected = relayed.firstExpected;
     this.ledger = SendLedger.ofRelayed(sends);
     this.runningTargets = relayed.runningTargets;
   }
@@ -248,7 +253,7 @@
       }
     }
     dispatcher.onStarted(pipeline, ledger.isSent());
-    attempt = new StreamAttempt(this, pipeline, streamRequest.reservedTokens());
+    attempt = new StreamAttempt(this, pipeline, streamRequest);
     attempt.start();
   }
 
@@ -264,8 +269,18 @@
   }
 
   StreamRequest newStreamRequest(long nowMs) {
+    ExpectedOutput expected =
+        dispatcher.costs().expectedOutput(routed, request.metadata(), profile, nowMs);
+    firstExpected = firstExpected == null ? expected : firstExpected;
     return StreamRequestFactory.create(
-        request, routed, profile, progress.generatedTokens(), ledger.isSent(), deadlineMs, nowMs);
+        request,
+        routed,
+        profile,
+        expected,
+        progress.generatedTokens(),
+        ledger.isSent(),
+        deadlineMs,
+        nowMs);
   }
 
   @Override
@@ -377,7 +392,10 @@
     request.body().release();
     long firstMs = progress.firstEventAfterMs(request.receivedMs());
     Optional<ModelPipeline> last = Optional.ofNullable(attempt).map(StreamAttempt::pipeline);
-    Object[] details = StreamOutcome.details(request, ledger, progress, firstMs, last);
+    dispatcher.costs().recordStream(routed, request.metadata(), outcome, firstExpected, progress);
+    Object[] details =
+        StreamOutcome.details(
+            request, ledger, progress, firstMs, last, Optional.ofNullable(firstExpected));
     context.recordOutcome("stream", request, routed, outcome, firstMs, details);
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamOutcome.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamOutcome.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import java.util.Optional;
+import org.gooseberryhook.router.admission.ExpectedOutput;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 
 /** The fields of the log line that says how a stream ended. */
@@ -14,7 +15,8 @@
       SendLedger ledger,
       StreamProgress progress,
       long firstMs,
-      Optional<ModelPipeline> pipeline) {
+      Optional<ModelPipeline> pipeline,
+      Optional<ExpectedOutput> expected) {
     return new Object[] {
       "runs",
       ledger.total(),
@@ -30,6 +32,14 @@
       pipeline.map(ModelPipeline::dataCentreCrossings).orElse(0),
       "sentTo",
       ledger.describe(),
+      "tokens",
+      progress.generatedTokens(),
+      "expectedTokens",
+      expected.map(ExpectedOutput::meanTokens).orElse(0),
+      "highTokens",
+      expected.map(ExpectedOutput::highTokens).orElse(0),
+      "expectedFrom",
+      expected.map(e -> e.source().name()).orElse(""),
       "parts",
       request.metadata().promptParts()
     };
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
@@ -1,20 +1,18 @@
 package org.gooseberryhook.router.forward;
 
+import org.gooseberryhook.router.admission.ExpectedOutput;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.configuration.EngineProfile;
 
 /** Builds the input of pipeline selection from a caller's request and the engine's profile. */
 final class StreamRequestFactory {
 
-  /**
-   * Factor on callers' estimates of generated tokens. The estimates are right at the median; the
-   * margin covers most of the longer outputs.
-   */
-  static final double ESTIMATE_MARGIN = 1.2;
-
   /** Factor on the gap target of a stream that is resumed at another pipeline. */
   private static final double RESUMED_GAP_FACTOR = 1.5;
 
+  /** Largest number of prompt tokens that is believed; a larger one counts as not stated. */
+  private static final int MAX_PROMPT_TOKENS = 16_777_216;
+
   private StreamRequestFactory() {}
 
   /**
@@ -23,6 +21,7 @@
    * @param request the caller's request
    * @param routed its route
    * @param profile profile of the engines
+   * @param expected output that is expected of the whole stream
    * @param generatedTokens number of tokens generated so far
    * @param isResumed whether the request was sent to a pipeline before
    * @param deadlineMs monotonic time at which the stream must have ended, in milliseconds
@@ -33,26 +32,33 @@
       CallerRequest request,
       RoutingResult.Routed routed,
       EngineProfile profile,
+      ExpectedOutput expected,
       int generatedTokens,
       boolean isResumed,
       long deadlineMs,
       long nowMs) {
     RequestMetadata metadata = request.metadata();
-    int promptTokens = metadata.promptTokens().orElse(profile.meanPromptTokens());
-    int maxTokens = metadata.maxOutputTokens().orElse(profile.meanOutputTokens());
-    int estimatedTokens = metadata.estimatedOutputTokens().orElse(profile.meanOutputTokens());
-    int likelyTokens =
-        (int) Math.max(estimatedTokens * ESTIMATE_MARGIN, profile.meanOutputTokens());
-    int expectedTokens = Math.max(1, Math.min(maxTokens, likelyTokens) - generatedTokens);
+    ExpectedOutput left = expected.after(generatedTokens);
     // Resuming a started stream is preferred to starting others, even if it gets longer gaps.
     double gapFactor = isResumed ? RESUMED_GAP_FACTOR : 1;
     return new StreamRequest(
-        promptTokens + generatedTokens,
-        expectedTokens,
+        contextTokens(metadata, profile, generatedTokens),
+        left.meanTokens(),
+        left.heldTokens(),
+        left.highTokens(),
         routed.rank(),
         nowMs,
         deadlineMs,
         routed.route().targetLatencyMs(),
         (long) (routed.route().gapTargetMs() * gapFactor));
   }
+
+  /** Returns the tokens that a pipeline reads first; a senseless count is taken as the mean. */
+  private static int contextTokens(
+      RequestMetadata metadata, EngineProfile profile, int generatedTokens) {
+    int stated = metadata.promptTokens().orElse(0);
+    int promptTokens =
+        stated >= 1 && stated <= MAX_PROMPT_TOKENS ? stated : profile.meanPromptTokens();
+    return promptTokens + generatedTokens;
+  }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -451,6 +451,7 @@
             (service, fractions) ->
                 fractions.forEach(
                     (rank, fraction) -> metrics.setAdmittedFraction(service, rank, fraction)));
+    forwarder.costGauges().forEach(metrics::setGauge);
     metrics.setGauge("caller_connections", forwarder.connectionCount());
     metrics.setGauge("live_peers", peers.liveReports().size());
     metrics.setGauge("targets", registry.entries().size());
