Place streams of a large fleet where they are on time

Cause: a node of a large fleet compared two random pipelines by utilization. Short streams went to pipelines that read prompts slowly, where two prompts in one pass make all streams miss the gap target, although others had room.

Change: if pipelines differ in speed, the two are drawn by their free room, less for each stream that the start is expected to make late and for a late finish. Small fleets and equal pipelines are treated as before. The stages of a pipeline are looked at once for each choice. A request's arrival is the time at which this node received it, so that its wait counts.

--- a/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
+++ b/gooseberryhook-load/src/main/java/org/gooseberryhook/load/RouterDecisions.java
@@ -4,15 +4,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import org.gooseberryhook.router.admission.CapacitySharing;
+import org.gooseberryhook.router.admission.CostKey;
+import org.gooseberryhook.router.admission.CostModel;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.StreamAdmission;
 import org.gooseberryhook.router.admission.StreamRequest;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.configuration.AcceleratorKind;
 import org.gooseberryhook.router.configuration.EngineProfile;
 import org.gooseberryhook.router.fleet.ModelPipeline;
 import org.gooseberryhook.router.fleet.ModelPipelines;
+import org.gooseberryhook.router.fleet.PipelineStage;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.placement.LayerPlan;
 import org.gooseberryhook.router.placement.LayerPlanner;
@@ -22,17 +27,22 @@
 /**
  * Measures how long the decisions of the router take as the fleet grows: the first layer plan, the
  * plan after the loss of a target and the composition of pipelines, in milliseconds, and the choice
- * of a pipeline, in microseconds. Each figure is the best of {@link #REPEATS} repeats.
+ * of a pipeline by a node of a small and of a large fleet and the expected output of a stream, in
+ * microseconds. Each figure is the best of {@link #REPEATS} repeats.
  *
  * @since 0.2
  */
 public final class RouterDecisions {
 
-  private static final int[][] FLEETS = {{36, 3}, {90, 4}, {3_700, 8}};
+  private static final int[][] FLEETS = {{36, 3}, {90, 4}, {190, 4}, {3_700, 8}};
   private static final int[] KINDS_OF_TEN = {0, 1, 1, 1, 2, 2, 2, 2, 2, 2};
   private static final String[] KIND_NAMES = {"large", "middle", "small"};
   private static final int CHOICE_COUNT = 2_000;
   private static final int REPEATS = 5;
+  private static final int STREAMS_PER_PIPELINE = 5;
+
+  /** A fleet so large that its nodes draw pipelines by their room and by who would be late. */
+  private static final CapacitySharing LARGE_FLEET = new CapacitySharing(109, 350);
 
   private static final EngineProfile PROFILE =
       new EngineProfile(
@@ -67,7 +77,8 @@
    */
   public static void main(String[] args) {
     System.out.println(
-        "replicas  zones  pipelines  first plan ms  repair ms  compose ms  choose us");
+        "replicas  zones  pipelines  first plan ms  repair ms  compose ms  choose us  place us"
+            + "  expect us");
     for (int[] fleet : FLEETS) {
       measure(fleet[0], fleet[1]);
     }
@@ -91,6 +102,9 @@
         ModelPipelines.compose(planned, PROFILE.layerCount(), entry -> true);
     StreamAdmission admission =
         new StreamAdmission(new LoadTracker(), target -> 1, new SplittableRandom(1));
+    StreamAdmission loadedAdmission =
+        new StreamAdmission(halfFull(pipelines), target -> 1, new SplittableRandom(1));
+    CostModel costs = taughtCosts();
     StreamRequest request = new StreamRequest(774, 204, 1, 0, 20_000, 500, 200);
     double firstMs =
         bestMs(() -> LayerPlanner.plan(empty, PROFILE, PlanConditions.ALL_CHANGES_ALLOWED));
@@ -110,15 +124,57 @@
                 }
               }
             });
+    double expectMs = bestMs(() -> expect(costs));
+    double placeMs =
+        bestMs(
+            () -> {
+              for (int i = 0; i < CHOICE_COUNT; i++) {
+                loadedAdmission.choose(request, pipelines, PROFILE, LARGE_FLEET, 0);
+              }
+            });
     System.out.printf(
-        "%8d  %5d  %9d  %13.1f  %9.1f  %10.2f  %9.1f%n",
+        "%8d  %5d  %9d  %13.1f  %9.1f  %10.2f  %9.1f  %8.1f  %9.2f%n",
         replicas,
         dataCentres,
         pipelines.size(),
         firstMs,
         repairMs,
         composeMs,
-        chooseMs * 1_000 / CHOICE_COUNT);
+        chooseMs * 1_000 / CHOICE_COUNT,
+        placeMs * 1_000 / CHOICE_COUNT,
+        expectMs * 1_000 / CHOICE_COUNT);
+  }
+
+  /** Returns loads of some streams on each pipeline. */
+  private static LoadTracker halfFull(List<ModelPipeline> pipelines) {
+    LoadTracker loads = new LoadTracker();
+    for (ModelPipeline pipeline : pipelines) {
+      for (PipelineStage stage : pipeline.stages()) {
+        for (int i = 0; i < STREAMS_PER_PIPELINE; i++) {
+          loads.add(stage.target().id(), 900L * stage.layers().layerCount());
+        }
+      }
+    }
+    return loads;
+  }
+
+  private static CostModel taughtCosts() {
+    CostModel costs = new CostModel(new FleetSumsTracker(() -> 0));
+    for (int i = 0; i < CHOICE_COUNT; i++) {
+      costs.onEnded(key(i), OptionalInt.of(100), 150, 0);
+    }
+    return costs;
+  }
+
+  private static void expect(CostModel costs) {
+    for (int i = 0; i < CHOICE_COUNT; i++) {
+      costs.expectedOutput(key(i), OptionalInt.of(100), OptionalInt.empty(), PROFILE, 0);
+    }
+  }
+
+  /** Returns the key of a stream; every other one is of a workspace with few streams. */
+  private static CostKey key(int number) {
+    return new CostKey("route", "w" + number % (number % 2 == 0 ? 20 : 2_000));
   }
 
   private static double bestMs(Runnable decision) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PipelineEstimate.java
@@ -37,6 +37,69 @@
   @FunctionalInterface
   public interface SlowdownFactors extends ToDoubleFunction<TargetEntry> {}
 
+  /**
+   * Times of a pipeline, computed in one pass over its stages.
+   *
+   * @param stepMs time of a token step at the present load, in milliseconds
+   * @param emptyStepMs time of a token step without requests, in milliseconds
+   * @param promptTokenMs time to read one prompt token, in milliseconds
+   */
+  record Times(double stepMs, double emptyStepMs, double promptTokenMs) {
+
+    /** Returns the time between two events while one chunk of a prompt is read. */
+    double eventGapMs(EngineProfile profile) {
+      return gapMs(profile, stepMs);
+    }
+
+    /** Returns the time between two events of the only stream while a prompt is read. */
+    double emptyEventGapMs(EngineProfile profile) {
+      return gapMs(profile, emptyStepMs);
+    }
+
+    private double gapMs(EngineProfile profile, double oneStepMs) {
+      int chunkTokens = Math.min(profile.prefillChunkTokens(), profile.meanPromptTokens());
+      return profile.decodeStepsPerPass() * oneStepMs + promptTokenMs * chunkTokens;
+    }
+  }
+
+  /** Returns the times of a pipeline; its stages are looked at once. */
+  static Times times(
+      ModelPipeline pipeline,
+      EngineProfile profile,
+      LoadTracker loads,
+      SlowdownFactors slowdownFactors) {
+    double stepMs = 0;
+    double emptyStepMs = 0;
+    double prefillFactor = 0;
+    for (PipelineStage stage : pipeline.stages()) {
+      AcceleratorKind kind =
+          profile.acceleratorKind(stage.target().acceleratorKind()).orElseThrow();
+      int layers = stage.layers().layerCount();
+      double factor =
+          (double) layers / profile.layerCount() * slowdownFactors.applyAsDouble(stage.target());
+      InFlightLoad load = loads.totalLoad(stage.target().id());
+      double contextTokens = (double) load.layerTokens() / layers;
+      double addedMs =
+          profile.perSequenceMs() * load.requests()
+              + profile.contextMsPer1000Tokens() * contextTokens / TOKENS_PER_CONTEXT_UNIT;
+      emptyStepMs += factor * kind.decodeTimeFactor() * profile.stepMs();
+      stepMs += factor * kind.decodeTimeFactor() * (profile.stepMs() + addedMs);
+      prefillFactor += factor * kind.prefillTimeFactor();
+    }
+    double promptTokenMs =
+        prefillFactor * MS_PER_SECOND / profile.prefillTokensPerSecond()
+            + pipeline.dataCentreCrossings() * LINK_CONTENTION * crossingMs(profile, 1);
+    return new Times(stepMs, emptyStepMs, promptTokenMs);
+  }
+
+  /** Returns the time to send the results of prompt tokens to another data centre. */
+  private static double crossingMs(EngineProfile profile, double tokens) {
+    return tokens
+        * profile.activationBytesPerToken()
+        * BITS_PER_BYTE
+        / (profile.interDataCentreMbps() * BITS_PER_MS);
+  }
+
   /**
    * Returns the time of one token step through all stages, without the prompts that are read
    * meanwhile.
@@ -97,12 +160,7 @@
               * MS_PER_SECOND
               / profile.prefillTokensPerSecond();
     }
-    double crossingMs =
-        tokens
-            * profile.activationBytesPerToken()
-            * BITS_PER_BYTE
-            / (profile.interDataCentreMbps() * BITS_PER_MS);
-    return sumMs + pipeline.dataCentreCrossings() * crossingMs * LINK_CONTENTION;
+    return sumMs + pipeline.dataCentreCrossings() * crossingMs(profile, tokens) * LINK_CONTENTION;
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.admission;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -72,6 +73,25 @@
    */
   static final int MAX_COMPARING_NODES = 12;
 
+  /**
+   * Ratio of the step times of the slowest and the fastest pipeline from which on the choice
+   * considers who would be late. Pipelines of one kind differ by less.
+   */
+  static final double MIN_SPEED_RATIO = 1.25;
+
+  /** Utilization that counts as left or as used at least when the room is estimated. */
+  static final double MIN_ROOM = 0.02;
+
+  /** Number of streams made late that lowers the weight of a pipeline to a third. */
+  static final double LATENESS_SCALE = 0.15;
+
+  /**
+   * Weight of the share of the time to the deadline that a stream is likely to take at most: long
+   * streams prefer fast pipelines, and short ones are left with the others.
+   */
+  static final double FINISH_WEIGHT = 3;
+
+  private final boolean isPlacedByLength;
   private final LoadTracker loads;
   private final PipelineEstimate.SlowdownFactors slowdownFactors;
   private final RandomGenerator random;
@@ -79,8 +99,16 @@
   private final StartLimiter moveLimiter;
   private final FullTargets fullTargets = new FullTargets();
 
-  /** A pipeline that can take the request; the one with the least cost is preferred. */
-  private record Candidate(ModelPipeline pipeline, double cost) {}
+  /**
+   * A pipeline that can take the request; the one with the least cost is preferred.
+   *
+   * @param pipeline the pipeline
+   * @param cost utilization and event gap
+   * @param utilization its utilization with the request
+   * @param times its times at the present load
+   */
+  private record Candidate(
+      ModelPipeline pipeline, double cost, double utilization, PipelineEstimate.Times times) {}
 
   /**
    * Creates an admission control.
@@ -91,6 +119,20 @@
    */
   public StreamAdmission(
       LoadTracker loads, PipelineEstimate.SlowdownFactors slowdownFactors, RandomGenerator random) {
+    this(loads, slowdownFactors, random, true);
+  }
+
+  /**
+   * Creates an admission control that may choose by utilization only, to compare the two.
+   *
+   * @param isPlacedByLength whether a node of a large fleet considers which streams would be late
+   */
+  StreamAdmission(
+      LoadTracker loads,
+      PipelineEstimate.SlowdownFactors slowdownFactors,
+      RandomGenerator random,
+      boolean isPlacedByLength) {
+    this.isPlacedByLength = isPlacedByLength;
     this.loads = loads;
     this.slowdownFactors = slowdownFactors;
     this.random = random;
@@ -100,7 +142,8 @@
 
   /**
    * Chooses the pipeline with the least utilization and event gap among those that are not full. In
-   * a large fleet, compares only two random ones of these.
+   * a large fleet, compares only two random ones of these; if pipelines differ in speed, they are
+   * drawn by their free room, and rarely where streams would be late.
    *
    * @param request the request
    * @param pipelines pipelines that can serve the request
@@ -179,15 +222,17 @@
       if (hasPausedTarget(pipeline, nowMs) || !mayStart.test(pipeline)) {
         continue;
       }
-      double utilization = utilization(pipeline, profile, request);
-      double cost = utilization + GAP_WEIGHT * gapUtilization(pipeline, profile, request);
+      PipelineEstimate.Times times =
+          PipelineEstimate.times(pipeline, profile, loads, slowdownFactors);
+      double utilization = utilization(pipeline, profile, request, times);
       if (utilization <= 1
-          && !exceedsNodeShare(pipeline, profile, request, utilization, sharing, nowMs)
-          && endsInTime(pipeline, profile, request, nowMs)) {
-        candidates.add(new Candidate(pipeline, cost));
+          && !exceedsNodeShare(pipeline, request, times, utilization, sharing, nowMs)
+          && endsInTime(request, times, nowMs)) {
+        double cost = utilization + GAP_WEIGHT * gapUtilization(profile, request, times);
+        candidates.add(new Candidate(pipeline, cost, utilization, times));
       }
     }
-    return (isLarge(sharing) ? sample(candidates) : candidates)
+    return (isLarge(sharing) ? sample(candidates, profile, request, nowMs) : candidates)
         .stream().min(Comparator.comparingDouble(Candidate::cost)).map(Candidate::pipeline);
   }
 
@@ -228,22 +273,80 @@
     return profile.layerTokenCapacity(kind.memoryMb(), heldLayers) * MEMORY_SHARE;
   }
 
-  /** Returns two different random candidates, or all if there are at most two. */
-  private List<Candidate> sample(List<Candidate> candidates) {
-    if (candidates.size() <= 2) {
+  /**
+   * Returns the weight with which a node of a large fleet draws a pipeline: its free room, so that
+   * many nodes that decide by the same reports spread over the pipelines as these can take, less
+   * for each stream that the start would make late.
+   */
+  private double weight(
+      Candidate candidate, EngineProfile profile, StreamRequest request, long nowMs) {
+    int running = loads.totalLoad(candidate.pipeline().head().id()).requests();
+    double utilization = candidate.utilization();
+    double room =
+        (running + 1) * Math.max(MIN_ROOM, 1 - utilization) / Math.max(MIN_ROOM, utilization);
+    LatenessEstimate lateness =
+        LatenessEstimate.of(profile, request, candidate.times(), running, nowMs);
+    double finishShare =
+        finishMs(request, candidate.times()) / Math.max(1, request.deadlineMs() - nowMs);
+    return room * Math.exp(-lateness.cost() / LATENESS_SCALE - FINISH_WEIGHT * finishShare);
+  }
+
+  /**
+   * Returns two different random candidates, or all if there are at most two. Candidates of
+   * different speed are drawn by weight; of two of these, only one is returned.
+   */
+  private List<Candidate> sample(
+      List<Candidate> candidates, EngineProfile profile, StreamRequest request, long nowMs) {
+    boolean isWeighted = isPlacedByLength && request.gapTargetMs() > 0 && differInSpeed(candidates);
+    if (candidates.size() <= 2 && !isWeighted) {
       return candidates;
     }
-    int first = random.nextInt(candidates.size());
-    int second = (first + 1 + random.nextInt(candidates.size() - 1)) % candidates.size();
-    return List.of(candidates.get(first), candidates.get(second));
+    if (!isWeighted) {
+      int first = random.nextInt(candidates.size());
+      int second = (first + 1 + random.nextInt(candidates.size() - 1)) % candidates.size();
+      return List.of(candidates.get(first), candidates.get(second));
+    }
+    double[] weights = new double[candidates.size()];
+    for (int i = 0; i < weights.length; i++) {
+      weights[i] = weight(candidates.get(i), profile, request, nowMs);
+    }
+    int first = draw(weights);
+    if (weights.length == 2) {
+      return List.of(candidates.get(first));
+    }
+    weights[first] = 0;
+    return List.of(candidates.get(first), candidates.get(draw(weights)));
   }
 
-  private double gapUtilization(
-      ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
-    return request.gapTargetMs() <= 0
-        ? 0
-        : PipelineEstimate.eventGapMs(pipeline, profile, loads, slowdownFactors)
-            / request.gapTargetMs();
+  private static boolean differInSpeed(List<Candidate> candidates) {
+    double least = Double.POSITIVE_INFINITY;
+    double most = 0;
+    for (Candidate candidate : candidates) {
+      least = Math.min(least, candidate.times().emptyStepMs());
+      most = Math.max(most, candidate.times().emptyStepMs());
+    }
+    return most > least * MIN_SPEED_RATIO;
+  }
+
+  /** Returns an index, drawn by weight. */
+  private int draw(double[] weights) {
+    double left = random.nextDouble() * Arrays.stream(weights).sum();
+    int last = 0;
+    for (int i = 0; i < weights.length; i++) {
+      if (weights[i] > 0) {
+        last = i;
+        left -= weights[i];
+        if (left < 0) {
+          return i;
+        }
+      }
+    }
+    return last;
+  }
+
+  private static double gapUtilization(
+      EngineProfile profile, StreamRequest request, PipelineEstimate.Times times) {
+    return request.gapTargetMs() <= 0 ? 0 : times.eventGapMs(profile) / request.gapTargetMs();
   }
 
   /**
@@ -256,14 +359,23 @@
    * @return 1 at the bound, infinite if the pipeline cannot take the request at all
    */
   public double utilization(ModelPipeline pipeline, EngineProfile profile, StreamRequest request) {
+    PipelineEstimate.Times times =
+        PipelineEstimate.times(pipeline, profile, loads, slowdownFactors);
+    return utilization(pipeline, profile, request, times);
+  }
+
+  private double utilization(
+      ModelPipeline pipeline,
+      EngineProfile profile,
+      StreamRequest request,
+      PipelineEstimate.Times times) {
     double utilization = memoryUtilization(pipeline, profile, request);
     if (request.gapTargetMs() <= 0) {
       return utilization;
     }
     double allowedGapMs = request.gapTargetMs() * GAP_SHARE;
-    double emptyGapMs =
-        PipelineEstimate.eventGapMs(pipeline, profile, new LoadTracker(), slowdownFactors);
-    double gapMs = PipelineEstimate.eventGapMs(pipeline, profile, loads, slowdownFactors);
+    double emptyGapMs = times.emptyEventGapMs(profile);
+    double gapMs = times.eventGapMs(profile);
     if (emptyGapMs < allowedGapMs) {
       return Math.max(utilization, gapMs / allowedGapMs);
     }
@@ -306,8 +418,8 @@
 
   private boolean exceedsNodeShare(
       ModelPipeline pipeline,
-      EngineProfile profile,
       StreamRequest request,
+      PipelineEstimate.Times times,
       double utilization,
       CapacitySharing sharing,
       long nowMs) {
@@ -315,8 +427,8 @@
     int total = Math.max(1, loads.totalLoad(head).requests());
     if (isLarge(sharing)) {
       long windowMs = sharing.reportIntervalMs();
-      double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads, slowdownFactors);
-      double endingFraction = Math.min(1, windowMs / (stepMs * request.expectedOutputTokens()));
+      double endingFraction =
+          Math.min(1, windowMs / (times.stepMs() * request.expectedOutputTokens()));
       double freeRequests =
           total * ((1 - utilization) / utilization + ENDING_WEIGHT * endingFraction) + 1;
       return utilization > START_LIMIT_UTILIZATION
@@ -352,12 +464,14 @@
     onStarted(pipeline, sharing, nowMs);
   }
 
-  private boolean endsInTime(
-      ModelPipeline pipeline, EngineProfile profile, StreamRequest request, long nowMs) {
-    double stepMs = PipelineEstimate.stepMs(pipeline, profile, loads, slowdownFactors);
-    double neededMs =
-        PipelineEstimate.prefillMs(pipeline, profile, request.promptTokens(), slowdownFactors)
-            + stepMs * request.highOutputTokens();
-    return neededMs <= (request.deadlineMs() - nowMs) * DEADLINE_SHARE;
+  private static boolean endsInTime(
+      StreamRequest request, PipelineEstimate.Times times, long nowMs) {
+    return finishMs(request, times) <= (request.deadlineMs() - nowMs) * DEADLINE_SHARE;
+  }
+
+  /** Returns the time within which a stream that starts now is likely to end. */
+  private static double finishMs(StreamRequest request, PipelineEstimate.Times times) {
+    return times.promptTokenMs() * request.promptTokens()
+        + times.stepMs() * request.highOutputTokens();
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -279,8 +279,7 @@
         expected,
         progress.generatedTokens(),
         ledger.isSent(),
-        deadlineMs,
-        nowMs);
+        deadlineMs);
   }
 
   @Override
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
@@ -25,7 +25,6 @@
    * @param generatedTokens number of tokens generated so far
    * @param isResumed whether the request was sent to a pipeline before
    * @param deadlineMs monotonic time at which the stream must have ended, in milliseconds
-   * @param nowMs current monotonic time in milliseconds
    * @return the request as pipeline selection needs it
    */
   static StreamRequest create(
@@ -35,8 +34,7 @@
       ExpectedOutput expected,
       int generatedTokens,
       boolean isResumed,
-      long deadlineMs,
-      long nowMs) {
+      long deadlineMs) {
     RequestMetadata metadata = request.metadata();
     ExpectedOutput left = expected.after(generatedTokens);
     // Resuming a started stream is preferred to starting others, even if it gets longer gaps.
@@ -47,7 +45,7 @@
         left.heldTokens(),
         left.highTokens(),
         routed.rank(),
-        nowMs,
+        request.receivedMs(),
         deadlineMs,
         routed.route().targetLatencyMs(),
         (long) (routed.route().gapTargetMs() * gapFactor));
