--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/FleetSumsTracker.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/FleetSumsTracker.java
@@ -13,10 +13,14 @@
  */
 public final class FleetSumsTracker implements FleetSumsView {
 
+  /** Time between two updates of this node's amounts, which are sent as often. */
+  private static final long REFRESH_INTERVAL_MS = 100;
+
   private final IntSupplier liveOthers;
   private final Map<String, FleetSums> byPeer = new HashMap<>();
   private final Map<String, FleetSums> byFollower = new HashMap<>();
   private SumsSource source = nowMs -> FleetSums.NONE;
+  private long refreshedMs = Long.MIN_VALUE / 2;
   private FleetSums own = FleetSums.NONE;
   private FleetSums sent = FleetSums.NONE;
   private FleetSums elsewhere = FleetSums.NONE;
@@ -46,6 +50,10 @@
    * @param nowMs monotonic time in milliseconds
    */
   public void refresh(long nowMs) {
+    if (nowMs - refreshedMs < REFRESH_INTERVAL_MS) {
+      return;
+    }
+    refreshedMs = nowMs;
     FleetSums amounts = source.own(nowMs);
     own =
         amounts.amounts().isEmpty()
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -53,6 +53,7 @@
   private final ForwardContext context;
   private final StreamAdmission admission;
   private final FleetSumsView fleetSums;
+  private final RequestCosts costs;
   private final DemandTracker demand = new DemandTracker();
   private final WorkspaceDemand workspaceDemand = new WorkspaceDemand();
   private final WorkspaceShares shares = new WorkspaceShares();
@@ -76,6 +77,7 @@
   RequestDispatcher(ForwardContext context, FleetSumsView fleetSums) {
     this.context = context;
     this.fleetSums = fleetSums;
+    this.costs = new RequestCosts(fleetSums, context.clock());
     this.priority =
         new PriorityAdmission(
             fleetSums,
@@ -312,11 +314,20 @@
     return (hash >>> DRAW_SHIFT) * DRAW_UNIT;
   }
 
-  /** Returns this node's share of the demand, for the sums of the fleet. */
+  /** Returns what is known about the costs of requests. */
+  RequestCosts costs() {
+    return costs;
+  }
+
+  /**
+   * Returns this node's share of the demand and the lengths that it learned, for the sums of the
+   * fleet.
+   */
   FleetSums ownDemand(long nowMs) {
     return demand
         .own(nowMs)
-        .plus(workspaceDemand.own(nowMs, service -> isShortageRecent(service, nowMs)));
+        .plus(workspaceDemand.own(nowMs, service -> isShortageRecent(service, nowMs)))
+        .plus(costs.own(nowMs));
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -449,6 +449,7 @@
     metrics.setGauge("target_limits", limits.limits().inForceCount());
     metrics.setGauge("target_limit_refusals", limits.limits().refusalCount());
     metrics.setAdmission(forwarder.admittedFractions(), forwarder.heldBackWorkspaces());
+    forwarder.costGauges().forEach(metrics::setGauge);
     metrics.setGauge("caller_connections", forwarder.connectionCount());
     metrics.setGauge("live_peers", peers.liveReports().size());
     metrics.setGauge("targets", registry.entries().size());
