Take a status outside 200 to 599 for no response

Cause: the connection to a target accepted each status of three digits, signs and leading zeros before it, and any version; the headers beside it were read as those of a response. 600 and 999 were passed on to callers of plain requests, and such a response with the header "not run" was told callers as a refusal (503) although the request may have run. Callers are written no status above 599. The whole suite was not run.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CallerResponse.java
@@ -33,10 +33,11 @@
  */
 final class CallerResponse {
 
-  /** Status codes of final responses have three digits. */
+  /** Lowest status code of a final response. */
   private static final int MIN_FINAL_STATUS = 200;
 
-  private static final int MAX_STATUS = 999;
+  /** Highest status code of HTTP; RFC 9110 has clients treat a higher one as a server error. */
+  private static final int MAX_STATUS = 599;
 
   private static final double MS_PER_SECOND = 1_000.0;
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannel.java
@@ -26,9 +26,7 @@
 final class TargetChannel extends ChannelInboundHandlerAdapter {
 
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
-  private static final int MIN_STATUS = 100;
   private static final int FIRST_FINAL_STATUS = 200;
-  private static final int MAX_STATUS = 999;
   private static final long MS_PER_SECOND = 1_000;
 
   /**
@@ -37,6 +35,13 @@
    */
   private static final long MAX_OVERHEAD_BYTES = 1_048_576;
 
+  /**
+   * Maximum number of interim responses to a request. A target that reports its progress every 200
+   * ms for the longest deadline in use, 20 s, sends no more. The time that they may take is bounded
+   * by the deadline of the request.
+   */
+  private static final int MAX_INTERIM_RESPONSES = 100;
+
   /** Bytes of framing that a byte of content allows for; a chunk of one byte has five. */
   private static final long OVERHEAD_PER_CONTENT_BYTE = 8;
 
@@ -64,6 +69,7 @@
   private boolean isFirstResponse = true;
 
   private long overheadBytes;
+  private int interimResponses;
   private long idleSinceMs;
   private long idleLimitMs;
 
@@ -154,6 +160,7 @@
     hasResponseStarted = false;
     isIgnoringContent = false;
     overheadBytes = 0;
+    interimResponses = 0;
     decoder.setRequestMethod(request.method());
     sentMs = pool.clock().nowMs();
     written = channel.writeAndFlush(request);
@@ -217,7 +224,7 @@
       if (listener == null) {
         fail("target sent bytes although no request is in progress");
       } else if (((HttpObject) message).decoderResult().isFailure()) {
-        fail("response is not valid HTTP");
+        fail(describe(((HttpObject) message).decoderResult().cause()));
       } else {
         if (message instanceof HttpResponse) {
           onResponse((HttpResponse) message);
@@ -231,14 +238,19 @@
     }
   }
 
+  private static String describe(Throwable cause) {
+    return cause instanceof TargetResponseDecoder.InvalidStatusLineException
+        ? cause.getMessage()
+        : "response is not valid HTTP";
+  }
+
   private void onResponse(HttpResponse response) {
     int status = response.status().code();
-    if (status < MIN_STATUS || status > MAX_STATUS) {
-      fail("response has a status that is no number of three digits");
-      return;
-    }
     if (status < FIRST_FINAL_STATUS) {
       isIgnoringContent = true;
+      if (++interimResponses > MAX_INTERIM_RESPONSES) {
+        fail("target sent more than " + MAX_INTERIM_RESPONSES + " interim responses");
+      }
       return;
     }
     ResponseMetadata metadata = pool.headerCodec().readResponse(status, response.headers());
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/CallerResponseTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/CallerResponseTest.java
@@ -111,7 +111,7 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"0", "99", "100", "103", "199", "1000"})
+  @CsvSource({"0", "99", "100", "103", "199", "600", "999", "1000"})
   void aStatusThatIsNoFinalOneIsNotWritten(int status) {
     sendWhole(status);
     assertThat(received()).isEmpty();
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RelayExchangeTest.java
@@ -29,6 +29,8 @@
 import org.gooseberryhook.router.node.TestHeaderCodec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests how a request ends that another node serves. */
 class RelayExchangeTest {
@@ -250,6 +252,30 @@
     }
   }
 
+  /** Guards against a status of another node that callers are sent or that counts as a refusal. */
+  @ParameterizedTest
+  @MethodSource("org.gooseberryhook.router.node.StatusOutsideRangeTest#invalidHeads")
+  void anAnswerWithoutAValidStatusEndsTheRelayedRequestAsOneThatMayHaveRun(
+      String statusLine, String headers) throws Exception {
+    String ended = headers.isEmpty() ? "attempt: a1\r\nsigned: s\r\n" : "relayed-sends: 1\r\n";
+    String event = "id: 1\ndata\n\n";
+    Route route =
+        new Route(
+            "r", "h", "/", RequestKind.STREAM, 3_000, 1, 1, 1, true, false, false, 0, List.of());
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ForwardContext context =
+          context("127.0.0.1:" + listener.getLocalPort(), (kind, attempt, fields) -> {});
+      loop.execute(exchange(context, "a1", route, Optional.of(STREAM))::start);
+      try (Socket node = listener.accept()) {
+        awaitRequest(node);
+        write(node, statusLine + "\r\n" + headers + ended + "Content-Length: 12\r\n\r\n" + event);
+        assertThat(node.getInputStream().read()).isNegative();
+        completed.get(5, TimeUnit.SECONDS);
+      }
+    }
+    assertThat(readAnswer()).startsWith("HTTP/1.1 502").contains("\"unknown\"", "relay-broken");
+  }
+
   private static String answer(int status, String headers, String body) {
     return String.format(
         "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, body.length(), body);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetStandin.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/TargetStandin.java
@@ -13,6 +13,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A target on the loopback interface that responds as its script defines. */
 final class TargetStandin implements AutoCloseable {
@@ -44,6 +45,7 @@
   private Thread acceptor;
   private final Script script;
   private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+  private final AtomicInteger connections = new AtomicInteger();
 
   TargetStandin(Script script) throws IOException {
     this.script = script;
@@ -76,6 +78,11 @@
     return List.copyOf(requests);
   }
 
+  /** Returns the number of connections on which requests have arrived. */
+  int connections() {
+    return connections.get();
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
@@ -93,11 +100,14 @@
   private void serve(Socket socket, boolean isReset) {
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      while (true) {
+      for (int i = 0; true; i++) {
         String request = read(in);
         if (request.isEmpty()) {
           return;
         }
+        if (i == 0) {
+          connections.incrementAndGet();
+        }
         if (isReset) {
           socket.setSoLinger(true, 0);
           return;
