Explain where a request would go now, on a status page

Cause: an operator saw after the fact where a request went, from log lines, and could not ask a node why it would choose a pipeline or refuse a request. Change: RequestExplainer states, from configuration, fleet, loads, pauses and limits, the route, rank, expected cost, the candidates with their figures and why each is not eligible, and the choice, without sending or reserving anything. A router node serves it as text and JSON at /explain beside its metrics. The page takes the name of a workspace and refuses a key. Result: RequestExplainerTest 18 of 18; its choice agrees with StreamAdmission.choose while two pipelines fill up. StreamAdmissionTest, TargetChooserTest, RouterNodeTest, ArchitectureTest and NodeProcessTest#nodesServePlainRequestsAndStreams (now asks /explain too) pass. The whole suite was not run.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/StreamAdmission.java
@@ -228,6 +228,61 @@
     return profile.layerTokenCapacity(kind.memoryMb(), heldLayers) * MEMORY_SHARE;
   }
 
+  /**
+   * Returns the figures by which {@link #choose} would compare a pipeline with others, and why it
+   * would not take it. Nothing is reserved; the random number of the present report interval may be
+   * drawn, which the next request uses as well.
+   *
+   * @param request the request
+   * @param pipeline a pipeline that can serve it
+   * @param profile profile of the engines
+   * @param sharing how nodes share the pipelines
+   * @param nowMs monotonic time in milliseconds
+   * @return the figures
+   */
+  public PipelineFigures explain(
+      StreamRequest request,
+      ModelPipeline pipeline,
+      EngineProfile profile,
+      CapacitySharing sharing,
+      long nowMs) {
+    double utilization = utilization(pipeline, profile, request);
+    List<String> objections = new ArrayList<>();
+    if (hasPausedTarget(pipeline, nowMs)) {
+      objections.add("a target is paused after it refused for lack of memory");
+    }
+    if (utilization > 1) {
+      objections.add("full");
+    }
+    if (exceedsNodeShare(pipeline, profile, request, utilization, sharing, nowMs)) {
+      objections.add("this node has used up its share");
+    }
+    if (!endsInTime(pipeline, profile, request, nowMs)) {
+      objections.add("the output would not end before the deadline");
+    }
+    return new PipelineFigures(
+        pipeline,
+        utilization + GAP_WEIGHT * gapUtilization(pipeline, profile, request),
+        utilization,
+        memoryUtilization(pipeline, profile, request),
+        PipelineEstimate.eventGapMs(pipeline, profile, loads, slowdownFactors),
+        PipelineEstimate.stepMs(pipeline, profile, loads, slowdownFactors),
+        PipelineEstimate.prefillMs(pipeline, profile, request.promptTokens(), slowdownFactors),
+        freeRequests(pipeline, profile, request),
+        loads.totalLoad(pipeline.head().id()).requests(),
+        objections);
+  }
+
+  /**
+   * Returns whether a node compares only two random pipelines of those that can take a request.
+   *
+   * @param sharing how nodes share the pipelines
+   * @return true in a large fleet
+   */
+  public static boolean comparesSample(CapacitySharing sharing) {
+    return isLarge(sharing);
+  }
+
   /** Returns two different random candidates, or all if there are at most two. */
   private List<Candidate> sample(List<Candidate> candidates) {
     if (candidates.size() <= 2) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/TargetChooser.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/TargetChooser.java
@@ -10,7 +10,7 @@
 public final class TargetChooser {
 
   /** Requests sent to a target for each of its slots; more would only wait in its queue. */
-  static final double MAX_REQUESTS_PER_SLOT = 2.5;
+  public static final double MAX_REQUESTS_PER_SLOT = 2.5;
 
   private final LoadTracker loads;
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
@@ -81,6 +81,16 @@
     return Optional.ofNullable(workspacesByKey.get(apiKey));
   }
 
+  /**
+   * Finds a workspace by its name, for questions of operators, which must not name keys.
+   *
+   * @param name name of the workspace
+   * @return the workspace, or empty if no workspace with a key has the name
+   */
+  public Optional<Workspace> findWorkspaceByName(String name) {
+    return workspacesByKey.values().stream().filter(w -> w.name().equals(name)).findAny();
+  }
+
   /**
    * Finds a service.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -151,6 +151,26 @@
     server.abortAll(onClosed);
   }
 
+  /**
+   * Explains where a request would go now. Nothing is sent or reserved.
+   *
+   * @param query the request
+   * @return the explanation
+   */
+  public Explanation explain(ExplainQuery query) {
+    return new RequestExplainer(
+            new RequestExplainer.NodeState(
+                context.configuration().get(),
+                context.fleet(),
+                context.loads(),
+                context.limits(),
+                context.health(),
+                dispatcher.admission(),
+                dispatcher::waitingCount,
+                context.relays()::isCutOff))
+        .explain(query, context.clock().nowMs());
+  }
+
   /**
    * Returns the number of requests in progress.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -45,7 +45,7 @@
   private static final long MIN_SILENCE_CHECK_MS = 50;
 
   /** Requests that a target counts for which was out of reach lately; it is taken last. */
-  private static final double SUSPECT_PENALTY = 1_000;
+  static final double SUSPECT_PENALTY = 1_000;
 
   private static final long RETRY_AFTER_MS = 300;
   private static final int STATUS_SERVER_ERROR = 500;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -38,6 +38,11 @@
         new StreamAdmission(context.loads(), context.fleet()::slowdownFactor, context.random());
   }
 
+  /** Returns the admission control of streams. */
+  StreamAdmission admission() {
+    return admission;
+  }
+
   /**
    * Chooses the pipeline of a stream. A head that did not have the stream before is preferred: one
    * that fails at once looks least loaded and would get all attempts.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestRouter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.gooseberryhook.router.forward;
 
 import java.util.Optional;
+import java.util.function.Function;
 import org.gooseberryhook.router.configuration.Route;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.configuration.Workspace;
@@ -28,6 +29,23 @@
       String host,
       String path,
       Optional<String> apiKey) {
+    return route(configuration, host, path, found -> apiKey.flatMap(found::findWorkspace));
+  }
+
+  /**
+   * Routes a request of a workspace that is found otherwise than by its key.
+   *
+   * @param configuration the configuration in force, empty before one is known
+   * @param host value of the Host header
+   * @param path path without the query
+   * @param findWorkspace returns the workspace, if any, of the configuration
+   * @return the route, or the problem for which the request is rejected
+   */
+  static RoutingResult route(
+      Optional<RoutingConfiguration> configuration,
+      String host,
+      String path,
+      Function<RoutingConfiguration, Optional<Workspace>> findWorkspace) {
     if (configuration.isEmpty()) {
       return reject(
           ProblemResponse.notRun(
@@ -38,7 +56,7 @@
       return reject(
           ProblemResponse.invalid(STATUS_NOT_FOUND, "no-route", "no route matches host and path"));
     }
-    Optional<Workspace> workspace = apiKey.flatMap(configuration.get()::findWorkspace);
+    Optional<Workspace> workspace = findWorkspace.apply(configuration.get());
     boolean needsKey = configuration.get().isKeyRequired() && !route.get().isPublic();
     if (needsKey && workspace.isEmpty()) {
       return reject(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
@@ -37,7 +37,19 @@
       boolean isResumed,
       long deadlineMs,
       long nowMs) {
-    RequestMetadata metadata = request.metadata();
+    return create(
+        request.metadata(), routed, profile, generatedTokens, isResumed, deadlineMs, nowMs);
+  }
+
+  /** Returns the input of pipeline selection for a stream of which only the headers are known. */
+  static StreamRequest create(
+      RequestMetadata metadata,
+      RoutingResult.Routed routed,
+      EngineProfile profile,
+      int generatedTokens,
+      boolean isResumed,
+      long deadlineMs,
+      long nowMs) {
     int promptTokens = metadata.promptTokens().orElse(profile.meanPromptTokens());
     int maxTokens = metadata.maxOutputTokens().orElse(profile.meanOutputTokens());
     int estimatedTokens = metadata.estimatedOutputTokens().orElse(profile.meanOutputTokens());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -22,6 +22,8 @@
 import org.gooseberryhook.router.fleet.TargetHealth;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.ExplainQuery;
+import org.gooseberryhook.router.forward.Explanation;
 import org.gooseberryhook.router.forward.Forwarder;
 import org.gooseberryhook.router.forward.HeaderCodec;
 import org.gooseberryhook.router.forward.MonotonicClock;
@@ -421,6 +423,16 @@
     return addresses.subList(0, Math.min(maxAddresses, addresses.size()));
   }
 
+  /**
+   * Explains where a request would go now, without sending it. Must be called on the event loop.
+   *
+   * @param query the request
+   * @return the explanation
+   */
+  public Explanation explain(ExplainQuery query) {
+    return forwarder.explain(query);
+  }
+
   /**
    * Returns the metrics page. Must be called on the event loop.
    *
