--- a/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/Main.java
+++ b/gooseberryhook-daemon/src/main/java/org/gooseberryhook/daemon/Main.java
@@ -63,6 +63,7 @@
     commands.put("standin", new StandinCommand());
     commands.put("admin", new AdminCommand());
     commands.put("check-settings", new CheckSettingsCommand());
+    commands.put("explain", new ExplainCommand());
     commands.put("load", new LoadAdapter(load));
     ProgramOptions options = new ProgramOptions();
     JCommander commander = JCommander.newBuilder().programName("gooseberryhook").build();
