--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/TargetChooser.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/TargetChooser.java
@@ -13,7 +13,7 @@
 public final class TargetChooser {
 
   /** Requests sent to a target for each of its slots; more would only wait in its queue. */
-  static final double MAX_REQUESTS_PER_SLOT = 2.5;
+  public static final double MAX_REQUESTS_PER_SLOT = 2.5;
 
   /**
    * Work time of a target relative to that of its route up to which it counts as usual. Measured
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestDispatcher.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import org.gooseberryhook.router.admission.AdmissionThreshold;
@@ -50,6 +52,9 @@
 
   private static final double DRAW_UNIT = 0x1.0p-53;
 
+  /** Draw of a request that is rejected unless all of its kind are admitted. */
+  private static final double HIGHEST_DRAW = 1 - DRAW_UNIT;
+
   private final ForwardContext context;
   private final StreamAdmission admission;
   private final FleetSumsView fleetSums;
@@ -91,6 +96,11 @@
         new StreamAdmission(context.loads(), context.fleet()::slowdownFactor, context.random());
   }
 
+  /** Returns the admission control of streams. */
+  StreamAdmission admission() {
+    return admission;
+  }
+
   /**
    * Chooses the pipeline of a stream. A head that did not have the stream before is preferred: one
    * that fails at once looks least loaded and would get all attempts.
@@ -359,6 +369,22 @@
     return byService;
   }
 
+  /** Returns what overload control admits now of the requests of a rank and a workspace. */
+  Explanation.Overload overload(String service, int rank, String workspace, long nowMs) {
+    if (!priority.isActive(service)) {
+      return Explanation.Overload.NONE;
+    }
+    shares.refresh(fleetSums.total(), nowMs);
+    AdmissionVerdict verdict = priority.check(service, rank, workspace, HIGHEST_DRAW, nowMs);
+    return verdict instanceof AdmissionVerdict.Reject reject
+        ? new Explanation.Overload(
+            OptionalDouble.of(reject.rankFraction()),
+            OptionalDouble.of(reject.workspaceFraction()),
+            OptionalLong.of(reject.retryAfterMs()))
+        : new Explanation.Overload(
+            OptionalDouble.of(1), OptionalDouble.of(1), OptionalLong.empty());
+  }
+
   /** Returns the admitted fraction of each rank by service. */
   Map<String, Map<Integer, Double>> admittedFractions() {
     return priority.admittedFractions();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamRequestFactory.java
@@ -35,7 +35,39 @@
       int generatedTokens,
       boolean isResumed,
       long deadlineMs) {
-    RequestMetadata metadata = request.metadata();
+    return create(
+        request.metadata(),
+        request.receivedMs(),
+        routed,
+        profile,
+        expected,
+        generatedTokens,
+        isResumed,
+        deadlineMs);
+  }
+
+  /**
+   * Returns the input of pipeline selection for a stream of which only the headers are known.
+   *
+   * @param metadata what the caller states about the request
+   * @param receivedMs monotonic time of the request's arrival, in milliseconds
+   * @param routed its route
+   * @param profile profile of the engines
+   * @param expected output that is expected of the whole stream
+   * @param generatedTokens number of tokens generated so far
+   * @param isResumed whether the request was sent to a pipeline before
+   * @param deadlineMs monotonic time at which the stream must have ended, in milliseconds
+   * @return the request as pipeline selection needs it
+   */
+  static StreamRequest create(
+      RequestMetadata metadata,
+      long receivedMs,
+      RoutingResult.Routed routed,
+      EngineProfile profile,
+      ExpectedOutput expected,
+      int generatedTokens,
+      boolean isResumed,
+      long deadlineMs) {
     ExpectedOutput left = expected.after(generatedTokens);
     // Resuming a started stream is preferred to starting others, even if it gets longer gaps.
     double gapFactor = isResumed ? RESUMED_GAP_FACTOR : 1;
@@ -45,7 +77,7 @@
         left.heldTokens(),
         left.highTokens(),
         routed.rank(),
-        request.receivedMs(),
+        receivedMs,
         deadlineMs,
         routed.route().targetLatencyMs(),
         (long) (routed.route().gapTargetMs() * gapFactor));
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -23,6 +23,8 @@
 import org.gooseberryhook.router.fleet.TargetHealth;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.ExplainQuery;
+import org.gooseberryhook.router.forward.Explanation;
 import org.gooseberryhook.router.forward.Forwarder;
 import org.gooseberryhook.router.forward.HeaderCodec;
 import org.gooseberryhook.router.forward.MonotonicClock;
@@ -437,34 +439,26 @@
     return CallerSpread.draw(ready, maxAddresses, callerSpreadRandom);
   }
 
+  /**
+   * Explains where a request would go now, without sending it. Must be called on the event loop.
+   *
+   * @param query the request
+   * @return the explanation
+   */
+  public Explanation explain(ExplainQuery query) {
+    return forwarder.explain(query);
+  }
+
   /**
    * Returns the metrics page. Must be called on the event loop.
    *
    * @return the page in the Prometheus text format
    */
   public String metricsPage() {
-    metrics.setGauge("requests_in_flight", forwarder.requestCount());
-    metrics.setGauge("streams_waiting", forwarder.waitingCount());
-    metrics.setGauge("requests_relayed", forwarder.relayedCount());
-    metrics.setGauge("target_limits", limits.limits().inForceCount());
-    metrics.setGauge("target_limit_refusals", limits.limits().refusalCount());
-    metrics.setAdmission(forwarder.admittedFractions(), forwarder.heldBackWorkspaces());
-    forwarder.costGauges().forEach(metrics::setGauge);
-    metrics.setGauge("caller_connections", forwarder.connectionCount());
-    metrics.setGauge("live_peers", peers.liveReports().size());
-    metrics.setGauge("targets", registry.entries().size());
-    metrics.setGauge("suspected_targets", fleet.suspectTracker().suspectAddresses().size());
-    metrics.setGauge("adopted_targets", fleet.suspectTracker().adoptedAddresses().size());
-    metrics.setGauge("list_source_is_store", distribution.source().isPresent() ? 0 : 1);
-    metrics.setGauge("list_followers", distribution.followerCount());
+    new NodeGauges(forwarder, limits, peers, registry, fleet, distribution)
+        .update(metrics, List.of(configurationFeed, targetFeed));
     metrics.setGauge("placement_lease_held", lease.isHeld(clock.nowMs()) ? 1 : 0);
     metrics.setGauge("configuration_version", configurationVersion());
-    for (FeedFollower<?> list : List.of(configurationFeed, targetFeed)) {
-      metrics.setGauge(list.name() + "_feed_responses", list.responseCount());
-      metrics.setGauge(list.name() + "_feed_changes", list.changeCount());
-      metrics.setGauge(list.name() + "_entries_left_out", list.leftOutCount());
-      metrics.setGauge(list.name() + "_feed_revision", list.history().position().revision());
-    }
     return metrics.page();
   }
 
