Order requests by the priority of workspaces, then of routes

The workspaces of the deployment have priorities, which go before those of routes, so that all classes of a workspace had one rank. Change: requests are ranked by the priority of the workspace, or of the route if it has none, and then by that of the route. Targets get the priority as before.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
@@ -4,10 +4,12 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
 
@@ -53,14 +55,9 @@
       for (WeightedService service : route.services()) {
         ranksByService
             .computeIfAbsent(service.service(), name -> new TreeSet<>())
-            .add(route.priority());
+            .addAll(ranks(route, workspaces.orElse(List.of())));
       }
     }
-    for (Workspace workspace : workspaces.orElse(List.of())) {
-      workspace
-          .priority()
-          .ifPresent(rank -> ranksByService.values().forEach(ranks -> ranks.add(rank)));
-    }
   }
 
   /**
@@ -126,9 +123,21 @@
     return services;
   }
 
+  private static Set<Integer> ranks(Route route, List<Workspace> workspaces) {
+    Set<Integer> ranks = new HashSet<>();
+    boolean needsWorkspace = !workspaces.isEmpty() && !route.isPublic();
+    if (!needsWorkspace) {
+      ranks.add(Urgency.rank(route.priority(), route.priority()));
+    }
+    for (Workspace workspace : workspaces) {
+      int priority = workspace.priority().orElse(route.priority());
+      ranks.add(Urgency.rank(priority, route.priority()));
+    }
+    return ranks;
+  }
+
   /**
-   * Returns the priority ranks that the requests for a service may have, by the priorities of
-   * routes and workspaces.
+   * Returns the ranks that the requests for a service may have by {@link Urgency}.
    *
    * @param service name of the service
    * @return the ranks in ascending order, empty if no route leads to the service
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -406,7 +406,7 @@
               target.id(),
               leftMs,
               routed.workspace().map(Workspace::name),
-              routed.rank(),
+              routed.priority(),
               Optional.empty(),
               request.metadata().lastEventId());
       channel.send(
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestExplainer.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestExplainer.java
@@ -111,7 +111,7 @@
         new Explanation.RouteFacts(
             routed.route().name(),
             routed.route().kind().name(),
-            routed.rank(),
+            routed.priority(),
             routed.route().timeoutMs(),
             routed.route().targetLatencyMs(),
             routed.route().gapTargetMs());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestRouter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestRouter.java
@@ -62,11 +62,11 @@
       return reject(
           ProblemResponse.invalid(STATUS_UNAUTHORIZED, "unknown-key", "send a valid API key"));
     }
-    int rank =
+    int priority =
         workspace.isPresent() && workspace.get().priority().isPresent()
             ? workspace.get().priority().getAsInt()
             : route.get().priority();
-    return new RoutingResult.Routed(route.get(), workspace, rank);
+    return new RoutingResult.Routed(route.get(), workspace, priority);
   }
 
   private static RoutingResult reject(ProblemResponse problem) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetRequests.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetRequests.java
@@ -91,7 +91,7 @@
             pipeline.head().id(),
             remainingMs,
             routed.workspace().map(Workspace::name),
-            routed.rank(),
+            routed.priority(),
             Optional.of(pipeline),
             lastEventId);
     return create(context, request, metadata, pipeline.head().address());
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RequestRouterTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/RequestRouterTest.java
@@ -11,6 +11,7 @@
 import org.gooseberryhook.router.configuration.RequestLimits;
 import org.gooseberryhook.router.configuration.Route;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
+import org.gooseberryhook.router.configuration.Urgency;
 import org.gooseberryhook.router.configuration.WeightedService;
 import org.gooseberryhook.router.configuration.Workspace;
 import org.junit.jupiter.api.Test;
@@ -63,8 +64,21 @@
 
   @Test
   void aWorkspacesPriorityOverridesTheRoutes() {
-    assertThat(((RoutingResult.Routed) route("/a/x", "key")).rank()).isEqualTo(1);
-    assertThat(((RoutingResult.Routed) route("/open/x", null)).rank()).isEqualTo(4);
+    assertThat(((RoutingResult.Routed) route("/a/x", "key")).priority()).isEqualTo(1);
+    assertThat(((RoutingResult.Routed) route("/open/x", null)).priority()).isEqualTo(4);
+  }
+
+  /**
+   * Guards against urgent routes that are served like the others because the workspaces have
+   * priorities of their own.
+   */
+  @Test
+  void routesAreOrderedAmongWorkspacesOfOnePriority() {
+    assertThat(Urgency.rank(1, 0)).isLessThan(Urgency.rank(1, 2));
+    assertThat(Urgency.rank(0, 9)).isLessThan(Urgency.rank(1, 0));
+    RoutingResult.Routed open = (RoutingResult.Routed) route("/open/x", null);
+    RoutingResult.Routed keyed = (RoutingResult.Routed) route("/a/x", "key");
+    assertThat(CONFIGURATION.ranks("s")).containsExactly(keyed.rank(), open.rank());
   }
 
   @Test
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/WorkspaceAdmissionTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/forward/WorkspaceAdmissionTest.java
@@ -58,7 +58,7 @@
               (kind, workspace, outcome, latencyMs) -> {}),
           sums);
 
-  /** Returns a configuration whose requests have the ranks 0 and 1. */
+  /** Returns a configuration whose requests have several ranks, among them 1. */
   private static RoutingConfiguration configuration() {
     return TestContexts.configuration(
         Optional.of(List.of(new Workspace("large", Set.of("k"), OptionalInt.of(0)))));
