Do not believe maxima that targets exceed

Cause: a maximum of output tokens caps the expected cost of a stream. If a target does not keep to it, a caller that states 1 would always reserve next to nothing.

Change: a stream that generates more than its maximum is learned as whole, and the maxima of its workspace are ignored for ten minutes. Expected tokens are rounded instead of cut.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/CostModel.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/CostModel.java
@@ -63,6 +63,9 @@
    */
   static final long WORK_LIFE_MS = 60_000;
 
+  /** Time for which the maxima of a workspace are not believed after a stream exceeded one. */
+  static final long IGNORE_MAX_MS = 600_000;
+
   /** Plain requests that must have ended at a target before its work time is used. */
   static final int MIN_WORK_SAMPLES = 3;
 
@@ -138,6 +141,9 @@
   private static final class Lengths {
     private final Sums[] buckets = new Sums[BUCKETS];
 
+    /** Time until which maxima of callers are not believed, because one was exceeded. */
+    private long ignoreMaxUntilMs = Long.MIN_VALUE;
+
     private Sums at(int bucket, long nowMs) {
       return buckets[bucket] == null ? Sums.NONE : buckets[bucket].at(nowMs);
     }
@@ -187,7 +193,8 @@
     if (sums.count() < MIN_SAMPLES) {
       return ofProfile(estimate, max, profile);
     }
-    double limit = max.orElse(0) >= 1 ? max.getAsInt() : MAX_OUTPUT_TOKENS;
+    boolean isMaxUsable = max.orElse(0) >= 1 && !isMaxIgnored(key, nowMs);
+    double limit = isMaxUsable ? max.getAsInt() : MAX_OUTPUT_TOKENS;
     double mean = sums.mean();
     double variance = Math.max(0, sums.squares() / sums.count() - mean * mean);
     // Lengths are about log-normal, so that two moments give the quantile.
@@ -195,14 +202,31 @@
     double high = mean * Math.exp(HIGH_DEVIATE * Math.sqrt(logVariance) - logVariance / 2);
     // Longer streams run for longer: of those that run, the mean length is E[x^2] / E[x].
     double held = Math.max(ExpectedOutput.HELD_SHARE * mean, (mean + variance / mean) / 2);
-    int meanTokens = (int) Math.max(1, Math.min(limit, mean * unit));
+    int meanTokens = (int) Math.max(1, Math.min(limit, Math.rint(mean * unit)));
     return new ExpectedOutput(
         meanTokens,
         (int) Math.round(Math.min(ExpectedOutput.HELD_SHARE * limit, held * unit)),
-        (int) Math.max(meanTokens, Math.min(limit, high * unit)),
+        (int) Math.max(meanTokens, Math.min(limit, Math.rint(high * unit))),
         source);
   }
 
+  private boolean isMaxIgnored(CostKey key, long nowMs) {
+    Lengths lengths = workspaces.get(key);
+    return lengths != null && nowMs < lengths.ignoreMaxUntilMs;
+  }
+
+  /**
+   * Records that a stream generated more tokens than its caller stated as the maximum: the target
+   * does not keep to it, and it must not lower the cost of the caller's streams. Holds for {@link
+   * #IGNORE_MAX_MS}.
+   *
+   * @param key route and workspace of the stream
+   * @param nowMs monotonic time in milliseconds
+   */
+  public void onMaxExceeded(CostKey key, long nowMs) {
+    workspaces.computeIfAbsent(key, k -> new Lengths()).ignoreMaxUntilMs = nowMs + IGNORE_MAX_MS;
+  }
+
   private static ExpectedOutput ofProfile(
       OptionalInt estimate, OptionalInt max, EngineProfile profile) {
     int mean = profile.meanOutputTokens();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestCosts.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/RequestCosts.java
@@ -56,6 +56,7 @@
    * Learns from a stream that ended at this node. One that its caller resumed is not learned: the
    * tokens before are not known.
    *
+   * @param profile profile of the engines
    * @param outcome how it ended
    * @param expected output that was expected of it, null if it was never considered
    * @param progress what its caller received
@@ -63,6 +64,7 @@
   void recordStream(
       RoutingResult.Routed routed,
       RequestMetadata metadata,
+      EngineProfile profile,
       String outcome,
       ExpectedOutput expected,
       StreamProgress progress) {
@@ -71,7 +73,12 @@
       return;
     }
     int max = metadata.maxOutputTokens().orElse(0);
-    boolean isWhole = outcome.equals(SERVED) && (max < 1 || tokens < max);
+    // The tokens of the last event are counted as a full event.
+    boolean isMaxExceeded = max >= 1 && tokens - max >= profile.decodeStepsPerPass();
+    if (isMaxExceeded) {
+      model.onMaxExceeded(key(routed), clock.nowMs());
+    }
+    boolean isWhole = outcome.equals(SERVED) && (max < 1 || tokens < max || isMaxExceeded);
     if (isWhole) {
       model.onEnded(key(routed), metadata.estimatedOutputTokens(), tokens, clock.nowMs());
     } else {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -391,7 +391,9 @@
     request.body().release();
     long firstMs = progress.firstEventAfterMs(request.receivedMs());
     Optional<ModelPipeline> last = Optional.ofNullable(attempt).map(StreamAttempt::pipeline);
-    dispatcher.costs().recordStream(routed, request.metadata(), outcome, firstExpected, progress);
+    dispatcher
+        .costs()
+        .recordStream(routed, request.metadata(), profile, outcome, firstExpected, progress);
     Object[] details =
         StreamOutcome.details(
             request, ledger, progress, firstMs, last, Optional.ofNullable(firstExpected));
