Withdraw crashes of targets that answer their probers

Cause: a node of a large fleet that takes a suspect back by the answer to a prober does not read its state, so it keeps a crash that it counted for a target which was only paused. Other nodes follow its retraction only. Change: such a node reads the state of an engine once after it dropped its suspicion; the nodes follow each other by rank. The new test fails without the change. mvn -o -q -B -ntp -pl gooseberryhook-router -am -Dtest='FleetStateTest,ProbeReplayTest' -Dprobe.idle.ms=2000 -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerSuspicions.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerSuspicions.java
@@ -151,6 +151,9 @@
     } else if (suspectTracker.isConfirmed(address) && evidence.answersProber()) {
       // The fleet saw the same loss, so an answer to a prober holds for this node too.
       onAnswering.accept(target);
+      if (!suspectTracker.isOwnSuspect(address)) {
+        prober.readStart(target, ProbeSchedule.deferralMs(probers.rank(address)));
+      }
     }
     boolean isAdopted = isLost && !suspectTracker.isOwnSuspect(address);
     if (!suspectTracker.setAdopted(address, isAdopted, clock.nowMs())) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -134,6 +134,17 @@
     deferredProbes.put(address, new DeferredProbe(nowMs, nowMs + delayMs));
   }
 
+  /**
+   * Reads the state of an engine once, after a time in milliseconds, although it answers others:
+   * only the node that counted a crash of it can tell by its start that there was none.
+   */
+  void readStart(TargetEntry target, long delayMs) {
+    if (!isPlain.test(target)) {
+      deferredProbes.put(
+          target.address(), new DeferredProbe(Long.MAX_VALUE, clock.nowMs() + delayMs));
+    }
+  }
+
   /** Forgets the targets that are no longer listed. */
   void retainListed(Set<String> listed) {
     deferredProbes.keySet().retainAll(listed);
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/FleetStateTest.java
@@ -17,6 +17,7 @@
 import org.gooseberryhook.router.fleet.CrashFindings;
 import org.gooseberryhook.router.fleet.LayerReport;
 import org.gooseberryhook.router.fleet.ModelPipeline;
+import org.gooseberryhook.router.fleet.ProbeSchedule;
 import org.gooseberryhook.router.fleet.RefusalReview;
 import org.gooseberryhook.router.fleet.TargetEntry;
 import org.gooseberryhook.router.fleet.TargetRegistry;
@@ -510,6 +511,40 @@
     assertThat(alive).containsExactly("10.0.0.001:80 10500");
   }
 
+  /**
+   * Guards against crashes that stay counted in a large fleet, where a node need not probe a
+   * suspect that answers its probers again.
+   */
+  @Test
+  void aSuspectThatAnswersItsProbersAgainIsReadOnceByANodeThatSawItFail() {
+    List<String> others = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      others.add("other-" + i);
+      addLivePeer("other-" + i);
+    }
+    TargetEntry target =
+        registry.entries().stream()
+            .filter(t -> !ProbeSchedule.isFrequentProber("n", others, t.address()))
+            .findFirst()
+            .orElseThrow();
+    List<String> alive = new ArrayList<>();
+    fleet.setAliveListener((address, sinceMs) -> alive.add(address));
+    fleet.tick(Optional.of(CONFIGURATION));
+    fleet.reportFailure(target.address(), "test");
+    others.forEach(node -> fleet.onPeerSuspects(node, List.of(target.address()), Map.of()));
+    nowMs += 1_500;
+    fleet.tick(Optional.of(CONFIGURATION));
+    assertThat(probedIds).isEmpty();
+    others.forEach(node -> fleet.onPeerSuspects(node, List.of(), Map.of(target.address(), 0L)));
+    assertThat(fleet.isSuspect(target.address())).isFalse();
+    for (int i = 0; i < 10; i++) {
+      nowMs += 500;
+      fleet.tick(Optional.of(CONFIGURATION));
+    }
+    assertThat(probedIds).containsExactly(target.id());
+    assertThat(alive).containsExactly(target.address());
+  }
+
   /** Guards against work that grows with the square of the requests that one target breaks off. */
   @Test
   void refusalsOfOneTargetAreReviewedTogether() {
