Share the probes of nodes without the store

Cause: for each refusal a node without the store probed all targets of the data centre that it had not probed for K seconds, K being the number of such nodes. In the first seconds each of them probed each target. Change: in a fleet of more than 12 other nodes each of the K nodes probes 3 / K of them for a refusal, in an order of its own, and the refusing target as before. Changed layers reach the others with the layer reports.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ProbeSchedule.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/ProbeSchedule.java
@@ -165,6 +165,19 @@
     return nodes * SHARED_INTERVAL_MS;
   }
 
+  /**
+   * Returns how many of some targets a node probes at once if several nodes probe them for the same
+   * reason, each in an order of its own, and tell each other the results. Together they probe each
+   * target about three times, because not all of them have the reason at the same time.
+   *
+   * @param targets number of targets
+   * @param nodes number of nodes that may have the reason
+   * @return all targets for up to three nodes, at least 1 otherwise
+   */
+  public static int sharedCount(int targets, int nodes) {
+    return Math.min(targets, (FREQUENT_PROBERS * targets + nodes - 1) / nodes);
+  }
+
   /**
    * Returns how many other nodes come before this one in the order in which all nodes rank each
    * other for something that a few of them have to try.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -381,15 +381,21 @@
    * nodes of a large fleet that have no store share these probes and report the layers.
    */
   void probeSameDataCentre(TargetEntry target, List<TargetEntry> currentTargets) {
-    long intervalMs =
-        probers.isLargeFleet() ? ProbeSchedule.sharedIntervalMs(probers.nodesWithoutStore()) : 0;
-    for (TargetEntry entry : currentTargets) {
-      if (entry.service().equals(target.service())
-          && entry.dataCentre().equals(target.dataCentre())
-          && isProbedLongAgo(entry, intervalMs)) {
-        probe(entry);
-      }
+    List<TargetEntry> sameDataCentre =
+        currentTargets.stream()
+            .filter(entry -> entry.service().equals(target.service()))
+            .filter(entry -> entry.dataCentre().equals(target.dataCentre()))
+            .toList();
+    if (!probers.isLargeFleet()) {
+      sameDataCentre.forEach(this::probe);
+      return;
     }
+    int nodes = probers.nodesWithoutStore();
+    sameDataCentre.stream()
+        .filter(entry -> isProbedLongAgo(entry, ProbeSchedule.sharedIntervalMs(nodes)))
+        .sorted(Comparator.comparingLong(e -> ProbeSchedule.rank(probers.self(), e.address())))
+        .limit(ProbeSchedule.sharedCount(sameDataCentre.size(), nodes))
+        .forEach(this::probe);
   }
 
   /**
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ProbeScheduleTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/ProbeScheduleTest.java
@@ -80,6 +80,15 @@
     assertThat(sum).isBetween(0.8, 1.0);
   }
 
+  /** Guards against each node without the store probing a whole data centre for each refusal. */
+  @Test
+  void nodesWithTheSameReasonShareTheProbesOfManyTargets() {
+    assertThat(ProbeSchedule.sharedCount(33, 1)).isEqualTo(33);
+    assertThat(ProbeSchedule.sharedCount(33, 3)).isEqualTo(33);
+    assertThat(ProbeSchedule.sharedCount(33, 36)).isEqualTo(3);
+    assertThat(ProbeSchedule.sharedCount(33, 390)).isEqualTo(1);
+  }
+
   /** Guards against all nodes trying a target together that its probers report as lost. */
   @Test
   void nodesThatAreNoProbersOfALostTargetTryItOneAfterTheOther() {
