--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/TargetProber.java
@@ -134,6 +134,17 @@
     deferredProbes.put(address, new DeferredProbe(nowMs, nowMs + delayMs));
   }
 
+  /**
+   * Reads the state of an engine once, after a time in milliseconds, although it answers others:
+   * only the node that counted a crash of it can tell by its start that there was none.
+   */
+  void readStart(TargetEntry target, long delayMs) {
+    if (!isPlain.test(target)) {
+      deferredProbes.put(
+          target.address(), new DeferredProbe(Long.MAX_VALUE, clock.nowMs() + delayMs));
+    }
+  }
+
   /** Forgets the targets that are no longer listed. */
   void retainListed(Set<String> listed) {
     deferredProbes.keySet().retainAll(listed);
@@ -370,15 +381,21 @@
    * nodes of a large fleet that have no store share these probes and report the layers.
    */
   void probeSameDataCentre(TargetEntry target, List<TargetEntry> currentTargets) {
-    long intervalMs =
-        probers.isLargeFleet() ? ProbeSchedule.sharedIntervalMs(probers.nodesWithoutStore()) : 0;
-    for (TargetEntry entry : currentTargets) {
-      if (entry.service().equals(target.service())
-          && entry.dataCentre().equals(target.dataCentre())
-          && isProbedLongAgo(entry, intervalMs)) {
-        probe(entry);
-      }
+    List<TargetEntry> sameDataCentre =
+        currentTargets.stream()
+            .filter(entry -> entry.service().equals(target.service()))
+            .filter(entry -> entry.dataCentre().equals(target.dataCentre()))
+            .toList();
+    if (!probers.isLargeFleet()) {
+      sameDataCentre.forEach(this::probe);
+      return;
     }
+    int nodes = probers.nodesWithoutStore();
+    sameDataCentre.stream()
+        .filter(entry -> isProbedLongAgo(entry, ProbeSchedule.sharedIntervalMs(nodes)))
+        .sorted(Comparator.comparingLong(e -> ProbeSchedule.rank(probers.self(), e.address())))
+        .limit(ProbeSchedule.sharedCount(sameDataCentre.size(), nodes))
+        .forEach(this::probe);
   }
 
   /**
