--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/configuration/RoutingConfiguration.java
@@ -1,12 +1,17 @@
 package org.gooseberryhook.router.configuration;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** A version of the configuration, indexed for lookups by host, service and API key. */
 public final class RoutingConfiguration {
@@ -17,6 +22,7 @@
   private final RequestLimits limits;
   private final boolean isKeyRequired;
   private final Map<String, Workspace> workspacesByKey = new HashMap<>();
+  private final Map<String, SortedSet<Integer>> ranksByService = new HashMap<>();
 
   /**
    * Creates a configuration.
@@ -45,6 +51,13 @@
     for (Workspace workspace : workspaces.orElse(List.of())) {
       workspace.apiKeys().forEach(key -> workspacesByKey.put(key, workspace));
     }
+    for (Route route : routes) {
+      for (WeightedService service : route.services()) {
+        ranksByService
+            .computeIfAbsent(service.service(), name -> new TreeSet<>())
+            .addAll(ranks(route, workspaces.orElse(List.of())));
+      }
+    }
   }
 
   /**
@@ -81,6 +94,16 @@
     return Optional.ofNullable(workspacesByKey.get(apiKey));
   }
 
+  /**
+   * Finds a workspace by its name, for questions of operators, which must not name keys.
+   *
+   * @param name name of the workspace
+   * @return the workspace, or empty if no workspace with a key has the name
+   */
+  public Optional<Workspace> findWorkspaceByName(String name) {
+    return workspacesByKey.values().stream().filter(w -> w.name().equals(name)).findAny();
+  }
+
   /**
    * Finds a service.
    *
@@ -100,6 +123,30 @@
     return services;
   }
 
+  private static Set<Integer> ranks(Route route, List<Workspace> workspaces) {
+    Set<Integer> ranks = new HashSet<>();
+    boolean needsWorkspace = !workspaces.isEmpty() && !route.isPublic();
+    if (!needsWorkspace) {
+      ranks.add(Urgency.rank(route.priority(), route.priority()));
+    }
+    for (Workspace workspace : workspaces) {
+      int priority = workspace.priority().orElse(route.priority());
+      ranks.add(Urgency.rank(priority, route.priority()));
+    }
+    return ranks;
+  }
+
+  /**
+   * Returns the ranks that the requests for a service may have by {@link Urgency}.
+   *
+   * @param service name of the service
+   * @return the ranks in ascending order, empty if no route leads to the service
+   */
+  public SortedSet<Integer> ranks(String service) {
+    return Collections.unmodifiableSortedSet(
+        ranksByService.getOrDefault(service, Collections.emptySortedSet()));
+  }
+
   public long version() {
     return version;
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/Forwarder.java
@@ -1,12 +1,15 @@
 package org.gooseberryhook.router.forward;
 
 import io.netty.channel.EventLoop;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.ServiceRetryBudget;
 import org.gooseberryhook.router.admission.TargetLimits;
+import org.gooseberryhook.router.cluster.FleetSums;
+import org.gooseberryhook.router.cluster.FleetSumsView;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
 import org.gooseberryhook.router.fleet.CrashCauses;
 import org.gooseberryhook.router.fleet.TargetHealth;
@@ -44,6 +47,7 @@
    * @param answerListener receives what targets state about themselves
    * @param metrics counts and latencies of requests
    * @param log log of routing decisions
+   * @param fleetSums amounts of all nodes, such as the demand of callers
    * @param address IP address and port for callers
    * @param maxConnections maximum number of open connections of callers; further ones are refused
    */
@@ -63,6 +67,7 @@
       TargetAnswerListener answerListener,
       RequestMetrics metrics,
       DecisionLog log,
+      FleetSumsView fleetSums,
       String address,
       int maxConnections) {
     context =
@@ -72,7 +77,7 @@
             random,
             headerCodec,
             new TargetChannelPool(
-                loop, clock, headerCodec, answerListener, TargetChannelPool.DEFAULT_IDLE_MS),
+                loop, clock, headerCodec, answerListener, TargetChannelPool.MAX_IDLE_MS),
             new RelayConnections(
                 relayView,
                 new TargetChannelPool(
@@ -92,7 +97,7 @@
             new StopForecast(),
             metrics,
             log);
-    dispatcher = new RequestDispatcher(context);
+    dispatcher = new RequestDispatcher(context, fleetSums);
     server = new CallerServer(context, dispatcher, address, maxConnections);
   }
 
@@ -151,6 +156,28 @@
     server.abortAll(onClosed);
   }
 
+  /**
+   * Explains where a request would go now. Nothing is sent or reserved.
+   *
+   * @param query the request
+   * @return the explanation
+   */
+  public Explanation explain(ExplainQuery query) {
+    return new RequestExplainer(
+            new RequestExplainer.NodeState(
+                context.configuration().get(),
+                context.fleet(),
+                context.loads(),
+                context.limits(),
+                context.health(),
+                dispatcher.admission(),
+                dispatcher::waitingCount,
+                context.relays()::isCutOff,
+                dispatcher.costs(),
+                dispatcher::overload))
+        .explain(query, context.clock().nowMs());
+  }
+
   /**
    * Returns the number of requests in progress.
    *
@@ -169,6 +196,45 @@
     return dispatcher.waitingCount();
   }
 
+  /**
+   * Returns this node's demand and the lengths of streams that it learned, for the sums of the
+   * fleet.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return the amounts; without demand if no service has requests of several ranks
+   */
+  public FleetSums ownDemand(long nowMs) {
+    return dispatcher.ownDemand(nowMs);
+  }
+
+  /**
+   * Returns the admitted fractions of the services whose requests have several ranks.
+   *
+   * @return fractions by service and rank
+   */
+  public Map<String, Map<Integer, Double>> admittedFractions() {
+    return dispatcher.admittedFractions();
+  }
+
+  /**
+   * Returns the number of workspaces that are admitted far less than their rank, because they ask
+   * for more than their share.
+   *
+   * @return numbers by service and rank; 0 without a shortage
+   */
+  public Map<String, Map<Integer, Integer>> heldBackWorkspaces() {
+    return dispatcher.heldBackWorkspaces();
+  }
+
+  /**
+   * Returns figures about the costs of requests.
+   *
+   * @return values by name of the gauge
+   */
+  public Map<String, Long> costGauges() {
+    return dispatcher.costs().gauges();
+  }
+
   /**
    * Returns the number of requests that are relayed to other nodes now.
    *
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -45,7 +45,7 @@
   private static final long MIN_SILENCE_CHECK_MS = 50;
 
   /** Requests that a target counts for which was out of reach lately; it is taken last. */
-  private static final double SUSPECT_PENALTY = 1_000;
+  static final double SUSPECT_PENALTY = 1_000;
 
   private static final long RETRY_AFTER_MS = 300;
   private static final int STATUS_SERVER_ERROR = 500;
@@ -168,7 +168,7 @@
 
   private Optional<TargetEntry> chooseTarget() {
     long nowMs = context.clock().nowMs();
-    return new TargetChooser(context.loads())
+    return new TargetChooser(context.loads(), dispatcher.costs().workTimes(route().name(), nowMs))
         .choose(
             untriedTargets()
                 .filter(pauseEndsBy(nowMs))
@@ -215,6 +215,7 @@
    */
   private void retryOrFail(String kind, String detail) {
     if (silentAttempt == null ? failIfDisallowed() : isFinished) {
+      context.log().recordEvent("not-repeated", request.metadata().attemptId(), "reason", kind);
       return;
     }
     boolean mayRunAgain =
@@ -345,6 +346,8 @@
     /** Whether another attempt takes its turn, which decides how the request goes on. */
     private boolean hasSuccessor;
 
+    private RequestCosts.PlainRun costRun;
+
     Attempt(TargetEntry target) {
       this.target = target;
     }
@@ -353,13 +356,14 @@
       // There is a permit: the target was chosen for it in this step.
       context.limits().tryTake(target);
       context.loads().add(target.id(), 0);
+      costRun = dispatcher.costs().startPlain(route().name(), target, context.loads());
       boolean isOnceOnly = route().kind() != RequestKind.IDEMPOTENT;
       context
           .channelPool()
           .acquire(
               target.address(),
               request.metadata().attemptId(),
-              isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannelPool.DEFAULT_IDLE_MS,
+              isOnceOnly ? ONCE_ONLY_MAX_IDLE_MS : TargetChannelPool.MAX_IDLE_MS,
               guard.wrap(this::onConnected),
               guard.wrap(this::onNotConnected));
     }
@@ -402,7 +406,7 @@
               target.id(),
               leftMs,
               routed.workspace().map(Workspace::name),
-              routed.rank(),
+              routed.priority(),
               Optional.empty(),
               request.metadata().lastEventId());
       channel.send(
@@ -534,6 +538,7 @@
         }
         context.health().recordSuccess(target.id(), nowMs);
         context.stopForecast().recordServed(route(), nowMs - sentMs);
+        dispatcher.costs().recordPlain(costRun, nowMs - sentMs);
         sendResponse("served", new TargetResponse(status, headers, body));
       }
     }
@@ -572,6 +577,7 @@
       }
       PlainExchange.cancel(silenceTimer);
       context.loads().remove(target.id(), 0);
+      dispatcher.costs().endPlain(costRun);
       dispatcher.startWaitingRequestsSoon();
     }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamExchange.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.gooseberryhook.router.admission.AdmissionVerdict;
+import org.gooseberryhook.router.admission.ExpectedOutput;
 import org.gooseberryhook.router.admission.StreamRequest;
 import org.gooseberryhook.router.admission.WaitQueue;
 import org.gooseberryhook.router.configuration.EngineProfile;
@@ -33,6 +35,9 @@
   /** The targets at which runs of this stream may be in progress. */
   RunningTargets runningTargets;
 
+  /** Output that was expected when the stream was first considered, null before. */
+  private ExpectedOutput firstExpected;
+
   /** Whether an attempt failed, so that the stream waits to be resumed and not to be started. */
   private boolean isResuming;
 
@@ -66,6 +71,7 @@
     super(relayed, triedNodes);
     this.profile = relayed.profile;
     this.progress = relayed.progress;
+    this.firstExpected = relayed.firstExpected;
     this.ledger = SendLedger.ofRelayed(sends);
     this.runningTargets = relayed.runningTargets;
   }
@@ -114,6 +120,10 @@
     if (failIfRejected(crashGuard.rejection(false)) || (relay.isPreferable() && tryRelay())) {
       return;
     }
+    dispatcher.recordArrival(service, schedulingInfo(), routed.route().gapTargetMs());
+    if (!relay.isExpected() && rejectLessUrgent()) {
+      return;
+    }
     long usualWaitMs = (long) (routed.route().targetLatencyMs() * StreamLimits.MAX_WAIT_SHARE);
     long waitMs = relay.isExpected() ? StreamLimits.RELAY_WAIT_MS : usualWaitMs;
     long waitDeadlineMs = Math.min(deadlineMs, request.receivedMs() + waitMs);
@@ -132,6 +142,9 @@
     if (!mayEndBeforeStop()) {
       return endStart();
     }
+    if (!isResuming && !ledger.isSent() && rejectLessUrgent()) {
+      return true;
+    }
     long nowMs = context.clock().nowMs();
     StreamRequest streamRequest = newStreamRequest(nowMs);
     Optional<ModelPipeline> chosen =
@@ -146,6 +159,35 @@
     return mayStart;
   }
 
+  /** Rejects the stream if the room goes to other requests; returns whether it was rejected. */
+  private boolean rejectLessUrgent() {
+    WaitQueue.SchedulingInfo scheduling = schedulingInfo();
+    AdmissionVerdict verdict =
+        dispatcher.checkPriority(service, scheduling, request.metadata().attemptId());
+    if (!(verdict instanceof AdmissionVerdict.Reject reject)) {
+      return false;
+    }
+    log(
+        "not-admitted",
+        "rank",
+        reject.rank(),
+        "workspace",
+        scheduling.workspace(),
+        "demandShare",
+        dispatcher.demandShare(service, scheduling),
+        "rankFraction",
+        reject.rankFraction(),
+        "workspaceFraction",
+        reject.workspaceFraction(),
+        "cost",
+        scheduling.cost(),
+        "retryAfterMs",
+        reject.retryAfterMs());
+    failResumable(
+        ProblemResponse.notRun("no-room", "other requests need the room", reject.retryAfterMs()));
+    return true;
+  }
+
   /** Sends the stream to no further pipeline, since it would be cut when the node stops. */
   private boolean endStart() {
     if (isMoveQueued) {
@@ -180,10 +222,10 @@
     List<ModelPipeline> allowed = runningTargets.allowed(pipelines, context.fleet()::hasEnded);
     List<ModelPipeline> preferred = runningTargets.preferred(allowed, context.fleet()::hasEnded);
     Optional<ModelPipeline> chosen =
-        dispatcher.choosePipeline(streamRequest, preferred, profile, ledger);
+        dispatcher.choosePipeline(service, streamRequest, preferred, profile, ledger);
     return chosen.isPresent() || preferred.size() == allowed.size()
         ? chosen
-        : dispatcher.choosePipeline(streamRequest, allowed, profile, ledger);
+        : dispatcher.choosePipeline(service, streamRequest, allowed, profile, ledger);
   }
 
   @Override
@@ -213,7 +255,7 @@
       }
     }
     dispatcher.onStarted(pipeline, ledger.isSent());
-    attempt = new StreamAttempt(this, pipeline, streamRequest.reservedTokens());
+    attempt = new StreamAttempt(this, pipeline, streamRequest);
     attempt.start();
   }
 
@@ -229,8 +271,17 @@
   }
 
   StreamRequest newStreamRequest(long nowMs) {
+    ExpectedOutput expected =
+        dispatcher.costs().expectedOutput(routed, request.metadata(), profile, nowMs);
+    firstExpected = firstExpected == null ? expected : firstExpected;
     return StreamRequestFactory.create(
-        request, routed, profile, progress.generatedTokens(), ledger.isSent(), deadlineMs, nowMs);
+        request,
+        routed,
+        profile,
+        expected,
+        progress.generatedTokens(),
+        ledger.isSent(),
+        deadlineMs);
   }
 
   @Override
@@ -242,6 +293,7 @@
       returnToSilentAttempt();
     } else if (!isFinished && !tryRelay()) {
       logReachedLimits(context.fleet().pipelines(service).stream().map(ModelPipeline::head));
+      dispatcher.recordUnplaced(service, routed.rank());
       failResumable(
           ledger.mayHaveRun()
               ? ProblemResponse.mayHaveRun("pipeline-lost", "no other pipeline has room")
@@ -341,7 +393,12 @@
     request.body().release();
     long firstMs = progress.firstEventAfterMs(request.receivedMs());
     Optional<ModelPipeline> last = Optional.ofNullable(attempt).map(StreamAttempt::pipeline);
-    Object[] details = StreamOutcome.details(request, ledger, progress, firstMs, last);
+    dispatcher
+        .costs()
+        .recordStream(routed, request.metadata(), profile, outcome, firstExpected, progress);
+    Object[] details =
+        StreamOutcome.details(
+            request, ledger, progress, firstMs, last, Optional.ofNullable(firstExpected));
     context.recordOutcome("stream", request, routed, outcome, firstMs, details);
   }
 
@@ -426,6 +483,7 @@
     }
     log("resume", "reason", kind, "detail", detail);
     isResuming = true;
+    dispatcher.recordArrival(service, schedulingInfo(), routed.route().gapTargetMs());
     dispatcher.submit(this, waitDeadlineMs);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/PeerReporter.java
@@ -6,6 +6,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.gooseberryhook.router.admission.LoadTracker;
+import org.gooseberryhook.router.cluster.FleetSums;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
+import org.gooseberryhook.router.cluster.NodeCapacity;
 import org.gooseberryhook.router.cluster.PeerReport;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.PlacementLease;
@@ -14,6 +17,7 @@
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.forward.DecisionLog;
 import org.gooseberryhook.router.forward.MonotonicClock;
+import org.gooseberryhook.router.forward.WorkMeter;
 
 /**
  * Sends reports about this node to the other nodes and applies the reports of the others. Used on
@@ -25,11 +29,13 @@
   private final long incarnation;
   private final NodeAddresses addresses;
   private final String dataCentre;
+  private final NodeCapacity capacity;
   private final SharedState state;
   private final MonotonicClock clock;
   private final BooleanSupplier isReady;
   private final Runnable onLoadsChanged;
   private final DecisionLog log;
+  private final WorkMeter meter;
   private final PeerReportSocket socket;
   private final ReportSchedule schedule = new ReportSchedule();
   private long sequence;
@@ -44,7 +50,8 @@
       PlacementLease lease,
       BooleanSupplier canRelay,
       LongSupplier configurationVersion,
-      LimitKeeper limits) {}
+      LimitKeeper limits,
+      FleetSumsTracker sums) {}
 
   PeerReporter(
       RouterSettings settings,
@@ -54,17 +61,20 @@
       MonotonicClock clock,
       BooleanSupplier isReady,
       Runnable onLoadsChanged,
+      WorkMeter meter,
       DecisionLog log) {
     this.node = settings.name();
     this.addresses = settings.addresses();
     this.dataCentre = settings.zone();
+    this.capacity = settings.capacity();
     this.incarnation = incarnation;
     this.state = state;
     this.clock = clock;
     this.isReady = isReady;
     this.onLoadsChanged = onLoadsChanged;
     this.log = log;
-    this.socket = new PeerReportSocket(loop, addresses.reports(), this::onReport, log);
+    this.meter = meter;
+    this.socket = new PeerReportSocket(loop, addresses.reports(), this::onReport, meter, log);
   }
 
   void start() throws InterruptedException {
@@ -81,6 +91,7 @@
     for (String expired : state.peers().expire(nowMs)) {
       log.recordEvent("node-gone", "", "peer", expired);
       state.loads().replacePeerLoads(expired, Map.of());
+      state.sums().replacePeer(expired, FleetSums.NONE);
       state.fleet().onPeerGone(expired);
       state.limits().limits().onNodeGone(expired);
     }
@@ -130,6 +141,7 @@
    */
   void sendReport(boolean isLast) {
     long nowMs = clock.nowMs();
+    boolean areRelayed = ReportSchedule.areLoadsRelayed(receiverCount());
     schedule.onSent(urgentState(), nowMs);
     PeerReport report =
         new PeerReport(
@@ -141,7 +153,7 @@
             isReady.getAsBoolean(),
             leaseRevision(),
             isLast,
-            ReportSchedule.areLoadsRelayed(receiverCount()) ? Map.of() : state.loads().ownLoads(),
+            areRelayed ? Map.of() : state.loads().ownLoads(),
             state.registry().isStoreUnavailable(),
             state.fleet().suspectAndSlowAddresses(),
             state.fleet().testimony().answerAgesMs(),
@@ -153,8 +165,11 @@
             state.configurationVersion().getAsLong(),
             state.fleet().reachableTargets(),
             state.limits().limits().reports(nowMs),
-            state.registry().announcedLeaving());
-    socket.send(report, state.peers().reportAddresses());
+            state.registry().announcedLeaving(),
+            areRelayed ? FleetSums.NONE : state.sums().own(),
+            capacity);
+    meter.run("reports-sent", () -> socket.send(report, state.peers().reportAddresses()));
+    meter.add("datagrams-sent", state.peers().reportAddresses().size(), 0);
   }
 
   private void onReport(PeerReport report) {
@@ -167,6 +182,7 @@
       log.recordEvent("node-seen", "", "peer", report.node(), "incarnation", report.incarnation());
     }
     state.loads().replacePeerLoads(report.node(), report.isStopping() ? Map.of() : report.loads());
+    state.sums().replacePeer(report.node(), report.isStopping() ? FleetSums.NONE : report.sums());
     if (report.isLeaseHolder()) {
       state.lease().onHolderReport(report.leaseRevision(), nowMs);
     }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterMetrics.java
@@ -20,6 +20,7 @@
   static final int MAX_LABELLED_WORKSPACES = 256;
 
   private static final String OTHER_WORKSPACES = "other";
+  private static final double PERMILLE = 1_000;
 
   /** Bucket bounds of the latency histograms, finer around the usual goals of 200 and 500 ms. */
   private static final double[] BUCKET_BOUNDS_MS = {
@@ -81,6 +82,40 @@
         .set(value);
   }
 
+  /**
+   * Sets the shares of requests that are admitted, in thousandths, and the numbers of workspaces
+   * that ask for more than their share, both by service and rank.
+   */
+  void setAdmission(
+      Map<String, Map<Integer, Double>> admittedFractions,
+      Map<String, Map<Integer, Integer>> heldBackWorkspaces) {
+    admittedFractions.forEach(
+        (service, byRank) ->
+            byRank.forEach(
+                (rank, fraction) ->
+                    setRankGauge(
+                        "admitted_permille", service, rank, Math.round(fraction * PERMILLE))));
+    heldBackWorkspaces.forEach(
+        (service, byRank) ->
+            byRank.forEach(
+                (rank, count) -> setRankGauge("workspaces_held_back", service, rank, count)));
+  }
+
+  private void setRankGauge(String name, String service, int rank, long value) {
+    gauges
+        .computeIfAbsent(
+            name + '/' + service + '/' + rank,
+            key -> {
+              AtomicLong holder = new AtomicLong();
+              Gauge.builder("gooseberryhook_" + name, holder, AtomicLong::doubleValue)
+                  .tag("service", service)
+                  .tag("rank", Integer.toString(rank))
+                  .register(registry);
+              return holder;
+            })
+        .set(value);
+  }
+
   String page() {
     return registry.scrape();
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -4,16 +4,17 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.gooseberryhook.protocol.TableService;
 import org.gooseberryhook.router.admission.LoadTracker;
 import org.gooseberryhook.router.admission.ServiceRetryBudget;
-import org.gooseberryhook.router.cluster.PeerReport;
+import org.gooseberryhook.router.cluster.CallerSpread;
+import org.gooseberryhook.router.cluster.FleetSumsTracker;
 import org.gooseberryhook.router.cluster.PeerTable;
 import org.gooseberryhook.router.cluster.PlacementLease;
 import org.gooseberryhook.router.configuration.RoutingConfiguration;
@@ -22,11 +23,14 @@
 import org.gooseberryhook.router.fleet.TargetHealth;
 import org.gooseberryhook.router.fleet.TargetRegistry;
 import org.gooseberryhook.router.forward.DecisionLog;
+import org.gooseberryhook.router.forward.ExplainQuery;
+import org.gooseberryhook.router.forward.Explanation;
 import org.gooseberryhook.router.forward.Forwarder;
 import org.gooseberryhook.router.forward.HeaderCodec;
 import org.gooseberryhook.router.forward.MonotonicClock;
 import org.gooseberryhook.router.forward.PeriodicDuties;
 import org.gooseberryhook.router.forward.ResponseMetadata;
+import org.gooseberryhook.router.forward.WorkMeter;
 
 /**
  * A node of the router: connects the components that follow the platform's lists, exchange reports
@@ -62,6 +66,9 @@
   private final PeerTable peers;
   private final TargetRegistry registry = new TargetRegistry();
   private final LoadTracker loads = new LoadTracker();
+  private final FleetSumsTracker sums;
+  private final WorkMeter meter = new WorkMeter();
+  private final RandomGenerator callerSpreadRandom = new SplittableRandom();
   private final CrashCauses crashCauses = new CrashCauses(new SplittableRandom().nextLong());
   private final RouterMetrics metrics = new RouterMetrics();
   private final PlacementLease lease;
@@ -136,6 +143,7 @@
     this.log = new StructuredLog(settings.name(), clock);
     Dependencies deps = dependencyFactory.create(loop, clock, log);
     this.peers = new PeerTable(settings.name());
+    this.sums = new FleetSumsTracker(() -> peers.liveReports().size());
     this.lease = new PlacementLease(settings.name(), incarnation);
     this.fleet =
         new FleetState(
@@ -146,9 +154,11 @@
             System::currentTimeMillis,
             this::readTargetsEarly,
             log);
+    fleet.setRequestCount(targetId -> loads.totalLoad(targetId).requests());
     this.limits = new LimitKeeper(fleet, peers, clock, log);
-    this.suspension = new SuspensionCheck(clock, log, lease::relinquish);
+    this.suspension = new SuspensionCheck(clock, log, this::onSuspended);
     this.forwarder = newForwarder(deps.headerCodec());
+    sums.setSource(forwarder::ownDemand);
     deps.engines().setAnswerListener(this::onTargetAnswer);
     fleet.setAliveListener(new CrashWithdrawal(crashCauses, clock, log));
     this.links = new LinkMonitor(fleet, peers, clock, log);
@@ -186,11 +196,13 @@
             lease,
             this::canRelay,
             this::configurationVersion,
-            limits),
+            limits,
+            sums),
         loop,
         clock,
         this::isReady,
-        this::onLoadsChanged,
+        () -> meter.run("start-waiting", this::onLoadsChanged),
+        meter,
         log);
   }
 
@@ -202,7 +214,9 @@
         List.of(configurationFeed, targetFeed),
         () -> lease.isHeld(clock.nowMs()),
         loads,
-        this::onLoadsChanged,
+        sums,
+        () -> meter.run("start-waiting", this::onLoadsChanged),
+        meter,
         loop,
         clock,
         new SplittableRandom(),
@@ -236,6 +250,11 @@
         log);
   }
 
+  private void onSuspended() {
+    lease.relinquish();
+    sums.forgetOthers();
+  }
+
   private boolean canRelay() {
     return distribution.canRelay();
   }
@@ -290,6 +309,7 @@
         this::onTargetAnswer,
         metrics,
         log,
+        sums,
         settings.addresses().callers(),
         settings.maxCallerConnections());
   }
@@ -317,9 +337,9 @@
   }
 
   /**
-   * Returns the event loop, for servers of pages about the node.
+   * Returns the event loop.
    *
-   * @return the loop
+   * @return the loop, for servers of pages about the node
    */
   public EventLoop loop() {
     return loop;
@@ -355,15 +375,17 @@
             previous.maxSockets(),
             changed.retries(),
             changed.stopGraceMs(),
-            changed.directoryTtlSeconds());
+            changed.directoryTtlSeconds(),
+            changed.capacity());
     log.recordEvent(
         "reload", "", "before", previous, "now", settings, "needsRestart", needsRestart);
   }
 
   private PeriodicDuties newDuties() {
-    return new PeriodicDuties(log)
+    return new PeriodicDuties(log, meter)
         .add("suspension", suspension::tick)
         .add("targets", () -> registry.removeExpired(clock.nowMs()))
+        .add("sums", () -> sums.refresh(clock.nowMs()))
         .add("lists", distribution::tick)
         .add("registration", registration::tick)
         .add("fleet", () -> fleet.tick(configuration))
@@ -372,7 +394,8 @@
         .add("streams", forwarder::replaceLostTargets)
         .add("placement", () -> placement.tick(configuration))
         .add("reports", reporter::tick)
-        .add("limits", limits::tick);
+        .add("limits", limits::tick)
+        .add("work", new WorkLog(meter, clock, log)::tick);
   }
 
   /**
@@ -405,20 +428,25 @@
    * Returns the addresses to which callers should connect. Must be called on the event loop.
    *
    * @param maxAddresses limit on the number of addresses
-   * @return addresses of ready nodes in random order; a random selection if there are more
+   * @return addresses of ready nodes in random order, by what their VMs can carry; a random
+   *     selection if there are more
    */
   public List<String> callerAddresses(int maxAddresses) {
-    List<String> addresses = new ArrayList<>();
+    List<CallerSpread.Node> ready = new ArrayList<>(peers.readyNodes());
     if (isReady()) {
-      addresses.add(settings.addresses().callers());
+      ready.add(new CallerSpread.Node(settings.addresses().callers(), settings.capacity()));
     }
-    for (PeerReport report : peers.liveReports()) {
-      if (report.isReady()) {
-        addresses.add(report.callerAddress());
-      }
-    }
-    Collections.shuffle(addresses);
-    return addresses.subList(0, Math.min(maxAddresses, addresses.size()));
+    return CallerSpread.draw(ready, maxAddresses, callerSpreadRandom);
+  }
+
+  /**
+   * Explains where a request would go now, without sending it. Must be called on the event loop.
+   *
+   * @param query the request
+   * @return the explanation
+   */
+  public Explanation explain(ExplainQuery query) {
+    return forwarder.explain(query);
   }
 
   /**
@@ -427,25 +455,10 @@
    * @return the page in the Prometheus text format
    */
   public String metricsPage() {
-    metrics.setGauge("requests_in_flight", forwarder.requestCount());
-    metrics.setGauge("streams_waiting", forwarder.waitingCount());
-    metrics.setGauge("requests_relayed", forwarder.relayedCount());
-    metrics.setGauge("target_limits", limits.limits().inForceCount());
-    metrics.setGauge("target_limit_refusals", limits.limits().refusalCount());
-    metrics.setGauge("caller_connections", forwarder.connectionCount());
-    metrics.setGauge("live_peers", peers.liveReports().size());
-    metrics.setGauge("targets", registry.entries().size());
-    metrics.setGauge("suspected_targets", fleet.suspectTracker().suspectAddresses().size());
-    metrics.setGauge("list_source_is_store", distribution.source().isPresent() ? 0 : 1);
-    metrics.setGauge("list_followers", distribution.followerCount());
+    new NodeGauges(forwarder, limits, peers, registry, fleet, distribution)
+        .update(metrics, List.of(configurationFeed, targetFeed));
     metrics.setGauge("placement_lease_held", lease.isHeld(clock.nowMs()) ? 1 : 0);
     metrics.setGauge("configuration_version", configurationVersion());
-    for (FeedFollower<?> list : List.of(configurationFeed, targetFeed)) {
-      metrics.setGauge(list.name() + "_feed_responses", list.responseCount());
-      metrics.setGauge(list.name() + "_feed_changes", list.changeCount());
-      metrics.setGauge(list.name() + "_entries_left_out", list.leftOutCount());
-      metrics.setGauge(list.name() + "_feed_revision", list.history().position().revision());
-    }
     return metrics.page();
   }
 
