--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PriorityAdmission.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/admission/PriorityAdmission.java
@@ -46,8 +46,12 @@
 
   static final long MAX_RETRY_AFTER_MS = 5_000;
 
-  /** Expected wait of a caller during a shortage whose end cannot be foreseen. */
-  static final long USUAL_RETRY_AFTER_MS = 1_500;
+  /**
+   * Wait of a caller during a shortage whose end cannot be foreseen. Lost layers are loaded again
+   * within some seconds, and a caller that comes back earlier is likely to be rejected again, which
+   * costs it its only repeat; its answer is late in either case.
+   */
+  static final long USUAL_RETRY_AFTER_MS = 3_000;
 
   /** Range over which returns are spread, as a share of the wait before. */
   static final double RETRY_SPREAD = 0.5;
