--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/ReportSchedule.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/cluster/ReportSchedule.java
@@ -28,9 +28,8 @@
   /**
    * Datagrams that a node sends in a second because of urgent changes that last. While many nodes
    * lose the store or a target is lost, each node has such a change every 100 ms, and a node of a
-   * fleet of 109 received over 1,000 reports a second, which fill the link of a small VM. With
-   * less, nodes go on using a lost target for over 2 s while its probers lack links
-   * (ProbeReplayTest fails at 400 and passes from 480 on).
+   * fleet of 109 received over 1,000 reports a second, which fill the link of a small VM. With half
+   * of it, nodes go on using a lost target for over 2 s while its probers lack links.
    */
   static final long URGENT_DATAGRAM_BUDGET_PER_SECOND = 640;
 
