--- a/review/stand-ins-2/GoneCase.java
+++ b/review/stand-ins-2/GoneCase.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The store resets the connections of three machines of nine, among them the one that reads the list
- * of replicas, and serves the others. Meanwhile replicas are replaced: the new one starts first, then
+ * The store resets the connections of three machines of nine, among them the one that read the list
+ * of replicas at first, and serves the others. Meanwhile replicas are replaced: the new one starts first, then
  * the entry of the old one is removed, which serves on for some seconds. Checks the rule DRAIN for
  * the requests that the other machines take and send.
  */
@@ -34,7 +34,8 @@
   /** Times since the removal of requests that reached a replica late, by attempt id. */
   private static final Map<String, Double> late = new ConcurrentHashMap<>();
 
-  private static final List<Nodes.Node> away = new ArrayList<>();
+  /** The machines that the store turns away in this outage. */
+  private static volatile List<Nodes.Node> away = List.of();
   private static int requests;
   private static volatile boolean isOver;
 
@@ -65,18 +66,16 @@
       Record.sleep(4);
       int reader = findReader(proxies);
       Record.line("the lists are read by " + nodes.all.get(reader).name);
-      for (int i = 0; i < AWAY; i++) {
-        away.add(nodes.all.get((reader + i) % NODES));
-      }
+      away = choose(nodes, reader, 0);
       for (int i = 0; i < CLIENTS; i++) {
         int client = i;
         Replica.daemon(() -> runClient(nodes, client));
       }
       for (int i = 0; i < OUTAGES; i++) {
+        away = choose(nodes, reader, i);
+        Record.sleep(0.2);
         if (Run.isTrouble()) {
-          for (int k = 0; k < AWAY; k++) {
-            proxies.get((reader + k) % NODES).setResetting(true);
-          }
+          away.forEach(node -> proxies.get(nodes.all.indexOf(node)).setResetting(true));
           Record.line("store: resets the connections of "
               + away.stream().map(node -> node.name).toList());
         }
@@ -100,6 +99,17 @@
     }
   }
 
+  /** Chooses the machines of an outage: the reader, and two others that differ each time. */
+  private static List<Nodes.Node> choose(Nodes nodes, int reader, int outage) {
+    List<Nodes.Node> chosen = new ArrayList<>();
+    chosen.add(nodes.all.get(reader));
+    for (int k = 1; k < AWAY; k++) {
+      int other = (outage * (AWAY - 1) + k - 1) % (NODES - 1);
+      chosen.add(nodes.all.get((reader + 1 + other) % NODES));
+    }
+    return chosen;
+  }
+
   /** Returns the machine that gets most from the store, which reads the lists for the others. */
   private static int findReader(List<Proxy> proxies) {
     long[] before = proxies.stream().mapToLong(Proxy::bytes).toArray();
