Hold back entries that are older than what the list has shown

Cause: the store may carry out a write that got no response seconds later. The late heartbeat shows the target as ready, and the registry took each entry for newer than the one before, because the decoder dropped the number of heartbeats (`sequence`).

Change: TargetEntry has the number of heartbeats; OutdatedEntries holds back an entry with an earlier start, or with the same start and a lower number, wherever a list comes in: changes, whole lists, updates of other nodes, also after the entry was removed. The hold ends with a newer entry, or after four heartbeats without one, so that a senseless number can't keep a live target out; a number that is out of reach orders nothing.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetEntry.java
@@ -20,6 +20,8 @@
  * @param startedAtMs time at which it started, in Unix milliseconds, at most {@link
  *     #MAX_STARTED_AT_MS}; 0 if unknown
  * @param modelVersion version of its weights, not negative; 0 if unknown
+ * @param heartbeats number of times that the target has written its entry since its start, not
+ *     negative; 0 if unknown
  */
 public record TargetEntry(
     String id,
@@ -31,7 +33,8 @@
     String acceleratorKind,
     Optional<LayerRange> layers,
     long startedAtMs,
-    long modelVersion) {
+    long modelVersion,
+    long heartbeats) {
 
   /** Largest number of slots, far above the few hundred requests that engines batch. */
   public static final int MAX_SLOTS = 65_536;
@@ -51,6 +54,57 @@
         startedAtMs >= 0 && startedAtMs <= MAX_STARTED_AT_MS,
         "time of the start must be from 0 to " + MAX_STARTED_AT_MS);
     require(modelVersion >= 0, "version of the weights must not be negative");
+    require(heartbeats >= 0, "number of heartbeats must not be negative");
+  }
+
+  /**
+   * Creates an entry of a target that does not number its heartbeats.
+   *
+   * @param id id of the target
+   * @param service name of the service that it runs
+   * @param address IP address and port
+   * @param dataCentre name of its data centre
+   * @param slots number of requests that it runs at once
+   * @param isLeaving whether it is about to leave
+   * @param acceleratorKind name of its kind of accelerator, empty for plain services
+   * @param layers layers that it holds, if any
+   * @param startedAtMs time at which it started, in Unix milliseconds; 0 if unknown
+   * @param modelVersion version of its weights; 0 if unknown
+   * @throws IllegalArgumentException if a figure is out of its bounds
+   */
+  public TargetEntry(
+      String id,
+      String service,
+      String address,
+      String dataCentre,
+      int slots,
+      boolean isLeaving,
+      String acceleratorKind,
+      Optional<LayerRange> layers,
+      long startedAtMs,
+      long modelVersion) {
+    this(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        isLeaving,
+        acceleratorKind,
+        layers,
+        startedAtMs,
+        modelVersion,
+        0);
+  }
+
+  /**
+   * Returns whether another entry differs from this one in the number of heartbeats at most.
+   *
+   * @param other the other entry
+   * @return true if both describe the same state of the target
+   */
+  public boolean isSameState(TargetEntry other) {
+    return equals(other.withHeartbeats(heartbeats));
   }
 
   private static void require(boolean condition, String requirement) {
@@ -122,7 +176,8 @@
         acceleratorKind,
         newLayers,
         startedAtMs,
-        modelVersion);
+        modelVersion,
+        heartbeats);
   }
 
   /**
@@ -142,7 +197,29 @@
         acceleratorKind,
         layers,
         startedAtMs,
-        version);
+        version,
+        heartbeats);
+  }
+
+  /**
+   * Returns a copy of this entry with another number of heartbeats.
+   *
+   * @param number the number, 0 if unknown
+   * @return the entry, never null
+   */
+  public TargetEntry withHeartbeats(long number) {
+    return new TargetEntry(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        isLeaving,
+        acceleratorKind,
+        layers,
+        startedAtMs,
+        modelVersion,
+        number);
   }
 
   /**
@@ -161,6 +238,7 @@
         acceleratorKind,
         layers,
         startedAtMs,
-        modelVersion);
+        modelVersion,
+        heartbeats);
   }
 }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/TargetRegistry.java
@@ -95,7 +95,8 @@
       listedLeavingStartMs.put(listed.id(), listed.startedAtMs());
     }
     TargetEntry entry = withAnnouncement(listed);
-    if (!entry.equals(entries.put(entry.id(), entry))) {
+    TargetEntry before = entries.put(entry.id(), entry);
+    if (before == null || !entry.isSameState(before)) {
       revision++;
     }
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/FeedFollower.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.gooseberryhook.router.forward.DecisionLog;
 import org.gooseberryhook.router.relay.ListHistory;
 import org.gooseberryhook.router.relay.ListPosition;
@@ -69,7 +70,8 @@
   private final Listener<T> listener;
   private final DecisionLog log;
   private final IntSupplier readerCount;
-  private final ListHistory<T> history = new ListHistory<>();
+  private final ListHistory<T> history;
+  private final OutdatedEntries<T> outdated;
   private final LeftOutEntries leftOut;
   private ScheduledFuture<?> nextRead;
   private ScheduledFuture<?> silenceTimer;
@@ -113,6 +115,7 @@
     default void onConfirmed(boolean hasChanges) {}
   }
 
+  /** Creates a follower of a list whose entries have no versions. */
   FeedFollower(
       String name,
       EventLoop loop,
@@ -120,7 +123,33 @@
       Listener<T> listener,
       IntSupplier readerCount,
       DecisionLog log) {
+    this(name, loop, feed, listener, readerCount, EntryOrder.none(), () -> 0, log);
+  }
+
+  /**
+   * Creates a follower.
+   *
+   * @param name name of the list
+   * @param loop event loop of the node
+   * @param feed access to the list
+   * @param listener receives the entries
+   * @param readerCount returns the number of nodes that read the list
+   * @param order order of the states of an entry
+   * @param heartbeatMs returns the usual time between two writes of an entry, in milliseconds
+   * @param log receives what is read and lost
+   */
+  FeedFollower(
+      String name,
+      EventLoop loop,
+      ChangeFeed<T> feed,
+      Listener<T> listener,
+      IntSupplier readerCount,
+      EntryOrder<T> order,
+      LongSupplier heartbeatMs,
+      DecisionLog log) {
     this.readerCount = readerCount;
+    this.history = new ListHistory<>(order.isSameState());
+    this.outdated = new OutdatedEntries<>(name, order, heartbeatMs, log);
     this.name = name;
     this.loop = loop;
     this.feed = feed;
@@ -331,6 +360,7 @@
         log.recordEvent("feed-lost", "", "list", name, "reason", failed.reason());
       }
       isFailing = true;
+      outdated.onStoreUnavailable(nowMs());
       listener.onStoreUnavailable();
       scheduleRead(retryDelayMs(readerCount.getAsInt()));
     }
@@ -348,13 +378,15 @@
       if (before.isKnown() && before.era() != entries.position().era()) {
         log.recordEvent(
             "feed-reset", "", "list", name, "before", before, "now", entries.position());
+        outdated.clear();
         listener.onHistoryReset();
       }
       leftOut.replaceAll(entries.changes());
-      int changed = history.replaceAll(toHistory(entries.changes()), entries.position()).size();
+      List<FeedResult.Change<T>> admitted = outdated.admitAll(entries.changes(), nowMs());
+      int changed = history.replaceAll(toHistory(admitted), entries.position()).size();
       changeCount += changed;
       confirmedMs = nowMs();
-      listener.onAll(entries.changes());
+      listener.onAll(admitted);
       listener.onConfirmed(changed > 0);
     } else if (entries.position().revision() >= history.position().revision()) {
       apply(entries.changes(), entries.position().revision(), 0);
@@ -373,7 +405,8 @@
   private void apply(List<FeedResult.Change<T>> read, long revision, long ageMs) {
     leftOut.update(read);
     List<FeedResult.Change<T>> changed = new ArrayList<>();
-    for (ListHistory.Entry<T> entry : history.apply(toHistory(read), revision)) {
+    List<FeedResult.Change<T>> admitted = outdated.admit(read, nowMs());
+    for (ListHistory.Entry<T> entry : history.apply(toHistory(admitted), revision)) {
       changed.add(new FeedResult.Change<>(entry.key(), entry.value(), entry.content()));
     }
     changeCount += changed.size();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterNode.java
@@ -173,7 +173,14 @@
             log);
     this.targetFeed =
         new FeedFollower<>(
-            "targets", loop, deps.targetFeed(), newTargetListener(), this::listReaderCount, log);
+            "targets",
+            loop,
+            deps.targetFeed(),
+            newTargetListener(),
+            this::listReaderCount,
+            EntryOrder.ofTargets(System::currentTimeMillis),
+            () -> settings.targetHeartbeatMs(),
+            log);
     this.distribution = newDistribution();
     this.leaseKeeper =
         new LeaseKeeper(
@@ -367,16 +374,7 @@
             || !changed.addresses().equals(settings.addresses())
             || changed.maxSockets() != settings.maxSockets();
     RouterSettings previous = settings;
-    settings =
-        new RouterSettings(
-            previous.name(),
-            previous.zone(),
-            previous.addresses(),
-            previous.maxSockets(),
-            changed.retries(),
-            changed.stopGraceMs(),
-            changed.directoryTtlSeconds(),
-            changed.capacity());
+    settings = previous.withReloadable(changed);
     log.recordEvent(
         "reload", "", "before", previous, "now", settings, "needsRestart", needsRestart);
   }
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/node/RouterSettings.java
@@ -14,6 +14,8 @@
  * @param stopGraceMs time from the stop signal until the process is killed, in milliseconds
  * @param directoryTtlSeconds longest time for which callers may use a response of the directory
  * @param capacity what the VM can carry
+ * @param targetHeartbeatMs usual time between two writes of a target's entry in the list, in
+ *     milliseconds, at least 1
  */
 public record RouterSettings(
     String name,
@@ -23,7 +25,11 @@
     RetryBounds retries,
     long stopGraceMs,
     int directoryTtlSeconds,
-    NodeCapacity capacity) {
+    NodeCapacity capacity,
+    long targetHeartbeatMs) {
+
+  /** Time between two writes of a target's entry if the platform does not state it. */
+  public static final long DEFAULT_TARGET_HEARTBEAT_MS = 1_200;
 
   /** Sockets that callers cannot use: they are kept for targets, the store and other nodes. */
   private static final int RESERVED_SOCKETS = 1_200;
@@ -35,7 +41,7 @@
   private static final long ABORT_MARGIN_DIVISOR = 7;
 
   /**
-   * Creates settings of a VM whose capacity is unknown.
+   * Creates settings of a VM whose capacity is unknown, with the usual heartbeat of targets.
    *
    * @param name name of the node, unique in the system
    * @param zone data centre of the node
@@ -61,7 +67,27 @@
         retries,
         stopGraceMs,
         directoryTtlSeconds,
-        NodeCapacity.UNKNOWN);
+        NodeCapacity.UNKNOWN,
+        DEFAULT_TARGET_HEARTBEAT_MS);
+  }
+
+  /**
+   * Returns a copy of these settings with those of others that need no new socket or identity.
+   *
+   * @param changed the other settings
+   * @return the settings, never null
+   */
+  RouterSettings withReloadable(RouterSettings changed) {
+    return new RouterSettings(
+        name,
+        zone,
+        addresses,
+        maxSockets,
+        changed.retries,
+        changed.stopGraceMs,
+        changed.directoryTtlSeconds,
+        changed.capacity,
+        changed.targetHeartbeatMs);
   }
 
   /**
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/ListHistory.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/relay/ListHistory.java
@@ -6,16 +6,16 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.gooseberryhook.router.relay.ListUpdate.ListChange;
 
 /**
  * The entries of a list as this node knows them, with the revision at which each last changed, so
  * that followers can be sent what they lack.
  *
- * <p>An entry that is written again with an equal value does not count as changed. Targets write
+ * <p>An entry that is written again with the same state does not count as changed. Targets write
  * their entries with each heartbeat; without this, every heartbeat would be sent to every node.
  *
  * @param <T> type of the entries
@@ -25,12 +25,27 @@
   /** Maximum number of removed entries that are remembered for followers. */
   static final int MAX_REMOVED = 4_096;
 
+  private final BiPredicate<T, T> isSameState;
   private final Map<String, Known<T>> entries = new HashMap<>();
   private ListPosition position = ListPosition.NONE;
 
   /** Lowest revision from which a follower can continue. */
   private long startRevision;
 
+  /**
+   * Creates an empty history.
+   *
+   * @param isSameState whether two values of an entry do not count as a change
+   */
+  public ListHistory(BiPredicate<T, T> isSameState) {
+    this.isSameState = isSameState;
+  }
+
+  /** Creates an empty history in which equal values do not count as a change. */
+  public ListHistory() {
+    this(Object::equals);
+  }
+
   /**
    * An entry.
    *
@@ -93,11 +108,17 @@
     return changed;
   }
 
-  private static <T> boolean isChange(Known<T> known, Entry<T> entry) {
+  private boolean isChange(Known<T> known, Entry<T> entry) {
     if (known == null || known.isRemoved()) {
       return entry.content().isPresent();
     }
-    return entry.content().isEmpty() || !Objects.equals(known.entry().value(), entry.value());
+    return entry.content().isEmpty() || !isSameState(known.entry().value(), entry.value());
+  }
+
+  private boolean isSameState(Optional<T> first, Optional<T> second) {
+    return first.isPresent() && second.isPresent()
+        ? isSameState.test(first.get(), second.get())
+        : first.isEmpty() && second.isEmpty();
   }
 
   private void forgetOldRemovals() {
