Count crashes of streams that had begun

Cause: the first event of a response cleared the request at all nodes, and an attempt that had events recorded no crash. The number of the event does not matter: a crash after the sixth one went unrecorded in the same way.

Evidence: three rows of CrashingRequestTest failed before: after four tries, with a crash after 1 event and after 6, the stream still got status 200 from a further target, and a suspect after two crashes was not refused.

Change: the first event clears the parts of the prompt, only the end of the whole response clears the request. InterruptedRuns decides which crashes count: a first one is kept back, and reported with a second one after about the same number of events, or if the stream ends without its last event; a run that went on for longer elsewhere is not the cause. The first interruption does not wait for the check of the target. Streams that lose a target at the same moment share one connection for the check (ListenerChecks). CrashCheck is what CrashGuard did in one method.

--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashAttribution.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashAttribution.java
@@ -60,6 +60,11 @@
   record Culprit(
       int crashes, long lastCrashMs, Set<Long> workspaces, List<Set<Long>> alternatives) {
 
+    /** Returns whether other causes may explain any of the crashes as well. */
+    boolean isAmbiguous() {
+      return alternatives.stream().anyMatch(others -> !others.isEmpty());
+    }
+
     /**
      * Returns whether the crashes concern a workspace. Those of one other workspace do not: its
      * caller alone must not get the requests of others rejected.
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/fleet/CrashCauses.java
@@ -122,11 +122,13 @@
    * @param decision the decision
    * @param cause number of the cause that decided, 0 if none did
    * @param crashes number of crashes that are attributed to it
+   * @param isAmbiguous whether other causes may explain any of these crashes as well
    * @param retryAfterMs time until the next trial in milliseconds
    */
-  public record Verdict(Decision decision, long cause, int crashes, long retryAfterMs) {
+  public record Verdict(
+      Decision decision, long cause, int crashes, boolean isAmbiguous, long retryAfterMs) {
 
-    static final Verdict ALLOWED = new Verdict(Decision.ALLOWED, 0, 0, 0);
+    static final Verdict ALLOWED = new Verdict(Decision.ALLOWED, 0, 0, false, 0);
 
     /**
      * Returns whether the request must not be sent now.
@@ -147,6 +149,16 @@
     return observationCount == 0;
   }
 
+  /**
+   * Returns whether a crash of a cause is known.
+   *
+   * @param cause number of the cause
+   * @return true if there is an observation with it
+   */
+  public boolean isSuspected(long cause) {
+    return observationsByCause.containsKey(cause);
+  }
+
   /**
    * Returns a well mixed hash, by which causes, workspaces and targets are told apart.
    *
@@ -379,10 +391,11 @@
     if (sinceTrialMs >= 0
         && !trials.containsKey(cause)
         && nodesBefore.applyAsInt(cause) <= sinceTrialMs / TRIAL_STEP_MS) {
-      return new Verdict(Decision.TRIAL, cause, culprit.crashes(), 0);
+      return new Verdict(Decision.TRIAL, cause, culprit.crashes(), culprit.isAmbiguous(), 0);
     }
     Decision decision = culprit.crashes() >= FINAL_CRASHES ? Decision.NEVER : Decision.LATER;
-    return new Verdict(decision, cause, culprit.crashes(), Math.max(0, -sinceTrialMs));
+    return new Verdict(
+        decision, cause, culprit.crashes(), culprit.isAmbiguous(), Math.max(0, -sinceTrialMs));
   }
 
   private long trialDelayMs(long cause, Culprit culprit, List<Long> requestCauses) {
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashGuard.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashGuard.java
@@ -2,15 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.zip.CRC32C;
 import org.gooseberryhook.router.configuration.Workspace;
 import org.gooseberryhook.router.fleet.CrashCauses;
-import org.gooseberryhook.router.fleet.RefusalReview;
+import org.gooseberryhook.router.fleet.InterruptedRuns;
 
 /**
  * Keeps one request from crashing targets: rejects it if it, or a part of its prompt, is known to
@@ -21,24 +18,24 @@
   /** Shortest {@code Retry-After} of a request that waits for the trial of another one. */
   private static final long MIN_RETRY_AFTER_MS = 1_000;
 
-  /** Longest time for which a retry waits for the check of the target. */
-  private static final long MAX_CHECK_MS = 100;
-
   private final ForwardContext context;
   private final CallerRequest request;
   private final RoutingResult.Routed routed;
   private final String service;
   private List<Long> causes;
+  private long requestCause;
   private long trialCause;
   private int trialCrashes;
   private boolean isTrial;
 
-  /** Whether a target refused a connection and the other nodes may still object. */
-  private boolean isReviewing;
-
-  /** Whether a response began, which shows that the request does not crash targets. */
+  /** Whether a response began, which shows that no part of the prompt crashes targets. */
   private boolean hasResponseStarted;
 
+  /** Whether a run that had events was interrupted and may have crashed its target. */
+  private boolean wasInterrupted;
+
+  private final InterruptedRuns runs = new InterruptedRuns();
+
   CrashGuard(
       ForwardContext context, CallerRequest request, RoutingResult.Routed routed, String service) {
     this.context = context;
@@ -55,11 +52,11 @@
    */
   Optional<ProblemResponse> rejection(boolean mayHaveRun) {
     CrashCauses crashCauses = context.crashCauses();
-    if (hasResponseStarted || crashCauses.isEmpty()) {
+    if (crashCauses.isEmpty()) {
       return Optional.empty();
     }
     CrashCauses.Verdict verdict = decide();
-    if (!verdict.isRejected() || isOwnTrial(verdict)) {
+    if (!verdict.isRejected() || isOwnTrial(verdict) || mayGoOn(verdict)) {
       return Optional.empty();
     }
     context
@@ -90,6 +87,17 @@
             : ProblemResponse.notRun("crashes-targets", detail, retryAfterMs));
   }
 
+  /**
+   * Returns whether a stream that has begun may run once more. Its targets may have ended for other
+   * reasons, and if they did not, the next crash shows it. Streams that can't be told apart would
+   * only be in the next crash together again.
+   */
+  private boolean mayGoOn(CrashCauses.Verdict verdict) {
+    return hasResponseStarted
+        && verdict.decision() == CrashCauses.Decision.LATER
+        && !verdict.isAmbiguous();
+  }
+
   /** Returns whether the verdict only says that this request's own trial is in progress. */
   private boolean isOwnTrial(CrashCauses.Verdict verdict) {
     return isTrial && verdict.cause() == trialCause && verdict.crashes() == trialCrashes;
@@ -103,10 +111,7 @@
    */
   Optional<ProblemResponse> beforeSend(boolean mayHaveRun) {
     Optional<ProblemResponse> rejection = rejection(mayHaveRun);
-    if (rejection.isEmpty()
-        && !isTrial
-        && !hasResponseStarted
-        && !context.crashCauses().isEmpty()) {
+    if (rejection.isEmpty() && !isTrial && !context.crashCauses().isEmpty()) {
       CrashCauses.Verdict verdict = decide();
       if (verdict.decision() == CrashCauses.Decision.TRIAL) {
         isTrial = true;
@@ -127,24 +132,37 @@
     return rejection;
   }
 
-  /** Must be called when a target begins the response: the request does not crash targets. */
+  /**
+   * Must be called when a target begins the response to a stream: it has read the prompt, whose
+   * parts do not crash targets. The request itself may still do so with a later event.
+   */
   void onResponseStarted() {
     hasResponseStarted = true;
-    CrashCauses crashCauses = context.crashCauses();
-    List<Long> sound = crashCauses.isEmpty() ? partCauses() : causes();
-    List<Long> cleared = crashCauses.recordSoundStart(sound, context.clock().nowMs());
-    if (isTrial) {
+    recordSound(partCauses());
+  }
+
+  /** Must be called when a target has sent a whole response: the request is sound. */
+  void onResponseWhole() {
+    hasResponseStarted = true;
+    runs.onWhole();
+    recordSound(context.crashCauses().isEmpty() ? partCauses() : causes());
+  }
+
+  private void recordSound(List<Long> sound) {
+    List<Long> cleared = context.crashCauses().recordSoundStart(sound, context.clock().nowMs());
+    if (isTrial && sound.contains(trialCause)) {
       context
           .log()
           .recordEvent(
               "crash-trial-passed", request.metadata().attemptId(), "cleared", cleared.size());
+      endTrial();
     }
-    endTrial();
   }
 
   /** Must be called when the request has ended or is not sent again. */
   void onFinished() {
     endTrial();
+    runs.onEnd().forEach(this::recordCrashOfRun);
   }
 
   private void endTrial() {
@@ -155,82 +173,80 @@
   }
 
   /**
-   * Records a crash if the target to which the request was sent, or else another one of its
-   * pipeline, refuses connections now and is found to have ended. A target that does not answer at
-   * all was cut off and did not crash.
+   * Must be called when a run that had no event was interrupted. Records a crash if one of the
+   * targets has ended.
    *
    * @param addresses addresses of the targets that ran the request, first the one that it was sent
-   *     to; empty if a response had begun, so that the request did not crash them
-   * @param onChecked called once: when they were checked, when the review of a refusal has a result
-   *     or no one may object any more, or after {@link #MAX_CHECK_MS} without a refusal
+   *     to; empty if none did
+   * @param onChecked called once, after the check of the targets
    */
   void onInterrupted(List<String> addresses, Runnable onChecked) {
-    isReviewing = false;
     if (addresses.isEmpty()) {
       onChecked.run();
       return;
     }
     // The body, of which a cause is made, may be released before the checks end.
     causes();
-    AtomicBoolean isCalled = new AtomicBoolean();
-    Runnable callOnce =
-        () -> {
-          if (!isCalled.getAndSet(true)) {
-            onChecked.run();
-          }
-        };
-    context.schedule(
-        () -> {
-          if (!isReviewing) {
-            callOnce.run();
-          }
-        },
-        MAX_CHECK_MS);
-    List<String> others = addresses.subList(1, addresses.size());
-    check(addresses.subList(0, 1), () -> check(others, callOnce, callOnce), callOnce);
+    new CrashCheck(
+            context,
+            addresses,
+            (address, crashMs) -> recordCrash(causes(), address, crashMs),
+            onChecked)
+        .start();
   }
 
-  private void check(List<String> addresses, Runnable onAllListening, Runnable onReviewed) {
-    ListenerCheck.findClosed(
-        context.loop(),
-        addresses,
-        closed -> {
-          if (closed.isEmpty()) {
-            onAllListening.run();
-          } else {
-            review(closed, onReviewed);
-          }
-        });
+  /**
+   * Must be called when a run ends that had events, before {@link #onRunInterrupted}.
+   *
+   * @param events number of its events
+   */
+  void onRunEnded(int events) {
+    runs.onRun(events);
   }
 
-  /** Records one crash if any of the targets has ended, also if a fault took several of them. */
-  private void review(Set<String> addresses, Runnable onReviewed) {
-    isReviewing = true;
-    final long refusedMs = context.clock().nowMs();
-    context.schedule(onReviewed, RefusalReview.OBJECTION_MS + MAX_CHECK_MS);
-    Set<String> open = new HashSet<>(addresses);
-    AtomicBoolean isRecorded = new AtomicBoolean();
-    for (String address : addresses) {
-      context
-          .fleet()
-          .reviewRefusal(
-              address,
-              hasEnded -> {
-                open.remove(address);
-                if (hasEnded && !isRecorded.getAndSet(true)) {
-                  recordCrash(address, refusedMs);
-                }
-                if (hasEnded || open.isEmpty()) {
-                  onReviewed.run();
-                }
-              });
+  /**
+   * Must be called when a run that had events was interrupted. The request waits for the check of
+   * the targets only if it is suspected of a crash: most streams are interrupted by others.
+   *
+   * @param addresses addresses of the targets that ran the request, first the one that it was sent
+   *     to
+   * @param events number of events of the run
+   * @param onChecked called once, when the request may be sent again
+   */
+  void onRunInterrupted(List<String> addresses, int events, Runnable onChecked) {
+    if (!runs.mayBeCause(events)) {
+      onChecked.run();
+      return;
+    }
+    boolean mustWait = wasInterrupted || isSuspected();
+    wasInterrupted = true;
+    causes();
+    new CrashCheck(
+            context,
+            addresses,
+            (address, crashMs) ->
+                runs.onCrash(new InterruptedRuns.Crash(address, crashMs, events), isSuspected())
+                    .forEach(this::recordCrashOfRun),
+            mustWait ? onChecked : () -> {})
+        .start();
+    if (!mustWait) {
+      onChecked.run();
     }
   }
 
-  private void recordCrash(String address, long crashMs) {
+  private boolean isSuspected() {
+    CrashCauses crashCauses = context.crashCauses();
+    return !crashCauses.isEmpty() && crashCauses.isSuspected(requestCause());
+  }
+
+  private void recordCrashOfRun(InterruptedRuns.Crash crash) {
+    recordCrash(List.of(requestCause()), crash.address(), crash.crashMs());
+  }
+
+  private void recordCrash(List<Long> crashCauses, String address, long crashMs) {
     context
         .crashCauses()
-        .recordCrash(causes(), workspace(), CrashCauses.targetHash(address), crashMs);
+        .recordCrash(crashCauses, workspace(), CrashCauses.targetHash(address), crashMs);
     context
         .log()
         .recordEvent(
@@ -239,29 +255,37 @@
             "target",
             address,
             "causes",
-            causes().stream().map(Long::toHexString).toList());
+            crashCauses.stream().map(Long::toHexString).toList());
   }
 
   private CrashCauses.Verdict decide() {
+    List<Long> possible = hasResponseStarted ? List.of(requestCause()) : causes();
     return context
         .crashCauses()
-        .decide(causes(), workspace(), context.fleet()::nodesBefore, context.clock().nowMs());
+        .decide(possible, workspace(), context.fleet()::nodesBefore, context.clock().nowMs());
   }
 
   private long workspace() {
     return CrashCauses.hash(routed.workspace().map(Workspace::name).orElse("").hashCode());
   }
 
-  /** Returns the possible causes: the request itself and the shared parts of its prompt. */
+  /** Returns the possible causes: the shared parts of the prompt, and the request itself. */
   private List<Long> causes() {
     if (causes == null) {
       List<Long> found = partCauses();
-      found.add(fingerprint());
+      requestCause = fingerprint();
+      found.add(requestCause);
       causes = found.stream().distinct().toList();
     }
     return causes;
   }
 
+  /** Returns the cause that stands for the request itself. */
+  private long requestCause() {
+    causes();
+    return requestCause;
+  }
+
   /** Returns a cause for each part of the prompt but the last, which no other request shares. */
   private List<Long> partCauses() {
     List<Long> parts = request.metadata().promptParts();
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/PlainExchange.java
@@ -530,7 +530,7 @@
         lastErrorResponse = new TargetResponse(status, headers, body);
         retryUnlessReplaced("target-error", "the target failed");
       } else {
-        crashGuard.onResponseStarted();
+        crashGuard.onResponseWhole();
         Optional<String> objection = PlainStream.objection(request, route(), status, headers, body);
         if (objection.isPresent()) {
           recordBroken(objection.get());
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamAttempt.java
@@ -373,6 +373,7 @@
       end();
       context.health().recordSuccess(pipeline.head().id(), context.clock().nowMs());
       recordTimes();
+      stream.crashGuard.onResponseWhole();
       stream.finish("served");
       stream.response.endStream(takeRemaining());
     } else if (isStream()) {
@@ -447,10 +448,13 @@
       }
       context.fleet().checkTargets(pipeline);
       stream.log("broken", "at", pipeline.head().address(), "why", reason);
-      // A request that crashes targets breaks off before its first event.
-      List<String> suspects = hasEvents || channel == null ? List.of() : pipeline.addresses();
-      stream.crashGuard.onInterrupted(
-          suspects, guard.wrap(() -> resumeAfterLoss(reason, isUnanswered)));
+      Runnable onChecked = guard.wrap(() -> resumeAfterLoss(reason, isUnanswered));
+      if (hasEvents) {
+        stream.crashGuard.onRunInterrupted(pipeline.addresses(), eventCount, onChecked);
+      } else {
+        stream.crashGuard.onInterrupted(
+            channel == null ? List.of() : pipeline.addresses(), onChecked);
+      }
     }
   }
 
@@ -466,6 +470,9 @@
 
   private void end() {
     releaseMemory();
+    if (hasEvents) {
+      stream.crashGuard.onRunEnded(eventCount);
+    }
     if (this == stream.silentAttempt) {
       isOver = true;
       stream.silentAttempt = null;
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/StreamResponseReader.java
@@ -14,6 +14,10 @@
   HttpHeaders headers;
   ResponseMetadata metadata;
   boolean hasEvents;
+
+  /** Number of events that the caller has got of this response. */
+  int eventCount;
+
   private final EventCheck eventCheck;
   private final EventFramer framer = new EventFramer();
   private final ErrorBody errorBody = new ErrorBody();
@@ -71,6 +75,7 @@
     } else {
       onEvent(event, id);
       hasEvents = true;
+      eventCount++;
     }
   }
 
--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/TargetChannelPool.java
@@ -56,6 +56,7 @@
   private boolean isSweepScheduled;
   private final Map<String, Deque<TargetChannel>> idle = new HashMap<>();
   private final ChannelFactory<TargetSocketChannel> sockets;
+  private final ListenerChecks listenerChecks;
 
   /**
    * Creates a pool without connections.
@@ -90,6 +91,7 @@
     this.loop = loop;
     this.clock = clock;
     this.headerCodec = headerCodec;
+    this.listenerChecks = new ListenerChecks(loop);
   }
 
   MonotonicClock clock() {
@@ -104,6 +106,11 @@
     return answerListener;
   }
 
+  /** Returns the checks whether targets accept connections. */
+  ListenerChecks listenerChecks() {
+    return listenerChecks;
+  }
+
   /**
    * Takes an idle connection from the pool or opens a new one. A connection on which the attempt
    * was sent before is left to other attempts.
--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CrashingRequestTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/node/CrashingRequestTest.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhook.state.LayerRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests that a request that crashes the targets which run it is refused after two crashes. Without
@@ -14,6 +16,9 @@
  */
 class CrashingRequestTest extends RouterNodeHarness {
 
+  /** Time after two crashes until a request with their cause is tried again. */
+  private static final long FIRST_TRIAL_DELAY_MS = 2_000;
+
   @Test
   void aRequestThatCrashedTwoTargetsIsRefused() throws Exception {
     AtomicInteger runs = new AtomicInteger();
@@ -166,6 +171,130 @@
     assertThat(last).startsWith("HTTP/1.1 200");
   }
 
+  /** Returns the number of the event after which a stream is to be continued, 0 if it is new. */
+  private static int lastEvent(String request) {
+    String last = TargetStandin.header(request, "last-event-id");
+    return last.isEmpty() ? 0 : Integer.parseInt(last);
+  }
+
+  private int countRuns(String path) {
+    return targets.stream()
+        .mapToInt(target -> (int) target.requests().stream().filter(r -> r.contains(path)).count())
+        .sum();
+  }
+
+  private void addPipelines(int count, TargetStandin.Script script) throws IOException {
+    for (int i = 0; i < count; i++) {
+      addPipeline(script);
+    }
+  }
+
+  /** Sends a stream again and again, with pauses in which a first trial is due. */
+  private String repeat(String path, int times) throws Exception {
+    String last = "";
+    for (int i = 0; i < times; i++) {
+      last = exchange(post(path, "p"));
+      Thread.sleep(FIRST_TRIAL_DELAY_MS);
+    }
+    return last;
+  }
+
+  /** Guards against a stream that crashes target after target because each has sent an event. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 6})
+  void aStreamThatCrashesTargetsAfterSomeEventsIsRefused(int eventsBeforeCrash) throws Exception {
+    addPipelines(
+        7,
+        (request, out) -> {
+          int last = lastEvent(request);
+          writeEvents(request, out, last + 1, last + eventsBeforeCrash);
+          Thread.sleep(20);
+          closeTarget(TargetStandin.header(request, "target"));
+          throw new IOException("crash");
+        });
+    startNode();
+    assertThat(repeat("/draft/poison", 4)).startsWith("HTTP/1.1 400").contains("crashes-targets");
+    assertThat(countRuns("/draft/poison")).isEqualTo(3);
+  }
+
+  /** Guards against sound streams that are refused because their targets crashed more than once. */
+  @Test
+  void aStreamWhoseTargetsCrashAfterDifferentNumbersOfEventsIsServed() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    addPipelines(
+        4,
+        (request, out) -> {
+          int last = lastEvent(request);
+          int run = runs.incrementAndGet();
+          boolean isCrash = run == 1 || run == 2;
+          writeEvents(request, out, last + 1, isCrash ? last + (run == 1 ? 20 : 3) : 40);
+          if (isCrash) {
+            Thread.sleep(20);
+            closeTarget(TargetStandin.header(request, "target"));
+            throw new IOException("crash");
+          }
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    // The route allows two runs, so that the caller has to come again.
+    assertThat(exchange(post("/draft/sound", "p"))).contains("id: 23\n").endsWith("\n\n\r\n");
+    assertThat(exchange(post("/draft/sound", "p")))
+        .startsWith("HTTP/1.1 200")
+        .contains("id: 40\n")
+        .endsWith("0\r\n\r\n");
+  }
+
+  /** Guards against sound streams that are refused because one beside them crashed a target. */
+  @Test
+  void streamsThatWereInterruptedOnceAreServedAgain() throws Exception {
+    AtomicBoolean hasCrashed = new AtomicBoolean();
+    addPipelines(
+        3,
+        (request, out) -> {
+          int last = lastEvent(request);
+          writeEvents(request, out, last + 1, last + 2);
+          if (!hasCrashed.getAndSet(true)) {
+            Thread.sleep(20);
+            closeTarget(TargetStandin.header(request, "target"));
+            throw new IOException("crash");
+          }
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    for (int i = 0; i < 5; i++) {
+      assertThat(exchange(post("/draft/sound", "p")))
+          .startsWith("HTTP/1.1 200")
+          .endsWith("0\r\n\r\n");
+    }
+  }
+
+  /** Guards against a suspected stream that stays refused although its trial went well. */
+  @Test
+  void aSuspectedStreamIsServedAgainAfterATrialThatEndsWhole() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    addPipelines(
+        5,
+        (request, out) -> {
+          int last = lastEvent(request);
+          writeEvents(request, out, last + 1, last + 2);
+          if (runs.incrementAndGet() <= 2) {
+            Thread.sleep(20);
+            closeTarget(TargetStandin.header(request, "target"));
+            throw new IOException("crash");
+          }
+          TargetStandin.write(out, "0\r\n\r\n");
+        });
+    startNode();
+    exchange(post("/draft/sound", "p"));
+    assertThat(exchange(post("/draft/sound", "p"))).startsWith("HTTP/1.1 503");
+    Thread.sleep(FIRST_TRIAL_DELAY_MS + 200);
+    for (int i = 0; i < 3; i++) {
+      assertThat(exchange(post("/draft/sound", "p")))
+          .startsWith("HTTP/1.1 200")
+          .endsWith("0\r\n\r\n");
+    }
+  }
+
   private void closeTarget(String id) throws IOException {
     for (TargetStandin target : targets) {
       if (idOf(target).equals(id)) {
