--- a/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashCheck.java
+++ b/gooseberryhook-router/src/main/java/org/gooseberryhook/router/forward/CrashCheck.java
@@ -6,8 +6,8 @@
 import org.gooseberryhook.router.fleet.RefusalReview;
 
 /**
- * Finds out whether one of the targets that ran a request has crashed. A target that refuses
- * connections now and is found to have ended has; one that does not answer at all was cut off.
+ * Finds out whether one of the targets that ran a request has crashed: it refuses connections now
+ * and is found to have ended. A target that does not answer at all was cut off.
  */
 final class CrashCheck {
 
