--- a/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/StreamCrashSimulationTest.java
+++ b/gooseberryhook-router/src/test/java/org/gooseberryhook/router/fleet/StreamCrashSimulationTest.java
@@ -40,6 +40,10 @@
   private static final StreamCrashSimulation.Load SEVERAL_DEADLY_STREAMS =
       new StreamCrashSimulation.Load(9, 6, 57, 3, 2, 2_000, 0, 40_000);
 
+  /** Targets that end so often that most are down most of the time; see KNOWN-RED.txt. */
+  private static final StreamCrashSimulation.Load FREQUENT_CRASHES =
+      new StreamCrashSimulation.Load(9, 6, 57, 0, 0, 0, 500, 30_000);
+
   private static StreamCrashSimulation run(StreamCrashSimulation.Load load, long seed) {
     StreamCrashSimulation simulation = new StreamCrashSimulation(load, seed);
     simulation.run();
@@ -75,6 +79,12 @@
     checkRejected(SEVERAL_DEADLY_STREAMS);
   }
 
+  @Test
+  @EnabledIfSystemProperty(named = "known.red", matches = "true")
+  void soundStreamsAreServedWhileMostTargetsAreDown() {
+    checkRejected(FREQUENT_CRASHES);
+  }
+
   private static void checkRejected(StreamCrashSimulation.Load load) {
     for (int seed = 0; seed < SEEDS; seed++) {
       StreamCrashSimulation simulation = run(load, seed);
